--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -56,6 +56,8 @@
 	OldRelease      Reason = "oldRelease"
 	DoubledFrame    Reason = "doubledFrame"
 	BackendRejected Reason = "backendRejected"
+	InputGone       Reason = "inputGone"
+	UnknownRoute    Reason = "unknownRoute"
 )
 
 // Reasons returns every reason, for documentation and metrics.
@@ -65,6 +67,7 @@
 		Isolated, Leaving, ZoneLeft, Overloaded, QueueFull, ColdStart, WontMakeIt, DeadlinePassed,
 		NoEndpoint, EndpointFailed, AnswerBroken, KeyInUse, KeyDone, KeyUnavailable, OutcomeUnknown,
 		Cancelled, RetryBudget, WrongEndpoint, OldRelease, DoubledFrame, BackendRejected,
+		InputGone, UnknownRoute,
 	}
 }
 
--- /dev/null
+++ b/internal/cli/daemon/gateway.go
@@ -0,0 +1,247 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"runtime/debug"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/spf13/cobra"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/cli/exit"
+	"github.com/jujubescale/jujubescale/internal/cli/proc"
+	"github.com/jujubescale/jujubescale/internal/conf/config"
+	"github.com/jujubescale/jujubescale/internal/conf/layer"
+	"github.com/jujubescale/jujubescale/internal/engine/conn"
+	"github.com/jujubescale/jujubescale/internal/ops/trail"
+	"github.com/jujubescale/jujubescale/internal/serve/router"
+	"github.com/jujubescale/jujubescale/platform"
+)
+
+const roleGateway = "gateway"
+
+func newGateway() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "gateway",
+		Short: "Takes requests by host and path and hosts the stage engines among its peers",
+		Long: "Takes requests by host and path, runs the stages of their routes and passes them to\n" +
+			"endpoints. Gateways share the stage engines among them; no agent is needed.\n\n" +
+			"Without --config the path of the settings file is read from $" + platform.SettingsVariable + ".\n" +
+			"SIGTERM begins a planned stop; SIGHUP, or a change of the file, reads the settings again.",
+		Args: exit.Args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			read := func() (*config.Gateway, error) { return readGateway(cmd) }
+			settings, err := read()
+			if err != nil {
+				return err
+			}
+			return newGatewayRun(settings, read, gatewayFile(cmd), cmd.OutOrStdout()).run(cmd.Context())
+		},
+	}
+	addFlags(cmd, config.GatewaySchema(), layer.Fields[config.Gateway]())
+	return cmd
+}
+
+// gatewayFile returns the path of the settings file.
+func gatewayFile(cmd *cobra.Command) string {
+	if file, err := cmd.Flags().GetString(configFlag); err == nil && file != "" {
+		return file
+	}
+	if file := os.Getenv(configEnv); file != "" {
+		return file
+	}
+	return os.Getenv(platform.SettingsVariable)
+}
+
+func readGateway(cmd *cobra.Command) (*config.Gateway, error) {
+	return readSettingsOf(cmd, config.GatewaySteps(), gatewayFile(cmd), platform.SettingsVariable)
+}
+
+// gatewayRun is one run of the gateway daemon.
+type gatewayRun struct {
+	*proc.Process
+	settings *config.Gateway
+	readFunc func() (*config.Gateway, error)
+	file     string
+	trail    *trail.Writer
+	out      io.Writer
+	gateway  *router.Gateway
+
+	callers, ready, sessions, metrics *proc.Port
+}
+
+func newGatewayRun(settings *config.Gateway, read func() (*config.Gateway, error), file string, out io.Writer) *gatewayRun {
+	return &gatewayRun{settings: settings, readFunc: read, file: file, out: out}
+}
+
+func (r *gatewayRun) tasks() []proc.Task {
+	return []proc.Task{
+		{Name: "log", Run: r.startLog},
+		{Name: "metrics", Run: r.startMetrics},
+		{Name: "certificates", Run: r.readCertificates},
+		{Name: "gateway", Run: r.startGateway},
+		{Name: "operators' port", Run: func(ctx context.Context) error { return r.OpenOperators(ctx) }},
+		{Name: "metrics' port", Run: r.openMetrics},
+		{Name: "sessions' port", Run: r.openSessions},
+		{Name: "ready port", Run: r.openReady},
+		{Name: "callers' port", Run: r.openCallers},
+	}
+}
+
+func (r *gatewayRun) run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	logging, stopLog := context.WithCancel(context.Background())
+	r.trail = trail.New(logging, r.out)
+	defer func() {
+		stopLog()
+		<-r.trail.Done()
+	}()
+	defer r.close(stop)
+	boundMemory(r.settings)
+	r.Process = proc.New(roleGateway, &r.settings.Process, r.trail)
+	if err := proc.RunTasks(background, roleGateway, r.tasks()); err != nil {
+		return err
+	}
+	r.Log.Info("serving", "callers", r.callers.Address(), "sessions", r.sessions.Address(), "incarnation", r.gateway.Incarnation())
+	reloaded := r.watchSettings(background)
+	<-ctx.Done()
+	r.stop()
+	stop()
+	<-reloaded
+	return nil
+}
+
+const (
+	// memoryShare of the memory that the process may use is where the runtime
+	// starts to collect garbage eagerly; stacks, buffers of the kernel and the C
+	// library need the rest.
+	memoryShare = 0.6
+	// garbagePercent trades processor time for memory: the live heap is a few
+	// megabytes, and memory at its peak is paid for.
+	garbagePercent = 60
+	megabyte       = 1 << 20
+)
+
+func boundMemory(settings *config.Gateway) {
+	debug.SetGCPercent(garbagePercent)
+	if settings.MemoryMb > 0 {
+		debug.SetMemoryLimit(int64(settings.MemoryMb * memoryShare * megabyte))
+	}
+}
+
+func (r *gatewayRun) startLog(ctx context.Context) error { return r.StartLog(ctx) }
+
+func (r *gatewayRun) startMetrics(ctx context.Context) error { return r.StartMetrics(ctx) }
+
+func (r *gatewayRun) readCertificates(ctx context.Context) error { return r.ReadCertificates(ctx) }
+
+// storeTimeout bounds one call to the platform's store, which takes
+// milliseconds; a slow one takes fifty times as long.
+const storeTimeout = 1500 * clock.Millis(1)
+
+func (r *gatewayRun) startGateway(ctx context.Context) error {
+	transport := &http.Transport{DialContext: conn.Dial, MaxIdleConnsPerHost: 4, DisableCompression: true}
+	r.gateway = router.New(ctx, router.Settings{
+		Name: r.settings.Process.Process, Zone: r.settings.AvailabilityZone, Address: r.settings.Sessions,
+		Clock: r.Clock, Log: r.Log, Registry: r.Registry,
+		Store:   platform.NewStore(r.settings.PlatformURL, &http.Client{Transport: transport}, storeTimeout),
+		Dialect: platform.Dialect(), Bounds: bounds(r.settings),
+	})
+	r.gateway.Start(ctx)
+	return nil
+}
+
+func bounds(settings *config.Gateway) router.Bounds {
+	return router.Bounds{
+		Heartbeat:  clock.Millis(settings.HeartbeatMs),
+		ExtraShare: settings.ExtraShare, ExtraSpare: settings.ExtraSpare,
+		ColdShare: settings.ColdShare, ColdSpare: settings.ColdSpare,
+	}
+}
+
+func (r *gatewayRun) openMetrics(ctx context.Context) error {
+	if r.settings.Metrics == "" {
+		return nil
+	}
+	return r.open(ctx, &r.metrics, "metrics", r.settings.Metrics, promhttp.HandlerFor(r.Registry, promhttp.HandlerOpts{}))
+}
+
+func (r *gatewayRun) openSessions(ctx context.Context) error {
+	var err error
+	r.sessions, err = r.OpenSessions(ctx, r.settings.Sessions, r.gateway.SessionHandler(), maxPeerSessions)
+	return err
+}
+
+func (r *gatewayRun) openReady(ctx context.Context) error {
+	return r.open(ctx, &r.ready, "ready", r.settings.Ready, r.gateway.ReadyHandler())
+}
+
+// Bounds of the ports that callers and the balancer reach.
+const (
+	smallConnections = 64
+	smallHeader      = 16 << 10
+	callersHeader    = 64 << 10
+	callersTimeout   = 10 * clock.Second
+	callersIdle      = 75 * clock.Second
+	// callersFds is the part of the descriptors that callers may use; the rest
+	// is for endpoints, peers and files.
+	callersFds = 0.5
+)
+
+func (r *gatewayRun) open(ctx context.Context, port **proc.Port, name, address string, handler http.Handler) error {
+	var err error
+	*port, err = proc.Open(ctx, proc.PortOptions{
+		Name: name, Address: address, Handler: handler, MaxConnections: smallConnections, MaxHeaderBytes: smallHeader,
+		HeaderTimeout: callersTimeout.Duration(), IdleTimeout: callersIdle.Duration(), Log: r.Log,
+	})
+	return err
+}
+
+func (r *gatewayRun) openCallers(ctx context.Context) error {
+	var err error
+	r.callers, err = proc.Open(ctx, proc.PortOptions{
+		Name: "callers", Address: r.settings.Callers, Handler: r.gateway.Handler(),
+		MaxConnections: int(callersFds * float64(r.settings.MaxFds)), MaxHeaderBytes: callersHeader,
+		HeaderTimeout: callersTimeout.Duration(), IdleTimeout: callersIdle.Duration(), Log: r.Log,
+	})
+	return err
+}
+
+// endMargin is kept between the end of a planned stop and the kill that follows.
+const endMargin = 600 * clock.Millis(1)
+
+// stop is the planned stop: the process stops being ready, goes on accepting
+// until the balancer has noticed, lets open requests end, and ends those that
+// are left just before it would be killed.
+func (r *gatewayRun) stop() {
+	began := r.Clock.Now()
+	grace := clock.Millis(r.settings.GraceSeconds * float64(clock.Second))
+	limit, cancel := context.WithTimeout(context.Background(), max(grace-endMargin, endMargin).Duration())
+	defer cancel()
+	r.Log.Info("leaving", "graceMs", int64(grace), "open", r.gateway.Open())
+	r.gateway.Leave(limit)
+	_ = r.Clock.Sleep(limit, r.settings.BalancerLagMs) // the limit ends the stop, too
+	closed := make(chan error, 1)
+	go func() { closed <- r.callers.Shutdown(limit) }()
+	cut := r.gateway.Wait(limit)
+	if err := <-closed; err != nil {
+		r.Log.Info("callers' connections left open", "error", err)
+	}
+	r.Log.Info("stopped", "cut", cut, "tookMs", int64(r.Clock.Since(began)))
+}
+
+func (r *gatewayRun) close(stop context.CancelFunc) {
+	stop()
+	for _, port := range []*proc.Port{r.callers, r.ready, r.sessions, r.metrics} {
+		port.Close()
+	}
+	if r.Process != nil {
+		r.Operators.Close()
+	}
+	if r.gateway != nil {
+		r.gateway.Stop()
+	}
+}
--- a/internal/cli/daemon/root.go
+++ b/internal/cli/daemon/root.go
@@ -11,8 +11,8 @@
 func New() *cobra.Command {
 	root := exit.Group(&cobra.Command{
 		Use:   "jujubed",
-		Short: "Serves multi-stage model pipelines: the entry and the agent",
+		Short: "Serves multi-stage model pipelines: the entry, the agent and the gateway",
 	})
-	root.AddCommand(newEntry(), newAgent())
+	root.AddCommand(newEntry(), newAgent(), newGateway())
 	return root
 }
--- a/internal/cli/daemon/settings.go
+++ b/internal/cli/daemon/settings.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -35,11 +37,21 @@
 
 // readSettings loads the settings of a command from file, environment and flags.
 func readSettings[T any](cmd *cobra.Command, steps []step.Step[T]) (*T, error) {
-	sources := layer.Sources{Env: os.Environ(), File: os.Getenv(configEnv)}
-	flags := cmd.Flags()
-	if flags.Changed(configFlag) {
-		sources.File, _ = flags.GetString(configFlag) // the flag was defined as a string
+	file := os.Getenv(configEnv)
+	if cmd.Flags().Changed(configFlag) {
+		file, _ = cmd.Flags().GetString(configFlag) // the flag was defined as a string
 	}
+	return readSettingsOf(cmd, steps, file, "")
+}
+
+// readSettingsOf is readSettings with a given file. One environment variable
+// may be named that is no setting.
+func readSettingsOf[T any](cmd *cobra.Command, steps []step.Step[T], file, foreign string) (*T, error) {
+	env := slices.DeleteFunc(os.Environ(), func(entry string) bool {
+		return foreign != "" && strings.HasPrefix(entry, foreign+"=")
+	})
+	sources := layer.Sources{Env: env, File: file}
+	flags := cmd.Flags()
 	for _, field := range layer.Fields[T]() {
 		if flags.Changed(field.Flag) {
 			text, _ := flags.GetString(field.Flag) // the flag was defined as a string
--- /dev/null
+++ b/internal/conf/config/gateway.go
@@ -0,0 +1,113 @@
+package config
+
+import (
+	_ "embed" // the schema holds the words that explain each setting
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/conf/step"
+)
+
+//go:embed gateway.schema.json
+var gatewaySchema []byte
+
+// GatewaySchema returns the JSON schema of a gateway's settings.
+func GatewaySchema() []byte { return gatewaySchema }
+
+// Gateway is the settings of jujubed gateway.
+type Gateway struct {
+	Process
+	// Callers is the address (IP:port) that the balancer sends callers to.
+	Callers string `json:"callers"`
+	// Ready is the address (IP:port) where the balancer asks whether this process takes callers.
+	Ready string `json:"ready"`
+	// Sessions is the address (IP:port) that other gateways reach.
+	Sessions string `json:"sessions"`
+	// Metrics is the address (IP:port) where anybody may read the metrics; without it they are on the operators' port only.
+	Metrics string `json:"metrics,omitempty"`
+	// GraceSeconds is the time after SIGTERM at which this process is killed, in seconds.
+	GraceSeconds float64 `json:"graceSeconds,omitempty" jsonschema:"minimum=0,maximum=3600,default=8"`
+	// BalancerLagMs is how long the balancer may go on sending new connections after this process says that it leaves, in milliseconds.
+	BalancerLagMs clock.Millis `json:"balancerLagMs,omitempty" jsonschema:"minimum=0,maximum=600000,default=2600"`
+	// HeartbeatMs is how often an endpoint writes its entry to the platform, in milliseconds.
+	HeartbeatMs float64 `json:"heartbeatMs,omitempty" jsonschema:"minimum=0,maximum=600000,default=1200"`
+	// MemoryMb is the memory beyond which this process is killed, in megabytes; 0 sets no bound.
+	MemoryMb float64 `json:"memoryMb,omitempty" jsonschema:"minimum=0,maximum=1000000"`
+	// MaxFds is the number of descriptors that this process may open; it bounds the callers' connections.
+	MaxFds int `json:"maxFds,omitempty" jsonschema:"minimum=0,maximum=10000000,default=4096"`
+	// ExtraShare is the part of a pool's requests that all processes together may send once more.
+	ExtraShare float64 `json:"extraShare,omitempty" jsonschema:"minimum=0,maximum=10,default=0.2"`
+	// ExtraSpare is how many requests they may send once more besides.
+	ExtraSpare float64 `json:"extraSpare,omitempty" jsonschema:"minimum=0,maximum=1000000,default=20"`
+	// ColdShare is how many times the rate of a cold endpoint may be reached in one second.
+	ColdShare float64 `json:"coldShare,omitempty" jsonschema:"minimum=0,maximum=100,default=1"`
+	// ColdSpare is how many requests a cold endpoint may get in one second besides.
+	ColdSpare float64 `json:"coldSpare,omitempty" jsonschema:"minimum=0,maximum=1000000,default=0"`
+}
+
+// Defaults and bounds of a gateway's settings.
+const (
+	defaultGrace      = 8.0
+	defaultGateLag    = 2600 * clock.Millis(1)
+	defaultHeartbeat  = 1200.0
+	defaultMaxFds     = 4096
+	defaultExtraShare = 0.2
+	defaultExtraSpare = 20.0
+	defaultColdShare  = 1.0
+	maxGrace          = 3600.0
+	maxShare          = 100.0
+	maxSpare          = 1e6
+	// leastFds leaves callers a few connections besides files and endpoints.
+	leastFds = 256
+)
+
+// GatewaySteps returns the defaults and checks of a gateway's settings.
+func GatewaySteps() []step.Step[Gateway] {
+	return []step.Step[Gateway]{
+		{Name: "process", Default: func(g *Gateway) { defaultProcess(&g.Process) }, Check: func(g *Gateway, r *step.Report) { checkProcess(&g.Process, r) }},
+		{Name: "operators' port", Check: func(g *Gateway, r *step.Report) { checkOperators(&g.Process, r) }},
+		{Name: "ports", Check: checkGatewayPorts},
+		{Name: "planned stop", Default: defaultGatewayStop, Check: checkGatewayStop},
+		{Name: "bounds", Default: defaultGatewayBounds, Check: checkGatewayBounds},
+	}
+}
+
+func checkGatewayPorts(g *Gateway, report *step.Report) {
+	checkListen(report, "callers", g.Callers, TLS{}, g.AllowPlain)
+	checkListen(report, "ready", g.Ready, TLS{}, g.AllowPlain)
+	checkListen(report, "sessions", g.Sessions, g.ProcessesTLS, g.AllowPlain)
+	checkMutual(report, "processesTls", g.ProcessesTLS)
+	if g.Metrics != "" {
+		checkListen(report, "metrics", g.Metrics, TLS{}, g.AllowPlain)
+	}
+}
+
+func defaultGatewayStop(g *Gateway) {
+	fill(&g.GraceSeconds, defaultGrace)
+	fill(&g.BalancerLagMs, min(defaultGateLag, clock.Millis(g.GraceSeconds*float64(clock.Second)/2)))
+}
+
+// checkGatewayStop lets a planned stop outlast the time in which the balancer
+// still sends new connections; their requests would be cut otherwise.
+func checkGatewayStop(g *Gateway, report *step.Report) {
+	report.Between("graceSeconds", g.GraceSeconds, 0.1, maxGrace)
+	most := int64(g.GraceSeconds * float64(clock.Second))
+	report.Range("balancerLagMs", int64(g.BalancerLagMs), 1, max(most-1, 1))
+}
+
+func defaultGatewayBounds(g *Gateway) {
+	fill(&g.HeartbeatMs, defaultHeartbeat)
+	fill(&g.MaxFds, defaultMaxFds)
+	fill(&g.ExtraShare, defaultExtraShare)
+	fill(&g.ExtraSpare, defaultExtraSpare)
+	fill(&g.ColdShare, defaultColdShare)
+}
+
+func checkGatewayBounds(g *Gateway, report *step.Report) {
+	report.Between("heartbeatMs", g.HeartbeatMs, 1, float64(maxShortSpan))
+	report.Between("memoryMb", g.MemoryMb, 0, maxSpare)
+	report.Range("maxFds", int64(g.MaxFds), leastFds, 10*maxCount)
+	report.Between("extraShare", g.ExtraShare, 0, maxShare)
+	report.Between("extraSpare", g.ExtraSpare, 0, maxSpare)
+	report.Between("coldShare", g.ColdShare, 0, maxShare)
+	report.Between("coldSpare", g.ColdSpare, 0, maxSpare)
+}
--- a/internal/conf/layer/layer.go
+++ b/internal/conf/layer/layer.go
@@ -184,6 +184,13 @@
 			return
 		}
 		target.SetBool(on)
+	case reflect.Float64:
+		number, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			report.Add(where, text, "a number")
+			return
+		}
+		target.SetFloat(number)
 	case reflect.Slice:
 		target.Set(reflect.ValueOf(strings.Split(text, ",")))
 	default:
--- a/internal/conf/schema/page.go
+++ b/internal/conf/schema/page.go
@@ -41,6 +41,9 @@
 	if err := table(&page, root, "jujubed agent", File{Path: Agent, Document: config.Agent{}}, layer.Fields[config.Agent]()); err != nil {
 		return nil, err
 	}
+	if err := table(&page, root, "jujubed gateway", File{Path: Gateway, Document: config.Gateway{}}, layer.Fields[config.Gateway]()); err != nil {
+		return nil, err
+	}
 	return page.Bytes(), nil
 }
 
--- a/internal/conf/schema/schema.go
+++ b/internal/conf/schema/schema.go
@@ -22,6 +22,7 @@
 	Manifest = "docs/schema/manifest.schema.json"
 	Entry    = "internal/conf/config/entry.schema.json"
 	Agent    = "internal/conf/config/agent.schema.json"
+	Gateway  = "internal/conf/config/gateway.schema.json"
 )
 
 const module = "github.com/jujubescale/jujubescale"
@@ -40,6 +41,7 @@
 		{Path: Manifest, Document: manif.Manifest{}},
 		{Path: Entry, Document: config.Entry{}},
 		{Path: Agent, Document: config.Agent{}},
+		{Path: Gateway, Document: config.Gateway{}},
 	}
 }
 
--- a/internal/conf/step/step.go
+++ b/internal/conf/step/step.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// Between adds a fault unless a number lies within two bounds.
+func (r *Report) Between(path string, value, least, most float64) {
+	if !(value >= least && value <= most) {
+		r.Add(path, fmt.Sprint(value), fmt.Sprintf("%v to %v", least, most))
+	}
+}
+
 // Count notes a fault when a list is shorter or longer than allowed.
 func (r *Report) Count(path string, count, least, most int) {
 	if count < least || count > most {
--- /dev/null
+++ b/internal/engine/conn/conn_test.go
@@ -0,0 +1,275 @@
+package conn_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/engine/conn"
+)
+
+// endpoint serves connections by a script: it is called with each connection
+// and its number.
+func endpoint(t *testing.T, script func(number int, c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for number := 1; ; number++ {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				script(number, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// readRequest reads one request with its body and returns its id.
+func readRequest(r *bufio.Reader) (string, error) {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return "", err
+	}
+	_, err = io.Copy(io.Discard, request.Body)
+	return request.Header.Get("Id"), err
+}
+
+func request(id string) *conn.Request {
+	return &conn.Request{
+		Method: http.MethodPost, Head: []byte("POST / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n"),
+		OwnFunc: func(h http.Header, _ bool) bool { return h.Get("Id") == id },
+		MaxIdle: clock.Minute,
+	}
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func do(t *testing.T, g *conn.Group, id string) (string, error) {
+	t.Helper()
+	reply, err := g.Do(t.Context(), request(id))
+	if err != nil {
+		return "", err
+	}
+	defer reply.Finish()
+	body, err := io.ReadAll(reply.Body)
+	return string(body), err
+}
+
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	opened := 0
+	g := conn.New(endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			id, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer(id, id))
+		}
+	}), conn.WithDialed(func() { opened++ }))
+	for _, id := range []string{"a", "b", "c"} {
+		body, err := do(t, g, id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, id)
+	}
+	assert.Equal(t, opened, 1)
+	fresh := request("d")
+	fresh.MaxIdle = 0
+	reply, err := g.Do(t.Context(), fresh)
+	assert.NilError(t, err)
+	reply.Finish()
+	assert.Equal(t, opened, 2)
+}
+
+// An endpoint answers one request twice, and the second copy arrives when the
+// next request is already on its way. Without a look at whom an answer belongs
+// to, a caller gets the answer of somebody else.
+func TestLateSecondAnswerReachesNobody(t *testing.T) {
+	asked := make(chan struct{})
+	g := conn.New(endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		first, _ := readRequest(r)
+		_, _ = io.WriteString(c, answer(first, "one"))
+		second, err := readRequest(r)
+		if err != nil {
+			return
+		}
+		close(asked)
+		_, _ = io.WriteString(c, answer(first, "one")+answer(second, "two"))
+		_, _ = readRequest(r)
+	}))
+	body, err := do(t, g, "a")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "one")
+	body, err = do(t, g, "b")
+	<-asked
+	assert.NilError(t, err)
+	assert.Equal(t, body, "two")
+}
+
+// Bytes beyond an answer are nobody's. The connection that carried them must
+// not carry another request, whose answer they would seem to be.
+func TestSurplusBytesEndAConnection(t *testing.T) {
+	opened := 0
+	g := conn.New(endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		id, err := readRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer(id, "x")+"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny")
+		_, _ = readRequest(r)
+	}), conn.WithDialed(func() { opened++ }))
+	for _, id := range []string{"a", "b"} {
+		body, err := do(t, g, id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "x")
+		time.Sleep(20 * time.Millisecond) // lets surplus bytes arrive that were not sent together
+	}
+	assert.Equal(t, opened, 2)
+}
+
+// What goes wrong, and whether the request may have run then. A wrong "not
+// sent" lets a booking be made twice.
+func TestFailuresSayWhetherTheRequestWasSent(t *testing.T) {
+	for name, script := range map[string]func(c net.Conn, r *bufio.Reader){
+		"closed without an answer": func(_ net.Conn, r *bufio.Reader) { _, _ = readRequest(r) },
+		"bytes that are no answer": func(c net.Conn, r *bufio.Reader) {
+			_, _ = readRequest(r)
+			_, _ = io.WriteString(c, "what?\r\n\r\n")
+		},
+		"reset": func(c net.Conn, r *bufio.Reader) {
+			_, _ = readRequest(r)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		},
+		"answers of others only": func(c net.Conn, r *bufio.Reader) {
+			_, _ = readRequest(r)
+			_, _ = io.WriteString(c, strings.Repeat(answer("z", "zz"), 4))
+			_, _ = readRequest(r)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := conn.New(endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) { script(c, r) }))
+			_, err := do(t, g, "a")
+			var sent *conn.SentError
+			assert.Assert(t, errors.As(err, &sent), "%v", err)
+		})
+	}
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, closed.Close())
+	_, err = do(t, conn.New(closed.Addr().String()), "a")
+	var unsent *conn.NotSentError
+	assert.Assert(t, errors.As(err, &unsent), "%v", err)
+}
+
+// An answer without a length ends with its connection. If that is reset, the
+// answer has a hole at its end, and nobody but the reader can notice.
+func TestAnswerThatIsResetIsNotWhole(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		g := conn.New(endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			_, _ = readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart")
+			if reset {
+				time.Sleep(20 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+		}))
+		reply, err := g.Do(t.Context(), request("a"))
+		assert.NilError(t, err)
+		body, err := io.ReadAll(reply.Body)
+		assert.Equal(t, string(body), "part")
+		assert.Equal(t, err == nil, !reset, "%v", err)
+		assert.Equal(t, reply.Whole(), !reset)
+		reply.Finish()
+	}
+}
+
+// An endpoint refuses a long request before it has read it, and reads on. If
+// the connection were used again, the endpoint would take the next request for
+// the rest of that body.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	opened := 0
+	g := conn.New(endpoint(t, func(number int, c net.Conn, r *bufio.Reader) {
+		if number == 1 {
+			_, _ = io.WriteString(c, answer("a", "no"))
+			time.Sleep(time.Second)
+			return
+		}
+		id, _ := readRequest(r)
+		_, _ = io.WriteString(c, answer(id, "ok"))
+	}), conn.WithDialed(func() { opened++ }))
+	long := request("a")
+	long.Head = []byte("POST / HTTP/1.1\r\nHost: h\r\nId: a\r\nContent-Length: 33554432\r\n\r\n")
+	long.Body = make([]byte, 32<<20)
+	reply, err := g.Do(t.Context(), long)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(reply.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "no")
+	reply.Finish()
+	next, err := do(t, g, "b")
+	assert.NilError(t, err)
+	assert.Equal(t, next, "ok")
+	assert.Equal(t, opened, 2)
+}
+
+// A caller leaves. The engine must notice at once, or it goes on generating
+// for nobody.
+func TestEndOfContextEndsTheConnection(t *testing.T) {
+	noticed := make(chan struct{})
+	g := conn.New(endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		id, _ := readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 10\r\n\r\nx")
+		_, _ = r.ReadByte()
+		close(noticed)
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	reply, err := g.Do(ctx, request("a"))
+	assert.NilError(t, err)
+	cancel()
+	_, err = io.ReadAll(reply.Body)
+	assert.Assert(t, err != nil)
+	reply.Finish()
+	select {
+	case <-noticed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the endpoint was not told")
+	}
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	g := conn.New(endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			id, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer(id, "x"))
+		}
+	}), conn.WithMost(func() int { return 1 }))
+	reply, err := g.Do(t.Context(), request("a"))
+	assert.NilError(t, err)
+	_, err = do(t, g, "b")
+	var full *conn.FullError
+	assert.Assert(t, errors.As(err, &full), "%v", err)
+	_, err = io.ReadAll(reply.Body)
+	assert.NilError(t, err)
+	reply.Finish()
+	_, err = do(t, g, "c")
+	assert.NilError(t, err)
+}
--- /dev/null
+++ b/internal/flow/batch/batch.go
@@ -0,0 +1,243 @@
+// Package batch decides which pieces of work go to a stage engine in one call.
+//
+// A call to a stage engine costs a fixed time whatever it holds, so that pieces
+// of many requests are gathered into one. The owner of a pool keeps one queue
+// for all of the pool's engines and closes a batch when an engine's place
+// becomes free, never by a timer: under light load a piece leaves at once,
+// under heavy load batches fill by themselves.
+package batch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+)
+
+// Group is the pieces of one stage of one request. They share inputs.
+type Group struct {
+	// Ticket names the group at its owner.
+	Ticket  uint64
+	Request string
+	Stage   int
+	Key     string
+	Inputs  []string
+	// Count of pieces.
+	Count int
+	// Rank orders groups: the lowest goes first. It is the instant by which the
+	// result is wanted, put off for requests that are worth less.
+	Rank clock.Millis
+	// Until is the instant after which the result is of no use.
+	Until clock.Millis
+	// Bytes is the memory that one result takes at the engine.
+	Bytes int64
+	// Zone that most inputs lie in, or where the results are wanted; may be empty.
+	Zone string
+	// Owner is the job that the group belongs to; the queue doesn't look at it.
+	Owner any
+
+	next    int   // first piece that was never taken
+	back    []int // pieces that were given back
+	dropped bool
+}
+
+// Waiting returns the number of pieces that are not with an engine.
+func (g *Group) Waiting() int {
+	if g.dropped {
+		return 0
+	}
+	return g.Count - g.next + len(g.back)
+}
+
+func (g *Group) take() int {
+	if last := len(g.back) - 1; last >= 0 {
+		piece := g.back[last]
+		g.back = g.back[:last]
+		return piece
+	}
+	g.next++
+	return g.next - 1
+}
+
+// Item is one piece of a group.
+type Item struct {
+	Group *Group
+	Piece int
+}
+
+// Bounds are what one engine of the pool bears.
+type Bounds struct {
+	// Pieces is the largest number in one call.
+	Pieces int
+	// CallTime and PieceTime make up the duration of a call, in milliseconds.
+	CallTime  float64
+	PieceTime float64
+}
+
+// Duration returns how long a call of so many pieces takes, in milliseconds.
+func (b Bounds) Duration(pieces int) float64 {
+	return b.CallTime + b.PieceTime*float64(pieces)
+}
+
+// Queue holds the groups of one pool that wait. It is not safe for use by
+// several goroutines at once.
+type Queue struct {
+	groups []*Group // in the order of rank
+	pieces int
+}
+
+// Pieces returns the number of pieces that wait.
+func (q *Queue) Pieces() int { return q.pieces }
+
+// Zone returns the availability zone that the first group wants.
+func (q *Queue) Zone() string {
+	if len(q.groups) == 0 {
+		return ""
+	}
+	return q.groups[0].Zone
+}
+
+// Add puts a group in its place.
+func (q *Queue) Add(g *Group) {
+	at, _ := slices.BinarySearchFunc(q.groups, g, func(a, b *Group) int { return cmp.Compare(a.Rank, b.Rank) })
+	for at < len(q.groups) && q.groups[at].Rank == g.Rank {
+		at++ // behind those of the same rank that came before
+	}
+	q.groups = slices.Insert(q.groups, at, g)
+	q.pieces += g.Waiting()
+}
+
+// Drop takes out what still waits of a group, because its request ended.
+func (q *Queue) Drop(g *Group) {
+	if g.dropped {
+		return
+	}
+	if at := slices.Index(q.groups, g); at >= 0 {
+		q.groups = slices.Delete(q.groups, at, at+1)
+		q.pieces -= g.Waiting()
+	}
+	g.dropped = true
+}
+
+// Back gives a piece back that an engine did not make.
+func (q *Queue) Back(item Item) {
+	g := item.Group
+	if g.dropped {
+		return
+	}
+	if g.Waiting() == 0 {
+		g.back = append(g.back, item.Piece)
+		q.Add(g)
+		return
+	}
+	g.back = append(g.back, item.Piece)
+	q.pieces++
+}
+
+// Ahead returns how many pieces wait that go before a rank.
+func (q *Queue) Ahead(rank clock.Millis) int {
+	ahead := 0
+	for _, g := range q.groups {
+		if g.Rank > rank {
+			break
+		}
+		ahead += g.Waiting()
+	}
+	return ahead
+}
+
+// Late takes out the groups that could not be finished in time even if a call
+// began now, so that no engine works for nobody.
+func (q *Queue) Late(bounds Bounds, now clock.Millis) []*Group {
+	soonest := now + clock.Millis(bounds.Duration(1))
+	var late []*Group
+	for i := 0; i < len(q.groups); {
+		g := q.groups[i]
+		if g.Until >= soonest {
+			i++
+			continue
+		}
+		late = append(late, g)
+		q.Drop(g)
+	}
+	return late
+}
+
+// smallShare is how much smaller than that of the first group the results of
+// others must be to pass it while it waits for room: small ones don't take
+// what it waits for.
+const smallShare = 16
+
+// filling is a call that is being put together.
+type filling struct {
+	items []Item
+	// room is the bytes of results that still fit.
+	room int64
+	// most is the even share of this call, bound what the engine takes at most.
+	most  int
+	bound int
+	// blocked is the size of the largest result that found no room.
+	blocked int64
+}
+
+// Take returns the pieces for one call to an engine that has room for so many
+// bytes of results, while free engines in all could take a call now. Waiting
+// pieces are divided among the free engines, because a smaller call is faster
+// and the engines would stand idle otherwise.
+func (q *Queue) Take(bounds Bounds, room int64, free int) []Item {
+	f := filling{room: room, most: bounds.Pieces, bound: bounds.Pieces}
+	if free > 1 {
+		f.most = min(f.most, (q.pieces+free-1)/free)
+	}
+	for at := 0; at < len(q.groups) && len(f.items) < f.most; {
+		g := q.groups[at]
+		q.pieces -= f.takeFrom(g)
+		if g.Waiting() == 0 {
+			q.groups = slices.Delete(q.groups, at, at+1)
+			continue
+		}
+		at++
+	}
+	return f.items
+}
+
+// takeFrom takes pieces of one group while they fit and returns how many. A
+// group that has begun is finished beyond the even share, up to the engine's
+// bound: its request waits for all of its pieces.
+func (f *filling) takeFrom(g *Group) int {
+	if f.blocked > 0 && g.Bytes*smallShare > f.blocked {
+		return 0
+	}
+	limit := f.most
+	if whole := len(f.items) + g.Waiting(); whole <= f.bound {
+		limit = whole
+	}
+	taken := 0
+	for g.Waiting() > 0 && len(f.items) < limit {
+		if g.Bytes > f.room {
+			f.blocked = max(f.blocked, g.Bytes)
+			break
+		}
+		f.room -= g.Bytes
+		f.items = append(f.items, Item{Group: g, Piece: g.take()})
+		taken++
+	}
+	return taken
+}
+
+// Wait estimates how long a new piece waits for its call to begin, in
+// milliseconds, when ahead pieces go before it and the pool has so many
+// engines, of which free have no call.
+func Wait(bounds Bounds, ahead, engines, free int) float64 {
+	if engines == 0 {
+		return 0
+	}
+	if free > 0 && ahead < free {
+		return 0
+	}
+	full := bounds.Duration(bounds.Pieces)
+	// The next place becomes free after a part of a call; full batches ahead
+	// each take a whole one, spread over the engines.
+	next := full / float64(engines+1)
+	return next + full*float64(ahead/max(bounds.Pieces, 1))/float64(engines)
+}
--- /dev/null
+++ b/internal/flow/batch/batch_test.go
@@ -0,0 +1,166 @@
+package batch_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/flow/batch"
+)
+
+var bounds = batch.Bounds{Pieces: 10, CallTime: 200, PieceTime: 17}
+
+const plenty = 1 << 30
+
+func group(rank, pieces int) *batch.Group {
+	return &batch.Group{Request: fmt.Sprint("r", rank), Count: pieces, Rank: clock.Millis(rank), Until: 10_000, Bytes: 1000}
+}
+
+func taken(items []batch.Item) []string {
+	var all []string
+	for _, item := range items {
+		all = append(all, fmt.Sprint(item.Group.Request, "/", item.Piece))
+	}
+	return all
+}
+
+func ExampleQueue_Take() {
+	var q batch.Queue
+	q.Add(group(30, 2))
+	q.Add(group(10, 1))
+	fmt.Println(taken(q.Take(bounds, plenty, 1)), q.Pieces())
+	// Output: [r10/0 r30/0 r30/1] 0
+}
+
+func TestWaitingPiecesAreDividedAmongFreeEngines(t *testing.T) {
+	var q batch.Queue
+	for i := range 6 {
+		q.Add(group(i, 1))
+	}
+	assert.Equal(t, len(q.Take(bounds, plenty, 3)), 2)
+	assert.Equal(t, len(q.Take(bounds, plenty, 2)), 2)
+	assert.Equal(t, len(q.Take(bounds, plenty, 1)), 2)
+}
+
+// Results lie in an engine's small memory until the next stage has read them.
+// A call that overfills it fails piece by piece, and each of them is paid for
+// and made again.
+func TestRoomForResultsIsKept(t *testing.T) {
+	var q batch.Queue
+	big := group(1, 8)
+	big.Bytes = 1_500_000
+	medium := group(2, 2)
+	medium.Bytes = 1_000_000
+	small := group(3, 2)
+	q.Add(big)
+	q.Add(medium)
+	q.Add(small)
+	// Small results pass the big one that waits for room, medium ones don't:
+	// they would take the room that it waits for.
+	assert.DeepEqual(t, taken(q.Take(bounds, 4_600_000, 1)), []string{"r1/0", "r1/1", "r1/2", "r3/0", "r3/1"})
+	assert.Equal(t, q.Pieces(), 7)
+}
+
+func TestLateGroupsAreTakenOut(t *testing.T) {
+	var q batch.Queue
+	late, fine := group(1, 2), group(2, 1)
+	late.Until = 1200
+	q.Add(late)
+	q.Add(fine)
+	dropped := q.Late(bounds, 1000)
+	assert.Equal(t, len(dropped), 1)
+	assert.Assert(t, dropped[0] == late)
+	assert.Equal(t, q.Pieces(), 1)
+}
+
+func TestAheadCountsWhatGoesBefore(t *testing.T) {
+	var q batch.Queue
+	q.Add(group(10, 3))
+	q.Add(group(20, 4))
+	assert.Equal(t, q.Ahead(15), 3)
+	assert.Equal(t, q.Ahead(20), 7)
+}
+
+func TestWaitGrowsWithWhatIsAhead(t *testing.T) {
+	assert.Equal(t, batch.Wait(bounds, 0, 5, 1), 0.0)
+	assert.Equal(t, batch.Wait(bounds, 3, 0, 0), 0.0)
+	short, long := batch.Wait(bounds, 5, 5, 0), batch.Wait(bounds, 100, 5, 0)
+	assert.Assert(t, short < 100 && long > 700, "%v %v", short, long)
+}
+
+// Whatever is added, taken, given back and dropped: no piece is handed out
+// twice at a time, none is forgotten, and the count is right. A piece that is
+// forgotten leaves its caller waiting until the deadline.
+func TestNoPieceIsLostOrDoubled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q batch.Queue
+		out := map[string]batch.Item{}
+		waiting := map[string]bool{}
+		groups := []*batch.Group{}
+		name := func(item batch.Item) string { return fmt.Sprint(item.Group.Ticket, "/", item.Piece) }
+		for range 60 {
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				g := group(rapid.IntRange(0, 5).Draw(t, "rank"), rapid.IntRange(1, 12).Draw(t, "count"))
+				g.Ticket = uint64(len(groups))
+				groups = append(groups, g)
+				q.Add(g)
+				for piece := range g.Count {
+					waiting[name(batch.Item{Group: g, Piece: piece})] = true
+				}
+			case 1:
+				for _, item := range q.Take(bounds, plenty, rapid.IntRange(1, 4).Draw(t, "free")) {
+					if !waiting[name(item)] {
+						t.Fatalf("%s was handed out and did not wait", name(item))
+					}
+					delete(waiting, name(item))
+					out[name(item)] = item
+				}
+			case 2:
+				for key, item := range out {
+					delete(out, key)
+					q.Back(item)
+					waiting[key] = true
+					break
+				}
+			case 3:
+				if len(groups) == 0 {
+					continue
+				}
+				g := groups[rapid.IntRange(0, len(groups)-1).Draw(t, "group")]
+				q.Drop(g)
+				for piece := range g.Count {
+					delete(waiting, name(batch.Item{Group: g, Piece: piece}))
+					delete(out, name(batch.Item{Group: g, Piece: piece}))
+				}
+			}
+			if q.Pieces() != len(waiting) {
+				t.Fatalf("queue counts %d pieces, %d wait", q.Pieces(), len(waiting))
+			}
+		}
+		for q.Pieces() > 0 {
+			for _, item := range q.Take(bounds, plenty, 1) {
+				delete(waiting, name(item))
+			}
+		}
+		if len(waiting) > 0 {
+			t.Fatalf("%d pieces forgotten", len(waiting))
+		}
+	})
+}
+
+func BenchmarkTake(b *testing.B) {
+	b.ReportAllocs()
+	var q batch.Queue
+	for i := range 100 {
+		q.Add(group(i, 3))
+	}
+	for b.Loop() {
+		for _, item := range q.Take(bounds, plenty, 1) {
+			q.Back(item)
+		}
+	}
+}
--- /dev/null
+++ b/internal/guard/pace/pace_test.go
@@ -0,0 +1,46 @@
+package pace_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/guard/pace"
+)
+
+// An endpoint has just started and more than its bound arrives within some
+// second: it crashes, and all requests on it are lost to their callers.
+func TestNoSecondGetsMoreThanTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := rapid.IntRange(1, 20).Draw(t, "bound")
+		var p pace.Pace
+		var sent []clock.Millis
+		now := clock.Millis(1)
+		for range 200 {
+			now += clock.Millis(rapid.IntRange(0, 80).Draw(t, "step"))
+			if p.Next(bound, now) > 0 {
+				continue
+			}
+			p.Start(now)
+			sent = append(sent, now)
+		}
+		for i := bound; i < len(sent); i++ {
+			if sent[i]-sent[i-bound] < clock.Second {
+				t.Fatalf("%d starts within %d ms", bound+1, sent[i]-sent[i-bound])
+			}
+		}
+	})
+}
+
+func TestNextSaysWhenOneMoreFits(t *testing.T) {
+	var p pace.Pace
+	p.Start(100)
+	p.Start(300)
+	assert.Equal(t, p.Next(3, 400), clock.Millis(0))
+	assert.Equal(t, p.Next(2, 400), 100+pace.Window-400)
+	assert.Equal(t, p.Next(1, 400), 300+pace.Window-400)
+	assert.Equal(t, p.Next(0, 400), pace.Window)
+	assert.Equal(t, p.Recent(100+pace.Window), 1)
+}
--- a/internal/link/wire/codec.go
+++ b/internal/link/wire/codec.go
@@ -114,6 +114,16 @@
 		return f.Fetch != nil
 	case KindSection:
 		return f.Section != nil
+	case KindPieces:
+		return f.Pieces != nil
+	case KindMade:
+		return f.Made != nil
+	case KindDropped:
+		return f.Dropped != nil
+	case KindUnused:
+		return f.Unused != nil
+	case KindLoads:
+		return f.Loads != nil
 	default:
 		return f.Kind != 0
 	}
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -32,6 +32,11 @@
 	KindLeave   Kind = 11
 	KindFetch   Kind = 12
 	KindSection Kind = 13
+	KindPieces  Kind = 14
+	KindMade    Kind = 15
+	KindDropped Kind = 16
+	KindUnused  Kind = 17
+	KindLoads   Kind = 18
 )
 
 // Frame is one message. Exactly the field that Kind names is set. Release is
@@ -54,6 +59,11 @@
 	Leave   *Leave   `cbor:"leave,omitempty"`
 	Fetch   *Fetch   `cbor:"fetch,omitempty"`
 	Section *Section `cbor:"section,omitempty"`
+	Pieces  *Pieces  `cbor:"pieces,omitempty"`
+	Made    *Made    `cbor:"made,omitempty"`
+	Dropped *Dropped `cbor:"dropped,omitempty"`
+	Unused  *Unused  `cbor:"unused,omitempty"`
+	Loads   *Loads   `cbor:"loads,omitempty"`
 }
 
 // Hello opens a session in both directions.
@@ -212,3 +222,72 @@
 	Found   bool   `cbor:"found"`
 	Bytes   []byte `cbor:"bytes,omitempty"`
 }
+
+// Pieces asks the owner of a pool for the pieces of one stage of one request.
+type Pieces struct {
+	// Ticket names the question on this session.
+	Ticket  uint64   `cbor:"ticket"`
+	Pool    string   `cbor:"pool"`
+	Request string   `cbor:"request"`
+	Stage   int      `cbor:"stage"`
+	Count   int      `cbor:"count"`
+	Key     string   `cbor:"key,omitempty"`
+	Inputs  []string `cbor:"inputs,omitempty"`
+	// TimeLeft is the span after which the results are of no use, Slack the span
+	// within which they are wanted, and Penalty what puts the request behind
+	// others; all in milliseconds.
+	TimeLeft clock.Millis `cbor:"timeLeft"`
+	Slack    clock.Millis `cbor:"slack"`
+	Penalty  clock.Millis `cbor:"penalty,omitempty"`
+	// Bytes of one result.
+	Bytes int64 `cbor:"bytes,omitempty"`
+	// Zone where the results are best made.
+	Zone string `cbor:"zone,omitempty"`
+}
+
+// Made answers Pieces: a reference for each piece and the availability zone it
+// lies in, or why there are none.
+type Made struct {
+	Ticket     uint64       `cbor:"ticket"`
+	References []string     `cbor:"references,omitempty"`
+	Zones      []string     `cbor:"zones,omitempty"`
+	Reason     fault.Reason `cbor:"reason,omitempty"`
+	// RetryAfter is when another try may go better, in milliseconds.
+	RetryAfter clock.Millis `cbor:"retryAfter,omitempty"`
+}
+
+// Dropped withdraws Pieces, because the request ended.
+type Dropped struct {
+	Ticket uint64 `cbor:"ticket"`
+}
+
+// Unused gives results back that nobody needs any more.
+type Unused struct {
+	Pool       string   `cbor:"pool"`
+	References []string `cbor:"references"`
+}
+
+// Loads tells peers what the sender has running at endpoints, and how long
+// work waits in the pools that it owns. Each message replaces the one before.
+type Loads struct {
+	Endpoints []EndpointLoad `cbor:"endpoints,omitempty"`
+	Pools     []PoolLoad     `cbor:"pools,omitempty"`
+}
+
+// EndpointLoad is the sender's work at one endpoint.
+type EndpointLoad struct {
+	Endpoint string `cbor:"endpoint"`
+	Running  int64  `cbor:"running,omitempty"`
+	// Prefill is prompt tokens not yet read, Memory the tokens of all that runs.
+	Prefill int64 `cbor:"prefill,omitempty"`
+	Memory  int64 `cbor:"memory,omitempty"`
+}
+
+// PoolLoad is the queue of one pool at its owner.
+type PoolLoad struct {
+	Pool string `cbor:"pool"`
+	// Waiting pieces; Engines that take calls.
+	Waiting int `cbor:"waiting,omitempty"`
+	Engines int `cbor:"engines,omitempty"`
+	Free    int `cbor:"free,omitempty"`
+}
--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -82,6 +82,41 @@
 	ListFunc func(ctx context.Context, prefix string) ([]Object, error)
 	// HostsFunc reads one page of the list of hosts.
 	HostsFunc func(ctx context.Context, query HostQuery) (HostPage, error)
+	// ScanFunc reads all objects of a kind, with values.
+	ScanFunc func(ctx context.Context, kind string) (Listing, error)
+	// FollowFunc waits up to wait for changes of a kind after a revision. It
+	// fails with a HistoryError when the store no longer has all of them.
+	FollowFunc func(ctx context.Context, kind string, since uint64, wait clock.Millis) (Changes, error)
+}
+
+// Listing is all objects of a kind as of a revision of the whole store.
+type Listing struct {
+	Objects  []Object
+	Revision uint64
+}
+
+// Change is one object that was written or deleted.
+type Change struct {
+	Object  Object
+	Deleted bool
+}
+
+// Changes are what happened up to a revision, in order.
+type Changes struct {
+	Changes  []Change
+	Revision uint64
+}
+
+// HistoryError says that the store has dropped changes that were asked for.
+// Only a new Scan tells what is there now.
+type HistoryError struct {
+	Kind  string
+	Since uint64
+}
+
+// Error implements error.
+func (e *HistoryError) Error() string {
+	return fmt.Sprintf("changes of %q after revision %d are gone", e.Kind, e.Since)
 }
 
 // ConflictError says that a conditional update lost: the object stands at
@@ -155,3 +190,13 @@
 func (s *Store) Hosts(ctx context.Context, query HostQuery) (HostPage, error) {
 	return s.HostsFunc(ctx, query)
 }
+
+// Scan reads all objects of a kind, with values.
+func (s *Store) Scan(ctx context.Context, kind string) (Listing, error) {
+	return s.ScanFunc(ctx, kind)
+}
+
+// Follow waits for changes of a kind after a revision.
+func (s *Store) Follow(ctx context.Context, kind string, since uint64, wait clock.Millis) (Changes, error) {
+	return s.FollowFunc(ctx, kind, since, wait)
+}
--- /dev/null
+++ b/internal/route/place/place_test.go
@@ -0,0 +1,90 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/route/place"
+)
+
+func engines(n int) []place.Engine {
+	all := make([]place.Engine, n)
+	for i := range all {
+		all[i] = place.Engine{ID: fmt.Sprint("e", i), Zone: []string{"a", "b"}[i%2], Slots: 64, Capacity: 300_000}
+	}
+	return all
+}
+
+// One engine is reading a long prompt. A request that lands beside it waits
+// until that is read, although other engines are idle.
+func TestLongPromptsAreAvoided(t *testing.T) {
+	all := engines(2)
+	all[0].Prefill = 40_000
+	chosen, delay := place.Generation(&place.Prompt{Tokens: 1000}, all)
+	assert.Equal(t, chosen, 1)
+	assert.Assert(t, delay < 50, delay)
+}
+
+// All processes send prompts with one beginning to one engine, which then reads
+// it once, unless that engine is so busy that reading again is faster.
+func TestSharedBeginningsMeet(t *testing.T) {
+	prompt := &place.Prompt{Tokens: 9000, Shared: 6300, Group: "sheet-4"}
+	all := engines(18)
+	home, _ := place.Generation(prompt, all)
+	for i := range all {
+		all[i].Prefill = 500 // what others see a moment later
+	}
+	again, _ := place.Generation(prompt, all)
+	assert.Equal(t, again, home)
+	all[home].Prefill = 20_000
+	elsewhere, _ := place.Generation(prompt, all)
+	assert.Assert(t, elsewhere != home)
+}
+
+func TestInputsDrawARequestToTheirZone(t *testing.T) {
+	prompt := &place.Prompt{Tokens: 3000, InputBytes: []place.ZoneBytes{{Zone: "b", Bytes: 4_500_000}}}
+	all := engines(4)
+	all[1].Prefill, all[3].Prefill = 4000, 5000
+	chosen, _ := place.Generation(prompt, all)
+	assert.Equal(t, chosen, 1)
+}
+
+// An engine whose memory runs out stops its newest request in the middle of
+// the stream, and the caller sees a long pause.
+func TestFullMemoryIsAvoided(t *testing.T) {
+	all := engines(2)
+	all[0].Memory = 290_000
+	all[1].Prefill = 10_000
+	chosen, _ := place.Generation(&place.Prompt{Tokens: 30_000, Output: 400}, all)
+	assert.Equal(t, chosen, 1)
+}
+
+func TestShutEnginesGetNothing(t *testing.T) {
+	all := engines(2)
+	all[0].Shut, all[1].Shut = true, true
+	chosen, _ := place.Generation(&place.Prompt{Tokens: 1, Group: "g"}, all)
+	assert.Equal(t, chosen, place.NoEngine)
+}
+
+func TestPlainGoesWhereItIsAnsweredFirst(t *testing.T) {
+	servers := []place.Server{
+		{Near: true, Running: 5, Slots: 6, Recent: 30},
+		{Running: 0, Slots: 6, Recent: 30},
+		{Near: true, Running: 0, Slots: 6, Recent: 150},
+	}
+	assert.Equal(t, place.Plain(servers, 0), 1)
+	servers[1].Shut = true
+	assert.Equal(t, place.Plain(servers, 2), 0)
+	assert.Equal(t, place.Plain([]place.Server{{Shut: true}}, 0), place.NoEngine)
+}
+
+func BenchmarkGeneration(b *testing.B) {
+	all := engines(48)
+	prompt := &place.Prompt{Tokens: 9000, Shared: 6300, Group: "sheet-4", InputBytes: []place.ZoneBytes{{Zone: "b", Bytes: 4_500_000}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		place.Generation(prompt, all)
+	}
+}
--- /dev/null
+++ b/internal/route/view/view.go
@@ -0,0 +1,304 @@
+// Package view holds what this process knows of the endpoints: who they are,
+// which of them leave, and which availability zones operators have emptied. A
+// single writer keeps the Book; requests read immutable snapshots through one
+// atomic pointer.
+package view
+
+import (
+	"cmp"
+	"slices"
+	"sync/atomic"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+)
+
+// Entry is what an endpoint says of itself in the platform's store.
+type Entry struct {
+	// ID of the endpoint. An endpoint may start again under the id that it had.
+	ID string
+	// Born tells two starts under one id apart, in milliseconds of the wall clock.
+	Born    int64
+	Address string
+	Pool    string
+	Zone    string
+	Slots   int
+	// Leaving endpoints get no new work.
+	Leaving bool
+	// Cold is how long the endpoint goes on being cold.
+	Cold clock.Millis
+	// Count grows with each entry that the endpoint writes.
+	Count int64
+}
+
+// Endpoint is one start of one endpoint. Its identity never changes; what
+// changes is atomic.
+type Endpoint struct {
+	ID      string
+	Born    int64
+	Address string
+	Pool    string
+	Zone    string
+	Slots   int
+
+	leaving   atomic.Bool
+	gone      atomic.Bool
+	coldUntil atomic.Int64
+	barred    atomic.Int64
+	heard     atomic.Int64
+	count     int64
+
+	// Load is what runs there, as far as this process knows.
+	Load Load
+}
+
+// Load is the work at an endpoint: what this process sent, and what its peers
+// say that they sent.
+type Load struct {
+	// Running requests, prompt tokens that wait to be read, and tokens of memory.
+	Running atomic.Int64
+	Prefill atomic.Int64
+	Memory  atomic.Int64
+	// PeerRunning, PeerPrefill and PeerMemory are the same of all peers.
+	PeerRunning atomic.Int64
+	PeerPrefill atomic.Int64
+	PeerMemory  atomic.Int64
+}
+
+// Cold reports whether the endpoint is believed to be cold.
+func (e *Endpoint) Cold(now clock.Millis) bool { return e.coldUntil.Load() > int64(now) }
+
+// SetCold records that the endpoint goes on being cold until an instant; an
+// earlier one than known changes nothing.
+func (e *Endpoint) SetCold(until clock.Millis) {
+	for {
+		known := e.coldUntil.Load()
+		if int64(until) <= known || e.coldUntil.CompareAndSwap(known, int64(until)) {
+			return
+		}
+	}
+}
+
+// Bar keeps requests away until an instant, because the endpoint failed.
+func (e *Endpoint) Bar(until clock.Millis) { e.barred.Store(int64(until)) }
+
+// Barred reports whether requests should stay away for now.
+func (e *Endpoint) Barred(now clock.Millis) bool { return e.barred.Load() > int64(now) }
+
+// Heard returns when the endpoint's entry changed last.
+func (e *Endpoint) Heard() clock.Millis { return clock.Millis(e.heard.Load()) }
+
+// Out reports whether the endpoint leaves or is gone.
+func (e *Endpoint) Out() bool { return e.leaving.Load() || e.gone.Load() }
+
+// Gone reports whether the endpoint has ended as far as is known.
+func (e *Endpoint) Gone() bool { return e.gone.Load() }
+
+// Snapshot is the endpoints at one moment.
+type Snapshot struct {
+	pools    map[string][]*Endpoint
+	emptied  map[string]bool
+	byID     map[string]*Endpoint
+	entries  int
+	complete bool
+}
+
+// Complete reports whether the list of endpoints was read at least once.
+func (s *Snapshot) Complete() bool { return s != nil && s.complete }
+
+// Pool returns the endpoints of a pool that may get new work, in the order of
+// their ids. An endpoint may turn Out after the snapshot was made.
+func (s *Snapshot) Pool(name string) []*Endpoint {
+	if s == nil {
+		return nil
+	}
+	return s.pools[name]
+}
+
+// Find returns an endpoint by its id, or nil.
+func (s *Snapshot) Find(id string) *Endpoint {
+	if s == nil {
+		return nil
+	}
+	return s.byID[id]
+}
+
+// Each calls visit for every endpoint that is known.
+func (s *Snapshot) Each(visit func(*Endpoint)) {
+	if s == nil {
+		return
+	}
+	for _, e := range s.byID {
+		visit(e)
+	}
+}
+
+// Emptied reports whether operators have emptied an availability zone.
+func (s *Snapshot) Emptied(zone string) bool { return s != nil && s.emptied[zone] }
+
+// Len returns the number of endpoints that are known.
+func (s *Snapshot) Len() int {
+	if s == nil {
+		return 0
+	}
+	return s.entries
+}
+
+// Change is what a Book learned, for the log.
+type Change struct {
+	Endpoint *Endpoint
+	What     string
+}
+
+// What changed of an endpoint.
+const (
+	Joined   = "joined"
+	Replaced = "restarted"
+	Left     = "leaving"
+	Returned = "returned"
+	Lost     = "gone"
+	Cooled   = "cold"
+)
+
+// Book gathers entries into snapshots. One goroutine writes; Now may be called
+// by any.
+type Book struct {
+	byID    map[string]*Endpoint
+	missing map[string]clock.Millis
+	emptied map[string]bool
+	listed  bool
+	now     atomic.Pointer[Snapshot]
+}
+
+// New returns an empty book.
+func New() *Book {
+	return &Book{byID: make(map[string]*Endpoint), missing: make(map[string]clock.Millis), emptied: make(map[string]bool)}
+}
+
+// Now returns the newest snapshot, nil before the first.
+func (b *Book) Now() *Snapshot { return b.now.Load() }
+
+// Put takes an entry that was written.
+func (b *Book) Put(entry Entry, now clock.Millis) []Change {
+	delete(b.missing, entry.ID)
+	known := b.byID[entry.ID]
+	if known == nil || known.Born != entry.Born || known.Address != entry.Address || known.Pool != entry.Pool {
+		return b.begin(known, entry, now)
+	}
+	var changes []Change
+	if entry.Count != known.count {
+		known.count = entry.Count
+		known.heard.Store(int64(now))
+	}
+	if entry.Leaving != known.leaving.Load() {
+		known.leaving.Store(entry.Leaving)
+		what := Returned
+		if entry.Leaving {
+			what = Left
+		}
+		changes = append(changes, Change{Endpoint: known, What: what})
+	}
+	return b.chill(known, entry.Cold, now, changes)
+}
+
+func (b *Book) chill(e *Endpoint, cold, now clock.Millis, changes []Change) []Change {
+	if cold > 0 {
+		if !e.Cold(now) {
+			changes = append(changes, Change{Endpoint: e, What: Cooled})
+		}
+		e.SetCold(now + cold)
+	}
+	return changes
+}
+
+// begin replaces what was known under an id: another start knows nothing of
+// the one before, and work meant for that one must not reach it.
+func (b *Book) begin(known *Endpoint, entry Entry, now clock.Millis) []Change {
+	what := Joined
+	if known != nil {
+		known.gone.Store(true)
+		what = Replaced
+	}
+	e := &Endpoint{ID: entry.ID, Born: entry.Born, Address: entry.Address, Pool: entry.Pool, Zone: entry.Zone, Slots: entry.Slots, count: entry.Count}
+	e.leaving.Store(entry.Leaving)
+	e.heard.Store(int64(now))
+	b.byID[entry.ID] = e
+	return b.chill(e, entry.Cold, now, []Change{{Endpoint: e, What: what}})
+}
+
+// Remove takes an entry that was deleted. The endpoint counts as gone at once,
+// or, while the store has only just come back, after patience: entries lapse
+// while the store is away and return soon after if the endpoint lives.
+func (b *Book) Remove(id string, now, patience clock.Millis) []Change {
+	if b.byID[id] == nil {
+		return nil
+	}
+	if patience > 0 {
+		if b.missing[id] == 0 {
+			b.missing[id] = now + patience
+		}
+		return nil
+	}
+	return b.drop(id)
+}
+
+func (b *Book) drop(id string) []Change {
+	e := b.byID[id]
+	e.gone.Store(true)
+	delete(b.byID, id)
+	delete(b.missing, id)
+	return []Change{{Endpoint: e, What: Lost}}
+}
+
+// List takes the whole list: what it lacks is removed, with patience.
+func (b *Book) List(entries []Entry, now, patience clock.Millis) []Change {
+	b.listed = true
+	var changes []Change
+	there := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		there[entry.ID] = true
+		changes = append(changes, b.Put(entry, now)...)
+	}
+	for id := range b.byID {
+		if !there[id] {
+			changes = append(changes, b.Remove(id, now, patience)...)
+		}
+	}
+	return changes
+}
+
+// Expire drops the endpoints whose entries did not come back in time.
+func (b *Book) Expire(now clock.Millis) []Change {
+	var changes []Change
+	for id, until := range b.missing {
+		if until <= now {
+			changes = append(changes, b.drop(id)...)
+		}
+	}
+	return changes
+}
+
+// SetEmptied takes the availability zones that operators have emptied.
+func (b *Book) SetEmptied(zones []string) {
+	b.emptied = make(map[string]bool, len(zones))
+	for _, zone := range zones {
+		b.emptied[zone] = true
+	}
+}
+
+// Publish makes the newest snapshot.
+func (b *Book) Publish() {
+	s := &Snapshot{
+		pools: make(map[string][]*Endpoint), emptied: b.emptied,
+		byID: make(map[string]*Endpoint, len(b.byID)), entries: len(b.byID), complete: b.listed,
+	}
+	for id, e := range b.byID {
+		s.byID[id] = e
+		if !e.Out() && !b.emptied[e.Zone] {
+			s.pools[e.Pool] = append(s.pools[e.Pool], e)
+		}
+	}
+	for _, endpoints := range s.pools {
+		slices.SortFunc(endpoints, func(a, b *Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	b.now.Store(s)
+}
--- /dev/null
+++ b/internal/route/view/view_test.go
@@ -0,0 +1,84 @@
+package view_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/route/view"
+)
+
+func entry(id string, born int64) view.Entry {
+	return view.Entry{ID: id, Born: born, Address: "10.0.0.1:80", Pool: "orders", Zone: "a", Slots: 4}
+}
+
+func ids(endpoints []*view.Endpoint) []string {
+	var all []string
+	for _, e := range endpoints {
+		all = append(all, e.ID)
+	}
+	return all
+}
+
+func TestLeavingAndEmptiedGetNothingNew(t *testing.T) {
+	b := view.New()
+	b.List([]view.Entry{entry("x", 1), entry("y", 1)}, 10, 0)
+	b.Publish()
+	assert.Assert(t, b.Now().Complete())
+	assert.DeepEqual(t, ids(b.Now().Pool("orders")), []string{"x", "y"})
+	leaving := entry("x", 1)
+	leaving.Leaving = true
+	changes := b.Put(leaving, 20)
+	assert.Equal(t, changes[0].What, view.Left)
+	assert.Assert(t, changes[0].Endpoint.Out())
+	b.Publish()
+	assert.DeepEqual(t, ids(b.Now().Pool("orders")), []string{"y"})
+	b.SetEmptied([]string{"a"})
+	b.Publish()
+	assert.Equal(t, len(b.Now().Pool("orders")), 0)
+	assert.Assert(t, b.Now().Emptied("a"))
+}
+
+// The store was away and entries lapsed meanwhile although their endpoints
+// live. Dropping all of them at its return would leave callers without any
+// endpoint for two seconds.
+func TestLapsedEntriesMayReturn(t *testing.T) {
+	b := view.New()
+	b.List([]view.Entry{entry("x", 1), entry("y", 1)}, 10, 0)
+	assert.Equal(t, len(b.List(nil, 100, 1500)), 0)
+	b.Put(entry("x", 1), 900)
+	assert.Equal(t, len(b.Expire(1599)), 0)
+	changes := b.Expire(1600)
+	assert.Equal(t, len(changes), 1)
+	assert.Equal(t, changes[0].Endpoint.ID, "y")
+	b.Publish()
+	assert.DeepEqual(t, ids(b.Now().Pool("orders")), []string{"x"})
+}
+
+// An endpoint crashes and starts again under its old id. Whoever still holds
+// the old one must see that it is gone, or work meant for it reaches one that
+// is cold and knows nothing of what lay there.
+func TestRestartUnderOneIDIsAnotherEndpoint(t *testing.T) {
+	b := view.New()
+	b.Put(entry("x", 1), 10)
+	b.Publish()
+	old := b.Now().Find("x")
+	again := entry("x", 2)
+	again.Cold = 3000
+	changes := b.Put(again, 20)
+	assert.Equal(t, changes[0].What, view.Replaced)
+	assert.Assert(t, old.Gone())
+	b.Publish()
+	assert.Assert(t, b.Now().Find("x").Cold(3019))
+	assert.Assert(t, !b.Now().Find("x").Cold(3020))
+	// The wall clock of a host may have stepped back between two starts: the
+	// order in the store decides, not the time that an entry claims.
+	assert.Equal(t, b.Put(entry("x", 1), 30)[0].What, view.Replaced)
+}
+
+func TestRemovedAtOnceInCalm(t *testing.T) {
+	b := view.New()
+	b.Put(entry("x", 1), 10)
+	assert.Equal(t, b.Remove("x", 20, 0)[0].What, view.Lost)
+	assert.Equal(t, len(b.Remove("x", 20, 0)), 0)
+}
--- a/internal/serve/front/refuse.go
+++ b/internal/serve/front/refuse.go
@@ -62,6 +62,8 @@
 		{fault.OldRelease, http.StatusServiceUnavailable, afterQueue},
 		{fault.DoubledFrame, http.StatusBadGateway, 0},
 		{fault.BackendRejected, http.StatusBadGateway, 0},
+		{fault.InputGone, http.StatusServiceUnavailable, afterRoute},
+		{fault.UnknownRoute, http.StatusNotFound, 0},
 	}
 }
 
@@ -115,12 +117,29 @@
 	}
 }
 
+// Refuse answers a request that gets no other answer and returns the status.
+// Callers of routed services read fractions of a second in Retry-After, so
+// that none of them waits longer than it must.
+func Refuse(w http.ResponseWriter, refused *fault.RefusalError) int {
+	body := refusalOf(refused.RequestID, refused)
+	if body.RetryAfterMs > 0 {
+		seconds := float64(body.RetryAfterMs) / float64(clock.Second)
+		w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
+	}
+	writeBody(w, body)
+	return ruleOf(refused.Reason).status
+}
+
 func writeRefusal(w http.ResponseWriter, body refusal) {
-	w.Header().Set("Content-Type", contentTypeJSON)
 	if body.RetryAfterMs > 0 {
 		seconds := (body.RetryAfterMs + clock.Second - 1) / clock.Second
 		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
 	}
+	writeBody(w, body)
+}
+
+func writeBody(w http.ResponseWriter, body refusal) {
+	w.Header().Set("Content-Type", contentTypeJSON)
 	w.WriteHeader(ruleOf(body.Reason).status)
 	_ = json.NewEncoder(w).Encode(body) // a caller that is gone reads nothing
 }
--- /dev/null
+++ b/internal/serve/gate/attempt.go
@@ -0,0 +1,263 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
+	"github.com/jujubescale/jujubescale/internal/engine/conn"
+	"github.com/jujubescale/jujubescale/internal/engine/spell"
+	"github.com/jujubescale/jujubescale/internal/ops/logs"
+)
+
+const (
+	// reuseIdle and reuseUnsafe bound how long a connection may have been unused
+	// before it carries a request. An endpoint that drops it just then leaves
+	// open whether the request ran, which costs a request that may run once its
+	// answer.
+	reuseIdle   = 4 * clock.Second
+	reuseUnsafe = 300 * clock.Millis(1)
+	// maxPlainBytes is the largest answer that is read whole before any of it is
+	// passed on; the largest of the users' plain answers has 5 KB.
+	maxPlainBytes = 1 << 20
+	// headBytes is the usual size of a request's head.
+	headBytes = 1 << 10
+	// stallTimes is how many objectives an endpoint may take for the first byte
+	// of an answer while another endpoint may still be tried.
+	stallTimes = 2.5
+	// stallStream bounds pauses of a stream that another engine could go on
+	// with: several times those that a busy engine makes.
+	stallStream = 1800 * clock.Millis(1)
+)
+
+// attempt sends the request to one endpoint and passes its answer on.
+func (g *Gate) attempt(ctx context.Context, w http.ResponseWriter, req *request, chosen choice) result {
+	t := chosen.target
+	req.tried = append(req.tried, t.Endpoint)
+	req.last = t.Endpoint
+	now := g.Clock.Now()
+	g.Log.Info("request sent", "request", req.Request, "route", req.route.Name, "pool", req.pool.Name,
+		"endpoint", t.ID, "running", t.Load.Running.Load(), "peerRunning", t.Load.PeerRunning.Load(),
+		"prefill", t.Load.Prefill.Load()+t.Load.PeerPrefill.Load(), "unread", chosen.unread, "delayMs", int64(chosen.delay),
+		"cold", t.Cold(now), "heardMs", int64(now-t.Heard()), "sent", req.sent, "leftMs", int64(req.deadline-now))
+	l := g.countLoad(t, req, chosen)
+	defer l.end()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stall := g.watchStall(req, cancel)
+	defer stall.stop()
+	reply, err := t.conns.Do(ctx, g.request(req, t, now))
+	if err != nil {
+		return g.noReply(req, t, err)
+	}
+	defer reply.Finish()
+	req.sent++
+	return g.takeReply(w, req, t, reply, l, stall, now)
+}
+
+// load is one request's part in the load of an endpoint.
+type load struct {
+	target  *target
+	prefill int64
+	memory  int64
+}
+
+func (g *Gate) countLoad(t *target, req *request, chosen choice) *load {
+	l := &load{target: t}
+	if req.pool.Generation != nil {
+		l.prefill = chosen.unread
+		l.memory = req.PromptTokens + req.outputTokens()
+		t.use(req.Parts, g.Clock.Now())
+	}
+	t.Load.Running.Add(1)
+	t.Load.Prefill.Add(l.prefill)
+	t.Load.Memory.Add(l.memory)
+	return l
+}
+
+// read notes that the prompt has been read: the first event is there.
+func (l *load) read() {
+	l.target.Load.Prefill.Add(-l.prefill)
+	l.prefill = 0
+}
+
+func (l *load) end() {
+	l.read()
+	l.target.Load.Running.Add(-1)
+	l.target.Load.Memory.Add(-l.memory)
+}
+
+// stall ends an attempt whose endpoint keeps silent while another could be tried.
+type stall struct {
+	timer *time.Timer
+	span  clock.Millis
+}
+
+func (g *Gate) watchStall(req *request, cancel context.CancelFunc) *stall {
+	if !req.route.Idempotent() || req.sent+1 >= max(req.route.Attempts, 1) {
+		return &stall{}
+	}
+	span := clock.Millis(stallTimes * float64(req.route.Objective))
+	s := &stall{span: stallStream}
+	s.timer = time.AfterFunc(span.Duration(), cancel)
+	return s
+}
+
+// heard puts the end off.
+func (s *stall) heard() {
+	if s.timer != nil {
+		s.timer.Reset(s.span.Duration())
+	}
+}
+
+func (s *stall) stop() {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
+
+// request spells the request for an endpoint.
+func (g *Gate) request(req *request, t *target, now clock.Millis) *conn.Request {
+	head := make([]byte, 0, headBytes)
+	head = append(head, req.method...)
+	head = append(head, ' ')
+	head = append(head, req.target...)
+	head = append(head, " HTTP/1.1\r\nHost: "...)
+	head = append(head, req.host...)
+	head = append(head, "\r\n"...)
+	head = g.appendHeaders(head, req.header)
+	call := &spell.Call{
+		Deadline: max(req.deadline-now, 1), Instance: t.ID, Organisation: req.organisation,
+		LastEvent: req.LastEvent, Urgency: -1,
+	}
+	if req.run != nil {
+		call.Inputs, call.WithInputs = req.run.Last(), true
+	}
+	if req.pool.Generation != nil {
+		call.Urgency = urgency(req, now)
+	}
+	head = g.Spelling.CallFunc(head, call)
+	if len(req.body) > 0 || req.method == http.MethodPost || req.method == http.MethodPut || req.method == http.MethodPatch {
+		head = append(head, "Content-Length: "...)
+		head = strconv.AppendInt(head, int64(len(req.body)), 10)
+		head = append(head, "\r\n"...)
+	}
+	head = append(head, "\r\n"...)
+	maxIdle := reuseIdle
+	if !req.route.Idempotent() {
+		maxIdle = reuseUnsafe
+	}
+	id := req.Request
+	return &conn.Request{
+		Method: req.method, Head: head, Body: req.body, MaxIdle: maxIdle,
+		OwnFunc: func(header http.Header, fresh bool) bool {
+			belongs := g.Spelling.MarksFunc(header).Request
+			return belongs == id || (belongs == "" && fresh)
+		},
+	}
+}
+
+// urgency ranks a generation at its engine: by priority, and behind all others
+// when it is late already.
+func urgency(req *request, now clock.Millis) int {
+	const lateSteps, most = 5, 9
+	rank := min(max(req.priority, 0)+1, most)
+	if now > req.objective && !req.begun {
+		rank = min(rank+lateSteps, most)
+	}
+	return rank
+}
+
+// appendHeaders adds the caller's headers that are to be passed on.
+func (g *Gate) appendHeaders(head []byte, header http.Header) []byte {
+	drop := named(header)
+	for name, values := range header {
+		if hopHeaders[name] || drop[name] || g.Spelling.OwnFunc(name) {
+			continue
+		}
+		for _, value := range values {
+			head = append(head, name...)
+			head = append(head, ": "...)
+			head = append(head, value...)
+			head = append(head, "\r\n"...)
+		}
+	}
+	return head
+}
+
+// noReply judges an attempt without the head of an answer.
+func (g *Gate) noReply(req *request, t *target, err error) result {
+	now := g.Clock.Now()
+	var full *conn.FullError
+	if errors.As(err, &full) {
+		t.Bar(now + fullBar)
+		return result{end: unsent, err: fault.Refuse(fault.QueueFull, err.Error())}
+	}
+	t.failed(now)
+	var sent *conn.SentError
+	g.Log.Info("endpoint failed", "request", req.Request, "endpoint", t.ID, "sent", errors.As(err, &sent), logs.KeyError, err)
+	if !errors.As(err, &sent) {
+		return result{end: unsent, err: fault.Refuse(fault.NoEndpoint, err.Error())}
+	}
+	if req.pool.ColdTime > 0 {
+		// A reset may be all that shows of a restart, after which it is cold.
+		t.SetCold(now + req.pool.ColdTime)
+	}
+	req.sent++
+	req.mayHaveRun = true
+	return result{end: broken, err: fault.Refuse(fault.EndpointFailed, err.Error())}
+}
+
+// takeReply judges an answer by its head and passes it on.
+func (g *Gate) takeReply(w http.ResponseWriter, req *request, t *target, reply *conn.Reply, l *load, s *stall, began clock.Millis) result {
+	marks := g.Spelling.MarksFunc(reply.Header)
+	if marks.Cold > 0 {
+		t.SetCold(g.Clock.Now() + marks.Cold)
+	}
+	if marks.HasLoad {
+		t.told.Store(int64(marks.Running + marks.Waiting))
+	}
+	switch {
+	case marks.NotRun || reply.Status == http.StatusMisdirectedRequest:
+		return g.refusedBy(req, t, reply, marks)
+	case reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices && !marks.Sealed:
+		req.mayHaveRun = true
+		t.failed(g.Clock.Now())
+		return result{end: broken, err: fault.Refuse(fault.AnswerBroken, "the answer bears no seal")}
+	}
+	req.mayHaveRun = true
+	if reply.Status < http.StatusMultipleChoices && req.route.Kind == table.Stream {
+		return g.passEvents(w, req, t, reply, l, s)
+	}
+	return g.passWhole(w, req, t, reply, marks, began)
+}
+
+// refusedBy judges a proof that the request did not run.
+func (g *Gate) refusedBy(req *request, t *target, reply *conn.Reply, marks spell.Marks) result {
+	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxPlainBytes)) // only the head counts
+	now := g.Clock.Now()
+	g.Log.Info("endpoint refused", "request", req.Request, "endpoint", t.ID, "status", reply.Status,
+		"running", marks.Running, "waiting", marks.Waiting, "slots", marks.Slots)
+	switch reply.Status {
+	case http.StatusMisdirectedRequest:
+		// Another endpoint has the address now; the entry will follow.
+		t.Bar(now + maxBar)
+		return result{end: notRun, err: refuseAgain(fault.WrongEndpoint, comeBackFull)}
+	case http.StatusConflict:
+		return result{end: inputsGone, err: refuseAgain(fault.InputGone, comeBackFull)}
+	case http.StatusBadRequest:
+		return result{end: notRun, err: fault.Refuse(fault.BadRequest, "the endpoint refused the request")}
+	}
+	t.Bar(now + fullBar)
+	return result{end: notRun, err: refuseAgain(fault.Overloaded, comeBackFull)}
+}
+
+func refuseAgain(reason fault.Reason, after clock.Millis) *fault.RefusalError {
+	return &fault.RefusalError{Reason: reason, Ran: fault.NotRun, RetryAfter: spread(after)}
+}
--- /dev/null
+++ b/internal/serve/gate/choose.go
@@ -0,0 +1,173 @@
+package gate
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/route/place"
+	"github.com/jujubescale/jujubescale/internal/route/view"
+)
+
+const (
+	// coldUse is the part of a cold endpoint's rate that its owner uses. Two
+	// processes may both believe to be its owner for a moment, and what was sent
+	// before it turned cold counts too.
+	coldUse = 0.8
+	// warmUse is the part of the bound of a cold endpoint that all processes
+	// together may send to a warm one in a second: it may turn cold before
+	// anybody hears of it.
+	warmUse = 0.9
+	// leastWarm is what one process may always send to a warm endpoint.
+	leastWarm = 3
+	// guessedOutput is the part of the largest output that a generation is
+	// expected to have when its caller says nothing.
+	guessedOutput = 0.5
+)
+
+// choice is the endpoint for a request, or when to look again.
+type choice struct {
+	target *target
+	// wait is the time until an endpoint may take the request; it is set when
+	// there is no target but an endpoint is only held back by its pace.
+	wait clock.Millis
+	// unread is the prompt tokens that the endpoint has to read.
+	unread int64
+	delay  float64
+}
+
+// choose looks for the endpoint that answers first. Endpoints that failed a
+// moment ago are used only if there is no other.
+func (g *Gate) choose(req *request) choice {
+	chosen := g.chooseAmong(req, false)
+	if chosen.target == nil && chosen.wait == 0 {
+		chosen = g.chooseAmong(req, true)
+	}
+	return chosen
+}
+
+func (g *Gate) chooseAmong(req *request, barred bool) choice {
+	now := g.Clock.Now()
+	endpoints := g.View().Pool(req.pool.Name)
+	shut := make([]bool, len(endpoints))
+	found := make([]*target, len(endpoints))
+	var wait clock.Millis
+	for i, e := range endpoints {
+		t := g.targets.of(e)
+		found[i] = t
+		if e.Out() || slices.Contains(req.tried, e) || (!barred && e.Barred(now)) {
+			shut[i] = true
+			continue
+		}
+		if held := t.waitFor(g.paceOf(req, e, now), now); held > 0 {
+			shut[i] = true
+			if wait == 0 || held < wait {
+				wait = held
+			}
+		}
+	}
+	if req.pool.Generation != nil {
+		return g.chooseEngine(req, found, shut, wait, now)
+	}
+	return g.chooseServer(found, shut, wait)
+}
+
+// unbounded is a pace that holds nothing back.
+const unbounded = 1 << 20
+
+// paceOf returns how many requests this process may start at an endpoint
+// within a second.
+func (g *Gate) paceOf(req *request, e *view.Endpoint, now clock.Millis) int {
+	rate := req.pool.ColdRate
+	if rate <= 0 {
+		return unbounded
+	}
+	if e.Cold(now) {
+		if !g.mesh.Owns(e.ID) {
+			return 0
+		}
+		return max(int(coldUse*rate), 1)
+	}
+	bounds := g.bounds.Load()
+	all := (rate*bounds.ColdShare + bounds.ColdSpare) * warmUse
+	return max(int(all)/max(len(g.mesh.Alive()), 1), leastWarm)
+}
+
+func (g *Gate) chooseEngine(req *request, found []*target, shut []bool, wait, now clock.Millis) choice {
+	engines := make([]place.Engine, len(found))
+	for i, t := range found {
+		engines[i] = place.Engine{ID: t.ID, Zone: t.Zone, Shut: shut[i], Capacity: req.pool.Generation.Tokens}
+		if shut[i] {
+			continue
+		}
+		engines[i].Running = t.Load.Running.Load() + t.Load.PeerRunning.Load()
+		engines[i].Prefill = t.Load.Prefill.Load() + t.Load.PeerPrefill.Load()
+		engines[i].Memory = t.Load.Memory.Load() + t.Load.PeerMemory.Load()
+		engines[i].Slots = int64(req.pool.Generation.Slots)
+		engines[i].Cached = t.cached(req.Parts, now)
+	}
+	at, delay := place.Generation(req.prompt(), engines)
+	if at == place.NoEngine {
+		return choice{wait: wait}
+	}
+	unread := max(req.PromptTokens-engines[at].Cached, 0)
+	return choice{target: found[at], unread: unread, delay: delay}
+}
+
+// prompt describes the request for the choice of an engine.
+func (r *request) prompt() *place.Prompt {
+	p := &place.Prompt{Tokens: r.PromptTokens, Output: r.outputTokens()}
+	for i, part := range r.Parts {
+		if i < len(r.Parts)-1 { // the last part is the request's own
+			p.Shared += part.Tokens
+			p.Group = part.ID
+		}
+	}
+	if r.run == nil {
+		return p
+	}
+	for i, stage := range r.route.Stages {
+		for _, reference := range r.run.Results(i) {
+			p.InputBytes = addBytes(p.InputBytes, r.zones[reference], stage.ResultBytes)
+		}
+	}
+	return p
+}
+
+func addBytes(all []place.ZoneBytes, zone string, bytes int64) []place.ZoneBytes {
+	for i := range all {
+		if all[i].Zone == zone {
+			all[i].Bytes += bytes
+			return all
+		}
+	}
+	return append(all, place.ZoneBytes{Zone: zone, Bytes: bytes})
+}
+
+// outputTokens guesses how much will be generated.
+func (r *request) outputTokens() int64 {
+	if r.LikelyTokens > 0 {
+		return min(r.LikelyTokens, r.OutputTokens)
+	}
+	return int64(guessedOutput * float64(r.OutputTokens))
+}
+
+func (g *Gate) chooseServer(found []*target, shut []bool, wait clock.Millis) choice {
+	servers := make([]place.Server, len(found))
+	for i, t := range found {
+		servers[i] = place.Server{Shut: shut[i]}
+		if shut[i] {
+			continue
+		}
+		running := max(t.Load.Running.Load()+t.Load.PeerRunning.Load(), 0)
+		servers[i] = place.Server{Near: t.Zone == g.Zone, Running: running, Slots: int64(t.Slots), Recent: t.speed()}
+	}
+	if len(servers) == 0 {
+		return choice{wait: wait}
+	}
+	at := place.Plain(servers, rand.IntN(len(servers)))
+	if at == place.NoEngine {
+		return choice{wait: wait}
+	}
+	return choice{target: found[at]}
+}
--- /dev/null
+++ b/internal/serve/gate/gate.go
@@ -0,0 +1,169 @@
+// Package gate takes requests by host and path and brings each to an endpoint
+// of its route's pool: it checks key and limits, runs the stages that go
+// before, chooses the endpoint, passes the answer on unchanged, and says
+// truthfully what became of a request that gets none.
+package gate
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
+	"github.com/jujubescale/jujubescale/internal/engine/spell"
+	"github.com/jujubescale/jujubescale/internal/route/view"
+	"github.com/jujubescale/jujubescale/internal/serve/host"
+	"github.com/jujubescale/jujubescale/internal/serve/mesh"
+)
+
+// Settings are what a Gate needs.
+type Settings struct {
+	Clock    *clock.Clock
+	Log      *log.Logger
+	Spelling *spell.Spelling
+	Registry prometheus.Registerer
+	// Zone is the availability zone that this process stands in.
+	Zone string
+	// Table and View return the newest routes and endpoints, nil before the first.
+	Table func() *table.Table
+	View  func() *view.Snapshot
+}
+
+// Bounds are what may change while a Gate serves.
+type Bounds struct {
+	// ExtraShare is the part of a pool's requests that may be sent once more,
+	// over all processes, and ExtraSpare how many besides.
+	ExtraShare float64
+	ExtraSpare float64
+	// ColdShare is how far the rate of a cold endpoint may be exceeded, and
+	// ColdSpare how many requests may come at once besides.
+	ColdShare float64
+	ColdSpare float64
+}
+
+// Gate serves callers.
+type Gate struct {
+	Settings
+	mesh    *mesh.Mesh
+	host    *host.Host
+	meter   *Meter
+	targets targets
+	extras  extras
+	bounds  atomic.Pointer[Bounds]
+	leaving atomic.Bool
+	open    sync.WaitGroup
+	count   atomic.Int64
+	cut     context.Context
+	cutAll  context.CancelFunc
+}
+
+// New returns a gate. Join it to its mesh and host before it serves.
+func New(settings Settings) *Gate {
+	g := &Gate{Settings: settings, meter: NewMeter(settings.Registry)}
+	g.bounds.Store(&Bounds{})
+	g.targets.init(g)
+	g.extras.init(g)
+	g.cut, g.cutAll = context.WithCancel(context.Background())
+	return g
+}
+
+// SetBounds changes what may change while the gate serves.
+func (g *Gate) SetBounds(bounds Bounds) { g.bounds.Store(&bounds) }
+
+// Staying reports whether no planned stop has begun.
+func (g *Gate) Staying() bool { return !g.leaving.Load() }
+
+// Sweep forgets endpoints that are gone and closes unused connections.
+func (g *Gate) Sweep() { g.targets.sweep() }
+
+// EachUsed calls visit for every endpoint that this process has used.
+func (g *Gate) EachUsed(visit func(*view.Endpoint)) {
+	g.targets.byID.Range(func(key, _ any) bool {
+		visit(key.(*view.Endpoint))
+		return true
+	})
+}
+
+// Join sets the processes that pools are shared with, and the host of the
+// pools that this process owns.
+func (g *Gate) Join(m *mesh.Mesh, h *host.Host) { g.mesh, g.host = m, h }
+
+// Handler serves callers: every method and path, since routes decide.
+func (g *Gate) Handler() http.Handler { return http.HandlerFunc(g.serve) }
+
+// ReadyHandler tells the platform whether this process takes callers.
+func (g *Gate) ReadyHandler() http.Handler {
+	router := chi.NewRouter()
+	router.Get(g.Spelling.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return router
+}
+
+// Ready reports whether this process can serve: it knows routes and endpoints
+// and no planned stop has begun. It stays ready while the store is away,
+// because what it knows goes on being right.
+func (g *Gate) Ready() bool {
+	return !g.leaving.Load() && g.Table() != nil && g.View().Complete()
+}
+
+// Leave begins a planned stop: the process is not ready any more, and asks
+// callers to open new connections, which lead elsewhere.
+func (g *Gate) Leave() { g.leaving.Store(true) }
+
+// Open returns the number of requests that are not finished.
+func (g *Gate) Open() int64 { return g.count.Load() }
+
+// Wait returns once no request is open, or cuts those that are left when the
+// context ends; it returns how many were cut.
+func (g *Gate) Wait(ctx context.Context) int64 {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.open.Wait()
+	}()
+	select {
+	case <-done:
+		return 0
+	case <-ctx.Done():
+	}
+	left := g.count.Load()
+	g.cutAll()
+	<-done
+	return left
+}
+
+func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
+	g.open.Add(1)
+	g.count.Add(1)
+	defer g.open.Done()
+	defer g.count.Add(-1)
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	began := g.Clock.Now()
+	req, refused := g.accept(w, r, began)
+	if refused != nil {
+		g.refuse(w, req, refused)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), (req.deadline + answerMargin - began).Duration())
+	defer cancel()
+	stop := context.AfterFunc(g.cut, cancel)
+	defer stop()
+	g.run(ctx, w, req)
+}
+
+// answerMargin is how long after the deadline the answer of an endpoint may
+// still arrive that stopped at it: its own failure says more than one of ours.
+const answerMargin = 60 * clock.Millis(1)
--- /dev/null
+++ b/internal/serve/gate/meter.go
@@ -0,0 +1,63 @@
+package gate
+
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+)
+
+// Meter holds the metrics of a gate.
+type Meter struct {
+	ends    *prometheus.CounterVec
+	refused *prometheus.CounterVec
+	took    *prometheus.HistogramVec
+	first   *prometheus.HistogramVec
+	stages  *prometheus.HistogramVec
+	retries *prometheus.CounterVec
+	dials   prometheus.Counter
+}
+
+// spans are the bounds of latency histograms, in seconds: around the
+// objectives of 0.15 to 2.7 s that callers have.
+var spans = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.8, 1.1, 1.5, 2, 2.7, 4, 6, 10, 20}
+
+// NewMeter registers the metrics.
+func NewMeter(r prometheus.Registerer) *Meter {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		vec := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+		r.MustRegister(vec)
+		return vec
+	}
+	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
+		vec := prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: spans}, labels)
+		r.MustRegister(vec)
+		return vec
+	}
+	m := &Meter{
+		ends:    counter("jujubescale_routed_requests_total", "Requests of routed services by route and status.", "route", "status"),
+		refused: counter("jujubescale_routed_refusals_total", "Requests of routed services that got no endpoint's answer, by reason.", "reason"),
+		retries: counter("jujubescale_routed_retries_total", "Requests sent to another endpoint, by pool and reason.", "pool", "reason"),
+		took:    histogram("jujubescale_routed_request_seconds", "Time from a request's head to the end of its answer, by route.", "route"),
+		first:   histogram("jujubescale_routed_first_event_seconds", "Time from a request's head to the first event of its answer, by route.", "route"),
+		stages:  histogram("jujubescale_routed_stages_seconds", "Time that the stages before a request took, by route.", "route"),
+		dials: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "jujubescale_endpoint_connections_total", Help: "New connections to endpoints.",
+		}),
+	}
+	r.MustRegister(m.dials)
+	return m
+}
+
+func seconds(span clock.Millis) float64 { return float64(span) / float64(clock.Second) }
+
+func (m *Meter) ended(route, reason string, status int, took clock.Millis) {
+	m.ends.WithLabelValues(route, strconv.Itoa(status)).Inc()
+	m.took.WithLabelValues(route).Observe(seconds(took))
+	if reason != "" {
+		m.refused.WithLabelValues(reason).Inc()
+	}
+}
+
+func (m *Meter) dialed() { m.dials.Inc() }
--- /dev/null
+++ b/internal/serve/gate/stages.go
@@ -0,0 +1,210 @@
+package gate
+
+import (
+	"context"
+	"errors"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/serve/host"
+	"github.com/jujubescale/jujubescale/internal/serve/mesh"
+)
+
+const (
+	// generationTime is what a generation takes from its stages' end to its
+	// first event when nothing waits: reading a few thousand tokens (about
+	// 100 ms at 40 tokens a millisecond) and some steps.
+	generationTime = 150 * clock.Millis(1)
+	// priorityPenalty puts work behind that of the next higher priority whose
+	// objective ends so much later.
+	priorityPenalty = 300 * clock.Millis(1)
+	// latePenalty puts work that can't meet its objective any more behind work
+	// that still can: an answer beyond it is worth a sixth on the users' sheets.
+	latePenalty = 3 * clock.Second
+	// maxOwners is how many owners of a pool are asked when sessions break.
+	maxOwners = 3
+	// maxRestarts is how often stages are made again because a result was lost.
+	maxRestarts = 1
+)
+
+// runStages makes everything that the request reads.
+func (g *Gate) runStages(ctx context.Context, req *request) error {
+	if req.run == nil {
+		return nil
+	}
+	began := g.Clock.Now()
+	err := g.finishStages(ctx, req)
+	g.meter.stages.WithLabelValues(req.route.Name).Observe(seconds(g.Clock.Since(began)))
+	return err
+}
+
+// stageEnd is the end of one stage.
+type stageEnd struct {
+	stage int
+	made  *wire.Made
+	err   error
+}
+
+func (g *Gate) finishStages(ctx context.Context, req *request) error {
+	ends := make(chan stageEnd, len(req.route.Stages))
+	running, restarts := 0, 0
+	var failed error
+	for {
+		if failed == nil {
+			for _, stage := range req.run.Start() {
+				running++
+				ask := g.ask(req, stage)
+				go func() {
+					made, err := g.make(ctx, req, ask)
+					ends <- stageEnd{stage: ask.Stage, made: made, err: err}
+				}()
+			}
+		}
+		if running == 0 {
+			return failed
+		}
+		end := <-ends
+		running--
+		switch {
+		case end.err == nil:
+			g.finishStage(req, end)
+		case isInputGone(end.err) && restarts < maxRestarts && failed == nil:
+			restarts++
+			g.giveBack(req, req.run.Again(end.stage))
+		default:
+			failed = errors.Join(failed, end.err)
+		}
+	}
+}
+
+func isInputGone(err error) bool {
+	var refused *fault.RefusalError
+	return errors.As(err, &refused) && refused.Reason == fault.InputGone
+}
+
+func (g *Gate) finishStage(req *request, end stageEnd) {
+	pool := req.route.Stages[end.stage].Pool
+	for i, reference := range end.made.References {
+		req.pools[reference] = pool
+		if i < len(end.made.Zones) {
+			req.zones[reference] = end.made.Zones[i]
+		}
+	}
+	req.run.Finish(end.stage, end.made.References)
+	g.giveBack(req, req.run.Spent())
+}
+
+// ask describes the pieces of one stage to their owner.
+func (g *Gate) ask(req *request, stage int) *wire.Pieces {
+	now := g.Clock.Now()
+	inputs := req.run.Inputs(stage)
+	ask := &wire.Pieces{
+		Pool: req.route.Stages[stage].Pool, Request: req.Request, Stage: stage, Count: req.run.Pieces(stage),
+		Inputs: inputs, TimeLeft: req.deadline - now,
+		Slack: req.objective - now - g.downstream(req, stage), Bytes: req.route.Stages[stage].ResultBytes,
+		Penalty: clock.Millis(req.priority) * priorityPenalty, Zone: req.zoneOf(inputs),
+	}
+	if len(req.route.Stages[stage].After) == 0 {
+		ask.Key = req.PieceKey
+	}
+	if ask.Slack < 0 {
+		ask.Penalty += latePenalty
+	}
+	return ask
+}
+
+// downstream is what the stages that follow one, and the request itself, take
+// at least: the longest way from it to the end.
+func (g *Gate) downstream(req *request, stage int) clock.Millis {
+	var longest clock.Millis
+	for next := range req.route.Stages {
+		for _, before := range req.route.Stages[next].After {
+			if before == stage && req.run.Pieces(next) > 0 {
+				longest = max(longest, callTime(req.routes, req.route.Stages[next].Pool, req.run.Pieces(next))+g.downstream(req, next))
+			}
+		}
+	}
+	if longest > 0 {
+		return longest
+	}
+	return generationTime
+}
+
+// callTime is the duration of a call with the pieces of one request.
+func callTime(routes *table.Table, name string, pieces int) clock.Millis {
+	pool := routes.Pool(name)
+	if pool == nil || pool.Batching == nil {
+		return 0
+	}
+	return pool.Batching.CallTime + clock.Millis(float64(pieces)*pool.Batching.PieceTime)
+}
+
+// zoneOf returns the availability zone where most of some references lie.
+func (r *request) zoneOf(references []string) string {
+	counts := make(map[string]int, 4)
+	best := ""
+	for _, reference := range references {
+		zone := r.zones[reference]
+		counts[zone]++
+		if counts[zone] > counts[best] || best == "" {
+			best = zone
+		}
+	}
+	return best
+}
+
+// make asks the owner of a pool for pieces, and its successor when the owner is
+// lost: pieces may be made again.
+func (g *Gate) make(ctx context.Context, req *request, ask *wire.Pieces) (*wire.Made, error) {
+	var lost *mesh.LostError
+	for range maxOwners {
+		made, err := g.askOwner(ctx, ask)
+		switch {
+		case errors.As(err, &lost):
+			g.Log.Info("owner lost", "request", req.Request, "pool", ask.Pool, "peer", lost.Peer)
+			ask.TimeLeft = req.deadline - g.Clock.Now()
+			continue
+		case err != nil:
+			return nil, err
+		case made.Reason != "":
+			g.Log.Info("stage refused", "request", req.Request, "pool", ask.Pool, "stage", ask.Stage,
+				"reason", made.Reason, "leftMs", int64(req.deadline-g.Clock.Now()))
+			return nil, &fault.RefusalError{Reason: made.Reason, Ran: fault.NotRun, RetryAfter: made.RetryAfter, Detail: "stage in " + ask.Pool}
+		}
+		return made, nil
+	}
+	return nil, fault.Refuse(fault.NoEndpoint, "owners of "+ask.Pool+" were lost")
+}
+
+func (g *Gate) askOwner(ctx context.Context, ask *wire.Pieces) (*wire.Made, error) {
+	if to := g.mesh.Owner(ask.Pool); to != g.mesh.Self() {
+		return g.mesh.Ask(ctx, to, ask)
+	}
+	answer := make(chan host.Outcome, 1)
+	job := g.host.Submit(ask, func(outcome host.Outcome) { answer <- outcome })
+	select {
+	case outcome := <-answer:
+		return outcome.Made(), nil
+	case <-ctx.Done():
+		g.host.Drop(job)
+		return nil, ctx.Err()
+	}
+}
+
+// giveBack returns results that nobody needs any more to their owners.
+func (g *Gate) giveBack(req *request, references []string) {
+	byPool := make(map[string][]string)
+	for _, reference := range references {
+		pool := req.pools[reference]
+		byPool[pool] = append(byPool[pool], reference)
+	}
+	for pool, unused := range byPool {
+		if to := g.mesh.Owner(pool); to != g.mesh.Self() {
+			g.mesh.GiveBack(to, &wire.Unused{Pool: pool, References: unused})
+			continue
+		}
+		g.host.Unused(pool, unused)
+	}
+}
--- /dev/null
+++ b/internal/serve/host/call.go
@@ -0,0 +1,354 @@
+package host
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
+	"github.com/jujubescale/jujubescale/internal/engine/conn"
+	"github.com/jujubescale/jujubescale/internal/engine/spell"
+	"github.com/jujubescale/jujubescale/internal/flow/batch"
+	"github.com/jujubescale/jujubescale/internal/ops/logs"
+	"github.com/jujubescale/jujubescale/internal/route/view"
+)
+
+const (
+	// slackTimes and slackMore bound a call: an engine that takes several times
+	// as long as the configuration says is slow, one that takes longer is lost.
+	slackTimes = 4
+	slackMore  = 400 * clock.Millis(1)
+	// barFailed keeps calls away from an engine that broke one off, barFull from
+	// one that was full because it has another owner just now.
+	barFailed = clock.Second
+	barFull   = 60 * clock.Millis(1)
+	// slowFrom is how many times longer than expected calls take at an engine
+	// that gets work only when the others have enough.
+	slowFrom = 2.0
+	// slowWeight is the part of the newest call in that figure, slowHalf the
+	// time in which half of the excess is forgotten without calls.
+	slowWeight = 0.5
+	// maxAnswerBytes bounds the answer to a call: some sixty references.
+	maxAnswerBytes = 256 << 10
+)
+
+func boundsOf(pool *table.Batching) batch.Bounds {
+	return batch.Bounds{Pieces: pool.Pieces, CallTime: float64(pool.CallTime), PieceTime: pool.PieceTime}
+}
+
+// usable returns how many engines of a pool take calls, and those of them that
+// could take one now.
+func (h *Host) usable(q *queue, pool *table.Batching) (all int, free []*engine) {
+	if pool == nil {
+		return 0, nil
+	}
+	now := h.clock.Now()
+	for _, endpoint := range h.viewNow().Pool(q.name) {
+		if endpoint.Out() || endpoint.Barred(now) {
+			continue
+		}
+		all++
+		e := q.engines[endpoint]
+		if e == nil {
+			e = &engine{Endpoint: endpoint, held: make(map[string]result), slow: 1}
+			q.engines[endpoint] = e
+		}
+		if e.calls < max(pool.Calls, 1) {
+			free = append(free, e)
+		}
+	}
+	return all, free
+}
+
+// dispatch starts calls as long as pieces wait and engines are free.
+func (h *Host) dispatch(q *queue) {
+	pool := h.pool(q.name)
+	if pool == nil {
+		return
+	}
+	bounds := boundsOf(pool)
+	for _, late := range q.waiting.Late(bounds, h.clock.Now()) {
+		h.fail(late.Owner.(*Job), fault.DeadlinePassed)
+	}
+	if q.waiting.Pieces() == 0 {
+		h.returnUnused(q, pool)
+		return
+	}
+	_, free := h.usable(q, pool)
+	free = order(free, q.waiting.Zone())
+	free = withoutSlow(free, q.waiting.Pieces(), bounds)
+	for i, e := range free {
+		items := q.waiting.Take(bounds, pool.Room-e.bytes, len(free)-i)
+		if len(items) > 0 {
+			h.start(q, e, pool, items)
+		}
+	}
+	h.returnUnused(q, pool)
+}
+
+// order puts engines of the wanted availability zone first, and fast ones
+// before slow ones.
+func order(free []*engine, zone string) []*engine {
+	slices.SortStableFunc(free, func(a, b *engine) int {
+		if byZone := cmp.Compare(near(b, zone), near(a, zone)); byZone != 0 {
+			return byZone
+		}
+		return cmp.Compare(a.slow, b.slow)
+	})
+	return free
+}
+
+func near(e *engine, zone string) int {
+	if e.Zone == zone {
+		return 1
+	}
+	return 0
+}
+
+// withoutSlow leaves slow engines out as long as one call to each of the others
+// takes all that waits: what goes to a slow engine comes back late.
+func withoutSlow(free []*engine, waiting int, bounds batch.Bounds) []*engine {
+	fast := slices.DeleteFunc(slices.Clone(free), func(e *engine) bool { return e.slow >= slowFrom })
+	if waiting <= len(fast)*bounds.Pieces {
+		return fast
+	}
+	return free
+}
+
+// start begins a call. The caller holds the lock.
+func (h *Host) start(q *queue, e *engine, pool *table.Batching, items []batch.Item) {
+	e.calls++
+	for _, item := range items {
+		e.bytes += item.Group.Bytes
+		job := item.Group.Owner.(*Job)
+		job.tries[item.Piece]++
+	}
+	h.meter.call(q.name, len(items))
+	h.group.Add(1)
+	go func() {
+		defer h.group.Done()
+		began := h.clock.Now()
+		results, err := h.call(e, pool, items, began)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.finish(q, e, pool, items, results, err, began)
+	}()
+}
+
+// call sends pieces to an engine and returns a result for each of them.
+func (h *Host) call(e *engine, pool *table.Batching, items []batch.Item, now clock.Millis) ([]spell.Result, error) {
+	pieces := make([]spell.Piece, 0, len(items))
+	var until clock.Millis
+	for _, item := range items {
+		g := item.Group
+		until = max(until, g.Until)
+		pieces = append(pieces, spell.Piece{
+			Request: g.Request, Stage: g.Stage, Index: item.Piece, Left: g.Until - now, Key: g.Key, Inputs: g.Inputs,
+		})
+	}
+	body, err := h.spelling.PiecesFunc(pieces)
+	if err != nil {
+		return nil, err
+	}
+	expected := boundsOf(pool).Duration(len(items))
+	limit := min(slackTimes*clock.Millis(expected)+slackMore, until-now+slackMore)
+	ctx, cancel := context.WithTimeout(h.base, limit.Duration())
+	defer cancel()
+	raw, err := h.post(ctx, e.Endpoint, h.spelling.PiecesPath, body)
+	if err != nil {
+		return nil, err
+	}
+	return h.spelling.ResultsFunc(raw, len(items))
+}
+
+// RefusedError says that an engine did not take a call and never will.
+type RefusedError struct {
+	Endpoint string
+	Status   int
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("%s refused the call with status %d", e.Endpoint, e.Status)
+}
+
+// StatusError says that an engine failed a call in a way that proves nothing.
+type StatusError struct {
+	Endpoint string
+	Status   int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s answered status %d", e.Endpoint, e.Status)
+}
+
+// post sends one call on a connection of its own: answers to calls bear no
+// attempt, so that a second copy of one could not be told from the next.
+func (h *Host) post(ctx context.Context, endpoint *view.Endpoint, path string, body []byte) ([]byte, error) {
+	head := make([]byte, 0, 256)
+	head = append(head, "POST "+path+" HTTP/1.1\r\nHost: "+endpoint.Address+"\r\nContent-Type: application/json\r\n"...)
+	head = h.spelling.InstanceFunc(head, endpoint.ID)
+	head = append(head, "Content-Length: "...)
+	head = strconv.AppendInt(head, int64(len(body)), 10)
+	head = append(head, "\r\nConnection: close\r\n\r\n"...)
+	reply, err := h.connFunc(endpoint).Do(ctx, &conn.Request{Method: http.MethodPost, Head: head, Body: body})
+	if err != nil {
+		return nil, err
+	}
+	defer reply.Finish()
+	raw, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, &conn.SentError{Address: endpoint.Address, Cause: err}
+	}
+	marks := h.spelling.MarksFunc(reply.Header)
+	switch {
+	case marks.NotRun || reply.Status == http.StatusMisdirectedRequest:
+		return nil, &RefusedError{Endpoint: endpoint.ID, Status: reply.Status}
+	case reply.Status != http.StatusOK:
+		return nil, &StatusError{Endpoint: endpoint.ID, Status: reply.Status}
+	}
+	return raw, nil
+}
+
+// finish takes the end of a call. The caller holds the lock.
+func (h *Host) finish(q *queue, e *engine, pool *table.Batching, items []batch.Item, results []spell.Result, err error, began clock.Millis) {
+	now := h.clock.Now()
+	e.calls--
+	expected := boundsOf(pool).Duration(len(items))
+	h.logInfo("pieces made", "pool", q.name, "endpoint", e.ID, "pieces", len(items), "tookMs", int64(now-began),
+		"expectedMs", int64(expected), "waiting", q.waiting.Pieces(), "request", items[0].Group.Request, logs.KeyError, err)
+	if err != nil {
+		h.callFailed(q, e, items, err, now)
+	} else {
+		e.slow += slowWeight * (float64(now-began)/expected - e.slow)
+		e.slow = max(e.slow, 1)
+		for i, item := range items {
+			h.take(q, e, pool, item, results[i], now)
+		}
+	}
+	h.dispatch(q)
+}
+
+func (h *Host) callFailed(q *queue, e *engine, items []batch.Item, err error, now clock.Millis) {
+	var refused *RefusedError
+	bar := barFailed
+	if errors.As(err, &refused) && refused.Status == http.StatusServiceUnavailable {
+		bar = barFull
+	}
+	e.Bar(now + bar)
+	h.meter.failed(q.name)
+	for _, item := range items {
+		e.bytes -= item.Group.Bytes
+		h.again(q, item, fault.EndpointFailed)
+	}
+}
+
+// take takes the result of one piece.
+func (h *Host) take(q *queue, e *engine, pool *table.Batching, item batch.Item, result spell.Result, now clock.Millis) {
+	job := item.Group.Owner.(*Job)
+	if result.Reference == "" {
+		e.bytes -= item.Group.Bytes
+		switch result.Failure {
+		case spell.FailedInput:
+			h.fail(job, fault.InputGone)
+		case spell.FailedLate:
+			h.fail(job, fault.DeadlinePassed)
+		default:
+			h.again(q, item, fault.EndpointFailed)
+		}
+		return
+	}
+	e.hold(result.Reference, item.Group.Bytes, now+pool.Keep)
+	if job.ended {
+		e.unused = append(e.unused, result.Reference)
+		return
+	}
+	job.result.References[item.Piece] = result.Reference
+	job.result.Zones[item.Piece] = e.Zone
+	job.left--
+	if job.left == 0 {
+		job.ended = true
+		job.done(job.result)
+	}
+}
+
+// hold accounts for the memory of a result, which its call has reserved.
+func (e *engine) hold(reference string, bytes int64, until clock.Millis) {
+	e.held[reference] = result{bytes: bytes, until: until}
+}
+
+// again puts a piece back into the queue, if it may be sent once more.
+func (h *Host) again(q *queue, item batch.Item, reason fault.Reason) {
+	job := item.Group.Owner.(*Job)
+	if job.ended {
+		return
+	}
+	if job.tries[item.Piece] >= maxTries || !h.retry(q.name) {
+		h.fail(job, reason)
+		return
+	}
+	q.waiting.Back(item)
+}
+
+// fail ends a job without results. The caller holds the lock.
+func (h *Host) fail(job *Job, reason fault.Reason) {
+	if job.ended {
+		return
+	}
+	job.ended = true
+	q := h.queue(job.pool)
+	q.waiting.Drop(job.group)
+	h.unusedOf(q, job)
+	h.meter.refused(job.pool, reason)
+	job.done(Outcome{Reason: reason})
+}
+
+// returnUnused gives results back to engines whose memory fills up.
+func (h *Host) returnUnused(q *queue, pool *table.Batching) {
+	for _, e := range q.engines {
+		if len(e.unused) == 0 || e.freeing || e.Gone() || float64(e.bytes) < freeFrom*float64(pool.Room) {
+			continue
+		}
+		references := e.unused
+		e.unused, e.freeing = nil, true
+		h.group.Add(1)
+		go func() {
+			defer h.group.Done()
+			err := h.free(e.Endpoint, references)
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			e.freeing = false
+			if err != nil {
+				// They expire by themselves; until then they count as held.
+				h.logInfo("results not given back", "pool", q.name, "endpoint", e.ID, logs.KeyError, err)
+				return
+			}
+			for _, reference := range references {
+				e.forget(reference)
+			}
+			h.dispatch(q)
+		}()
+	}
+}
+
+// freeTimeout bounds a call that gives results back; it does no work.
+const freeTimeout = 1500 * clock.Millis(1)
+
+func (h *Host) free(endpoint *view.Endpoint, references []string) error {
+	body, err := h.spelling.UnusedFunc(references)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(h.base, freeTimeout.Duration())
+	defer cancel()
+	_, err = h.post(ctx, endpoint, h.spelling.UnusedPath, body)
+	return err
+}
--- /dev/null
+++ b/internal/serve/host/host.go
@@ -0,0 +1,301 @@
+// Package host hosts the stage engines of the pools that this process owns:
+// beside a stage engine runs no process of the system, so one of the processes
+// that take callers keeps the queue of its pool, puts calls together and looks
+// after the memory for results.
+//
+// Two owners for a moment do no harm: an engine that is full refuses a call
+// without running it, and a piece that is made twice is only paid for twice.
+package host
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
+	"github.com/jujubescale/jujubescale/internal/engine/conn"
+	"github.com/jujubescale/jujubescale/internal/engine/spell"
+	"github.com/jujubescale/jujubescale/internal/flow/batch"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/route/view"
+)
+
+const (
+	// maxTries is how often one piece is sent; beyond it something is wrong that
+	// another try doesn't mend.
+	maxTries = 3
+	// sweepEvery is how often queues are looked through for what came too late
+	// and for engines that are usable again.
+	sweepEvery = 50 * clock.Millis(1)
+	// freeFrom is the part of an engine's memory from which results that nobody
+	// needs are given back by a call; below it they expire by themselves, which
+	// costs nothing.
+	freeFrom = 0.4
+)
+
+// Outcome is what became of a job.
+type Outcome struct {
+	References []string
+	// Zones tells for each reference the availability zone that it lies in.
+	Zones []string
+	// Reason is empty for success.
+	Reason     fault.Reason
+	RetryAfter clock.Millis
+}
+
+// Made returns the outcome as a message.
+func (o Outcome) Made() *wire.Made {
+	if o.Reason != "" {
+		return &wire.Made{Reason: o.Reason, RetryAfter: o.RetryAfter}
+	}
+	return &wire.Made{References: o.References, Zones: o.Zones}
+}
+
+// Job is one question for pieces.
+type Job struct {
+	group  *batch.Group
+	pool   string
+	result Outcome
+	left   int
+	tries  []uint8
+	ended  bool
+	done   func(Outcome)
+}
+
+// engine is what the owner knows of one stage engine.
+type engine struct {
+	*view.Endpoint
+	calls   int
+	held    map[string]result
+	bytes   int64 // of results held, and of those that calls under way will make
+	unused  []string
+	freeing bool
+	// slow is how many times longer than expected its calls take.
+	slow float64
+}
+
+type result struct {
+	bytes int64
+	until clock.Millis
+}
+
+// queue is one pool.
+type queue struct {
+	name    string
+	waiting batch.Queue
+	engines map[*view.Endpoint]*engine
+}
+
+// Host owns pools.
+type Host struct {
+	clock    *clock.Clock
+	log      *log.Logger
+	spelling *spell.Spelling
+	tableNow func() *table.Table
+	viewNow  func() *view.Snapshot
+	connFunc func(*view.Endpoint) *conn.Group
+	retry    func(pool string) bool
+	meter    *Meter
+	base     context.Context
+
+	mu     sync.Mutex
+	queues map[string]*queue
+	group  sync.WaitGroup
+}
+
+// Settings are what a Host needs.
+type Settings struct {
+	Clock    *clock.Clock
+	Log      *log.Logger
+	Spelling *spell.Spelling
+	// Table and View return the newest routes and endpoints.
+	Table func() *table.Table
+	View  func() *view.Snapshot
+	// Conns returns the connections to an endpoint.
+	Conns func(*view.Endpoint) *conn.Group
+	// Retry reports whether one more extra request to a pool is allowed, and
+	// spends it.
+	Retry func(pool string) bool
+	Meter *Meter
+}
+
+// New returns a host whose calls end with the context.
+func New(ctx context.Context, settings Settings) *Host {
+	return &Host{
+		clock: settings.Clock, log: settings.Log, spelling: settings.Spelling,
+		tableNow: settings.Table, viewNow: settings.View, connFunc: settings.Conns,
+		retry: settings.Retry, meter: settings.Meter, base: ctx, queues: make(map[string]*queue),
+	}
+}
+
+// Submit takes a question for pieces. Done is called exactly once unless the
+// job is dropped first; it must not block and must not call the host.
+func (h *Host) Submit(ask *wire.Pieces, done func(Outcome)) *Job {
+	now := h.clock.Now()
+	job := &Job{
+		pool: ask.Pool, left: ask.Count, done: done, tries: make([]uint8, ask.Count),
+		result: Outcome{References: make([]string, ask.Count), Zones: make([]string, ask.Count)},
+		group: &batch.Group{
+			Request: ask.Request, Stage: ask.Stage, Key: ask.Key, Inputs: ask.Inputs, Count: ask.Count,
+			Rank: now + ask.Slack + ask.Penalty, Until: now + ask.TimeLeft, Bytes: ask.Bytes, Zone: ask.Zone,
+		},
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	q := h.queue(ask.Pool)
+	if h.pool(q.name) == nil {
+		h.fail(job, fault.NoEndpoint)
+		return job
+	}
+	job.group.Owner = job
+	q.waiting.Add(job.group)
+	h.dispatch(q)
+	return job
+}
+
+// Drop withdraws a job whose request ended.
+func (h *Host) Drop(job *Job) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if job.ended {
+		return
+	}
+	job.ended = true
+	q := h.queue(job.pool)
+	q.waiting.Drop(job.group)
+	h.unusedOf(q, job)
+}
+
+// unusedOf gives back the results that a job already has.
+func (h *Host) unusedOf(q *queue, job *Job) {
+	for _, reference := range job.result.References {
+		if reference != "" {
+			h.giveBack(q, reference)
+		}
+	}
+}
+
+// Unused takes results back that nobody needs any more.
+func (h *Host) Unused(pool string, references []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	q := h.queues[pool]
+	if q == nil {
+		return
+	}
+	for _, reference := range references {
+		h.giveBack(q, reference)
+	}
+	h.dispatch(q)
+}
+
+func (h *Host) giveBack(q *queue, reference string) {
+	for _, e := range q.engines {
+		if _, holds := e.held[reference]; holds {
+			if !slices.Contains(e.unused, reference) {
+				e.unused = append(e.unused, reference)
+			}
+			return
+		}
+	}
+}
+
+// Loads returns the queues of all pools that have had work here.
+func (h *Host) Loads(owned func(string) bool) []wire.PoolLoad {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var loads []wire.PoolLoad
+	for name, q := range h.queues {
+		if owned(name) {
+			loads = append(loads, h.load(q))
+		}
+	}
+	return loads
+}
+
+// Load returns the queue of one pool, false when it never had work here.
+func (h *Host) Load(name string) (wire.PoolLoad, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	q := h.queues[name]
+	if q == nil {
+		return wire.PoolLoad{}, false
+	}
+	return h.load(q), true
+}
+
+func (h *Host) load(q *queue) wire.PoolLoad {
+	all, free := h.usable(q, h.pool(q.name))
+	return wire.PoolLoad{Pool: q.name, Waiting: q.waiting.Pieces(), Engines: all, Free: len(free)}
+}
+
+func (h *Host) queue(name string) *queue {
+	q := h.queues[name]
+	if q == nil {
+		q = &queue{name: name, engines: make(map[*view.Endpoint]*engine)}
+		h.queues[name] = q
+	}
+	return q
+}
+
+// pool returns what the engines of a pool bear, nil when it makes no pieces.
+func (h *Host) pool(name string) *table.Batching {
+	routes := h.tableNow()
+	if routes == nil {
+		return nil
+	}
+	pool := routes.Pool(name)
+	if pool == nil {
+		return nil
+	}
+	return pool.Batching
+}
+
+// Run looks through the queues until the context ends, and then waits for the
+// calls that are under way.
+func (h *Host) Run(ctx context.Context) {
+	for h.clock.Sleep(ctx, sweepEvery) == nil {
+		h.mu.Lock()
+		for _, q := range h.queues {
+			h.sweep(q)
+			h.dispatch(q)
+		}
+		h.mu.Unlock()
+	}
+	h.group.Wait()
+}
+
+// sweep forgets engines that are gone and results that have expired.
+func (h *Host) sweep(q *queue) {
+	now := h.clock.Now()
+	for endpoint, e := range q.engines {
+		if endpoint.Gone() && e.calls == 0 {
+			delete(q.engines, endpoint)
+			continue
+		}
+		for reference, r := range e.held {
+			if r.until <= now {
+				e.forget(reference)
+			}
+		}
+	}
+}
+
+// forget counts a result's memory as free.
+func (e *engine) forget(reference string) {
+	e.bytes -= e.held[reference].bytes
+	delete(e.held, reference)
+	if at := slices.Index(e.unused, reference); at >= 0 {
+		e.unused = slices.Delete(e.unused, at, at+1)
+	}
+}
+
+func (h *Host) logInfo(event string, pairs ...any) {
+	if h.log != nil {
+		h.log.Info(event, pairs...)
+	}
+}
--- /dev/null
+++ b/internal/serve/mesh/ask.go
@@ -0,0 +1,200 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/jujubescale/jujubescale/internal/link/sess"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+)
+
+var (
+	errReplaced = errors.New("the peer opened a newer session")
+	errStopped  = errors.New("this process stops")
+)
+
+// LostError says that the owner of a pool ended, or that the session with it
+// did, before it answered. Pieces may be made again, so another owner can be
+// asked.
+type LostError struct {
+	Peer string
+}
+
+// Error implements error.
+func (e *LostError) Error() string { return fmt.Sprintf("session with %s was lost", e.Peer) }
+
+// Ask asks a peer for pieces and waits for its answer. When the context ends
+// first, the question is withdrawn.
+func (m *Mesh) Ask(ctx context.Context, to string, pieces *wire.Pieces) (*wire.Made, error) {
+	pieces.Ticket = m.next.Add(1)
+	answer := make(chan *wire.Made, 1)
+	m.mu.Lock()
+	p := m.peers[to]
+	if p == nil || p.tickets == nil {
+		m.mu.Unlock()
+		return nil, &LostError{Peer: to}
+	}
+	p.tickets[pieces.Ticket] = answer
+	m.mu.Unlock()
+	p.session.Busy(1)
+	defer p.session.Busy(-1)
+	if err := p.session.Send(&wire.Frame{Kind: wire.KindPieces, Pieces: pieces}); err != nil {
+		m.forget(p, pieces.Ticket)
+		return nil, &LostError{Peer: to}
+	}
+	select {
+	case made := <-answer:
+		if made == nil {
+			return nil, &LostError{Peer: to}
+		}
+		return made, nil
+	case <-ctx.Done():
+		m.forget(p, pieces.Ticket)
+		// If it can't be sent, the session is ending, and with it the question.
+		_ = p.session.Send(&wire.Frame{Kind: wire.KindDropped, Dropped: &wire.Dropped{Ticket: pieces.Ticket}})
+		return nil, ctx.Err()
+	}
+}
+
+func (m *Mesh) forget(p *peer, ticket uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(p.tickets, ticket)
+}
+
+// GiveBack tells a peer of results that nobody needs any more. It may get
+// lost; results expire by themselves.
+func (m *Mesh) GiveBack(to string, unused *wire.Unused) {
+	m.mu.Lock()
+	p := m.peers[to]
+	m.mu.Unlock()
+	if p != nil {
+		_ = p.session.Send(&wire.Frame{Kind: wire.KindUnused, Unused: unused}) // they expire
+	}
+}
+
+// Leave tells all peers that this process owns nothing from now on.
+func (m *Mesh) Leave() {
+	m.mu.Lock()
+	m.left = true
+	m.publish()
+	m.mu.Unlock()
+	m.broadcast(&wire.Frame{Kind: wire.KindLeave, Leave: &wire.Leave{Reason: "planned stop"}})
+}
+
+func (m *Mesh) broadcast(frame *wire.Frame) {
+	m.mu.Lock()
+	sessions := make([]*sess.Session, 0, len(m.peers))
+	for _, p := range m.peers {
+		sessions = append(sessions, p.session)
+	}
+	m.mu.Unlock()
+	for _, s := range sessions {
+		own := *frame
+		_ = s.Send(&own) // a session that can't send is ending
+	}
+}
+
+// take handles one frame of a peer.
+func (m *Mesh) take(s *sess.Session, frame *wire.Frame) {
+	if frame.Release > m.release() {
+		m.newerFunc()
+	}
+	from := s.Peer().Process
+	switch frame.Kind {
+	case wire.KindPieces:
+		m.piecesFunc(from, frame.Pieces, func(made *wire.Made) {
+			made.Ticket = frame.Pieces.Ticket
+			_ = s.Send(&wire.Frame{Kind: wire.KindMade, Made: made}) // the peer notices the lost session
+		})
+	case wire.KindMade:
+		m.answered(from, frame.Made)
+	case wire.KindDropped:
+		m.droppedFunc(from, frame.Dropped.Ticket)
+	case wire.KindUnused:
+		m.unusedFunc(frame.Unused)
+	case wire.KindLoads:
+		m.heard(s, frame.Loads)
+	case wire.KindLeave:
+		m.leaves(s)
+	default:
+		// Heartbeats are the session's own; a newer peer may send more.
+	}
+}
+
+func (m *Mesh) answered(from string, made *wire.Made) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[from]
+	if p == nil {
+		return
+	}
+	if answer := p.tickets[made.Ticket]; answer != nil {
+		delete(p.tickets, made.Ticket)
+		answer <- made
+	}
+}
+
+func (m *Mesh) leaves(s *sess.Session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[s.Peer().Process]; p != nil && p.session == s {
+		p.leaving = true
+		m.publish()
+	}
+}
+
+func (m *Mesh) heard(s *sess.Session, loads *wire.Loads) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[s.Peer().Process]; p != nil && p.session == s {
+		p.loads = loads
+	}
+}
+
+// Run tells loads until the context ends.
+func (m *Mesh) Run(ctx context.Context) {
+	quiet := false
+	for m.clock.Sleep(ctx, tellEvery) == nil {
+		loads := m.loadsFunc()
+		empty := len(loads.Endpoints) == 0 && len(loads.Pools) == 0
+		if !empty || !quiet {
+			m.broadcast(&wire.Frame{Kind: wire.KindLoads, Loads: loads})
+		}
+		quiet = empty
+		m.gather()
+	}
+}
+
+// gather passes on what all peers told.
+func (m *Mesh) gather() {
+	m.mu.Lock()
+	all := make([]*wire.Loads, 0, len(m.peers))
+	for _, p := range m.peers {
+		if p.loads != nil {
+			all = append(all, p.loads)
+		}
+	}
+	m.mu.Unlock()
+	var pools []wire.PoolLoad
+	for _, loads := range all {
+		pools = append(pools, loads.Pools...)
+	}
+	m.pools.Store(&pools)
+	m.toldFunc(all)
+}
+
+// Pool returns what peers told of a pool's queue last, false when none did.
+func (m *Mesh) Pool(name string) (wire.PoolLoad, bool) {
+	pools := m.pools.Load()
+	if pools == nil {
+		return wire.PoolLoad{}, false
+	}
+	for _, pool := range *pools {
+		if pool.Pool == name {
+			return pool, true
+		}
+	}
+	return wire.PoolLoad{}, false
+}
--- /dev/null
+++ b/internal/serve/mesh/mesh.go
@@ -0,0 +1,299 @@
+// Package mesh joins the processes of the system that take callers: each keeps
+// a session with every other, over which they ask the owner of a pool for
+// pieces, give results back, and tell each other their work at the endpoints.
+// Who they are is learned from the platform's store; who is alive is what the
+// sessions show.
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/token"
+	"github.com/jujubescale/jujubescale/internal/link/sess"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/ops/logs"
+	"github.com/jujubescale/jujubescale/internal/route/owner"
+)
+
+const (
+	// Heartbeats: an idle session that went silent is noticed after three
+	// seconds, one with work in flight after three quarters of a second.
+	beatIdle = clock.Second
+	beatBusy = 250 * clock.Millis(1)
+	// firstRedial and maxRedial bound the pause between two tries to reach a
+	// process.
+	firstRedial = 100 * clock.Millis(1)
+	maxRedial   = 2 * clock.Second
+	// tellEvery is how often loads are told. A generation runs for a second and
+	// more, and reports of engines lag by a tenth.
+	tellEvery = 200 * clock.Millis(1)
+)
+
+// Member is one process of the system.
+type Member struct {
+	Name        string            `json:"name"`
+	Address     string            `json:"address"`
+	Incarnation token.Incarnation `json:"incarnation"`
+	Zone        string            `json:"availabilityZone"`
+}
+
+// peer is one other process.
+type peer struct {
+	session *sess.Session
+	leaving bool
+	loads   *wire.Loads
+	tickets map[uint64]chan *wire.Made
+}
+
+// Mesh is this process's sessions with the others.
+type Mesh struct {
+	self    Member
+	clock   *clock.Clock
+	log     *log.Logger
+	session []sess.Option
+
+	piecesFunc  func(from string, pieces *wire.Pieces, answer func(*wire.Made))
+	droppedFunc func(from string, ticket uint64)
+	unusedFunc  func(unused *wire.Unused)
+	loadsFunc   func() *wire.Loads
+	toldFunc    func(all []*wire.Loads)
+	release     func() uint64
+	newerFunc   func()
+
+	alive atomic.Pointer[[]string]
+	pools atomic.Pointer[[]wire.PoolLoad]
+	next  atomic.Uint64
+
+	mu      sync.Mutex
+	peers   map[string]*peer
+	dialing map[string]context.CancelFunc
+	members map[string]Member
+	left    bool
+	base    context.Context
+	group   sync.WaitGroup
+}
+
+// Option changes a Mesh while it is built.
+type Option func(*Mesh)
+
+// WithClock sets the clock.
+func WithClock(c *clock.Clock) Option { return func(m *Mesh) { m.clock = c } }
+
+// WithLog sets the logger.
+func WithLog(l *log.Logger) Option { return func(m *Mesh) { m.log = l } }
+
+// WithSession adds options to each session.
+func WithSession(opts ...sess.Option) Option {
+	return func(m *Mesh) { m.session = append(m.session, opts...) }
+}
+
+// WithPieces sets who takes the questions of others, and their withdrawal.
+func WithPieces(pieces func(from string, pieces *wire.Pieces, answer func(*wire.Made)), dropped func(from string, ticket uint64)) Option {
+	return func(m *Mesh) { m.piecesFunc, m.droppedFunc = pieces, dropped }
+}
+
+// WithUnused sets who takes results back.
+func WithUnused(unused func(*wire.Unused)) Option { return func(m *Mesh) { m.unusedFunc = unused } }
+
+// WithLoads sets what is told to others, and who hears what they told; the
+// latter gets the newest message of each peer.
+func WithLoads(loads func() *wire.Loads, told func([]*wire.Loads)) Option {
+	return func(m *Mesh) { m.loadsFunc, m.toldFunc = loads, told }
+}
+
+// WithRelease sets the version of the routes in force here, which every frame
+// carries, and who is told that a peer has a newer one.
+func WithRelease(release func() uint64, newer func()) Option {
+	return func(m *Mesh) { m.release, m.newerFunc = release, newer }
+}
+
+// New returns a mesh of this process alone.
+func New(ctx context.Context, self Member, opts ...Option) *Mesh {
+	m := &Mesh{
+		self: self, clock: clock.New(), base: ctx,
+		piecesFunc:  func(string, *wire.Pieces, func(*wire.Made)) {},
+		droppedFunc: func(string, uint64) {},
+		unusedFunc:  func(*wire.Unused) {},
+		loadsFunc:   func() *wire.Loads { return &wire.Loads{} },
+		toldFunc:    func([]*wire.Loads) {},
+		release:     func() uint64 { return 0 },
+		newerFunc:   func() {},
+		peers:       make(map[string]*peer), dialing: make(map[string]context.CancelFunc), members: make(map[string]Member),
+	}
+	for _, opt := range opts {
+		opt(m)
+	}
+	m.publish()
+	return m
+}
+
+// Alive returns the names of the processes that can own pools, this one among
+// them.
+func (m *Mesh) Alive() []string { return *m.alive.Load() }
+
+// Owner returns the process that owns a subject now.
+func (m *Mesh) Owner(subject string) string { return owner.Of(subject, m.Alive()) }
+
+// Self returns the name of this process.
+func (m *Mesh) Self() string { return m.self.Name }
+
+// Owns reports whether this process owns a subject now.
+func (m *Mesh) Owns(subject string) bool { return m.Owner(subject) == m.self.Name }
+
+// publish makes the list of the living; the caller holds the lock or is alone.
+func (m *Mesh) publish() {
+	names := []string{}
+	if !m.left {
+		names = append(names, m.self.Name)
+	}
+	for name, p := range m.peers {
+		if !p.leaving {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		names = append(names, m.self.Name)
+	}
+	slices.Sort(names)
+	m.alive.Store(&names)
+}
+
+// SetMembers takes the processes that the store lists. Of two processes, the
+// one whose name comes first opens the session.
+func (m *Mesh) SetMembers(members []Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	listed := make(map[string]Member, len(members))
+	for _, member := range members {
+		listed[member.Name] = member
+	}
+	for name, cancel := range m.dialing {
+		if listed[name] != m.members[name] {
+			cancel()
+			delete(m.dialing, name)
+		}
+	}
+	m.members = listed
+	for name, member := range listed {
+		if name <= m.self.Name || m.dialing[name] != nil || m.base.Err() != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(m.base)
+		m.dialing[name] = cancel
+		m.group.Add(1)
+		go func() {
+			defer m.group.Done()
+			m.keep(ctx, member)
+		}()
+	}
+}
+
+// keep holds a session with a process as long as it is listed.
+func (m *Mesh) keep(ctx context.Context, member Member) {
+	pause := firstRedial
+	for ctx.Err() == nil {
+		s, err := sess.Dial(ctx, member.Address, m.options()...)
+		if err != nil {
+			_ = m.clock.Sleep(ctx, pause) // the loop sees the end of the context
+			pause = min(2*pause, maxRedial)
+			continue
+		}
+		pause = firstRedial
+		m.joined(s)
+		<-s.Done()
+		m.ended(s)
+	}
+}
+
+func (m *Mesh) options() []sess.Option {
+	return append([]sess.Option{
+		sess.WithClock(m.clock), sess.WithHello(m.hello), sess.WithHandler(m.take),
+		sess.WithBeats(beatIdle, beatBusy), sess.WithRelease(m.release),
+	}, m.session...)
+}
+
+func (m *Mesh) hello() wire.Hello {
+	return wire.Hello{
+		Process: m.self.Name, Incarnation: m.self.Incarnation, Role: "gateway", AvailabilityZone: m.self.Zone,
+	}
+}
+
+// Handler accepts the sessions that others open.
+func (m *Mesh) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s, err := sess.Accept(m.base, w, r, m.options()...)
+		if err != nil {
+			return // the session's errors say why; the other side tries again
+		}
+		m.joined(s)
+		<-s.Done()
+		m.ended(s)
+	})
+}
+
+func (m *Mesh) joined(s *sess.Session) {
+	name := s.Peer().Process
+	m.mu.Lock()
+	before := m.peers[name]
+	m.peers[name] = &peer{session: s, leaving: s.Peer().Leaving, tickets: make(map[uint64]chan *wire.Made)}
+	m.publish()
+	if before != nil {
+		before.fail()
+	}
+	m.mu.Unlock()
+	if before != nil {
+		before.session.Close(errReplaced)
+	}
+	m.logInfo("peer joined", "peer", name, logs.KeyIncarnation, s.Peer().Incarnation)
+}
+
+func (m *Mesh) ended(s *sess.Session) {
+	name := s.Peer().Process
+	m.mu.Lock()
+	p := m.peers[name]
+	current := p != nil && p.session == s
+	if current {
+		delete(m.peers, name)
+		m.publish()
+		p.fail()
+	}
+	m.mu.Unlock()
+	if current {
+		m.logInfo("peer lost", "peer", name, logs.KeyError, s.Err())
+	}
+}
+
+// fail tells everyone who waits for the peer that no answer will come; the
+// caller holds the lock.
+func (p *peer) fail() {
+	for _, answer := range p.tickets {
+		close(answer)
+	}
+	p.tickets = nil
+}
+
+// Stop ends all sessions and waits for their goroutines.
+func (m *Mesh) Stop() {
+	m.mu.Lock()
+	for _, cancel := range m.dialing {
+		cancel()
+	}
+	for _, p := range m.peers {
+		p.session.Close(errStopped)
+	}
+	m.mu.Unlock()
+	m.group.Wait()
+}
+
+func (m *Mesh) logInfo(event string, pairs ...any) {
+	if m.log != nil {
+		m.log.Info(event, pairs...)
+	}
+}
--- /dev/null
+++ b/internal/serve/router/gateway.go
@@ -0,0 +1,379 @@
+// Package router puts a process together that takes callers by host and path:
+// what it follows in the platform's store, its sessions with its peers, the
+// pools that it hosts, and the gate that serves callers.
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/token"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
+	"github.com/jujubescale/jujubescale/internal/engine/spell"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/ops/logs"
+	"github.com/jujubescale/jujubescale/internal/plat/store"
+	"github.com/jujubescale/jujubescale/internal/route/view"
+	"github.com/jujubescale/jujubescale/internal/serve/feed"
+	"github.com/jujubescale/jujubescale/internal/serve/gate"
+	"github.com/jujubescale/jujubescale/internal/serve/host"
+	"github.com/jujubescale/jujubescale/internal/serve/mesh"
+)
+
+// Dialect is how a platform writes what the gateway follows in its store.
+type Dialect struct {
+	Spelling *spell.Spelling
+	// Kinds of objects: the configuration, the endpoints, the availability zones
+	// that operators have emptied, and the gateways themselves.
+	ConfigKind, EndpointKind, EmptiedKind, MemberKind string
+	// ConfigName is the object that holds the newest configuration.
+	ConfigName string
+	TableFunc  func(raw []byte) (*table.Table, error)
+	EntryFunc  func(name string, raw []byte) (view.Entry, error)
+}
+
+// Bounds are what may change while the process runs.
+type Bounds struct {
+	// Heartbeat is how often an endpoint writes its entry.
+	Heartbeat  clock.Millis
+	ExtraShare float64
+	ExtraSpare float64
+	ColdShare  float64
+	ColdSpare  float64
+}
+
+// Settings are what a Gateway needs.
+type Settings struct {
+	Name string
+	Zone string
+	// Address is where peers open sessions (IP:port).
+	Address  string
+	Clock    *clock.Clock
+	Log      *log.Logger
+	Registry prometheus.Registerer
+	Store    *store.Store
+	Dialect  Dialect
+	Bounds   Bounds
+}
+
+const (
+	// endpointRest is the pause between two reads of the endpoints' changes:
+	// each endpoint writes once a second or so, and reading them one by one
+	// would be a call each. What leaves must be known within two seconds.
+	endpointRest = 350 * clock.Millis(1)
+	memberRest   = 250 * clock.Millis(1)
+	// patience is how long entries may be missing that lapsed while the store
+	// was away; endpoints that live write them again within two seconds.
+	patience = 1800 * clock.Millis(1)
+	// blindAfter is the shortest absence of the store in which entries lapse.
+	blindAfter = 500 * clock.Millis(1)
+	sweepEvery = 250 * clock.Millis(1)
+)
+
+// Gateway is one such process.
+type Gateway struct {
+	Settings
+	incarnation token.Incarnation
+	table       atomic.Pointer[table.Table]
+	book        *view.Book
+	bookLock    sync.Mutex
+	back        clock.Millis // when the store came back last
+	member      atomic.Bool  // whether this process is listed
+
+	gate  *gate.Gate
+	mesh  *mesh.Mesh
+	host  *host.Host
+	feeds struct{ config, endpoints, emptied, members *feed.Feed }
+
+	jobs  sync.Map // questions of peers: jobKey to *host.Job
+	group sync.WaitGroup
+	stop  context.CancelFunc
+}
+
+// New builds a gateway; Start sets it to work. Its calls end with the context.
+func New(ctx context.Context, settings Settings) *Gateway {
+	g := &Gateway{Settings: settings, incarnation: token.NewIncarnation(), book: view.New()}
+	g.gate = gate.New(gate.Settings{
+		Clock: g.Clock, Log: g.Log, Spelling: g.Dialect.Spelling, Registry: g.Registry, Zone: g.Zone,
+		Table: g.table.Load, View: g.book.Now,
+	})
+	g.SetBounds(settings.Bounds)
+	g.host = host.New(ctx, host.Settings{
+		Clock: g.Clock, Log: g.Log, Spelling: g.Dialect.Spelling, Table: g.table.Load, View: g.book.Now,
+		Conns: g.gate.Conns, Retry: g.gate.Extra, Meter: host.NewMeter(g.Registry),
+	})
+	g.mesh = mesh.New(ctx, mesh.Member{Name: g.Name, Address: g.Address, Incarnation: g.incarnation, Zone: g.Zone},
+		mesh.WithClock(g.Clock), mesh.WithLog(g.Log), mesh.WithPieces(g.takePieces, g.dropPieces),
+		mesh.WithUnused(func(unused *wire.Unused) { g.host.Unused(unused.Pool, unused.References) }),
+		mesh.WithLoads(g.loads, g.told), mesh.WithRelease(g.release, func() { g.feeds.config.Again() }))
+	g.gate.Join(g.mesh, g.host)
+	g.makeFeeds()
+	return g
+}
+
+// Incarnation tells two runs of a process apart.
+func (g *Gateway) Incarnation() string { return g.incarnation.String() }
+
+// Handler serves callers, ReadyHandler the balancer, SessionHandler peers.
+func (g *Gateway) Handler() http.Handler        { return g.gate.Handler() }
+func (g *Gateway) ReadyHandler() http.Handler   { return g.gate.ReadyHandler() }
+func (g *Gateway) SessionHandler() http.Handler { return g.mesh.Handler() }
+
+// Open returns the number of requests that are not finished.
+func (g *Gateway) Open() int64 { return g.gate.Open() }
+
+// SetBounds changes what may change while the process runs.
+func (g *Gateway) SetBounds(bounds Bounds) {
+	g.gate.SetBounds(gate.Bounds{
+		ExtraShare: bounds.ExtraShare, ExtraSpare: bounds.ExtraSpare, ColdShare: bounds.ColdShare, ColdSpare: bounds.ColdSpare,
+	})
+}
+
+func (g *Gateway) release() uint64 {
+	if routes := g.table.Load(); routes != nil {
+		return routes.Version
+	}
+	return 0
+}
+
+func (g *Gateway) makeFeeds() {
+	common := []feed.Option{feed.WithClock(g.Clock), feed.WithLog(g.Log)}
+	with := func(kind string, more ...feed.Option) *feed.Feed {
+		return feed.New(kind, g.Store, append(append([]feed.Option{}, common...), more...)...)
+	}
+	g.feeds.config = with(g.Dialect.ConfigKind, feed.WithList(g.listConfig), feed.WithChanges(g.changeConfig))
+	g.feeds.endpoints = with(g.Dialect.EndpointKind, feed.WithRest(endpointRest),
+		feed.WithList(g.listEndpoints), feed.WithChanges(g.changeEndpoints))
+	zones := newNames(func(names []string) { g.setEmptied(names) })
+	g.feeds.emptied = with(g.Dialect.EmptiedKind, feed.WithList(zones.list), feed.WithChanges(zones.change))
+	members := newMembers(g.setMembers)
+	g.feeds.members = with(g.Dialect.MemberKind, feed.WithRest(memberRest), feed.WithList(members.list), feed.WithChanges(members.change))
+}
+
+// Start begins to follow the store and to work. Stop ends it.
+func (g *Gateway) Start(ctx context.Context) {
+	ctx, g.stop = context.WithCancel(ctx)
+	for _, run := range []func(context.Context){
+		g.feeds.config.Run, g.feeds.endpoints.Run, g.feeds.emptied.Run, g.feeds.members.Run,
+		g.host.Run, g.mesh.Run, g.sweep, g.enlist,
+	} {
+		g.group.Add(1)
+		go func() {
+			defer g.group.Done()
+			run(ctx)
+		}()
+	}
+}
+
+// Stop ends everything at once.
+func (g *Gateway) Stop() {
+	if g.stop != nil {
+		g.stop()
+	}
+	g.mesh.Stop()
+	g.group.Wait()
+}
+
+// Leave begins a planned stop: not ready any more, and no owner of pools.
+func (g *Gateway) Leave(ctx context.Context) {
+	g.gate.Leave()
+	g.mesh.Leave()
+	g.group.Add(1)
+	go func() {
+		defer g.group.Done()
+		g.delist(ctx)
+	}()
+}
+
+// Wait returns once no request is open; those that are left when the context
+// ends are cut, and counted.
+func (g *Gateway) Wait(ctx context.Context) int64 { return g.gate.Wait(ctx) }
+
+// sweep does from time to time what no event asks for.
+func (g *Gateway) sweep(ctx context.Context) {
+	for g.Clock.Sleep(ctx, sweepEvery) == nil {
+		g.bookLock.Lock()
+		changes := g.book.Expire(g.Clock.Now())
+		if len(changes) > 0 {
+			g.book.Publish()
+		}
+		g.bookLock.Unlock()
+		g.logChanges(changes)
+		g.gate.Sweep()
+	}
+}
+
+// listConfig takes the configuration as it is.
+func (g *Gateway) listConfig(objects []store.Object, _ clock.Millis) {
+	for _, object := range objects {
+		g.takeConfig(object)
+	}
+}
+
+func (g *Gateway) changeConfig(changes []store.Change) {
+	for _, change := range changes {
+		if !change.Deleted {
+			g.takeConfig(change.Object)
+		}
+	}
+}
+
+// takeConfig puts a newer configuration in force. An older one, which may come
+// by a slower way, never replaces a newer one.
+func (g *Gateway) takeConfig(object store.Object) {
+	if object.Name != g.Dialect.ConfigKind+"/"+g.Dialect.ConfigName {
+		return
+	}
+	routes, err := g.Dialect.TableFunc(object.Value)
+	if err != nil {
+		g.Log.Error("configuration not usable, the old one stays", "revision", object.Version, logs.KeyError, err)
+		return
+	}
+	if routes.Version <= g.release() {
+		return
+	}
+	g.table.Store(routes)
+	g.Log.Info("configuration in force", "configuration", routes.Version, "revision", object.Version, "bytes", len(object.Value))
+}
+
+func (g *Gateway) listEndpoints(objects []store.Object, away clock.Millis) {
+	entries := make([]view.Entry, 0, len(objects))
+	for _, object := range objects {
+		if entry, ok := g.decodeEntry(object); ok {
+			entries = append(entries, entry)
+		}
+	}
+	g.bookLock.Lock()
+	now := g.Clock.Now()
+	wait := clock.Millis(0)
+	if away >= blindAfter {
+		g.back, wait = now, patience
+	}
+	changes := g.book.List(entries, now, wait)
+	g.book.Publish()
+	g.bookLock.Unlock()
+	g.logChanges(changes)
+}
+
+func (g *Gateway) changeEndpoints(events []store.Change) {
+	g.bookLock.Lock()
+	var changes []view.Change
+	now := g.Clock.Now()
+	for _, event := range events {
+		id := nameOf(event.Object.Name)
+		entry, ok := g.decodeEntry(event.Object)
+		if event.Deleted || !ok {
+			changes = append(changes, g.book.Remove(id, now, g.patienceAt(now))...)
+			continue
+		}
+		changes = append(changes, g.book.Put(entry, now)...)
+	}
+	if len(changes) > 0 {
+		g.book.Publish()
+	}
+	g.bookLock.Unlock()
+	g.logChanges(changes)
+}
+
+// patienceAt returns what is left of the time in which lapsed entries return.
+func (g *Gateway) patienceAt(now clock.Millis) clock.Millis {
+	if g.back == 0 {
+		return 0
+	}
+	return max(g.back+patience-now, 0)
+}
+
+func (g *Gateway) decodeEntry(object store.Object) (view.Entry, bool) {
+	entry, err := g.Dialect.EntryFunc(nameOf(object.Name), object.Value)
+	if err != nil {
+		g.Log.Debug("entry names no endpoint", "revision", object.Version, logs.KeyError, err)
+		return view.Entry{}, false
+	}
+	return entry, true
+}
+
+func (g *Gateway) logChanges(changes []view.Change) {
+	for _, change := range changes {
+		e := change.Endpoint
+		g.Log.Info("endpoint changed", "endpoint", e.ID, "what", change.What, "pool", e.Pool, "availabilityZone", e.Zone,
+			"address", e.Address, "born", e.Born)
+	}
+}
+
+func (g *Gateway) setEmptied(zones []string) {
+	g.bookLock.Lock()
+	g.book.SetEmptied(zones)
+	g.book.Publish()
+	g.bookLock.Unlock()
+	g.Log.Info("emptied availability zones", "zones", zones)
+}
+
+// setMembers takes the list of gateways.
+func (g *Gateway) setMembers(members []mesh.Member) {
+	listed := false
+	for _, member := range members {
+		if member.Name == g.Name && member.Incarnation == g.incarnation {
+			listed = true
+		}
+	}
+	g.member.Store(listed)
+	g.mesh.SetMembers(members)
+}
+
+const (
+	// enlistEvery is how often a process looks whether it is still listed.
+	enlistEvery = 500 * clock.Millis(1)
+)
+
+// enlist lists this process, and does so again when its entry was removed.
+func (g *Gateway) enlist(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !g.member.Load() && g.gate.Staying() {
+			g.enlistOnce(ctx)
+		}
+		_ = g.Clock.Sleep(ctx, enlistEvery) // the loop sees the end of the context
+	}
+}
+
+func (g *Gateway) enlistOnce(ctx context.Context) {
+	name := g.Dialect.MemberKind + "/" + g.Name
+	self := mesh.Member{Name: g.Name, Address: g.Address, Incarnation: g.incarnation, Zone: g.Zone}
+	value, err := json.Marshal(self)
+	if err != nil {
+		g.Log.Error("not listed", logs.KeyError, err)
+		return
+	}
+	_, err = g.Store.Put(ctx, name, 0, value)
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		// An entry of the process that ran here before, or this one's own, whose
+		// answer was lost.
+		_, err = g.Store.Put(ctx, name, conflict.Current.Version, value)
+	}
+	if err != nil {
+		g.Log.Info("not listed yet", logs.KeyError, err)
+		return
+	}
+	g.member.Store(true)
+}
+
+// delist removes this process from the list. If that fails, peers notice the
+// end of the sessions all the same.
+func (g *Gateway) delist(ctx context.Context) {
+	name := g.Dialect.MemberKind + "/" + g.Name
+	object, err := g.Store.Get(ctx, name)
+	if err == nil && object.Version > 0 {
+		err = g.Store.Delete(ctx, name, object.Version)
+	}
+	if err != nil {
+		g.Log.Info("still listed", logs.KeyError, err)
+	}
+}
