--- a/internal/flow/batch/batch.go
+++ b/internal/flow/batch/batch.go
@@ -33,6 +33,9 @@
 	Bytes int64
 	// Zone that most inputs lie in, or where the results are wanted; may be empty.
 	Zone string
+	// HoldUntil is the instant until which the group rather waits for an engine
+	// of its zone than going to another one.
+	HoldUntil clock.Millis
 	// Owner is the job that the group belongs to; the queue doesn't look at it.
 	Owner any
 
@@ -89,12 +92,12 @@
 // Pieces returns the number of pieces that wait.
 func (q *Queue) Pieces() int { return q.pieces }
 
-// Zone returns the availability zone that the first group wants.
-func (q *Queue) Zone() string {
+// Bytes returns the size of a result of the first group, 0 without any.
+func (q *Queue) Bytes() int64 {
 	if len(q.groups) == 0 {
-		return ""
+		return 0
 	}
-	return q.groups[0].Zone
+	return q.groups[0].Bytes
 }
 
 // Add puts a group in its place.
@@ -180,17 +183,37 @@
 	blocked int64
 }
 
-// Take returns the pieces for one call to an engine that has room for so many
-// bytes of results, while free engines in all could take a call now. Waiting
-// pieces are divided among the free engines, because a smaller call is faster
-// and the engines would stand idle otherwise.
-func (q *Queue) Take(bounds Bounds, room int64, free int) []Item {
-	f := filling{room: room, most: bounds.Pieces, bound: bounds.Pieces}
-	if free > 1 {
-		f.most = min(f.most, (q.pieces+free-1)/free)
+// Slot is an engine that could take a call now.
+type Slot struct {
+	Zone string
+	// Room is the bytes of results that it still holds.
+	Room int64
+	// Free is how many engines in all could take a call now.
+	Free int
+}
+
+// idleEngines is how many engines must be free for pieces to wait for another
+// one than the one at hand.
+const idleEngines = 2
+
+// Take returns the pieces for one call to an engine. Waiting pieces are divided
+// among the free engines, because a smaller call is faster and the engines
+// would stand idle otherwise. Groups that want another availability zone are
+// left for an engine there, for a while and as long as other engines are free,
+// too: results that cross zones are paid for by the byte, but under load small
+// calls would cost more.
+func (q *Queue) Take(bounds Bounds, slot Slot, now clock.Millis) []Item {
+	f := filling{room: slot.Room, most: bounds.Pieces, bound: bounds.Pieces}
+	if slot.Free > 1 {
+		f.most = min(f.most, (q.pieces+slot.Free-1)/slot.Free)
 	}
+	crowded := slot.Free < idleEngines
 	for at := 0; at < len(q.groups) && len(f.items) < f.most; {
 		g := q.groups[at]
+		if !crowded && g.Zone != "" && g.Zone != slot.Zone && now < g.HoldUntil {
+			at++
+			continue
+		}
 		q.pieces -= f.takeFrom(g)
 		if g.Waiting() == 0 {
 			q.groups = slices.Delete(q.groups, at, at+1)
--- a/internal/flow/batch/batch_test.go
+++ b/internal/flow/batch/batch_test.go
@@ -15,6 +15,9 @@
 
 const plenty = 1 << 30
 
+// slot is an engine with room for all results.
+func slot(free int) batch.Slot { return batch.Slot{Room: plenty, Free: free} }
+
 func group(rank, pieces int) *batch.Group {
 	return &batch.Group{Request: fmt.Sprint("r", rank), Count: pieces, Rank: clock.Millis(rank), Until: 10_000, Bytes: 1000}
 }
@@ -31,7 +34,7 @@
 	var q batch.Queue
 	q.Add(group(30, 2))
 	q.Add(group(10, 1))
-	fmt.Println(taken(q.Take(bounds, plenty, 1)), q.Pieces())
+	fmt.Println(taken(q.Take(bounds, slot(1), 0)), q.Pieces())
 	// Output: [r10/0 r30/0 r30/1] 0
 }
 
@@ -40,9 +43,9 @@
 	for i := range 6 {
 		q.Add(group(i, 1))
 	}
-	assert.Equal(t, len(q.Take(bounds, plenty, 3)), 2)
-	assert.Equal(t, len(q.Take(bounds, plenty, 2)), 2)
-	assert.Equal(t, len(q.Take(bounds, plenty, 1)), 2)
+	assert.Equal(t, len(q.Take(bounds, slot(3), 0)), 2)
+	assert.Equal(t, len(q.Take(bounds, slot(2), 0)), 2)
+	assert.Equal(t, len(q.Take(bounds, slot(1), 0)), 2)
 }
 
 // Results lie in an engine's small memory until the next stage has read them.
@@ -60,10 +63,36 @@
 	q.Add(small)
 	// Small results pass the big one that waits for room, medium ones don't:
 	// they would take the room that it waits for.
-	assert.DeepEqual(t, taken(q.Take(bounds, 4_600_000, 1)), []string{"r1/0", "r1/1", "r1/2", "r3/0", "r3/1"})
+	assert.DeepEqual(t, taken(q.Take(bounds, batch.Slot{Room: 4_600_000, Free: 1}, 0)), []string{"r1/0", "r1/1", "r1/2", "r3/0", "r3/1"})
 	assert.Equal(t, q.Pieces(), 7)
 }
 
+// Results of megabytes are read by an engine in one availability zone. Made in
+// another one they cross zones, which costs more than the request is worth; but
+// a request that waits for long misses its objective.
+func TestGroupsWaitAWhileForTheirZone(t *testing.T) {
+	far := batch.Slot{Zone: "b", Room: plenty, Free: 2}
+	near := batch.Slot{Zone: "a", Room: plenty, Free: 2}
+	last := batch.Slot{Zone: "b", Room: plenty, Free: 1}
+	for _, tt := range []struct {
+		name string
+		slot batch.Slot
+		now  clock.Millis
+		want int
+	}{
+		{"far", far, 50, 0},
+		{"far, waited enough", far, 100, 2},
+		{"near", near, 50, 2},
+		{"far, but the last free engine", last, 50, 2},
+	} {
+		var q batch.Queue
+		g := group(1, 2)
+		g.Zone, g.HoldUntil = "a", 100
+		q.Add(g)
+		assert.Equal(t, len(q.Take(bounds, tt.slot, tt.now)), tt.want, tt.name)
+	}
+}
+
 func TestLateGroupsAreTakenOut(t *testing.T) {
 	var q batch.Queue
 	late, fine := group(1, 2), group(2, 1)
@@ -112,7 +141,7 @@
 					waiting[name(batch.Item{Group: g, Piece: piece})] = true
 				}
 			case 1:
-				for _, item := range q.Take(bounds, plenty, rapid.IntRange(1, 4).Draw(t, "free")) {
+				for _, item := range q.Take(bounds, slot(rapid.IntRange(1, 4).Draw(t, "free")), 0) {
 					if !waiting[name(item)] {
 						t.Fatalf("%s was handed out and did not wait", name(item))
 					}
@@ -142,7 +171,7 @@
 			}
 		}
 		for q.Pieces() > 0 {
-			for _, item := range q.Take(bounds, plenty, 1) {
+			for _, item := range q.Take(bounds, slot(1), 0) {
 				delete(waiting, name(item))
 			}
 		}
@@ -159,7 +188,7 @@
 		q.Add(group(i, 3))
 	}
 	for b.Loop() {
-		for _, item := range q.Take(bounds, plenty, 1) {
+		for _, item := range q.Take(bounds, slot(1), 0) {
 			q.Back(item)
 		}
 	}
--- a/internal/flow/graph/graph.go
+++ b/internal/flow/graph/graph.go
@@ -41,6 +41,8 @@
 	states  []state
 	results [][]string
 	read    []bool // whether a later stage reads the results of a stage
+	fetched []bool // whether a stage has read its inputs
+	spared  []bool // whether the results of a stage were returned by Spare
 }
 
 // New returns the run of a request with so many pieces for each stage; 0 leaves
@@ -54,6 +56,8 @@
 		states:  make([]state, len(stages)),
 		results: make([][]string, len(stages)),
 		read:    make([]bool, len(stages)),
+		fetched: make([]bool, len(stages)),
+		spared:  make([]bool, len(stages)),
 	}
 	for i, stage := range stages {
 		if pieces[i] < 0 || pieces[i] > maxPieces {
@@ -115,10 +119,39 @@
 	r.states[stage] = done
 }
 
+// Fetched notes that all pieces of a stage have read their inputs.
+func (r *Run) Fetched(stage int) { r.fetched[stage] = r.states[stage] == running }
+
+// Spare returns, once, the references that every stage which reads them has
+// read, although it is not done yet. They are needed again only if such a stage
+// fails: where memory is short, it is better used for something else.
+func (r *Run) Spare() []string {
+	var spare []string
+	for i := range r.stages {
+		if r.read[i] && !r.spared[i] && r.states[i] == done && r.readersFetched(i) {
+			r.spared[i] = true
+			spare = append(spare, r.results[i]...)
+		}
+	}
+	return spare
+}
+
+func (r *Run) readersFetched(stage int) bool {
+	for i := range r.stages {
+		for _, before := range r.stages[i].After {
+			if before == stage && r.states[i] != done && !r.fetched[i] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Again puts a stage, and all that it reads, back to the start, because a
 // result is gone. It returns the references that are not used any more.
 func (r *Run) Again(stage int) []string {
 	r.states[stage] = waiting
+	r.fetched[stage], r.spared[stage] = false, false
 	var unused []string
 	for _, before := range r.stages[stage].After {
 		if r.pieces[before] == 0 {
@@ -137,6 +170,7 @@
 	unused := r.References()
 	for i := range r.stages {
 		r.results[i] = nil
+		r.fetched[i], r.spared[i] = false, false
 		if r.pieces[i] > 0 {
 			r.states[i] = waiting
 		}
--- a/internal/flow/graph/graph_test.go
+++ b/internal/flow/graph/graph_test.go
@@ -61,6 +61,25 @@
 	assert.DeepEqual(t, run.Inputs(2), []string{"b2"})
 }
 
+// A stage engine reads its inputs when a call begins, and works for a long time
+// afterwards. Results that are kept until the call ends fill the memory of the
+// engines before, whose calls then become small.
+func TestInputsAreSpareOnceRead(t *testing.T) {
+	run, err := graph.New(chain, []int{0, 1, 1, 1})
+	assert.NilError(t, err)
+	run.Start()
+	run.Finish(1, []string{"b"})
+	run.Start()
+	assert.Equal(t, len(run.Spare()), 0)
+	run.Fetched(2)
+	assert.DeepEqual(t, run.Spare(), []string{"b"})
+	assert.Equal(t, len(run.Spare()), 0)
+	// They are still there if the stage fails, unless their memory was used.
+	assert.DeepEqual(t, run.Inputs(2), []string{"b"})
+	run.Finish(2, []string{"c"})
+	assert.DeepEqual(t, run.Spent(), []string{"b"})
+}
+
 func TestRestartGivesEverythingBack(t *testing.T) {
 	run, err := graph.New(chain, []int{1, 1, 1, 1})
 	assert.NilError(t, err)
--- a/internal/link/wire/codec.go
+++ b/internal/link/wire/codec.go
@@ -124,6 +124,8 @@
 		return f.Unused != nil
 	case KindLoads:
 		return f.Loads != nil
+	case KindFetched:
+		return f.Fetched != nil
 	default:
 		return f.Kind != 0
 	}
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -37,6 +37,7 @@
 	KindDropped Kind = 16
 	KindUnused  Kind = 17
 	KindLoads   Kind = 18
+	KindFetched Kind = 19
 )
 
 // Frame is one message. Exactly the field that Kind names is set. Release is
@@ -64,6 +65,7 @@
 	Dropped *Dropped `cbor:"dropped,omitempty"`
 	Unused  *Unused  `cbor:"unused,omitempty"`
 	Loads   *Loads   `cbor:"loads,omitempty"`
+	Fetched *Fetched `cbor:"fetched,omitempty"`
 }
 
 // Hello opens a session in both directions.
@@ -241,8 +243,10 @@
 	Penalty  clock.Millis `cbor:"penalty,omitempty"`
 	// Bytes of one result.
 	Bytes int64 `cbor:"bytes,omitempty"`
-	// Zone where the results are best made.
-	Zone string `cbor:"zone,omitempty"`
+	// Zone where the results are best made, and how long to wait for an engine
+	// there, in milliseconds.
+	Zone string       `cbor:"zone,omitempty"`
+	Hold clock.Millis `cbor:"hold,omitempty"`
 }
 
 // Made answers Pieces: a reference for each piece and the availability zone it
@@ -256,6 +260,11 @@
 	RetryAfter clock.Millis `cbor:"retryAfter,omitempty"`
 }
 
+// Fetched tells that all pieces have read their inputs; Made follows.
+type Fetched struct {
+	Ticket uint64 `cbor:"ticket"`
+}
+
 // Dropped withdraws Pieces, because the request ended.
 type Dropped struct {
 	Ticket uint64 `cbor:"ticket"`
@@ -265,6 +274,9 @@
 type Unused struct {
 	Pool       string   `cbor:"pool"`
 	References []string `cbor:"references"`
+	// Spare says that they are needed again only if a stage fails: their memory
+	// is used for something else when it is short.
+	Spare bool `cbor:"spare,omitempty"`
 }
 
 // Loads tells peers what the sender has running at endpoints, and how long
@@ -272,6 +284,8 @@
 type Loads struct {
 	Endpoints []EndpointLoad `cbor:"endpoints,omitempty"`
 	Pools     []PoolLoad     `cbor:"pools,omitempty"`
+	// Prefixes are those used since the message before.
+	Prefixes []PrefixUse `cbor:"prefixes,omitempty"`
 }
 
 // EndpointLoad is the sender's work at one endpoint.
@@ -283,6 +297,12 @@
 	Memory  int64 `cbor:"memory,omitempty"`
 }
 
+// PrefixUse tells that prompts with these parts were sent to an endpoint.
+type PrefixUse struct {
+	Endpoint string   `cbor:"endpoint"`
+	Parts    []string `cbor:"parts"`
+}
+
 // PoolLoad is the queue of one pool at its owner.
 type PoolLoad struct {
 	Pool string `cbor:"pool"`
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -13,7 +13,7 @@
 	"github.com/jujubescale/jujubescale/internal/route/owner"
 )
 
-// Weights of a choice between model engines.
+// Weights of a choice between model engines, in milliseconds of delay.
 const (
 	// tokensPerMs is how many prompt tokens an engine reads in a millisecond:
 	// the lower of the two figures on the users' sheets (40.8 and 51.1).
@@ -22,21 +22,31 @@
 	// of another: a chunk of a long prompt shares each step with all of them.
 	runningMs = 1.5
 	// fullMs is the delay of a request that finds all slots taken: about the
-	// time until one of the running requests ends.
-	fullMs = 600
+	// time until several of the running requests end.
+	fullMs = 5000
 	// memoryMs is the delay for each part of the memory that would be exceeded:
 	// beyond it, the newest request is stopped and read again later.
 	memoryMs = 8000
 	// memoryShare of an engine's tokens may be promised; outputs are often
 	// longer than estimated.
 	memoryShare = 0.85
-	// crossMsPerMB is what a megabyte of inputs from another availability zone
-	// weighs: the price of a gigabyte across zones (84) against that of a late
-	// answer, as the users state both, is about 40 ms of delay a megabyte.
-	crossMsPerMB = 40
-	// homeShare of a prompt's shared part is expected to be in memory at the
-	// engine that the hash of that part names: other processes send it there too.
-	homeShare = 0.6
+	// creditMs is the delay that weighs as much as one credit, the unit in which
+	// the users state worth and prices. A request has some hundred milliseconds
+	// of slack before its objective, and loses one to four credits beyond it.
+	creditMs = 500
+	// hotMsPerToken weighs a token that has to be read again although another
+	// engine read it a moment ago: 0.26 credits a thousand.
+	hotMsPerToken = 0.26 * creditMs / 1000
+	// crossMsPerMB weighs a megabyte of inputs from another availability zone:
+	// 84 credits a gigabyte.
+	crossMsPerMB = 84 * creditMs / 1000
+	// lateMs weighs an answer beyond its objective, which is worth a sixth of
+	// one within it.
+	lateMs = 1500
+	// hashMs is the spread of the order in which equal engines are preferred. It
+	// only has to be larger than the noise of the other figures, so that
+	// processes which know nothing of each other agree.
+	hashMs = 25
 )
 
 // Prompt is what a generation needs.
@@ -44,10 +54,14 @@
 	// Tokens to read, and to generate as far as can be guessed.
 	Tokens int64
 	Output int64
-	// Shared is the tokens of the parts that other requests have too, and Group
-	// names the last of these parts; empty without any.
-	Shared int64
-	Group  string
+	// Hot is the tokens of the parts that were read somewhere a moment ago.
+	Hot int64
+	// First and Group name the first and the last of the parts that other
+	// requests have too; empty without any.
+	First string
+	Group string
+	// Slack is the time that is left until the objective.
+	Slack clock.Millis
 	// InputBytes are the bytes of inputs by the availability zone they lie in.
 	InputBytes []ZoneBytes
 }
@@ -69,8 +83,10 @@
 	// Slots and Capacity (tokens) of the engine.
 	Slots    int64
 	Capacity int64
-	// Cached is how many tokens of the prompt this process believes to be there.
-	Cached int64
+	// Cached is how many tokens of the prompt are believed to be there, and
+	// CachedHot how many of those are hot.
+	Cached    int64
+	CachedHot int64
 	// Shut engines get nothing: they were tried before, are cold or failed.
 	Shut bool
 }
@@ -78,62 +94,29 @@
 // NoEngine is the choice when every engine is shut.
 const NoEngine = -1
 
-// Generation returns the index of the engine with the least expected delay,
-// and that delay in milliseconds.
+// Generation returns the index of the engine with the least cost, and the
+// expected delay to the first token there, in milliseconds.
 func Generation(prompt *Prompt, engines []Engine) (int, float64) {
-	home := homeOf(prompt, engines)
-	best, least := NoEngine, 0.0
+	best, least, chosen := NoEngine, 0.0, 0.0
 	for i := range engines {
 		if engines[i].Shut {
 			continue
 		}
-		if delay := delayAt(prompt, &engines[i], i == home); best == NoEngine || delay < least {
-			best, least = i, delay
-		}
-	}
-	return best, least
-}
-
-// homeOf returns the open engine that the hash of the shared part names, among
-// those of the availability zone where most inputs lie.
-func homeOf(prompt *Prompt, engines []Engine) int {
-	if prompt.Group == "" {
-		return NoEngine
-	}
-	zone := mostBytes(prompt.InputBytes)
-	home, top := NoEngine, uint64(0)
-	for i := range engines {
-		if engines[i].Shut || (zone != "" && engines[i].Zone != zone) {
-			continue
-		}
-		if weight := owner.Weight(prompt.Group, engines[i].ID); home == NoEngine || weight > top {
-			home, top = i, weight
+		delay := delayAt(prompt, &engines[i])
+		if cost := costAt(prompt, &engines[i], delay); best == NoEngine || cost < least {
+			best, least, chosen = i, cost, delay
 		}
 	}
-	return home
+	return best, chosen
 }
 
-func mostBytes(inputs []ZoneBytes) string {
-	var zone string
-	var most int64
-	for _, input := range inputs {
-		if input.Bytes > most {
-			zone, most = input.Zone, input.Bytes
-		}
-	}
-	return zone
-}
-
-func delayAt(prompt *Prompt, engine *Engine, home bool) float64 {
-	cached := float64(engine.Cached)
-	if home {
-		cached = max(cached, homeShare*float64(prompt.Shared))
-	}
-	unread := max(float64(prompt.Tokens)-cached, 0)
-	delay := (float64(engine.Prefill) + unread) / tokensPerMs
+// delayAt is the time that the first token takes.
+func delayAt(prompt *Prompt, engine *Engine) float64 {
+	unread := max(prompt.Tokens-engine.Cached, 0)
+	delay := float64(engine.Prefill+unread) / tokensPerMs
 	delay += runningMs * float64(engine.Running)
 	if engine.Slots > 0 && engine.Running >= engine.Slots {
-		delay += fullMs * float64(engine.Running-engine.Slots+1) / float64(engine.Slots) * 8
+		delay += fullMs * float64(engine.Running-engine.Slots+1) / float64(engine.Slots)
 	}
 	if engine.Capacity > 0 {
 		room := memoryShare * float64(engine.Capacity)
@@ -141,7 +124,33 @@
 			delay += memoryMs * (taken - room) / room
 		}
 	}
-	return delay + crossMsPerMB*crossMB(prompt.InputBytes, engine.Zone)
+	return delay
+}
+
+// costAt adds to the delay what else the choice costs.
+func costAt(prompt *Prompt, engine *Engine, delay float64) float64 {
+	cost := delay + hotMsPerToken*float64(max(prompt.Hot-engine.CachedHot, 0))
+	cost += crossMsPerMB * crossMB(prompt.InputBytes, engine.Zone)
+	cost += lateMs * lateness(delay, float64(prompt.Slack))
+	if prompt.Group != "" {
+		cost += hashMs * (unit(prompt.Group, engine.ID) + unit(prompt.First, engine.ID))
+	}
+	return cost
+}
+
+// lateness is how probable a miss of the objective is: not below half of the
+// slack, certain beyond one and a half of it, because delays are guessed.
+func lateness(delay, slack float64) float64 {
+	if slack <= 0 {
+		return 1
+	}
+	return min(max(delay/slack-0.5, 0), 1)
+}
+
+// unit returns a number from 0 to 1 that only depends on two names.
+func unit(group, engine string) float64 {
+	const largest = 1 << 32
+	return float64(owner.Weight(group, engine)>>32) / largest
 }
 
 func crossMB(inputs []ZoneBytes, zone string) float64 {
--- a/internal/route/place/place_test.go
+++ b/internal/route/place/place_test.go
@@ -27,22 +27,31 @@
 	assert.Assert(t, delay < 50, delay)
 }
 
-// All processes send prompts with one beginning to one engine, which then reads
-// it once, unless that engine is so busy that reading again is faster.
+// All processes send prompts with one beginning to one engine without a word
+// among them, and stay there while it is in memory, unless that engine is so
+// busy that reading again is better for the caller.
 func TestSharedBeginningsMeet(t *testing.T) {
-	prompt := &place.Prompt{Tokens: 9000, Shared: 6300, Group: "sheet-4"}
+	prompt := &place.Prompt{Tokens: 9000, Hot: 6300, First: "glue", Group: "sheet-4", Slack: 900}
 	all := engines(18)
 	home, _ := place.Generation(prompt, all)
-	for i := range all {
-		all[i].Prefill = 500 // what others see a moment later
-	}
+	all[home].Cached, all[home].CachedHot, all[home].Prefill = 6300, 6300, 8000
 	again, _ := place.Generation(prompt, all)
 	assert.Equal(t, again, home)
-	all[home].Prefill = 20_000
+	all[home].Prefill = 60_000
 	elsewhere, _ := place.Generation(prompt, all)
 	assert.Assert(t, elsewhere != home)
 }
 
+// A prompt that would miss its objective behind another one goes to an idle
+// engine, although that has to read everything.
+func TestObjectiveGoesBeforeMemory(t *testing.T) {
+	prompt := &place.Prompt{Tokens: 9000, Hot: 6300, Slack: 400}
+	all := engines(2)
+	all[0].Cached, all[0].CachedHot, all[0].Prefill = 6300, 6300, 20_000
+	chosen, _ := place.Generation(prompt, all)
+	assert.Equal(t, chosen, 1)
+}
+
 func TestInputsDrawARequestToTheirZone(t *testing.T) {
 	prompt := &place.Prompt{Tokens: 3000, InputBytes: []place.ZoneBytes{{Zone: "b", Bytes: 4_500_000}}}
 	all := engines(4)
@@ -82,7 +91,7 @@
 
 func BenchmarkGeneration(b *testing.B) {
 	all := engines(48)
-	prompt := &place.Prompt{Tokens: 9000, Shared: 6300, Group: "sheet-4", InputBytes: []place.ZoneBytes{{Zone: "b", Bytes: 4_500_000}}}
+	prompt := &place.Prompt{Tokens: 9000, Hot: 6300, First: "glue", Group: "sheet-4", InputBytes: []place.ZoneBytes{{Zone: "b", Bytes: 4_500_000}}}
 	b.ReportAllocs()
 	for b.Loop() {
 		place.Generation(prompt, all)
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -34,6 +34,7 @@
 	deadline  clock.Millis
 
 	run   *graph.Run
+	wish  string            // availability zone where the request will probably run
 	zones map[string]string // of references
 	pools map[string]string // that made references
 
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -45,7 +46,7 @@
 	g.Log.Info("request sent", "request", req.Request, "route", req.route.Name, "pool", req.pool.Name,
 		"endpoint", t.ID, "running", t.Load.Running.Load(), "peerRunning", t.Load.PeerRunning.Load(),
 		"prefill", t.Load.Prefill.Load()+t.Load.PeerPrefill.Load(), "unread", chosen.unread, "delayMs", int64(chosen.delay),
-		"cold", t.Cold(now), "heardMs", int64(now-t.Heard()), "sent", req.sent, "leftMs", int64(req.deadline-now))
+		"zone", t.Zone, "wish", req.wish, "inputs", fmt.Sprint(req.prompt(make([]bool, len(req.Parts)), now).InputBytes), "cold", t.Cold(now), "heardMs", int64(now-t.Heard()), "sent", req.sent, "leftMs", int64(req.deadline-now))
 	l := g.countLoad(t, req, chosen)
 	defer l.end()
 	ctx, cancel := context.WithCancel(ctx)
@@ -73,7 +74,7 @@
 	if req.pool.Generation != nil {
 		l.prefill = chosen.unread
 		l.memory = req.PromptTokens + req.outputTokens()
-		t.use(req.Parts, g.Clock.Now())
+		g.sent(t, req.Parts)
 	}
 	t.Load.Running.Add(1)
 	t.Load.Prefill.Add(l.prefill)
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -95,6 +95,7 @@
 
 func (g *Gate) chooseEngine(req *request, found []*target, shut []bool, wait, now clock.Millis) choice {
 	engines := make([]place.Engine, len(found))
+	hot := g.prefixes.hot(req.Parts, now)
 	for i, t := range found {
 		engines[i] = place.Engine{ID: t.ID, Zone: t.Zone, Shut: shut[i], Capacity: req.pool.Generation.Tokens}
 		if shut[i] {
@@ -104,9 +105,9 @@
 		engines[i].Prefill = t.Load.Prefill.Load() + t.Load.PeerPrefill.Load()
 		engines[i].Memory = t.Load.Memory.Load() + t.Load.PeerMemory.Load()
 		engines[i].Slots = int64(req.pool.Generation.Slots)
-		engines[i].Cached = t.cached(req.Parts, now)
+		engines[i].Cached, engines[i].CachedHot = t.cached(req.Parts, hot, now)
 	}
-	at, delay := place.Generation(req.prompt(), engines)
+	at, delay := place.Generation(req.prompt(hot, now), engines)
 	if at == place.NoEngine {
 		return choice{wait: wait}
 	}
@@ -115,14 +116,18 @@
 }
 
 // prompt describes the request for the choice of an engine.
-func (r *request) prompt() *place.Prompt {
-	p := &place.Prompt{Tokens: r.PromptTokens, Output: r.outputTokens()}
-	for i, part := range r.Parts {
-		if i < len(r.Parts)-1 { // the last part is the request's own
-			p.Shared += part.Tokens
-			p.Group = part.ID
+func (r *request) prompt(hot []bool, now clock.Millis) *place.Prompt {
+	p := &place.Prompt{Tokens: r.PromptTokens, Output: r.outputTokens(), Slack: r.objective - now}
+	shared := max(len(r.Parts)-1, 0) // the last part is the request's own
+	for i, part := range r.Parts[:shared] {
+		p.Group = part.ID
+		if hot[i] {
+			p.Hot += part.Tokens
 		}
 	}
+	if shared > 0 {
+		p.First = r.Parts[0].ID
+	}
 	if r.run == nil {
 		return p
 	}
@@ -171,3 +176,15 @@
 	}
 	return choice{target: found[at]}
 }
+
+// wish returns the availability zone where the request would be generated if it
+// were sent now, so that its inputs are made there.
+func (g *Gate) wish(req *request) string {
+	if req.pool.Generation == nil {
+		return ""
+	}
+	if chosen := g.choose(req); chosen.target != nil {
+		return chosen.target.Zone
+	}
+	return ""
+}
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -50,17 +50,18 @@
 // Gate serves callers.
 type Gate struct {
 	Settings
-	mesh    *mesh.Mesh
-	host    *host.Host
-	meter   *Meter
-	targets targets
-	extras  extras
-	bounds  atomic.Pointer[Bounds]
-	leaving atomic.Bool
-	open    sync.WaitGroup
-	count   atomic.Int64
-	cut     context.Context
-	cutAll  context.CancelFunc
+	mesh     *mesh.Mesh
+	host     *host.Host
+	meter    *Meter
+	targets  targets
+	extras   extras
+	prefixes prefixes
+	bounds   atomic.Pointer[Bounds]
+	leaving  atomic.Bool
+	open     sync.WaitGroup
+	count    atomic.Int64
+	cut      context.Context
+	cutAll   context.CancelFunc
 }
 
 // New returns a gate. Join it to its mesh and host before it serves.
--- a/internal/serve/gate/stages.go
+++ b/internal/serve/gate/stages.go
@@ -35,20 +35,23 @@
 		return nil
 	}
 	began := g.Clock.Now()
+	req.wish = g.wish(req)
 	err := g.finishStages(ctx, req)
 	g.meter.stages.WithLabelValues(req.route.Name).Observe(seconds(g.Clock.Since(began)))
 	return err
 }
 
-// stageEnd is the end of one stage.
+// stageEnd is the end of one stage, or the news that it has read its inputs.
 type stageEnd struct {
-	stage int
-	made  *wire.Made
-	err   error
+	stage   int
+	fetched bool
+	made    *wire.Made
+	err     error
 }
 
 func (g *Gate) finishStages(ctx context.Context, req *request) error {
-	ends := make(chan stageEnd, len(req.route.Stages))
+	// Each stage may run twice, and tells of its inputs and of its end.
+	ends := make(chan stageEnd, 4*len(req.route.Stages))
 	running, restarts := 0, 0
 	var failed error
 	for {
@@ -57,7 +60,8 @@
 				running++
 				ask := g.ask(req, stage)
 				go func() {
-					made, err := g.make(ctx, req, ask)
+					fetched := func() { ends <- stageEnd{stage: ask.Stage, fetched: true} }
+					made, err := g.make(ctx, req, ask, fetched)
 					ends <- stageEnd{stage: ask.Stage, made: made, err: err}
 				}()
 			}
@@ -66,6 +70,11 @@
 			return failed
 		}
 		end := <-ends
+		if end.fetched {
+			req.run.Fetched(end.stage)
+			g.give(req, req.run.Spare(), true)
+			continue
+		}
 		running--
 		switch {
 		case end.err == nil:
@@ -104,8 +113,9 @@
 		Pool: req.route.Stages[stage].Pool, Request: req.Request, Stage: stage, Count: req.run.Pieces(stage),
 		Inputs: inputs, TimeLeft: req.deadline - now,
 		Slack: req.objective - now - g.downstream(req, stage), Bytes: req.route.Stages[stage].ResultBytes,
-		Penalty: clock.Millis(req.priority) * priorityPenalty, Zone: req.zoneOf(inputs),
+		Penalty: clock.Millis(req.priority) * priorityPenalty,
 	}
+	g.near(req, ask)
 	if len(req.route.Stages[stage].After) == 0 {
 		ask.Key = req.PieceKey
 	}
@@ -115,6 +125,39 @@
 	return ask
 }
 
+const (
+	// holdPerMB is how long it is worth to wait for an engine in the right
+	// availability zone, for each megabyte that would cross zones otherwise: what
+	// place weighs a megabyte with.
+	holdPerMB = 42 * clock.Millis(1)
+	// maxHold is about a call; by then one of a zone's engines is free.
+	maxHold = 250 * clock.Millis(1)
+	// holdShare is the part of the slack that may be spent on waiting.
+	holdShare = 0.25
+)
+
+// near chooses the availability zone for a stage: where its inputs lie if they
+// weigh more than its results, else where the request will probably run. Each
+// piece reads all inputs, so that a few small results read by many pieces weigh
+// more than anything else.
+func (g *Gate) near(req *request, ask *wire.Pieces) {
+	var read int64
+	for _, before := range req.route.Stages[ask.Stage].After {
+		read += req.route.Stages[before].ResultBytes * int64(req.run.Pieces(before)*ask.Count)
+	}
+	bytes := ask.Bytes * int64(ask.Count)
+	ask.Zone = req.wish
+	if read > bytes || ask.Zone == "" {
+		bytes = read
+		ask.Zone = req.zoneOf(ask.Inputs)
+	}
+	if ask.Zone == "" {
+		return
+	}
+	hold := clock.Millis(float64(holdPerMB) * float64(bytes) / 1e6)
+	ask.Hold = max(min(hold, maxHold, clock.Millis(holdShare*float64(ask.Slack))), 0)
+}
+
 // downstream is what the stages that follow one, and the request itself, take
 // at least: the longest way from it to the end.
 func (g *Gate) downstream(req *request, stage int) clock.Millis {
@@ -157,10 +200,10 @@
 
 // make asks the owner of a pool for pieces, and its successor when the owner is
 // lost: pieces may be made again.
-func (g *Gate) make(ctx context.Context, req *request, ask *wire.Pieces) (*wire.Made, error) {
+func (g *Gate) make(ctx context.Context, req *request, ask *wire.Pieces, fetched func()) (*wire.Made, error) {
 	var lost *mesh.LostError
 	for range maxOwners {
-		made, err := g.askOwner(ctx, ask)
+		made, err := g.askOwner(ctx, ask, fetched)
 		switch {
 		case errors.As(err, &lost):
 			g.Log.Info("owner lost", "request", req.Request, "pool", ask.Pool, "peer", lost.Peer)
@@ -171,19 +214,23 @@
 		case made.Reason != "":
 			g.Log.Info("stage refused", "request", req.Request, "pool", ask.Pool, "stage", ask.Stage,
 				"reason", made.Reason, "leftMs", int64(req.deadline-g.Clock.Now()))
-			return nil, &fault.RefusalError{Reason: made.Reason, Ran: fault.NotRun, RetryAfter: made.RetryAfter, Detail: "stage in " + ask.Pool}
+			reason := made.Reason
+			if reason == fault.EndpointFailed {
+				reason = fault.NoEndpoint // the request itself has not run
+			}
+			return nil, &fault.RefusalError{Reason: reason, Ran: fault.NotRun, RetryAfter: made.RetryAfter, Detail: "stage in " + ask.Pool}
 		}
 		return made, nil
 	}
 	return nil, fault.Refuse(fault.NoEndpoint, "owners of "+ask.Pool+" were lost")
 }
 
-func (g *Gate) askOwner(ctx context.Context, ask *wire.Pieces) (*wire.Made, error) {
+func (g *Gate) askOwner(ctx context.Context, ask *wire.Pieces, fetched func()) (*wire.Made, error) {
 	if to := g.mesh.Owner(ask.Pool); to != g.mesh.Self() {
-		return g.mesh.Ask(ctx, to, ask)
+		return g.mesh.Ask(ctx, to, ask, fetched)
 	}
 	answer := make(chan host.Outcome, 1)
-	job := g.host.Submit(ask, func(outcome host.Outcome) { answer <- outcome })
+	job := g.host.Submit(ask, fetched, func(outcome host.Outcome) { answer <- outcome })
 	select {
 	case outcome := <-answer:
 		return outcome.Made(), nil
@@ -194,17 +241,20 @@
 }
 
 // giveBack returns results that nobody needs any more to their owners.
-func (g *Gate) giveBack(req *request, references []string) {
+func (g *Gate) giveBack(req *request, references []string) { g.give(req, references, false) }
+
+func (g *Gate) give(req *request, references []string, spare bool) {
 	byPool := make(map[string][]string)
 	for _, reference := range references {
 		pool := req.pools[reference]
 		byPool[pool] = append(byPool[pool], reference)
 	}
-	for pool, unused := range byPool {
+	for pool, given := range byPool {
+		unused := &wire.Unused{Pool: pool, References: given, Spare: spare}
 		if to := g.mesh.Owner(pool); to != g.mesh.Self() {
-			g.mesh.GiveBack(to, &wire.Unused{Pool: pool, References: unused})
+			g.mesh.GiveBack(to, unused)
 			continue
 		}
-		g.host.Unused(pool, unused)
+		g.host.Unused(unused)
 	}
 }
--- a/internal/serve/gate/target.go
+++ b/internal/serve/gate/target.go
@@ -96,23 +96,25 @@
 // Conns returns the connections to an endpoint.
 func (g *Gate) Conns(e *view.Endpoint) *conn.Group { return g.targets.of(e).conns }
 
-// cached returns how many tokens of a prompt are believed to be in memory: a
-// part counts only if all before it do.
-func (t *target) cached(parts []spell.Part, now clock.Millis) int64 {
+// cached returns how many tokens of a prompt are believed to be in memory, and
+// how many of those are hot: a part counts only if all before it do.
+func (t *target) cached(parts []spell.Part, hot []bool, now clock.Millis) (tokens, hotTokens int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var tokens int64
-	for _, part := range parts {
+	for i, part := range parts {
 		if used, found := t.parts[part.ID]; !found || now-used > keepParts {
 			break
 		}
 		tokens += part.Tokens
+		if hot[i] {
+			hotTokens += part.Tokens
+		}
 	}
-	return tokens
+	return tokens, hotTokens
 }
 
 // use remembers that the parts of a prompt were sent.
-func (t *target) use(parts []spell.Part, now clock.Millis) {
+func (t *target) use(ids []string, now clock.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.parts) > maxParts {
@@ -122,8 +124,8 @@
 			}
 		}
 	}
-	for _, part := range parts {
-		t.parts[part.ID] = now
+	for _, id := range ids {
+		t.parts[id] = now
 	}
 }
 
--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -32,9 +32,18 @@
 	// slowFrom is how many times longer than expected calls take at an engine
 	// that gets work only when the others have enough.
 	slowFrom = 2.0
+	// roomShare is the part of an engine's memory for results that is used: sizes
+	// in the configuration are approximate.
+	roomShare = 0.85
 	// slowWeight is the part of the newest call in that figure, slowHalf the
 	// time in which half of the excess is forgotten without calls.
 	slowWeight = 0.5
+	// clearFrom is the part of an engine's memory from which a call waits for
+	// results to be given back.
+	clearFrom = 0.4
+	// reuseIdle bounds how long a connection for giving results back may have
+	// been unused.
+	reuseIdle = 4 * clock.Second
 	// maxAnswerBytes bounds the answer to a call: some sixty references.
 	maxAnswerBytes = 256 << 10
 )
@@ -77,39 +86,29 @@
 	for _, late := range q.waiting.Late(bounds, h.clock.Now()) {
 		h.fail(late.Owner.(*Job), fault.DeadlinePassed)
 	}
+	h.returnUnused(q, pool)
 	if q.waiting.Pieces() == 0 {
-		h.returnUnused(q, pool)
 		return
 	}
 	_, free := h.usable(q, pool)
-	free = order(free, q.waiting.Zone())
+	free = slices.DeleteFunc(free, func(e *engine) bool { return e.clearing(pool) })
 	free = withoutSlow(free, q.waiting.Pieces(), bounds)
+	slices.SortStableFunc(free, func(a, b *engine) int { return cmp.Compare(a.slow, b.slow) })
+	now := h.clock.Now()
 	for i, e := range free {
-		items := q.waiting.Take(bounds, pool.Room-e.bytes, len(free)-i)
+		slot := batch.Slot{Zone: e.Zone, Room: int64(roomShare*float64(pool.Room)) - e.bytes, Free: len(free) - i}
+		items := q.waiting.Take(bounds, slot, now)
 		if len(items) > 0 {
 			h.start(q, e, pool, items)
 		}
 	}
-	h.returnUnused(q, pool)
-}
-
-// order puts engines of the wanted availability zone first, and fast ones
-// before slow ones.
-func order(free []*engine, zone string) []*engine {
-	slices.SortStableFunc(free, func(a, b *engine) int {
-		if byZone := cmp.Compare(near(b, zone), near(a, zone)); byZone != 0 {
-			return byZone
-		}
-		return cmp.Compare(a.slow, b.slow)
-	})
-	return free
 }
 
-func near(e *engine, zone string) int {
-	if e.Zone == zone {
-		return 1
-	}
-	return 0
+// clearing reports whether an engine that is fuller than half is just given
+// memory back. A call that began now would be small for want of room, and take
+// nearly as long as a full one; the memory is there within milliseconds.
+func (e *engine) clearing(pool *table.Batching) bool {
+	return e.freeing && float64(e.bytes) > clearFrom*float64(pool.Room)
 }
 
 // withoutSlow leaves slow engines out as long as one call to each of the others
@@ -131,9 +130,18 @@
 		job.tries[item.Piece]++
 	}
 	h.meter.call(q.name, len(items))
-	h.group.Add(1)
+	read, forget := h.clock.After(pool.CallTime / fetchedAfter)
+	h.group.Add(2)
 	go func() {
 		defer h.group.Done()
+		<-read
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		fetchedBy(items)
+	}()
+	go func() {
+		defer h.group.Done()
+		defer forget()
 		began := h.clock.Now()
 		results, err := h.call(e, pool, items, began)
 		h.mu.Lock()
@@ -142,6 +150,23 @@
 	}()
 }
 
+// fetchedAfter is the part of a call's fixed time after which its inputs count
+// as read: engines read them at its beginning, over links that carry them
+// within a few milliseconds, and work for the whole of that time afterwards. If
+// an input is given back too early after all, the stage before runs again.
+const fetchedAfter = 2
+
+// fetchedBy notes that pieces have read their inputs. The caller holds the lock.
+func fetchedBy(items []batch.Item) {
+	for _, item := range items {
+		job := item.Group.Owner.(*Job)
+		job.unread--
+		if job.unread == 0 && !job.ended && len(item.Group.Inputs) > 0 {
+			job.fetched()
+		}
+	}
+}
+
 // call sends pieces to an engine and returns a result for each of them.
 func (h *Host) call(e *engine, pool *table.Batching, items []batch.Item, now clock.Millis) ([]spell.Result, error) {
 	pieces := make([]spell.Piece, 0, len(items))
@@ -161,7 +186,7 @@
 	limit := min(slackTimes*clock.Millis(expected)+slackMore, until-now+slackMore)
 	ctx, cancel := context.WithTimeout(h.base, limit.Duration())
 	defer cancel()
-	raw, err := h.post(ctx, e.Endpoint, h.spelling.PiecesPath, body)
+	raw, err := h.post(ctx, e.Endpoint, h.spelling.PiecesPath, body, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -190,16 +215,20 @@
 	return fmt.Sprintf("%s answered status %d", e.Endpoint, e.Status)
 }
 
-// post sends one call on a connection of its own: answers to calls bear no
-// attempt, so that a second copy of one could not be told from the next.
-func (h *Host) post(ctx context.Context, endpoint *view.Endpoint, path string, body []byte) ([]byte, error) {
+// post sends one call. Answers to calls bear no attempt, so that a second copy
+// of one could not be told from the answer to the next: calls whose answer
+// matters want a connection of their own and give 0 for maxIdle.
+func (h *Host) post(ctx context.Context, endpoint *view.Endpoint, path string, body []byte, maxIdle clock.Millis) ([]byte, error) {
 	head := make([]byte, 0, 256)
 	head = append(head, "POST "+path+" HTTP/1.1\r\nHost: "+endpoint.Address+"\r\nContent-Type: application/json\r\n"...)
 	head = h.spelling.InstanceFunc(head, endpoint.ID)
 	head = append(head, "Content-Length: "...)
 	head = strconv.AppendInt(head, int64(len(body)), 10)
-	head = append(head, "\r\nConnection: close\r\n\r\n"...)
-	reply, err := h.connFunc(endpoint).Do(ctx, &conn.Request{Method: http.MethodPost, Head: head, Body: body})
+	if maxIdle == 0 {
+		head = append(head, "\r\nConnection: close"...)
+	}
+	head = append(head, "\r\n\r\n"...)
+	reply, err := h.connFunc(endpoint).Do(ctx, &conn.Request{Method: http.MethodPost, Head: head, Body: body, MaxIdle: maxIdle})
 	if err != nil {
 		return nil, err
 	}
@@ -314,6 +343,9 @@
 // returnUnused gives results back to engines whose memory fills up.
 func (h *Host) returnUnused(q *queue, pool *table.Batching) {
 	for _, e := range q.engines {
+		if e.short(q, pool) {
+			e.useSpare()
+		}
 		if len(e.unused) == 0 || e.freeing || e.Gone() || float64(e.bytes) < freeFrom*float64(pool.Room) {
 			continue
 		}
@@ -339,6 +371,22 @@
 	}
 }
 
+// short reports whether a call would be smaller for want of memory.
+func (e *engine) short(q *queue, pool *table.Batching) bool {
+	wanted := int64(min(q.waiting.Pieces(), pool.Pieces)) * q.waiting.Bytes()
+	return int64(roomShare*float64(pool.Room))-e.bytes < wanted
+}
+
+// useSpare counts results that are probably not needed any more as unused.
+func (e *engine) useSpare() {
+	for _, reference := range e.spare {
+		if _, holds := e.held[reference]; holds && !slices.Contains(e.unused, reference) {
+			e.unused = append(e.unused, reference)
+		}
+	}
+	e.spare = nil
+}
+
 // freeTimeout bounds a call that gives results back; it does no work.
 const freeTimeout = 1500 * clock.Millis(1)
 
@@ -349,6 +397,6 @@
 	}
 	ctx, cancel := context.WithTimeout(h.base, freeTimeout.Duration())
 	defer cancel()
-	_, err = h.post(ctx, endpoint, h.spelling.UnusedPath, body)
+	_, err = h.post(ctx, endpoint, h.spelling.UnusedPath, body, reuseIdle)
 	return err
 }
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -34,7 +34,7 @@
 	// freeFrom is the part of an engine's memory from which results that nobody
 	// needs are given back by a call; below it they expire by themselves, which
 	// costs nothing.
-	freeFrom = 0.4
+	freeFrom = 0.2
 )
 
 // Outcome is what became of a job.
@@ -64,15 +64,20 @@
 	tries  []uint8
 	ended  bool
 	done   func(Outcome)
+	// unread is how many pieces have not read their inputs yet.
+	unread  int
+	fetched func()
 }
 
 // engine is what the owner knows of one stage engine.
 type engine struct {
 	*view.Endpoint
-	calls   int
-	held    map[string]result
-	bytes   int64 // of results held, and of those that calls under way will make
-	unused  []string
+	calls  int
+	held   map[string]result
+	bytes  int64 // of results held, and of those that calls under way will make
+	unused []string
+	// spare results are needed again only if a stage fails.
+	spare   []string
 	freeing bool
 	// slow is how many times longer than expected its calls take.
 	slow float64
@@ -99,6 +104,7 @@
 	viewNow  func() *view.Snapshot
 	connFunc func(*view.Endpoint) *conn.Group
 	retry    func(pool string) bool
+	earn     func(pool string)
 	meter    *Meter
 	base     context.Context
 
@@ -120,6 +126,9 @@
 	// Retry reports whether one more extra request to a pool is allowed, and
 	// spends it.
 	Retry func(pool string) bool
+	// Earn counts one ordinary request to a pool, which pays for a part of an
+	// extra one.
+	Earn  func(pool string)
 	Meter *Meter
 }
 
@@ -128,20 +137,22 @@
 	return &Host{
 		clock: settings.Clock, log: settings.Log, spelling: settings.Spelling,
 		tableNow: settings.Table, viewNow: settings.View, connFunc: settings.Conns,
-		retry: settings.Retry, meter: settings.Meter, base: ctx, queues: make(map[string]*queue),
+		retry: settings.Retry, earn: settings.Earn, meter: settings.Meter, base: ctx, queues: make(map[string]*queue),
 	}
 }
 
 // Submit takes a question for pieces. Done is called exactly once unless the
-// job is dropped first; it must not block and must not call the host.
-func (h *Host) Submit(ask *wire.Pieces, done func(Outcome)) *Job {
+// job is dropped first; fetched is called at most once before, when all pieces
+// have read their inputs. Neither may block or call the host.
+func (h *Host) Submit(ask *wire.Pieces, fetched func(), done func(Outcome)) *Job {
 	now := h.clock.Now()
 	job := &Job{
-		pool: ask.Pool, left: ask.Count, done: done, tries: make([]uint8, ask.Count),
+		pool: ask.Pool, left: ask.Count, done: done, unread: ask.Count, fetched: fetched, tries: make([]uint8, ask.Count),
 		result: Outcome{References: make([]string, ask.Count), Zones: make([]string, ask.Count)},
 		group: &batch.Group{
 			Request: ask.Request, Stage: ask.Stage, Key: ask.Key, Inputs: ask.Inputs, Count: ask.Count,
 			Rank: now + ask.Slack + ask.Penalty, Until: now + ask.TimeLeft, Bytes: ask.Bytes, Zone: ask.Zone,
+			HoldUntil: now + ask.Hold,
 		},
 	}
 	h.mu.Lock()
@@ -151,6 +162,7 @@
 		h.fail(job, fault.NoEndpoint)
 		return job
 	}
+	h.earn(q.name)
 	job.group.Owner = job
 	q.waiting.Add(job.group)
 	h.dispatch(q)
@@ -180,28 +192,44 @@
 }
 
 // Unused takes results back that nobody needs any more.
-func (h *Host) Unused(pool string, references []string) {
+func (h *Host) Unused(unused *wire.Unused) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	q := h.queues[pool]
+	q := h.queues[unused.Pool]
 	if q == nil {
 		return
 	}
-	for _, reference := range references {
+	for _, reference := range unused.References {
+		if unused.Spare {
+			q.spare(reference)
+			continue
+		}
 		h.giveBack(q, reference)
 	}
 	h.dispatch(q)
 }
 
-func (h *Host) giveBack(q *queue, reference string) {
+// holder returns the engine where a result lies, nil when it isn't known.
+func (q *queue) holder(reference string) *engine {
 	for _, e := range q.engines {
 		if _, holds := e.held[reference]; holds {
-			if !slices.Contains(e.unused, reference) {
-				e.unused = append(e.unused, reference)
-			}
-			return
+			return e
 		}
 	}
+	return nil
+}
+
+func (q *queue) spare(reference string) {
+	if e := q.holder(reference); e != nil {
+		e.spare = append(e.spare, reference)
+	}
+}
+
+func (h *Host) giveBack(q *queue, reference string) {
+	e := q.holder(reference)
+	if e != nil && !slices.Contains(e.unused, reference) {
+		e.unused = append(e.unused, reference)
+	}
 }
 
 // Loads returns the queues of all pools that have had work here.
--- a/internal/serve/mesh/ask.go
+++ b/internal/serve/mesh/ask.go
@@ -25,8 +25,9 @@
 func (e *LostError) Error() string { return fmt.Sprintf("session with %s was lost", e.Peer) }
 
 // Ask asks a peer for pieces and waits for its answer. When the context ends
-// first, the question is withdrawn.
-func (m *Mesh) Ask(ctx context.Context, to string, pieces *wire.Pieces) (*wire.Made, error) {
+// first, the question is withdrawn. Fetched is called, on the session's reader,
+// when all pieces have read their inputs.
+func (m *Mesh) Ask(ctx context.Context, to string, pieces *wire.Pieces, fetched func()) (*wire.Made, error) {
 	pieces.Ticket = m.next.Add(1)
 	answer := make(chan *wire.Made, 1)
 	m.mu.Lock()
@@ -35,7 +36,7 @@
 		m.mu.Unlock()
 		return nil, &LostError{Peer: to}
 	}
-	p.tickets[pieces.Ticket] = answer
+	p.tickets[pieces.Ticket] = &question{answer: answer, fetched: fetched}
 	m.mu.Unlock()
 	p.session.Busy(1)
 	defer p.session.Busy(-1)
@@ -104,10 +105,9 @@
 	from := s.Peer().Process
 	switch frame.Kind {
 	case wire.KindPieces:
-		m.piecesFunc(from, frame.Pieces, func(made *wire.Made) {
-			made.Ticket = frame.Pieces.Ticket
-			_ = s.Send(&wire.Frame{Kind: wire.KindMade, Made: made}) // the peer notices the lost session
-		})
+		m.piecesFunc(from, frame.Pieces, replyOn(s, frame.Pieces.Ticket))
+	case wire.KindFetched:
+		m.fetched(from, frame.Fetched.Ticket)
 	case wire.KindMade:
 		m.answered(from, frame.Made)
 	case wire.KindDropped:
@@ -123,6 +123,29 @@
 	}
 }
 
+// replyOn answers a question on its session. If that has ended, the peer knows.
+func replyOn(s *sess.Session, ticket uint64) Reply {
+	return Reply{
+		FetchedFunc: func() {
+			_ = s.Send(&wire.Frame{Kind: wire.KindFetched, Fetched: &wire.Fetched{Ticket: ticket}})
+		},
+		MadeFunc: func(made *wire.Made) {
+			made.Ticket = ticket
+			_ = s.Send(&wire.Frame{Kind: wire.KindMade, Made: made})
+		},
+	}
+}
+
+func (m *Mesh) fetched(from string, ticket uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[from]; p != nil {
+		if asked := p.tickets[ticket]; asked != nil {
+			asked.fetched()
+		}
+	}
+}
+
 func (m *Mesh) answered(from string, made *wire.Made) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -130,9 +153,9 @@
 	if p == nil {
 		return
 	}
-	if answer := p.tickets[made.Ticket]; answer != nil {
+	if asked := p.tickets[made.Ticket]; asked != nil {
 		delete(p.tickets, made.Ticket)
-		answer <- made
+		asked.answer <- made
 	}
 }
 
@@ -146,6 +169,9 @@
 }
 
 func (m *Mesh) heard(s *sess.Session, loads *wire.Loads) {
+	if len(loads.Prefixes) > 0 {
+		m.prefixFunc(loads.Prefixes)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if p := m.peers[s.Peer().Process]; p != nil && p.session == s {
@@ -158,7 +184,7 @@
 	quiet := false
 	for m.clock.Sleep(ctx, tellEvery) == nil {
 		loads := m.loadsFunc()
-		empty := len(loads.Endpoints) == 0 && len(loads.Pools) == 0
+		empty := len(loads.Endpoints) == 0 && len(loads.Pools) == 0 && len(loads.Prefixes) == 0
 		if !empty || !quiet {
 			m.broadcast(&wire.Frame{Kind: wire.KindLoads, Loads: loads})
 		}
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -44,12 +44,25 @@
 	Zone        string            `json:"availabilityZone"`
 }
 
+// Reply is how a question for pieces is answered: that inputs were read, and
+// what became of the pieces.
+type Reply struct {
+	FetchedFunc func()
+	MadeFunc    func(*wire.Made)
+}
+
+// question is a question for pieces that waits for its answer.
+type question struct {
+	answer  chan *wire.Made
+	fetched func()
+}
+
 // peer is one other process.
 type peer struct {
 	session *sess.Session
 	leaving bool
 	loads   *wire.Loads
-	tickets map[uint64]chan *wire.Made
+	tickets map[uint64]*question
 }
 
 // Mesh is this process's sessions with the others.
@@ -59,11 +72,12 @@
 	log     *log.Logger
 	session []sess.Option
 
-	piecesFunc  func(from string, pieces *wire.Pieces, answer func(*wire.Made))
+	piecesFunc  func(from string, pieces *wire.Pieces, reply Reply)
 	droppedFunc func(from string, ticket uint64)
 	unusedFunc  func(unused *wire.Unused)
 	loadsFunc   func() *wire.Loads
 	toldFunc    func(all []*wire.Loads)
+	prefixFunc  func([]wire.PrefixUse)
 	release     func() uint64
 	newerFunc   func()
 
@@ -95,7 +109,7 @@
 }
 
 // WithPieces sets who takes the questions of others, and their withdrawal.
-func WithPieces(pieces func(from string, pieces *wire.Pieces, answer func(*wire.Made)), dropped func(from string, ticket uint64)) Option {
+func WithPieces(pieces func(from string, pieces *wire.Pieces, reply Reply), dropped func(from string, ticket uint64)) Option {
 	return func(m *Mesh) { m.piecesFunc, m.droppedFunc = pieces, dropped }
 }
 
@@ -108,6 +122,11 @@
 	return func(m *Mesh) { m.loadsFunc, m.toldFunc = loads, told }
 }
 
+// WithPrefixes sets who hears which prompts peers have sent where.
+func WithPrefixes(take func([]wire.PrefixUse)) Option {
+	return func(m *Mesh) { m.prefixFunc = take }
+}
+
 // WithRelease sets the version of the routes in force here, which every frame
 // carries, and who is told that a peer has a newer one.
 func WithRelease(release func() uint64, newer func()) Option {
@@ -118,11 +137,12 @@
 func New(ctx context.Context, self Member, opts ...Option) *Mesh {
 	m := &Mesh{
 		self: self, clock: clock.New(), base: ctx,
-		piecesFunc:  func(string, *wire.Pieces, func(*wire.Made)) {},
+		piecesFunc:  func(string, *wire.Pieces, Reply) {},
 		droppedFunc: func(string, uint64) {},
 		unusedFunc:  func(*wire.Unused) {},
 		loadsFunc:   func() *wire.Loads { return &wire.Loads{} },
 		toldFunc:    func([]*wire.Loads) {},
+		prefixFunc:  func([]wire.PrefixUse) {},
 		release:     func() uint64 { return 0 },
 		newerFunc:   func() {},
 		peers:       make(map[string]*peer), dialing: make(map[string]context.CancelFunc), members: make(map[string]Member),
@@ -242,7 +262,7 @@
 	name := s.Peer().Process
 	m.mu.Lock()
 	before := m.peers[name]
-	m.peers[name] = &peer{session: s, leaving: s.Peer().Leaving, tickets: make(map[uint64]chan *wire.Made)}
+	m.peers[name] = &peer{session: s, leaving: s.Peer().Leaving, tickets: make(map[uint64]*question)}
 	m.publish()
 	if before != nil {
 		before.fail()
@@ -273,8 +293,8 @@
 // fail tells everyone who waits for the peer that no answer will come; the
 // caller holds the lock.
 func (p *peer) fail() {
-	for _, answer := range p.tickets {
-		close(answer)
+	for _, asked := range p.tickets {
+		close(asked.answer)
 	}
 	p.tickets = nil
 }
--- a/internal/serve/router/gateway.go
+++ b/internal/serve/router/gateway.go
@@ -18,7 +18,6 @@
 	"github.com/jujubescale/jujubescale/internal/base/token"
 	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
-	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/route/view"
@@ -65,10 +64,10 @@
 }
 
 const (
-	// endpointRest is the pause between two reads of the endpoints' changes:
-	// each endpoint writes once a second or so, and reading them one by one
-	// would be a call each. What leaves must be known within two seconds.
-	endpointRest = 350 * clock.Millis(1)
+	// endpointRest is the pause between two reads of the endpoints' changes, so
+	// that those of a zone that leaves or returns are read together. What leaves
+	// must be known within two seconds.
+	endpointRest = 120 * clock.Millis(1)
 	memberRest   = 250 * clock.Millis(1)
 	// patience is how long entries may be missing that lapsed while the store
 	// was away; endpoints that live write them again within two seconds.
@@ -108,12 +107,12 @@
 	g.SetBounds(settings.Bounds)
 	g.host = host.New(ctx, host.Settings{
 		Clock: g.Clock, Log: g.Log, Spelling: g.Dialect.Spelling, Table: g.table.Load, View: g.book.Now,
-		Conns: g.gate.Conns, Retry: g.gate.Extra, Meter: host.NewMeter(g.Registry),
+		Conns: g.gate.Conns, Retry: g.gate.Extra, Earn: g.gate.Earn, Meter: host.NewMeter(g.Registry),
 	})
 	g.mesh = mesh.New(ctx, mesh.Member{Name: g.Name, Address: g.Address, Incarnation: g.incarnation, Zone: g.Zone},
 		mesh.WithClock(g.Clock), mesh.WithLog(g.Log), mesh.WithPieces(g.takePieces, g.dropPieces),
-		mesh.WithUnused(func(unused *wire.Unused) { g.host.Unused(unused.Pool, unused.References) }),
-		mesh.WithLoads(g.loads, g.told), mesh.WithRelease(g.release, func() { g.feeds.config.Again() }))
+		mesh.WithUnused(g.host.Unused),
+		mesh.WithLoads(g.loads, g.told), mesh.WithPrefixes(g.gate.TakePrefixes), mesh.WithRelease(g.release, func() { g.feeds.config.Again() }))
 	g.gate.Join(g.mesh, g.host)
 	g.makeFeeds()
 	return g
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -21,12 +21,12 @@
 }
 
 // takePieces answers a peer that asks this process as the owner of a pool.
-func (g *Gateway) takePieces(from string, pieces *wire.Pieces, answer func(*wire.Made)) {
+func (g *Gateway) takePieces(from string, pieces *wire.Pieces, reply mesh.Reply) {
 	key := jobKey{from: from, ticket: pieces.Ticket}
 	g.jobs.Store(key, (*host.Job)(nil))
-	job := g.host.Submit(pieces, func(outcome host.Outcome) {
+	job := g.host.Submit(pieces, reply.FetchedFunc, func(outcome host.Outcome) {
 		g.jobs.Delete(key)
-		answer(outcome.Made())
+		reply.MadeFunc(outcome.Made())
 	})
 	g.jobs.CompareAndSwap(key, (*host.Job)(nil), job)
 }
@@ -40,7 +40,7 @@
 
 // loads is what this process tells its peers.
 func (g *Gateway) loads() *wire.Loads {
-	loads := &wire.Loads{Pools: g.host.Loads(g.mesh.Owns)}
+	loads := &wire.Loads{Pools: g.host.Loads(g.mesh.Owns), Prefixes: g.gate.Prefixes()}
 	g.gate.EachUsed(func(e *view.Endpoint) {
 		load := wire.EndpointLoad{
 			Endpoint: e.ID, Running: e.Load.Running.Load(), Prefill: e.Load.Prefill.Load(), Memory: e.Load.Memory.Load(),
