perf(reach): refuse what can't meet its objective before its first stage; fix(feed): silent watches

Ruled out: an old version from a peer (all three processes were behind). Change: a watch waits a second in a small fleet, longer in a large one, and processes tell each other which changes they noticed; package reach estimates the way through all queues and refuses at once.

--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -139,15 +139,19 @@
 func (r *gatewayRun) readCertificates(ctx context.Context) error { return r.ReadCertificates(ctx) }
 
 // storeTimeout bounds one call to the platform's store, which takes
-// milliseconds; a slow one takes fifty times as long.
-const storeTimeout = 1500 * clock.Millis(1)
+// milliseconds; a slow one takes sixty times as long. watchMargin is what a call
+// that waits for changes may take beyond its wait.
+const (
+	storeTimeout = 1500 * clock.Millis(1)
+	watchMargin  = 450 * clock.Millis(1)
+)
 
 func (r *gatewayRun) startGateway(ctx context.Context) error {
 	transport := &http.Transport{DialContext: conn.Dial, MaxIdleConnsPerHost: 4, DisableCompression: true}
 	r.gateway = router.New(ctx, router.Settings{
 		Name: r.settings.Process.Process, Zone: r.settings.AvailabilityZone, Address: r.settings.Sessions,
 		Clock: r.Clock, Log: r.Log, Registry: r.Registry,
-		Store:   platform.NewStore(r.settings.PlatformURL, &http.Client{Transport: transport}, storeTimeout),
+		Store:   platform.NewStore(r.settings.PlatformURL, &http.Client{Transport: transport}, storeTimeout, watchMargin),
 		Dialect: platform.Dialect(), Bounds: bounds(r.settings),
 	})
 	r.gateway.Start(ctx)
--- a/internal/flow/batch/batch.go
+++ b/internal/flow/batch/batch.go
@@ -137,16 +137,11 @@
 	q.pieces++
 }
 
-// Ahead returns how many pieces wait that go before a rank.
-func (q *Queue) Ahead(rank clock.Millis) int {
-	ahead := 0
+// Each calls visit for each group that waits, in order.
+func (q *Queue) Each(visit func(*Group)) {
 	for _, g := range q.groups {
-		if g.Rank > rank {
-			break
-		}
-		ahead += g.Waiting()
+		visit(g)
 	}
-	return ahead
 }
 
 // Late takes out the groups that could not be finished in time even if a call
@@ -247,20 +242,3 @@
 	}
 	return taken
 }
-
-// Wait estimates how long a new piece waits for its call to begin, in
-// milliseconds, when ahead pieces go before it and the pool has so many
-// engines, of which free have no call.
-func Wait(bounds Bounds, ahead, engines, free int) float64 {
-	if engines == 0 {
-		return 0
-	}
-	if free > 0 && ahead < free {
-		return 0
-	}
-	full := bounds.Duration(bounds.Pieces)
-	// The next place becomes free after a part of a call; full batches ahead
-	// each take a whole one, spread over the engines.
-	next := full / float64(engines+1)
-	return next + full*float64(ahead/max(bounds.Pieces, 1))/float64(engines)
-}
--- a/internal/flow/batch/batch_test.go
+++ b/internal/flow/batch/batch_test.go
@@ -105,19 +105,14 @@
 	assert.Equal(t, q.Pieces(), 1)
 }
 
-func TestAheadCountsWhatGoesBefore(t *testing.T) {
+func TestEachGoesInTheOrderOfRank(t *testing.T) {
 	var q batch.Queue
-	q.Add(group(10, 3))
 	q.Add(group(20, 4))
-	assert.Equal(t, q.Ahead(15), 3)
-	assert.Equal(t, q.Ahead(20), 7)
-}
-
-func TestWaitGrowsWithWhatIsAhead(t *testing.T) {
-	assert.Equal(t, batch.Wait(bounds, 0, 5, 1), 0.0)
-	assert.Equal(t, batch.Wait(bounds, 3, 0, 0), 0.0)
-	short, long := batch.Wait(bounds, 5, 5, 0), batch.Wait(bounds, 100, 5, 0)
-	assert.Assert(t, short < 100 && long > 700, "%v %v", short, long)
+	q.Add(group(10, 3))
+	var waiting []int
+	q.Each(func(g *batch.Group) { waiting = append(waiting, g.Waiting()) })
+	assert.DeepEqual(t, waiting, []int{3, 4})
+	assert.Equal(t, q.Bytes(), int64(1000))
 }
 
 // Whatever is added, taken, given back and dropped: no piece is handed out
--- a/internal/flow/graph/graph.go
+++ b/internal/flow/graph/graph.go
@@ -73,9 +73,32 @@
 			r.read[before] = true
 		}
 	}
+	for i := range stages {
+		if r.leadsTo(i, i, len(stages)) {
+			return nil, &ShapeError{Stages: len(stages), Pieces: pieces}
+		}
+	}
 	return r, nil
 }
 
+// leadsTo reports whether a stage reads another one's results, directly or by
+// others, within so many steps.
+func (r *Run) leadsTo(stage, other, steps int) bool {
+	if steps == 0 {
+		return false
+	}
+	for _, before := range r.stages[stage].After {
+		if before == other || r.leadsTo(before, other, steps-1) {
+			return true
+		}
+	}
+	return false
+}
+
+// Follows reports whether a stage reads another one's results, directly or by
+// others.
+func (r *Run) Follows(stage, other int) bool { return r.leadsTo(stage, other, len(r.stages)) }
+
 // Start returns the stages that can run now, and marks them as running.
 func (r *Run) Start() []int {
 	var ready []int
@@ -97,6 +120,9 @@
 	return true
 }
 
+// Waiting reports whether a stage has not been started.
+func (r *Run) Waiting(stage int) bool { return r.states[stage] == waiting }
+
 // Pieces returns the number of pieces of a stage.
 func (r *Run) Pieces(stage int) int { return r.pieces[stage] }
 
--- a/internal/flow/graph/graph_test.go
+++ b/internal/flow/graph/graph_test.go
@@ -100,6 +100,7 @@
 		{chain, []int{1, 1, 1, 1 << 20}},
 		{[]table.Stage{{After: []int{4}}}, []int{1}},
 		{[]table.Stage{{After: []int{0}}}, []int{1}},
+		{[]table.Stage{{After: []int{1}}, {After: []int{0}}}, []int{1, 1}},
 	} {
 		_, err := graph.New(tt.stages, tt.pieces)
 		var shape *graph.ShapeError
--- /dev/null
+++ b/internal/flow/reach/reach.go
@@ -0,0 +1,149 @@
+// Package reach estimates when a request would have its answer, from the queues
+// of the stages that it still has to pass, and decides whether to begin or to
+// go on with it.
+//
+// It answers loads above what the stage engines bear. Without it every request
+// waits in some queue until its deadline, engines work for requests that then
+// miss it in the next stage, and callers hear of that as late as possible.
+package reach
+
+import (
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
+	"github.com/jujubescale/jujubescale/internal/flow/batch"
+)
+
+// Queue is what is known of the queue of one pool.
+type Queue struct {
+	Bounds batch.Bounds
+	// Engines that take calls, and those of them that are free.
+	Engines int
+	Free    int
+	// Fill is how many pieces a call holds when more wait than fit; memory for
+	// results may keep it below what the engine takes. 0 when it isn't known.
+	Fill float64
+	// Waiting is the pieces that wait, by rank: see Edges.
+	Waiting []int
+}
+
+// Edges are the upper ends of the classes of rank by which waiting pieces are
+// counted, in milliseconds from now; the last class has none.
+var Edges = []clock.Millis{0, 300, 600, 1000, 1500, 2200, 3000}
+
+// Class returns the class of a rank that lies so far from now.
+func Class(ahead clock.Millis) int {
+	for i, edge := range Edges {
+		if ahead < edge {
+			return i
+		}
+	}
+	return len(Edges)
+}
+
+// Wait estimates how long a piece of a rank waits for its call, in milliseconds.
+func (q *Queue) Wait(rank clock.Millis) float64 {
+	ahead := 0
+	for class, pieces := range q.Waiting {
+		if class <= Class(rank) {
+			ahead += pieces
+		}
+	}
+	if q.Engines == 0 {
+		return noEngines
+	}
+	if ahead < q.Free*q.Bounds.Pieces {
+		return 0
+	}
+	fill := q.Fill
+	if fill < 1 {
+		fill = float64(q.Bounds.Pieces)
+	}
+	span := q.Bounds.Duration(int(fill))
+	// A place becomes free after a part of a call, and calls ahead each take a
+	// whole one.
+	return span/float64(q.Engines+1) + span*float64(ahead)/(fill*float64(q.Engines))
+}
+
+// noEngines is the wait of a pool that has no engine just now, in milliseconds:
+// engines that restart are back within a few seconds.
+const noEngines = 2500
+
+// Request is a request on its way through its stages.
+type Request struct {
+	Stages []table.Stage
+	Pieces []int
+	// Done tells which stages have their results or are with an engine.
+	Done []bool
+	// Slack is the time until the objective, Left that until the deadline.
+	Slack clock.Millis
+	Left  clock.Millis
+	// Penalty puts the request behind others.
+	Penalty clock.Millis
+	// Last is how long the request itself takes after its stages, in milliseconds.
+	Last float64
+}
+
+// Remaining estimates the time to the first byte of the answer, in
+// milliseconds: the longest way through the stages that are not done. Queues
+// returns what is known of a pool, nil when nothing is.
+func (r *Request) Remaining(queues func(pool string) *Queue) float64 {
+	longest := 0.0
+	ends := make([]float64, len(r.Stages))
+	for i := range ends {
+		ends[i] = unknown
+	}
+	for i := range r.Stages {
+		longest = max(longest, r.end(i, ends, queues))
+	}
+	return longest + r.Last
+}
+
+// unknown is the end of a stage that was not looked at yet.
+const unknown = -1
+
+// end returns when a stage ends.
+func (r *Request) end(stage int, ends []float64, queues func(string) *Queue) float64 {
+	if ends[stage] != unknown {
+		return ends[stage]
+	}
+	ends[stage] = 0
+	if r.Pieces[stage] == 0 || r.Done[stage] {
+		return 0
+	}
+	start := 0.0
+	for _, before := range r.Stages[stage].After {
+		start = max(start, r.end(before, ends, queues))
+	}
+	ends[stage] = start
+	if q := queues(r.Stages[stage].Pool); q != nil {
+		pieces := min(r.Pieces[stage], max(q.Bounds.Pieces, 1))
+		ends[stage] += q.Wait(r.Slack+r.Penalty) + q.Bounds.Duration(pieces)
+	}
+	return ends[stage]
+}
+
+// Shares of objective and deadline up to which requests begin and go on.
+const (
+	// beginShare: a request begins if it probably meets its objective. Estimates
+	// are off by a tenth or two, and refusing one that would have met it costs
+	// more than a late answer.
+	beginShare = 1.25
+	// goOnShare: a request that has begun goes on as long as it probably has its
+	// answer within its deadline; what was spent on it would be lost otherwise.
+	goOnShare = 0.9
+)
+
+// Begins reports whether a request that would take so many milliseconds is
+// begun.
+func (r *Request) Begins(remaining float64) bool {
+	return remaining <= beginShare*float64(r.Slack) && remaining <= goOnShare*float64(r.Left)
+}
+
+// GoesOn reports whether a request that has begun goes on.
+func (r *Request) GoesOn(remaining float64) bool { return remaining <= goOnShare*float64(r.Left) }
+
+// Excess returns by how many milliseconds a request misses what it needs to
+// begin: when the queues have become so much shorter it may come back.
+func (r *Request) Excess(remaining float64) clock.Millis {
+	return clock.Millis(max(remaining-beginShare*float64(r.Slack), 0))
+}
--- /dev/null
+++ b/internal/flow/reach/reach_test.go
@@ -0,0 +1,86 @@
+package reach_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
+	"github.com/jujubescale/jujubescale/internal/flow/batch"
+	"github.com/jujubescale/jujubescale/internal/flow/reach"
+)
+
+var bounds = batch.Bounds{Pieces: 10, CallTime: 200, PieceTime: 17}
+
+// queue returns a pool of five engines with so many pieces in the lowest class.
+func queue(waiting int) *reach.Queue {
+	return &reach.Queue{Bounds: bounds, Engines: 5, Waiting: []int{waiting}}
+}
+
+func chain() *reach.Request {
+	return &reach.Request{
+		Stages: []table.Stage{{Pool: "a"}, {Pool: "b", After: []int{0}}, {Pool: "b"}},
+		Pieces: []int{2, 2, 1}, Done: make([]bool, 3), Slack: 1100, Left: 6000, Last: 100,
+	}
+}
+
+func TestRemainingIsTheLongestWay(t *testing.T) {
+	queues := func(string) *reach.Queue { return &reach.Queue{Bounds: bounds, Engines: 5, Free: 5} }
+	r := chain()
+	assert.Equal(t, r.Remaining(queues), 100.0+2*234)
+	r.Done[0] = true
+	assert.Equal(t, r.Remaining(queues), 100.0+234)
+	r.Pieces = []int{0, 0, 0}
+	assert.Equal(t, r.Remaining(queues), 100.0)
+	assert.Equal(t, chain().Remaining(func(string) *reach.Queue { return nil }), 100.0)
+}
+
+// More pieces arrive than the engines make. Whoever would miss its objective is
+// told so before any engine has worked for it.
+func TestOverloadIsRefusedBeforeTheFirstStage(t *testing.T) {
+	r := chain()
+	short := func(string) *reach.Queue { return queue(10) }
+	long := func(string) *reach.Queue { return queue(300) }
+	assert.Assert(t, r.Begins(r.Remaining(short)))
+	assert.Assert(t, !r.Begins(r.Remaining(long)))
+	assert.Assert(t, r.Excess(r.Remaining(long)) > 1000)
+	// What has begun goes on while its deadline can be met.
+	assert.Assert(t, r.GoesOn(r.Remaining(long)))
+	r.Left = 2000
+	assert.Assert(t, !r.GoesOn(r.Remaining(long)))
+}
+
+func TestOnlyWhatGoesBeforeCounts(t *testing.T) {
+	waiting := make([]int, len(reach.Edges)+1)
+	waiting[reach.Class(2500)] = 500
+	q := &reach.Queue{Bounds: bounds, Engines: 5, Waiting: waiting}
+	assert.Assert(t, q.Wait(800) < 100, q.Wait(800))
+	assert.Assert(t, q.Wait(2600) > 3000, q.Wait(2600))
+}
+
+// Results fill the engines' memory, so that calls hold fewer pieces than they
+// could. The queue is then slower than its bounds say.
+func TestSmallCallsMakeALongWait(t *testing.T) {
+	full, small := queue(100), queue(100)
+	small.Fill = 3
+	assert.Assert(t, small.Wait(0) > 2*full.Wait(0))
+	assert.Assert(t, (&reach.Queue{Bounds: bounds}).Wait(0) > 1000)
+}
+
+func TestClassesOfRank(t *testing.T) {
+	for _, tt := range []struct {
+		ahead clock.Millis
+		want  int
+	}{{-1, 0}, {0, 1}, {299, 1}, {300, 2}, {5000, len(reach.Edges)}} {
+		assert.Equal(t, reach.Class(tt.ahead), tt.want, tt.ahead)
+	}
+}
+
+func BenchmarkRemaining(b *testing.B) {
+	r, q := chain(), queue(100)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Remaining(func(string) *reach.Queue { return q })
+	}
+}
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -284,10 +284,19 @@
 type Loads struct {
 	Endpoints []EndpointLoad `cbor:"endpoints,omitempty"`
 	Pools     []PoolLoad     `cbor:"pools,omitempty"`
+	// Seen are the revisions of the changes that the sender noticed last, by kind
+	// of object, so that one process that reads the store early tells all others.
+	Seen []Revision `cbor:"seen,omitempty"`
 	// Prefixes are those used since the message before.
 	Prefixes []PrefixUse `cbor:"prefixes,omitempty"`
 }
 
+// Revision is how far changes of one kind of object were noticed.
+type Revision struct {
+	Kind     string `cbor:"kind"`
+	Revision uint64 `cbor:"revision"`
+}
+
 // EndpointLoad is the sender's work at one endpoint.
 type EndpointLoad struct {
 	Endpoint string `cbor:"endpoint"`
@@ -306,8 +315,11 @@
 // PoolLoad is the queue of one pool at its owner.
 type PoolLoad struct {
 	Pool string `cbor:"pool"`
-	// Waiting pieces; Engines that take calls.
-	Waiting int `cbor:"waiting,omitempty"`
-	Engines int `cbor:"engines,omitempty"`
-	Free    int `cbor:"free,omitempty"`
+	// Waiting pieces by class of rank; Engines that take calls, and those that
+	// have none.
+	Waiting []int `cbor:"waiting,omitempty"`
+	Engines int   `cbor:"engines,omitempty"`
+	Free    int   `cbor:"free,omitempty"`
+	// Fill is how many pieces a call holds when more wait.
+	Fill float64 `cbor:"fill,omitempty"`
 }
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 
@@ -16,10 +17,10 @@
 )
 
 const (
-	// defaultWait is how long one call waits for changes. A connection that
-	// went silent is noticed by the kernel's probes, so the wait may be long;
-	// each call that returns is paid for.
-	defaultWait = 10 * clock.Second
+	// defaultWait is how long one call waits for changes. A store that hears
+	// nothing of changes any more, or a connection that went silent, shows only
+	// when the wait is over.
+	defaultWait = clock.Second
 	// firstBackoff and maxBackoff bound the pause after a failed call; a store
 	// that came back is found again within the largest.
 	firstBackoff = 100 * clock.Millis(1)
@@ -32,8 +33,12 @@
 	store *store.Store
 	clock *clock.Clock
 	log   *log.Logger
-	wait  clock.Millis
+	wait  func() clock.Millis
 	rest  clock.Millis
+	// known is the revision up to which everything was read, changed that of the
+	// last change that was noticed.
+	known   atomic.Uint64
+	changed atomic.Uint64
 
 	// listFunc takes the whole list, and whether the store had been lost;
 	// changeFunc takes changes in order.
@@ -56,6 +61,9 @@
 // WithLog sets the logger.
 func WithLog(l *log.Logger) Option { return func(f *Feed) { f.log = l } }
 
+// WithWait sets how long one call waits for changes.
+func WithWait(wait func() clock.Millis) Option { return func(f *Feed) { f.wait = wait } }
+
 // WithRest sets a pause between two calls, so that changes which come many
 // times a second are read several at a time.
 func WithRest(rest clock.Millis) Option { return func(f *Feed) { f.rest = rest } }
@@ -72,7 +80,8 @@
 // New returns a feed of one kind; Run follows it.
 func New(kind string, from *store.Store, opts ...Option) *Feed {
 	f := &Feed{
-		kind: kind, store: from, clock: clock.New(), wait: defaultWait, wakeUp: make(chan struct{}, 1),
+		kind: kind, store: from, clock: clock.New(), wakeUp: make(chan struct{}, 1),
+		wait:     func() clock.Millis { return defaultWait },
 		listFunc: func([]store.Object, clock.Millis) {}, changeFunc: func([]store.Change) {},
 	}
 	for _, opt := range opts {
@@ -90,6 +99,26 @@
 	}
 }
 
+// Kind returns the kind that is followed.
+func (f *Feed) Kind() string { return f.kind }
+
+// Changed returns the revision of the last change that was noticed.
+func (f *Feed) Changed() uint64 { return f.changed.Load() }
+
+// Hint tells that somebody else has noticed a change at a revision. If this
+// process has not read that far, it reads the list again.
+func (f *Feed) Hint(revision uint64) {
+	if revision > f.known.Load() {
+		f.Again()
+	}
+}
+
+// read notes how far everything was read.
+func (f *Feed) read(revision uint64) { f.known.Store(max(f.known.Load(), revision)) }
+
+// noticed notes a change.
+func (f *Feed) noticed(revision uint64) { f.changed.Store(max(f.changed.Load(), revision)) }
+
 // Run follows the kind until the context ends.
 func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -99,6 +128,10 @@
 			continue
 		}
 		f.found()
+		f.read(listing.Revision)
+		for _, object := range listing.Objects {
+			f.noticed(object.Version)
+		}
 		f.listFunc(listing.Objects, f.away)
 		f.away = 0
 		f.follow(ctx, listing.Revision)
@@ -116,20 +149,24 @@
 		case errors.As(err, &gone):
 			f.logInfo("history dropped, reading the list again", "kind", f.kind, "since", since)
 			return
+		case errors.Is(err, context.DeadlineExceeded):
+			// Nothing came within the wait, not even that there is nothing: the
+			// list tells whether the store is there and what was missed.
+			f.logInfo("watch went silent, reading the list again", "kind", f.kind, "since", since)
+			return
 		case err != nil:
 			f.failed(ctx, err)
-			if f.lost != 0 && f.clock.Since(f.lost) > f.rest {
-				return
-			}
-			continue
+			return
 		}
 		since = max(since, changes.Revision)
+		f.read(since)
 		if f.found(); f.away > 0 {
 			// While the store was away entries may have lapsed. The list tells
 			// which are there, and the reader learns how long it was blind.
 			return
 		}
 		if len(changes.Changes) > 0 {
+			f.noticed(since)
 			f.changeFunc(changes.Changes)
 		}
 		if f.rest > 0 {
@@ -155,7 +192,7 @@
 			again <- false
 		}
 	}()
-	changes, err := f.store.Follow(call, f.kind, since, f.wait)
+	changes, err := f.store.Follow(call, f.kind, since, f.wait())
 	close(done)
 	if <-again {
 		return store.Changes{}, errAgain
--- /dev/null
+++ b/internal/serve/gate/reach.go
@@ -0,0 +1,105 @@
+package gate
+
+import (
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/flow/batch"
+	"github.com/jujubescale/jujubescale/internal/flow/reach"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+)
+
+// generationTime is what a generation takes from its stages' end to its first
+// event when nothing waits: reading a few thousand tokens (about 100 ms at 40
+// tokens a millisecond) and some steps.
+const generationTime = 150 * clock.Millis(1)
+
+// begins refuses a request that would probably miss its objective, before any
+// engine has worked for it.
+func (g *Gate) begins(req *request) error {
+	r := g.reachOf(req)
+	remaining := r.Remaining(g.queue)
+	if r.Begins(remaining) {
+		return nil
+	}
+	g.Log.Info("request not begun", "request", req.Request, "route", req.route.Name, "estimateMs", int64(remaining),
+		"slackMs", int64(r.Slack), "leftMs", int64(r.Left))
+	return &fault.RefusalError{
+		Reason: fault.Overloaded, Ran: fault.NotRun, RetryAfter: spread(max(r.Excess(remaining), comeBackFull)),
+		Detail: "the stages' queues are too long",
+	}
+}
+
+// goesOn gives up a request that will not have its answer within its deadline.
+func (g *Gate) goesOn(req *request) error {
+	r := g.reachOf(req)
+	remaining := r.Remaining(g.queue)
+	if r.GoesOn(remaining) {
+		return nil
+	}
+	g.Log.Info("request given up", "request", req.Request, "route", req.route.Name, "estimateMs", int64(remaining),
+		"leftMs", int64(r.Left))
+	return &fault.RefusalError{
+		Reason: fault.WontMakeIt, Ran: fault.NotRun, RetryAfter: spread(comeBackFull), Detail: "no time left for the stages",
+	}
+}
+
+func (g *Gate) reachOf(req *request) *reach.Request {
+	now := g.Clock.Now()
+	r := &reach.Request{
+		Stages: req.route.Stages, Pieces: req.Pieces, Done: make([]bool, len(req.route.Stages)),
+		Slack: req.objective - now, Left: req.deadline - now, Penalty: penalty(req), Last: float64(generationTime),
+	}
+	for i := range r.Done {
+		r.Done[i] = !req.run.Waiting(i)
+	}
+	return r
+}
+
+// penalty puts a request behind others.
+func penalty(req *request) clock.Millis { return clock.Millis(req.priority) * priorityPenalty }
+
+// queue returns what is known of the queue of a pool: from this process if it
+// owns the pool, else from what the owner told last.
+func (g *Gate) queue(name string) *reach.Queue {
+	routes := g.Table()
+	if routes == nil {
+		return nil
+	}
+	pool := routes.Pool(name)
+	if pool == nil || pool.Batching == nil {
+		return nil
+	}
+	load, known := wire.PoolLoad{}, false
+	if g.mesh.Owns(name) {
+		load, known = g.host.Load(name)
+	} else {
+		load, known = g.mesh.Pool(name)
+	}
+	q := &reach.Queue{Bounds: batch.Bounds{
+		Pieces: pool.Batching.Pieces, CallTime: float64(pool.Batching.CallTime), PieceTime: pool.Batching.PieceTime,
+	}}
+	if known {
+		q.Engines, q.Free, q.Fill, q.Waiting = load.Engines, load.Free, load.Fill, load.Waiting
+		return q
+	}
+	// Nobody has told of the pool yet: as far as is known, nothing waits.
+	q.Engines = max(len(g.View().Pool(name)), 1)
+	q.Free = q.Engines
+	return q
+}
+
+// after is what the stages behind one, and the request itself, take at least
+// when nothing waits.
+func (g *Gate) after(req *request, stage int) clock.Millis {
+	r := g.reachOf(req)
+	for i := range r.Done {
+		r.Done[i] = !req.run.Follows(i, stage)
+	}
+	return clock.Millis(r.Remaining(func(name string) *reach.Queue {
+		q := g.queue(name)
+		if q != nil {
+			q.Waiting, q.Free, q.Engines = nil, 1, 1
+		}
+		return q
+	}))
+}
--- a/internal/serve/gate/stages.go
+++ b/internal/serve/gate/stages.go
@@ -6,17 +6,12 @@
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/fault"
-	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/serve/host"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
 )
 
 const (
-	// generationTime is what a generation takes from its stages' end to its
-	// first event when nothing waits: reading a few thousand tokens (about
-	// 100 ms at 40 tokens a millisecond) and some steps.
-	generationTime = 150 * clock.Millis(1)
 	// priorityPenalty puts work behind that of the next higher priority whose
 	// objective ends so much later.
 	priorityPenalty = 300 * clock.Millis(1)
@@ -36,6 +31,9 @@
 	}
 	began := g.Clock.Now()
 	req.wish = g.wish(req)
+	if err := g.begins(req); err != nil {
+		return err
+	}
 	err := g.finishStages(ctx, req)
 	g.meter.stages.WithLabelValues(req.route.Name).Observe(seconds(g.Clock.Since(began)))
 	return err
@@ -55,6 +53,9 @@
 	running, restarts := 0, 0
 	var failed error
 	for {
+		if failed == nil {
+			failed = g.goesOn(req)
+		}
 		if failed == nil {
 			for _, stage := range req.run.Start() {
 				running++
@@ -109,11 +110,12 @@
 func (g *Gate) ask(req *request, stage int) *wire.Pieces {
 	now := g.Clock.Now()
 	inputs := req.run.Inputs(stage)
+	after := g.after(req, stage)
 	ask := &wire.Pieces{
 		Pool: req.route.Stages[stage].Pool, Request: req.Request, Stage: stage, Count: req.run.Pieces(stage),
-		Inputs: inputs, TimeLeft: req.deadline - now,
-		Slack: req.objective - now - g.downstream(req, stage), Bytes: req.route.Stages[stage].ResultBytes,
-		Penalty: clock.Millis(req.priority) * priorityPenalty,
+		Inputs: inputs, TimeLeft: req.deadline - now - after,
+		Slack: req.objective - now - after, Bytes: req.route.Stages[stage].ResultBytes,
+		Penalty: penalty(req),
 	}
 	g.near(req, ask)
 	if len(req.route.Stages[stage].After) == 0 {
@@ -158,32 +160,6 @@
 	ask.Hold = max(min(hold, maxHold, clock.Millis(holdShare*float64(ask.Slack))), 0)
 }
 
-// downstream is what the stages that follow one, and the request itself, take
-// at least: the longest way from it to the end.
-func (g *Gate) downstream(req *request, stage int) clock.Millis {
-	var longest clock.Millis
-	for next := range req.route.Stages {
-		for _, before := range req.route.Stages[next].After {
-			if before == stage && req.run.Pieces(next) > 0 {
-				longest = max(longest, callTime(req.routes, req.route.Stages[next].Pool, req.run.Pieces(next))+g.downstream(req, next))
-			}
-		}
-	}
-	if longest > 0 {
-		return longest
-	}
-	return generationTime
-}
-
-// callTime is the duration of a call with the pieces of one request.
-func callTime(routes *table.Table, name string, pieces int) clock.Millis {
-	pool := routes.Pool(name)
-	if pool == nil || pool.Batching == nil {
-		return 0
-	}
-	return pool.Batching.CallTime + clock.Millis(float64(pieces)*pool.Batching.PieceTime)
-}
-
 // zoneOf returns the availability zone where most of some references lie.
 func (r *request) zoneOf(references []string) string {
 	counts := make(map[string]int, 4)
@@ -207,7 +183,7 @@
 		switch {
 		case errors.As(err, &lost):
 			g.Log.Info("owner lost", "request", req.Request, "pool", ask.Pool, "peer", lost.Peer)
-			ask.TimeLeft = req.deadline - g.Clock.Now()
+			ask.TimeLeft = req.deadline - g.Clock.Now() - g.after(req, ask.Stage)
 			continue
 		case err != nil:
 			return nil, err
--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -98,10 +98,25 @@
 	for i, e := range free {
 		slot := batch.Slot{Zone: e.Zone, Room: int64(roomShare*float64(pool.Room)) - e.bytes, Free: len(free) - i}
 		items := q.waiting.Take(bounds, slot, now)
-		if len(items) > 0 {
-			h.start(q, e, pool, items)
+		if len(items) == 0 {
+			continue
+		}
+		if q.waiting.Pieces() > 0 {
+			q.fill = mix(q.fill, float64(len(items)))
 		}
+		h.start(q, e, pool, items)
+	}
+}
+
+// fillWeight is the part of the newest call in the usual fill of calls.
+const fillWeight = 0.15
+
+// mix moves a usual value by one that was seen.
+func mix(usual, seen float64) float64 {
+	if usual == 0 {
+		return seen
 	}
+	return usual + fillWeight*(seen-usual)
 }
 
 // clearing reports whether an engine that is fuller than half is just given
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -20,6 +20,7 @@
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
 	"github.com/jujubescale/jujubescale/internal/flow/batch"
+	"github.com/jujubescale/jujubescale/internal/flow/reach"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 )
@@ -93,6 +94,8 @@
 	name    string
 	waiting batch.Queue
 	engines map[*view.Endpoint]*engine
+	// fill is how many pieces calls hold lately when more wait than fit.
+	fill float64
 }
 
 // Host owns pools.
@@ -258,7 +261,14 @@
 
 func (h *Host) load(q *queue) wire.PoolLoad {
 	all, free := h.usable(q, h.pool(q.name))
-	return wire.PoolLoad{Pool: q.name, Waiting: q.waiting.Pieces(), Engines: all, Free: len(free)}
+	load := wire.PoolLoad{Pool: q.name, Engines: all, Free: len(free), Fill: q.fill}
+	if q.waiting.Pieces() == 0 {
+		return load
+	}
+	now := h.clock.Now()
+	load.Waiting = make([]int, len(reach.Edges)+1)
+	q.waiting.Each(func(g *batch.Group) { load.Waiting[reach.Class(g.Rank-now)] += g.Waiting() })
+	return load
 }
 
 func (h *Host) queue(name string) *queue {
--- a/internal/serve/router/gateway.go
+++ b/internal/serve/router/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -69,6 +70,9 @@
 	// must be known within two seconds.
 	endpointRest = 120 * clock.Millis(1)
 	memberRest   = 250 * clock.Millis(1)
+	// memberWait may be long: a new process is reached by those that know it,
+	// and whoever is gone is noticed by its session.
+	memberWait = 10 * clock.Second
 	// patience is how long entries may be missing that lapsed while the store
 	// was away; endpoints that live write them again within two seconds.
 	patience = 1800 * clock.Millis(1)
@@ -144,7 +148,7 @@
 }
 
 func (g *Gateway) makeFeeds() {
-	common := []feed.Option{feed.WithClock(g.Clock), feed.WithLog(g.Log)}
+	common := []feed.Option{feed.WithClock(g.Clock), feed.WithLog(g.Log), feed.WithWait(g.watchWait)}
 	with := func(kind string, more ...feed.Option) *feed.Feed {
 		return feed.New(kind, g.Store, append(append([]feed.Option{}, common...), more...)...)
 	}
@@ -154,7 +158,27 @@
 	zones := newNames(func(names []string) { g.setEmptied(names) })
 	g.feeds.emptied = with(g.Dialect.EmptiedKind, feed.WithList(zones.list), feed.WithChanges(zones.change))
 	members := newMembers(g.setMembers)
-	g.feeds.members = with(g.Dialect.MemberKind, feed.WithRest(memberRest), feed.WithList(members.list), feed.WithChanges(members.change))
+	g.feeds.members = with(g.Dialect.MemberKind, feed.WithRest(memberRest),
+		feed.WithWait(func() clock.Millis { return memberWait }), feed.WithList(members.list), feed.WithChanges(members.change))
+}
+
+const (
+	// leastWait is how long a watch waits in a small fleet. A change must be in
+	// force within two seconds, also if the store has forgotten the watch.
+	leastWait = 900 * clock.Millis(1)
+	// mostWait bounds the wait in a large one.
+	mostWait = 20 * clock.Second
+	// watchers is how many processes' watches together end in leastWait; all
+	// others hear from them. It keeps the calls to the store the same however
+	// large the fleet is.
+	watchers = 4
+)
+
+// watchWait spreads the watches of all processes evenly over time: each call
+// that returns is paid for, and whoever notices a change tells all others.
+func (g *Gateway) watchWait() clock.Millis {
+	wait := leastWait * clock.Millis(max(len(g.mesh.Alive()), watchers)) / watchers
+	return min(wait*3/4+rand.N(wait/2), mostWait)
 }
 
 // Start begins to follow the store and to work. Stop ends it.
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -10,6 +10,7 @@
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/route/view"
+	"github.com/jujubescale/jujubescale/internal/serve/feed"
 	"github.com/jujubescale/jujubescale/internal/serve/host"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
 )
@@ -41,6 +42,9 @@
 // loads is what this process tells its peers.
 func (g *Gateway) loads() *wire.Loads {
 	loads := &wire.Loads{Pools: g.host.Loads(g.mesh.Owns), Prefixes: g.gate.Prefixes()}
+	for _, f := range g.followed() {
+		loads.Seen = append(loads.Seen, wire.Revision{Kind: f.Kind(), Revision: f.Changed()})
+	}
 	g.gate.EachUsed(func(e *view.Endpoint) {
 		load := wire.EndpointLoad{
 			Endpoint: e.ID, Running: e.Load.Running.Load(), Prefill: e.Load.Prefill.Load(), Memory: e.Load.Memory.Load(),
@@ -52,8 +56,27 @@
 	return loads
 }
 
+// followed are the feeds of which processes tell each other.
+func (g *Gateway) followed() []*feed.Feed {
+	return []*feed.Feed{g.feeds.config, g.feeds.endpoints, g.feeds.emptied}
+}
+
+// hint passes on which changes peers have noticed.
+func (g *Gateway) hint(all []*wire.Loads) {
+	for _, loads := range all {
+		for _, seen := range loads.Seen {
+			for _, f := range g.followed() {
+				if f.Kind() == seen.Kind {
+					f.Hint(seen.Revision)
+				}
+			}
+		}
+	}
+}
+
 // told adds up what all peers have running.
 func (g *Gateway) told(all []*wire.Loads) {
+	g.hint(all)
 	sums := make(map[string]wire.EndpointLoad)
 	for _, loads := range all {
 		for _, load := range loads.Endpoints {
