--- a/internal/engine/conn/conn.go
+++ b/internal/engine/conn/conn.go
@@ -286,11 +286,16 @@
 	group   *Group
 	conn    *conn
 	stop    func() bool
-	written chan error
+	written chan writeEnd
 	eof     *endReader
 	keeps   bool
 }
 
+// writeEnd is how the writing of a request ended.
+type writeEnd struct {
+	err error
+}
+
 // Do sends a request once and returns the beginning of its answer. It fails
 // with a NotSentError or a SentError. The context bounds the whole exchange,
 // the body included: when it ends, so does the connection, and with it most
@@ -325,7 +330,7 @@
 		return err
 	}
 	for range maxStrays + 1 {
-		response, err := r.readHead(request.Method)
+		response, err := r.readHead(request.Method) //nolint:bodyclose // Finish closes the connection, or gives it back after the body
 		if err != nil {
 			return err
 		}
@@ -350,11 +355,11 @@
 		_, err := r.conn.Write(append(request.Head, request.Body...))
 		return err
 	}
-	r.written = make(chan error, 1)
+	r.written = make(chan writeEnd, 1)
 	go func() {
 		buffers := net.Buffers{request.Head, request.Body}
 		_, err := buffers.WriteTo(r.conn.Conn)
-		r.written <- err
+		r.written <- writeEnd{err: err}
 	}()
 	return nil
 }
@@ -411,8 +416,8 @@
 	sound := stopped && r.Whole() && r.keeps && r.conn.reader.Buffered() == 0
 	if sound && r.written != nil {
 		select {
-		case err := <-r.written:
-			sound = err == nil
+		case end := <-r.written:
+			sound = end.err == nil
 			r.written = nil
 		default:
 			sound = false
--- a/internal/link/wire/codec.go
+++ b/internal/link/wire/codec.go
@@ -114,6 +114,14 @@
 		return f.Fetch != nil
 	case KindSection:
 		return f.Section != nil
+	default:
+		return f.completeAmongGateways()
+	}
+}
+
+// completeAmongGateways is complete for the messages of gateways.
+func (f *Frame) completeAmongGateways() bool {
+	switch f.Kind {
 	case KindPieces:
 		return f.Pieces != nil
 	case KindMade:
--- a/internal/link/wire/wire_test.go
+++ b/internal/link/wire/wire_test.go
@@ -29,6 +29,15 @@
 		{Kind: wire.KindLeave, Leave: &wire.Leave{Reason: "leaving"}},
 		{Kind: wire.KindFetch, Fetch: &wire.Fetch{Name: "pools"}},
 		{Kind: wire.KindSection, Section: &wire.Section{Name: "pools", Found: true, Bytes: []byte("[]")}},
+		{Kind: wire.KindPieces, Pieces: &wire.Pieces{Ticket: 7, Pool: "rerank", Count: 3, Inputs: []string{"10.0.0.1:80/a"}, TimeLeft: 900}},
+		{Kind: wire.KindMade, Made: &wire.Made{Ticket: 7, References: []string{"10.0.0.1:80/b"}, Zones: []string{"a"}}},
+		{Kind: wire.KindDropped, Dropped: &wire.Dropped{Ticket: 7}},
+		{Kind: wire.KindFetched, Fetched: &wire.Fetched{Ticket: 7}},
+		{Kind: wire.KindUnused, Unused: &wire.Unused{Pool: "rerank", References: []string{"10.0.0.1:80/a"}, Spare: true}},
+		{Kind: wire.KindLoads, Loads: &wire.Loads{
+			Endpoints: []wire.EndpointLoad{{Endpoint: "e", Running: 2}}, Pools: []wire.PoolLoad{{Pool: "rerank", Waiting: []int{0, 4}}},
+			Seen: []wire.Revision{{Kind: "config", Revision: 9}}, Prefixes: []wire.PrefixUse{{Endpoint: "e", Parts: []string{"p"}}},
+		}},
 	}
 }
 
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -41,6 +41,10 @@
 	// sent counts the endpoints that the request was sent to, tried holds them.
 	sent  int
 	tried []*view.Endpoint
+	// missed counts endpoints that could not be reached, restarts how often the
+	// stages were run again because a result was lost.
+	missed   int
+	restarts int
 	// mayHaveRun says that some endpoint may have run the request.
 	mayHaveRun bool
 	// held is the time until the first send, in the stages and in waiting.
--- a/internal/serve/gate/reach.go
+++ b/internal/serve/gate/reach.go
@@ -69,12 +69,7 @@
 	if pool == nil || pool.Batching == nil {
 		return nil
 	}
-	load, known := wire.PoolLoad{}, false
-	if g.mesh.Owns(name) {
-		load, known = g.host.Load(name)
-	} else {
-		load, known = g.mesh.Pool(name)
-	}
+	load, known := g.load(name)
 	q := &reach.Queue{Bounds: batch.Bounds{
 		Pieces: pool.Batching.Pieces, CallTime: float64(pool.Batching.CallTime), PieceTime: pool.Batching.PieceTime,
 	}}
@@ -88,6 +83,13 @@
 	return q
 }
 
+func (g *Gate) load(pool string) (wire.PoolLoad, bool) {
+	if g.mesh.Owns(pool) {
+		return g.host.Load(pool)
+	}
+	return g.mesh.Pool(pool)
+}
+
 // after is what the stages behind one, and the request itself, take at least
 // when nothing waits.
 func (g *Gate) after(req *request, stage int) clock.Millis {
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -75,12 +75,13 @@
 // mayHaveRun turns a refusal into one that promises nothing: a status that
 // stands for "not run" would make the caller send a booking again.
 func mayHaveRun(refused *fault.RefusalError) *fault.RefusalError {
-	reason := fault.OutcomeUnknown
-	switch refused.Reason {
+	reason := refused.Reason
+	switch reason {
 	case fault.Cancelled, fault.AnswerBroken, fault.EndpointFailed:
-		reason = refused.Reason
 	case fault.WontMakeIt, fault.DeadlinePassed:
 		reason = fault.DeadlinePassed
+	default:
+		reason = fault.OutcomeUnknown
 	}
 	return &fault.RefusalError{Reason: reason, Ran: fault.MayHaveRun, Detail: refused.Detail}
 }
@@ -88,8 +89,7 @@
 // attempts sends the request to one endpoint after the other until one
 // answers or no other may be tried.
 func (g *Gate) attempts(ctx context.Context, w http.ResponseWriter, req *request) error {
-	restarts := 0
-	for missed := 0; ; {
+	for {
 		chosen, err := g.await(ctx, req)
 		if err != nil {
 			return err
@@ -102,26 +102,34 @@
 		if result.end == answered || ctx.Err() != nil {
 			return result.err
 		}
-		if result.end == unsent {
-			if missed++; missed >= maxUnsent {
-				return fault.Refuse(fault.NoEndpoint, "no endpoint could be reached")
-			}
-			continue
-		}
-		if !result.granted && !g.another(req, result) {
-			return result.err
+		if err := g.next(ctx, req, result); err != nil {
+			return err
 		}
-		g.meter.retries.WithLabelValues(req.pool.Name, result.name()).Inc()
-		if result.end == inputsGone || (req.run != nil && req.run.Empty()) {
-			if restarts++; restarts > maxRestarts {
-				return result.err
-			}
-			g.giveBack(req, req.run.Restart())
-			if err := g.runStages(ctx, req); err != nil {
-				return err
-			}
+	}
+}
+
+// next prepares another attempt, or returns why there is none.
+func (g *Gate) next(ctx context.Context, req *request, result result) error {
+	if result.end == unsent {
+		req.missed++
+		if req.missed >= maxUnsent {
+			return fault.Refuse(fault.NoEndpoint, "no endpoint could be reached")
 		}
+		return nil
+	}
+	if !result.granted && !g.another(req, result) {
+		return result.err
+	}
+	g.meter.retries.WithLabelValues(req.pool.Name, result.name()).Inc()
+	if result.end != inputsGone && (req.run == nil || !req.run.Empty()) {
+		return nil
+	}
+	req.restarts++
+	if req.restarts > maxRestarts {
+		return result.err
 	}
+	g.giveBack(req, req.run.Restart())
+	return g.runStages(ctx, req)
 }
 
 // another reports whether the request may be sent to one more endpoint, and
--- a/internal/serve/router/gateway.go
+++ b/internal/serve/router/router.go
@@ -125,9 +125,13 @@
 // Incarnation tells two runs of a process apart.
 func (g *Gateway) Incarnation() string { return g.incarnation.String() }
 
-// Handler serves callers, ReadyHandler the balancer, SessionHandler peers.
-func (g *Gateway) Handler() http.Handler        { return g.gate.Handler() }
-func (g *Gateway) ReadyHandler() http.Handler   { return g.gate.ReadyHandler() }
+// Handler serves callers.
+func (g *Gateway) Handler() http.Handler { return g.gate.Handler() }
+
+// ReadyHandler tells the balancer whether this process takes callers.
+func (g *Gateway) ReadyHandler() http.Handler { return g.gate.ReadyHandler() }
+
+// SessionHandler accepts the sessions of peers.
 func (g *Gateway) SessionHandler() http.Handler { return g.mesh.Handler() }
 
 // Open returns the number of requests that are not finished.
