test(router): gateways against stand-ins of the platform; fix(host): a refused call left a goroutine behind

Cause: the goroutine that notes when inputs were read waited for a timer that the end of the call had stopped; found by the new tests, which hung at their end. Change: it ends with the call. Stand-ins of store, engines and clients keep a ledger of what must never happen.

--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -145,18 +145,15 @@
 		job.tries[item.Piece]++
 	}
 	h.meter.call(q.name, len(items))
-	read, forget := h.clock.After(pool.CallTime / fetchedAfter)
+	ended := make(chan struct{})
 	h.group.Add(2)
 	go func() {
 		defer h.group.Done()
-		<-read
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		fetchedBy(items)
+		h.watchInputs(pool, items, ended)
 	}()
 	go func() {
 		defer h.group.Done()
-		defer forget()
+		defer close(ended)
 		began := h.clock.Now()
 		results, err := h.call(e, pool, items, began)
 		h.mu.Lock()
@@ -165,6 +162,20 @@
 	}()
 }
 
+// watchInputs notes after a while that the pieces of a call have read their
+// inputs, unless the call has ended by then.
+func (h *Host) watchInputs(pool *table.Batching, items []batch.Item, ended <-chan struct{}) {
+	read, forget := h.clock.After(pool.CallTime / fetchedAfter)
+	defer forget()
+	select {
+	case <-read:
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		fetchedBy(items)
+	case <-ended:
+	}
+}
+
 // fetchedAfter is the part of a call's fixed time after which its inputs count
 // as read: engines read them at its beginning, over links that carry them
 // within a few milliseconds, and work for the whole of that time afterwards. If
--- /dev/null
+++ b/internal/serve/router/harness_test.go
@@ -0,0 +1,244 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/engine/conn"
+	"github.com/jujubescale/jujubescale/internal/ops/logs"
+	"github.com/jujubescale/jujubescale/internal/serve/router"
+	"github.com/jujubescale/jujubescale/platform"
+	"github.com/jujubescale/jujubescale/platform/stand"
+)
+
+// Services of the deployment that the tests play on.
+const (
+	orders  = "orders"
+	models  = "models"
+	encode  = "encode"
+	retrive = "retrieve"
+)
+
+const (
+	zoneA = "a"
+	zoneB = "b"
+	key   = "secret-of-one"
+	org   = "one"
+)
+
+// bench is a deployment with gateways in this process.
+type bench struct {
+	*stand.Deployment
+	t        *testing.T
+	client   *stand.Client
+	gateways []*gateway
+}
+
+// gateway is one of them, with the ports that a daemon gives it.
+type gateway struct {
+	*router.Gateway
+	address string
+	ready   string
+	stop    func()
+}
+
+func config() stand.Config {
+	return stand.Config{
+		Services: []stand.Service{
+			{Name: orders, Kind: stand.Plain, MaxConns: 64},
+			{Name: models, Kind: stand.Model, MaxConns: 64, ColdS: 3, ColdPerS: 5},
+			{Name: encode, Kind: stand.Stage, MaxConns: 64, Batch: 4, CallMs: 20, ItemMs: 1},
+			{Name: retrive, Kind: stand.Stage, MaxConns: 64, Batch: 8, CallMs: 20, ItemMs: 1},
+		},
+		Routes: []stand.Route{
+			{Name: "book", Host: "orders.example", Prefix: "/book/", Kind: "unsafe", Service: orders, TimeoutMs: 3000, SloMs: 300, Attempts: 1, Priority: 1},
+			{Name: "look", Host: "orders.example", Prefix: "/look/", Kind: "safe", Service: orders, TimeoutMs: 3000, SloMs: 300, Attempts: 2, Priority: 1},
+			{
+				Name: "draft", Host: "models.example", Prefix: "/draft/", Kind: "stream", Service: models, TimeoutMs: 8000, SloMs: 2000, Attempts: 2, Resumable: true,
+				Stages: []stand.RouteStage{{Service: encode, Bytes: 1000}, {Service: retrive, After: []int{0}, Bytes: 1000}},
+			},
+			{Name: "sum", Host: "models.example", Prefix: "/sum/", Kind: "stream", Service: models, TimeoutMs: 8000, SloMs: 2000, Attempts: 1},
+			{Name: "open", Host: "orders.example", Prefix: "/open/", Kind: "safe", Service: orders, TimeoutMs: 3000, SloMs: 300, Attempts: 1, Public: true},
+		},
+		Tenants: []stand.Tenant{{Name: org, Keys: []string{key}}},
+	}
+}
+
+// engines starts the engines that most tests need: two of each service, one in
+// each zone.
+func (b *bench) engines() {
+	for _, zone := range []string{zoneA, zoneB} {
+		for _, e := range []*stand.Engine{
+			{Service: orders, Kind: stand.Plain, Work: 5 * time.Millisecond},
+			{Service: models, Kind: stand.Model, Work: 5 * time.Millisecond, Pause: 5 * time.Millisecond, Events: 8},
+			{Service: encode, Kind: stand.Stage, Work: 20 * time.Millisecond},
+			{Service: retrive, Kind: stand.Stage, Work: 20 * time.Millisecond},
+		} {
+			e.Zone = zone
+			_, err := b.Add(e)
+			assert.NilError(b.t, err)
+		}
+	}
+}
+
+// start returns a deployment with so many gateways that are ready.
+func start(t *testing.T, gateways int) *bench {
+	t.Helper()
+	d, err := stand.New(config())
+	assert.NilError(t, err)
+	b := &bench{Deployment: d, t: t, client: stand.NewClient(d.Ledger)}
+	t.Cleanup(func() {
+		b.client.Close()
+		for _, g := range b.gateways {
+			g.stop()
+		}
+		d.Close()
+		for _, breach := range d.Ledger.Breaches() {
+			t.Errorf("breach: %s", breach)
+		}
+	})
+	b.engines()
+	for range gateways {
+		b.gateway()
+	}
+	for _, g := range b.gateways {
+		b.awaitPeers(g, gateways)
+	}
+	return b
+}
+
+// gateway starts one more and waits until it is ready.
+func (b *bench) gateway() *gateway {
+	b.t.Helper()
+	g := b.unready()
+	poll.WaitOn(b.t, func(poll.LogT) poll.Result {
+		if b.isReady(g) {
+			return poll.Success()
+		}
+		return poll.Continue("not ready")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+	return g
+}
+
+// unready starts one more.
+func (b *bench) unready() *gateway {
+	b.t.Helper()
+	sessions, callers, ready := listen(b.t), listen(b.t), listen(b.t)
+	log, err := logs.New(io.Discard, "debug")
+	assert.NilError(b.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	transport := &http.Transport{DialContext: conn.Dial}
+	name := fmt.Sprintf("gateway-%d", len(b.gateways)+1)
+	g := &gateway{address: callers.Addr().String(), ready: ready.Addr().String()}
+	g.Gateway = router.New(ctx, router.Settings{
+		Name: name, Zone: []string{zoneA, zoneB}[len(b.gateways)%2], Address: sessions.Addr().String(), Clock: clock.New(), Log: log,
+		Registry: prometheus.NewRegistry(), Dialect: platform.Dialect(),
+		Store:  platform.NewStore("http://"+b.Address, &http.Client{Transport: transport}, clock.Second, 300),
+		Bounds: router.Bounds{Heartbeat: 1000, ExtraShare: 0.2, ExtraSpare: 50, ColdShare: 1.5, ColdSpare: 5},
+	})
+	servers := []*http.Server{
+		serve(sessions, g.SessionHandler()), serve(callers, g.Handler()), serve(ready, g.ReadyHandler()),
+	}
+	g.Start(ctx)
+	g.stop = func() {
+		cancel()
+		for _, s := range servers {
+			_ = s.Close()
+		}
+		g.Stop()
+		transport.CloseIdleConnections()
+	}
+	b.gateways = append(b.gateways, g)
+	return g
+}
+
+// awaitPeers waits until a gateway sees so many, itself among them.
+func (b *bench) awaitPeers(g *gateway, count int) {
+	b.t.Helper()
+	poll.WaitOn(b.t, func(poll.LogT) poll.Result {
+		if len(g.Alive()) == count {
+			return poll.Success()
+		}
+		return poll.Continue("%d of %d peers", len(g.Alive()), count)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+func (b *bench) isReady(g *gateway) bool {
+	response, err := http.Get("http://" + g.ready + platform.Spelling().ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return listener
+}
+
+func serve(listener net.Listener, handler http.Handler) *http.Server {
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(listener) }() // ends with Close
+	return s
+}
+
+// do sends a request to a gateway.
+func (b *bench) do(g *gateway, s *stand.Sent) stand.Got {
+	b.t.Helper()
+	return b.client.Do(b.t.Context(), g.address, s)
+}
+
+// eventually sends requests until one fulfils a condition.
+func (b *bench) eventually(g *gateway, request func() *stand.Sent, holds func(stand.Got) bool) stand.Got {
+	b.t.Helper()
+	var got stand.Got
+	poll.WaitOn(b.t, func(poll.LogT) poll.Result {
+		if got = b.do(g, request()); holds(got) {
+			return poll.Success()
+		}
+		return poll.Continue("got %+v", got)
+	}, poll.WithTimeout(15*time.Second), poll.WithDelay(20*time.Millisecond))
+	return got
+}
+
+func booking() *stand.Sent {
+	return &stand.Sent{
+		ID: stand.NewID(), Method: http.MethodPost, Host: "orders.example", Path: "/book/reel?size=4", Service: orders, Key: key, Tenant: org,
+		Body: strings.Repeat("kraft ", 20), DeadlineMs: 2500, Once: true,
+	}
+}
+
+func lookup() *stand.Sent {
+	return &stand.Sent{
+		ID: stand.NewID(), Method: http.MethodGet, Host: "orders.example", Path: "/look/stock", Service: orders, Key: key, Tenant: org, DeadlineMs: 2500,
+	}
+}
+
+func draft() *stand.Sent {
+	return &stand.Sent{
+		ID: stand.NewID(), Method: http.MethodPost, Host: "models.example", Path: "/draft/sheet", Service: models, Key: key, Tenant: org,
+		Body: strings.Repeat("glue and fold ", 900), DeadlineMs: 8000, Stream: 8,
+		Pieces: []int{3, 2}, After: [][]int{nil, {0}}, PieceKey: "sheet-7", Prompt: 900, Prefix: "aa:500,bb:300,cc:100",
+	}
+}
+
+func summary() *stand.Sent {
+	return &stand.Sent{
+		ID: stand.NewID(), Method: http.MethodPost, Host: "models.example", Path: "/sum/log", Service: models, Key: key, Tenant: org,
+		Body: "shift log", DeadlineMs: 8000, Stream: 8, Once: true, Prompt: 200, Prefix: "aa:100,dd:100",
+	}
+}
--- /dev/null
+++ b/internal/serve/router/path_test.go
@@ -0,0 +1,177 @@
+package router_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/jujubescale/jujubescale/platform/stand"
+)
+
+func TestEveryKindOfRequestIsServed(t *testing.T) {
+	b := start(t, 2)
+	for _, g := range b.gateways {
+		for name, request := range map[string]func() *stand.Sent{
+			"booking": booking, "lookup": lookup, "draft": draft, "summary": summary,
+		} {
+			got := b.do(g, request())
+			assert.Equal(t, got.Status, http.StatusOK, "%s: %+v", name, got)
+			assert.Assert(t, got.Whole, "%s: %+v", name, got)
+		}
+	}
+}
+
+func TestStagesWithoutPiecesAreLeftOut(t *testing.T) {
+	b := start(t, 1)
+	s := draft()
+	s.Pieces = []int{0, 0}
+	got := b.do(b.gateways[0], s)
+	assert.Assert(t, got.Whole, "%+v", got)
+}
+
+// Many requests need pieces at once. Each must get its own, all of them, once;
+// the ledger looks at every call and every input.
+func TestPiecesOfManyRequestsAreNotMixed(t *testing.T) {
+	b := start(t, 3)
+	var group sync.WaitGroup
+	for i := range 60 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			s := draft()
+			s.Pieces = []int{1 + i%4, 1 + i%3}
+			if got := b.do(b.gateways[i%3], s); !got.Whole && got.Status != http.StatusServiceUnavailable {
+				t.Errorf("%+v", got)
+			}
+		}()
+	}
+	group.Wait()
+}
+
+func TestWhatIsRefusedReachesNoEngine(t *testing.T) {
+	b := start(t, 1)
+	for _, tt := range []struct {
+		name   string
+		change func(*stand.Sent)
+		want   int
+	}{
+		{"unknown host", func(s *stand.Sent) { s.Host = "nobody.example" }, http.StatusNotFound},
+		{"unknown path", func(s *stand.Sent) { s.Path = "/other/" }, http.StatusNotFound},
+		{"no key", func(s *stand.Sent) { s.Key = "" }, http.StatusUnauthorized},
+		{"unknown key", func(s *stand.Sent) { s.Key = "guess" }, http.StatusUnauthorized},
+		{"too large", func(s *stand.Sent) { s.Body = strings.Repeat("x", 2<<20) }, http.StatusRequestEntityTooLarge},
+		{"no id", func(s *stand.Sent) { s.ID = "" }, http.StatusBadRequest},
+	} {
+		s := booking()
+		tt.change(s)
+		got := b.do(b.gateways[0], s)
+		assert.Equal(t, got.Status, tt.want, "%s: %+v", tt.name, got)
+		assert.Equal(t, len(b.Ledger.Runs(s.ID)), 0, tt.name)
+	}
+	s := draft()
+	s.Pieces = []int{1}
+	assert.Equal(t, b.do(b.gateways[0], s).Status, http.StatusBadRequest)
+	open := lookup()
+	open.Path, open.Key, open.Tenant = "/open/x", "", ""
+	assert.Assert(t, b.do(b.gateways[0], open).Whole)
+}
+
+// raw sends bytes on a connection of its own and returns what comes back until
+// it closes or a moment passes.
+func (b *bench) raw(text string) string {
+	b.t.Helper()
+	c, err := net.Dial("tcp", b.gateways[0].address)
+	assert.NilError(b.t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, text)
+	assert.NilError(b.t, err)
+	assert.NilError(b.t, c.SetReadDeadline(time.Now().Add(700*time.Millisecond)))
+	raw, _ := io.ReadAll(c) // ends with the deadline if the connection stays open
+	return string(raw)
+}
+
+// A caller frames its body in two ways at once, and hides a request in it for
+// whoever believes the other one. The hidden request must not run.
+func TestHiddenRequestsDoNotRun(t *testing.T) {
+	b := start(t, 1)
+	head := func(id string) string {
+		return "POST /book/reel HTTP/1.1\r\nHost: orders.example\r\nX-Jujubescale-Attempt-Id: " + id +
+			"\r\nX-Api-Key: " + key + "\r\nX-Jujubescale-Deadline-Ms: 2000\r\n"
+	}
+	hidden := head("hidden") + "Content-Length: 0\r\n\r\n"
+	for _, tt := range []struct{ name, text string }{
+		{"length and chunks", head("outer") + fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", 5+len(hidden), hidden)},
+		{"two lengths", head("outer") + fmt.Sprintf("Content-Length: 0\r\nContent-Length: %d\r\n\r\n%s", len(hidden), hidden)},
+		{"folded header", head("outer") + "X-Note: a\r\n Transfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n"},
+		{"bad chunk", head("outer") + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + hidden},
+		{"unknown coding", head("outer") + "Transfer-Encoding: xchunked\r\n\r\n" + hidden},
+	} {
+		b.raw(tt.text)
+		assert.Equal(t, len(b.Ledger.Runs("hidden")), 0, tt.name)
+	}
+	// The engines' own ledger also complains of ids that nobody sent, so the
+	// outer ones are accounted for here.
+	for _, breach := range b.Ledger.Breaches() {
+		assert.Assert(t, strings.Contains(breach, "outer"), breach)
+	}
+	b.Ledger.Forgive("outer")
+}
+
+// A caller gives up in the middle of a stream. The engine must stop: others
+// wait for its place.
+func TestCallerThatLeavesStopsTheEngine(t *testing.T) {
+	b := start(t, 1)
+	for _, e := range b.Engines(models) {
+		b.Remove(e)
+	}
+	slow, err := b.Add(&stand.Engine{Service: models, Kind: stand.Model, Zone: zoneA, Pause: 50 * time.Millisecond, Events: 200})
+	assert.NilError(t, err)
+	time.Sleep(500 * time.Millisecond) // the entry is read by then
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s := summary()
+		s.Stream = 200
+		b.client.Do(ctx, b.gateways[0].address, s)
+	}()
+	running := func(want bool) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if (slow.Running() > 0) == want {
+				return poll.Success()
+			}
+			return poll.Continue("running %d", slow.Running())
+		}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	}
+	running(true)
+	cancel()
+	<-done
+	began := time.Now()
+	running(false)
+	assert.Assert(t, time.Since(began) < 2*time.Second)
+}
+
+// Chunked bodies arrive without a length; the engine gets all of them.
+func TestChunkedBodiesArriveWhole(t *testing.T) {
+	b := start(t, 1)
+	s := booking()
+	s.Body = "kraft reel"
+	b.Ledger.Expect(s)
+	text := "POST /book/reel?size=4 HTTP/1.1\r\nHost: orders.example\r\nX-Jujubescale-Attempt-Id: " + s.ID +
+		"\r\nX-Api-Key: " + key + "\r\nX-Jujubescale-Deadline-Ms: 2500\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nkraft \r\n4\r\nreel\r\n0\r\n\r\n"
+	response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(b.raw(text))), nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), stand.Answer(s.ID, []byte(s.Body)))
+}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -134,6 +134,9 @@
 // SessionHandler accepts the sessions of peers.
 func (g *Gateway) SessionHandler() http.Handler { return g.mesh.Handler() }
 
+// Alive returns the names of the processes that this one sees.
+func (g *Gateway) Alive() []string { return g.mesh.Alive() }
+
 // Open returns the number of requests that are not finished.
 func (g *Gateway) Open() int64 { return g.gate.Open() }
 
