fix(mesh,host): a leaving owner keeps its sessions and gives its queue back; new owners learn the engines' memory

A process that stops took itself off the list first, at which all others ended their sessions with it: requests in its queue were asked for again at the next owner, and both sent calls. The next owner did not know what lay in the engines' memory. Ruled out: wrong sizes in the configuration (no failures before the first restart). Change: sessions outlive the entry; the leaving owner gives back what waits; a new owner asks engines for their memory and gives back results it did not make.

--- a/internal/engine/spell/spell.go
+++ b/internal/engine/spell/spell.go
@@ -116,6 +116,8 @@
 	// which results nobody needs any more.
 	PiecesPath string
 	UnusedPath string
+	// ReportPath is where an engine tells its memory for results.
+	ReportPath string
 	// DemandFunc reads what a caller asks for.
 	DemandFunc func(http.Header) (Demand, error)
 	// OwnFunc reports whether a header, by its canonical name, is the system's
@@ -131,6 +133,8 @@
 	// must have count results.
 	PiecesFunc  func(pieces []Piece) ([]byte, error)
 	ResultsFunc func(raw []byte, count int) ([]Result, error)
+	// RoomFunc reads from a report how many bytes may be free for results at most.
+	RoomFunc func(raw []byte) (int64, error)
 	// UnusedFunc encodes references that nobody needs any more.
 	UnusedFunc func(references []string) ([]byte, error)
 }
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -250,11 +250,12 @@
 	Firm bool         `cbor:"firm,omitempty"`
 }
 
-// Made answers Pieces: a reference for each piece and the availability zone it
-// lies in, or why there are none.
+// Made answers Pieces: a reference for each piece, and the endpoint and the
+// availability zone it lies in, or why there are none.
 type Made struct {
 	Ticket     uint64       `cbor:"ticket"`
 	References []string     `cbor:"references,omitempty"`
+	Endpoints  []string     `cbor:"endpoints,omitempty"`
 	Zones      []string     `cbor:"zones,omitempty"`
 	Reason     fault.Reason `cbor:"reason,omitempty"`
 	// RetryAfter is when another try may go better, in milliseconds.
@@ -275,6 +276,9 @@
 type Unused struct {
 	Pool       string   `cbor:"pool"`
 	References []string `cbor:"references"`
+	// Endpoints where they lie: the owner of the pool may have changed since
+	// they were made, and the new one knows nothing of them.
+	Endpoints []string `cbor:"endpoints"`
 	// Spare says that they are needed again only if a stage fails: their memory
 	// is used for something else when it is short.
 	Spare bool `cbor:"spare,omitempty"`
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -38,8 +38,7 @@
 	// generation how long it will take there to its first event.
 	wish       string
 	generation clock.Millis
-	zones      map[string]string // of references
-	pools      map[string]string // that made references
+	made       map[string]madeAt // where references lie
 
 	// sent counts the endpoints that the request was sent to, tried holds them.
 	sent  int
@@ -64,6 +63,13 @@
 	last   *view.Endpoint
 }
 
+// madeAt tells where a result of a stage lies.
+type madeAt struct {
+	pool     string
+	endpoint string
+	zone     string
+}
+
 // accept reads a request and checks everything that can be known without
 // asking anybody. A request that is refused here reaches no endpoint.
 func (g *Gate) accept(w http.ResponseWriter, r *http.Request, now clock.Millis) (*request, *fault.RefusalError) {
@@ -162,8 +168,7 @@
 		return fault.Refuse(fault.BadRequest, err.Error())
 	}
 	req.run = run
-	req.zones = make(map[string]string)
-	req.pools = make(map[string]string)
+	req.made = make(map[string]madeAt)
 	return nil
 }
 
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -133,7 +133,7 @@
 	}
 	for i, stage := range r.route.Stages {
 		for _, reference := range r.run.Results(i) {
-			p.InputBytes = addBytes(p.InputBytes, r.zones[reference], stage.ResultBytes)
+			p.InputBytes = addBytes(p.InputBytes, r.made[reference].zone, stage.ResultBytes)
 		}
 	}
 	return p
--- a/internal/serve/gate/stages.go
+++ b/internal/serve/gate/stages.go
@@ -98,10 +98,11 @@
 func (g *Gate) finishStage(req *request, end stageEnd) {
 	pool := req.route.Stages[end.stage].Pool
 	for i, reference := range end.made.References {
-		req.pools[reference] = pool
-		if i < len(end.made.Zones) {
-			req.zones[reference] = end.made.Zones[i]
+		at := madeAt{pool: pool}
+		if i < len(end.made.Zones) && i < len(end.made.Endpoints) {
+			at.zone, at.endpoint = end.made.Zones[i], end.made.Endpoints[i]
 		}
+		req.made[reference] = at
 	}
 	req.run.Finish(end.stage, end.made.References)
 	g.giveBack(req, req.run.Spent())
@@ -182,7 +183,7 @@
 	counts := make(map[string]int, 4)
 	best := ""
 	for _, reference := range references {
-		zone := r.zones[reference]
+		zone := r.made[reference].zone
 		counts[zone]++
 		if counts[zone] > counts[best] || best == "" {
 			best = zone
@@ -204,6 +205,9 @@
 			continue
 		case err != nil:
 			return nil, err
+		case made.Reason == fault.Leaving:
+			ask.TimeLeft = req.deadline - g.Clock.Now() - g.after(req, ask.Stage)
+			continue
 		case made.Reason != "":
 			g.Log.Info("stage refused", "request", req.Request, "pool", ask.Pool, "stage", ask.Stage,
 				"reason", made.Reason, "timeLeftMs", int64(req.deadline-g.Clock.Now()))
@@ -237,13 +241,18 @@
 func (g *Gate) giveBack(req *request, references []string) { g.give(req, references, false) }
 
 func (g *Gate) give(req *request, references []string, spare bool) {
-	byPool := make(map[string][]string)
+	byPool := make(map[string]*wire.Unused)
 	for _, reference := range references {
-		pool := req.pools[reference]
-		byPool[pool] = append(byPool[pool], reference)
+		at := req.made[reference]
+		unused := byPool[at.pool]
+		if unused == nil {
+			unused = &wire.Unused{Pool: at.pool, Spare: spare}
+			byPool[at.pool] = unused
+		}
+		unused.References = append(unused.References, reference)
+		unused.Endpoints = append(unused.Endpoints, at.endpoint)
 	}
-	for pool, given := range byPool {
-		unused := &wire.Unused{Pool: pool, References: given, Spare: spare}
+	for pool, unused := range byPool {
 		if to := g.mesh.Owner(pool); to != g.mesh.Self() {
 			g.mesh.GiveBack(to, unused)
 			continue
--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -64,11 +64,7 @@
 			continue
 		}
 		all++
-		e := q.engines[endpoint]
-		if e == nil {
-			e = &engine{Endpoint: endpoint, held: make(map[string]result), slow: 1}
-			q.engines[endpoint] = e
-		}
+		e := q.engine(endpoint)
 		if e.calls < max(pool.Calls, 1) {
 			free = append(free, e)
 		}
@@ -90,13 +86,13 @@
 	if q.waiting.Pieces() == 0 {
 		return
 	}
+	now := h.clock.Now()
 	_, free := h.usable(q, pool)
-	free = slices.DeleteFunc(free, func(e *engine) bool { return e.clearing(pool) })
+	free = slices.DeleteFunc(free, func(e *engine) bool { return h.unknown(q, e, pool, now) || e.clearing(pool) })
 	free = withoutSlow(free, q.waiting.Pieces(), bounds)
 	slices.SortStableFunc(free, func(a, b *engine) int { return cmp.Compare(a.slow, b.slow) })
-	now := h.clock.Now()
 	for i, e := range free {
-		slot := batch.Slot{Zone: e.Zone, Room: int64(roomShare*float64(pool.Room)) - e.bytes, Free: len(free) - i}
+		slot := batch.Slot{Zone: e.Zone, Room: e.room(pool, now), Free: len(free) - i}
 		items := q.waiting.Take(bounds, slot, now)
 		if len(items) == 0 {
 			continue
@@ -245,8 +241,12 @@
 // of one could not be told from the answer to the next: calls whose answer
 // matters want a connection of their own and give 0 for maxIdle.
 func (h *Host) post(ctx context.Context, endpoint *view.Endpoint, path string, body []byte, maxIdle clock.Millis) ([]byte, error) {
+	return h.exchange(ctx, endpoint, http.MethodPost, path, body, maxIdle)
+}
+
+func (h *Host) exchange(ctx context.Context, endpoint *view.Endpoint, method, path string, body []byte, maxIdle clock.Millis) ([]byte, error) {
 	head := make([]byte, 0, 256)
-	head = append(head, "POST "+path+" HTTP/1.1\r\nHost: "+endpoint.Address+"\r\nContent-Type: application/json\r\n"...)
+	head = append(head, method+" "+path+" HTTP/1.1\r\nHost: "+endpoint.Address+"\r\nContent-Type: application/json\r\n"...)
 	head = h.spelling.InstanceFunc(head, endpoint.ID)
 	head = append(head, "Content-Length: "...)
 	head = strconv.AppendInt(head, int64(len(body)), 10)
@@ -254,7 +254,7 @@
 		head = append(head, "\r\nConnection: close"...)
 	}
 	head = append(head, "\r\n\r\n"...)
-	reply, err := h.connFunc(endpoint).Do(ctx, &conn.Request{Method: http.MethodPost, Head: head, Body: body, MaxIdle: maxIdle})
+	reply, err := h.connFunc(endpoint).Do(ctx, &conn.Request{Method: method, Head: head, Body: body, MaxIdle: maxIdle})
 	if err != nil {
 		return nil, err
 	}
@@ -279,7 +279,8 @@
 	e.calls--
 	expected := boundsOf(pool).Duration(len(items))
 	h.logInfo("pieces made", "pool", q.name, "endpoint", e.ID, "pieces", len(items), "tookMs", int64(now-began),
-		"expectedMs", int64(expected), "waiting", q.waiting.Pieces(), "request", items[0].Group.Request, logs.KeyError, err)
+		"expectedMs", int64(expected), "waiting", q.waiting.Pieces(), "failed", failures(results),
+		"ownBytes", e.bytes, "foreignBytes", e.foreign, "request", items[0].Group.Request, logs.KeyError, err)
 	if err != nil {
 		h.callFailed(q, e, items, err, now)
 	} else {
@@ -292,6 +293,20 @@
 	h.dispatch(q)
 }
 
+// failures tells why pieces of a call have no result, each reason with its count.
+func failures(results []spell.Result) string {
+	counts := make(map[spell.Failure]int)
+	for _, result := range results {
+		if result.Failure != "" {
+			counts[result.Failure]++
+		}
+	}
+	if len(counts) == 0 {
+		return ""
+	}
+	return fmt.Sprint(counts)
+}
+
 func (h *Host) callFailed(q *queue, e *engine, items []batch.Item, err error, now clock.Millis) {
 	var refused *RefusedError
 	bar := barFailed
@@ -316,6 +331,9 @@
 			h.fail(job, fault.InputGone)
 		case spell.FailedLate:
 			h.fail(job, fault.DeadlinePassed)
+		case spell.FailedRoom:
+			e.lacksRoom(item.Group.Bytes, pool, now)
+			h.again(q, item, fault.Overloaded)
 		default:
 			h.again(q, item, fault.EndpointFailed)
 		}
@@ -327,6 +345,7 @@
 		return
 	}
 	job.result.References[item.Piece] = result.Reference
+	job.result.Endpoints[item.Piece] = e.ID
 	job.result.Zones[item.Piece] = e.Zone
 	job.left--
 	if job.left == 0 {
@@ -368,9 +387,10 @@
 
 // returnUnused gives results back to engines whose memory fills up.
 func (h *Host) returnUnused(q *queue, pool *table.Batching) {
+	now := h.clock.Now()
 	for _, e := range q.engines {
-		if e.short(q, pool) {
-			e.useSpare()
+		if e.short(q, pool, now) {
+			e.useSpare(now)
 		}
 		if len(e.unused) == 0 || e.freeing || e.Gone() || float64(e.bytes) < freeFrom*float64(pool.Room) {
 			continue
@@ -398,16 +418,19 @@
 }
 
 // short reports whether a call would be smaller for want of memory.
-func (e *engine) short(q *queue, pool *table.Batching) bool {
+func (e *engine) short(q *queue, pool *table.Batching, now clock.Millis) bool {
 	wanted := int64(min(q.waiting.Pieces(), pool.Pieces)) * q.waiting.Bytes()
-	return int64(roomShare*float64(pool.Room))-e.bytes < wanted
+	return e.room(pool, now) < wanted
 }
 
+// foreignFor is how long results of an owner before may lie at an engine.
+const foreignFor = 8 * clock.Second
+
 // useSpare counts results that are probably not needed any more as unused.
-func (e *engine) useSpare() {
+func (e *engine) useSpare(now clock.Millis) {
 	for _, reference := range e.spare {
-		if _, holds := e.held[reference]; holds && !slices.Contains(e.unused, reference) {
-			e.unused = append(e.unused, reference)
+		if _, holds := e.held[reference]; holds || now-e.since < foreignFor {
+			e.drop(reference)
 		}
 	}
 	e.spare = nil
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -41,8 +41,9 @@
 // Outcome is what became of a job.
 type Outcome struct {
 	References []string
-	// Zones tells for each reference the availability zone that it lies in.
-	Zones []string
+	// Endpoints and Zones tell for each reference where it lies.
+	Endpoints []string
+	Zones     []string
 	// Reason is empty for success.
 	Reason     fault.Reason
 	RetryAfter clock.Millis
@@ -53,7 +54,7 @@
 	if o.Reason != "" {
 		return &wire.Made{Reason: o.Reason, RetryAfter: o.RetryAfter}
 	}
-	return &wire.Made{References: o.References, Zones: o.Zones}
+	return &wire.Made{References: o.References, Endpoints: o.Endpoints, Zones: o.Zones}
 }
 
 // Job is one question for pieces.
@@ -80,6 +81,15 @@
 	// spare results are needed again only if a stage fails.
 	spare   []string
 	freeing bool
+	// foreign is the memory taken by results of owners before this one, until
+	// they expire; asked tells when the engine was asked for it, and asking that
+	// its answer is awaited.
+	foreign      int64
+	foreignUntil clock.Millis
+	asked        clock.Millis
+	asking       bool
+	// since is when this process began to use the engine.
+	since clock.Millis
 	// slow is how many times longer than expected its calls take.
 	slow float64
 }
@@ -94,6 +104,7 @@
 	name    string
 	waiting batch.Queue
 	engines map[*view.Endpoint]*engine
+	clock   *clock.Clock
 	// fill is how many pieces calls hold lately when more wait than fit.
 	fill float64
 }
@@ -151,7 +162,9 @@
 	now := h.clock.Now()
 	job := &Job{
 		pool: ask.Pool, left: ask.Count, done: done, unread: ask.Count, fetched: fetched, tries: make([]uint8, ask.Count),
-		result: Outcome{References: make([]string, ask.Count), Zones: make([]string, ask.Count)},
+		result: Outcome{
+			References: make([]string, ask.Count), Endpoints: make([]string, ask.Count), Zones: make([]string, ask.Count),
+		},
 		group: &batch.Group{
 			Request: ask.Request, Stage: ask.Stage, Key: ask.Key, Inputs: ask.Inputs, Count: ask.Count,
 			Rank: now + ask.Slack + ask.Penalty, Until: now + ask.TimeLeft, Bytes: ask.Bytes, Zone: ask.Zone,
@@ -202,16 +215,54 @@
 	if q == nil {
 		return
 	}
-	for _, reference := range unused.References {
-		if unused.Spare {
-			q.spare(reference)
-			continue
+	for i, reference := range unused.References {
+		e := q.holder(reference)
+		if e == nil && i < len(unused.Endpoints) {
+			e = h.foreign(q, unused.Endpoints[i])
+		}
+		switch {
+		case e == nil: // its maker is gone, and the result with it
+		case unused.Spare:
+			e.spare = append(e.spare, reference)
+		default:
+			e.drop(reference)
 		}
-		h.giveBack(q, reference)
 	}
 	h.dispatch(q)
 }
 
+// foreign returns the engine where a result lies that this owner doesn't know,
+// because it was made for the owner before; nil when this process has owned the
+// pool for so long that the result must have been given back already.
+func (h *Host) foreign(q *queue, endpoint string) *engine {
+	e := q.engine(h.viewNow().Find(endpoint))
+	pool := h.pool(q.name)
+	if e == nil || pool == nil || e.asked == 0 || h.clock.Since(e.since) > 2*pool.Keep {
+		return nil
+	}
+	return e
+}
+
+// drop marks a result as unused.
+func (e *engine) drop(reference string) {
+	if !slices.Contains(e.unused, reference) {
+		e.unused = append(e.unused, reference)
+	}
+}
+
+// engine returns what is kept for an endpoint, nil for none.
+func (q *queue) engine(endpoint *view.Endpoint) *engine {
+	if endpoint == nil {
+		return nil
+	}
+	e := q.engines[endpoint]
+	if e == nil {
+		e = &engine{Endpoint: endpoint, held: make(map[string]result), slow: 1, since: q.clock.Now()}
+		q.engines[endpoint] = e
+	}
+	return e
+}
+
 // holder returns the engine where a result lies, nil when it isn't known.
 func (q *queue) holder(reference string) *engine {
 	for _, e := range q.engines {
@@ -222,16 +273,28 @@
 	return nil
 }
 
-func (q *queue) spare(reference string) {
+func (h *Host) giveBack(q *queue, reference string) {
 	if e := q.holder(reference); e != nil {
-		e.spare = append(e.spare, reference)
+		e.drop(reference)
 	}
 }
 
-func (h *Host) giveBack(q *queue, reference string) {
-	e := q.holder(reference)
-	if e != nil && !slices.Contains(e.unused, reference) {
-		e.unused = append(e.unused, reference)
+// Retire gives back what waits here, because this process leaves: whoever asked
+// asks the next owner. Calls that are under way end here.
+func (h *Host) Retire() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, q := range h.queues {
+		var waiting []*Job
+		q.waiting.Each(func(g *batch.Group) {
+			if g.Waiting() == g.Count {
+				waiting = append(waiting, g.Owner.(*Job))
+			}
+		})
+		for _, job := range waiting {
+			h.fail(job, fault.Leaving)
+		}
+		h.logInfo("queue given back", "pool", q.name, "jobs", len(waiting), "pieces", q.waiting.Pieces())
 	}
 }
 
@@ -274,7 +337,7 @@
 func (h *Host) queue(name string) *queue {
 	q := h.queues[name]
 	if q == nil {
-		q = &queue{name: name, engines: make(map[*view.Endpoint]*engine)}
+		q = &queue{name: name, clock: h.clock, engines: make(map[*view.Endpoint]*engine)}
 		h.queues[name] = q
 	}
 	return q
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -87,9 +87,10 @@
 
 	mu      sync.Mutex
 	peers   map[string]*peer
-	dialing map[string]context.CancelFunc
+	dialing map[string]Member
 	members map[string]Member
 	left    bool
+	stopped bool
 	base    context.Context
 	group   sync.WaitGroup
 }
@@ -145,7 +146,7 @@
 		prefixFunc:  func([]wire.PrefixUse) {},
 		release:     func() uint64 { return 0 },
 		newerFunc:   func() {},
-		peers:       make(map[string]*peer), dialing: make(map[string]context.CancelFunc), members: make(map[string]Member),
+		peers:       make(map[string]*peer), dialing: make(map[string]Member), members: make(map[string]Member),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -158,6 +159,13 @@
 // them.
 func (m *Mesh) Alive() []string { return *m.alive.Load() }
 
+// Sessions returns the number of open sessions.
+func (m *Mesh) Sessions() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers)
+}
+
 // Owner returns the process that owns a subject now.
 func (m *Mesh) Owner(subject string) string { return owner.Of(subject, m.Alive()) }
 
@@ -194,31 +202,39 @@
 	for _, member := range members {
 		listed[member.Name] = member
 	}
-	for name, cancel := range m.dialing {
-		if listed[name] != m.members[name] {
-			cancel()
-			delete(m.dialing, name)
-		}
-	}
 	m.members = listed
 	for name, member := range listed {
-		if name <= m.self.Name || m.dialing[name] != nil || m.base.Err() != nil {
+		if name <= m.self.Name || m.dialing[name] == member || m.base.Err() != nil {
 			continue
 		}
-		ctx, cancel := context.WithCancel(m.base)
-		m.dialing[name] = cancel
+		m.dialing[name] = member
 		m.group.Add(1)
 		go func() {
 			defer m.group.Done()
-			m.keep(ctx, member)
+			m.keep(m.base, member)
 		}()
 	}
 }
 
+// listed reports whether a process is still to be dialed. A process that is
+// listed no longer may be in the middle of a planned stop: its session goes on
+// until that ends, because it still owes answers.
+func (m *Mesh) listed(member Member) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.members[member.Name] == member && !m.stopped {
+		return true
+	}
+	if m.dialing[member.Name] == member {
+		delete(m.dialing, member.Name)
+	}
+	return false
+}
+
 // keep holds a session with a process as long as it is listed.
 func (m *Mesh) keep(ctx context.Context, member Member) {
 	pause := firstRedial
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && m.listed(member) {
 		s, err := sess.Dial(ctx, member.Address, m.options()...)
 		if err != nil {
 			_ = m.clock.Sleep(ctx, pause) // the loop sees the end of the context
@@ -302,9 +318,7 @@
 // Stop ends all sessions and waits for their goroutines.
 func (m *Mesh) Stop() {
 	m.mu.Lock()
-	for _, cancel := range m.dialing {
-		cancel()
-	}
+	m.stopped = true
 	for _, p := range m.peers {
 		p.session.Close(errStopped)
 	}
--- a/internal/serve/router/fault_test.go
+++ b/internal/serve/router/fault_test.go
@@ -137,6 +137,31 @@
 	assert.Assert(t, got.Whole)
 }
 
+// The owner of the stage engines stops as planned while requests are in its
+// queue. What was started ends there, the rest moves to the next owner, and no
+// caller notices anything: the session must not end when the process takes
+// itself off the list.
+func TestLeavingOwnerLosesNothing(t *testing.T) {
+	b := start(t, 3)
+	var group sync.WaitGroup
+	for i := range 40 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			if got := b.do(b.gateways[i%3], draft()); !got.Whole {
+				t.Errorf("%+v", got)
+			}
+		}()
+		if i == 10 || i == 25 {
+			b.gateways[i/25].Leave(t.Context())
+		}
+		time.Sleep(15 * time.Millisecond)
+	}
+	group.Wait()
+	assert.Assert(t, len(b.gateways[2].Alive()) == 1)
+	assert.Equal(t, b.gateways[0].Peers(), 2)
+}
+
 // All engines of a service are gone. What can't be served is refused at once,
 // with a time to come back, and not held until its deadline.
 func TestWhatCannotBeServedIsRefusedAtOnce(t *testing.T) {
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -137,6 +137,9 @@
 // Alive returns the names of the processes that this one sees.
 func (g *Gateway) Alive() []string { return g.mesh.Alive() }
 
+// Peers returns the number of open sessions with other processes.
+func (g *Gateway) Peers() int { return g.mesh.Sessions() }
+
 // Open returns the number of requests that are not finished.
 func (g *Gateway) Open() int64 { return g.gate.Open() }
 
@@ -216,6 +219,7 @@
 func (g *Gateway) Leave(ctx context.Context) {
 	g.gate.Leave()
 	g.mesh.Leave()
+	g.host.Retire()
 	g.group.Add(1)
 	go func() {
 		defer g.group.Done()
