--- /dev/null
+++ b/internal/bench/soak/process.go
@@ -0,0 +1,137 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// process is one gateway as a program of its own, started again when it ends.
+type process struct {
+	name    string
+	program string
+	folder  string
+	ports   ports
+	storeAt string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+	stopped bool
+	leaving bool
+	starts  int
+}
+
+// ports are the addresses of one gateway; sessions and callers are reached
+// through proxies.
+type ports struct {
+	callers, ready, sessions, operators string
+}
+
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+func newPorts() (ports, error) {
+	var p ports
+	for _, address := range []*string{&p.callers, &p.ready, &p.sessions, &p.operators} {
+		free, err := freeAddress()
+		if err != nil {
+			return p, err
+		}
+		*address = free
+	}
+	return p, nil
+}
+
+func (p *process) settingsFile() string { return filepath.Join(p.folder, p.name+".json") }
+
+// writeSettings writes the settings file; generation changes its content.
+func (p *process) writeSettings(zone string, generation int) error {
+	raw, err := json.Marshal(map[string]any{
+		"process": p.name, "availabilityZone": zone, "platformUrl": "http://" + p.storeAt,
+		"callers": p.ports.callers, "ready": p.ports.ready, "sessions": p.ports.sessions, "operators": p.ports.operators,
+		"graceSeconds": grace.Seconds(), "balancerLagMs": balancerLag.Milliseconds(), "extraSpare": 40 + generation%2,
+		"coldShare": 1.5, "coldSpare": 5,
+	})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.settingsFile(), raw, 0o600)
+}
+
+// start runs the program and starts it again after each end until stop.
+func (p *process) start() error {
+	log, err := os.OpenFile(filepath.Join(p.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	command := exec.Command(p.program, "gateway", "--config", p.settingsFile())
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	p.mu.Lock()
+	p.command, p.exited, p.leaving = command, exited, false
+	p.starts++
+	p.mu.Unlock()
+	go func() {
+		defer close(exited)
+		_ = command.Wait() // how it ended is the soak's own doing
+		_ = log.Close()
+		p.mu.Lock()
+		again := !p.stopped
+		p.mu.Unlock()
+		if again {
+			time.Sleep(restartPause)
+			if err := p.start(); err != nil {
+				_, _ = fmt.Fprintln(os.Stderr, "soak:", err)
+			}
+		}
+	}()
+	return nil
+}
+
+func (p *process) signal(signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if signal == syscall.SIGTERM {
+		p.leaving = true
+	}
+	_ = p.command.Process.Signal(signal) // one that has just ended needs none
+}
+
+// stop ends the program for good.
+func (p *process) stop() {
+	p.mu.Lock()
+	p.stopped = true
+	exited := p.exited
+	_ = p.command.Process.Signal(syscall.SIGCONT)
+	_ = p.command.Process.Kill()
+	p.mu.Unlock()
+	<-exited
+}
+
+// ready asks the process as a balancer does.
+func (p *process) ready(path string) bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + p.ports.ready + path)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/bench/soak/world.go
@@ -0,0 +1,83 @@
+package soak
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/jujubescale/jujubescale/platform/stand"
+)
+
+var zones = []string{"a", "b", "c"}
+
+const (
+	key          = "secret-of-one"
+	organisation = "one"
+)
+
+// config is the operator's configuration of a run.
+func config() stand.Config {
+	return stand.Config{
+		Services: []stand.Service{
+			{Name: "orders", Kind: stand.Plain, MaxConns: 200},
+			{Name: "models", Kind: stand.Model, MaxConns: 200},
+			{Name: "encode", Kind: stand.Stage, MaxConns: 100, Batch: 8, CallMs: 30, ItemMs: 1},
+			{Name: "rerank", Kind: stand.Stage, MaxConns: 100, Batch: 16, CallMs: 30, ItemMs: 1},
+		},
+		Routes: []stand.Route{
+			{Name: "book", Host: "orders.example", Prefix: "/book/", Kind: "unsafe", Service: "orders", TimeoutMs: 2500, SloMs: 400, Attempts: 1, Priority: 1},
+			{Name: "look", Host: "orders.example", Prefix: "/look/", Kind: "safe", Service: "orders", TimeoutMs: 2500, SloMs: 400, Attempts: 2, Priority: 1},
+			{
+				Name: "draft", Host: "models.example", Prefix: "/draft/", Kind: "stream", Service: "models", TimeoutMs: 6000, SloMs: 1500, Attempts: 2, Resumable: true,
+				Stages: []stand.RouteStage{{Service: "encode", Bytes: 1000}, {Service: "encode", Bytes: 1000}, {Service: "rerank", After: []int{1}, Bytes: 1000}},
+			},
+			{Name: "sum", Host: "models.example", Prefix: "/sum/", Kind: "stream", Service: "models", TimeoutMs: 6000, SloMs: 1500, Attempts: 1},
+		},
+		Tenants: []stand.Tenant{{Name: organisation, Keys: []string{key}}},
+	}
+}
+
+const streamEvents = 10
+
+// engines are those of one zone.
+func engines(zone string) []*stand.Engine {
+	return []*stand.Engine{
+		{Service: "orders", Kind: stand.Plain, Zone: zone, Work: 10 * time.Millisecond},
+		{Service: "models", Kind: stand.Model, Zone: zone, Work: 20 * time.Millisecond, Pause: 15 * time.Millisecond, Events: streamEvents},
+		{Service: "encode", Kind: stand.Stage, Zone: zone, Work: 30 * time.Millisecond},
+		{Service: "rerank", Kind: stand.Stage, Zone: zone, Work: 30 * time.Millisecond},
+	}
+}
+
+// faults are those that an engine is given.
+var faults = []stand.Fault{
+	{Every: 3, Reset: true}, {Every: 3, Break: true}, {Every: 2, Refuse: true}, {Every: 3, Fail: true}, {Every: 4, Twice: true}, {Every: 5, Mute: true},
+}
+
+// requests are the kinds that callers send.
+var requests = []func() *stand.Sent{
+	func() *stand.Sent {
+		return &stand.Sent{
+			ID: stand.NewID(), Method: http.MethodPost, Host: "orders.example", Path: "/book/reel?n=3", Service: "orders", Key: key, Tenant: organisation,
+			Body: strings.Repeat("kraft ", 30), DeadlineMs: 2500, Once: true,
+		}
+	},
+	func() *stand.Sent {
+		return &stand.Sent{
+			ID: stand.NewID(), Method: http.MethodGet, Host: "orders.example", Path: "/look/stock", Service: "orders", Key: key, Tenant: organisation, DeadlineMs: 2500,
+		}
+	},
+	func() *stand.Sent {
+		return &stand.Sent{
+			ID: stand.NewID(), Method: http.MethodPost, Host: "models.example", Path: "/draft/sheet", Service: "models", Key: key, Tenant: organisation,
+			Body: strings.Repeat("glue and fold ", 800), DeadlineMs: 6000, Stream: streamEvents,
+			Pieces: []int{2, 1, 3}, After: [][]int{nil, nil, {1}}, PieceKey: "sheet", Prompt: 900, Prefix: "aa:500,bb:300,cc:100",
+		}
+	},
+	func() *stand.Sent {
+		return &stand.Sent{
+			ID: stand.NewID(), Method: http.MethodPost, Host: "models.example", Path: "/sum/log", Service: "models", Key: key, Tenant: organisation,
+			Body: "shift log", DeadlineMs: 6000, Stream: streamEvents, Once: true, Prompt: 200, Prefix: "aa:100,dd:100",
+		}
+	},
+}
--- /dev/null
+++ b/internal/cli/devel/soak.go
@@ -0,0 +1,109 @@
+package devel
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/jujubescale/jujubescale/internal/bench/soak"
+)
+
+// soakOptions are the flags of `jujubedev soak`.
+type soakOptions struct {
+	program   string
+	folder    string
+	seed      uint64
+	seeds     int
+	seconds   int
+	gateways  int
+	perSecond int
+	verbose   bool
+}
+
+func newSoak() *cobra.Command {
+	var options soakOptions
+	command := &cobra.Command{
+		Use:   "soak --program PATH",
+		Short: "Runs gateways as processes, injects faults drawn from seeds and checks what must always hold",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return runSoak(command, options)
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&options.program, "program", "target/jujubed", "path of jujubed")
+	flags.StringVar(&options.folder, "folder", "", "folder for settings and logs; kept for seeds that fail (default: a temporary one)")
+	flags.Uint64Var(&options.seed, "seed", 1, "first seed")
+	flags.IntVar(&options.seeds, "seeds", 1, "number of seeds")
+	flags.IntVar(&options.seconds, "seconds", 20, "length of each run")
+	flags.IntVar(&options.gateways, "gateways", 3, "number of processes")
+	flags.IntVar(&options.perSecond, "per-second", 40, "requests a second")
+	flags.BoolVar(&options.verbose, "verbose", false, "print each trouble as it strikes")
+	return command
+}
+
+// SoakError says that seeds broke a promise.
+type SoakError struct {
+	Seeds []uint64
+}
+
+// Error implements error.
+func (e *SoakError) Error() string { return fmt.Sprintf("seeds that failed: %v", e.Seeds) }
+
+func runSoak(command *cobra.Command, options soakOptions) error {
+	folder := options.folder
+	if folder == "" {
+		made, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			return err
+		}
+		folder = made
+	}
+	var failed []uint64
+	for i := range options.seeds {
+		seed := options.seed + uint64(i)
+		passed, err := soakSeed(command, options, seed, filepath.Join(folder, fmt.Sprint(seed)))
+		if err != nil {
+			return err
+		}
+		if !passed {
+			failed = append(failed, seed)
+		}
+	}
+	if len(failed) > 0 {
+		return &SoakError{Seeds: failed}
+	}
+	return nil
+}
+
+// soakSeed plays one seed; the folder stays if it fails.
+func soakSeed(command *cobra.Command, options soakOptions, seed uint64, folder string) (bool, error) {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return false, err
+	}
+	out := io.Discard
+	if options.verbose {
+		out = command.ErrOrStderr()
+	}
+	report, err := soak.Run(command.Context(), soak.Options{
+		Seed: seed, Length: time.Duration(options.seconds) * time.Second, Program: options.program, Folder: folder,
+		Gateways: options.gateways, PerSecond: options.perSecond, Out: out,
+	})
+	if err != nil {
+		return false, err
+	}
+	command.Printf("seed %d: sent %d served %d refused %d failed %d, in the calm %d of %d, breaches %d\n", seed, report.Sent,
+		report.Served, report.Refused, report.Failed, report.SettledServed, report.SettledSent, len(report.Breaches))
+	for _, breach := range report.Breaches {
+		command.Printf("  %s\n", breach)
+	}
+	if len(report.Breaches) > 0 {
+		command.Printf("  logs: %s\n", folder)
+		return false, nil
+	}
+	return true, os.RemoveAll(folder)
+}
--- /dev/null
+++ b/internal/serve/feed/feed_test.go
@@ -0,0 +1,156 @@
+package feed_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/plat/store"
+	"github.com/jujubescale/jujubescale/internal/serve/feed"
+)
+
+// script answers the calls of a feed one after the other; the last answer of
+// each list stays.
+type script struct {
+	mu      sync.Mutex
+	scans   []func() (store.Listing, error)
+	follows []func(context.Context) (store.Changes, error)
+}
+
+func next[T any](s *script, list *[]T) T {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := (*list)[0]
+	if len(*list) > 1 {
+		*list = (*list)[1:]
+	}
+	return first
+}
+
+func (s *script) store() *store.Store {
+	return &store.Store{
+		ScanFunc: func(context.Context, string) (store.Listing, error) { return next(s, &s.scans)() },
+		FollowFunc: func(ctx context.Context, _ string, _ uint64, _ clock.Millis) (store.Changes, error) {
+			return next(s, &s.follows)(ctx)
+		},
+	}
+}
+
+func listed(revision uint64, names ...string) func() (store.Listing, error) {
+	return func() (store.Listing, error) {
+		l := store.Listing{Revision: revision}
+		for _, name := range names {
+			l.Objects = append(l.Objects, store.Object{Name: name, Version: revision})
+		}
+		return l, nil
+	}
+}
+
+func unavailable() error { return &store.UnavailableError{Name: "k", Cause: errors.New("refused")} }
+
+func failedScan() (store.Listing, error) { return store.Listing{}, unavailable() }
+
+func waits(ctx context.Context) (store.Changes, error) {
+	<-ctx.Done()
+	return store.Changes{}, ctx.Err()
+}
+
+// heard collects what a feed tells.
+type heard struct {
+	mu      sync.Mutex
+	lists   []int
+	away    []clock.Millis
+	changes int
+}
+
+func run(t *testing.T, s *script) (*feed.Feed, *heard) {
+	t.Helper()
+	h := &heard{}
+	f := feed.New("k", s.store(), feed.WithList(func(objects []store.Object, away clock.Millis) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.lists = append(h.lists, len(objects))
+		h.away = append(h.away, away)
+	}), feed.WithChanges(func(changes []store.Change) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.changes += len(changes)
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f, h
+}
+
+func (h *heard) until(t *testing.T, holds func(*heard) bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if holds(h) {
+			return poll.Success()
+		}
+		return poll.Continue("lists %v, %d changes", h.lists, h.changes)
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+func TestListThenChanges(t *testing.T) {
+	one := func(context.Context) (store.Changes, error) {
+		return store.Changes{Revision: 9, Changes: []store.Change{{Object: store.Object{Name: "k/b"}}}}, nil
+	}
+	f, h := run(t, &script{scans: []func() (store.Listing, error){listed(5, "k/a")}, follows: []func(context.Context) (store.Changes, error){one, waits}})
+	h.until(t, func(h *heard) bool { return len(h.lists) == 1 && h.changes == 1 })
+	assert.Equal(t, f.Changed(), uint64(9))
+}
+
+// The store was away. Whoever reads the list must learn for how long, because
+// entries lapse meanwhile although their writers live.
+func TestReaderLearnsHowLongTheStoreWasAway(t *testing.T) {
+	_, h := run(t, &script{
+		scans:   []func() (store.Listing, error){failedScan, failedScan, listed(5, "k/a")},
+		follows: []func(context.Context) (store.Changes, error){waits},
+	})
+	h.until(t, func(h *heard) bool { return len(h.lists) == 1 && h.away[0] >= 50 })
+}
+
+// What makes a feed read the whole list again: history that is gone, a watch
+// that fell silent, a failure, and somebody who has seen something newer.
+func TestListIsReadAgain(t *testing.T) {
+	for name, follow := range map[string]func(context.Context) (store.Changes, error){
+		"history gone": func(context.Context) (store.Changes, error) { return store.Changes{}, &store.HistoryError{Kind: "k"} },
+		"silent":       func(context.Context) (store.Changes, error) { return store.Changes{}, context.DeadlineExceeded },
+		"failure":      func(context.Context) (store.Changes, error) { return store.Changes{}, unavailable() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, h := run(t, &script{
+				scans: []func() (store.Listing, error){listed(5, "k/a"), listed(8, "k/a", "k/b")}, follows: []func(context.Context) (store.Changes, error){follow, waits},
+			})
+			h.until(t, func(h *heard) bool { return len(h.lists) == 2 && h.lists[1] == 2 })
+		})
+	}
+	t.Run("hint", func(t *testing.T) {
+		f, h := run(t, &script{
+			scans: []func() (store.Listing, error){listed(5, "k/a"), listed(8, "k/a", "k/b")}, follows: []func(context.Context) (store.Changes, error){waits},
+		})
+		h.until(t, func(h *heard) bool { return len(h.lists) == 1 })
+		f.Hint(5) // known already
+		f.Hint(7)
+		h.until(t, func(h *heard) bool { return len(h.lists) == 2 })
+		f.Hint(8)
+		time.Sleep(20 * time.Millisecond)
+		h.until(t, func(h *heard) bool { return len(h.lists) == 2 })
+	})
+}
--- a/internal/serve/router/fault_test.go
+++ b/internal/serve/router/fault_test.go
@@ -92,7 +92,7 @@
 		assert.Assert(t, from != to)
 	}
 	settled(leaving, stays)
-	b.Register(leaving, "ready", 0)
+	b.Register(leaving, true, 0)
 	b.Empty(stays.Zone)
 	settled(stays, leaving)
 	b.Refill(stays.Zone)
@@ -182,7 +182,7 @@
 	engines := b.Engines(models)
 	b.Remove(engines[1])
 	cold := engines[0]
-	b.Register(cold, "ready", 8000)
+	b.Register(cold, true, 8000)
 	time.Sleep(time.Second) // the entry is read by all
 	const seconds = 2
 	var group sync.WaitGroup
