--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -34,11 +34,13 @@
 	clock *clock.Clock
 	log   *log.Logger
 	wait  func() clock.Millis
-	rest  clock.Millis
+	rest  func() clock.Millis
 	// known is the revision up to which everything was read, changed that of the
 	// last change that was noticed.
 	known   atomic.Uint64
 	changed atomic.Uint64
+	// behind is since when others have noticed more, 0 when they have not.
+	behind clock.Millis
 
 	// listFunc takes the whole list, and whether the store had been lost;
 	// changeFunc takes changes in order.
@@ -66,7 +68,7 @@
 
 // WithRest sets a pause between two calls, so that changes which come many
 // times a second are read several at a time.
-func WithRest(rest clock.Millis) Option { return func(f *Feed) { f.rest = rest } }
+func WithRest(rest func() clock.Millis) Option { return func(f *Feed) { f.rest = rest } }
 
 // WithList sets who takes the whole list. Away is how long the store had been
 // lost before, 0 when it had not.
@@ -82,6 +84,7 @@
 	f := &Feed{
 		kind: kind, store: from, clock: clock.New(), wakeUp: make(chan struct{}, 1),
 		wait:     func() clock.Millis { return defaultWait },
+		rest:     func() clock.Millis { return 0 },
 		listFunc: func([]store.Object, clock.Millis) {}, changeFunc: func([]store.Change) {},
 	}
 	for _, opt := range opts {
@@ -105,10 +108,24 @@
 // Changed returns the revision of the last change that was noticed.
 func (f *Feed) Changed() uint64 { return f.changed.Load() }
 
+// hintPatience is how long a feed may be behind what others have noticed before
+// it reads the list again: mostly its own watch is about to tell it.
+const hintPatience = 600 * clock.Millis(1)
+
 // Hint tells that somebody else has noticed a change at a revision. If this
-// process has not read that far, it reads the list again.
+// process has not read that far for a while, it reads the list again. Hints are
+// given from one goroutine, again and again.
 func (f *Feed) Hint(revision uint64) {
-	if revision > f.known.Load() {
+	if revision <= f.known.Load() {
+		f.behind = 0
+		return
+	}
+	now := f.clock.Now()
+	switch {
+	case f.behind == 0:
+		f.behind = now
+	case now-f.behind >= hintPatience:
+		f.behind = 0
 		f.Again()
 	}
 }
@@ -169,8 +186,8 @@
 			f.noticed(since)
 			f.changeFunc(changes.Changes)
 		}
-		if f.rest > 0 {
-			_ = f.clock.Sleep(ctx, f.rest) // the loop sees the end of the context
+		if rest := f.rest(); rest > 0 {
+			_ = f.clock.Sleep(ctx, rest) // the loop sees the end of the context
 		}
 	}
 }
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -65,11 +65,12 @@
 }
 
 const (
-	// endpointRest is the pause between two reads of the endpoints' changes, so
-	// that those of a zone that leaves or returns are read together. What leaves
-	// must be known within two seconds.
-	endpointRest = 120 * clock.Millis(1)
-	memberRest   = 250 * clock.Millis(1)
+	// leastRest and mostRest bound the pause between two reads of the endpoints'
+	// changes, so that those of a zone that leaves or returns are read together.
+	// What leaves must be known within two seconds.
+	leastRest  = 120 * clock.Millis(1)
+	mostRest   = 500 * clock.Millis(1)
+	memberRest = 250 * clock.Millis(1)
 	// memberWait may be long: a new process is reached by those that know it,
 	// and whoever is gone is noticed by its session.
 	memberWait = 10 * clock.Second
@@ -163,12 +164,12 @@
 		return feed.New(kind, g.Store, append(append([]feed.Option{}, common...), more...)...)
 	}
 	g.feeds.config = with(g.Dialect.ConfigKind, feed.WithList(g.listConfig), feed.WithChanges(g.changeConfig))
-	g.feeds.endpoints = with(g.Dialect.EndpointKind, feed.WithRest(endpointRest),
+	g.feeds.endpoints = with(g.Dialect.EndpointKind, feed.WithRest(g.endpointRest),
 		feed.WithList(g.listEndpoints), feed.WithChanges(g.changeEndpoints))
 	zones := newNames(func(names []string) { g.setEmptied(names) })
 	g.feeds.emptied = with(g.Dialect.EmptiedKind, feed.WithList(zones.list), feed.WithChanges(zones.change))
 	members := newMembers(g.setMembers)
-	g.feeds.members = with(g.Dialect.MemberKind, feed.WithRest(memberRest),
+	g.feeds.members = with(g.Dialect.MemberKind, feed.WithRest(func() clock.Millis { return memberRest }),
 		feed.WithWait(func() clock.Millis { return memberWait }), feed.WithList(members.list), feed.WithChanges(members.change))
 }
 
@@ -184,6 +185,12 @@
 	watchers = 4
 )
 
+// endpointRest grows with the fleet: each change is read by every process, and
+// each read is paid for.
+func (g *Gateway) endpointRest() clock.Millis {
+	return min(leastRest*clock.Millis(max(len(g.mesh.Alive()), watchers))/watchers, mostRest)
+}
+
 // watchWait spreads the watches of all processes evenly over time: each call
 // that returns is paid for, and whoever notices a change tells all others.
 func (g *Gateway) watchWait() clock.Millis {
