perf(place): prompts that are planned count, steeper lateness, loads told every 100 ms

Change: from its first stage on a request's prompt counts as planned at the engine it will probably be sent to, told to peers before it is sent.

--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -306,9 +306,11 @@
 type EndpointLoad struct {
 	Endpoint string `cbor:"endpoint"`
 	Running  int64  `cbor:"running,omitempty"`
-	// Prefill is prompt tokens not yet read, Memory the tokens of all that runs.
+	// Prefill is prompt tokens not yet read, Memory the tokens of all that runs,
+	// Planned the prompt tokens of requests that will be sent there soon.
 	Prefill int64 `cbor:"prefill,omitempty"`
 	Memory  int64 `cbor:"memory,omitempty"`
+	Planned int64 `cbor:"planned,omitempty"`
 }
 
 // PrefixUse tells that prompts with these parts were sent to an endpoint.
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -138,15 +138,19 @@
 	return cost
 }
 
-// lateness is how probable a miss of the objective is: not below half of the
-// slack, certain beyond one and a half of it, because delays are guessed.
+// lateness is how probable a miss of the objective is: not below lateFrom of
+// the slack, certain at all of it, because delays are guessed and what arrives
+// later takes its part of each step.
 func lateness(delay, slack float64) float64 {
 	if slack <= 0 {
 		return 1
 	}
-	return min(max(delay/slack-0.5, 0), 1)
+	return min(max((delay/slack-lateFrom)/(1-lateFrom), 0), 1)
 }
 
+// lateFrom is the part of the slack from which a delay becomes a risk.
+const lateFrom = 0.4
+
 // unit returns a number from 0 to 1 that only depends on two names.
 func unit(group, engine string) float64 {
 	const largest = 1 << 32
--- a/internal/route/view/view.go
+++ b/internal/route/view/view.go
@@ -58,10 +58,14 @@
 	Running atomic.Int64
 	Prefill atomic.Int64
 	Memory  atomic.Int64
-	// PeerRunning, PeerPrefill and PeerMemory are the same of all peers.
+	// Planned is the prompt tokens of requests that are still in their stages
+	// and will probably be sent there.
+	Planned atomic.Int64
+	// PeerRunning, PeerPrefill, PeerMemory and PeerPlanned are those of all peers.
 	PeerRunning atomic.Int64
 	PeerPrefill atomic.Int64
 	PeerMemory  atomic.Int64
+	PeerPlanned atomic.Int64
 }
 
 // Cold reports whether the endpoint is believed to be cold.
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -38,7 +38,11 @@
 	// generation how long it will take there to its first event.
 	wish       string
 	generation clock.Millis
-	made       map[string]madeAt // where references lie
+	// planned is the engine that will probably generate, plannedTokens what it
+	// has to read then.
+	planned       *target
+	plannedTokens int64
+	made          map[string]madeAt // where references lie
 
 	// sent counts the endpoints that the request was sent to, tried holds them.
 	sent  int
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -102,7 +102,7 @@
 			continue
 		}
 		engines[i].Running = t.Load.Running.Load() + t.Load.PeerRunning.Load()
-		engines[i].Prefill = t.Load.Prefill.Load() + t.Load.PeerPrefill.Load()
+		engines[i].Prefill = t.Load.Prefill.Load() + t.Load.PeerPrefill.Load() + int64(plannedShare*float64(req.othersPlanned(t)))
 		engines[i].Memory = t.Load.Memory.Load() + t.Load.PeerMemory.Load()
 		engines[i].Slots = int64(req.pool.Generation.Slots)
 		engines[i].Cached, engines[i].CachedHot = t.cached(req.Parts, hot, now)
@@ -177,15 +177,43 @@
 	return choice{target: found[at]}
 }
 
-// wish returns the availability zone where the request would be generated if it
-// were sent now, so that its inputs are made there, and how long it would take
-// to its first event.
-func (g *Gate) wish(req *request) (zone string, span clock.Millis) {
+// plannedShare is the part of the prompts planned for an engine that a new one
+// will find there: some of what is planned is read before, or goes elsewhere.
+const plannedShare = 0.6
+
+// othersPlanned returns the prompt tokens planned for an engine by all requests
+// but this one.
+func (r *request) othersPlanned(t *target) int64 {
+	planned := t.Load.Planned.Load() + t.Load.PeerPlanned.Load()
+	if r.planned == t {
+		planned -= r.plannedTokens
+	}
+	return max(planned, 0)
+}
+
+// plan chooses the engine where the request would be generated if it were sent
+// now, so that its inputs are made near it, and returns how long it would take
+// there to its first event. Until it is sent, its prompt counts as planned:
+// many requests leave their stages at the same moment, and would all choose the
+// engine that was idle when they looked.
+func (g *Gate) plan(req *request) clock.Millis {
 	if req.pool.Generation == nil {
-		return "", generationTime
+		return generationTime
 	}
-	if chosen := g.choose(req); chosen.target != nil {
-		return chosen.target.Zone, generationTime + clock.Millis(chosen.delay)
+	chosen := g.choose(req)
+	if chosen.target == nil {
+		return generationTime
+	}
+	req.wish = chosen.target.Zone
+	req.planned, req.plannedTokens = chosen.target, chosen.unread
+	chosen.target.Load.Planned.Add(chosen.unread)
+	return generationTime + clock.Millis(chosen.delay)
+}
+
+// unplan takes plan back: the request is sent now, or ends.
+func (r *request) unplan() {
+	if r.planned != nil {
+		r.planned.Load.Planned.Add(-r.plannedTokens)
+		r.planned, r.plannedTokens = nil, 0
 	}
-	return "", generationTime
 }
--- a/internal/serve/gate/stages.go
+++ b/internal/serve/gate/stages.go
@@ -30,7 +30,8 @@
 		return nil
 	}
 	began := g.Clock.Now()
-	req.wish, req.generation = g.wish(req)
+	req.generation = g.plan(req)
+	defer req.unplan()
 	if err := g.begins(req); err != nil {
 		return err
 	}
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -31,9 +31,9 @@
 	// process.
 	firstRedial = 100 * clock.Millis(1)
 	maxRedial   = 2 * clock.Second
-	// tellEvery is how often loads are told. A generation runs for a second and
-	// more, and reports of engines lag by a tenth.
-	tellEvery = 200 * clock.Millis(1)
+	// tellEvery is how often loads are told: as often as an engine reports its
+	// own, and several times within the stages of a request.
+	tellEvery = 100 * clock.Millis(1)
 )
 
 // Member is one process of the system.
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -48,8 +48,9 @@
 	g.gate.EachUsed(func(e *view.Endpoint) {
 		load := wire.EndpointLoad{
 			Endpoint: e.ID, Running: e.Load.Running.Load(), Prefill: e.Load.Prefill.Load(), Memory: e.Load.Memory.Load(),
+			Planned: e.Load.Planned.Load(),
 		}
-		if load.Running > 0 {
+		if load.Running > 0 || load.Planned > 0 {
 			loads.Endpoints = append(loads.Endpoints, load)
 		}
 	})
@@ -84,6 +85,7 @@
 			sum.Running += load.Running
 			sum.Prefill += load.Prefill
 			sum.Memory += load.Memory
+			sum.Planned += load.Planned
 			sums[load.Endpoint] = sum
 		}
 	}
@@ -92,6 +94,7 @@
 		e.Load.PeerRunning.Store(sum.Running)
 		e.Load.PeerPrefill.Store(sum.Prefill)
 		e.Load.PeerMemory.Store(sum.Memory)
+		e.Load.PeerPlanned.Store(sum.Planned)
 	})
 }
 
