--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -12,6 +12,7 @@
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
 	"github.com/jujubescale/jujubescale/internal/flow/graph"
 	"github.com/jujubescale/jujubescale/internal/route/view"
+	"github.com/jujubescale/jujubescale/internal/serve/target"
 )
 
 // request is one request of a caller on its way.
@@ -40,7 +41,7 @@
 	generation clock.Millis
 	// planned is the engine that will probably generate, plannedTokens what it
 	// has to read then.
-	planned       *target
+	planned       *target.Target
 	plannedTokens int64
 	made          map[string]madeAt // where references lie
 
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
+	"github.com/jujubescale/jujubescale/internal/serve/target"
 )
 
 const (
@@ -27,6 +28,11 @@
 	// maxPlainBytes is the largest answer that is read whole before any of it is
 	// passed on; the largest of the users' plain answers has 5 KB.
 	maxPlainBytes = 1 << 20
+	// fullBar is how long an endpoint that was full gets nothing.
+	fullBar = 80 * clock.Millis(1)
+	// maxBar is how long an address gets nothing that belongs to another
+	// endpoint now; the entry follows by then.
+	maxBar = 4 * clock.Second
 	// headBytes is the usual size of a request's head.
 	headBytes = 1 << 10
 	// stallTimes is how many objectives an endpoint may take for the first byte
@@ -53,7 +59,7 @@
 	defer cancel()
 	stall := g.watchStall(req, cancel)
 	defer stall.stop()
-	reply, err := t.conns.Do(ctx, g.request(req, t, now))
+	reply, err := t.Conns.Do(ctx, g.request(req, t, now))
 	if err != nil {
 		return g.noReply(req, t, err)
 	}
@@ -64,17 +70,17 @@
 
 // load is one request's part in the load of an endpoint.
 type load struct {
-	target  *target
+	target  *target.Target
 	prefill int64
 	memory  int64
 }
 
-func (g *Gate) countLoad(t *target, req *request, chosen choice) *load {
+func (g *Gate) countLoad(t *target.Target, req *request, chosen choice) *load {
 	l := &load{target: t}
 	if req.pool.Generation != nil {
 		l.prefill = chosen.unread
 		l.memory = req.PromptTokens + req.outputTokens()
-		g.sent(t, req.Parts)
+		g.prefixes.Sent(t, req.Parts)
 	}
 	t.Load.Running.Add(1)
 	t.Load.Prefill.Add(l.prefill)
@@ -124,7 +130,7 @@
 }
 
 // request spells the request for an endpoint.
-func (g *Gate) request(req *request, t *target, now clock.Millis) *conn.Request {
+func (g *Gate) request(req *request, t *target.Target, now clock.Millis) *conn.Request {
 	head := make([]byte, 0, headBytes)
 	head = append(head, req.method...)
 	head = append(head, ' ')
@@ -193,14 +199,14 @@
 }
 
 // noReply judges an attempt without the head of an answer.
-func (g *Gate) noReply(req *request, t *target, err error) result {
+func (g *Gate) noReply(req *request, t *target.Target, err error) result {
 	now := g.Clock.Now()
 	var full *conn.FullError
 	if errors.As(err, &full) {
 		t.Bar(now + fullBar)
 		return result{end: unsent, err: fault.Refuse(fault.QueueFull, err.Error())}
 	}
-	t.failed(now)
+	t.Failed(now)
 	var sent *conn.SentError
 	g.Log.Info("endpoint failed", "request", req.Request, "endpoint", t.ID, "sent", errors.As(err, &sent), logs.KeyError, err)
 	if !errors.As(err, &sent) {
@@ -216,20 +222,17 @@
 }
 
 // takeReply judges an answer by its head and passes it on.
-func (g *Gate) takeReply(w http.ResponseWriter, req *request, t *target, reply *conn.Reply, l *load, s *stall, began clock.Millis) result {
+func (g *Gate) takeReply(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, l *load, s *stall, began clock.Millis) result {
 	marks := g.Spelling.MarksFunc(reply.Header)
 	if marks.Cold > 0 {
 		t.SetCold(g.Clock.Now() + marks.Cold)
 	}
-	if marks.HasLoad {
-		t.told.Store(int64(marks.Running + marks.Waiting))
-	}
 	switch {
 	case marks.NotRun || reply.Status == http.StatusMisdirectedRequest:
 		return g.refusedBy(req, t, reply, marks)
 	case reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices && !marks.Sealed:
 		req.mayHaveRun = true
-		t.failed(g.Clock.Now())
+		t.Failed(g.Clock.Now())
 		return result{end: broken, err: fault.Refuse(fault.AnswerBroken, "the answer bears no seal")}
 	}
 	req.mayHaveRun = true
@@ -240,7 +243,7 @@
 }
 
 // refusedBy judges a proof that the request did not run.
-func (g *Gate) refusedBy(req *request, t *target, reply *conn.Reply, marks spell.Marks) result {
+func (g *Gate) refusedBy(req *request, t *target.Target, reply *conn.Reply, marks spell.Marks) result {
 	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxPlainBytes)) // only the head counts
 	now := g.Clock.Now()
 	g.Log.Info("endpoint refused", "request", req.Request, "endpoint", t.ID, "status", reply.Status,
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -7,6 +7,7 @@
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/route/place"
 	"github.com/jujubescale/jujubescale/internal/route/view"
+	"github.com/jujubescale/jujubescale/internal/serve/target"
 )
 
 const (
@@ -27,7 +28,7 @@
 
 // choice is the endpoint for a request, or when to look again.
 type choice struct {
-	target *target
+	target *target.Target
 	// wait is the time until an endpoint may take the request; it is set when
 	// there is no target but an endpoint is only held back by its pace.
 	wait clock.Millis
@@ -50,16 +51,16 @@
 	now := g.Clock.Now()
 	endpoints := g.View().Pool(req.pool.Name)
 	shut := make([]bool, len(endpoints))
-	found := make([]*target, len(endpoints))
+	found := make([]*target.Target, len(endpoints))
 	var wait clock.Millis
 	for i, e := range endpoints {
-		t := g.targets.of(e)
+		t := g.targets.Of(e)
 		found[i] = t
 		if e.Out() || slices.Contains(req.tried, e) || (!barred && e.Barred(now)) {
 			shut[i] = true
 			continue
 		}
-		if held := t.waitFor(g.paceOf(req, e, now), now); held > 0 {
+		if held := t.WaitFor(g.paceOf(req, e, now), now); held > 0 {
 			shut[i] = true
 			if wait == 0 || held < wait {
 				wait = held
@@ -93,9 +94,9 @@
 	return max(int(all)/max(len(g.mesh.Alive()), 1), leastWarm)
 }
 
-func (g *Gate) chooseEngine(req *request, found []*target, shut []bool, wait, now clock.Millis) choice {
+func (g *Gate) chooseEngine(req *request, found []*target.Target, shut []bool, wait, now clock.Millis) choice {
 	engines := make([]place.Engine, len(found))
-	hot := g.prefixes.hot(req.Parts, now)
+	hot := g.prefixes.Hot(req.Parts, now)
 	for i, t := range found {
 		engines[i] = place.Engine{ID: t.ID, Zone: t.Zone, Shut: shut[i], Capacity: req.pool.Generation.Tokens}
 		if shut[i] {
@@ -105,7 +106,7 @@
 		engines[i].Prefill = t.Load.Prefill.Load() + t.Load.PeerPrefill.Load() + int64(plannedShare*float64(req.othersPlanned(t)))
 		engines[i].Memory = t.Load.Memory.Load() + t.Load.PeerMemory.Load()
 		engines[i].Slots = int64(req.pool.Generation.Slots)
-		engines[i].Cached, engines[i].CachedHot = t.cached(req.Parts, hot, now)
+		engines[i].Cached, engines[i].CachedHot = t.Cached(req.Parts, hot, now)
 	}
 	at, delay := place.Generation(req.prompt(hot, now), engines)
 	if at == place.NoEngine {
@@ -157,7 +158,7 @@
 	return int64(guessedOutput * float64(r.OutputTokens))
 }
 
-func (g *Gate) chooseServer(found []*target, shut []bool, wait clock.Millis) choice {
+func (g *Gate) chooseServer(found []*target.Target, shut []bool, wait clock.Millis) choice {
 	servers := make([]place.Server, len(found))
 	for i, t := range found {
 		servers[i] = place.Server{Shut: shut[i]}
@@ -165,7 +166,7 @@
 			continue
 		}
 		running := max(t.Load.Running.Load()+t.Load.PeerRunning.Load(), 0)
-		servers[i] = place.Server{Near: t.Zone == g.Zone, Running: running, Slots: int64(t.Slots), Recent: t.speed()}
+		servers[i] = place.Server{Near: t.Zone == g.Zone, Running: running, Slots: int64(t.Slots), Recent: t.Speed()}
 	}
 	if len(servers) == 0 {
 		return choice{wait: wait}
@@ -183,7 +184,7 @@
 
 // othersPlanned returns the prompt tokens planned for an engine by all requests
 // but this one.
-func (r *request) othersPlanned(t *target) int64 {
+func (r *request) othersPlanned(t *target.Target) int64 {
 	planned := t.Load.Planned.Load() + t.Load.PeerPlanned.Load()
 	if r.planned == t {
 		planned -= r.plannedTokens
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -16,10 +16,14 @@
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/conf/table"
+	"github.com/jujubescale/jujubescale/internal/engine/conn"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
+	"github.com/jujubescale/jujubescale/internal/flow/extra"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/host"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
+	"github.com/jujubescale/jujubescale/internal/serve/target"
 )
 
 // Settings are what a Gate needs.
@@ -53,9 +57,9 @@
 	mesh     *mesh.Mesh
 	host     *host.Host
 	meter    *Meter
-	targets  targets
-	extras   extras
-	prefixes prefixes
+	targets  *target.Set
+	extras   *extra.Budget
+	prefixes *target.Prefixes
 	bounds   atomic.Pointer[Bounds]
 	leaving  atomic.Bool
 	open     sync.WaitGroup
@@ -68,8 +72,11 @@
 func New(settings Settings) *Gate {
 	g := &Gate{Settings: settings, meter: NewMeter(settings.Registry)}
 	g.bounds.Store(&Bounds{})
-	g.targets.init(g)
-	g.extras.init(g)
+	g.targets = target.NewSet(g.Clock, g.mostConns, g.meter.dialed)
+	g.prefixes = target.NewPrefixes(g.targets)
+	g.extras = extra.New(func() extra.Bounds {
+		return extra.Bounds{Share: g.bounds.Load().ExtraShare, Spare: g.bounds.Load().ExtraSpare}
+	}, func() int { return len(g.mesh.Alive()) })
 	g.cut, g.cutAll = context.WithCancel(context.Background())
 	return g
 }
@@ -81,14 +88,39 @@
 func (g *Gate) Staying() bool { return !g.leaving.Load() }
 
 // Sweep forgets endpoints that are gone and closes unused connections.
-func (g *Gate) Sweep() { g.targets.sweep() }
+func (g *Gate) Sweep() { g.targets.Sweep() }
 
 // EachUsed calls visit for every endpoint that this process has used.
-func (g *Gate) EachUsed(visit func(*view.Endpoint)) {
-	g.targets.byID.Range(func(key, _ any) bool {
-		visit(key.(*view.Endpoint))
-		return true
-	})
+func (g *Gate) EachUsed(visit func(*view.Endpoint)) { g.targets.Each(visit) }
+
+// Conns returns the connections to an endpoint.
+func (g *Gate) Conns(e *view.Endpoint) *conn.Group { return g.targets.Of(e).Conns }
+
+// Earn counts one ordinary request to a pool.
+func (g *Gate) Earn(pool string) { g.extras.Earn(pool) }
+
+// Extra reports whether a request may be sent to a pool once more, and spends
+// that.
+func (g *Gate) Extra(pool string) bool { return g.extras.Take(pool) }
+
+// Prefixes returns what peers have not been told yet of prompts that were sent.
+func (g *Gate) Prefixes() []wire.PrefixUse { return g.prefixes.Untold() }
+
+// TakePrefixes remembers what a peer sent.
+func (g *Gate) TakePrefixes(uses []wire.PrefixUse) { g.prefixes.Take(uses, g.View().Find) }
+
+// mostConns is this process's part of the connections that an endpoint accepts
+// from everybody; an eighth is left for processes that start just now.
+func (g *Gate) mostConns(name string) int {
+	routes := g.Table()
+	if routes == nil {
+		return 1
+	}
+	pool := routes.Pool(name)
+	if pool == nil || pool.MaxConns == 0 {
+		return 1
+	}
+	return max(pool.MaxConns*7/8/max(len(g.mesh.Alive()), 1), 2)
 }
 
 // Join sets the processes that pools are shared with, and the host of the
--- a/internal/serve/gate/pass.go
+++ b/internal/serve/gate/pass.go
@@ -12,6 +12,7 @@
 	"github.com/jujubescale/jujubescale/internal/engine/event"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
+	"github.com/jujubescale/jujubescale/internal/serve/target"
 )
 
 // copyHead gives the caller the endpoint's headers.
@@ -31,15 +32,15 @@
 // passWhole reads an answer to its end and then passes it on. An answer that
 // breaks off has reached nobody, so the request may go elsewhere if it may be
 // repeated, and its caller hears of a failure and not of half an answer.
-func (g *Gate) passWhole(w http.ResponseWriter, req *request, t *target, reply *conn.Reply, marks spell.Marks, began clock.Millis) result {
+func (g *Gate) passWhole(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, marks spell.Marks, began clock.Millis) result {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxPlainBytes+1))
 	if err != nil {
-		t.failed(g.Clock.Now())
+		t.Failed(g.Clock.Now())
 		g.Log.Info("answer broke off", "request", req.Request, "endpoint", t.ID, "bytes", len(body), logs.KeyError, err)
 		return result{end: broken, err: fault.Refuse(fault.AnswerBroken, err.Error())}
 	}
 	wrong := reply.Status >= http.StatusInternalServerError
-	t.answered(g.Clock.Since(began), wrong)
+	t.Answered(g.Clock.Since(began), wrong)
 	if wrong && g.another(req, result{end: failed}) {
 		return g.elsewhere(req, t, reply.Status)
 	}
@@ -58,7 +59,7 @@
 }
 
 // elsewhere notes that another endpoint is tried after a failure.
-func (g *Gate) elsewhere(req *request, t *target, status int) result {
+func (g *Gate) elsewhere(req *request, t *target.Target, status int) result {
 	g.Log.Info("endpoint answered a failure", "request", req.Request, "endpoint", t.ID, "status", status)
 	return result{end: failed, granted: true, err: fault.Refuse(fault.EndpointFailed, "status "+strconv.Itoa(status))}
 }
@@ -83,7 +84,7 @@
 
 // passEvents passes a stream on event by event. The head of the first engine
 // stands for the whole answer, also when another engine goes on with it.
-func (g *Gate) passEvents(w http.ResponseWriter, req *request, t *target, reply *conn.Reply, l *load, s *stall) result {
+func (g *Gate) passEvents(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, l *load, s *stall) result {
 	flush := http.NewResponseController(w)
 	events := event.New(reply.Body)
 	for {
@@ -128,9 +129,9 @@
 }
 
 // endEvents judges the end of a stream.
-func (g *Gate) endEvents(w http.ResponseWriter, req *request, t *target, reply *conn.Reply, err error) result {
+func (g *Gate) endEvents(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, err error) result {
 	if errors.Is(err, io.EOF) && reply.Whole() {
-		t.answered(0, false)
+		t.Answered(0, false)
 		if !req.begun {
 			copyHead(w, reply)
 			req.status = reply.Status
@@ -138,7 +139,7 @@
 		}
 		return result{end: answered}
 	}
-	t.failed(g.Clock.Now())
+	t.Failed(g.Clock.Now())
 	g.Log.Info("stream broke off", "request", req.Request, "endpoint", t.ID, "events", req.events,
 		"lastEvent", req.LastEvent, logs.KeyError, err)
 	return result{end: broken, err: fault.Refuse(fault.AnswerBroken, err.Error())}
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -150,7 +150,7 @@
 		chosen := g.choose(req)
 		if chosen.target != nil {
 			now := g.Clock.Now()
-			wait := chosen.target.start(g.paceOf(req, chosen.target.Endpoint, now), now)
+			wait := chosen.target.Start(g.paceOf(req, chosen.target.Endpoint, now), now)
 			if wait == 0 {
 				return chosen, nil
 			}
--- a/internal/serve/router/harness_test.go
+++ b/internal/serve/router/harness_test.go
@@ -24,10 +24,10 @@
 
 // Services of the deployment that the tests play on.
 const (
-	orders  = "orders"
-	models  = "models"
-	encode  = "encode"
-	retrive = "retrieve"
+	orders    = "orders"
+	models    = "models"
+	encode    = "encode"
+	retrieval = "retrieve"
 )
 
 const (
@@ -59,14 +59,14 @@
 			{Name: orders, Kind: stand.Plain, MaxConns: 64},
 			{Name: models, Kind: stand.Model, MaxConns: 64, ColdS: 3, ColdPerS: 5},
 			{Name: encode, Kind: stand.Stage, MaxConns: 64, Batch: 4, CallMs: 20, ItemMs: 1},
-			{Name: retrive, Kind: stand.Stage, MaxConns: 64, Batch: 8, CallMs: 20, ItemMs: 1},
+			{Name: retrieval, Kind: stand.Stage, MaxConns: 64, Batch: 8, CallMs: 20, ItemMs: 1},
 		},
 		Routes: []stand.Route{
 			{Name: "book", Host: "orders.example", Prefix: "/book/", Kind: "unsafe", Service: orders, TimeoutMs: 3000, SloMs: 300, Attempts: 1, Priority: 1},
 			{Name: "look", Host: "orders.example", Prefix: "/look/", Kind: "safe", Service: orders, TimeoutMs: 3000, SloMs: 300, Attempts: 2, Priority: 1},
 			{
 				Name: "draft", Host: "models.example", Prefix: "/draft/", Kind: "stream", Service: models, TimeoutMs: 8000, SloMs: 2000, Attempts: 2, Resumable: true,
-				Stages: []stand.RouteStage{{Service: encode, Bytes: 1000}, {Service: retrive, After: []int{0}, Bytes: 1000}},
+				Stages: []stand.RouteStage{{Service: encode, Bytes: 1000}, {Service: retrieval, After: []int{0}, Bytes: 1000}},
 			},
 			{Name: "sum", Host: "models.example", Prefix: "/sum/", Kind: "stream", Service: models, TimeoutMs: 8000, SloMs: 2000, Attempts: 1},
 			{Name: "open", Host: "orders.example", Prefix: "/open/", Kind: "safe", Service: orders, TimeoutMs: 3000, SloMs: 300, Attempts: 1, Public: true},
@@ -83,7 +83,7 @@
 			{Service: orders, Kind: stand.Plain, Work: 5 * time.Millisecond},
 			{Service: models, Kind: stand.Model, Work: 5 * time.Millisecond, Pause: 5 * time.Millisecond, Events: 8},
 			{Service: encode, Kind: stand.Stage, Work: 20 * time.Millisecond},
-			{Service: retrive, Kind: stand.Stage, Work: 20 * time.Millisecond},
+			{Service: retrieval, Kind: stand.Stage, Work: 20 * time.Millisecond},
 		} {
 			e.Zone = zone
 			_, err := b.Add(e)
--- a/internal/serve/gate/prefix.go
+++ b/internal/serve/target/prefix.go
@@ -1,4 +1,4 @@
-package gate
+package target
 
 import (
 	"sync"
@@ -6,6 +6,7 @@
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/route/view"
 )
 
 const (
@@ -18,16 +19,18 @@
 	maxTold = 1024
 )
 
-// prefixes remembers when parts of prompts were used last, by any process, and
+// Prefixes remembers when parts of prompts were used last, by any process, and
 // what peers still have to be told.
-type prefixes struct {
+type Prefixes struct {
+	set *Set
+
 	mu   sync.Mutex
 	used map[string]clock.Millis
 	tell []wire.PrefixUse
 }
 
-// hot tells for each part whether it was read somewhere a moment ago.
-func (p *prefixes) hot(parts []spell.Part, now clock.Millis) []bool {
+// Hot tells for each part whether it was read somewhere a moment ago.
+func (p *Prefixes) Hot(parts []spell.Part, now clock.Millis) []bool {
 	hot := make([]bool, len(parts))
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -38,11 +41,13 @@
 	return hot
 }
 
+// NewPrefixes returns an empty memory of prompts at the endpoints of a set.
+func NewPrefixes(set *Set) *Prefixes {
+	return &Prefixes{set: set, used: make(map[string]clock.Millis)}
+}
+
 // note remembers the use of parts. The caller holds the lock.
-func (p *prefixes) note(ids []string, now clock.Millis) {
-	if p.used == nil {
-		p.used = make(map[string]clock.Millis)
-	}
+func (p *Prefixes) note(ids []string, now clock.Millis) {
 	if len(p.used) > maxHot {
 		for id, used := range p.used {
 			if now-used > hotFor {
@@ -55,8 +60,9 @@
 	}
 }
 
-// sent remembers that this process sent the shared parts of a prompt.
-func (g *Gate) sent(t *target, parts []spell.Part) {
+// Sent remembers that this process sent a prompt with shared parts; the last
+// part belongs to the request alone.
+func (p *Prefixes) Sent(t *Target, parts []spell.Part) {
 	shared := max(len(parts)-1, 0)
 	if shared == 0 {
 		return
@@ -65,9 +71,8 @@
 	for i := range ids {
 		ids[i] = parts[i].ID
 	}
-	now := g.Clock.Now()
-	t.use(ids, now)
-	p := &g.prefixes
+	now := p.set.clock.Now()
+	t.Use(ids, now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.note(ids, now)
@@ -76,9 +81,8 @@
 	}
 }
 
-// Prefixes returns what peers have not been told yet.
-func (g *Gate) Prefixes() []wire.PrefixUse {
-	p := &g.prefixes
+// Untold returns what peers have not been told yet.
+func (p *Prefixes) Untold() []wire.PrefixUse {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	tell := p.tell
@@ -86,16 +90,15 @@
 	return tell
 }
 
-// TakePrefixes remembers what a peer sent.
-func (g *Gate) TakePrefixes(uses []wire.PrefixUse) {
-	now := g.Clock.Now()
-	snapshot := g.View()
+// Take remembers what a peer sent. Find returns an endpoint by its id.
+func (p *Prefixes) Take(uses []wire.PrefixUse, find func(id string) *view.Endpoint) {
+	now := p.set.clock.Now()
 	for _, use := range uses {
-		if e := snapshot.Find(use.Endpoint); e != nil {
-			g.targets.of(e).use(use.Parts, now)
+		if e := find(use.Endpoint); e != nil {
+			p.set.Of(e).Use(use.Parts, now)
 		}
-		g.prefixes.mu.Lock()
-		g.prefixes.note(use.Parts, now)
-		g.prefixes.mu.Unlock()
+		p.mu.Lock()
+		p.note(use.Parts, now)
+		p.mu.Unlock()
 	}
 }
--- a/internal/serve/gate/target.go
+++ b/internal/serve/target/target.go
@@ -1,8 +1,11 @@
-package gate
+// Package target keeps what a process knows of each endpoint that it sends
+// requests to, besides what the endpoint says of itself: connections, how many
+// requests were started lately, how fast and how often it answered, and which
+// parts of prompts it probably still has in memory.
+package target
 
 import (
 	"sync"
-	"sync/atomic"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
@@ -21,17 +24,15 @@
 	// firstBar and maxBar bound how long an endpoint that failed gets nothing.
 	firstBar = 250 * clock.Millis(1)
 	maxBar   = 4 * clock.Second
-	// fullBar is how long an endpoint that was full gets nothing.
-	fullBar = 80 * clock.Millis(1)
 	// answerWeight is the part of the newest answer in what is remembered of an
 	// endpoint's speed and failures: the last five or so count.
 	answerWeight = 0.2
 )
 
-// target is what this process keeps for one endpoint.
-type target struct {
+// Target is what this process keeps for one endpoint.
+type Target struct {
 	*view.Endpoint
-	conns *conn.Group
+	Conns *conn.Group
 
 	mu       sync.Mutex
 	pace     pace.Pace
@@ -41,64 +42,59 @@
 	// answers that were failures.
 	recent float64
 	wrong  float64
-	told   atomic.Int64 // requests that run or wait there, as it said last
 }
 
-// targets holds one target for each endpoint that was used.
-type targets struct {
-	gate *Gate
-	byID sync.Map // *view.Endpoint to *target
+// Set holds one target for each endpoint that was used.
+type Set struct {
+	clock  *clock.Clock
+	most   func(pool string) int
+	dialed func()
+	byID   sync.Map // *view.Endpoint to *Target
 }
 
-func (t *targets) init(g *Gate) { t.gate = g }
+// NewSet returns an empty set. Most is the largest number of connections to an
+// endpoint of a pool, dialed counts new ones.
+func NewSet(c *clock.Clock, most func(pool string) int, dialed func()) *Set {
+	return &Set{clock: c, most: most, dialed: dialed}
+}
 
-// of returns the target of an endpoint.
-func (t *targets) of(e *view.Endpoint) *target {
-	if known, found := t.byID.Load(e); found {
-		return known.(*target)
+// Of returns the target of an endpoint.
+func (s *Set) Of(e *view.Endpoint) *Target {
+	if known, found := s.byID.Load(e); found {
+		return known.(*Target)
 	}
-	g := t.gate
-	made := &target{Endpoint: e, parts: make(map[string]clock.Millis)}
-	made.conns = conn.New(e.Address, conn.WithClock(g.Clock), conn.WithDialed(g.meter.dialed),
-		conn.WithMost(func() int { return g.mostConns(e.Pool) }))
-	known, _ := t.byID.LoadOrStore(e, made)
-	return known.(*target)
+	made := &Target{Endpoint: e, parts: make(map[string]clock.Millis)}
+	made.Conns = conn.New(e.Address, conn.WithClock(s.clock), conn.WithDialed(s.dialed),
+		conn.WithMost(func() int { return s.most(e.Pool) }))
+	known, _ := s.byID.LoadOrStore(e, made)
+	return known.(*Target)
 }
 
-// sweep forgets endpoints that are gone, and closes unused connections.
-func (t *targets) sweep() {
-	t.byID.Range(func(key, value any) bool {
-		known := value.(*target)
+// Sweep forgets endpoints that are gone, and closes unused connections.
+func (s *Set) Sweep() {
+	s.byID.Range(func(key, value any) bool {
+		known := value.(*Target)
 		if known.Gone() {
-			known.conns.Close()
-			t.byID.Delete(key)
+			known.Conns.Close()
+			s.byID.Delete(key)
 			return true
 		}
-		known.conns.Sweep()
+		known.Conns.Sweep()
 		return true
 	})
 }
 
-// mostConns is this process's part of the connections that an endpoint accepts
-// from everybody; an eighth is left for processes that start just now.
-func (g *Gate) mostConns(name string) int {
-	routes := g.Table()
-	if routes == nil {
-		return 1
-	}
-	pool := routes.Pool(name)
-	if pool == nil || pool.MaxConns == 0 {
-		return 1
-	}
-	return max(pool.MaxConns*7/8/max(len(g.mesh.Alive()), 1), 2)
+// Each calls visit for every endpoint that was used.
+func (s *Set) Each(visit func(*view.Endpoint)) {
+	s.byID.Range(func(key, _ any) bool {
+		visit(key.(*view.Endpoint))
+		return true
+	})
 }
 
-// Conns returns the connections to an endpoint.
-func (g *Gate) Conns(e *view.Endpoint) *conn.Group { return g.targets.of(e).conns }
-
-// cached returns how many tokens of a prompt are believed to be in memory, and
+// Cached returns how many tokens of a prompt are believed to be in memory, and
 // how many of those are hot: a part counts only if all before it do.
-func (t *target) cached(parts []spell.Part, hot []bool, now clock.Millis) (tokens, hotTokens int64) {
+func (t *Target) Cached(parts []spell.Part, hot []bool, now clock.Millis) (tokens, hotTokens int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i, part := range parts {
@@ -113,8 +109,8 @@
 	return tokens, hotTokens
 }
 
-// use remembers that the parts of a prompt were sent.
-func (t *target) use(ids []string, now clock.Millis) {
+// Use remembers that the parts of a prompt were sent.
+func (t *Target) Use(ids []string, now clock.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.parts) > maxParts {
@@ -129,9 +125,9 @@
 	}
 }
 
-// start counts a request against the endpoint's pace, if no more than bound
+// Start counts a request against the endpoint's pace, if no more than bound
 // were started within its window; otherwise it returns how long to wait.
-func (t *target) start(bound int, now clock.Millis) clock.Millis {
+func (t *Target) Start(bound int, now clock.Millis) clock.Millis {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if wait := t.pace.Next(bound, now); wait > 0 {
@@ -141,16 +137,16 @@
 	return 0
 }
 
-// waitFor returns how long it takes until one more may be started.
-func (t *target) waitFor(bound int, now clock.Millis) clock.Millis {
+// WaitFor returns how long it takes until one more may be started.
+func (t *Target) WaitFor(bound int, now clock.Millis) clock.Millis {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.pace.Next(bound, now)
 }
 
-// answered remembers a whole answer: how long it took and whether it was a
+// Answered remembers a whole answer: how long it took and whether it was a
 // failure of the endpoint.
-func (t *target) answered(took clock.Millis, wrong bool) {
+func (t *Target) Answered(took clock.Millis, wrong bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.failures = 0
@@ -163,16 +159,16 @@
 	t.wrong += answerWeight * (share - t.wrong)
 }
 
-// speed returns the usual time to an answer, longer the more often answers were
+// Speed returns the usual time to an answer, longer the more often answers were
 // failures: whoever fails fast must not draw the requests.
-func (t *target) speed() clock.Millis {
+func (t *Target) Speed() clock.Millis {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return clock.Millis(t.recent * (1 + 4*t.wrong))
 }
 
-// failed keeps requests away from the endpoint, longer with each failure in a row.
-func (t *target) failed(now clock.Millis) {
+// Failed keeps requests away from the endpoint, longer with each failure in a row.
+func (t *Target) Failed(now clock.Millis) {
 	t.mu.Lock()
 	bar := min(firstBar<<min(t.failures, 8), maxBar)
 	t.failures++
