--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -43,6 +43,11 @@
 	// lateMs weighs an answer beyond its objective, which is worth a sixth of
 	// one within it.
 	lateMs = 1500
+	// plannedShare is the part of the prompts planned for an engine that counts
+	// as delay when engines are compared: they come over the next second or so,
+	// and most are read before this request is sent. Expected delays don't
+	// count them.
+	plannedShare = 0.4
 	// hashMs is the spread of the order in which equal engines are preferred. It
 	// only has to be larger than the noise of the other figures, so that
 	// processes which know nothing of each other agree.
@@ -80,6 +85,8 @@
 	Running int64
 	Prefill int64
 	Memory  int64
+	// Planned is the prompt tokens of requests that will probably come soon.
+	Planned int64
 	// Slots and Capacity (tokens) of the engine.
 	Slots    int64
 	Capacity int64
@@ -129,7 +136,7 @@
 
 // costAt adds to the delay what else the choice costs.
 func costAt(prompt *Prompt, engine *Engine, delay float64) float64 {
-	cost := delay + hotMsPerToken*float64(max(prompt.Hot-engine.CachedHot, 0))
+	cost := delay + plannedShare*float64(engine.Planned)/tokensPerMs + hotMsPerToken*float64(max(prompt.Hot-engine.CachedHot, 0))
 	cost += crossMsPerMB * crossMB(prompt.InputBytes, engine.Zone)
 	cost += lateMs * lateness(delay, float64(prompt.Slack))
 	if prompt.Group != "" {
--- a/internal/route/place/place_test.go
+++ b/internal/route/place/place_test.go
@@ -52,6 +52,16 @@
 	assert.Equal(t, chosen, 1)
 }
 
+// Many requests leave their stages together. Those that were promised to an
+// engine count before they are sent, or all would choose the one that is idle.
+func TestPlannedPromptsCount(t *testing.T) {
+	all := engines(2)
+	all[0].Planned = 20_000
+	chosen, delay := place.Generation(&place.Prompt{Tokens: 1000, Slack: 900}, all)
+	assert.Equal(t, chosen, 1)
+	assert.Assert(t, delay < 30, delay)
+}
+
 func TestInputsDrawARequestToTheirZone(t *testing.T) {
 	prompt := &place.Prompt{Tokens: 3000, InputBytes: []place.ZoneBytes{{Zone: "b", Bytes: 4_500_000}}}
 	all := engines(4)
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -103,7 +103,8 @@
 			continue
 		}
 		engines[i].Running = t.Load.Running.Load() + t.Load.PeerRunning.Load()
-		engines[i].Prefill = t.Load.Prefill.Load() + t.Load.PeerPrefill.Load() + int64(plannedShare*float64(req.othersPlanned(t)))
+		engines[i].Prefill = t.Load.Prefill.Load() + t.Load.PeerPrefill.Load()
+		engines[i].Planned = req.othersPlanned(t)
 		engines[i].Memory = t.Load.Memory.Load() + t.Load.PeerMemory.Load()
 		engines[i].Slots = int64(req.pool.Generation.Slots)
 		engines[i].Cached, engines[i].CachedHot = t.Cached(req.Parts, hot, now)
@@ -178,10 +179,6 @@
 	return choice{target: found[at]}
 }
 
-// plannedShare is the part of the prompts planned for an engine that a new one
-// will find there: some of what is planned is read before, or goes elsewhere.
-const plannedShare = 0.6
-
 // othersPlanned returns the prompt tokens planned for an engine by all requests
 // but this one.
 func (r *request) othersPlanned(t *target.Target) int64 {
