--- a/internal/flow/reach/reach.go
+++ b/internal/flow/reach/reach.go
@@ -27,8 +27,10 @@
 }
 
 // Edges are the upper ends of the classes of rank by which waiting pieces are
-// counted, in milliseconds from now; the last class has none.
-var Edges = []clock.Millis{0, 300, 600, 1000, 1500, 2200, 3000}
+// counted, in milliseconds from now; the last class has none. They are finer
+// than the distance between the objectives of two kinds of requests, so that the
+// more urgent kind doesn't count the other as ahead of it.
+var Edges = []clock.Millis{0, 150, 300, 450, 600, 800, 1000, 1200, 1400, 1600, 1800, 2000, 2200, 2500, 2800, 3200}
 
 // Class returns the class of a rank that lies so far from now.
 func Class(ahead clock.Millis) int {
--- a/internal/flow/reach/reach_test.go
+++ b/internal/flow/reach/reach_test.go
@@ -72,7 +72,7 @@
 	for _, tt := range []struct {
 		ahead clock.Millis
 		want  int
-	}{{-1, 0}, {0, 1}, {299, 1}, {300, 2}, {5000, len(reach.Edges)}} {
+	}{{-1, 0}, {0, 1}, {149, 1}, {150, 2}, {5000, len(reach.Edges)}} {
 		assert.Equal(t, reach.Class(tt.ahead), tt.want, tt.ahead)
 	}
 }
--- a/internal/serve/gate/stages.go
+++ b/internal/serve/gate/stages.go
@@ -14,7 +14,7 @@
 const (
 	// priorityPenalty puts work behind that of the next higher priority whose
 	// objective ends so much later.
-	priorityPenalty = 300 * clock.Millis(1)
+	priorityPenalty = 600 * clock.Millis(1)
 	// latePenalty puts work that can't meet its objective any more behind work
 	// that still can: an answer beyond it is worth a sixth on the users' sheets.
 	latePenalty = 3 * clock.Second
