perf(reach): a route's priority counts besides its organisation's

Cause: organisations have a priority of their own, which replaced the route's: assessments and summaries of one organisation ranked alike. Change: rank and admission look at both; lower routes fill less of the queues.

--- a/internal/serve/gate/reach.go
+++ b/internal/serve/gate/reach.go
@@ -48,7 +48,7 @@
 	now := g.Clock.Now()
 	r := &reach.Request{
 		Stages: req.route.Stages, Pieces: req.Pieces, Done: make([]bool, len(req.route.Stages)),
-		Slack: req.objective - now, Left: req.deadline - now, Penalty: penalty(req), Last: float64(req.generation),
+		Slack: req.objective - now, Left: req.deadline - now, Penalty: penalty(req), Priority: req.route.Priority, Last: float64(req.generation),
 	}
 	for i := range r.Done {
 		r.Done[i] = !req.run.Waiting(i)
@@ -56,8 +56,12 @@
 	return r
 }
 
-// penalty puts a request behind others.
-func penalty(req *request) clock.Millis { return clock.Millis(req.priority) * priorityPenalty }
+// penalty puts a request behind others: by its organisation's priority, which
+// takes precedence, and among requests of organisations of one priority by its
+// route's.
+func penalty(req *request) clock.Millis {
+	return clock.Millis(max(req.priority, 0))*organisationPenalty + clock.Millis(max(req.route.Priority, 0))*routePenalty
+}
 
 // queue returns what is known of the queue of a pool: from this process if it
 // owns the pool, else from what the owner told last.
--- a/internal/serve/gate/stages.go
+++ b/internal/serve/gate/stages.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// priorityPenalty puts work behind that of the next higher priority whose
-	// objective ends so much later.
-	priorityPenalty = 600 * clock.Millis(1)
+	// organisationPenalty and routePenalty put work behind that of the next
+	// higher priority whose objective ends so much later.
+	organisationPenalty = 200 * clock.Millis(1)
+	routePenalty        = 500 * clock.Millis(1)
 	// latePenalty puts work that can't meet its objective any more behind work
 	// that still can: an answer beyond it is worth a sixth on the users' sheets.
 	latePenalty = 3 * clock.Second
