fix(keep): answers of one organisation don't use up the memory for all

Ruled out: the queue's fairness (no call of the small one was refused by it). Change: a part of the memory stays for organisations that hold little of it.

--- a/internal/guard/keep/keep.go
+++ b/internal/guard/keep/keep.go
@@ -21,6 +21,12 @@
 	// admitShare: new work is taken while this share of the bound is free, so
 	// that answers already running have room to end.
 	admitShare = 4
+	// reserveShare: of the rest, this share of the bound stays for organisations
+	// that hold less than smallShare of it. Whoever doesn't acknowledge, or has
+	// thousands of calls refused, fills the memory alone, and the others would be
+	// refused for answers that are not theirs.
+	reserveShare = 16
+	smallShare   = 64
 	// entryBytes is counted for each answer on top of its bytes.
 	entryBytes = 512
 )
@@ -31,8 +37,9 @@
 	End    *wire.End
 	Refuse *wire.Refuse
 
-	digest   xxhash.Digest
-	deadline clock.Millis
+	digest       xxhash.Digest
+	deadline     clock.Millis
+	organisation string
 }
 
 // Sealed reports whether the attempt has ended.
@@ -54,6 +61,8 @@
 	after   clock.Millis
 	used    int
 	results map[token.Attempt]*Result
+	// held is what each organisation has of used.
+	held map[string]int
 	// expired counts answers dropped without an acknowledgement.
 	expired int
 }
@@ -69,23 +78,39 @@
 
 // New returns an empty store.
 func New(opts ...Option) *Keep {
-	k := &Keep{bound: DefaultBound, after: DefaultAfter, results: make(map[token.Attempt]*Result)}
+	k := &Keep{bound: DefaultBound, after: DefaultAfter, results: make(map[token.Attempt]*Result), held: make(map[string]int)}
 	for _, opt := range opts {
 		opt(k)
 	}
 	return k
 }
 
-// HasRoom reports whether new work may be taken. Refusing work early, as not
-// run, costs little; an answer that finds no room has been worked for in vain.
-func (k *Keep) HasRoom() bool { return k.used+entryBytes <= k.bound-k.bound/admitShare }
+// HasRoom reports whether new work of an organisation may be taken. Refusing
+// work early, as not run, costs little; an answer that finds no room has been
+// worked for in vain.
+func (k *Keep) HasRoom(organisation string) bool {
+	limit := k.bound - k.bound/admitShare
+	if k.held[organisation] < k.bound/smallShare {
+		limit = k.bound - k.bound/reserveShare
+	}
+	return k.used+entryBytes <= limit
+}
 
-// Open begins an answer that is of use until the deadline.
-func (k *Keep) Open(id token.Attempt, deadline clock.Millis) {
-	result := &Result{deadline: deadline}
+// Open begins an answer for an organisation that is of use until the deadline.
+func (k *Keep) Open(id token.Attempt, organisation string, deadline clock.Millis) {
+	result := &Result{deadline: deadline, organisation: organisation}
 	result.digest.Reset()
 	k.results[id] = result
-	k.used += entryBytes
+	k.use(result, entryBytes)
+}
+
+// use counts bytes for an answer; a negative number gives them back.
+func (k *Keep) use(result *Result, bytes int) {
+	k.used += bytes
+	k.held[result.organisation] += bytes
+	if k.held[result.organisation] == 0 {
+		delete(k.held, result.organisation)
+	}
 }
 
 // Append adds bytes and returns the offset at which they stand. It takes
@@ -105,7 +130,7 @@
 	offset := int64(len(result.Bytes))
 	result.Bytes = append(result.Bytes, bytes...)
 	_, _ = result.digest.Write(bytes)
-	k.used += len(bytes)
+	k.use(result, len(bytes))
 	return offset, nil
 }
 
@@ -127,7 +152,7 @@
 	if result == nil || result.Sealed() {
 		return
 	}
-	k.used -= len(result.Bytes)
+	k.use(result, -len(result.Bytes))
 	result.Bytes = nil
 	result.Refuse = refuse
 }
@@ -162,7 +187,7 @@
 }
 
 func (k *Keep) drop(id token.Attempt, result *Result) {
-	k.used -= len(result.Bytes) + entryBytes
+	k.use(result, -len(result.Bytes)-entryBytes)
 	delete(k.results, id)
 }
 
--- a/internal/guard/keep/keep_test.go
+++ b/internal/guard/keep/keep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,12 +20,12 @@
 func TestMemoryIsBounded(t *testing.T) {
 	k := keep.New(keep.WithBound(4096), keep.WithAfter(10))
 	old, late := token.Attempt{Request: "old"}, token.Attempt{Request: "late"}
-	k.Open(old, 100)
+	k.Open(old, "one", 100)
 	_, err := k.Append(1, old, make([]byte, 2600))
 	assert.NilError(t, err)
 	k.Finish(old, &wire.End{})
-	assert.Assert(t, !k.HasRoom())
-	k.Open(late, 1000)
+	assert.Assert(t, !k.HasRoom("one"))
+	k.Open(late, "one", 1000)
 	_, err = k.Append(50, late, make([]byte, 1000))
 	var full *keep.FullError
 	assert.Assert(t, err != nil)
@@ -44,7 +45,7 @@
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now++
 			id := token.Attempt{Request: "r", Try: step}
-			k.Open(id, now+20)
+			k.Open(id, "one", now+20)
 			for range rapid.IntRange(0, 4).Draw(t, "parts") {
 				part := rapid.SliceOfN(rapid.Byte(), 1, 200).Draw(t, "part")
 				offset, err := k.Append(now, id, part)
@@ -70,3 +71,32 @@
 		assert.Equal(t, k.Len(), 0)
 	})
 }
+
+// One organisation's entries never acknowledge, or it has thousands of calls
+// refused a second, and its answers fill the memory. Calls of another one, which
+// holds hardly anything, must not be refused for that.
+func TestOneOrganisationDoesNotUseUpTheMemory(t *testing.T) {
+	k := keep.New(keep.WithBound(1 << 20))
+	number := 0
+	open := func(organisation string) bool {
+		if !k.HasRoom(organisation) {
+			return false
+		}
+		number++
+		k.Open(token.Attempt{Request: organisation, Try: number}, organisation, 1000)
+		return true
+	}
+	for open("large") {
+	}
+	assert.Assert(t, k.Used() <= 3<<18)
+	for range 20 {
+		assert.Assert(t, open("small"))
+	}
+	assert.Assert(t, !open("large"))
+	// The reserve is bounded, too: many small ones together can't exceed it.
+	for range 1000 {
+		number++
+		open(fmt.Sprint("other", number))
+	}
+	assert.Assert(t, k.Used() <= 1<<20-1<<16, "%d", k.Used())
+}
--- a/internal/serve/agent/offer.go
+++ b/internal/serve/agent/offer.go
@@ -97,7 +97,7 @@
 		return a.refusal(a.drain.Reason(), fault.NotRun, "")
 	case a.caller == nil:
 		return a.refusal(fault.EndpointFailed, fault.NotRun, "endpoint can't be called")
-	case !a.keep.HasRoom():
+	case !a.keep.HasRoom(c.Organisation):
 		return a.refusal(fault.Overloaded, fault.NotRun, "answers wait to be acknowledged")
 	}
 	return a.checkKey(now, c)
@@ -141,7 +141,7 @@
 		at.key = onceKey(c)
 	}
 	a.fence.Set(now, c.ID, fence.Open)
-	a.keep.Open(c.ID, at.expires)
+	a.keep.Open(c.ID, c.Organisation, at.expires)
 	a.open[c.ID] = at
 	return at
 }
