fix(host,soak): an engine that failed a moment ago still counts in estimates; soak ports and late starts

Cause: TestLeavingOwnerLosesNothing failed once: two owners met at both engines of a pool, both were barred for 60 ms, and admission took the pool for one without engines and refused for a second. Change: barred engines count for estimates; ports below that range; no start after the stop.

--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,8 +26,6 @@
 	command *exec.Cmd
 	exited  chan struct{}
 	stopped bool
-	leaving bool
-	starts  int
 }
 
 // ports are the addresses of one gateway; sessions and callers are reached
@@ -35,13 +34,28 @@
 	callers, ready, sessions, operators string
 }
 
+// Ports are drawn below the range that the kernel uses for outgoing
+// connections: one from that range may be taken by anybody between its choice
+// and the start of the process that shall listen on it.
+const (
+	firstPort = 12_000
+	lastPort  = 30_000
+	portTries = 200
+)
+
+// freeAddress returns an address on loopback where nobody listens.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var last error
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			last = err
+			continue
+		}
+		return address, listener.Close()
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", last
 }
 
 func newPorts() (ports, error) {
@@ -80,14 +94,16 @@
 	}
 	command := exec.Command(p.program, "gateway", "--config", p.settingsFile())
 	command.Stdout, command.Stderr = log, log
+	exited := make(chan struct{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped {
+		return log.Close() // the run ended while the process was away
+	}
 	if err := command.Start(); err != nil {
 		return err
 	}
-	exited := make(chan struct{})
-	p.mu.Lock()
-	p.command, p.exited, p.leaving = command, exited, false
-	p.starts++
-	p.mu.Unlock()
+	p.command, p.exited = command, exited
 	go func() {
 		defer close(exited)
 		_ = command.Wait() // how it ended is the soak's own doing
@@ -108,9 +124,6 @@
 func (p *process) signal(signal syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if signal == syscall.SIGTERM {
-		p.leaving = true
-	}
 	_ = p.command.Process.Signal(signal) // one that has just ended needs none
 }
 
--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -60,10 +60,13 @@
 	}
 	now := h.clock.Now()
 	for _, endpoint := range h.viewNow().Pool(q.name) {
-		if endpoint.Out() || endpoint.Barred(now) {
+		if endpoint.Out() {
+			continue
+		}
+		all++ // one that failed a moment ago, too: it is back before a queue of any length
+		if endpoint.Barred(now) {
 			continue
 		}
-		all++
 		e := q.engine(endpoint)
 		if e.calls < max(pool.Calls, 1) {
 			free = append(free, e)
