--- a/internal/flow/batch/batch.go
+++ b/internal/flow/batch/batch.go
@@ -12,6 +12,7 @@
 	"slices"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
 )
 
 // Group is the pieces of one stage of one request. They share inputs.
@@ -79,6 +80,11 @@
 	PieceTime float64
 }
 
+// BoundsOf returns the bounds that the configuration sets for a pool's calls.
+func BoundsOf(pool *table.Batching) Bounds {
+	return Bounds{Pieces: pool.Pieces, CallTime: float64(pool.CallTime), PieceTime: pool.PieceTime}
+}
+
 // Duration returns how long a call of so many pieces takes, in milliseconds.
 func (b Bounds) Duration(pieces int) float64 {
 	return b.CallTime + b.PieceTime*float64(pieces)
--- a/internal/serve/gate/reach.go
+++ b/internal/serve/gate/reach.go
@@ -75,9 +75,7 @@
 		return nil
 	}
 	load, known := g.load(name)
-	q := &reach.Queue{Bounds: batch.Bounds{
-		Pieces: pool.Batching.Pieces, CallTime: float64(pool.Batching.CallTime), PieceTime: pool.Batching.PieceTime,
-	}}
+	q := &reach.Queue{Bounds: batch.BoundsOf(pool.Batching)}
 	if known {
 		q.Engines, q.Free, q.Fill, q.Waiting = load.Engines, load.Free, load.Fill, load.Waiting
 		return q
--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -35,8 +35,7 @@
 	// roomShare is the part of an engine's memory for results that is used: sizes
 	// in the configuration are approximate.
 	roomShare = 0.85
-	// slowWeight is the part of the newest call in that figure, slowHalf the
-	// time in which half of the excess is forgotten without calls.
+	// slowWeight is the part of the newest call in that figure.
 	slowWeight = 0.5
 	// clearFrom is the part of an engine's memory from which a call waits for
 	// results to be given back.
@@ -48,10 +47,6 @@
 	maxAnswerBytes = 256 << 10
 )
 
-func boundsOf(pool *table.Batching) batch.Bounds {
-	return batch.Bounds{Pieces: pool.Pieces, CallTime: float64(pool.CallTime), PieceTime: pool.PieceTime}
-}
-
 // usable returns how many engines of a pool take calls, and those of them that
 // could take one now.
 func (h *Host) usable(q *queue, pool *table.Batching) (all int, free []*engine) {
@@ -81,7 +76,7 @@
 	if pool == nil {
 		return
 	}
-	bounds := boundsOf(pool)
+	bounds := batch.BoundsOf(pool)
 	for _, late := range q.waiting.Late(bounds, h.clock.Now()) {
 		h.fail(late.Owner.(*Job), fault.DeadlinePassed)
 	}
@@ -118,7 +113,7 @@
 	return usual + fillWeight*(seen-usual)
 }
 
-// clearing reports whether an engine that is fuller than half is just given
+// clearing reports whether an engine filled beyond clearFrom is just given
 // memory back. A call that began now would be small for want of room, and take
 // nearly as long as a full one; the memory is there within milliseconds.
 func (e *engine) clearing(pool *table.Batching) bool {
@@ -207,7 +202,7 @@
 	if err != nil {
 		return nil, err
 	}
-	expected := boundsOf(pool).Duration(len(items))
+	expected := batch.BoundsOf(pool).Duration(len(items))
 	limit := min(slackTimes*clock.Millis(expected)+slackMore, until-now+slackMore)
 	ctx, cancel := context.WithTimeout(h.base, limit.Duration())
 	defer cancel()
@@ -280,7 +275,7 @@
 func (h *Host) finish(q *queue, e *engine, pool *table.Batching, items []batch.Item, results []spell.Result, err error, began clock.Millis) {
 	now := h.clock.Now()
 	e.calls--
-	expected := boundsOf(pool).Duration(len(items))
+	expected := batch.BoundsOf(pool).Duration(len(items))
 	h.logInfo("pieces made", "pool", q.name, "endpoint", e.ID, "pieces", len(items), "tookMs", int64(now-began),
 		"expectedMs", int64(expected), "waiting", q.waiting.Pieces(), "failed", failures(results),
 		"ownBytes", e.bytes, "foreignBytes", e.foreign, "request", items[0].Group.Request, logs.KeyError, err)
