fix(sess,agent): a session is entered before its entry hears the hello

Cause of the known red test TestLateAndDoubledFrames: the agent entered a session only after its hello was written. An entry that asked on a second session in between was not known to have been heard lately, and got "unknown" for a call that had provably not run.

Ruled out: frames handled out of order (each session has one reader). Change: sess.WithOpened tells the accepting side before the hello goes out.

--- a/internal/link/sess/open.go
+++ b/internal/link/sess/open.go
@@ -38,6 +38,7 @@
 	clock        *clock.Clock
 	hello        func() wire.Hello
 	handler      Handler
+	opened       func(*Session)
 	release      func() uint64
 	load         func() *wire.Load
 	outside      func() clock.Millis
@@ -62,6 +63,12 @@
 // WithHandler sets who takes the frames.
 func WithHandler(handler Handler) Option { return func(o *options) { o.handler = handler } }
 
+// WithOpened sets who is told of an accepted session before the process that
+// dialed it hears the hello. From then on that process may refer to the session
+// on another one, and a reader there must find it entered already. The session
+// ends later, also when its hello could not be sent.
+func WithOpened(opened func(*Session)) Option { return func(o *options) { o.opened = opened } }
+
 // WithRelease sets the source of the release number that each frame carries.
 func WithRelease(release func() uint64) Option { return func(o *options) { o.release = release } }
 
@@ -97,6 +104,7 @@
 		clock:        clock.New(),
 		hello:        func() wire.Hello { return wire.Hello{Version: wire.Version} },
 		handler:      func(*Session, *wire.Frame) {},
+		opened:       func(*Session) {},
 		release:      func() uint64 { return 0 },
 		load:         func() *wire.Load { return nil },
 		outside:      func() clock.Millis { return 0 },
@@ -162,7 +170,8 @@
 }
 
 // Accept answers a request to open a session. It returns after the hellos; the
-// session then lives on until the context ends or it closes.
+// session then lives on until the context ends or it closes. With an error it
+// returns a session that has ended if that was entered already, else nil.
 func Accept(ctx context.Context, w http.ResponseWriter, r *http.Request, opts ...Option) (*Session, error) {
 	o := collect(opts)
 	upgrader := websocket.Upgrader{
@@ -180,14 +189,23 @@
 		s.sayBye(err)
 		return nil, err
 	}
+	s.heard.Store(int64(o.clock.Now()))
+	s.opts.opened(s)
 	if err := s.sayHello(); err != nil {
-		_ = conn.Close()
-		return nil, err
+		s.fail(err)
+		return s, err
 	}
 	s.run(ctx)
 	return s, nil
 }
 
+// fail ends a session that never began to run.
+func (s *Session) fail(cause error) {
+	s.Close(cause)
+	_ = s.conn.Close()
+	close(s.done)
+}
+
 func newSession(conn *websocket.Conn, o options, dialed bool) *Session {
 	conn.SetReadLimit(wire.MaxMessage)
 	return &Session{
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -234,21 +234,19 @@
 		a.meter.sessionsRefused.Inc()
 		return
 	}
-	told := false
-	hello := func() wire.Hello {
-		said := a.hello()
-		told = said.Leaving
-		return said
-	}
 	s, err := sess.Accept(a.base, w, r,
 		sess.WithClock(a.clock),
-		sess.WithHello(hello),
+		sess.WithHello(a.hello),
+		sess.WithOpened(a.addSession),
 		sess.WithHandler(a.take),
 		sess.WithRelease(a.holder.Number),
 		sess.WithLoad(a.load),
 		sess.WithOutside(a.shared.Outside),
 		sess.WithDropped(func(reason string) { a.meter.dropped.WithLabelValues(reason).Inc() }),
 	)
+	if s != nil {
+		defer a.removeSession(s)
+	}
 	if err != nil {
 		a.meter.sessionsRefused.Inc()
 		a.log.Warn("session refused", "from", r.RemoteAddr, "error", err)
@@ -256,9 +254,7 @@
 	}
 	a.log.Debug("session open", "peer", s.Peer().Process)
 	a.shared.Opened(s)
-	a.addSession(s, told)
 	<-s.Done()
-	a.removeSession(s)
 	a.shared.Closed(s)
 }
 
@@ -284,13 +280,16 @@
 	return len(a.sessions)
 }
 
-// addSession remembers the session. Whether new work is taken may have changed
-// since the hello told, when the session was not known yet.
-func (a *Agent) addSession(s *sess.Session, told bool) {
+// addSession enters a session before its entry hears the hello. Entered later,
+// an entry could already ask for one of its calls on another session, and the
+// agent would not know that it heard that entry a moment ago. Changes from here
+// on are told by frames of their own. A planned stop is told in any case,
+// because its frame says more than the hello does.
+func (a *Agent) addSession(s *sess.Session) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sessions[s] = true
-	if leaving := a.drain.Reason() != ""; leaving != told || a.drain.Holds(drain.CauseLeaving) {
+	if a.drain.Holds(drain.CauseLeaving) {
 		a.send(s, a.leaveFrame())
 	}
 }
--- a/internal/serve/agent/once_test.go
+++ b/internal/serve/agent/once_test.go
@@ -1,10 +1,12 @@
 package agent_test
 
 import (
+	"bytes"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"gotest.tools/v3/assert"
 
 	"github.com/jujubescale/jujubescale/internal/base/fault"
@@ -160,3 +162,34 @@
 	refuse := p.refusal(p.send(booking("k")))
 	assert.Equal(t, refuse.Ran, fault.NotRun)
 }
+
+// The agent's host is busy while a session opens, and the entry loses its first
+// session right afterwards. It asks on a second one what became of a call. The
+// agent heard that entry a moment ago and can say "not run"; "unknown" would
+// cost the caller of a booking its answer.
+func TestAskRightAfterTheSessionOpened(t *testing.T) {
+	service := plain.New()
+	_, address := startAgent(t, manif.KindPlain, serve(t, service.Handler()), agent.WithLog(slowLog()))
+	c := booking("k")
+	c.ID.Request = "late"
+	old := dial(t, address).ready()
+	fresh := dial(t, address)
+	assert.Equal(t, fresh.ask(c.ID, old.s.Peer().Incarnation, 0), wire.StateRefused)
+	assert.Equal(t, fresh.refusal(c.ID).Ran, fault.NotRun)
+}
+
+// slowLog returns a logger that holds up whoever writes that a session opened.
+func slowLog() *log.Logger {
+	l := log.New(&slowWriter{})
+	l.SetLevel(log.DebugLevel)
+	return l
+}
+
+type slowWriter struct{}
+
+func (*slowWriter) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte("session open")) {
+		time.Sleep(300 * time.Millisecond)
+	}
+	return len(line), nil
+}
