--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/jujubescale/jujubescale/internal/conf/layer"
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
 	"github.com/jujubescale/jujubescale/internal/ops/trail"
+	"github.com/jujubescale/jujubescale/internal/serve/gate"
 	"github.com/jujubescale/jujubescale/internal/serve/router"
 	"github.com/jujubescale/jujubescale/platform"
 )
@@ -158,11 +159,11 @@
 	return nil
 }
 
-func bounds(settings *config.Gateway) router.Bounds {
-	return router.Bounds{
-		Heartbeat:  clock.Millis(settings.HeartbeatMs),
+func bounds(settings *config.Gateway) gate.Bounds {
+	return gate.Bounds{
 		ExtraShare: settings.ExtraShare, ExtraSpare: settings.ExtraSpare,
-		ColdShare: settings.ColdShare, ColdSpare: settings.ColdSpare,
+		ExtraWindow: clock.Millis(settings.ExtraWindowSeconds * float64(clock.Second)),
+		ColdShare:   settings.ColdShare, ColdSpare: settings.ColdSpare,
 	}
 }
 
--- a/internal/conf/config/gateway.go
+++ b/internal/conf/config/gateway.go
@@ -28,8 +28,6 @@
 	GraceSeconds float64 `json:"graceSeconds,omitempty" jsonschema:"minimum=0,maximum=3600,default=8"`
 	// BalancerLagMs is how long the balancer may go on sending new connections after this process says that it leaves, in milliseconds.
 	BalancerLagMs clock.Millis `json:"balancerLagMs,omitempty" jsonschema:"minimum=0,maximum=600000,default=2600"`
-	// HeartbeatMs is how often an endpoint writes its entry to the platform, in milliseconds.
-	HeartbeatMs float64 `json:"heartbeatMs,omitempty" jsonschema:"minimum=0,maximum=600000,default=1200"`
 	// MemoryMb is the memory beyond which this process is killed, in megabytes; 0 sets no bound.
 	MemoryMb float64 `json:"memoryMb,omitempty" jsonschema:"minimum=0,maximum=1000000"`
 	// MaxFds is the number of descriptors that this process may open; it bounds the callers' connections.
@@ -38,6 +36,8 @@
 	ExtraShare float64 `json:"extraShare,omitempty" jsonschema:"minimum=0,maximum=10,default=0.2"`
 	// ExtraSpare is how many requests they may send once more besides.
 	ExtraSpare float64 `json:"extraSpare,omitempty" jsonschema:"minimum=0,maximum=1000000,default=20"`
+	// ExtraWindowSeconds is the span within which ExtraSpare may be spent.
+	ExtraWindowSeconds float64 `json:"extraWindowSeconds,omitempty" jsonschema:"minimum=0,maximum=3600,default=10"`
 	// ColdShare is how many times the rate of a cold endpoint may be reached in one second.
 	ColdShare float64 `json:"coldShare,omitempty" jsonschema:"minimum=0,maximum=100,default=1"`
 	// ColdSpare is how many requests a cold endpoint may get in one second besides.
@@ -48,10 +48,10 @@
 const (
 	defaultGrace      = 8.0
 	defaultGateLag    = 2600 * clock.Millis(1)
-	defaultHeartbeat  = 1200.0
 	defaultMaxFds     = 4096
 	defaultExtraShare = 0.2
 	defaultExtraSpare = 20.0
+	defaultWindow     = 10.0
 	defaultColdShare  = 1.0
 	maxGrace          = 3600.0
 	maxShare          = 100.0
@@ -95,19 +95,19 @@
 }
 
 func defaultGatewayBounds(g *Gateway) {
-	fill(&g.HeartbeatMs, defaultHeartbeat)
 	fill(&g.MaxFds, defaultMaxFds)
 	fill(&g.ExtraShare, defaultExtraShare)
 	fill(&g.ExtraSpare, defaultExtraSpare)
+	fill(&g.ExtraWindowSeconds, defaultWindow)
 	fill(&g.ColdShare, defaultColdShare)
 }
 
 func checkGatewayBounds(g *Gateway, report *step.Report) {
-	report.Between("heartbeatMs", g.HeartbeatMs, 1, float64(maxShortSpan))
 	report.Between("memoryMb", g.MemoryMb, 0, maxSpare)
 	report.Range("maxFds", int64(g.MaxFds), leastFds, 10*maxCount)
 	report.Between("extraShare", g.ExtraShare, 0, maxShare)
 	report.Between("extraSpare", g.ExtraSpare, 0, maxSpare)
+	report.Between("extraWindowSeconds", g.ExtraWindowSeconds, 1, maxGrace)
 	report.Between("coldShare", g.ColdShare, 0, maxShare)
 	report.Between("coldSpare", g.ColdSpare, 0, maxSpare)
 }
--- a/internal/conf/table/table.go
+++ b/internal/conf/table/table.go
@@ -113,6 +113,8 @@
 type Batching struct {
 	// Calls is the number of calls that are worked on at once.
 	Calls int
+	// Queue is the number of calls that an engine lets wait; it refuses others.
+	Queue int
 	// Pieces is the largest number of pieces in one call.
 	Pieces int
 	// CallTime is the fixed part of a call's duration.
--- a/internal/engine/spell/spell.go
+++ b/internal/engine/spell/spell.go
@@ -108,6 +108,15 @@
 	Failure   Failure
 }
 
+// StageReport is what a stage engine says of itself. It is some hundred
+// milliseconds old.
+type StageReport struct {
+	// Free is how many bytes may be free for results at most.
+	Free int64
+	// Busy says that it works on a call.
+	Busy bool
+}
+
 // Spelling spells calls to endpoints and reads what they answer.
 type Spelling struct {
 	// ReadyPath is where the platform asks whether this process takes callers.
@@ -133,8 +142,8 @@
 	// must have count results.
 	PiecesFunc  func(pieces []Piece) ([]byte, error)
 	ResultsFunc func(raw []byte, count int) ([]Result, error)
-	// RoomFunc reads from a report how many bytes may be free for results at most.
-	RoomFunc func(raw []byte) (int64, error)
+	// ReportFunc reads the report of a stage engine.
+	ReportFunc func(raw []byte) (StageReport, error)
 	// UnusedFunc encodes references that nobody needs any more.
 	UnusedFunc func(references []string) ([]byte, error)
 }
--- a/internal/flow/batch/batch.go
+++ b/internal/flow/batch/batch.go
@@ -42,9 +42,10 @@
 	// Owner is the job that the group belongs to; the queue doesn't look at it.
 	Owner any
 
-	next    int   // first piece that was never taken
-	back    []int // pieces that were given back
-	dropped bool
+	next      int   // first piece that was never taken
+	back      []int // pieces that were given back
+	backSince clock.Millis
+	dropped   bool
 }
 
 // Waiting returns the number of pieces that are not with an engine.
@@ -55,14 +56,19 @@
 	return g.Count - g.next + len(g.back)
 }
 
-func (g *Group) take() int {
-	if last := len(g.back) - 1; last >= 0 {
+// take returns the next piece, false if those that are left were sent before
+// and may not be sent again yet.
+func (g *Group) take(again func() bool) (int, bool) {
+	if last := len(g.back) - 1; last >= 0 && again() {
 		piece := g.back[last]
 		g.back = g.back[:last]
-		return piece
+		return piece, true
+	}
+	if g.next == g.Count {
+		return 0, false
 	}
 	g.next++
-	return g.next - 1
+	return g.next - 1, true
 }
 
 // Item is one piece of a group.
@@ -131,11 +137,14 @@
 }
 
 // Back gives a piece back that an engine did not make.
-func (q *Queue) Back(item Item) {
+func (q *Queue) Back(item Item, now clock.Millis) {
 	g := item.Group
 	if g.dropped {
 		return
 	}
+	if len(g.back) == 0 {
+		g.backSince = now
+	}
 	if g.Waiting() == 0 {
 		g.back = append(g.back, item.Piece)
 		q.Add(g)
@@ -152,6 +161,27 @@
 	}
 }
 
+// backMost is how long a piece that was given back waits until it may be sent
+// again: about two calls. The budget for that comes back with ordinary work;
+// where it doesn't, many pieces fail, and the caller is told while there is
+// time to come back.
+const backMost = 600 * clock.Millis(1)
+
+// Stuck takes out the groups with pieces that were given back and could not be
+// sent again for too long.
+func (q *Queue) Stuck(now clock.Millis) []*Group {
+	var stuck []*Group
+	for _, g := range q.groups {
+		if len(g.back) > 0 && now-g.backSince > backMost {
+			stuck = append(stuck, g)
+		}
+	}
+	for _, g := range stuck {
+		q.Drop(g)
+	}
+	return stuck
+}
+
 // Late takes out the groups that could not be finished in time even if a call
 // began now, so that no engine works for nobody.
 func (q *Queue) Late(bounds Bounds, now clock.Millis) []*Group {
@@ -184,6 +214,7 @@
 	bound int
 	// blocked is the size of the largest result that found no room.
 	blocked int64
+	again   func() bool
 }
 
 // Slot is an engine that could take a call now.
@@ -193,6 +224,10 @@
 	Room int64
 	// Free is how many engines in all could take a call now.
 	Free int
+	// AgainFunc reports whether a piece that was sent before may be sent once
+	// more, and spends that. Until it may, the piece waits: failing its request
+	// for want of a repeat costs more than the wait.
+	AgainFunc func() bool
 }
 
 // crowdedShare is the part of a full call that waits when an engine should not
@@ -205,7 +240,7 @@
 // left for an engine there as long as they may wait: results that cross zones
 // are paid for by the byte.
 func (q *Queue) Take(bounds Bounds, slot Slot, now clock.Millis) []Item {
-	f := filling{room: slot.Room, most: bounds.Pieces, bound: bounds.Pieces}
+	f := filling{room: slot.Room, most: bounds.Pieces, bound: bounds.Pieces, again: slot.AgainFunc}
 	if slot.Free > 1 {
 		f.most = min(f.most, (q.pieces+slot.Free-1)/slot.Free)
 	}
@@ -243,8 +278,12 @@
 			f.blocked = max(f.blocked, g.Bytes)
 			break
 		}
+		piece, ok := g.take(f.again)
+		if !ok {
+			break
+		}
 		f.room -= g.Bytes
-		f.items = append(f.items, Item{Group: g, Piece: g.take()})
+		f.items = append(f.items, Item{Group: g, Piece: piece})
 		taken++
 	}
 	return taken
--- a/internal/flow/batch/batch_test.go
+++ b/internal/flow/batch/batch_test.go
@@ -16,7 +16,9 @@
 const plenty = 1 << 30
 
 // slot is an engine with room for all results.
-func slot(free int) batch.Slot { return batch.Slot{Room: plenty, Free: free} }
+func slot(free int) batch.Slot { return batch.Slot{Room: plenty, Free: free, AgainFunc: always} }
+
+func always() bool { return true }
 
 func group(rank, pieces int) *batch.Group {
 	return &batch.Group{Request: fmt.Sprint("r", rank), Count: pieces, Rank: clock.Millis(rank), Until: 10_000, Bytes: 1000}
@@ -141,7 +143,7 @@
 					waiting[name(batch.Item{Group: g, Piece: piece})] = true
 				}
 			case 1:
-				for _, item := range q.Take(bounds, slot(rapid.IntRange(1, 4).Draw(t, "free")), 0) {
+				for _, item := range q.Take(bounds, drawSlot(t), 0) {
 					if !waiting[name(item)] {
 						t.Fatalf("%s was handed out and did not wait", name(item))
 					}
@@ -151,7 +153,7 @@
 			case 2:
 				for key, item := range out {
 					delete(out, key)
-					q.Back(item)
+					q.Back(item, 0)
 					waiting[key] = true
 					break
 				}
@@ -181,6 +183,49 @@
 	})
 }
 
+// drawSlot returns a slot where repeats are allowed or not.
+func drawSlot(t *rapid.T) batch.Slot {
+	s := slot(rapid.IntRange(1, 4).Draw(t, "free"))
+	again := rapid.Bool().Draw(t, "again")
+	s.AgainFunc = func() bool { return again }
+	return s
+}
+
+// An engine refuses a call just when the budget for repeats is spent, because
+// the pool has had its owner for a moment only. Failed at once, all requests of
+// the call would be refused although engines are free; they wait for the budget
+// instead, and work that was never sent goes first.
+func TestPieceThatMayNotBeRepeatedYetWaits(t *testing.T) {
+	var q batch.Queue
+	q.Add(group(1, 2))
+	for _, item := range q.Take(bounds, slot(1), 0) {
+		q.Back(item, 0)
+	}
+	q.Add(group(2, 1))
+	spent := slot(1)
+	spent.AgainFunc = func() bool { return false }
+	assert.DeepEqual(t, taken(q.Take(bounds, spent, 100)), []string{"r2/0"})
+	assert.Equal(t, len(q.Stuck(100)), 0)
+	assert.DeepEqual(t, taken(q.Take(bounds, slot(1), 200)), []string{"r1/1", "r1/0"})
+}
+
+// The budget does not come back. The caller is told while there is still time
+// to come back, and not at its deadline.
+func TestPieceThatWaitsTooLongForARepeatIsGivenUp(t *testing.T) {
+	var q batch.Queue
+	q.Add(group(1, 2))
+	q.Add(group(2, 1))
+	for _, item := range q.Take(bounds, slot(1), 0) {
+		if item.Group.Rank == 1 {
+			q.Back(item, 0)
+		}
+	}
+	stuck := q.Stuck(1000)
+	assert.Equal(t, len(stuck), 1)
+	assert.Equal(t, stuck[0].Rank, clock.Millis(1))
+	assert.Equal(t, q.Pieces(), 0)
+}
+
 func BenchmarkTake(b *testing.B) {
 	b.ReportAllocs()
 	var q batch.Queue
@@ -189,7 +234,7 @@
 	}
 	for b.Loop() {
 		for _, item := range q.Take(bounds, slot(1), 0) {
-			q.Back(item)
+			q.Back(item, 0)
 		}
 	}
 }
--- a/internal/flow/extra/extra_test.go
+++ b/internal/flow/extra/extra_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/flow/extra"
 )
 
@@ -16,7 +17,7 @@
 	bounds := extra.Bounds{Share: 0.2, Spare: 92}
 	spent := 0
 	for range processes {
-		b := extra.New(func() extra.Bounds { return bounds }, func() int { return processes })
+		b := extra.New(clock.New(), func() extra.Bounds { return bounds }, func() int { return processes })
 		for range requests {
 			b.Earn("models")
 			if b.Take("models") {
@@ -29,8 +30,32 @@
 }
 
 func TestPoolsDoNotShareABudget(t *testing.T) {
-	b := extra.New(func() extra.Bounds { return extra.Bounds{Share: 0.2, Spare: 2} }, func() int { return 1 })
+	b := extra.New(clock.New(), func() extra.Bounds { return extra.Bounds{Share: 0.2, Spare: 2} }, func() int { return 1 })
 	assert.Assert(t, b.Take("a"))
 	assert.Assert(t, !b.Take("a"))
 	assert.Assert(t, b.Take("b"))
 }
+
+// A process owns a pool for a few seconds in which hardly any request comes, and
+// engines break calls off. What the bound allows besides the requests' share
+// comes back with time; a window never sees more than it.
+func TestSpareBudgetComesBackWithTime(t *testing.T) {
+	fake := clock.NewFake(0)
+	bounds := extra.Bounds{Spare: 40, Window: 10 * clock.Second}
+	b := extra.New(fake.Clock(), func() extra.Bounds { return bounds }, func() int { return 2 })
+	spent := make([]int, 30)
+	for second := range spent {
+		for b.Take("encode") {
+			spent[second]++
+		}
+		fake.Advance(clock.Second)
+	}
+	total := 0
+	for second := range spent {
+		total += spent[second]
+		if second >= 10 {
+			total -= spent[second-10]
+			assert.Assert(t, total >= 4 && total <= 20, "%d in the window before second %d", total, second)
+		}
+	}
+}
--- a/internal/flow/graph/graph.go
+++ b/internal/flow/graph/graph.go
@@ -99,18 +99,20 @@
 // others.
 func (r *Run) Follows(stage, other int) bool { return r.leadsTo(stage, other, len(r.stages)) }
 
-// Start returns the stages that can run now, and marks them as running.
-func (r *Run) Start() []int {
+// Ready returns the stages that can run now and were not begun.
+func (r *Run) Ready() []int {
 	var ready []int
 	for i := range r.stages {
 		if r.states[i] == waiting && r.inputsDone(i) {
-			r.states[i] = running
 			ready = append(ready, i)
 		}
 	}
 	return ready
 }
 
+// Begin marks a stage as running.
+func (r *Run) Begin(stage int) { r.states[stage] = running }
+
 func (r *Run) inputsDone(stage int) bool {
 	for _, before := range r.stages[stage].After {
 		if r.states[before] != done {
--- a/internal/flow/graph/graph_test.go
+++ b/internal/flow/graph/graph_test.go
@@ -19,14 +19,23 @@
 	{Pool: "rerank", After: []int{2}},
 }
 
+// start begins all stages that can run now.
+func start(r *graph.Run) []int {
+	ready := r.Ready()
+	for _, stage := range ready {
+		r.Begin(stage)
+	}
+	return ready
+}
+
 func ExampleRun() {
 	run, _ := graph.New(chain, []int{1, 1, 2, 1})
-	fmt.Println(run.Start())
+	fmt.Println(start(run))
 	run.Finish(0, []string{"host/a"})
 	run.Finish(1, []string{"host/b"})
-	fmt.Println(run.Start(), run.Inputs(2))
+	fmt.Println(start(run), run.Inputs(2))
 	run.Finish(2, []string{"host/c", "host/d"})
-	fmt.Println(run.Start(), run.Inputs(3), run.Spent())
+	fmt.Println(start(run), run.Inputs(3), run.Spent())
 	run.Finish(3, []string{"host/e"})
 	fmt.Println(run.Done(), run.Last(), run.Spent())
 	// Output:
@@ -39,7 +48,7 @@
 func TestStageWithoutPiecesIsLeftOut(t *testing.T) {
 	run, err := graph.New(chain, []int{0, 1, 1, 1})
 	assert.NilError(t, err)
-	assert.DeepEqual(t, run.Start(), []int{1})
+	assert.DeepEqual(t, start(run), []int{1})
 	run, err = graph.New(chain[:1], []int{0})
 	assert.NilError(t, err)
 	assert.Assert(t, run.Done())
@@ -51,13 +60,13 @@
 func TestLostResultIsMadeAgain(t *testing.T) {
 	run, err := graph.New(chain, []int{0, 1, 2, 1})
 	assert.NilError(t, err)
-	run.Start()
+	start(run)
 	run.Finish(1, []string{"b"})
-	run.Start()
+	start(run)
 	assert.DeepEqual(t, run.Again(2), []string{"b"})
-	assert.DeepEqual(t, run.Start(), []int{1})
+	assert.DeepEqual(t, start(run), []int{1})
 	run.Finish(1, []string{"b2"})
-	assert.DeepEqual(t, run.Start(), []int{2})
+	assert.DeepEqual(t, start(run), []int{2})
 	assert.DeepEqual(t, run.Inputs(2), []string{"b2"})
 }
 
@@ -67,9 +76,9 @@
 func TestInputsAreSpareOnceRead(t *testing.T) {
 	run, err := graph.New(chain, []int{0, 1, 1, 1})
 	assert.NilError(t, err)
-	run.Start()
+	start(run)
 	run.Finish(1, []string{"b"})
-	run.Start()
+	start(run)
 	assert.Equal(t, len(run.Spare()), 0)
 	run.Fetched(2)
 	assert.DeepEqual(t, run.Spare(), []string{"b"})
@@ -83,11 +92,11 @@
 func TestRestartGivesEverythingBack(t *testing.T) {
 	run, err := graph.New(chain, []int{1, 1, 1, 1})
 	assert.NilError(t, err)
-	run.Start()
+	start(run)
 	run.Finish(0, []string{"a"})
 	run.Finish(1, []string{"b"})
 	assert.DeepEqual(t, run.Restart(), []string{"a", "b"})
-	assert.DeepEqual(t, run.Start(), []int{0, 1})
+	assert.DeepEqual(t, start(run), []int{0, 1})
 }
 
 func TestShapesThatDoNotFitAreRefused(t *testing.T) {
--- a/internal/flow/quota/quota.go
+++ b/internal/flow/quota/quota.go
@@ -23,9 +23,12 @@
 }
 
 // Earn adds the share of one event.
-func (q *Quota) Earn() {
+func (q *Quota) Earn() { q.Add(q.share) }
+
+// Add adds thousandths of an extra that no event has earned.
+func (q *Quota) Add(thousandths int64) {
 	if q.have.Load() < q.most {
-		q.have.Add(q.share)
+		q.have.Add(thousandths)
 	}
 }
 
--- a/internal/flow/reach/reach.go
+++ b/internal/flow/reach/reach.go
@@ -8,6 +8,8 @@
 package reach
 
 import (
+	"slices"
+
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/flow/batch"
@@ -22,6 +24,8 @@
 	// Fill is how many pieces a call holds when more wait than fit; memory for
 	// results may keep it below what the engine takes. 0 when it isn't known.
 	Fill float64
+	// Room is the memory for results of one engine, in bytes.
+	Room int64
 	// Waiting is the pieces that wait, by rank: see Edges.
 	Waiting []int
 }
@@ -125,6 +129,58 @@
 	return ends[stage]
 }
 
+// Bounds of putting a stage off.
+const (
+	// heavyShare is the part of an engine's memory from which a stage's results
+	// are worth being made late: below it memory is not what binds.
+	heavyShare = 0.04
+	// putOffShare is how much longer than estimated a stage may take that is put
+	// off, and putOffLeast the shortest useful delay and the least that is kept
+	// in hand, about half a call: estimates of queues are off by that much.
+	putOffShare = 0.3
+	putOffLeast = 100
+)
+
+// PutOff returns for how long a stage that could begin now is better put off, 0
+// for not at all. The results of a stage that only the request itself reads lie
+// in its engine's memory until the other stages are done, too. Large ones leave
+// no room for the calls of others meanwhile: engines that make results of 1.5
+// MB hold ten of them, and work in calls of two or three pieces during bursts.
+// Begun so that it ends shortly before the others do, such a stage holds memory
+// for a third of the time.
+func (r *Request) PutOff(stage int, queues func(pool string) *Queue) clock.Millis {
+	q := queues(r.Stages[stage].Pool)
+	results := float64(r.Stages[stage].ResultBytes) * float64(r.Pieces[stage])
+	if q == nil || r.followed(stage) || results < heavyShare*float64(q.Room) {
+		return 0
+	}
+	ends := make([]float64, len(r.Stages))
+	for i := range ends {
+		ends[i] = unknown
+	}
+	others := 0.0
+	for i := range r.Stages {
+		if i != stage {
+			others = max(others, r.end(i, ends, queues))
+		}
+	}
+	spare := others - (1+putOffShare)*r.end(stage, ends, queues) - putOffLeast
+	if spare < putOffLeast {
+		return 0
+	}
+	return clock.Millis(spare)
+}
+
+// followed reports whether another stage that is to run reads a stage's results.
+func (r *Request) followed(stage int) bool {
+	for i := range r.Stages {
+		if r.Pieces[i] > 0 && slices.Contains(r.Stages[i].After, stage) {
+			return true
+		}
+	}
+	return false
+}
+
 // Shares of objective and deadline up to which requests begin and go on.
 const (
 	// beginShare: a request begins if it probably meets its objective. Under
--- a/internal/flow/reach/reach_test.go
+++ b/internal/flow/reach/reach_test.go
@@ -36,6 +36,44 @@
 	assert.Equal(t, chain().Remaining(func(string) *reach.Queue { return nil }), 100.0)
 }
 
+// sheet is a request with a large piece beside a chain of three stages.
+func sheet() *reach.Request {
+	return &reach.Request{
+		Stages: []table.Stage{
+			{Pool: "a", ResultBytes: 1_500_000}, {Pool: "a"}, {Pool: "b", After: []int{1}}, {Pool: "b", After: []int{2}},
+		},
+		Pieces: []int{2, 1, 4, 10}, Done: make([]bool, 4), Slack: 2000, Left: 8000,
+	}
+}
+
+// A burst of requests with large results. Each of them lies in its engine's
+// memory until the request's other stages are done; begun at once, engines have
+// no room left for the pieces of others, and answers come late. The large stage
+// is begun so that it still ends before the others do.
+func TestLargeResultsAreNotMadeTooEarly(t *testing.T) {
+	free := func(string) *reach.Queue { return &reach.Queue{Bounds: bounds, Engines: 5, Free: 5, Room: 18_000_000} }
+	r := sheet()
+	wait := r.PutOff(0, free)
+	assert.Assert(t, wait > 200 && wait < 500, "%d", wait)
+	large := 234.0
+	assert.Assert(t, float64(wait)+large < r.Remaining(free))
+	r.Done[1], r.Done[2] = true, true
+	assert.Equal(t, r.PutOff(0, free), clock.Millis(0), "the last other stage takes as long")
+}
+
+// What is needed first, or takes little memory, is never put off: it would only
+// make the answer later.
+func TestOnlyLargeResultsThatNothingWaitsForArePutOff(t *testing.T) {
+	free := func(string) *reach.Queue { return &reach.Queue{Bounds: bounds, Engines: 5, Free: 5, Room: 18_000_000} }
+	r := sheet()
+	assert.Equal(t, r.PutOff(1, free), clock.Millis(0), "others read it")
+	r.Stages[0].ResultBytes = 6000
+	assert.Equal(t, r.PutOff(0, free), clock.Millis(0), "small")
+	alone := sheet()
+	alone.Pieces = []int{2, 0, 0, 0}
+	assert.Equal(t, alone.PutOff(0, free), clock.Millis(0), "nothing runs beside it")
+}
+
 // More pieces arrive than the engines make. Whoever would miss its objective is
 // told so before any engine has worked for it.
 func TestOverloadIsRefusedBeforeTheFirstStage(t *testing.T) {
--- /dev/null
+++ b/internal/guard/memory/memory.go
@@ -0,0 +1,256 @@
+// Package memory accounts for the memory for results of one stage engine, as
+// its pool's owner sees it: what lies there, what calls under way will add,
+// what can be given back, and what owners before this one left behind.
+//
+// It answers bursts and changes of owner. Results of a stage stay at their
+// maker until whoever reads them has done so. Where the account is too low,
+// calls fail piece by piece for want of memory, each after its full time; where
+// it is too high, engines work in small calls that take nearly as long as full
+// ones. It takes numbers and returns decisions and opens no connection.
+package memory
+
+import (
+	"slices"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+)
+
+const (
+	// usableShare is the part of an engine's memory that is used: sizes in the
+	// configuration are approximate, by some percent on the users' sheets.
+	usableShare = 0.85
+	// giveFrom is the part from which results that nobody needs are given back
+	// by a call; below it they expire by themselves, which costs nothing.
+	giveFrom = 0.2
+	// clearFrom is the part from which a call waits for results that are being
+	// given back. A call that began now would be small for want of memory, and
+	// take nearly as long as a full one; the memory is there within milliseconds.
+	clearFrom = 0.4
+	// askAgain is the pause between two questions while results of others lie at
+	// an engine: their requests end one after the other.
+	askAgain = 300 * clock.Millis(1)
+	// leftFor is how many times the span that results are kept the results of
+	// owners before may still be given back; they have expired by then.
+	leftFor = 2
+)
+
+// Limits are what the configuration says of an engine's memory.
+type Limits struct {
+	// Room for results, in bytes.
+	Room int64
+	// Keep is how long a result outlives its call.
+	Keep clock.Millis
+}
+
+// Result is a result that lies at the engine.
+type Result struct {
+	Reference string
+	// Bytes is its size; 0 where it isn't known.
+	Bytes int64
+}
+
+type held struct {
+	bytes int64
+	until clock.Millis
+}
+
+// spare is a result that is needed again only if a stage fails.
+type spare struct {
+	Result
+	from clock.Millis
+}
+
+// Account is the account of one engine. It is not safe for use by several
+// goroutines at once.
+type Account struct {
+	since  clock.Millis
+	held   map[string]held
+	own    int64 // bytes of results held, and of those that calls under way will make
+	unused []Result
+	spare  []spare
+	giving []Result
+
+	foreign      int64
+	foreignUntil clock.Millis
+	asked        clock.Millis
+	asking       bool
+}
+
+// New returns the account of an engine that this process begins to use now.
+func New(now clock.Millis) *Account { return &Account{since: now, held: make(map[string]held)} }
+
+// Own returns the bytes of results that calls of this process have made or will
+// make.
+func (a *Account) Own() int64 { return a.own }
+
+// Foreign returns the bytes that results of others take, as far as is known.
+func (a *Account) Foreign(now clock.Millis) int64 {
+	if a.foreignUntil <= now {
+		return 0
+	}
+	return a.foreign
+}
+
+// Room returns the bytes that a call may fill.
+func (a *Account) Room(limits Limits, now clock.Millis) int64 {
+	return max(int64(usableShare*float64(limits.Room))-a.own-a.Foreign(now), 0)
+}
+
+// Reserve counts the result of a piece that a call will make.
+func (a *Account) Reserve(bytes int64) { a.own += bytes }
+
+// Release takes a reservation back: the piece was not made.
+func (a *Account) Release(bytes int64) { a.own -= bytes }
+
+// Hold enters a result whose memory its call has reserved.
+func (a *Account) Hold(result Result, until clock.Millis) {
+	a.held[result.Reference] = held{bytes: result.Bytes, until: until}
+}
+
+// Holds reports whether a result of this process lies at the engine.
+func (a *Account) Holds(reference string) bool {
+	_, holds := a.held[reference]
+	return holds
+}
+
+// MayHold reports whether a result that this account doesn't know may lie at
+// the engine, because an owner before this process made it.
+func (a *Account) MayHold(limits Limits, now clock.Millis) bool {
+	return a.asked > 0 && now-a.since <= leftFor*limits.Keep
+}
+
+// Drop notes that nobody needs a result any more.
+func (a *Account) Drop(result Result) {
+	same := func(other Result) bool { return other.Reference == result.Reference }
+	if !slices.ContainsFunc(a.unused, same) && !slices.ContainsFunc(a.giving, same) {
+		a.unused = append(a.unused, result)
+	}
+}
+
+// Spare notes that from an instant on a result is needed again only if a stage
+// fails.
+func (a *Account) Spare(result Result, from clock.Millis) {
+	a.spare = append(a.spare, spare{Result: result, from: from})
+}
+
+// Give returns the results to give back now, nil for none. Spare ones are among
+// them if a call is to fill so many bytes and there is less room than that.
+// Given must follow.
+func (a *Account) Give(limits Limits, wanted int64, now clock.Millis) []string {
+	if len(a.giving) > 0 {
+		return nil
+	}
+	if a.Room(limits, now) < wanted {
+		a.useSpare(limits, now)
+	}
+	taken := a.own + a.Foreign(now)
+	if len(a.unused) == 0 || float64(taken) < giveFrom*float64(limits.Room) {
+		return nil
+	}
+	a.giving, a.unused = a.unused, nil
+	references := make([]string, 0, len(a.giving))
+	for _, result := range a.giving {
+		references = append(references, result.Reference)
+	}
+	return references
+}
+
+// useSpare counts spare results as unused.
+func (a *Account) useSpare(limits Limits, now clock.Millis) {
+	later := a.spare[:0]
+	for _, s := range a.spare {
+		switch {
+		case s.from > now:
+			later = append(later, s)
+		case a.Holds(s.Reference) || a.MayHold(limits, now):
+			a.Drop(s.Result)
+		}
+	}
+	a.spare = later
+}
+
+// Given notes whether the engine took the results back that Give returned. If
+// it did not they expire by themselves, and count as held until then.
+func (a *Account) Given(taken bool) {
+	if taken {
+		for _, result := range a.giving {
+			a.forget(result)
+		}
+	}
+	a.giving = nil
+}
+
+// Clearing reports whether a call should wait because memory is just being
+// given back.
+func (a *Account) Clearing(limits Limits, now clock.Millis) bool {
+	return len(a.giving) > 0 && float64(a.own+a.Foreign(now)) > clearFrom*float64(limits.Room)
+}
+
+// forget counts a result's memory as free.
+func (a *Account) forget(result Result) {
+	known, own := a.held[result.Reference]
+	if !own {
+		a.foreign = max(a.foreign-result.Bytes, 0)
+		return
+	}
+	a.own -= known.bytes
+	delete(a.held, result.Reference)
+}
+
+// Expire forgets results that the engine has dropped by now.
+func (a *Account) Expire(now clock.Millis) {
+	for reference, result := range a.held {
+		if result.until <= now {
+			a.forget(Result{Reference: reference})
+			a.unused = slices.DeleteFunc(a.unused, func(r Result) bool { return r.Reference == reference })
+		}
+	}
+}
+
+// Ask reports whether the engine is to be asked for its memory now, and notes
+// that it is. Learned or NotLearned must follow.
+func (a *Account) Ask(now clock.Millis) bool {
+	if a.asking {
+		return false
+	}
+	again := a.Foreign(now) > 0 && now-a.asked >= askAgain
+	if a.asked > 0 && !again {
+		return false
+	}
+	a.asked, a.asking = now, true
+	return true
+}
+
+// Unknown reports whether a call has to wait for the first answer. A new owner
+// knows nothing of the results that the one before had made, which lie there
+// until they are given back or expire.
+func (a *Account) Unknown() bool { return a.asked == 0 || (a.asking && a.foreignUntil == 0) }
+
+// Learned takes what the engine says is free at most.
+func (a *Account) Learned(limits Limits, free int64, now clock.Millis) {
+	a.asking = false
+	a.foreign = max(limits.Room-free-a.own, 0)
+	if a.foreignUntil == 0 {
+		a.foreignUntil = now + limits.Keep
+	}
+}
+
+// NotLearned notes that the engine did not answer. Calls go there all the same.
+func (a *Account) NotLearned(now clock.Millis) {
+	a.asking = false
+	if a.foreignUntil == 0 {
+		a.foreignUntil = now
+	}
+}
+
+// Doubt has the engine asked once more before its first call.
+func (a *Account) Doubt() { a.asked, a.foreignUntil = 0, 0 }
+
+// Lacked notes that an engine had no memory for a piece of so many bytes. What
+// it has is taken by results that this account doesn't know of; it counts with
+// them until the engine says better, which it is asked next.
+func (a *Account) Lacked(limits Limits, bytes int64, now clock.Millis) {
+	a.foreign = max(a.Foreign(now), limits.Room-a.own-bytes, 0)
+	a.foreignUntil = now + limits.Keep/2
+	a.asked = min(a.asked, now-askAgain)
+}
--- /dev/null
+++ b/internal/guard/memory/memory_test.go
@@ -0,0 +1,150 @@
+package memory_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/guard/memory"
+)
+
+var limits = memory.Limits{Room: 1000, Keep: 4000}
+
+// learned returns the account of an engine where nothing of others lies.
+func learned(now clock.Millis) *memory.Account {
+	a := memory.New(now)
+	a.Ask(now)
+	a.Learned(limits, limits.Room, now)
+	return a
+}
+
+// made enters a result that a call has made.
+func made(a *memory.Account, reference string, bytes int64, until clock.Millis) memory.Result {
+	result := memory.Result{Reference: reference, Bytes: bytes}
+	a.Reserve(bytes)
+	a.Hold(result, until)
+	return result
+}
+
+func ExampleAccount() {
+	a := learned(1)
+	result := made(a, "engine/1", 300, 4000)
+	fmt.Println(a.Room(limits, 2))
+	a.Drop(result)
+	fmt.Println(a.Give(limits, 0, 2), a.Clearing(limits, 2))
+	a.Given(true)
+	fmt.Println(a.Room(limits, 3))
+	// Output:
+	// 550
+	// [engine/1] false
+	// 850
+}
+
+// A pool changes its owner. What was made for the owner before is given back to
+// the new one, which made none of it. If it did not pass that on, engines would
+// work in small calls until the results expire, for seconds.
+func TestResultsOfTheOwnerBeforeAreGivenBack(t *testing.T) {
+	a := memory.New(1)
+	assert.Assert(t, a.Ask(1) && a.Unknown())
+	a.Learned(limits, 200, 5)
+	assert.Assert(t, !a.Unknown())
+	assert.Equal(t, a.Room(limits, 5), int64(50))
+	assert.Assert(t, a.MayHold(limits, 100))
+	a.Drop(memory.Result{Reference: "old", Bytes: 500})
+	assert.DeepEqual(t, a.Give(limits, 0, 100), []string{"old"})
+	a.Given(true)
+	assert.Equal(t, a.Room(limits, 100), int64(550))
+	assert.Assert(t, !a.MayHold(limits, 1+2*limits.Keep+1))
+}
+
+// An engine has less memory than the account says and fails pieces of a call.
+// The next call must be smaller at once, or it fails in the same way.
+func TestEngineWithoutMemoryGetsSmallerCalls(t *testing.T) {
+	a := learned(1)
+	made(a, "own", 200, 4000)
+	a.Lacked(limits, 100, 50)
+	assert.Equal(t, a.Foreign(50), int64(700))
+	assert.Equal(t, a.Room(limits, 50), int64(0))
+	assert.Assert(t, a.Ask(50), "the engine is asked how much it has")
+	a.Learned(limits, 300, 60)
+	assert.Equal(t, a.Room(limits, 60), int64(150))
+	a.Lacked(limits, 100, 70)
+	assert.Equal(t, a.Foreign(70+limits.Keep), int64(0), "what others left has expired")
+}
+
+// The engine can't be asked. Calls go there all the same: waiting for an answer
+// would leave it idle.
+func TestEngineThatDoesNotAnswerIsUsed(t *testing.T) {
+	a := memory.New(1)
+	assert.Assert(t, a.Ask(1))
+	assert.Assert(t, !a.Ask(2), "one question at a time")
+	a.NotLearned(400)
+	assert.Assert(t, !a.Unknown())
+	assert.Equal(t, a.Room(limits, 400), int64(850))
+}
+
+// Memory is short, and some results are needed again only if a stage fails.
+// They are given back then, but not before they were read.
+func TestSpareResultsAreGivenBackWhenMemoryIsShort(t *testing.T) {
+	a := learned(1)
+	a.Spare(made(a, "read", 400, 4000), 10)
+	a.Spare(made(a, "unread", 300, 4000), 100)
+	assert.Equal(t, len(a.Give(limits, 100, 50)), 0, "there is room for 150")
+	assert.DeepEqual(t, a.Give(limits, 200, 50), []string{"read"})
+	assert.Equal(t, len(a.Give(limits, 800, 200)), 0, "one call at a time")
+	assert.Assert(t, a.Clearing(limits, 200))
+	a.Given(true)
+	assert.DeepEqual(t, a.Give(limits, 800, 200), []string{"unread"})
+}
+
+// The call that gives results back fails. They lie there until they expire, and
+// count until then.
+func TestResultsThatWereNotGivenBackCount(t *testing.T) {
+	a := learned(1)
+	a.Drop(made(a, "r", 500, 4000))
+	assert.Equal(t, len(a.Give(limits, 0, 2)), 1)
+	a.Given(false)
+	assert.Equal(t, a.Room(limits, 3), int64(350))
+	a.Expire(4000)
+	assert.Equal(t, a.Room(limits, 4000), int64(850))
+}
+
+// Whatever happens in whatever order, the account never gets below zero and is
+// empty once everything has expired.
+func TestAccountIsEmptyInTheEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := learned(1)
+		now := clock.Millis(1)
+		next := 0
+		for range 80 {
+			now += clock.Millis(rapid.IntRange(0, 200).Draw(t, "pause"))
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0:
+				next++
+				made(a, fmt.Sprint(next), int64(rapid.IntRange(1, 300).Draw(t, "bytes")), now+limits.Keep)
+			case 1:
+				a.Drop(memory.Result{Reference: fmt.Sprint(rapid.IntRange(1, 40).Draw(t, "which")), Bytes: 10})
+			case 2:
+				a.Spare(memory.Result{Reference: fmt.Sprint(rapid.IntRange(1, 40).Draw(t, "which"))}, now+50)
+			case 3:
+				if a.Give(limits, 500, now) != nil {
+					a.Given(rapid.Bool().Draw(t, "taken"))
+				}
+			case 4:
+				a.Expire(now)
+			case 5:
+				a.Lacked(limits, 50, now)
+			case 6:
+				if a.Ask(now) {
+					a.Learned(limits, int64(rapid.IntRange(0, 1000).Draw(t, "free")), now)
+				}
+			}
+			assert.Assert(t, a.Own() >= 0 && a.Foreign(now) >= 0 && a.Room(limits, now) >= 0)
+		}
+		a.Expire(now + limits.Keep)
+		assert.Equal(t, a.Own(), int64(0))
+	})
+}
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -279,9 +279,13 @@
 	// Endpoints where they lie: the owner of the pool may have changed since
 	// they were made, and the new one knows nothing of them.
 	Endpoints []string `cbor:"endpoints"`
+	// Bytes is the size of each, which a new owner doesn't know either.
+	Bytes []int64 `cbor:"bytes,omitempty"`
 	// Spare says that they are needed again only if a stage fails: their memory
-	// is used for something else when it is short.
-	Spare bool `cbor:"spare,omitempty"`
+	// is used for something else when it is short. That holds after Delay, in
+	// milliseconds.
+	Spare bool         `cbor:"spare,omitempty"`
+	Delay clock.Millis `cbor:"delay,omitempty"`
 }
 
 // Loads tells peers what the sender has running at endpoints, and how long
--- a/internal/route/owner/owner_test.go
+++ b/internal/route/owner/owner_test.go
@@ -9,9 +9,18 @@
 	"github.com/jujubescale/jujubescale/internal/route/owner"
 )
 
+// runs returns the first run of each process.
+func runs(names ...string) []owner.Process {
+	var all []owner.Process
+	for _, name := range names {
+		all = append(all, owner.Process{Name: name, Key: name + "/1"})
+	}
+	return all
+}
+
 func ExampleOf() {
 	fmt.Println(owner.Of("rerank", nil) == "")
-	fmt.Println(owner.Of("rerank", []string{"a", "b"}) == owner.Of("rerank", []string{"b", "a"}))
+	fmt.Println(owner.Of("rerank", runs("a", "b")) == owner.Of("rerank", runs("b", "a")))
 	// Output:
 	// true
 	// true
@@ -21,8 +30,8 @@
 // too, all queues would be torn apart at once and callers would see a stall
 // everywhere.
 func TestOnlyPoolsOfTheLostProcessMove(t *testing.T) {
-	all := []string{"a", "b", "c", "d"}
-	left := []string{"a", "b", "d"}
+	all := runs("a", "b", "c", "d")
+	left := runs("a", "b", "d")
 	moved := 0
 	for i := range 1000 {
 		pool := fmt.Sprint("pool", i)
@@ -35,3 +44,23 @@
 	}
 	assert.Assert(t, moved > 150 && moved < 350, moved)
 }
+
+// Hosts are restarted one after the other. If a process took back the pools
+// that it had owned before, each pool would move twice for each restart, and
+// callers would see two stalls for one.
+func TestRestartedProcessDoesNotTakeItsPoolsBack(t *testing.T) {
+	before, without := runs("a", "b", "c", "d"), runs("a", "b", "d")
+	back := append(runs("a", "b", "d"), owner.Process{Name: "c", Key: "c/2"})
+	owned, returned := 0, 0
+	for i := range 1000 {
+		pool := fmt.Sprint("pool", i)
+		if owner.Of(pool, before) != "c" {
+			continue
+		}
+		owned++
+		if owner.Of(pool, back) != owner.Of(pool, without) {
+			returned++
+		}
+	}
+	assert.Assert(t, returned < owned/2, "%d of %d", returned, owned)
+}
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -73,6 +73,7 @@
 	pool     string
 	endpoint string
 	zone     string
+	bytes    int64
 }
 
 // accept reads a request and checks everything that can be known without
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -59,6 +59,9 @@
 	defer cancel()
 	stall := g.watchStall(req, cancel)
 	defer stall.stop()
+	if req.pool.Generation != nil {
+		g.spareInputs(req, t)
+	}
 	reply, err := t.Conns.Do(ctx, g.request(req, t, now))
 	if err != nil {
 		return g.noReply(req, t, err)
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -42,9 +42,10 @@
 // Bounds are what may change while a Gate serves.
 type Bounds struct {
 	// ExtraShare is the part of a pool's requests that may be sent once more,
-	// over all processes, and ExtraSpare how many besides.
-	ExtraShare float64
-	ExtraSpare float64
+	// over all processes, and ExtraSpare how many besides within ExtraWindow.
+	ExtraShare  float64
+	ExtraSpare  float64
+	ExtraWindow clock.Millis
 	// ColdShare is how far the rate of a cold endpoint may be exceeded, and
 	// ColdSpare how many requests may come at once besides.
 	ColdShare float64
@@ -54,18 +55,20 @@
 // Gate serves callers.
 type Gate struct {
 	Settings
-	mesh     *mesh.Mesh
-	host     *host.Host
-	meter    *Meter
-	targets  *target.Set
-	extras   *extra.Budget
-	prefixes *target.Prefixes
-	bounds   atomic.Pointer[Bounds]
-	leaving  atomic.Bool
-	open     sync.WaitGroup
-	count    atomic.Int64
-	cut      context.Context
-	cutAll   context.CancelFunc
+	mesh    *mesh.Mesh
+	host    *host.Host
+	meter   *Meter
+	targets *target.Set
+	extras  *extra.Budget
+	// pieceExtras are those of the pools that this process owns.
+	pieceExtras *extra.Budget
+	prefixes    *target.Prefixes
+	bounds      atomic.Pointer[Bounds]
+	leaving     atomic.Bool
+	open        sync.WaitGroup
+	count       atomic.Int64
+	cut         context.Context
+	cutAll      context.CancelFunc
 }
 
 // New returns a gate. Join it to its mesh and host before it serves.
@@ -74,9 +77,8 @@
 	g.bounds.Store(&Bounds{})
 	g.targets = target.NewSet(g.Clock, g.mostConns, g.meter.dialed)
 	g.prefixes = target.NewPrefixes(g.targets)
-	g.extras = extra.New(func() extra.Bounds {
-		return extra.Bounds{Share: g.bounds.Load().ExtraShare, Spare: g.bounds.Load().ExtraSpare}
-	}, func() int { return len(g.mesh.Alive()) })
+	g.extras = extra.New(g.Clock, g.extraBounds, func() int { return len(g.mesh.Alive()) })
+	g.pieceExtras = extra.New(g.Clock, g.extraBounds, func() int { return ownersAtOnce })
 	g.cut, g.cutAll = context.WithCancel(context.Background())
 	return g
 }
@@ -96,12 +98,18 @@
 // Conns returns the connections to an endpoint.
 func (g *Gate) Conns(e *view.Endpoint) *conn.Group { return g.targets.Of(e).Conns }
 
-// Earn counts one ordinary request to a pool.
-func (g *Gate) Earn(pool string) { g.extras.Earn(pool) }
+// ownersAtOnce is how many processes send to the stage engines of one pool: its
+// owner, and for some moments the one before.
+const ownersAtOnce = 2
 
-// Extra reports whether a request may be sent to a pool once more, and spends
-// that.
-func (g *Gate) Extra(pool string) bool { return g.extras.Take(pool) }
+func (g *Gate) extraBounds() extra.Bounds {
+	bounds := g.bounds.Load()
+	return extra.Bounds{Share: bounds.ExtraShare, Spare: bounds.ExtraSpare, Window: bounds.ExtraWindow}
+}
+
+// PieceExtras returns the budget for pieces that are sent once more to the
+// stage engines of pools that this process owns.
+func (g *Gate) PieceExtras() *extra.Budget { return g.pieceExtras }
 
 // Prefixes returns what peers have not been told yet of prompts that were sent.
 func (g *Gate) Prefixes() []wire.PrefixUse { return g.prefixes.Untold() }
--- /dev/null
+++ b/internal/serve/gate/progress.go
@@ -0,0 +1,145 @@
+package gate
+
+import (
+	"context"
+	"errors"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+)
+
+// stageEnd is the end of one stage, or the news that it has read its inputs.
+type stageEnd struct {
+	stage   int
+	fetched bool
+	made    *wire.Made
+	err     error
+}
+
+// progress brings the stages of one request to their end.
+type progress struct {
+	g   *Gate
+	req *request
+	// ends holds what happened: each stage may run twice, and tells of its inputs
+	// and of its end.
+	ends     chan stageEnd
+	running  int
+	restarts int
+	// failed is why no further stage is begun.
+	failed error
+	// look is when a stage that was put off is looked at again, 0 for none.
+	look clock.Millis
+}
+
+func newProgress(g *Gate, req *request) *progress {
+	return &progress{g: g, req: req, ends: make(chan stageEnd, 4*len(req.route.Stages))}
+}
+
+// run returns once no stage runs and none is left to begin.
+func (p *progress) run(ctx context.Context) error {
+	for {
+		if p.failed == nil {
+			p.failed = p.g.goesOn(p.req)
+		}
+		if p.failed == nil {
+			p.begin(ctx)
+		}
+		if p.running == 0 {
+			return p.failed
+		}
+		p.await()
+	}
+}
+
+// begin begins the stages that can run, but for those that are put off. One
+// that nothing else runs beside is never put off.
+func (p *progress) begin(ctx context.Context) {
+	p.look = 0
+	ready := p.req.run.Ready()
+	r := p.g.reachOf(p.req)
+	for _, stage := range ready {
+		wait := r.PutOff(stage, p.g.queue)
+		if wait > 0 && (p.running > 0 || len(ready) > 1) {
+			p.look = soonest(p.look, p.g.Clock.Now()+wait)
+			continue
+		}
+		p.start(ctx, stage)
+	}
+	if p.running == 0 && len(ready) > 0 {
+		p.start(ctx, ready[0])
+	}
+}
+
+// soonest returns the earlier of two instants, of which 0 is none.
+func soonest(a, b clock.Millis) clock.Millis {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
+}
+
+func (p *progress) start(ctx context.Context, stage int) {
+	p.req.run.Begin(stage)
+	p.running++
+	ask := p.g.ask(p.req, stage)
+	go func() {
+		fetched := func() { p.ends <- stageEnd{stage: ask.Stage, fetched: true} }
+		made, err := p.g.make(ctx, p.req, ask, fetched)
+		p.ends <- stageEnd{stage: ask.Stage, made: made, err: err}
+	}()
+}
+
+// await takes the next thing that happens, or returns when a stage that was put
+// off is to be looked at again.
+func (p *progress) await() {
+	var again <-chan struct{}
+	if p.look > 0 {
+		expired, forget := p.g.Clock.After(max(p.look-p.g.Clock.Now(), 1))
+		defer forget()
+		again = expired
+	}
+	select {
+	case end := <-p.ends:
+		p.take(end)
+	case <-again:
+	}
+}
+
+func (p *progress) take(end stageEnd) {
+	run := p.req.run
+	if end.fetched {
+		run.Fetched(end.stage)
+		p.g.give(p.req, run.Spare(), wire.Unused{Spare: true})
+		return
+	}
+	p.running--
+	switch {
+	case end.err == nil:
+		p.finish(end)
+	case isInputGone(end.err) && p.restarts < maxRestarts && p.failed == nil:
+		p.restarts++
+		p.g.giveBack(p.req, run.Again(end.stage))
+	default:
+		p.failed = errors.Join(p.failed, end.err)
+	}
+}
+
+func isInputGone(err error) bool {
+	var refused *fault.RefusalError
+	return errors.As(err, &refused) && refused.Reason == fault.InputGone
+}
+
+// finish notes where the results of a stage lie.
+func (p *progress) finish(end stageEnd) {
+	stage := p.req.route.Stages[end.stage]
+	for i, reference := range end.made.References {
+		at := madeAt{pool: stage.Pool, bytes: stage.ResultBytes}
+		if i < len(end.made.Zones) && i < len(end.made.Endpoints) {
+			at.zone, at.endpoint = end.made.Zones[i], end.made.Endpoints[i]
+		}
+		p.req.made[reference] = at
+	}
+	p.req.run.Finish(end.stage, end.made.References)
+	p.g.giveBack(p.req, p.req.run.Spent())
+}
--- a/internal/serve/gate/reach.go
+++ b/internal/serve/gate/reach.go
@@ -75,7 +75,7 @@
 		return nil
 	}
 	load, known := g.load(name)
-	q := &reach.Queue{Bounds: batch.BoundsOf(pool.Batching)}
+	q := &reach.Queue{Bounds: batch.BoundsOf(pool.Batching), Room: pool.Batching.Room}
 	if known {
 		q.Engines, q.Free, q.Fill, q.Waiting = load.Engines, load.Free, load.Fill, load.Waiting
 		return q
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -95,7 +95,7 @@
 			return err
 		}
 		if req.sent == 0 {
-			g.Earn(req.pool.Name)
+			g.extras.Earn(req.pool.Name)
 			req.held = g.Clock.Since(req.began)
 		}
 		result := g.attempt(ctx, w, req, chosen)
@@ -139,7 +139,7 @@
 	if req.begun && (req.route.Kind != table.Stream || !req.route.Resumable) {
 		return false
 	}
-	return repeats && req.sent < max(req.route.Attempts, 1) && g.Extra(req.pool.Name)
+	return repeats && req.sent < max(req.route.Attempts, 1) && g.extras.Take(req.pool.Name)
 }
 
 // await chooses an endpoint; if all are held back by their pace it waits a
--- a/internal/serve/gate/stages.go
+++ b/internal/serve/gate/stages.go
@@ -9,6 +9,7 @@
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/serve/host"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
+	"github.com/jujubescale/jujubescale/internal/serve/target"
 )
 
 const (
@@ -19,8 +20,11 @@
 	// latePenalty puts work that can't meet its objective any more behind work
 	// that still can: an answer beyond it is worth a sixth on the users' sheets.
 	latePenalty = 3 * clock.Second
-	// maxOwners is how many owners of a pool are asked when sessions break.
-	maxOwners = 3
+	// maxOwners is how many owners of a pool are asked when sessions break, and
+	// ownerPause the time between them: sessions tell of a planned stop within
+	// some milliseconds, and a restarted process has joined again by then.
+	maxOwners  = 8
+	ownerPause = 40 * clock.Millis(1)
 	// maxRestarts is how often stages are made again because a result was lost.
 	maxRestarts = 1
 )
@@ -36,80 +40,12 @@
 	if err := g.begins(req); err != nil {
 		return err
 	}
-	err := g.finishStages(ctx, req)
+	err := newProgress(g, req).run(ctx)
 	req.stages = g.Clock.Since(began)
 	g.meter.stages.WithLabelValues(req.route.Name).Observe(seconds(req.stages))
 	return err
 }
 
-// stageEnd is the end of one stage, or the news that it has read its inputs.
-type stageEnd struct {
-	stage   int
-	fetched bool
-	made    *wire.Made
-	err     error
-}
-
-func (g *Gate) finishStages(ctx context.Context, req *request) error {
-	// Each stage may run twice, and tells of its inputs and of its end.
-	ends := make(chan stageEnd, 4*len(req.route.Stages))
-	running, restarts := 0, 0
-	var failed error
-	for {
-		if failed == nil {
-			failed = g.goesOn(req)
-		}
-		if failed == nil {
-			for _, stage := range req.run.Start() {
-				running++
-				ask := g.ask(req, stage)
-				go func() {
-					fetched := func() { ends <- stageEnd{stage: ask.Stage, fetched: true} }
-					made, err := g.make(ctx, req, ask, fetched)
-					ends <- stageEnd{stage: ask.Stage, made: made, err: err}
-				}()
-			}
-		}
-		if running == 0 {
-			return failed
-		}
-		end := <-ends
-		if end.fetched {
-			req.run.Fetched(end.stage)
-			g.give(req, req.run.Spare(), true)
-			continue
-		}
-		running--
-		switch {
-		case end.err == nil:
-			g.finishStage(req, end)
-		case isInputGone(end.err) && restarts < maxRestarts && failed == nil:
-			restarts++
-			g.giveBack(req, req.run.Again(end.stage))
-		default:
-			failed = errors.Join(failed, end.err)
-		}
-	}
-}
-
-func isInputGone(err error) bool {
-	var refused *fault.RefusalError
-	return errors.As(err, &refused) && refused.Reason == fault.InputGone
-}
-
-func (g *Gate) finishStage(req *request, end stageEnd) {
-	pool := req.route.Stages[end.stage].Pool
-	for i, reference := range end.made.References {
-		at := madeAt{pool: pool}
-		if i < len(end.made.Zones) && i < len(end.made.Endpoints) {
-			at.zone, at.endpoint = end.made.Zones[i], end.made.Endpoints[i]
-		}
-		req.made[reference] = at
-	}
-	req.run.Finish(end.stage, end.made.References)
-	g.giveBack(req, req.run.Spent())
-}
-
 // ask describes the pieces of one stage to their owner.
 func (g *Gate) ask(req *request, stage int) *wire.Pieces {
 	now := g.Clock.Now()
@@ -195,35 +131,52 @@
 }
 
 // make asks the owner of a pool for pieces, and its successor when the owner is
-// lost: pieces may be made again.
+// lost or leaves: pieces may be made again. While hosts are restarted one after
+// the other, processes see different owners for a moment, and the next one may
+// just leave, too; asked again a little later, one of them stays.
 func (g *Gate) make(ctx context.Context, req *request, ask *wire.Pieces, fetched func()) (*wire.Made, error) {
-	var lost *mesh.LostError
-	for range maxOwners {
+	for try := range maxOwners {
+		if err := g.pauseBefore(ctx, try); err != nil {
+			return nil, err
+		}
+		ask.TimeLeft = req.deadline - g.Clock.Now() - g.after(req, ask.Stage)
 		made, err := g.askOwner(ctx, ask, fetched)
+		var lost *mesh.LostError
 		switch {
 		case errors.As(err, &lost):
-			g.Log.Info("owner lost", "request", req.Request, "pool", ask.Pool, "peer", lost.Peer)
-			ask.TimeLeft = req.deadline - g.Clock.Now() - g.after(req, ask.Stage)
-			continue
+			g.Log.Info("owner lost", "request", req.Request, "pool", ask.Pool, "peer", lost.Peer, "try", try)
 		case err != nil:
 			return nil, err
 		case made.Reason == fault.Leaving:
-			ask.TimeLeft = req.deadline - g.Clock.Now() - g.after(req, ask.Stage)
-			continue
 		case made.Reason != "":
-			g.Log.Info("stage refused", "request", req.Request, "pool", ask.Pool, "stage", ask.Stage,
-				"reason", made.Reason, "timeLeftMs", int64(req.deadline-g.Clock.Now()))
-			reason := made.Reason
-			if reason == fault.EndpointFailed {
-				reason = fault.NoEndpoint // the request itself has not run
-			}
-			return nil, &fault.RefusalError{Reason: reason, Ran: fault.NotRun, RetryAfter: made.RetryAfter, Detail: "stage in " + ask.Pool}
+			return nil, g.stageRefused(req, ask, made)
+		default:
+			return made, nil
 		}
-		return made, nil
 	}
 	return nil, fault.Refuse(fault.NoEndpoint, "owners of "+ask.Pool+" were lost")
 }
 
+// pauseBefore waits before another owner is asked. The first successor is known
+// at once.
+func (g *Gate) pauseBefore(ctx context.Context, try int) error {
+	if try < 2 {
+		return nil
+	}
+	return g.Clock.Sleep(ctx, ownerPause)
+}
+
+// stageRefused is the end of a request whose pieces the owner gave up.
+func (g *Gate) stageRefused(req *request, ask *wire.Pieces, made *wire.Made) error {
+	g.Log.Info("stage refused", "request", req.Request, "pool", ask.Pool, "stage", ask.Stage,
+		"reason", made.Reason, "timeLeftMs", int64(req.deadline-g.Clock.Now()))
+	reason := made.Reason
+	if reason == fault.EndpointFailed {
+		reason = fault.NoEndpoint // the request itself has not run
+	}
+	return &fault.RefusalError{Reason: reason, Ran: fault.NotRun, RetryAfter: made.RetryAfter, Detail: "stage in " + ask.Pool}
+}
+
 func (g *Gate) askOwner(ctx context.Context, ask *wire.Pieces, fetched func()) (*wire.Made, error) {
 	if to := g.mesh.Owner(ask.Pool); to != g.mesh.Self() {
 		return g.mesh.Ask(ctx, to, ask, fetched)
@@ -240,19 +193,38 @@
 }
 
 // giveBack returns results that nobody needs any more to their owners.
-func (g *Gate) giveBack(req *request, references []string) { g.give(req, references, false) }
+func (g *Gate) giveBack(req *request, references []string) { g.give(req, references, wire.Unused{}) }
+
+// readTime is how long a model engine with a free slot takes to read its
+// inputs: some megabytes over links that carry one in a millisecond, and the
+// time until it looks at the request.
+const readTime = 80 * clock.Millis(1)
+
+// spareInputs tells the owners that a model engine reads a request's inputs
+// now. Its first event, with which they are surely read, may come a second
+// later, and meanwhile they would keep memory from other calls. One with no free
+// slot reads them only once it has one.
+func (g *Gate) spareInputs(req *request, t *target.Target) {
+	if req.run == nil || t.Load.Running.Load()+t.Load.PeerRunning.Load() >= int64(req.pool.Generation.Slots) {
+		return
+	}
+	g.give(req, req.run.Last(), wire.Unused{Spare: true, Delay: readTime})
+}
 
-func (g *Gate) give(req *request, references []string, spare bool) {
+// give tells owners of results that are not needed any more, in the way that
+// the message for each owner has in common.
+func (g *Gate) give(req *request, references []string, common wire.Unused) {
 	byPool := make(map[string]*wire.Unused)
 	for _, reference := range references {
 		at := req.made[reference]
 		unused := byPool[at.pool]
 		if unused == nil {
-			unused = &wire.Unused{Pool: at.pool, Spare: spare}
+			unused = &wire.Unused{Pool: at.pool, Spare: common.Spare, Delay: common.Delay}
 			byPool[at.pool] = unused
 		}
 		unused.References = append(unused.References, reference)
 		unused.Endpoints = append(unused.Endpoints, at.endpoint)
+		unused.Bytes = append(unused.Bytes, at.bytes)
 	}
 	for pool, unused := range byPool {
 		if to := g.mesh.Owner(pool); to != g.mesh.Self() {
--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -16,6 +16,7 @@
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
 	"github.com/jujubescale/jujubescale/internal/flow/batch"
+	"github.com/jujubescale/jujubescale/internal/guard/memory"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 )
@@ -32,14 +33,8 @@
 	// slowFrom is how many times longer than expected calls take at an engine
 	// that gets work only when the others have enough.
 	slowFrom = 2.0
-	// roomShare is the part of an engine's memory for results that is used: sizes
-	// in the configuration are approximate.
-	roomShare = 0.85
 	// slowWeight is the part of the newest call in that figure.
 	slowWeight = 0.5
-	// clearFrom is the part of an engine's memory from which a call waits for
-	// results to be given back.
-	clearFrom = 0.4
 	// reuseIdle bounds how long a connection for giving results back may have
 	// been unused.
 	reuseIdle = 4 * clock.Second
@@ -80,17 +75,26 @@
 	for _, late := range q.waiting.Late(bounds, h.clock.Now()) {
 		h.fail(late.Owner.(*Job), fault.DeadlinePassed)
 	}
+	now := h.clock.Now()
+	for _, stuck := range q.waiting.Stuck(now) {
+		h.fail(stuck.Owner.(*Job), stuck.Owner.(*Job).failed)
+	}
 	h.returnUnused(q, pool)
 	if q.waiting.Pieces() == 0 {
 		return
 	}
-	now := h.clock.Now()
+	limits := limitsOf(pool)
 	_, free := h.usable(q, pool)
-	free = slices.DeleteFunc(free, func(e *engine) bool { return h.unknown(q, e, pool, now) || e.clearing(pool) })
+	free = slices.DeleteFunc(free, func(e *engine) bool {
+		return h.unknown(q, e, limits, now) || e.memory.Clearing(limits, now)
+	})
 	free = withoutSlow(free, q.waiting.Pieces(), bounds)
 	slices.SortStableFunc(free, func(a, b *engine) int { return cmp.Compare(a.slow, b.slow) })
 	for i, e := range free {
-		slot := batch.Slot{Zone: e.Zone, Room: e.room(pool, now), Free: len(free) - i}
+		slot := batch.Slot{
+			Zone: e.Zone, Room: e.memory.Room(limits, now), Free: len(free) - i,
+			AgainFunc: func() bool { return h.retry(q.name) },
+		}
 		items := q.waiting.Take(bounds, slot, now)
 		if len(items) == 0 {
 			continue
@@ -113,13 +117,6 @@
 	return usual + fillWeight*(seen-usual)
 }
 
-// clearing reports whether an engine filled beyond clearFrom is just given
-// memory back. A call that began now would be small for want of room, and take
-// nearly as long as a full one; the memory is there within milliseconds.
-func (e *engine) clearing(pool *table.Batching) bool {
-	return e.freeing && float64(e.bytes) > clearFrom*float64(pool.Room)
-}
-
 // withoutSlow leaves slow engines out as long as one call to each of the others
 // takes all that waits: what goes to a slow engine comes back late.
 func withoutSlow(free []*engine, waiting int, bounds batch.Bounds) []*engine {
@@ -134,7 +131,7 @@
 func (h *Host) start(q *queue, e *engine, pool *table.Batching, items []batch.Item) {
 	e.calls++
 	for _, item := range items {
-		e.bytes += item.Group.Bytes
+		e.memory.Reserve(item.Group.Bytes)
 		job := item.Group.Owner.(*Job)
 		job.tries[item.Piece]++
 	}
@@ -278,7 +275,7 @@
 	expected := batch.BoundsOf(pool).Duration(len(items))
 	h.logInfo("pieces made", "pool", q.name, "endpoint", e.ID, "pieces", len(items), "tookMs", int64(now-began),
 		"expectedMs", int64(expected), "waiting", q.waiting.Pieces(), "failed", failures(results),
-		"ownBytes", e.bytes, "foreignBytes", e.foreign, "request", items[0].Group.Request, logs.KeyError, err)
+		"ownBytes", e.memory.Own(), "foreignBytes", e.memory.Foreign(now), "request", items[0].Group.Request, logs.KeyError, err)
 	if err != nil {
 		h.callFailed(q, e, items, err, now)
 	} else {
@@ -287,6 +284,7 @@
 		for i, item := range items {
 			h.take(q, e, pool, item, results[i], now)
 		}
+		e.lacked(items, results, limitsOf(pool), now)
 	}
 	h.dispatch(q)
 }
@@ -314,8 +312,8 @@
 	e.Bar(now + bar)
 	h.meter.failed(q.name)
 	for _, item := range items {
-		e.bytes -= item.Group.Bytes
-		h.again(q, item, fault.EndpointFailed)
+		e.memory.Release(item.Group.Bytes)
+		h.again(q, item, fault.EndpointFailed, now)
 	}
 }
 
@@ -323,23 +321,23 @@
 func (h *Host) take(q *queue, e *engine, pool *table.Batching, item batch.Item, result spell.Result, now clock.Millis) {
 	job := item.Group.Owner.(*Job)
 	if result.Reference == "" {
-		e.bytes -= item.Group.Bytes
+		e.memory.Release(item.Group.Bytes)
 		switch result.Failure {
 		case spell.FailedInput:
 			h.fail(job, fault.InputGone)
 		case spell.FailedLate:
 			h.fail(job, fault.DeadlinePassed)
 		case spell.FailedRoom:
-			e.lacksRoom(item.Group.Bytes, pool, now)
-			h.again(q, item, fault.Overloaded)
+			h.again(q, item, fault.Overloaded, now)
 		default:
-			h.again(q, item, fault.EndpointFailed)
+			h.again(q, item, fault.EndpointFailed, now)
 		}
 		return
 	}
-	e.hold(result.Reference, item.Group.Bytes, now+pool.Keep)
+	made := memory.Result{Reference: result.Reference, Bytes: item.Group.Bytes}
+	e.memory.Hold(made, now+pool.Keep)
 	if job.ended {
-		e.unused = append(e.unused, result.Reference)
+		e.memory.Drop(made)
 		return
 	}
 	job.result.References[item.Piece] = result.Reference
@@ -352,22 +350,31 @@
 	}
 }
 
-// hold accounts for the memory of a result, which its call has reserved.
-func (e *engine) hold(reference string, bytes int64, until clock.Millis) {
-	e.held[reference] = result{bytes: bytes, until: until}
+// lacked notes that an engine had no memory for some pieces of a call.
+func (e *engine) lacked(items []batch.Item, results []spell.Result, limits memory.Limits, now clock.Millis) {
+	least := int64(0)
+	for i, result := range results {
+		if size := items[i].Group.Bytes; result.Failure == spell.FailedRoom && (least == 0 || size < least) {
+			least = size
+		}
+	}
+	if least > 0 {
+		e.memory.Lacked(limits, least, now)
+	}
 }
 
-// again puts a piece back into the queue, if it may be sent once more.
-func (h *Host) again(q *queue, item batch.Item, reason fault.Reason) {
+// again puts a piece back into the queue, if it was not sent too often.
+func (h *Host) again(q *queue, item batch.Item, reason fault.Reason, now clock.Millis) {
 	job := item.Group.Owner.(*Job)
 	if job.ended {
 		return
 	}
-	if job.tries[item.Piece] >= maxTries || !h.retry(q.name) {
+	if job.tries[item.Piece] >= maxTries {
 		h.fail(job, reason)
 		return
 	}
-	q.waiting.Back(item)
+	job.failed = reason
+	q.waiting.Back(item, now)
 }
 
 // fail ends a job without results. The caller holds the lock.
@@ -386,54 +393,31 @@
 // returnUnused gives results back to engines whose memory fills up.
 func (h *Host) returnUnused(q *queue, pool *table.Batching) {
 	now := h.clock.Now()
+	wanted := int64(min(q.waiting.Pieces(), pool.Pieces)) * q.waiting.Bytes()
 	for _, e := range q.engines {
-		if e.short(q, pool, now) {
-			e.useSpare(now)
+		if e.Gone() {
+			continue
 		}
-		if len(e.unused) == 0 || e.freeing || e.Gone() || float64(e.bytes) < freeFrom*float64(pool.Room) {
+		references := e.memory.Give(limitsOf(pool), wanted, now)
+		if len(references) == 0 {
 			continue
 		}
-		references := e.unused
-		e.unused, e.freeing = nil, true
 		h.group.Add(1)
 		go func() {
 			defer h.group.Done()
 			err := h.free(e.Endpoint, references)
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			e.freeing = false
+			e.memory.Given(err == nil)
 			if err != nil {
-				// They expire by themselves; until then they count as held.
 				h.logInfo("results not given back", "pool", q.name, "endpoint", e.ID, logs.KeyError, err)
 				return
 			}
-			for _, reference := range references {
-				e.forget(reference)
-			}
 			h.dispatch(q)
 		}()
 	}
 }
 
-// short reports whether a call would be smaller for want of memory.
-func (e *engine) short(q *queue, pool *table.Batching, now clock.Millis) bool {
-	wanted := int64(min(q.waiting.Pieces(), pool.Pieces)) * q.waiting.Bytes()
-	return e.room(pool, now) < wanted
-}
-
-// foreignFor is how long results of an owner before may lie at an engine.
-const foreignFor = 8 * clock.Second
-
-// useSpare counts results that are probably not needed any more as unused.
-func (e *engine) useSpare(now clock.Millis) {
-	for _, reference := range e.spare {
-		if _, holds := e.held[reference]; holds || now-e.since < foreignFor {
-			e.drop(reference)
-		}
-	}
-	e.spare = nil
-}
-
 // freeTimeout bounds a call that gives results back; it does no work.
 const freeTimeout = 1500 * clock.Millis(1)
 
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 
 	"github.com/charmbracelet/log"
@@ -21,6 +20,7 @@
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
 	"github.com/jujubescale/jujubescale/internal/flow/batch"
 	"github.com/jujubescale/jujubescale/internal/flow/reach"
+	"github.com/jujubescale/jujubescale/internal/guard/memory"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 )
@@ -32,10 +32,6 @@
 	// sweepEvery is how often queues are looked through for what came too late
 	// and for engines that are usable again.
 	sweepEvery = 50 * clock.Millis(1)
-	// freeFrom is the part of an engine's memory from which results that nobody
-	// needs are given back by a call; below it they expire by themselves, which
-	// costs nothing.
-	freeFrom = 0.2
 )
 
 // Outcome is what became of a job.
@@ -65,6 +61,8 @@
 	left   int
 	tries  []uint8
 	ended  bool
+	// failed is why a piece was sent in vain last.
+	failed fault.Reason
 	done   func(Outcome)
 	// unread is how many pieces have not read their inputs yet.
 	unread  int
@@ -75,30 +73,11 @@
 type engine struct {
 	*view.Endpoint
 	calls  int
-	held   map[string]result
-	bytes  int64 // of results held, and of those that calls under way will make
-	unused []string
-	// spare results are needed again only if a stage fails.
-	spare   []string
-	freeing bool
-	// foreign is the memory taken by results of owners before this one, until
-	// they expire; asked tells when the engine was asked for it, and asking that
-	// its answer is awaited.
-	foreign      int64
-	foreignUntil clock.Millis
-	asked        clock.Millis
-	asking       bool
-	// since is when this process began to use the engine.
-	since clock.Millis
+	memory *memory.Account
 	// slow is how many times longer than expected its calls take.
 	slow float64
 }
 
-type result struct {
-	bytes int64
-	until clock.Millis
-}
-
 // queue is one pool.
 type queue struct {
 	name    string
@@ -201,31 +180,37 @@
 // unusedOf gives back the results that a job already has.
 func (h *Host) unusedOf(q *queue, job *Job) {
 	for _, reference := range job.result.References {
-		if reference != "" {
-			h.giveBack(q, reference)
+		if e := q.holder(reference); e != nil {
+			e.memory.Drop(memory.Result{Reference: reference, Bytes: job.group.Bytes})
 		}
 	}
 }
 
-// Unused takes results back that nobody needs any more.
+// Unused takes results back that nobody needs any more, or, if they are spare,
+// only once a stage fails.
 func (h *Host) Unused(unused *wire.Unused) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	q := h.queues[unused.Pool]
-	if q == nil {
+	q, pool := h.queues[unused.Pool], h.pool(unused.Pool)
+	if q == nil || pool == nil {
 		return
 	}
+	now := h.clock.Now()
 	for i, reference := range unused.References {
+		result := memory.Result{Reference: reference}
+		if i < len(unused.Bytes) {
+			result.Bytes = unused.Bytes[i]
+		}
 		e := q.holder(reference)
 		if e == nil && i < len(unused.Endpoints) {
-			e = h.foreign(q, unused.Endpoints[i])
+			e = h.foreign(q, unused.Endpoints[i], pool, now)
 		}
 		switch {
 		case e == nil: // its maker is gone, and the result with it
 		case unused.Spare:
-			e.spare = append(e.spare, reference)
+			e.memory.Spare(result, now+unused.Delay)
 		default:
-			e.drop(reference)
+			e.memory.Drop(result)
 		}
 	}
 	h.dispatch(q)
@@ -234,20 +219,17 @@
 // foreign returns the engine where a result lies that this owner doesn't know,
 // because it was made for the owner before; nil when this process has owned the
 // pool for so long that the result must have been given back already.
-func (h *Host) foreign(q *queue, endpoint string) *engine {
+func (h *Host) foreign(q *queue, endpoint string, pool *table.Batching, now clock.Millis) *engine {
 	e := q.engine(h.viewNow().Find(endpoint))
-	pool := h.pool(q.name)
-	if e == nil || pool == nil || e.asked == 0 || h.clock.Since(e.since) > 2*pool.Keep {
+	if e == nil || !e.memory.MayHold(limitsOf(pool), now) {
 		return nil
 	}
 	return e
 }
 
-// drop marks a result as unused.
-func (e *engine) drop(reference string) {
-	if !slices.Contains(e.unused, reference) {
-		e.unused = append(e.unused, reference)
-	}
+// limitsOf returns the bounds of an engine's memory for results.
+func limitsOf(pool *table.Batching) memory.Limits {
+	return memory.Limits{Room: pool.Room, Keep: pool.Keep}
 }
 
 // engine returns what is kept for an endpoint, nil for none.
@@ -257,7 +239,7 @@
 	}
 	e := q.engines[endpoint]
 	if e == nil {
-		e = &engine{Endpoint: endpoint, held: make(map[string]result), slow: 1, since: q.clock.Now()}
+		e = &engine{Endpoint: endpoint, memory: memory.New(q.clock.Now()), slow: 1}
 		q.engines[endpoint] = e
 	}
 	return e
@@ -266,19 +248,13 @@
 // holder returns the engine where a result lies, nil when it isn't known.
 func (q *queue) holder(reference string) *engine {
 	for _, e := range q.engines {
-		if _, holds := e.held[reference]; holds {
+		if e.memory.Holds(reference) {
 			return e
 		}
 	}
 	return nil
 }
 
-func (h *Host) giveBack(q *queue, reference string) {
-	if e := q.holder(reference); e != nil {
-		e.drop(reference)
-	}
-}
-
 // Retire gives back what waits here, because this process leaves: whoever asked
 // asks the next owner. Calls that are under way end here.
 func (h *Host) Retire() {
@@ -378,20 +354,7 @@
 			delete(q.engines, endpoint)
 			continue
 		}
-		for reference, r := range e.held {
-			if r.until <= now {
-				e.forget(reference)
-			}
-		}
-	}
-}
-
-// forget counts a result's memory as free.
-func (e *engine) forget(reference string) {
-	e.bytes -= e.held[reference].bytes
-	delete(e.held, reference)
-	if at := slices.Index(e.unused, reference); at >= 0 {
-		e.unused = slices.Delete(e.unused, at, at+1)
+		e.memory.Expire(now)
 	}
 }
 
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -65,6 +65,12 @@
 	tickets map[uint64]*question
 }
 
+// living are the processes that can own pools.
+type living struct {
+	names []string
+	runs  []owner.Process
+}
+
 // Mesh is this process's sessions with the others.
 type Mesh struct {
 	self    Member
@@ -81,7 +87,7 @@
 	release     func() uint64
 	newerFunc   func()
 
-	alive atomic.Pointer[[]string]
+	alive atomic.Pointer[living]
 	pools atomic.Pointer[[]wire.PoolLoad]
 	next  atomic.Uint64
 
@@ -157,7 +163,7 @@
 
 // Alive returns the names of the processes that can own pools, this one among
 // them.
-func (m *Mesh) Alive() []string { return *m.alive.Load() }
+func (m *Mesh) Alive() []string { return m.alive.Load().names }
 
 // Sessions returns the number of open sessions.
 func (m *Mesh) Sessions() int {
@@ -167,7 +173,7 @@
 }
 
 // Owner returns the process that owns a subject now.
-func (m *Mesh) Owner(subject string) string { return owner.Of(subject, m.Alive()) }
+func (m *Mesh) Owner(subject string) string { return owner.Of(subject, m.alive.Load().runs) }
 
 // Self returns the name of this process.
 func (m *Mesh) Self() string { return m.self.Name }
@@ -177,20 +183,25 @@
 
 // publish makes the list of the living; the caller holds the lock or is alone.
 func (m *Mesh) publish() {
-	names := []string{}
+	alive := &living{}
 	if !m.left {
-		names = append(names, m.self.Name)
+		alive.add(m.self.Name, m.self.Incarnation)
 	}
 	for name, p := range m.peers {
 		if !p.leaving {
-			names = append(names, name)
+			alive.add(name, p.session.Peer().Incarnation)
 		}
 	}
-	if len(names) == 0 {
-		names = append(names, m.self.Name)
+	if len(alive.names) == 0 {
+		alive.add(m.self.Name, m.self.Incarnation)
 	}
-	slices.Sort(names)
-	m.alive.Store(&names)
+	slices.Sort(alive.names)
+	m.alive.Store(alive)
+}
+
+func (l *living) add(name string, incarnation token.Incarnation) {
+	l.names = append(l.names, name)
+	l.runs = append(l.runs, owner.Process{Name: name, Key: name + "/" + incarnation.String()})
 }
 
 // SetMembers takes the processes that the store lists. Of two processes, the
--- a/internal/serve/router/harness_test.go
+++ b/internal/serve/router/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
+	"github.com/jujubescale/jujubescale/internal/serve/gate"
 	"github.com/jujubescale/jujubescale/internal/serve/router"
 	"github.com/jujubescale/jujubescale/platform"
 	"github.com/jujubescale/jujubescale/platform/stand"
@@ -145,7 +146,7 @@
 		Name: name, Zone: []string{zoneA, zoneB}[len(b.gateways)%2], Address: sessions.Addr().String(), Clock: clock.New(), Log: log,
 		Registry: prometheus.NewRegistry(), Dialect: platform.Dialect(),
 		Store:  platform.NewStore("http://"+b.Address, &http.Client{Transport: transport}, clock.Second, 300),
-		Bounds: router.Bounds{Heartbeat: 1000, ExtraShare: 0.2, ExtraSpare: 50, ColdShare: 1.5, ColdSpare: 5},
+		Bounds: gate.Bounds{ExtraShare: 0.2, ExtraSpare: 50, ExtraWindow: 10 * clock.Second, ColdShare: 1.5, ColdSpare: 5},
 	})
 	servers := []*http.Server{
 		serve(sessions, g.SessionHandler()), serve(callers, g.Handler()), serve(ready, g.ReadyHandler()),
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -40,16 +40,6 @@
 	EntryFunc  func(name string, raw []byte) (view.Entry, error)
 }
 
-// Bounds are what may change while the process runs.
-type Bounds struct {
-	// Heartbeat is how often an endpoint writes its entry.
-	Heartbeat  clock.Millis
-	ExtraShare float64
-	ExtraSpare float64
-	ColdShare  float64
-	ColdSpare  float64
-}
-
 // Settings are what a Gateway needs.
 type Settings struct {
 	Name string
@@ -61,7 +51,7 @@
 	Registry prometheus.Registerer
 	Store    *store.Store
 	Dialect  Dialect
-	Bounds   Bounds
+	Bounds   gate.Bounds
 }
 
 const (
@@ -112,7 +102,7 @@
 	g.SetBounds(settings.Bounds)
 	g.host = host.New(ctx, host.Settings{
 		Clock: g.Clock, Log: g.Log, Spelling: g.Dialect.Spelling, Table: g.table.Load, View: g.book.Now,
-		Conns: g.gate.Conns, Retry: g.gate.Extra, Earn: g.gate.Earn, Meter: host.NewMeter(g.Registry),
+		Conns: g.gate.Conns, Retry: g.gate.PieceExtras().Take, Earn: g.gate.PieceExtras().Earn, Meter: host.NewMeter(g.Registry),
 	})
 	g.mesh = mesh.New(ctx, mesh.Member{Name: g.Name, Address: g.Address, Incarnation: g.incarnation, Zone: g.Zone},
 		mesh.WithClock(g.Clock), mesh.WithLog(g.Log), mesh.WithPieces(g.takePieces, g.dropPieces),
@@ -145,11 +135,7 @@
 func (g *Gateway) Open() int64 { return g.gate.Open() }
 
 // SetBounds changes what may change while the process runs.
-func (g *Gateway) SetBounds(bounds Bounds) {
-	g.gate.SetBounds(gate.Bounds{
-		ExtraShare: bounds.ExtraShare, ExtraSpare: bounds.ExtraSpare, ColdShare: bounds.ColdShare, ColdSpare: bounds.ColdSpare,
-	})
-}
+func (g *Gateway) SetBounds(bounds gate.Bounds) { g.gate.SetBounds(bounds) }
 
 func (g *Gateway) release() uint64 {
 	if routes := g.table.Load(); routes != nil {
