fix(mesh,memory): a process that knows nothing owns nothing; rounded reports count less after lacking memory

Once an engine has lacked memory the middle of what its report allows counts.

Shown by: TestProcessThatKnowsNoEndpointsOwnsNothing, TestRoundedReportsCountLessOnceMemoryWasLacking.

--- a/internal/engine/spell/spell.go
+++ b/internal/engine/spell/spell.go
@@ -111,8 +111,10 @@
 // StageReport is what a stage engine says of itself. It is some hundred
 // milliseconds old.
 type StageReport struct {
-	// Free is how many bytes may be free for results at most.
-	Free int64
+	// FreeLeast and FreeMost are how many bytes are free for results: reports give
+	// whole megabytes.
+	FreeLeast int64
+	FreeMost  int64
 	// Busy says that it works on a call.
 	Busy bool
 }
--- a/internal/guard/memory/memory.go
+++ b/internal/guard/memory/memory.go
@@ -74,6 +74,7 @@
 	foreignUntil clock.Millis
 	asked        clock.Millis
 	asking       bool
+	lacked       clock.Millis // when the engine last had no memory for a piece
 }
 
 // New returns the account of an engine that this process begins to use now.
@@ -235,11 +236,26 @@
 // until they are given back or expire.
 func (a *Account) Unknown() bool { return a.asked == 0 || (a.asking && a.foreignUntil == 0) }
 
-// Learned takes what the engine says is free at most, and what a call that it
-// works on for another owner may still take.
-func (a *Account) Learned(limits Limits, free, pending int64, now clock.Millis) {
+// Report is what an engine says of its memory.
+type Report struct {
+	// Least and Most are the bounds of what is free, in bytes.
+	Least int64
+	Most  int64
+	// Pending is what a call that it works on for another owner may still take.
+	Pending int64
+}
+
+// Learned takes what the engine says. The most that may be free counts, so that
+// no engine stands idle for a rounded figure; once it has lacked memory, the
+// middle, or calls would fail in the same way until all that others left has
+// expired.
+func (a *Account) Learned(limits Limits, report Report, now clock.Millis) {
 	a.asking = false
-	a.foreign = min(max(limits.Room-free-a.own, 0)+pending, limits.Room)
+	free := report.Most
+	if a.lacked > 0 && now-a.lacked < limits.Keep {
+		free = (report.Least + report.Most) / 2
+	}
+	a.foreign = min(max(limits.Room-free-a.own, 0)+report.Pending, limits.Room)
 	if a.foreignUntil == 0 {
 		a.foreignUntil = now + limits.Keep
 	}
@@ -262,5 +278,6 @@
 func (a *Account) Lacked(limits Limits, bytes int64, now clock.Millis) {
 	a.foreign = max(a.Foreign(now), limits.Room-a.own-bytes, 0)
 	a.foreignUntil = now + limits.Keep/2
+	a.lacked = now
 	a.asked = min(a.asked, now-askAgain)
 }
--- a/internal/guard/memory/memory_test.go
+++ b/internal/guard/memory/memory_test.go
@@ -17,7 +17,7 @@
 func learned(now clock.Millis) *memory.Account {
 	a := memory.New(now)
 	a.Ask(now)
-	a.Learned(limits, limits.Room, 0, now)
+	a.Learned(limits, exactly(limits.Room, 0), now)
 	return a
 }
 
@@ -29,6 +29,11 @@
 	return result
 }
 
+// exactly is the report of an engine with so much free memory.
+func exactly(free, pending int64) memory.Report {
+	return memory.Report{Least: free, Most: free, Pending: pending}
+}
+
 func ExampleAccount() {
 	a := learned(1)
 	result := made(a, "engine/1", 300, 4000)
@@ -49,7 +54,7 @@
 func TestResultsOfTheOwnerBeforeAreGivenBack(t *testing.T) {
 	a := memory.New(1)
 	assert.Assert(t, a.Ask(1) && a.Unknown())
-	a.Learned(limits, 200, 0, 5)
+	a.Learned(limits, exactly(200, 0), 5)
 	assert.Assert(t, !a.Unknown())
 	assert.Equal(t, a.Room(limits, 5), int64(50))
 	assert.Assert(t, a.MayHold(limits, 100))
@@ -69,12 +74,28 @@
 	assert.Equal(t, a.Foreign(50), int64(700))
 	assert.Equal(t, a.Room(limits, 50), int64(0))
 	assert.Assert(t, a.Ask(50), "the engine is asked how much it has")
-	a.Learned(limits, 300, 0, 60)
+	a.Learned(limits, exactly(300, 0), 60)
 	assert.Equal(t, a.Room(limits, 60), int64(150))
 	a.Lacked(limits, 100, 70)
 	assert.Equal(t, a.Foreign(70+limits.Keep), int64(0), "what others left has expired")
 }
 
+// All processes were killed and their results fill the engines. Reports round
+// what is free to megabytes. An engine that has just lacked memory is not taken
+// to have the most that its report allows, or its calls fail again and again.
+func TestRoundedReportsCountLessOnceMemoryWasLacking(t *testing.T) {
+	rounded := memory.Report{Least: 0, Most: 500}
+	a := memory.New(1)
+	a.Ask(1)
+	a.Learned(limits, rounded, 5)
+	assert.Equal(t, a.Room(limits, 5), int64(350))
+	a.Lacked(limits, 100, 400)
+	a.Learned(limits, rounded, 450)
+	assert.Equal(t, a.Room(limits, 450), int64(100))
+	a.Learned(limits, rounded, 400+limits.Keep)
+	assert.Equal(t, a.Foreign(400+limits.Keep), int64(0))
+}
+
 // The engine can't be asked. Calls go there all the same: waiting for an answer
 // would leave it idle.
 func TestEngineThatDoesNotAnswerIsUsed(t *testing.T) {
@@ -118,7 +139,7 @@
 func TestCallOfTheOwnerBeforeCounts(t *testing.T) {
 	a := memory.New(1)
 	a.Ask(1)
-	a.Learned(limits, 900, 500, 5)
+	a.Learned(limits, exactly(900, 500), 5)
 	assert.Equal(t, a.Room(limits, 5), int64(250))
 }
 
@@ -161,7 +182,7 @@
 				a.Lacked(limits, 50, now)
 			case 6:
 				if a.Ask(now) {
-					a.Learned(limits, int64(rapid.IntRange(0, 1000).Draw(t, "free")), 100, now)
+					a.Learned(limits, exactly(int64(rapid.IntRange(0, 1000).Draw(t, "free")), 100), now)
 				}
 			}
 			assert.Assert(t, a.Own() >= 0 && a.Foreign(now) >= 0 && a.Room(limits, now) >= 0)
--- a/internal/serve/host/room.go
+++ b/internal/serve/host/room.go
@@ -36,8 +36,10 @@
 		e.memory.NotLearned(now)
 		h.logInfo("memory of engine not known", "pool", q.name, "endpoint", e.ID, logs.KeyError, err)
 	} else {
-		e.memory.Learned(limits, report.Free, h.pending(q, e, report), now)
-		h.logInfo("memory of engine", "pool", q.name, "endpoint", e.ID, "freeBytes", report.Free, "busy", report.Busy,
+		e.memory.Learned(limits, memory.Report{
+			Least: report.FreeLeast, Most: report.FreeMost, Pending: h.pending(q, e, report),
+		}, now)
+		h.logInfo("memory of engine", "pool", q.name, "endpoint", e.ID, "freeBytes", report.FreeMost, "busy", report.Busy,
 			"ownBytes", e.memory.Own(), "foreignBytes", e.memory.Foreign(now))
 		h.holdBusy(q, e, report.Busy, now)
 	}
--- a/internal/serve/mesh/ask.go
+++ b/internal/serve/mesh/ask.go
@@ -76,28 +76,42 @@
 	}
 }
 
+// Open tells all peers that this process owns its pools from now on. A process
+// that is restarted while the store is away is reached by its peers before it
+// knows any endpoint; as an owner it would refuse all work of its pools.
+func (m *Mesh) Open() { m.setOwns(true, &wire.Leave{Back: true}) }
+
 // Leave tells all peers that this process owns nothing from now on.
-func (m *Mesh) Leave() {
+func (m *Mesh) Leave() { m.setOwns(false, &wire.Leave{Reason: "planned stop"}) }
+
+func (m *Mesh) setOwns(owns bool, word *wire.Leave) {
 	m.mu.Lock()
-	m.left = true
+	defer m.mu.Unlock()
+	if m.owns == owns {
+		return
+	}
+	m.owns = owns
 	m.publish()
-	m.mu.Unlock()
-	m.broadcast(&wire.Frame{Kind: wire.KindLeave, Leave: &wire.Leave{Reason: "planned stop"}})
+	m.broadcast(&wire.Frame{Kind: wire.KindLeave, Leave: word})
 }
 
+// broadcast queues a frame for all peers; the caller holds the lock.
 func (m *Mesh) broadcast(frame *wire.Frame) {
-	m.mu.Lock()
-	sessions := make([]*sess.Session, 0, len(m.peers))
 	for _, p := range m.peers {
-		sessions = append(sessions, p.session)
-	}
-	m.mu.Unlock()
-	for _, s := range sessions {
 		own := *frame
-		_ = s.Send(&own) // a session that can't send is ending
+		_ = p.session.Send(&own) // a session that can't send is ending
 	}
 }
 
+// tellLoads tells the loads with what holds at this moment: said later, an older
+// word on owning pools would undo a newer one.
+func (m *Mesh) tellLoads(loads *wire.Loads) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	loads.Owns = m.owns
+	m.broadcast(&wire.Frame{Kind: wire.KindLoads, Loads: loads})
+}
+
 // take handles one frame of a peer.
 func (m *Mesh) take(s *sess.Session, frame *wire.Frame) {
 	if frame.Release > m.release() {
@@ -118,7 +132,7 @@
 	case wire.KindLoads:
 		m.heard(s, frame.Loads)
 	case wire.KindLeave:
-		m.leaves(s)
+		m.leaves(s, !frame.Leave.Back)
 	default:
 		// Heartbeats are the session's own; a newer peer may send more.
 	}
@@ -160,11 +174,18 @@
 	}
 }
 
-func (m *Mesh) leaves(s *sess.Session) {
+func (m *Mesh) leaves(s *sess.Session, leaving bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if p := m.peers[s.Peer().Process]; p != nil && p.session == s {
-		p.leaving = true
+		m.setLeaving(p, leaving)
+	}
+}
+
+// setLeaving notes whether a peer may own pools; the caller holds the lock.
+func (m *Mesh) setLeaving(p *peer, leaving bool) {
+	if p.leaving != leaving {
+		p.leaving = leaving
 		m.publish()
 	}
 }
@@ -177,6 +198,7 @@
 	defer m.mu.Unlock()
 	if p := m.peers[s.Peer().Process]; p != nil && p.session == s {
 		p.loads = loads
+		m.setLeaving(p, !loads.Owns)
 		wake(m.hear)
 	}
 }
@@ -199,14 +221,18 @@
 		defer close(heard)
 		m.listen(ctx)
 	}()
-	quiet, every := false, tellEvery
+	quiet, every := 0, tellEvery
 	for m.pause(ctx, m.tell, every, tellGap) == nil {
 		loads := m.loadsFunc()
 		empty := len(loads.Endpoints) == 0 && len(loads.Pools) == 0 && len(loads.Prefixes) == 0
-		if !empty || !quiet {
-			m.broadcast(&wire.Frame{Kind: wire.KindLoads, Loads: loads})
+		if !empty || quiet%quietEvery == 0 {
+			m.tellLoads(loads)
 		}
-		quiet, every = empty, tellEvery
+		quiet++
+		if !empty {
+			quiet = 0
+		}
+		every = tellEvery
 		if len(loads.Pools) > 0 {
 			every = ownerEvery
 		}
@@ -214,6 +240,10 @@
 	<-heard
 }
 
+// quietEvery is how many times a process with nothing to tell keeps silent
+// before it says so again.
+const quietEvery = 3
+
 // listen adds up what peers told, soon after they did and again from time to
 // time, because peers end, too.
 func (m *Mesh) listen(ctx context.Context) {
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -105,7 +105,9 @@
 	peers   map[string]*peer
 	dialing map[string]Member
 	members map[string]Member
-	left    bool
+	// owns says that this process may own pools: it knows routes and endpoints,
+	// and no planned stop has begun.
+	owns    bool
 	stopped bool
 	base    context.Context
 	group   sync.WaitGroup
@@ -196,7 +198,7 @@
 // publish makes the list of the living; the caller holds the lock or is alone.
 func (m *Mesh) publish() {
 	alive := &living{}
-	if !m.left {
+	if m.owns {
 		alive.add(m.self.Name, m.self.Incarnation)
 	}
 	for name, p := range m.peers {
@@ -281,9 +283,16 @@
 func (m *Mesh) hello() wire.Hello {
 	return wire.Hello{
 		Process: m.self.Name, Incarnation: m.self.Incarnation, Role: "gateway", AvailabilityZone: m.self.Zone,
+		Leaving: !m.mayOwn(),
 	}
 }
 
+func (m *Mesh) mayOwn() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owns
+}
+
 // Handler accepts the sessions that others open.
 func (m *Mesh) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -310,6 +319,7 @@
 	if before != nil {
 		before.session.Close(errReplaced)
 	}
+	m.Tell()
 	m.logInfo("peer joined", "peer", name, logs.KeyIncarnation, s.Peer().Incarnation)
 }
 
--- a/internal/serve/mesh/mesh_test.go
+++ b/internal/serve/mesh/mesh_test.go
@@ -58,6 +58,7 @@
 		all, members = append(all, p), append(members, p.member)
 	}
 	for _, p := range all {
+		p.Open()
 		p.SetMembers(members)
 	}
 	for _, p := range all {
@@ -122,3 +123,24 @@
 		return poll.Continue("not yet")
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
 }
+
+// A process is restarted while the store is away. Its peers still know its
+// address and reach it, but it knows no endpoint yet. Made the owner of a pool it
+// would refuse everything, and callers would get 503 although engines are idle.
+func TestProcessThatKnowsNoEndpointsOwnsNothing(t *testing.T) {
+	all := join(t, clock.New(), "a", "b")
+	fresh := &process{member: mesh.Member{Name: "c", Incarnation: token.NewIncarnation()}}
+	fresh.Mesh = mesh.New(t.Context(), fresh.member)
+	server := httptest.NewServer(fresh.Handler())
+	t.Cleanup(func() { fresh.Stop(); server.Close() })
+	fresh.member.Address = strings.TrimPrefix(server.URL, "http://")
+	for _, p := range all {
+		p.SetMembers([]mesh.Member{all[0].member, all[1].member, fresh.member})
+	}
+	waitFor(t, func() bool { return all[0].Sessions() == 2 && all[1].Sessions() == 2 })
+	assert.Equal(t, len(all[0].Alive()), 2)
+	fresh.Open()
+	waitFor(t, func() bool { return len(all[0].Alive()) == 3 && len(all[1].Alive()) == 3 })
+	fresh.Leave()
+	waitFor(t, func() bool { return len(all[0].Alive()) == 2 && len(all[1].Alive()) == 2 })
+}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -270,6 +270,7 @@
 	}
 	g.table.Store(routes)
 	g.Log.Info("configuration in force", "configuration", routes.Version, "revision", object.Version, "bytes", len(object.Value))
+	g.openIfReady()
 }
 
 func (g *Gateway) listEndpoints(objects []store.Object, away clock.Millis) {
@@ -289,6 +290,14 @@
 	g.book.Publish()
 	g.bookLock.Unlock()
 	g.logChanges(changes)
+	g.openIfReady()
+}
+
+// openIfReady lets this process own pools once it knows routes and endpoints.
+func (g *Gateway) openIfReady() {
+	if g.gate.Ready() {
+		g.mesh.Open()
+	}
 }
 
 func (g *Gateway) changeEndpoints(events []store.Change) {
