--- /dev/null
+++ b/internal/flow/coming/coming.go
@@ -0,0 +1,103 @@
+// Package coming counts the pieces that requests under way will ask stage
+// engines for, but have not yet: those of the stages behind the one that they
+// are in.
+//
+// It answers bursts. A request that is admitted by the queues of that moment
+// meets in its third stage all the others that were admitted in the half second
+// before it. On a day of bursts at 29 processes half of the requests took over
+// 385 ms longer than estimated from queues alone, one in ten over a second.
+package coming
+
+import (
+	"sync"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/flow/reach"
+)
+
+// Work is the pieces of one stage of one request.
+type Work struct {
+	Pool   string
+	Pieces int
+	// Rank is the instant by which they will be wanted; see batch.Group.
+	Rank clock.Millis
+}
+
+// Load is all that will come to one pool.
+type Load struct {
+	Pool string
+	// Pieces by class of rank; see reach.Edges.
+	Pieces []int
+}
+
+// Book holds the work that is to come from this process.
+type Book struct {
+	mu   sync.Mutex
+	open map[*Work]bool
+}
+
+// New returns an empty book.
+func New() *Book { return &Book{open: make(map[*Work]bool)} }
+
+// Add enters work until it is removed.
+func (b *Book) Add(work *Work) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.open[work] = true
+}
+
+// Remove takes work out, because it has been asked for or never will be.
+func (b *Book) Remove(work *Work) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.open, work)
+}
+
+// Loads returns the work by pool, in no order.
+func (b *Book) Loads(now clock.Millis) []Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var loads []Load
+	for work := range b.open {
+		loads = Add(loads, Load{Pool: work.Pool, Pieces: reach.Classes(work.Rank-now, work.Pieces)})
+	}
+	return loads
+}
+
+// Of returns the work for one pool, by class of rank; nil for none.
+func (b *Book) Of(pool string, now clock.Millis) []int {
+	return Of(b.Loads(now), pool)
+}
+
+// Add adds a load to others.
+func Add(loads []Load, more Load) []Load {
+	for i := range loads {
+		if loads[i].Pool == more.Pool {
+			loads[i].Pieces = sum(loads[i].Pieces, more.Pieces)
+			return loads
+		}
+	}
+	return append(loads, Load{Pool: more.Pool, Pieces: sum(nil, more.Pieces)})
+}
+
+// Of returns the pieces of one pool's load, nil for none.
+func Of(loads []Load, pool string) []int {
+	for i := range loads {
+		if loads[i].Pool == pool {
+			return loads[i].Pieces
+		}
+	}
+	return nil
+}
+
+// sum adds pieces class by class. Classes that this version doesn't know count
+// among the last: a newer process may have finer ones.
+func sum(pieces, more []int) []int {
+	if pieces == nil {
+		pieces = make([]int, len(reach.Edges)+1)
+	}
+	for class, count := range more {
+		pieces[min(class, len(pieces)-1)] += count
+	}
+	return pieces
+}
--- a/internal/flow/reach/reach.go
+++ b/internal/flow/reach/reach.go
@@ -28,6 +28,9 @@
 	Room int64
 	// Waiting is the pieces that wait, by rank: see Edges.
 	Waiting []int
+	// Coming is the pieces that requests under way will ask for after the stages
+	// that they are in, by rank.
+	Coming []int
 }
 
 // Edges are the upper ends of the classes of rank by which waiting pieces are
@@ -46,28 +49,44 @@
 	return len(Edges)
 }
 
-// Wait estimates how long a piece of a rank waits for its call, in milliseconds.
-func (q *Queue) Wait(rank clock.Millis) float64 {
-	ahead := 0
-	for class, pieces := range q.Waiting {
-		if class <= Class(rank) {
-			ahead += pieces
-		}
-	}
+// Classes returns so many pieces of a rank by class.
+func Classes(ahead clock.Millis, pieces int) []int {
+	classes := make([]int, len(Edges)+1)
+	classes[Class(ahead)] = pieces
+	return classes
+}
+
+// Wait estimates how long a piece of a rank that arrives after a while waits for
+// its call; both are in milliseconds. What waits now is worked on meanwhile, and
+// what comes from requests that began earlier is ahead of it by then.
+func (q *Queue) Wait(rank clock.Millis, arrives float64) float64 {
 	if q.Engines == 0 {
 		return noEngines
 	}
-	if ahead < q.Free*q.Bounds.Pieces {
-		return 0
-	}
 	fill := q.Fill
 	if fill < 1 {
 		fill = float64(q.Bounds.Pieces)
 	}
 	span := q.Bounds.Duration(int(fill))
+	rate := fill * float64(q.Engines) / span
+	ahead := float64(upTo(q.Waiting, rank)) + float64(upTo(q.Coming, rank)) - rate*arrives
+	if ahead < float64(q.Free*q.Bounds.Pieces) {
+		return 0
+	}
 	// A place becomes free after a part of a call, and calls ahead each take a
 	// whole one.
-	return span/float64(q.Engines+1) + span*float64(ahead)/(fill*float64(q.Engines))
+	return span/float64(q.Engines+1) + max(ahead, 0)/rate
+}
+
+// upTo counts the pieces that go before those of a rank, or with them.
+func upTo(classes []int, rank clock.Millis) int {
+	ahead := 0
+	for class, pieces := range classes {
+		if class <= Class(rank) {
+			ahead += pieces
+		}
+	}
+	return ahead
 }
 
 // noEngines is the wait of a pool that has no engine just now, in milliseconds:
@@ -124,7 +143,7 @@
 	ends[stage] = start
 	if q := queues(r.Stages[stage].Pool); q != nil {
 		pieces := min(r.Pieces[stage], max(q.Bounds.Pieces, 1))
-		ends[stage] += q.Wait(r.Slack+r.Penalty) + q.Bounds.Duration(pieces)
+		ends[stage] += q.Wait(r.Slack+r.Penalty, start) + q.Bounds.Duration(pieces)
 	}
 	return ends[stage]
 }
--- a/internal/flow/reach/reach_test.go
+++ b/internal/flow/reach/reach_test.go
@@ -36,6 +36,24 @@
 	assert.Equal(t, chain().Remaining(func(string) *reach.Queue { return nil }), 100.0)
 }
 
+// A burst is admitted: its requests are in their first stage, and the queues of
+// the later ones are still empty. The next request would be admitted by them and
+// come far too late; what is on its way there counts.
+func TestWorkOnItsWayCounts(t *testing.T) {
+	q := &reach.Queue{Bounds: bounds, Engines: 5, Free: 5}
+	assert.Equal(t, q.Wait(800, 400), 0.0)
+	q.Coming = reach.Classes(800, 300)
+	assert.Assert(t, q.Wait(900, 400) > 1500, "%f", q.Wait(900, 400))
+	assert.Equal(t, q.Wait(300, 400), 0.0, "what is wanted later doesn't go before it")
+}
+
+// A long queue is worked on while a request is still in the stages before.
+func TestQueueShrinksUntilTheRequestArrives(t *testing.T) {
+	q := queue(100)
+	assert.Assert(t, q.Wait(800, 0)-q.Wait(800, 500) > 450)
+	assert.Assert(t, q.Wait(800, 10_000) < 100)
+}
+
 // sheet is a request with a large piece beside a chain of three stages.
 func sheet() *reach.Request {
 	return &reach.Request{
@@ -93,8 +111,8 @@
 	waiting := make([]int, len(reach.Edges)+1)
 	waiting[reach.Class(2500)] = 500
 	q := &reach.Queue{Bounds: bounds, Engines: 5, Waiting: waiting}
-	assert.Assert(t, q.Wait(800) < 100, q.Wait(800))
-	assert.Assert(t, q.Wait(2600) > 3000, q.Wait(2600))
+	assert.Assert(t, q.Wait(800, 0) < 100, q.Wait(800, 0))
+	assert.Assert(t, q.Wait(2600, 0) > 3000, q.Wait(2600, 0))
 }
 
 // Results fill the engines' memory, so that calls hold fewer pieces than they
@@ -102,8 +120,8 @@
 func TestSmallCallsMakeALongWait(t *testing.T) {
 	full, small := queue(100), queue(100)
 	small.Fill = 3
-	assert.Assert(t, small.Wait(0) > 2*full.Wait(0))
-	assert.Assert(t, (&reach.Queue{Bounds: bounds}).Wait(0) > 1000)
+	assert.Assert(t, small.Wait(0, 0) > 2*full.Wait(0, 0))
+	assert.Assert(t, (&reach.Queue{Bounds: bounds}).Wait(0, 0) > 1000)
 }
 
 func TestClassesOfRank(t *testing.T) {
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -299,10 +299,18 @@
 	// Seen are the revisions of the changes that the sender noticed last, by kind
 	// of object, so that one process that reads the store early tells all others.
 	Seen []Revision `cbor:"seen,omitempty"`
+	// Coming is the pieces that requests of the sender will ask for, by pool.
+	Coming []Coming `cbor:"coming,omitempty"`
 	// Prefixes are those used since the message before.
 	Prefixes []PrefixUse `cbor:"prefixes,omitempty"`
 }
 
+// Coming is the pieces that will be asked for in one pool, by class of rank.
+type Coming struct {
+	Pool   string `cbor:"pool"`
+	Pieces []int  `cbor:"pieces"`
+}
+
 // Revision is how far changes of one kind of object were noticed.
 type Revision struct {
 	Kind     string `cbor:"kind"`
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -18,6 +18,7 @@
 	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
+	"github.com/jujubescale/jujubescale/internal/flow/coming"
 	"github.com/jujubescale/jujubescale/internal/flow/extra"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/route/view"
@@ -63,6 +64,7 @@
 	// pieceExtras are those of the pools that this process owns.
 	pieceExtras *extra.Budget
 	prefixes    *target.Prefixes
+	coming      *coming.Book
 	bounds      atomic.Pointer[Bounds]
 	leaving     atomic.Bool
 	open        sync.WaitGroup
@@ -73,7 +75,7 @@
 
 // New returns a gate. Join it to its mesh and host before it serves.
 func New(settings Settings) *Gate {
-	g := &Gate{Settings: settings, meter: NewMeter(settings.Registry)}
+	g := &Gate{Settings: settings, meter: NewMeter(settings.Registry), coming: coming.New()}
 	g.bounds.Store(&Bounds{})
 	g.targets = target.NewSet(g.Clock, g.mostConns, g.meter.dialed)
 	g.prefixes = target.NewPrefixes(g.targets)
@@ -114,6 +116,9 @@
 // Prefixes returns what peers have not been told yet of prompts that were sent.
 func (g *Gate) Prefixes() []wire.PrefixUse { return g.prefixes.Untold() }
 
+// Coming returns what requests under way will ask stage engines for.
+func (g *Gate) Coming() []coming.Load { return g.coming.Loads(g.Clock.Now()) }
+
 // TakePrefixes remembers what a peer sent.
 func (g *Gate) TakePrefixes(uses []wire.PrefixUse) { g.prefixes.Take(uses, g.View().Find) }
 
--- a/internal/serve/gate/progress.go
+++ b/internal/serve/gate/progress.go
@@ -6,6 +6,7 @@
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/flow/coming"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 )
 
@@ -28,16 +29,48 @@
 	restarts int
 	// failed is why no further stage is begun.
 	failed error
+	// coming is what the book of work to come holds of each stage, nil for none.
+	coming []*coming.Work
 	// look is when a stage that was put off is looked at again, 0 for none.
 	look clock.Millis
 }
 
 func newProgress(g *Gate, req *request) *progress {
-	return &progress{g: g, req: req, ends: make(chan stageEnd, 4*len(req.route.Stages))}
+	stages := len(req.route.Stages)
+	return &progress{g: g, req: req, ends: make(chan stageEnd, 4*stages), coming: make([]*coming.Work, stages)}
+}
+
+// announce enters the stages that will run later, so that all processes count
+// them when they admit others.
+func (p *progress) announce() {
+	for stage := range p.coming {
+		if p.coming[stage] != nil || !p.req.run.Waiting(stage) || len(p.req.route.Stages[stage].After) == 0 {
+			continue
+		}
+		p.coming[stage] = &coming.Work{
+			Pool: p.req.route.Stages[stage].Pool, Pieces: p.req.run.Pieces(stage),
+			Rank: p.req.objective - p.g.after(p.req, stage) + penalty(p.req),
+		}
+		p.g.coming.Add(p.coming[stage])
+	}
+}
+
+// arrived takes a stage out of the work to come.
+func (p *progress) arrived(stage int) {
+	if p.coming[stage] != nil {
+		p.g.coming.Remove(p.coming[stage])
+		p.coming[stage] = nil
+	}
 }
 
 // run returns once no stage runs and none is left to begin.
 func (p *progress) run(ctx context.Context) error {
+	p.announce()
+	defer func() {
+		for stage := range p.coming {
+			p.arrived(stage)
+		}
+	}()
 	for {
 		if p.failed == nil {
 			p.failed = p.g.goesOn(p.req)
@@ -81,6 +114,7 @@
 
 func (p *progress) start(ctx context.Context, stage int) {
 	p.req.run.Begin(stage)
+	p.arrived(stage)
 	p.running++
 	ask := p.g.ask(p.req, stage)
 	go func() {
--- a/internal/serve/gate/reach.go
+++ b/internal/serve/gate/reach.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"slices"
+
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/fault"
 	"github.com/jujubescale/jujubescale/internal/flow/batch"
@@ -75,7 +77,10 @@
 		return nil
 	}
 	load, known := g.load(name)
-	q := &reach.Queue{Bounds: batch.BoundsOf(pool.Batching), Room: pool.Batching.Room}
+	q := &reach.Queue{
+		Bounds: batch.BoundsOf(pool.Batching), Room: pool.Batching.Room,
+		Coming: addClasses(g.mesh.Coming(name), g.coming.Of(name, g.Clock.Now())),
+	}
 	if known {
 		q.Engines, q.Free, q.Fill, q.Waiting = load.Engines, load.Free, load.Fill, load.Waiting
 		return q
@@ -86,6 +91,19 @@
 	return q
 }
 
+// addClasses adds counts class by class without changing them; the first may be
+// shared.
+func addClasses(shared, own []int) []int {
+	sum := slices.Clone(own)
+	if sum == nil {
+		return shared
+	}
+	for class, pieces := range shared {
+		sum[min(class, len(sum)-1)] += pieces
+	}
+	return sum
+}
+
 func (g *Gate) load(pool string) (wire.PoolLoad, bool) {
 	if g.mesh.Owns(pool) {
 		return g.host.Load(pool)
@@ -103,7 +121,7 @@
 	return clock.Millis(r.Remaining(func(name string) *reach.Queue {
 		q := g.queue(name)
 		if q != nil {
-			q.Waiting, q.Free, q.Engines = nil, 1, 1
+			q.Waiting, q.Coming, q.Free, q.Engines = nil, nil, 1, 1
 		}
 		return q
 	}))
--- a/internal/serve/mesh/ask.go
+++ b/internal/serve/mesh/ask.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/flow/coming"
 	"github.com/jujubescale/jujubescale/internal/link/sess"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 )
@@ -224,7 +225,7 @@
 	quiet, every := 0, tellEvery
 	for m.pause(ctx, m.tell, every, tellGap) == nil {
 		loads := m.loadsFunc()
-		empty := len(loads.Endpoints) == 0 && len(loads.Pools) == 0 && len(loads.Prefixes) == 0
+		empty := len(loads.Endpoints) == 0 && len(loads.Pools) == 0 && len(loads.Prefixes) == 0 && len(loads.Coming) == 0
 		if !empty || quiet%quietEvery == 0 {
 			m.tellLoads(loads)
 		}
@@ -285,9 +286,26 @@
 		pools = append(pools, loads.Pools...)
 	}
 	m.pools.Store(&pools)
+	var sums []coming.Load
+	for _, loads := range all {
+		for _, load := range loads.Coming {
+			sums = coming.Add(sums, coming.Load{Pool: load.Pool, Pieces: load.Pieces})
+		}
+	}
+	m.coming.Store(&sums)
 	m.toldFunc(all)
 }
 
+// Coming returns the pieces that requests of peers will ask for in a pool, by
+// class of rank; nil for none.
+func (m *Mesh) Coming(pool string) []int {
+	sums := m.coming.Load()
+	if sums == nil {
+		return nil
+	}
+	return coming.Of(*sums, pool)
+}
+
 // Pool returns what peers told of a pool's queue last, false when none did.
 func (m *Mesh) Pool(name string) (wire.PoolLoad, bool) {
 	pools := m.pools.Load()
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -16,6 +16,7 @@
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/token"
+	"github.com/jujubescale/jujubescale/internal/flow/coming"
 	"github.com/jujubescale/jujubescale/internal/link/sess"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
@@ -37,7 +38,7 @@
 	// message goes to every process, so that their number decides what a process
 	// costs.
 	ownerEvery = 100 * clock.Millis(1)
-	tellEvery  = 300 * clock.Millis(1)
+	tellEvery  = 200 * clock.Millis(1)
 	// tellGap and hearGap are the shortest pauses between two times that loads
 	// are told or added up.
 	tellGap = 6 * clock.Millis(1)
@@ -99,7 +100,9 @@
 	hear  chan struct{} // a peer has told something
 	alive atomic.Pointer[living]
 	pools atomic.Pointer[[]wire.PoolLoad]
-	next  atomic.Uint64
+	// coming is the work that all peers say will come.
+	coming atomic.Pointer[[]coming.Load]
+	next   atomic.Uint64
 
 	mu      sync.Mutex
 	peers   map[string]*peer
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -42,6 +42,9 @@
 // loads is what this process tells its peers.
 func (g *Gateway) loads() *wire.Loads {
 	loads := &wire.Loads{Pools: g.host.Loads(g.mesh.Owns), Prefixes: g.gate.Prefixes()}
+	for _, load := range g.gate.Coming() {
+		loads.Coming = append(loads.Coming, wire.Coming{Pool: load.Pool, Pieces: load.Pieces})
+	}
 	for _, f := range g.followed() {
 		loads.Seen = append(loads.Seen, wire.Revision{Kind: f.Kind(), Revision: f.Changed()})
 	}
