feat(jujubectl): request trace prints a request's history from logs

Whoever is on call has logs of many processes and one id. The command reads them from standard input in any order, prints the lines that name the request in the order of time, and between them what processes learned of its endpoints from five seconds before it on. It asks no platform.

Shown by: TestRequestIsTracedThroughLogs, FuzzRead, ExampleRead.

--- a/internal/cli/state/request.go
+++ b/internal/cli/state/request.go
@@ -23,7 +23,7 @@
 		Use:   "request",
 		Short: "Looks up single requests",
 	})
-	cmd.AddCommand(newShow(shared))
+	cmd.AddCommand(newShow(shared), newTrace(shared))
 	return cmd
 }
 
--- a/internal/cli/state/state_test.go
+++ b/internal/cli/state/state_test.go
@@ -13,6 +13,7 @@
 	"github.com/jujubescale/jujubescale/internal/cli/exit"
 	"github.com/jujubescale/jujubescale/internal/cli/state"
 	"github.com/jujubescale/jujubescale/internal/ops/admin"
+	"github.com/jujubescale/jujubescale/internal/ops/record"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/stand/whole"
 )
@@ -61,3 +62,26 @@
 	ran := d.Run(t, state.NewStatus, "status")
 	assert.Assert(t, strings.Contains(ran.Out, "answered status 401"), ran.Out)
 }
+
+// A caller reports a failed request, and all that is left are the logs of
+// several processes. The command shows its way through them without asking any
+// daemon.
+func TestRequestIsTracedThroughLogs(t *testing.T) {
+	d := desk.New(t)
+	const log = `time=2026-03-01T10:00:04.200Z level=info msg="request ended" process=gw-1 request=5f status=503 reason=noEndpoint
+time=2026-03-01T10:00:04.000Z level=info msg="request sent" process=gw-1 request=5f endpoint=i-7
+time=2026-03-01T10:00:04.100Z level=info msg="endpoint changed" process=gw-2 endpoint=i-7 what=gone
+`
+	ran := d.RunWith(t, log, state.NewRequest, "request", "trace", "5f")
+	assert.Equal(t, ran.Code, exit.OK, ran.Err)
+	lines := strings.Split(strings.TrimSpace(ran.Out), "\n")
+	assert.Equal(t, len(lines), 3, ran.Out)
+	assert.Assert(t, strings.HasPrefix(lines[0], "+0 ms") && strings.Contains(lines[0], "request sent"), ran.Out)
+	assert.Assert(t, strings.HasPrefix(lines[1], "+100 ms") && strings.Contains(lines[1], "what=gone"), ran.Out)
+	assert.Assert(t, strings.Contains(lines[2], "reason=noEndpoint"), ran.Out)
+	var history record.History
+	d.RunWith(t, log, state.NewRequest, "request", "trace", "5f", "--output=json").JSON(t, &history)
+	assert.Equal(t, len(history.Lines), 3)
+	assert.Equal(t, d.RunWith(t, log, state.NewRequest, "request", "trace", "other").Code, exit.NotFound)
+	assert.Equal(t, d.RunWith(t, log, state.NewRequest, "request", "trace", "").Code, exit.Usage)
+}
--- /dev/null
+++ b/internal/ops/record/record_test.go
@@ -0,0 +1,75 @@
+package record_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/ops/logs"
+	"github.com/jujubescale/jujubescale/internal/ops/record"
+)
+
+const lines = `
+time=2026-03-01T10:00:00.000Z level=info msg="endpoint changed" process=gw-2 endpoint=i-7 what=leaving pool=models
+time=2026-03-01T10:00:04.100Z level=info msg="endpoint changed" process=gw-1 endpoint=i-7 what=gone pool=models
+time=2026-03-01T10:00:04.050Z level=info msg="stage refused" process=gw-1 request=5f pool=encode reason=inputGone
+collector-3 | time=2026-03-01T10:00:04.200Z level=info msg="request ended" process=gw-1 request=5f status=503 reason=noEndpoint endpoint=i-7
+time=2026-03-01T10:00:04.000Z level=info msg="request sent" process=gw-1 request=5f endpoint=i-7 sent=0
+time=2026-03-01T10:00:04.060Z level=info msg="pieces made" process=gw-2 request=5f pool=encode failed="map[inputGone:1]"
+time=2026-03-01T10:00:04.300Z level=info msg="endpoint changed" process=gw-1 endpoint=i-7 what=joined pool=models
+time=2026-03-01T10:00:04.010Z level=info msg="request sent" process=gw-1 request=5f0 endpoint=i-8
+time=2026-03-01T10:00:03.000Z level=info msg="endpoint changed" process=gw-1 endpoint=i-8 what=gone pool=models
+5f is not a line of a log
+`
+
+func ExampleRead() {
+	history, err := record.Read(strings.NewReader(lines), "5f")
+	for _, line := range history.Lines {
+		fmt.Println(line.Time.Format("05.000"), line.Process, line.Message+":", line.Value("endpoint")+line.Value("pool"))
+	}
+	fmt.Println(history.Skipped, err)
+	// Output:
+	// 00.000 gw-2 endpoint changed: i-7models
+	// 04.000 gw-1 request sent: i-7
+	// 04.050 gw-1 stage refused: encode
+	// 04.060 gw-2 pieces made: encode
+	// 04.100 gw-1 endpoint changed: i-7models
+	// 04.200 gw-1 request ended: i-7
+	// 1 <nil>
+}
+
+// What the product's own logger writes is read back whole, also values with
+// spaces and quotes.
+func TestOwnLinesAreRead(t *testing.T) {
+	var out bytes.Buffer
+	logger, err := logs.New(&out, "info", logs.KeyProcess, "gw-1")
+	assert.NilError(t, err)
+	logger.Info("request ended", logs.KeyRequest, "5f", "detail", `the stages' "queues" are too long`, "status", 503)
+	history, err := record.Read(&out, "5f")
+	assert.NilError(t, err)
+	assert.Equal(t, len(history.Lines), 1)
+	assert.Equal(t, history.Lines[0].Value("detail"), `the stages' "queues" are too long`)
+	assert.Equal(t, history.Lines[0].Value("status"), "503")
+	assert.Equal(t, history.Lines[0].Process, "gw-1")
+}
+
+// Whatever stands in a log, reading it ends, and nothing that was read belongs
+// to another request.
+func FuzzRead(f *testing.F) {
+	f.Add(lines, "5f")
+	f.Add("time=x level= msg=\"", "")
+	f.Fuzz(func(t *testing.T, text, request string) {
+		history, err := record.Read(strings.NewReader(text), request)
+		if err != nil {
+			return // a line longer than any process writes
+		}
+		for _, line := range history.Lines {
+			if !line.About && line.Value(logs.KeyRequest) != request {
+				t.Fatalf("%+v", line)
+			}
+		}
+	})
+}
