--- a/internal/flow/batch/batch.go
+++ b/internal/flow/batch/batch.go
@@ -28,6 +28,9 @@
 	// Rank orders groups: the lowest goes first. It is the instant by which the
 	// result is wanted, put off for requests that are worth less.
 	Rank clock.Millis
+	// Wanted is the instant by which the result must be there for the request to
+	// meet its objective. Groups that can't be ready by then go behind all others.
+	Wanted clock.Millis
 	// Until is the instant after which the result is of no use.
 	Until clock.Millis
 	// Bytes is the memory that one result takes at the engine.
@@ -45,6 +48,7 @@
 	next      int   // first piece that was never taken
 	back      []int // pieces that were given back
 	backSince clock.Millis
+	behind    bool // put behind the others, because it is late
 	dropped   bool
 }
 
@@ -168,6 +172,33 @@
 	}
 }
 
+// LateBehind is how far groups are put behind that will be late, in
+// milliseconds: further than objectives differ. An answer beyond its objective
+// is worth a sixth of one within it on the users' sheets, however late it is.
+const LateBehind = 3 * clock.Second
+
+// Yield puts groups behind the others that can't be ready when they are wanted,
+// even if a call with them began now. Once more work waits than engines do,
+// those first in rank are the ones that are late already; served first, they
+// make each one behind them late in turn, and nobody gets an answer in time.
+func (q *Queue) Yield(bounds Bounds, now clock.Millis) {
+	var late []*Group
+	ready := now + clock.Millis(bounds.Duration(min(q.pieces, bounds.Pieces)))
+	q.groups = slices.DeleteFunc(q.groups, func(g *Group) bool {
+		if g.behind || g.Wanted >= ready {
+			return false
+		}
+		late = append(late, g)
+		return true
+	})
+	for _, g := range late {
+		g.behind = true
+		g.Rank += LateBehind
+		q.pieces -= g.Waiting()
+		q.Add(g)
+	}
+}
+
 // backMost is how long a piece that was given back waits until it may be sent
 // again: about two calls. The budget for that comes back with ordinary work;
 // where it doesn't, many pieces fail, and the caller is told while there is
--- a/internal/flow/batch/batch_test.go
+++ b/internal/flow/batch/batch_test.go
@@ -21,7 +21,7 @@
 func always() bool { return true }
 
 func group(rank, pieces int) *batch.Group {
-	return &batch.Group{Request: fmt.Sprint("r", rank), Count: pieces, Rank: clock.Millis(rank), Until: 10_000, Bytes: 1000}
+	return &batch.Group{Request: fmt.Sprint("r", rank), Count: pieces, Rank: clock.Millis(rank), Wanted: 5000, Until: 10_000, Bytes: 1000}
 }
 
 func taken(items []batch.Item) []string {
@@ -192,6 +192,21 @@
 	return s
 }
 
+// More work waits than the engines do, and what is first is late already. It
+// yields to what can still be in time, and keeps its order among the late.
+func TestLateWorkYields(t *testing.T) {
+	var q batch.Queue
+	for rank, wanted := range []clock.Millis{100, 200, 900} {
+		g := group(rank, 1)
+		g.Wanted = wanted
+		q.Add(g)
+	}
+	q.Yield(bounds, 500)
+	q.Yield(bounds, 500)
+	assert.Equal(t, q.Pieces(), 3)
+	assert.DeepEqual(t, taken(q.Take(bounds, slot(1), 500)), []string{"r2/0", "r0/0", "r1/0"})
+}
+
 // An engine refuses a call just when the budget for repeats is spent, because
 // the pool has had its owner for a moment only. Failed at once, all requests of
 // the call would be refused although engines are free; they wait for the budget
--- a/internal/flow/reach/load_test.go
+++ b/internal/flow/reach/load_test.go
@@ -21,6 +21,7 @@
 	calls   [][]batch.Item
 	left    map[*batch.Group]int
 	admits  bool
+	yields  bool
 	arrived int
 	inTime  int
 	late    int
@@ -58,7 +59,7 @@
 		p.refused++
 		return
 	}
-	g := &batch.Group{Count: pieces, Rank: p.now + objective, Until: p.now + deadline}
+	g := &batch.Group{Count: pieces, Rank: p.now + objective, Wanted: p.now + objective - 150, Until: p.now + deadline}
 	p.left[g] = pieces
 	p.queue.Add(g)
 }
@@ -72,6 +73,9 @@
 		for _, item := range p.calls[i] {
 			p.end(item.Group)
 		}
+		if p.yields {
+			p.queue.Yield(bounds, p.now)
+		}
 		p.calls[i] = p.queue.Take(bounds, batch.Slot{Room: plenty, Free: 1}, p.now)
 		if len(p.calls[i]) > 0 {
 			p.busy[i] = p.now + clock.Millis(bounds.Duration(len(p.calls[i])))
@@ -86,7 +90,7 @@
 	if p.left[g] > 0 {
 		return
 	}
-	took := p.now - (g.Rank - objective) + 150
+	took := p.now - (g.Wanted + 150 - objective) + 150
 	p.slowest = max(p.slowest, took)
 	if took <= objective {
 		p.inTime++
@@ -133,3 +137,25 @@
 	assert.Equal(t, p.refused, 0)
 	assert.Assert(t, p.inTime*100 > 98*(p.inTime+p.late), "%d late", p.late)
 }
+
+// Two bursts of five seconds come, each with half as much work again as five
+// engines do, and are admitted by an estimate that sees none of it.
+// Served in the order in which they are wanted, nearly all are late, because
+// each one waits for those that are late already. Where late ones yield, most of
+// what the engines can do comes in time.
+func TestLateWorkDoesNotMakeTheRestLate(t *testing.T) {
+	ordered, yielding := newPlay(5, false), newPlay(5, false)
+	yielding.yields = true
+	for _, p := range []*play{ordered, yielding} {
+		random := rand.New(rand.NewPCG(3, 4))
+		for ; p.now < 24*clock.Second; p.now++ {
+			if p.now%10_000 < 5000 && p.now < 20*clock.Second && random.Float64() < 0.085 {
+				p.arrive(1 + random.IntN(4))
+			}
+			p.step()
+		}
+	}
+	t.Logf("in order: %d of %d in time; yielding: %d of %d", ordered.inTime, ordered.arrived, yielding.inTime, yielding.arrived)
+	assert.Equal(t, ordered.arrived, yielding.arrived)
+	assert.Assert(t, yielding.inTime > ordered.inTime+ordered.arrived/10)
+}
--- a/internal/flow/reach/reach.go
+++ b/internal/flow/reach/reach.go
@@ -143,11 +143,19 @@
 	ends[stage] = start
 	if q := queues(r.Stages[stage].Pool); q != nil {
 		pieces := min(r.Pieces[stage], max(q.Bounds.Pieces, 1))
-		ends[stage] += q.Wait(r.Slack+r.Penalty, start) + q.Bounds.Duration(pieces)
+		ends[stage] += q.Wait(r.rank(), start) + q.Bounds.Duration(pieces)
 	}
 	return ends[stage]
 }
 
+// rank is what the request's pieces wait behind, from now.
+func (r *Request) rank() clock.Millis {
+	if r.Slack < 0 {
+		return r.Slack + r.Penalty + batch.LateBehind
+	}
+	return r.Slack + r.Penalty
+}
+
 // Bounds of putting a stage off.
 const (
 	// heavyShare is the part of an engine's memory from which a stage's results
@@ -205,7 +213,7 @@
 	// beginShare: a request begins if it probably meets its objective. Under
 	// load the queues grow until this bound holds requests back, so that all take
 	// about this part of their objective; estimates are off by a tenth.
-	beginShare = 0.88
+	beginShare = 0.95
 	// priorityShare is how much less of it requests of the next lower priority
 	// may fill the queues: what is more urgent then finds them shorter.
 	priorityShare = 0.1
--- a/internal/serve/gate/stages.go
+++ b/internal/serve/gate/stages.go
@@ -17,9 +17,6 @@
 	// higher priority whose objective ends so much later.
 	organisationPenalty = 200 * clock.Millis(1)
 	routePenalty        = 500 * clock.Millis(1)
-	// latePenalty puts work that can't meet its objective any more behind work
-	// that still can: an answer beyond it is worth a sixth on the users' sheets.
-	latePenalty = 3 * clock.Second
 	// maxOwners is how many owners of a pool are asked when sessions break, and
 	// ownerPause the time between them: sessions tell of a planned stop within
 	// some milliseconds, and a restarted process has joined again by then.
@@ -61,9 +58,6 @@
 	if len(req.route.Stages[stage].After) == 0 {
 		ask.Key = req.PieceKey
 	}
-	if ask.Slack < 0 {
-		ask.Penalty += latePenalty
-	}
 	return ask
 }
 
--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -79,6 +79,7 @@
 	for _, stuck := range q.waiting.Stuck(now) {
 		h.fail(stuck.Owner.(*Job), stuck.Owner.(*Job).failed)
 	}
+	q.waiting.Yield(bounds, now)
 	h.returnUnused(q, pool)
 	if q.waiting.Pieces() == 0 {
 		return
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -146,7 +146,7 @@
 		},
 		group: &batch.Group{
 			Request: ask.Request, Stage: ask.Stage, Key: ask.Key, Inputs: ask.Inputs, Count: ask.Count,
-			Rank: now + ask.Slack + ask.Penalty, Until: now + ask.TimeLeft, Bytes: ask.Bytes, Zone: ask.Zone,
+			Rank: now + ask.Slack + ask.Penalty, Wanted: now + ask.Slack, Until: now + ask.TimeLeft, Bytes: ask.Bytes, Zone: ask.Zone,
 			HoldUntil: now + ask.Hold, Firm: ask.Firm,
 		},
 	}
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -38,7 +38,7 @@
 	// message goes to every process, so that their number decides what a process
 	// costs.
 	ownerEvery = 100 * clock.Millis(1)
-	tellEvery  = 200 * clock.Millis(1)
+	tellEvery  = 250 * clock.Millis(1)
 	// tellGap and hearGap are the shortest pauses between two times that loads
 	// are told or added up.
 	tellGap = 6 * clock.Millis(1)
