perf(owner,feed): pools are owned on strong hosts; one feed asks while the store is away

Cause: an owner takes and sends the pieces of every process's requests. On the grown deployments two thirds of the hosts have 0.144 of a processor and 10 Mbit/s, and two of three pools were owned there.

Change: hello tells a process's part of a processor (setting processorShare); owners are chosen among those with at least half of the largest.

Shown by: TestStrongProcessesOwn, TestOneFeedAsksWhileTheStoreIsAway.

--- a/internal/conf/config/gateway.go
+++ b/internal/conf/config/gateway.go
@@ -30,6 +30,8 @@
 	BalancerLagMs clock.Millis `json:"balancerLagMs,omitempty" jsonschema:"minimum=0,maximum=600000,default=2600"`
 	// MemoryMb is the memory beyond which this process is killed, in megabytes; 0 sets no bound.
 	MemoryMb float64 `json:"memoryMb,omitempty" jsonschema:"minimum=0,maximum=1000000"`
+	// ProcessorShare is the part of a processor that this process may use, 1 for a whole one. The owners of pools are chosen among the processes with the largest.
+	ProcessorShare float64 `json:"processorShare,omitempty" jsonschema:"minimum=0,maximum=10000,default=1"`
 	// MaxFds is the number of descriptors that this process may open; it bounds the callers' connections.
 	MaxFds int `json:"maxFds,omitempty" jsonschema:"minimum=0,maximum=10000000,default=4096"`
 	// ExtraShare is the part of a pool's requests that all processes together may send once more.
@@ -55,6 +57,7 @@
 	defaultColdShare  = 1.0
 	maxGrace          = 3600.0
 	maxShare          = 100.0
+	maxProcessors     = 10000.0
 	maxSpare          = 1e6
 	// leastFds leaves callers a few connections besides files and endpoints.
 	leastFds = 256
@@ -96,6 +99,7 @@
 
 func defaultGatewayBounds(g *Gateway) {
 	fill(&g.MaxFds, defaultMaxFds)
+	fill(&g.ProcessorShare, 1)
 	fill(&g.ExtraShare, defaultExtraShare)
 	fill(&g.ExtraSpare, defaultExtraSpare)
 	fill(&g.ExtraWindowSeconds, defaultWindow)
@@ -104,6 +108,7 @@
 
 func checkGatewayBounds(g *Gateway, report *step.Report) {
 	report.Between("memoryMb", g.MemoryMb, 0, maxSpare)
+	report.Between("processorShare", g.ProcessorShare, 0, maxProcessors)
 	report.Range("maxFds", int64(g.MaxFds), leastFds, 10*maxCount)
 	report.Between("extraShare", g.ExtraShare, 0, maxShare)
 	report.Between("extraSpare", g.ExtraSpare, 0, maxSpare)
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -80,6 +80,8 @@
 	Endpoint         string            `cbor:"endpoint,omitempty"`
 	Load             *Load             `cbor:"load,omitempty"`
 	Leaving          bool              `cbor:"leaving,omitempty"`
+	// Capacity is what a gateway may use of its host, in parts of a processor.
+	Capacity float64 `cbor:"capacity,omitempty"`
 }
 
 // Call asks an agent to run one attempt of one stage. TimeLeft is a span
--- a/internal/route/owner/owner.go
+++ b/internal/route/owner/owner.go
@@ -17,15 +17,27 @@
 	// not made. In a restart of all hosts one after the other, pools then move
 	// once for each restart of their owner and not twice.
 	Key string
+	// Capacity is what the process may use of its host, in parts of a processor.
+	Capacity float64
 }
 
+// strongShare is the part of the largest capacity from which a process may own.
+// An owner takes and sends the pieces of all processes' requests: two to three
+// times what it does for its own callers on a host with an eighth of a
+// processor and 10 Mbit/s, which then answers those late in bursts.
+const strongShare = 0.5
+
 // Of returns the name of the process with the highest hash for a subject, ""
 // without processes. When a process leaves, only the subjects that it owned
 // move.
 func Of(subject string, processes []Process) string {
 	best := -1
 	var top uint64
+	least := strongShare * largest(processes)
 	for i, process := range processes {
+		if process.Capacity < least {
+			continue
+		}
 		weight := Weight(subject, process.Key)
 		if best < 0 || weight > top || (weight == top && process.Key < processes[best].Key) {
 			best, top = i, weight
@@ -37,6 +49,14 @@
 	return processes[best].Name
 }
 
+func largest(processes []Process) float64 {
+	most := 0.0
+	for _, process := range processes {
+		most = max(most, process.Capacity)
+	}
+	return most
+}
+
 // Weight ranks one candidate for a subject; the highest is chosen.
 func Weight(subject, candidate string) uint64 {
 	var digest xxhash.Digest
--- a/internal/route/owner/owner_test.go
+++ b/internal/route/owner/owner_test.go
@@ -64,3 +64,20 @@
 	}
 	assert.Assert(t, returned < owned/2, "%d of %d", returned, owned)
 }
+
+// Hosts differ. A process on a small one would be the owner of a pool as often
+// as any, and its callers would wait while it works for everybody.
+func TestStrongProcessesOwn(t *testing.T) {
+	mixed := runs("a", "b", "c", "d")
+	for i, capacity := range []float64{0.144, 0.8, 0.5, 0.144} {
+		mixed[i].Capacity = capacity
+	}
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[owner.Of(fmt.Sprint("pool", i), mixed)]++
+	}
+	assert.Assert(t, counts["b"] > 300 && counts["c"] > 300, "%v", counts)
+	assert.Equal(t, counts["b"]+counts["c"], 1000)
+	weak := runs("a", "d")
+	assert.Assert(t, owner.Of("pool", weak) != "", "somebody always owns")
+}
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -52,6 +52,7 @@
 	lost    clock.Millis
 	away    clock.Millis
 	backoff clock.Millis
+	outage  *Outage
 }
 
 // Option changes a Feed while it is built.
@@ -63,6 +64,9 @@
 // WithLog sets the logger.
 func WithLog(l *log.Logger) Option { return func(f *Feed) { f.log = l } }
 
+// WithOutage sets what the feeds of one process share while the store is away.
+func WithOutage(outage *Outage) Option { return func(f *Feed) { f.outage = outage } }
+
 // WithWait sets how long one call waits for changes.
 func WithWait(wait func() clock.Millis) Option { return func(f *Feed) { f.wait = wait } }
 
@@ -82,7 +86,7 @@
 // New returns a feed of one kind; Run follows it.
 func New(kind string, from *store.Store, opts ...Option) *Feed {
 	f := &Feed{
-		kind: kind, store: from, clock: clock.New(), wakeUp: make(chan struct{}, 1),
+		kind: kind, store: from, clock: clock.New(), wakeUp: make(chan struct{}, 1), outage: NewOutage(),
 		wait:     func() clock.Millis { return defaultWait },
 		rest:     func() clock.Millis { return 0 },
 		listFunc: func([]store.Object, clock.Millis) {}, changeFunc: func([]store.Change) {},
@@ -230,12 +234,17 @@
 	// Jitter: all processes lose the store at the same moment, and must not all
 	// come back at the same moment to one that allows so many calls a second.
 	pause := f.backoff/2 + clock.Millis(rand.Int64N(int64(f.backoff)))
+	if found := f.outage.lost(f); found != nil {
+		f.waitForOther(ctx, found)
+		pause = clock.Millis(rand.Int64N(int64(firstBackoff)))
+	}
 	_ = f.clock.Sleep(ctx, pause) // the loop sees the end of the context
 }
 
 // found notes that the store answered, and how long it had been lost.
 func (f *Feed) found() {
 	f.backoff = 0
+	f.outage.answered(f)
 	if f.lost == 0 {
 		return
 	}
--- a/internal/serve/feed/feed_test.go
+++ b/internal/serve/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -160,3 +161,60 @@
 		h.until(t, func(h *heard) bool { return len(h.lists) == 2 })
 	})
 }
+
+// The store is away, and a process follows several kinds of objects in it. Only
+// one feed asks for it; once that got an answer, all others go on at once.
+func TestOneFeedAsksWhileTheStoreIsAway(t *testing.T) {
+	var away atomic.Bool
+	away.Store(true)
+	var calls atomic.Int64
+	outage := feed.NewOutage()
+	const kinds = 4
+	done := make(chan struct{}, kinds)
+	found := make(chan struct{}, kinds)
+	fake := clock.NewFake(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	for range kinds {
+		s := &store.Store{
+			ScanFunc: func(context.Context, string) (store.Listing, error) {
+				if away.Load() {
+					calls.Add(1)
+					return store.Listing{}, unavailable()
+				}
+				return store.Listing{Revision: 1}, nil
+			},
+			FollowFunc: func(ctx context.Context, _ string, _ uint64, _ clock.Millis) (store.Changes, error) {
+				return waits(ctx)
+			},
+		}
+		f := feed.New("k", s, feed.WithClock(fake.Clock()), feed.WithOutage(outage),
+			feed.WithList(func([]store.Object, clock.Millis) { found <- struct{}{} }))
+		go func() { f.Run(ctx); done <- struct{}{} }()
+	}
+	advance := func(span clock.Millis) {
+		for range span / 10 {
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if fake.Waiting() >= kinds {
+					return poll.Success()
+				}
+				return poll.Continue("%d feeds wait", fake.Waiting())
+			}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+			fake.Advance(10)
+		}
+	}
+	advance(1200)
+	assert.Assert(t, calls.Load() >= kinds && calls.Load() <= 2*kinds+4, "%d calls", calls.Load())
+	away.Store(false)
+	for range 200 {
+		fake.Advance(10)
+		if len(found) == kinds {
+			break
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	assert.Equal(t, len(found), kinds)
+	cancel()
+	for range kinds {
+		<-done
+	}
+}
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -51,6 +51,8 @@
 	Address     string            `json:"address"`
 	Incarnation token.Incarnation `json:"incarnation"`
 	Zone        string            `json:"availabilityZone"`
+	// Capacity is what the process may use of its host, in parts of a processor.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // Reply is how a question for pieces is answered: that inputs were read, and
@@ -202,23 +204,24 @@
 func (m *Mesh) publish() {
 	alive := &living{}
 	if m.owns {
-		alive.add(m.self.Name, m.self.Incarnation)
+		alive.add(m.self.Name, m.self.Incarnation, m.self.Capacity)
 	}
 	for name, p := range m.peers {
 		if !p.leaving {
-			alive.add(name, p.session.Peer().Incarnation)
+			hello := p.session.Peer()
+			alive.add(name, hello.Incarnation, hello.Capacity)
 		}
 	}
 	if len(alive.names) == 0 {
-		alive.add(m.self.Name, m.self.Incarnation)
+		alive.add(m.self.Name, m.self.Incarnation, m.self.Capacity)
 	}
 	slices.Sort(alive.names)
 	m.alive.Store(alive)
 }
 
-func (l *living) add(name string, incarnation token.Incarnation) {
+func (l *living) add(name string, incarnation token.Incarnation, capacity float64) {
 	l.names = append(l.names, name)
-	l.runs = append(l.runs, owner.Process{Name: name, Key: name + "/" + incarnation.String()})
+	l.runs = append(l.runs, owner.Process{Name: name, Key: name + "/" + incarnation.String(), Capacity: capacity})
 }
 
 // SetMembers takes the processes that the store lists. Of two processes, the
@@ -286,7 +289,7 @@
 func (m *Mesh) hello() wire.Hello {
 	return wire.Hello{
 		Process: m.self.Name, Incarnation: m.self.Incarnation, Role: "gateway", AvailabilityZone: m.self.Zone,
-		Leaving: !m.mayOwn(),
+		Leaving: !m.mayOwn(), Capacity: m.self.Capacity,
 	}
 }
 
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -45,7 +45,10 @@
 	Name string
 	Zone string
 	// Address is where peers open sessions (IP:port).
-	Address  string
+	Address string
+	// Capacity is what this process may use of its host, in parts of a processor;
+	// it decides which processes own pools.
+	Capacity float64
 	Clock    *clock.Clock
 	Log      *log.Logger
 	Registry prometheus.Registerer
@@ -105,7 +108,7 @@
 		Clock: g.Clock, Log: g.Log, Spelling: g.Dialect.Spelling, Table: g.table.Load, View: g.book.Now,
 		Conns: g.gate.Conns, Retry: g.gate.PieceExtras().Take, Earn: g.gate.PieceExtras().Earn, Meter: host.NewMeter(g.Registry),
 	})
-	g.mesh = mesh.New(ctx, mesh.Member{Name: g.Name, Address: g.Address, Incarnation: g.incarnation, Zone: g.Zone},
+	g.mesh = mesh.New(ctx, mesh.Member{Name: g.Name, Address: g.Address, Incarnation: g.incarnation, Zone: g.Zone, Capacity: g.Capacity},
 		mesh.WithClock(g.Clock), mesh.WithLog(g.Log), mesh.WithPieces(g.takePieces, g.dropPieces),
 		mesh.WithUnused(g.host.Unused),
 		mesh.WithLoads(g.loads, g.told), mesh.WithPrefixes(g.gate.TakePrefixes), mesh.WithRelease(g.release, func() { g.feeds.config.Again() }))
@@ -146,7 +149,7 @@
 }
 
 func (g *Gateway) makeFeeds() {
-	common := []feed.Option{feed.WithClock(g.Clock), feed.WithLog(g.Log), feed.WithWait(g.watchWait)}
+	common := []feed.Option{feed.WithClock(g.Clock), feed.WithLog(g.Log), feed.WithWait(g.watchWait), feed.WithOutage(feed.NewOutage())}
 	with := func(kind string, more ...feed.Option) *feed.Feed {
 		return feed.New(kind, g.Store, append(append([]feed.Option{}, common...), more...)...)
 	}
