refactor(host,router,target): files of one job each, one logger, one bar; test(host): the host alone

The nil checks of three loggers are one default each; the time for which a reused address is left alone stands in target only; the log line of a send no longer builds the prompt again. No behaviour changes.

--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"sync/atomic"
 
@@ -86,7 +87,7 @@
 // New returns a feed of one kind; Run follows it.
 func New(kind string, from *store.Store, opts ...Option) *Feed {
 	f := &Feed{
-		kind: kind, store: from, clock: clock.New(), wakeUp: make(chan struct{}, 1), outage: NewOutage(),
+		kind: kind, store: from, clock: clock.New(), log: log.New(io.Discard), wakeUp: make(chan struct{}, 1), outage: NewOutage(),
 		wait:     func() clock.Millis { return defaultWait },
 		rest:     func() clock.Millis { return 0 },
 		listFunc: func([]store.Object, clock.Millis) {}, changeFunc: func([]store.Change) {},
@@ -169,12 +170,12 @@
 		case errors.Is(err, errAgain):
 			return
 		case errors.As(err, &gone):
-			f.logInfo("history dropped, reading the list again", "kind", f.kind, "since", since)
+			f.log.Info("history dropped, reading the list again", "kind", f.kind, "since", since)
 			return
 		case errors.Is(err, context.DeadlineExceeded):
 			// Nothing came within the wait, not even that there is nothing: the
 			// list tells whether the store is there and what was missed.
-			f.logInfo("watch went silent, reading the list again", "kind", f.kind, "since", since)
+			f.log.Info("watch went silent, reading the list again", "kind", f.kind, "since", since)
 			return
 		case err != nil:
 			f.failed(ctx, err)
@@ -228,7 +229,7 @@
 	}
 	if f.lost == 0 {
 		f.lost = f.clock.Now()
-		f.logInfo("platform lost", "kind", f.kind, logs.KeyError, err)
+		f.log.Info("platform lost", "kind", f.kind, logs.KeyError, err)
 	}
 	f.backoff = min(max(2*f.backoff, firstBackoff), maxBackoff)
 	// Jitter: all processes lose the store at the same moment, and must not all
@@ -250,11 +251,5 @@
 	}
 	f.away = max(f.clock.Since(f.lost), 1)
 	f.lost = 0
-	f.logInfo("platform found again", "kind", f.kind, "awayMs", int64(f.away))
-}
-
-func (f *Feed) logInfo(event string, pairs ...any) {
-	if f.log != nil {
-		f.log.Info(event, pairs...)
-	}
+	f.log.Info("platform found again", "kind", f.kind, "awayMs", int64(f.away))
 }
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -30,9 +29,6 @@
 	maxPlainBytes = 1 << 20
 	// fullBar is how long an endpoint that was full gets nothing.
 	fullBar = 80 * clock.Millis(1)
-	// maxBar is how long an address gets nothing that belongs to another
-	// endpoint now; the entry follows by then.
-	maxBar = 4 * clock.Second
 	// headBytes is the usual size of a request's head.
 	headBytes = 1 << 10
 	// stallTimes is how many objectives an endpoint may take for the first byte
@@ -52,7 +48,7 @@
 	g.Log.Info("request sent", "request", req.Request, "route", req.route.Name, "pool", req.pool.Name,
 		"endpoint", t.ID, "running", t.Load.Running.Load(), "peerRunning", t.Load.PeerRunning.Load(),
 		"prefill", t.Load.Prefill.Load()+t.Load.PeerPrefill.Load(), "unread", chosen.unread, "delayMs", int64(chosen.delay),
-		"zone", t.Zone, "wish", req.wish, "inputs", fmt.Sprint(req.prompt(make([]bool, len(req.Parts)), now).InputBytes), "cold", t.Cold(now), "heardMs", int64(now-t.Heard()), "sent", req.sent, "timeLeftMs", int64(req.deadline-now))
+		"zone", t.Zone, "wish", req.wish, "farBytes", req.farBytes(t.Zone), "cold", t.Cold(now), "heardMs", int64(now-t.Heard()), "sent", req.sent, "timeLeftMs", int64(req.deadline-now))
 	l := g.countLoad(t, req, chosen)
 	defer l.end()
 	ctx, cancel := context.WithCancel(ctx)
@@ -265,8 +261,7 @@
 		"running", marks.Running, "waiting", marks.Waiting, "slots", marks.Slots)
 	switch reply.Status {
 	case http.StatusMisdirectedRequest:
-		// Another endpoint has the address now; the entry will follow.
-		t.Bar(now + maxBar)
+		t.Replaced(now)
 		return result{end: notRun, err: refuseAgain(fault.WrongEndpoint, comeBackFull)}
 	case http.StatusConflict:
 		return result{end: inputsGone, err: refuseAgain(fault.InputGone, comeBackFull)}
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -141,6 +141,20 @@
 	return p
 }
 
+// farBytes returns the bytes of inputs that lie outside an availability zone.
+func (r *request) farBytes(zone string) int64 {
+	if r.run == nil {
+		return 0
+	}
+	var far int64
+	for _, reference := range r.run.Last() {
+		if at := r.made[reference]; at.zone != zone {
+			far += at.bytes
+		}
+	}
+	return far
+}
+
 func addBytes(all []place.ZoneBytes, zone string, bytes int64) []place.ZoneBytes {
 	for i := range all {
 		if all[i].Zone == zone {
--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -1,13 +1,11 @@
 package host
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
@@ -42,92 +40,6 @@
 	maxAnswerBytes = 256 << 10
 )
 
-// usable returns how many engines of a pool take calls, and those of them that
-// could take one now.
-func (h *Host) usable(q *queue, pool *table.Batching) (all int, free []*engine) {
-	if pool == nil {
-		return 0, nil
-	}
-	now := h.clock.Now()
-	for _, endpoint := range h.viewNow().Pool(q.name) {
-		if endpoint.Out() {
-			continue
-		}
-		all++ // one that failed a moment ago, too: it is back before a queue of any length
-		if endpoint.Barred(now) {
-			continue
-		}
-		e := q.engine(endpoint)
-		if e.calls < max(pool.Calls, 1) {
-			free = append(free, e)
-		}
-	}
-	return all, free
-}
-
-// dispatch starts calls as long as pieces wait and engines are free.
-func (h *Host) dispatch(q *queue) {
-	pool := h.pool(q.name)
-	if pool == nil {
-		return
-	}
-	bounds := batch.BoundsOf(pool)
-	for _, late := range q.waiting.Late(bounds, h.clock.Now()) {
-		h.fail(late.Owner.(*Job), fault.DeadlinePassed)
-	}
-	now := h.clock.Now()
-	for _, stuck := range q.waiting.Stuck(now) {
-		h.fail(stuck.Owner.(*Job), stuck.Owner.(*Job).failed)
-	}
-	q.waiting.Yield(bounds, now)
-	h.returnUnused(q, pool)
-	if q.waiting.Pieces() == 0 {
-		return
-	}
-	limits := limitsOf(pool)
-	_, free := h.usable(q, pool)
-	free = slices.DeleteFunc(free, func(e *engine) bool {
-		return h.unknown(q, e, limits, now) || e.memory.Clearing(limits, now)
-	})
-	free = withoutSlow(free, q.waiting.Pieces(), bounds)
-	slices.SortStableFunc(free, func(a, b *engine) int { return cmp.Compare(a.slow, b.slow) })
-	for i, e := range free {
-		slot := batch.Slot{
-			Zone: e.Zone, Room: e.memory.Room(limits, now), Free: len(free) - i,
-			AgainFunc: func() bool { return h.retry(q.name) },
-		}
-		items := q.waiting.Take(bounds, slot, now)
-		if len(items) == 0 {
-			continue
-		}
-		if q.waiting.Pieces() > 0 {
-			q.fill = mix(q.fill, float64(len(items)))
-		}
-		h.start(q, e, pool, items)
-	}
-}
-
-// fillWeight is the part of the newest call in the usual fill of calls.
-const fillWeight = 0.15
-
-// mix moves a usual value by one that was seen.
-func mix(usual, seen float64) float64 {
-	if usual == 0 {
-		return seen
-	}
-	return usual + fillWeight*(seen-usual)
-}
-
-// withoutSlow leaves slow engines out as long as one call to each of the others
-// takes all that waits: what goes to a slow engine comes back late.
-func withoutSlow(free []*engine, waiting int, bounds batch.Bounds) []*engine {
-	fast := slices.DeleteFunc(slices.Clone(free), func(e *engine) bool { return e.slow >= slowFrom })
-	if waiting <= len(fast)*bounds.Pieces {
-		return fast
-	}
-	return free
-}
-
 // start begins a call. The caller holds the lock.
 func (h *Host) start(q *queue, e *engine, pool *table.Batching, items []batch.Item) {
 	e.calls++
@@ -204,7 +116,7 @@
 	limit := min(slackTimes*clock.Millis(expected)+slackMore, until-now+slackMore)
 	ctx, cancel := context.WithTimeout(h.base, limit.Duration())
 	defer cancel()
-	raw, err := h.post(ctx, e.Endpoint, h.spelling.PiecesPath, body, 0)
+	raw, err := h.exchange(ctx, e.Endpoint, http.MethodPost, h.spelling.PiecesPath, body, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -233,13 +145,9 @@
 	return fmt.Sprintf("%s answered status %d", e.Endpoint, e.Status)
 }
 
-// post sends one call. Answers to calls bear no attempt, so that a second copy
-// of one could not be told from the answer to the next: calls whose answer
+// exchange sends one call. Answers to calls bear no attempt, so that a second
+// copy of one could not be told from the answer to the next: calls whose answer
 // matters want a connection of their own and give 0 for maxIdle.
-func (h *Host) post(ctx context.Context, endpoint *view.Endpoint, path string, body []byte, maxIdle clock.Millis) ([]byte, error) {
-	return h.exchange(ctx, endpoint, http.MethodPost, path, body, maxIdle)
-}
-
 func (h *Host) exchange(ctx context.Context, endpoint *view.Endpoint, method, path string, body []byte, maxIdle clock.Millis) ([]byte, error) {
 	head := make([]byte, 0, 256)
 	head = append(head, method+" "+path+" HTTP/1.1\r\nHost: "+endpoint.Address+"\r\nContent-Type: application/json\r\n"...)
@@ -274,7 +182,7 @@
 	now := h.clock.Now()
 	e.calls--
 	expected := batch.BoundsOf(pool).Duration(len(items))
-	h.logInfo("pieces made", "pool", q.name, "endpoint", e.ID, "pieces", len(items), "tookMs", int64(now-began),
+	h.log.Info("pieces made", "pool", q.name, "endpoint", e.ID, "pieces", len(items), "tookMs", int64(now-began),
 		"expectedMs", int64(expected), "waiting", q.waiting.Pieces(), "failed", failures(results),
 		"ownBytes", e.memory.Own(), "foreignBytes", e.memory.Foreign(now), "request", items[0].Group.Request, logs.KeyError, err)
 	if err != nil {
@@ -390,45 +298,3 @@
 	h.meter.refused(job.pool, reason)
 	job.done(Outcome{Reason: reason})
 }
-
-// returnUnused gives results back to engines whose memory fills up.
-func (h *Host) returnUnused(q *queue, pool *table.Batching) {
-	now := h.clock.Now()
-	wanted := q.waiting.Wanted(pool.Pieces)
-	for _, e := range q.engines {
-		if e.Gone() {
-			continue
-		}
-		references := e.memory.Give(limitsOf(pool), wanted, now)
-		if len(references) == 0 {
-			continue
-		}
-		h.group.Add(1)
-		go func() {
-			defer h.group.Done()
-			err := h.free(e.Endpoint, references)
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			e.memory.Given(err == nil)
-			if err != nil {
-				h.logInfo("results not given back", "pool", q.name, "endpoint", e.ID, logs.KeyError, err)
-				return
-			}
-			h.dispatch(q)
-		}()
-	}
-}
-
-// freeTimeout bounds a call that gives results back; it does no work.
-const freeTimeout = 1500 * clock.Millis(1)
-
-func (h *Host) free(endpoint *view.Endpoint, references []string) error {
-	body, err := h.spelling.UnusedFunc(references)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(h.base, freeTimeout.Duration())
-	defer cancel()
-	_, err = h.post(ctx, endpoint, h.spelling.UnusedPath, body, reuseIdle)
-	return err
-}
--- /dev/null
+++ b/internal/serve/host/dispatch.go
@@ -0,0 +1,96 @@
+package host
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
+	"github.com/jujubescale/jujubescale/internal/flow/batch"
+)
+
+// usable returns how many engines of a pool take calls, and those of them that
+// could take one now.
+func (h *Host) usable(q *queue, pool *table.Batching) (all int, free []*engine) {
+	if pool == nil {
+		return 0, nil
+	}
+	now := h.clock.Now()
+	for _, endpoint := range h.viewNow().Pool(q.name) {
+		if endpoint.Out() {
+			continue
+		}
+		all++ // one that failed a moment ago, too: it is back before a queue of any length
+		if endpoint.Barred(now) {
+			continue
+		}
+		e := q.engine(endpoint)
+		if e.calls < max(pool.Calls, 1) {
+			free = append(free, e)
+		}
+	}
+	return all, free
+}
+
+// dispatch starts calls as long as pieces wait and engines are free.
+func (h *Host) dispatch(q *queue) {
+	pool := h.pool(q.name)
+	if pool == nil {
+		return
+	}
+	bounds := batch.BoundsOf(pool)
+	for _, late := range q.waiting.Late(bounds, h.clock.Now()) {
+		h.fail(late.Owner.(*Job), fault.DeadlinePassed)
+	}
+	now := h.clock.Now()
+	for _, stuck := range q.waiting.Stuck(now) {
+		h.fail(stuck.Owner.(*Job), stuck.Owner.(*Job).failed)
+	}
+	q.waiting.Yield(bounds, now)
+	h.returnUnused(q, pool)
+	if q.waiting.Pieces() == 0 {
+		return
+	}
+	limits := limitsOf(pool)
+	_, free := h.usable(q, pool)
+	free = slices.DeleteFunc(free, func(e *engine) bool {
+		return h.unknown(q, e, limits, now) || e.memory.Clearing(limits, now)
+	})
+	free = withoutSlow(free, q.waiting.Pieces(), bounds)
+	slices.SortStableFunc(free, func(a, b *engine) int { return cmp.Compare(a.slow, b.slow) })
+	for i, e := range free {
+		slot := batch.Slot{
+			Zone: e.Zone, Room: e.memory.Room(limits, now), Free: len(free) - i,
+			AgainFunc: func() bool { return h.retry(q.name) },
+		}
+		items := q.waiting.Take(bounds, slot, now)
+		if len(items) == 0 {
+			continue
+		}
+		if q.waiting.Pieces() > 0 {
+			q.fill = mix(q.fill, float64(len(items)))
+		}
+		h.start(q, e, pool, items)
+	}
+}
+
+// fillWeight is the part of the newest call in the usual fill of calls.
+const fillWeight = 0.15
+
+// mix moves a usual value by one that was seen.
+func mix(usual, seen float64) float64 {
+	if usual == 0 {
+		return seen
+	}
+	return usual + fillWeight*(seen-usual)
+}
+
+// withoutSlow leaves slow engines out as long as one call to each of the others
+// takes all that waits: what goes to a slow engine comes back late.
+func withoutSlow(free []*engine, waiting int, bounds batch.Bounds) []*engine {
+	fast := slices.DeleteFunc(slices.Clone(free), func(e *engine) bool { return e.slow >= slowFrom })
+	if waiting <= len(fast)*bounds.Pieces {
+		return fast
+	}
+	return free
+}
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -270,7 +270,7 @@
 		for _, job := range waiting {
 			h.fail(job, fault.Leaving)
 		}
-		h.logInfo("queue given back", "pool", q.name, "jobs", len(waiting), "pieces", q.waiting.Pieces())
+		h.log.Info("queue given back", "pool", q.name, "jobs", len(waiting), "pieces", q.waiting.Pieces())
 	}
 }
 
@@ -357,9 +357,3 @@
 		e.memory.Expire(now)
 	}
 }
-
-func (h *Host) logInfo(event string, pairs ...any) {
-	if h.log != nil {
-		h.log.Info(event, pairs...)
-	}
-}
--- /dev/null
+++ b/internal/serve/host/host_test.go
@@ -0,0 +1,298 @@
+package host_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
+	"github.com/jujubescale/jujubescale/internal/engine/conn"
+	"github.com/jujubescale/jujubescale/internal/engine/spell"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/route/view"
+	"github.com/jujubescale/jujubescale/internal/serve/host"
+)
+
+const pool = "encode"
+
+// engine is a stage engine that speaks JSON of this test's own.
+type engine struct {
+	name   string
+	server *httptest.Server
+	// answer decides what becomes of each piece.
+	answer func(piece spell.Piece) spell.Result
+	refuse atomic.Bool
+	hold   chan struct{}
+
+	mu    sync.Mutex
+	made  []string
+	freed []string
+}
+
+func newEngine(t *testing.T, name string) *engine {
+	t.Helper()
+	e := &engine{name: name}
+	e.answer = func(piece spell.Piece) spell.Result {
+		return spell.Result{Reference: fmt.Sprintf("%s/%s/%d", name, piece.Request, piece.Index)}
+	}
+	e.server = httptest.NewServer(http.HandlerFunc(e.serve))
+	t.Cleanup(e.server.Close)
+	return e
+}
+
+func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/report":
+		_, _ = io.WriteString(w, "{}")
+		return
+	case "/unused":
+		var references []string
+		_ = json.NewDecoder(r.Body).Decode(&references)
+		e.mu.Lock()
+		e.freed = append(e.freed, references...)
+		e.mu.Unlock()
+		return
+	}
+	if e.refuse.Load() {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	var pieces []spell.Piece
+	_ = json.NewDecoder(r.Body).Decode(&pieces)
+	if e.hold != nil {
+		<-e.hold
+	}
+	results := make([]spell.Result, 0, len(pieces))
+	e.mu.Lock()
+	for _, piece := range pieces {
+		results = append(results, e.answer(piece))
+		e.made = append(e.made, piece.Request)
+	}
+	e.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(results)
+}
+
+func spelling() *spell.Spelling {
+	return &spell.Spelling{
+		PiecesPath: "/pieces", UnusedPath: "/unused", ReportPath: "/report",
+		InstanceFunc: func(buf []byte, _ string) []byte { return buf },
+		MarksFunc:    func(h http.Header) spell.Marks { return spell.Marks{NotRun: h.Get("Not-Run") != ""} },
+		PiecesFunc:   func(pieces []spell.Piece) ([]byte, error) { return json.Marshal(pieces) },
+		ResultsFunc: func(raw []byte, _ int) ([]spell.Result, error) {
+			var results []spell.Result
+			return results, json.Unmarshal(raw, &results)
+		},
+		ReportFunc: func([]byte) (spell.StageReport, error) {
+			return spell.StageReport{FreeLeast: 1000, FreeMost: 1000}, nil
+		},
+		UnusedFunc: func(references []string) ([]byte, error) { return json.Marshal(references) },
+	}
+}
+
+// bench is a host with its engines; extras are the repeats that are allowed.
+type bench struct {
+	*host.Host
+	t      *testing.T
+	extras atomic.Int64
+}
+
+func start(t *testing.T, engines ...*engine) *bench {
+	t.Helper()
+	b := &bench{t: t}
+	b.extras.Store(100)
+	routes := table.New(table.Content{Pools: []table.Pool{{
+		Name: pool, Batching: &table.Batching{Calls: 1, Queue: 2, Pieces: 4, CallTime: 20, PieceTime: 1, Room: 1000, Keep: 4000},
+	}}})
+	book := view.New()
+	var entries []view.Entry
+	for _, e := range engines {
+		entries = append(entries, view.Entry{ID: e.name, Born: 1, Address: strings.TrimPrefix(e.server.URL, "http://"), Pool: pool})
+	}
+	book.List(entries, 1, 0)
+	book.Publish()
+	groups := map[*view.Endpoint]*conn.Group{}
+	book.Now().Each(func(e *view.Endpoint) { groups[e] = conn.New(e.Address) })
+	b.Host = host.New(t.Context(), host.Settings{
+		Clock: clock.New(), Log: log.New(io.Discard), Spelling: spelling(),
+		Table: func() *table.Table { return routes }, View: book.Now,
+		Conns: func(e *view.Endpoint) *conn.Group { return groups[e] },
+		Retry: func(string) bool { return b.extras.Add(-1) >= 0 }, Earn: func(string) {},
+		Meter: host.NewMeter(prometheus.NewRegistry()),
+	})
+	ended := make(chan struct{})
+	go func() { b.Run(t.Context()); close(ended) }()
+	t.Cleanup(func() { <-ended })
+	return b
+}
+
+// ask asks for pieces of one request and returns where its end arrives.
+func (b *bench) ask(request string, pieces int, timeLeft clock.Millis) (*host.Job, <-chan host.Outcome) {
+	outcome := make(chan host.Outcome, 10)
+	job := b.Submit(&wire.Pieces{
+		Pool: pool, Request: request, Count: pieces, Key: "k", TimeLeft: timeLeft, Slack: timeLeft, Bytes: 100,
+	}, func() {}, func(o host.Outcome) { outcome <- o })
+	return job, outcome
+}
+
+func (b *bench) wait(outcome <-chan host.Outcome) host.Outcome {
+	b.t.Helper()
+	select {
+	case o := <-outcome:
+		return o
+	case <-time.After(10 * time.Second):
+		b.t.Fatal("no outcome")
+		return host.Outcome{}
+	}
+}
+
+// awaitBusy waits until every engine works on a call.
+func (b *bench) awaitBusy() {
+	b.t.Helper()
+	poll.WaitOn(b.t, func(poll.LogT) poll.Result {
+		if load, known := b.Load(pool); known && load.Free == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("not running")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+func TestPiecesAreMadeForTheirRequest(t *testing.T) {
+	b := start(t, newEngine(t, "e1"))
+	_, first := b.ask("r1", 2, 5000)
+	_, second := b.ask("r2", 1, 5000)
+	assert.DeepEqual(t, b.wait(first).References, []string{"e1/r1/0", "e1/r1/1"})
+	assert.DeepEqual(t, b.wait(second).References, []string{"e1/r2/0"})
+}
+
+// An engine refuses calls, as one does that has another owner for a moment, and
+// no repeat is allowed just then. The request is not failed for that: its pieces
+// wait, and are made once a repeat is allowed.
+func TestRefusedPiecesWaitForTheBudget(t *testing.T) {
+	e := newEngine(t, "e1")
+	e.refuse.Store(true)
+	b := start(t, e)
+	b.extras.Store(0)
+	_, outcome := b.ask("r", 2, 5000)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if load, _ := b.Load(pool); len(load.Waiting) > 0 && load.Free == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("not refused yet")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	e.refuse.Store(false)
+	b.extras.Store(2)
+	o := b.wait(outcome)
+	assert.Equal(t, o.Reason, fault.Reason(""))
+	assert.DeepEqual(t, o.References, []string{"e1/r/0", "e1/r/1"})
+}
+
+// An engine fails every piece. The request hears it after a few tries and does
+// not wait for its deadline.
+func TestPieceThatAlwaysFailsEnds(t *testing.T) {
+	e := newEngine(t, "e1")
+	e.answer = func(spell.Piece) spell.Result { return spell.Result{Failure: spell.FailedWork} }
+	b := start(t, e)
+	_, outcome := b.ask("r", 1, 60_000)
+	assert.Equal(t, b.wait(outcome).Reason, fault.EndpointFailed)
+	assert.Equal(t, len(e.made), 3)
+}
+
+// The caller leaves while a call is under way. Nobody hears of its results, and
+// what was made is given back when the memory is wanted.
+func TestResultsOfADroppedRequestAreGivenBack(t *testing.T) {
+	e := newEngine(t, "e1")
+	e.hold = make(chan struct{})
+	b := start(t, e)
+	job, outcome := b.ask("gone", 4, 5000)
+	b.awaitBusy()
+	b.Drop(job)
+	_, other := b.ask("other", 4, 5000)
+	close(e.hold)
+	assert.Equal(t, b.wait(other).Reason, fault.Reason(""))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if len(e.freed) == 4 {
+			return poll.Success()
+		}
+		return poll.Continue("%v", e.freed)
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	assert.Equal(t, len(outcome), 0)
+}
+
+// The owner leaves as planned. What runs ends here, and what only waits goes
+// back at once, so that the next owner makes it.
+func TestWaitingWorkIsGivenBackOnAPlannedStop(t *testing.T) {
+	e := newEngine(t, "e1")
+	e.hold = make(chan struct{})
+	b := start(t, e)
+	_, running := b.ask("running", 4, 5000)
+	b.awaitBusy()
+	_, waiting := b.ask("waiting", 4, 5000)
+	b.Retire()
+	assert.Equal(t, b.wait(waiting).Reason, fault.Leaving)
+	close(e.hold)
+	assert.Equal(t, b.wait(running).Reason, fault.Reason(""))
+}
+
+// Engines refuse, fail pieces, lack memory and lose inputs at random, and
+// requests are dropped. Every request that stays hears exactly one end, and what
+// it is given was made for it.
+func TestEachRequestHearsOneEnd(t *testing.T) {
+	var calls atomic.Int64
+	failures := []spell.Failure{"", "", "", spell.FailedWork, "", spell.FailedRoom, "", "", spell.FailedInput, ""}
+	var engines []*engine
+	for i := range 3 {
+		e := newEngine(t, fmt.Sprint("e", i))
+		made := e.answer
+		e.answer = func(piece spell.Piece) spell.Result {
+			n := calls.Add(1)
+			e.refuse.Store(n%17 < 3)
+			if failure := failures[n%int64(len(failures))]; failure != "" {
+				return spell.Result{Failure: failure}
+			}
+			return made(piece)
+		}
+		engines = append(engines, e)
+	}
+	b := start(t, engines...)
+	b.extras.Store(1 << 20)
+	const requests = 120
+	outcomes := make([]<-chan host.Outcome, requests)
+	for i := range requests {
+		job, outcome := b.ask(fmt.Sprint("r", i), 1+i%3, 3000)
+		if i%10 == 9 {
+			b.Drop(job)
+			continue
+		}
+		outcomes[i] = outcome
+	}
+	for i, outcome := range outcomes {
+		if outcome == nil {
+			continue
+		}
+		o := b.wait(outcome)
+		for _, reference := range o.References {
+			assert.Assert(t, strings.Contains(reference, fmt.Sprintf("/r%d/", i)), "%s for r%d", reference, i)
+		}
+		assert.Assert(t, o.Reason != "" || len(o.References) == 1+i%3)
+	}
+	for _, outcome := range outcomes {
+		assert.Equal(t, len(outcome), 0, "a second end")
+	}
+}
--- a/internal/serve/host/room.go
+++ b/internal/serve/host/room.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
 	"github.com/jujubescale/jujubescale/internal/guard/memory"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
@@ -34,12 +35,12 @@
 	now := h.clock.Now()
 	if err != nil {
 		e.memory.NotLearned(now)
-		h.logInfo("memory of engine not known", "pool", q.name, "endpoint", e.ID, logs.KeyError, err)
+		h.log.Info("memory of engine not known", "pool", q.name, "endpoint", e.ID, logs.KeyError, err)
 	} else {
 		e.memory.Learned(limits, memory.Report{
 			Least: report.FreeLeast, Most: report.FreeMost, Pending: h.pending(q, e, report),
 		}, now)
-		h.logInfo("memory of engine", "pool", q.name, "endpoint", e.ID, "freeBytes", report.FreeMost, "busy", report.Busy,
+		h.log.Info("memory of engine", "pool", q.name, "endpoint", e.ID, "freeBytes", report.FreeMost, "busy", report.Busy,
 			"ownBytes", e.memory.Own(), "foreignBytes", e.memory.Foreign(now))
 		h.holdBusy(q, e, report.Busy, now)
 	}
@@ -77,3 +78,45 @@
 	}
 	return h.spelling.ReportFunc(raw)
 }
+
+// returnUnused gives results back to engines whose memory fills up.
+func (h *Host) returnUnused(q *queue, pool *table.Batching) {
+	now := h.clock.Now()
+	wanted := q.waiting.Wanted(pool.Pieces)
+	for _, e := range q.engines {
+		if e.Gone() {
+			continue
+		}
+		references := e.memory.Give(limitsOf(pool), wanted, now)
+		if len(references) == 0 {
+			continue
+		}
+		h.group.Add(1)
+		go func() {
+			defer h.group.Done()
+			err := h.free(e.Endpoint, references)
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			e.memory.Given(err == nil)
+			if err != nil {
+				h.log.Info("results not given back", "pool", q.name, "endpoint", e.ID, logs.KeyError, err)
+				return
+			}
+			h.dispatch(q)
+		}()
+	}
+}
+
+// freeTimeout bounds a call that gives results back; it does no work.
+const freeTimeout = 1500 * clock.Millis(1)
+
+func (h *Host) free(endpoint *view.Endpoint, references []string) error {
+	body, err := h.spelling.UnusedFunc(references)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(h.base, freeTimeout.Duration())
+	defer cancel()
+	_, err = h.exchange(ctx, endpoint, http.MethodPost, h.spelling.UnusedPath, body, reuseIdle)
+	return err
+}
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -160,7 +161,7 @@
 // New returns a mesh of this process alone.
 func New(ctx context.Context, self Member, opts ...Option) *Mesh {
 	m := &Mesh{
-		self: self, clock: clock.New(), base: ctx,
+		self: self, clock: clock.New(), log: log.New(io.Discard), base: ctx,
 		piecesFunc:  func(string, *wire.Pieces, Reply) {},
 		droppedFunc: func(string, uint64) {},
 		unusedFunc:  func(*wire.Unused) {},
@@ -326,7 +327,7 @@
 		before.session.Close(errReplaced)
 	}
 	m.Tell()
-	m.logInfo("peer joined", "peer", name, logs.KeyIncarnation, s.Peer().Incarnation)
+	m.log.Info("peer joined", "peer", name, logs.KeyIncarnation, s.Peer().Incarnation)
 }
 
 func (m *Mesh) ended(s *sess.Session) {
@@ -341,7 +342,7 @@
 	}
 	m.mu.Unlock()
 	if current {
-		m.logInfo("peer lost", "peer", name, logs.KeyError, s.Err())
+		m.log.Info("peer lost", "peer", name, logs.KeyError, s.Err())
 	}
 }
 
@@ -364,9 +365,3 @@
 	m.mu.Unlock()
 	m.group.Wait()
 }
-
-func (m *Mesh) logInfo(event string, pairs ...any) {
-	if m.log != nil {
-		m.log.Info(event, pairs...)
-	}
-}
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -1,14 +1,7 @@
 package router
 
 import (
-	"encoding/json"
-	"maps"
-	"slices"
-	"strings"
-
-	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
-	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/feed"
 	"github.com/jujubescale/jujubescale/internal/serve/host"
@@ -100,80 +93,3 @@
 		e.Load.PeerPlanned.Store(sum.Planned)
 	})
 }
-
-// nameOf returns the name of an object without its kind.
-func nameOf(object string) string {
-	_, name, _ := strings.Cut(object, "/")
-	return name
-}
-
-// names follows a kind of objects of which only the names matter.
-type names struct {
-	known   map[string]bool
-	setFunc func([]string)
-}
-
-func newNames(set func([]string)) *names { return &names{known: make(map[string]bool), setFunc: set} }
-
-func (n *names) list(objects []store.Object, _ clock.Millis) {
-	n.known = make(map[string]bool, len(objects))
-	for _, object := range objects {
-		n.known[nameOf(object.Name)] = true
-	}
-	n.set()
-}
-
-func (n *names) change(changes []store.Change) {
-	for _, change := range changes {
-		name := nameOf(change.Object.Name)
-		if change.Deleted {
-			delete(n.known, name)
-			continue
-		}
-		n.known[name] = true
-	}
-	n.set()
-}
-
-func (n *names) set() { n.setFunc(slices.Sorted(maps.Keys(n.known))) }
-
-// members follows the list of gateways.
-type members struct {
-	known   map[string]mesh.Member
-	setFunc func([]mesh.Member)
-}
-
-func newMembers(set func([]mesh.Member)) *members {
-	return &members{known: make(map[string]mesh.Member), setFunc: set}
-}
-
-func (m *members) list(objects []store.Object, _ clock.Millis) {
-	m.known = make(map[string]mesh.Member, len(objects))
-	for _, object := range objects {
-		m.put(object)
-	}
-	m.set()
-}
-
-func (m *members) change(changes []store.Change) {
-	for _, change := range changes {
-		if change.Deleted {
-			delete(m.known, nameOf(change.Object.Name))
-			continue
-		}
-		m.put(change.Object)
-	}
-	m.set()
-}
-
-// put takes an entry; one that can't be read names nobody.
-func (m *members) put(object store.Object) {
-	var member mesh.Member
-	if err := json.Unmarshal(object.Value, &member); err != nil || member.Name != nameOf(object.Name) {
-		delete(m.known, nameOf(object.Name))
-		return
-	}
-	m.known[member.Name] = member
-}
-
-func (m *members) set() { m.setFunc(slices.Collect(maps.Values(m.known))) }
--- a/internal/serve/target/target.go
+++ b/internal/serve/target/target.go
@@ -21,7 +21,8 @@
 	keepParts = 20 * clock.Second
 	// maxParts bounds the parts that are remembered for one engine.
 	maxParts = 512
-	// firstBar and maxBar bound how long an endpoint that failed gets nothing.
+	// firstBar and maxBar bound how long an endpoint that failed gets nothing; the
+	// entry of one whose address another endpoint has now is gone by then.
 	firstBar = 250 * clock.Millis(1)
 	maxBar   = 4 * clock.Second
 	// answerWeight is the part of the newest answer in what is remembered of an
@@ -167,6 +168,9 @@
 	return clock.Millis(t.recent * (1 + 4*t.wrong))
 }
 
+// Replaced keeps requests away because another endpoint has the address now.
+func (t *Target) Replaced(now clock.Millis) { t.Bar(now + maxBar) }
+
 // Failed keeps requests away from the endpoint, longer with each failure in a row.
 func (t *Target) Failed(now clock.Millis) {
 	t.mu.Lock()
