fix(memory,mesh): forgotten results are forgotten everywhere; an older peer still owns

Read as a newcomer: spare and unused results that had expired stayed on the account's lists for as long as memory was not short, and a result that expired while it was given back was subtracted from others' memory. The property test now also asks that nothing is remembered in the end, and failed before. What a peer says of owning pools is inverted on the wire, so that one of the release before, which says nothing, still counts as an owner while hosts are updated.

--- a/internal/guard/memory/memory.go
+++ b/internal/guard/memory/memory.go
@@ -122,8 +122,7 @@
 
 // Drop notes that nobody needs a result any more.
 func (a *Account) Drop(result Result) {
-	same := func(other Result) bool { return other.Reference == result.Reference }
-	if !slices.ContainsFunc(a.unused, same) && !slices.ContainsFunc(a.giving, same) {
+	if !contains(a.unused, result.Reference) && !contains(a.giving, result.Reference) {
 		a.unused = append(a.unused, result)
 	}
 }
@@ -207,14 +206,21 @@
 	delete(a.held, result.Reference)
 }
 
-// Expire forgets results that the engine has dropped by now.
-func (a *Account) Expire(now clock.Millis) {
+// Expire forgets results that the engine has dropped by now. Those that are just
+// being given back are counted when that is done.
+func (a *Account) Expire(limits Limits, now clock.Millis) {
 	for reference, result := range a.held {
-		if result.until <= now {
+		if result.until <= now && !contains(a.giving, reference) {
 			a.forget(Result{Reference: reference})
-			a.unused = slices.DeleteFunc(a.unused, func(r Result) bool { return r.Reference == reference })
 		}
 	}
+	gone := func(reference string) bool { return !a.Holds(reference) && !a.MayHold(limits, now) }
+	a.unused = slices.DeleteFunc(a.unused, func(r Result) bool { return gone(r.Reference) })
+	a.spare = slices.DeleteFunc(a.spare, func(s spare) bool { return gone(s.Reference) })
+}
+
+func contains(results []Result, reference string) bool {
+	return slices.ContainsFunc(results, func(r Result) bool { return r.Reference == reference })
 }
 
 // Ask reports whether the engine is to be asked for its memory now, and notes
--- a/internal/guard/memory/memory_test.go
+++ b/internal/guard/memory/memory_test.go
@@ -151,7 +151,7 @@
 	assert.Equal(t, len(a.Give(limits, 0, 2)), 1)
 	a.Given(false)
 	assert.Equal(t, a.Room(limits, 3), int64(350))
-	a.Expire(4000)
+	a.Expire(limits, 4000)
 	assert.Equal(t, a.Room(limits, 4000), int64(850))
 }
 
@@ -177,7 +177,7 @@
 					a.Given(rapid.Bool().Draw(t, "taken"))
 				}
 			case 4:
-				a.Expire(now)
+				a.Expire(limits, now)
 			case 5:
 				a.Lacked(limits, 50, now)
 			case 6:
@@ -187,7 +187,8 @@
 			}
 			assert.Assert(t, a.Own() >= 0 && a.Foreign(now) >= 0 && a.Room(limits, now) >= 0)
 		}
-		a.Expire(now + limits.Keep)
+		a.Expire(limits, now+2*limits.Keep+1)
 		assert.Equal(t, a.Own(), int64(0))
+		assert.Equal(t, a.Remembered(), 0)
 	})
 }
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -293,9 +293,9 @@
 // Loads tells peers what the sender has running at endpoints, and how long
 // work waits in the pools that it owns. Each message replaces the one before.
 type Loads struct {
-	// Owns says that the sender may own pools. It repeats what hello and leave
-	// said: either may cross the moment in which a session begins.
-	Owns      bool           `cbor:"owns,omitempty"`
+	// Leaving says that the sender may not own pools, or not yet. It repeats what
+	// hello and leave said: either may cross the moment in which a session begins.
+	Leaving   bool           `cbor:"leaving,omitempty"`
 	Endpoints []EndpointLoad `cbor:"endpoints,omitempty"`
 	Pools     []PoolLoad     `cbor:"pools,omitempty"`
 	// Seen are the revisions of the changes that the sender noticed last, by kind
--- a/internal/serve/host/dispatch.go
+++ b/internal/serve/host/dispatch.go
@@ -38,11 +38,10 @@
 	if pool == nil {
 		return
 	}
-	bounds := batch.BoundsOf(pool)
-	for _, late := range q.waiting.Late(bounds, h.clock.Now()) {
+	bounds, now := batch.BoundsOf(pool), h.clock.Now()
+	for _, late := range q.waiting.Late(bounds, now) {
 		h.fail(late.Owner.(*Job), fault.DeadlinePassed)
 	}
-	now := h.clock.Now()
 	for _, stuck := range q.waiting.Stuck(now) {
 		h.fail(stuck.Owner.(*Job), stuck.Owner.(*Job).failed)
 	}
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -348,12 +348,14 @@
 
 // sweep forgets engines that are gone and results that have expired.
 func (h *Host) sweep(q *queue) {
-	now := h.clock.Now()
+	pool, now := h.pool(q.name), h.clock.Now()
 	for endpoint, e := range q.engines {
 		if endpoint.Gone() && e.calls == 0 {
 			delete(q.engines, endpoint)
 			continue
 		}
-		e.memory.Expire(now)
+		if pool != nil {
+			e.memory.Expire(limitsOf(pool), now)
+		}
 	}
 }
--- a/internal/serve/mesh/ask.go
+++ b/internal/serve/mesh/ask.go
@@ -109,7 +109,7 @@
 func (m *Mesh) tellLoads(loads *wire.Loads) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	loads.Owns = m.owns
+	loads.Leaving = !m.owns
 	m.broadcast(&wire.Frame{Kind: wire.KindLoads, Loads: loads})
 }
 
@@ -199,7 +199,7 @@
 	defer m.mu.Unlock()
 	if p := m.peers[s.Peer().Process]; p != nil && p.session == s {
 		p.loads = loads
-		m.setLeaving(p, !loads.Owns)
+		m.setLeaving(p, loads.Leaving)
 		wake(m.hear)
 	}
 }
