--- a/internal/flow/batch/batch.go
+++ b/internal/flow/batch/batch.go
@@ -180,8 +180,9 @@
 // Yield puts groups behind the others that can't be ready when they are wanted,
 // even if a call with them began now. Once more work waits than engines do,
 // those first in rank are the ones that are late already; served first, they
-// make each one behind them late in turn, and nobody gets an answer in time.
-func (q *Queue) Yield(bounds Bounds, now clock.Millis) {
+// make each one behind them late in turn, and nobody gets an answer in time. It
+// returns the groups that yield now.
+func (q *Queue) Yield(bounds Bounds, now clock.Millis) []*Group {
 	var late []*Group
 	ready := now + clock.Millis(bounds.Duration(min(q.pieces, bounds.Pieces)))
 	q.groups = slices.DeleteFunc(q.groups, func(g *Group) bool {
@@ -197,6 +198,7 @@
 		q.pieces -= g.Waiting()
 		q.Add(g)
 	}
+	return late
 }
 
 // backMost is how long a piece that was given back waits until it may be sent
--- a/internal/serve/gate/progress.go
+++ b/internal/serve/gate/progress.go
@@ -31,13 +31,15 @@
 	failed error
 	// coming is what the book of work to come holds of each stage, nil for none.
 	coming []*coming.Work
+	// delayed tells which stages have been put off.
+	delayed []bool
 	// look is when a stage that was put off is looked at again, 0 for none.
 	look clock.Millis
 }
 
 func newProgress(g *Gate, req *request) *progress {
 	stages := len(req.route.Stages)
-	return &progress{g: g, req: req, ends: make(chan stageEnd, 4*stages), coming: make([]*coming.Work, stages)}
+	return &progress{g: g, req: req, ends: make(chan stageEnd, 4*stages), coming: make([]*coming.Work, stages), delayed: make([]bool, stages)}
 }
 
 // announce enters the stages that will run later, so that all processes count
@@ -94,7 +96,7 @@
 	for _, stage := range ready {
 		wait := r.PutOff(stage, p.g.queue)
 		if wait > 0 && (p.running > 0 || len(ready) > 1) {
-			p.look = soonest(p.look, p.g.Clock.Now()+wait)
+			p.putOff(stage, wait)
 			continue
 		}
 		p.start(ctx, stage)
@@ -104,6 +106,17 @@
 	}
 }
 
+// putOff has a stage looked at again after a while. The first time is logged.
+func (p *progress) putOff(stage int, wait clock.Millis) {
+	p.look = soonest(p.look, p.g.Clock.Now()+wait)
+	if p.delayed[stage] {
+		return
+	}
+	p.delayed[stage] = true
+	p.g.Log.Info("stage put off", "request", p.req.Request, "stage", stage, "pool", p.req.route.Stages[stage].Pool,
+		"waitMs", int64(wait), "resultBytes", p.req.route.Stages[stage].ResultBytes, "pieces", p.req.run.Pieces(stage))
+}
+
 // soonest returns the earlier of two instants, of which 0 is none.
 func soonest(a, b clock.Millis) clock.Millis {
 	if a == 0 {
--- a/internal/serve/host/dispatch.go
+++ b/internal/serve/host/dispatch.go
@@ -7,6 +7,7 @@
 	"github.com/jujubescale/jujubescale/internal/base/fault"
 	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/flow/batch"
+	"github.com/jujubescale/jujubescale/internal/ops/logs"
 )
 
 // usable returns how many engines of a pool take calls, and those of them that
@@ -45,7 +46,10 @@
 	for _, stuck := range q.waiting.Stuck(now) {
 		h.fail(stuck.Owner.(*Job), stuck.Owner.(*Job).failed)
 	}
-	q.waiting.Yield(bounds, now)
+	for _, g := range q.waiting.Yield(bounds, now) {
+		h.log.Info("late work yields", "pool", q.name, logs.KeyRequest, g.Request, "stage", g.Stage,
+			"lateMs", int64(now-g.Wanted), "pieces", g.Waiting(), "waiting", q.waiting.Pieces())
+	}
 	h.returnUnused(q, pool)
 	if q.waiting.Pieces() == 0 {
 		return
