--- a/internal/guard/memory/memory.go
+++ b/internal/guard/memory/memory.go
@@ -17,7 +17,7 @@
 
 const (
 	// usableShare is the part of an engine's memory that is used: sizes in the
-	// configuration are approximate, by some percent on the users' sheets.
+	// configuration are approximate.
 	usableShare = 0.85
 	// giveFrom is the part from which results that nobody needs are given back
 	// by a call; below it they expire by themselves, which costs nothing.
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -57,8 +57,9 @@
 const (
 	// leastRest and mostRest bound the pause between two reads of the endpoints'
 	// changes, so that those of a zone that leaves or returns are read together.
-	// What leaves must be known within two seconds. Reads of changes were two
-	// thirds of the calls to the store of 29 processes on a day of many changes.
+	// What leaves must be known within two seconds. Each change is read by every
+	// process, and each read is paid for: 582 of 2,750 calls of 29 processes on one
+	// day brought changes of endpoints.
 	leastRest  = 120 * clock.Millis(1)
 	mostRest   = 850 * clock.Millis(1)
 	memberRest = 250 * clock.Millis(1)
