refactor(gate,host,table): one look-up of a pool's bounds, one sum of classes, settings kept whole

The least time of the stages behind one (gate.after, several times a request) gathered all work on its way only to leave it out; it asks for the bounds alone now, and the work to come to one pool is summed without the others. gate.addClasses was coming.sum with other words; coming.Sum serves both. The look-up of a pool's batching stood in gate and host; it is Table.Batching. Host copied its nine settings field by field and embeds them, as Gate does. Whether an engine works for another owner was asked twice in host/room.

--- a/internal/conf/table/table.go
+++ b/internal/conf/table/table.go
@@ -225,6 +225,19 @@
 	return nil
 }
 
+// Batching returns what the stage engines of a pool bear; nil when the pool is
+// unknown, makes no pieces, or there is no configuration yet.
+func (t *Table) Batching(name string) *Batching {
+	if t == nil {
+		return nil
+	}
+	pool := t.Pool(name)
+	if pool == nil {
+		return nil
+	}
+	return pool.Batching
+}
+
 // Pool returns a pool by name, or nil.
 func (t *Table) Pool(name string) *Pool { return t.pools[name] }
 
--- a/internal/flow/coming/coming.go
+++ b/internal/flow/coming/coming.go
@@ -66,18 +66,26 @@
 
 // Of returns the work for one pool, by class of rank; nil for none.
 func (b *Book) Of(pool string, now clock.Millis) []int {
-	return Of(b.Loads(now), pool)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var pieces []int
+	for work := range b.open {
+		if work.Pool == pool {
+			pieces = Sum(pieces, reach.Classes(work.Rank-now, work.Pieces))
+		}
+	}
+	return pieces
 }
 
 // Add adds a load to others.
 func Add(loads []Load, more Load) []Load {
 	for i := range loads {
 		if loads[i].Pool == more.Pool {
-			loads[i].Pieces = sum(loads[i].Pieces, more.Pieces)
+			loads[i].Pieces = Sum(loads[i].Pieces, more.Pieces)
 			return loads
 		}
 	}
-	return append(loads, Load{Pool: more.Pool, Pieces: sum(nil, more.Pieces)})
+	return append(loads, Load{Pool: more.Pool, Pieces: Sum(nil, more.Pieces)})
 }
 
 // Of returns the pieces of one pool's load, nil for none.
@@ -90,9 +98,10 @@
 	return nil
 }
 
-// sum adds pieces class by class. Classes that this version doesn't know count
-// among the last: a newer process may have finer ones.
-func sum(pieces, more []int) []int {
+// Sum adds more to pieces class by class, and changes pieces if there are any.
+// Classes that this version doesn't know count among the last: a newer process
+// may have finer ones.
+func Sum(pieces, more []int) []int {
 	if pieces == nil {
 		pieces = make([]int, len(reach.Edges)+1)
 	}
--- a/internal/serve/gate/reach.go
+++ b/internal/serve/gate/reach.go
@@ -1,11 +1,10 @@
 package gate
 
 import (
-	"slices"
-
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/fault"
 	"github.com/jujubescale/jujubescale/internal/flow/batch"
+	"github.com/jujubescale/jujubescale/internal/flow/coming"
 	"github.com/jujubescale/jujubescale/internal/flow/reach"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 )
@@ -68,18 +67,14 @@
 // queue returns what is known of the queue of a pool: from this process if it
 // owns the pool, else from what the owner told last.
 func (g *Gate) queue(name string) *reach.Queue {
-	routes := g.Table()
-	if routes == nil {
-		return nil
-	}
-	pool := routes.Pool(name)
-	if pool == nil || pool.Batching == nil {
+	batching := g.Table().Batching(name)
+	if batching == nil {
 		return nil
 	}
 	load, known := g.load(name)
 	q := &reach.Queue{
-		Bounds: batch.BoundsOf(pool.Batching), Room: pool.Batching.Room,
-		Coming: addClasses(g.mesh.Coming(name), g.coming.Of(name, g.Clock.Now())),
+		Bounds: batch.BoundsOf(batching), Room: batching.Room,
+		Coming: coming.Sum(g.coming.Of(name, g.Clock.Now()), g.mesh.Coming(name)),
 	}
 	if known {
 		q.Engines, q.Free, q.Fill, q.Waiting = load.Engines, load.Free, load.Fill, load.Waiting
@@ -91,19 +86,6 @@
 	return q
 }
 
-// addClasses adds counts class by class without changing them; the first may be
-// shared.
-func addClasses(shared, own []int) []int {
-	sum := slices.Clone(own)
-	if sum == nil {
-		return shared
-	}
-	for class, pieces := range shared {
-		sum[min(class, len(sum)-1)] += pieces
-	}
-	return sum
-}
-
 func (g *Gate) load(pool string) (wire.PoolLoad, bool) {
 	if g.mesh.Owns(pool) {
 		return g.host.Load(pool)
@@ -119,10 +101,10 @@
 		r.Done[i] = !req.run.Follows(i, stage)
 	}
 	return clock.Millis(r.Remaining(func(name string) *reach.Queue {
-		q := g.queue(name)
-		if q != nil {
-			q.Waiting, q.Coming, q.Free, q.Engines = nil, nil, 1, 1
+		batching := g.Table().Batching(name)
+		if batching == nil {
+			return nil
 		}
-		return q
+		return &reach.Queue{Bounds: batch.BoundsOf(batching), Free: 1, Engines: 1}
 	}))
 }
--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -48,7 +48,7 @@
 		job := item.Group.Owner.(*Job)
 		job.tries[item.Piece]++
 	}
-	h.meter.call(q.name, len(items))
+	h.Meter.call(q.name, len(items))
 	ended := make(chan struct{})
 	h.group.Add(2)
 	go func() {
@@ -58,7 +58,7 @@
 	go func() {
 		defer h.group.Done()
 		defer close(ended)
-		began := h.clock.Now()
+		began := h.Clock.Now()
 		results, err := h.call(e, pool, items, began)
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -69,7 +69,7 @@
 // watchInputs notes after a while that the pieces of a call have read their
 // inputs, unless the call has ended by then.
 func (h *Host) watchInputs(pool *table.Batching, items []batch.Item, ended <-chan struct{}) {
-	read, forget := h.clock.After(pool.CallTime / fetchedAfter)
+	read, forget := h.Clock.After(pool.CallTime / fetchedAfter)
 	defer forget()
 	select {
 	case <-read:
@@ -108,7 +108,7 @@
 			Request: g.Request, Stage: g.Stage, Index: item.Piece, Left: g.Until - now, Key: g.Key, Inputs: g.Inputs,
 		})
 	}
-	body, err := h.spelling.PiecesFunc(pieces)
+	body, err := h.Spelling.PiecesFunc(pieces)
 	if err != nil {
 		return nil, err
 	}
@@ -116,11 +116,11 @@
 	limit := min(slackTimes*clock.Millis(expected)+slackMore, until-now+slackMore)
 	ctx, cancel := context.WithTimeout(h.base, limit.Duration())
 	defer cancel()
-	raw, err := h.exchange(ctx, e.Endpoint, http.MethodPost, h.spelling.PiecesPath, body, 0)
+	raw, err := h.exchange(ctx, e.Endpoint, http.MethodPost, h.Spelling.PiecesPath, body, 0)
 	if err != nil {
 		return nil, err
 	}
-	return h.spelling.ResultsFunc(raw, len(items))
+	return h.Spelling.ResultsFunc(raw, len(items))
 }
 
 // RefusedError says that an engine did not take a call and never will.
@@ -151,14 +151,14 @@
 func (h *Host) exchange(ctx context.Context, endpoint *view.Endpoint, method, path string, body []byte, maxIdle clock.Millis) ([]byte, error) {
 	head := make([]byte, 0, 256)
 	head = append(head, method+" "+path+" HTTP/1.1\r\nHost: "+endpoint.Address+"\r\nContent-Type: application/json\r\n"...)
-	head = h.spelling.InstanceFunc(head, endpoint.ID)
+	head = h.Spelling.InstanceFunc(head, endpoint.ID)
 	head = append(head, "Content-Length: "...)
 	head = strconv.AppendInt(head, int64(len(body)), 10)
 	if maxIdle == 0 {
 		head = append(head, "\r\nConnection: close"...)
 	}
 	head = append(head, "\r\n\r\n"...)
-	reply, err := h.connFunc(endpoint).Do(ctx, &conn.Request{Method: method, Head: head, Body: body, MaxIdle: maxIdle})
+	reply, err := h.Conns(endpoint).Do(ctx, &conn.Request{Method: method, Head: head, Body: body, MaxIdle: maxIdle})
 	if err != nil {
 		return nil, err
 	}
@@ -167,7 +167,7 @@
 	if err != nil {
 		return nil, &conn.SentError{Address: endpoint.Address, Cause: err}
 	}
-	marks := h.spelling.MarksFunc(reply.Header)
+	marks := h.Spelling.MarksFunc(reply.Header)
 	switch {
 	case marks.NotRun || reply.Status == http.StatusMisdirectedRequest:
 		return nil, &RefusedError{Endpoint: endpoint.ID, Status: reply.Status}
@@ -179,10 +179,10 @@
 
 // finish takes the end of a call. The caller holds the lock.
 func (h *Host) finish(q *queue, e *engine, pool *table.Batching, items []batch.Item, results []spell.Result, err error, began clock.Millis) {
-	now := h.clock.Now()
+	now := h.Clock.Now()
 	e.calls--
 	expected := batch.BoundsOf(pool).Duration(len(items))
-	h.log.Info("pieces made", "pool", q.name, "endpoint", e.ID, "pieces", len(items), "tookMs", int64(now-began),
+	h.Log.Info("pieces made", "pool", q.name, "endpoint", e.ID, "pieces", len(items), "tookMs", int64(now-began),
 		"expectedMs", int64(expected), "waiting", q.waiting.Pieces(), "failed", failures(results),
 		"ownBytes", e.memory.Own(), "foreignBytes", e.memory.Foreign(now), "request", items[0].Group.Request, logs.KeyError, err)
 	if err != nil {
@@ -219,7 +219,7 @@
 		bar = barFull
 	}
 	e.Bar(now + bar)
-	h.meter.failed(q.name)
+	h.Meter.failed(q.name)
 	for _, item := range items {
 		e.memory.Release(item.Group.Bytes)
 		h.again(q, item, fault.EndpointFailed, now)
@@ -295,6 +295,6 @@
 	q := h.queue(job.pool)
 	q.waiting.Drop(job.group)
 	h.unusedOf(q, job)
-	h.meter.refused(job.pool, reason)
+	h.Meter.refused(job.pool, reason)
 	job.done(Outcome{Reason: reason})
 }
--- a/internal/serve/host/dispatch.go
+++ b/internal/serve/host/dispatch.go
@@ -16,8 +16,8 @@
 	if pool == nil {
 		return 0, nil
 	}
-	now := h.clock.Now()
-	for _, endpoint := range h.viewNow().Pool(q.name) {
+	now := h.Clock.Now()
+	for _, endpoint := range h.View().Pool(q.name) {
 		if endpoint.Out() {
 			continue
 		}
@@ -39,7 +39,7 @@
 	if pool == nil {
 		return
 	}
-	bounds, now := batch.BoundsOf(pool), h.clock.Now()
+	bounds, now := batch.BoundsOf(pool), h.Clock.Now()
 	for _, late := range q.waiting.Late(bounds, now) {
 		h.fail(late.Owner.(*Job), fault.DeadlinePassed)
 	}
@@ -47,7 +47,7 @@
 		h.fail(stuck.Owner.(*Job), stuck.Owner.(*Job).failed)
 	}
 	for _, g := range q.waiting.Yield(bounds, now) {
-		h.log.Info("late work yields", "pool", q.name, logs.KeyRequest, g.Request, "stage", g.Stage,
+		h.Log.Info("late work yields", "pool", q.name, logs.KeyRequest, g.Request, "stage", g.Stage,
 			"lateMs", int64(now-g.Wanted), "pieces", g.Waiting(), "waiting", q.waiting.Pieces())
 	}
 	h.returnUnused(q, pool)
@@ -64,7 +64,7 @@
 	for i, e := range free {
 		slot := batch.Slot{
 			Zone: e.Zone, Room: e.memory.Room(limits, now), Free: len(free) - i,
-			AgainFunc: func() bool { return h.retry(q.name) },
+			AgainFunc: func() bool { return h.Retry(q.name) },
 		}
 		items := q.waiting.Take(bounds, slot, now)
 		if len(items) == 0 {
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -88,24 +88,6 @@
 	fill float64
 }
 
-// Host owns pools.
-type Host struct {
-	clock    *clock.Clock
-	log      *log.Logger
-	spelling *spell.Spelling
-	tableNow func() *table.Table
-	viewNow  func() *view.Snapshot
-	connFunc func(*view.Endpoint) *conn.Group
-	retry    func(pool string) bool
-	earn     func(pool string)
-	meter    *Meter
-	base     context.Context
-
-	mu     sync.Mutex
-	queues map[string]*queue
-	group  sync.WaitGroup
-}
-
 // Settings are what a Host needs.
 type Settings struct {
 	Clock    *clock.Clock
@@ -125,20 +107,26 @@
 	Meter *Meter
 }
 
+// Host owns pools.
+type Host struct {
+	Settings
+	base context.Context
+
+	mu     sync.Mutex
+	queues map[string]*queue
+	group  sync.WaitGroup
+}
+
 // New returns a host whose calls end with the context.
 func New(ctx context.Context, settings Settings) *Host {
-	return &Host{
-		clock: settings.Clock, log: settings.Log, spelling: settings.Spelling,
-		tableNow: settings.Table, viewNow: settings.View, connFunc: settings.Conns,
-		retry: settings.Retry, earn: settings.Earn, meter: settings.Meter, base: ctx, queues: make(map[string]*queue),
-	}
+	return &Host{Settings: settings, base: ctx, queues: make(map[string]*queue)}
 }
 
 // Submit takes a question for pieces. Done is called exactly once unless the
 // job is dropped first; fetched is called at most once before, when all pieces
 // have read their inputs. Neither may block or call the host.
 func (h *Host) Submit(ask *wire.Pieces, fetched func(), done func(Outcome)) *Job {
-	now := h.clock.Now()
+	now := h.Clock.Now()
 	job := &Job{
 		pool: ask.Pool, left: ask.Count, done: done, unread: ask.Count, fetched: fetched, tries: make([]uint8, ask.Count),
 		result: Outcome{
@@ -157,7 +145,7 @@
 		h.fail(job, fault.NoEndpoint)
 		return job
 	}
-	h.earn(q.name)
+	h.Earn(q.name)
 	job.group.Owner = job
 	q.waiting.Add(job.group)
 	h.dispatch(q)
@@ -195,7 +183,7 @@
 	if q == nil || pool == nil {
 		return
 	}
-	now := h.clock.Now()
+	now := h.Clock.Now()
 	for i, reference := range unused.References {
 		result := memory.Result{Reference: reference}
 		if i < len(unused.Bytes) {
@@ -220,7 +208,7 @@
 // because it was made for the owner before; nil when this process has owned the
 // pool for so long that the result must have been given back already.
 func (h *Host) foreign(q *queue, endpoint string, pool *table.Batching, now clock.Millis) *engine {
-	e := q.engine(h.viewNow().Find(endpoint))
+	e := q.engine(h.View().Find(endpoint))
 	if e == nil || !e.memory.MayHold(limitsOf(pool), now) {
 		return nil
 	}
@@ -270,7 +258,7 @@
 		for _, job := range waiting {
 			h.fail(job, fault.Leaving)
 		}
-		h.log.Info("queue given back", "pool", q.name, "jobs", len(waiting), "pieces", q.waiting.Pieces())
+		h.Log.Info("queue given back", "pool", q.name, "jobs", len(waiting), "pieces", q.waiting.Pieces())
 	}
 }
 
@@ -304,7 +292,7 @@
 	if q.waiting.Pieces() == 0 {
 		return load
 	}
-	now := h.clock.Now()
+	now := h.Clock.Now()
 	load.Waiting = make([]int, len(reach.Edges)+1)
 	q.waiting.Each(func(g *batch.Group) { load.Waiting[reach.Class(g.Rank-now)] += g.Waiting() })
 	return load
@@ -313,29 +301,19 @@
 func (h *Host) queue(name string) *queue {
 	q := h.queues[name]
 	if q == nil {
-		q = &queue{name: name, clock: h.clock, engines: make(map[*view.Endpoint]*engine)}
+		q = &queue{name: name, clock: h.Clock, engines: make(map[*view.Endpoint]*engine)}
 		h.queues[name] = q
 	}
 	return q
 }
 
 // pool returns what the engines of a pool bear, nil when it makes no pieces.
-func (h *Host) pool(name string) *table.Batching {
-	routes := h.tableNow()
-	if routes == nil {
-		return nil
-	}
-	pool := routes.Pool(name)
-	if pool == nil {
-		return nil
-	}
-	return pool.Batching
-}
+func (h *Host) pool(name string) *table.Batching { return h.Table().Batching(name) }
 
 // Run looks through the queues until the context ends, and then waits for the
 // calls that are under way.
 func (h *Host) Run(ctx context.Context) {
-	for h.clock.Sleep(ctx, sweepEvery) == nil {
+	for h.Clock.Sleep(ctx, sweepEvery) == nil {
 		h.mu.Lock()
 		for _, q := range h.queues {
 			h.sweep(q)
@@ -348,7 +326,7 @@
 
 // sweep forgets engines that are gone and results that have expired.
 func (h *Host) sweep(q *queue) {
-	pool, now := h.pool(q.name), h.clock.Now()
+	pool, now := h.pool(q.name), h.Clock.Now()
 	for endpoint, e := range q.engines {
 		if endpoint.Gone() && e.calls == 0 {
 			delete(q.engines, endpoint)
--- a/internal/serve/host/room.go
+++ b/internal/serve/host/room.go
@@ -32,26 +32,28 @@
 	report, err := h.askReport(e.Endpoint)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := h.clock.Now()
+	now := h.Clock.Now()
 	if err != nil {
 		e.memory.NotLearned(now)
-		h.log.Info("memory of engine not known", "pool", q.name, "endpoint", e.ID, logs.KeyError, err)
+		h.Log.Info("memory of engine not known", "pool", q.name, "endpoint", e.ID, logs.KeyError, err)
 	} else {
+		// What it works on while no call of this owner is there was sent by another.
+		others := report.Busy && e.calls == 0
 		e.memory.Learned(limits, memory.Report{
-			Least: report.FreeLeast, Most: report.FreeMost, Pending: h.pending(q, e, report),
+			Least: report.FreeLeast, Most: report.FreeMost, Pending: h.pending(q, others),
 		}, now)
-		h.log.Info("memory of engine", "pool", q.name, "endpoint", e.ID, "freeBytes", report.FreeMost, "busy", report.Busy,
+		h.Log.Info("memory of engine", "pool", q.name, "endpoint", e.ID, "freeBytes", report.FreeMost, "busy", report.Busy,
 			"ownBytes", e.memory.Own(), "foreignBytes", e.memory.Foreign(now))
-		h.holdBusy(q, e, report.Busy, now)
+		h.holdBusy(q, e, others, now)
 	}
 	h.dispatch(q)
 }
 
 // pending is what a call takes that an engine works on for the owner before: as
 // far as is known a full one, with results like those that wait.
-func (h *Host) pending(q *queue, e *engine, report spell.StageReport) int64 {
+func (h *Host) pending(q *queue, others bool) int64 {
 	pool := h.pool(q.name)
-	if pool == nil || !report.Busy || e.calls > 0 {
+	if pool == nil || !others {
 		return 0
 	}
 	return q.waiting.Wanted(pool.Pieces)
@@ -60,9 +62,9 @@
 // holdBusy keeps calls away from an engine that works for the owner before and
 // lets no call wait: it would refuse them, and each refusal is paid for from the
 // budget for repeats, which a new owner hardly has.
-func (h *Host) holdBusy(q *queue, e *engine, busy bool, now clock.Millis) {
+func (h *Host) holdBusy(q *queue, e *engine, others bool, now clock.Millis) {
 	pool := h.pool(q.name)
-	if pool == nil || pool.Queue > 0 || !busy || e.calls > 0 {
+	if pool == nil || pool.Queue > 0 || !others {
 		return
 	}
 	e.Bar(now + barFull)
@@ -72,16 +74,16 @@
 func (h *Host) askReport(endpoint *view.Endpoint) (spell.StageReport, error) {
 	ctx, cancel := context.WithTimeout(h.base, askTimeout.Duration())
 	defer cancel()
-	raw, err := h.exchange(ctx, endpoint, http.MethodGet, h.spelling.ReportPath, nil, reuseIdle)
+	raw, err := h.exchange(ctx, endpoint, http.MethodGet, h.Spelling.ReportPath, nil, reuseIdle)
 	if err != nil {
 		return spell.StageReport{}, err
 	}
-	return h.spelling.ReportFunc(raw)
+	return h.Spelling.ReportFunc(raw)
 }
 
 // returnUnused gives results back to engines whose memory fills up.
 func (h *Host) returnUnused(q *queue, pool *table.Batching) {
-	now := h.clock.Now()
+	now := h.Clock.Now()
 	wanted := q.waiting.Wanted(pool.Pieces)
 	for _, e := range q.engines {
 		if e.Gone() {
@@ -99,7 +101,7 @@
 			defer h.mu.Unlock()
 			e.memory.Given(err == nil)
 			if err != nil {
-				h.log.Info("results not given back", "pool", q.name, "endpoint", e.ID, logs.KeyError, err)
+				h.Log.Info("results not given back", "pool", q.name, "endpoint", e.ID, logs.KeyError, err)
 				return
 			}
 			h.dispatch(q)
@@ -111,12 +113,12 @@
 const freeTimeout = 1500 * clock.Millis(1)
 
 func (h *Host) free(endpoint *view.Endpoint, references []string) error {
-	body, err := h.spelling.UnusedFunc(references)
+	body, err := h.Spelling.UnusedFunc(references)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(h.base, freeTimeout.Duration())
 	defer cancel()
-	_, err = h.exchange(ctx, endpoint, http.MethodPost, h.spelling.UnusedPath, body, reuseIdle)
+	_, err = h.exchange(ctx, endpoint, http.MethodPost, h.Spelling.UnusedPath, body, reuseIdle)
 	return err
 }
