fix(router): a process that leaves stays listed until it ends

A process took itself off the list when its planned stop began. One that started meanwhile didn't dial it, and was not dialed where its name came first: the leaving process saw nobody, believed to be alone and owned every pool itself. Ruled out: results that expired (none was older than a second), a lost give-back. Change: the entry goes at the end of the stop (Withdraw, 200 ms at most), so that newcomers and leaving processes meet and agree on the owner. Before: TestProcessThatLeavesStillMeetsNewOnes fails after 5 s. After: it passes.

--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -215,8 +215,13 @@
 	return err
 }
 
-// endMargin is kept between the end of a planned stop and the kill that follows.
-const endMargin = 600 * clock.Millis(1)
+const (
+	// endMargin is kept between the end of a planned stop and the kill that follows.
+	endMargin = 600 * clock.Millis(1)
+	// withdrawTime is the part of it that taking this process off the list may
+	// take, also while the store is silent.
+	withdrawTime = 200 * clock.Millis(1)
+)
 
 // stop is the planned stop: the process stops being ready, goes on accepting
 // until the balancer has noticed, lets open requests end, and ends those that
@@ -227,7 +232,7 @@
 	limit, cancel := context.WithTimeout(context.Background(), max(grace-endMargin, endMargin).Duration())
 	defer cancel()
 	r.Log.Info("leaving", "graceMs", int64(grace), "open", r.gateway.Open())
-	r.gateway.Leave(limit)
+	r.gateway.Leave()
 	_ = r.Clock.Sleep(limit, r.settings.BalancerLagMs) // the limit ends the stop, too
 	closed := make(chan error, 1)
 	go func() { closed <- r.callers.Shutdown(limit) }()
@@ -235,6 +240,9 @@
 	if err := <-closed; err != nil {
 		r.Log.Info("callers' connections left open", "error", err)
 	}
+	withdrawn, cancelWithdrawal := context.WithTimeout(context.Background(), withdrawTime.Duration())
+	defer cancelWithdrawal()
+	r.gateway.Withdraw(withdrawn)
 	r.Log.Info("stopped", "cut", cut, "tookMs", int64(r.Clock.Since(began)))
 }
 
--- a/internal/serve/router/fault_test.go
+++ b/internal/serve/router/fault_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/jujubescale/jujubescale/platform/stand"
 )
@@ -153,7 +155,7 @@
 			}
 		}()
 		if i == 10 || i == 25 {
-			b.gateways[i/25].Leave(t.Context())
+			b.gateways[i/25].Leave()
 		}
 		time.Sleep(15 * time.Millisecond)
 	}
@@ -162,6 +164,26 @@
 	assert.Equal(t, b.gateways[0].Peers(), 2)
 }
 
+// All hosts are restarted one after the other: a process leaves, and still has
+// requests of its callers to serve, while the one that was restarted before it
+// comes back. If the two never open a session, the leaving one believes that it
+// is alone and goes on owning every pool. Stage engines then have two owners for
+// seconds: calls wait behind those of the other, inputs are given back before
+// they were read, and callers get their answers late.
+func TestProcessThatLeavesStillMeetsNewOnes(t *testing.T) {
+	b := start(t, 1)
+	leaving := b.gateways[0]
+	leaving.Leave()
+	b.named("gateway-0")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if alive := leaving.Alive(); slices.Equal(alive, []string{"gateway-0"}) {
+			return poll.Success()
+		}
+		return poll.Continue("the leaving process sees %v", leaving.Alive())
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+	assert.Assert(t, b.do(leaving, draft()).Whole)
+}
+
 // All engines of a service are gone. What can't be served is refused at once,
 // with a time to come back, and not held until its deadline.
 func TestWhatCannotBeServedIsRefusedAtOnce(t *testing.T) {
--- a/internal/serve/router/harness_test.go
+++ b/internal/serve/router/harness_test.go
@@ -134,13 +134,19 @@
 
 // unready starts one more.
 func (b *bench) unready() *gateway {
+	b.t.Helper()
+	return b.named(fmt.Sprintf("gateway-%d", len(b.gateways)+1))
+}
+
+// named starts one more under a name. Of two gateways, the one whose name comes
+// first opens the session.
+func (b *bench) named(name string) *gateway {
 	b.t.Helper()
 	sessions, callers, ready := listen(b.t), listen(b.t), listen(b.t)
 	log, err := logs.New(io.Discard, "debug")
 	assert.NilError(b.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	transport := &http.Transport{DialContext: conn.Dial}
-	name := fmt.Sprintf("gateway-%d", len(b.gateways)+1)
 	g := &gateway{address: callers.Addr().String(), ready: ready.Addr().String()}
 	g.Gateway = router.New(ctx, router.Settings{
 		Name: name, Zone: []string{zoneA, zoneB}[len(b.gateways)%2], Address: sessions.Addr().String(), Clock: clock.New(), Log: log,
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -223,16 +223,13 @@
 	g.group.Wait()
 }
 
-// Leave begins a planned stop: not ready any more, and no owner of pools.
-func (g *Gateway) Leave(ctx context.Context) {
+// Leave begins a planned stop: not ready any more, and no owner of pools. The
+// process stays listed until Withdraw: one that starts meanwhile finds it, and
+// serves as owner for the requests that are still open here.
+func (g *Gateway) Leave() {
 	g.gate.Leave()
 	g.mesh.Leave()
 	g.host.Retire()
-	g.group.Add(1)
-	go func() {
-		defer g.group.Done()
-		g.delist(ctx)
-	}()
 }
 
 // Wait returns once no request is open; those that are left when the context
