--- a/internal/guard/memory/memory.go
+++ b/internal/guard/memory/memory.go
@@ -71,6 +71,7 @@
 	giving []Result
 
 	foreign      int64
+	foreignFrom  clock.Millis // when foreign was set
 	foreignUntil clock.Millis
 	asked        clock.Millis
 	asking       bool
@@ -85,11 +86,17 @@
 func (a *Account) Own() int64 { return a.own }
 
 // Foreign returns the bytes that results of others take, as far as is known.
+// What an engine that lacked memory holds besides is taken to expire bit by bit:
+// nothing else tells of results whose owner was killed.
 func (a *Account) Foreign(now clock.Millis) int64 {
-	if a.foreignUntil <= now {
+	switch {
+	case a.foreignUntil <= now:
 		return 0
+	case a.lacked == 0:
+		return a.foreign
 	}
-	return a.foreign
+	left := float64(a.foreignUntil-now) / float64(a.foreignUntil-a.foreignFrom)
+	return int64(float64(a.foreign) * left)
 }
 
 // Room returns the bytes that a call may fill.
@@ -252,16 +259,20 @@
 }
 
 // Learned takes what the engine says. The most that may be free counts, so that
-// no engine stands idle for a rounded figure; once it has lacked memory, the
-// middle, or calls would fail in the same way until all that others left has
-// expired.
+// no engine stands idle for a rounded figure. Once it has lacked memory, what
+// followed from that counts as far as the report allows it: a small engine's
+// reports are the same whether a call fits or not, and by the most that they
+// allow its calls fail again and again.
 func (a *Account) Learned(limits Limits, report Report, now clock.Millis) {
 	a.asking = false
-	free := report.Most
+	least := max(limits.Room-report.Most-a.own, 0)
+	taken := least
 	if a.lacked > 0 && now-a.lacked < limits.Keep {
-		free = (report.Least + report.Most) / 2
+		most := max(limits.Room-report.Least-a.own, 0)
+		taken = min(max(a.Foreign(now), least), most)
 	}
-	a.foreign = min(max(limits.Room-free-a.own, 0)+report.Pending, limits.Room)
+	a.foreign = min(taken+report.Pending, limits.Room)
+	a.foreignFrom = now
 	if a.foreignUntil == 0 {
 		a.foreignUntil = now + limits.Keep
 	}
@@ -283,7 +294,7 @@
 // them until the engine says better, which it is asked next.
 func (a *Account) Lacked(limits Limits, bytes int64, now clock.Millis) {
 	a.foreign = max(a.Foreign(now), limits.Room-a.own-bytes, 0)
-	a.foreignUntil = now + limits.Keep/2
+	a.foreignFrom, a.foreignUntil = now, now+limits.Keep
 	a.lacked = now
 	a.asked = min(a.asked, now-askAgain)
 }
--- a/internal/serve/host/host_test.go
+++ b/internal/serve/host/host_test.go
@@ -212,6 +212,31 @@
 	assert.Equal(t, len(e.made), 3)
 }
 
+// All processes were killed, and the results of their requests fill the engines
+// for some seconds. An engine refuses a call that finds no memory within a
+// millisecond. Called again at once, it refuses each piece three times before any
+// memory is free again, and the callers who came first after the restart get
+// nothing.
+func TestEngineWithoutMemoryIsLeftAloneForAMoment(t *testing.T) {
+	e := newEngine(t, "e1")
+	var calls atomic.Int64
+	freeFrom := time.Now().Add(300 * time.Millisecond)
+	made := e.answer
+	e.answer = func(piece spell.Piece) spell.Result {
+		calls.Add(1)
+		if time.Now().Before(freeFrom) {
+			return spell.Result{Failure: spell.FailedRoom}
+		}
+		return made(piece)
+	}
+	b := start(t, e)
+	_, outcome := b.ask("r1", 1, 8000)
+	got := b.wait(outcome)
+	assert.Equal(t, got.Reason, fault.Reason(""))
+	assert.DeepEqual(t, got.References, []string{"e1/r1/0"})
+	assert.Assert(t, calls.Load() <= 6, "%d calls", calls.Load())
+}
+
 // The caller leaves while a call is under way. Nobody hears of its results, and
 // what was made is given back when the memory is wanted.
 func TestResultsOfADroppedRequestAreGivenBack(t *testing.T) {
