feat(jujubectl): losses tells from logs which requests were not answered in time, and why

Until now the way from a complaint to a cause began with an id. The last line of a request now tells its objective, the times of its stages and the pool whose queue was too long; 'jujubectl losses' gives each refused, late or failed attempt one main cause and sums them by route, cause and time, with percentiles by phase, as text, JSON, CSV or a chart.

--- a/internal/cli/oper/root.go
+++ b/internal/cli/oper/root.go
@@ -27,6 +27,7 @@
 		zones.NewEndpoint(options),
 		state.NewStatus(options),
 		state.NewRequest(options),
+		state.NewLosses(options),
 	)
 	return root
 }
--- a/internal/cli/state/state_test.go
+++ b/internal/cli/state/state_test.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -13,6 +15,7 @@
 	"github.com/jujubescale/jujubescale/internal/cli/exit"
 	"github.com/jujubescale/jujubescale/internal/cli/state"
 	"github.com/jujubescale/jujubescale/internal/ops/admin"
+	"github.com/jujubescale/jujubescale/internal/ops/losses"
 	"github.com/jujubescale/jujubescale/internal/ops/record"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/stand/whole"
@@ -85,3 +88,47 @@
 	assert.Equal(t, d.RunWith(t, log, state.NewRequest, "request", "trace", "other").Code, exit.NotFound)
 	assert.Equal(t, d.RunWith(t, log, state.NewRequest, "request", "trace", "").Code, exit.Usage)
 }
+
+// A tenth of the callers complain. One command over the logs says which requests
+// were lost and for what.
+func TestLossesAreReadFromLogs(t *testing.T) {
+	d := desk.New(t)
+	const log = `time=2026-03-01T10:00:04.200Z level=info msg="request ended" process=gw-1 request=5f route=r status=503 reason=overloaded pool=enc
+time=2026-03-01T10:00:04.300Z level=info msg="request ended" process=gw-2 request=60 route=r status=200 reason= objectiveMs=1900 firstMs=1500 stagesMs=1400
+`
+	ran := d.RunWith(t, log, state.NewLosses, "losses")
+	assert.Equal(t, ran.Code, exit.OK, ran.Err)
+	assert.Assert(t, strings.Contains(ran.Out, "overloaded"), ran.Out)
+	ran = d.RunWith(t, log, state.NewLosses, "losses", "--csv")
+	assert.Equal(t, ran.Out, "route,outcome,cause,pool,attempts,lateMs\nr,refused,overloaded,enc,1,0\n")
+	var report losses.Report
+	d.RunWith(t, log, state.NewLosses, "losses", "--output=json").JSON(t, &report)
+	assert.Equal(t, report.Routes[0].Attempts, 2)
+	name := filepath.Join(t.TempDir(), "one.log")
+	assert.NilError(t, os.WriteFile(name, []byte(log), 0o600))
+	chart := filepath.Join(t.TempDir(), "losses.svg")
+	assert.Equal(t, d.Run(t, state.NewLosses, "losses", "--chart="+chart, name, name).Code, exit.OK)
+	drawn, err := os.ReadFile(chart)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(drawn), "<svg"))
+}
+
+func TestLossesThatCannotBeRead(t *testing.T) {
+	d := desk.New(t)
+	for _, tt := range []struct {
+		name string
+		args []string
+		code exit.Code
+		says string
+	}{
+		{"no end of a request", nil, exit.NotFound, "none of 1 lines"},
+		{"no such file", []string{"missing.log"}, exit.Usage, "missing.log"},
+		{"no span", []string{"--every=0"}, exit.Usage, "--every is 0"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			ran := d.RunWith(t, "nothing here\n", state.NewLosses, append([]string{"losses"}, tt.args...)...)
+			assert.Equal(t, ran.Code, tt.code)
+			assert.Assert(t, strings.Contains(ran.Err, tt.says), ran.Err)
+		})
+	}
+}
--- a/internal/flow/reach/reach.go
+++ b/internal/flow/reach/reach.go
@@ -148,6 +148,22 @@
 	return ends[stage]
 }
 
+// Binding returns the pool that the request would wait for longest now, "" for
+// none.
+func (r *Request) Binding(queues func(pool string) *Queue) string {
+	longest, binding := 0.0, ""
+	for i, stage := range r.Stages {
+		q := queues(stage.Pool)
+		if q == nil || r.Pieces[i] == 0 || r.Done[i] {
+			continue
+		}
+		if wait := q.Wait(r.rank(), 0); wait > longest {
+			longest, binding = wait, stage.Pool
+		}
+	}
+	return binding
+}
+
 // rank is what the request's pieces wait behind, from now.
 func (r *Request) rank() clock.Millis {
 	if r.Slack < 0 {
--- /dev/null
+++ b/internal/ops/losses/losses_test.go
@@ -0,0 +1,127 @@
+package losses_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/ops/losses"
+)
+
+// endLine is the last line of a request, with what a test adds to it.
+func endLine(second int, request, more string) string {
+	return fmt.Sprintf("time=2026-03-01T10:00:%02d.000Z level=info msg=\"request ended\" process=gw-1 request=%s %s\n", second, request, more)
+}
+
+func read(t *testing.T, log string) *losses.Report {
+	t.Helper()
+	report, err := losses.Read(strings.NewReader(log), 2000)
+	assert.NilError(t, err)
+	return report
+}
+
+// A caller complains that answers are late. Each case is a log as processes
+// write it, and the one cause that on-call engineers should look at first.
+func TestMainCauseOfAnEnd(t *testing.T) {
+	const late = "route=r status=200 reason= objectiveMs=1900 "
+	for _, tt := range []struct {
+		name    string
+		log     string
+		outcome losses.Outcome
+		cause   losses.Cause
+		pool    string
+	}{
+		{"refused for load", endLine(1, "a", "route=r status=503 reason=overloaded pool=enc"), losses.Refused, "overloaded", "enc"},
+		{"refused while starting", endLine(1, "a", "route=r status=503 reason=notReady"), losses.Refused, "notReady", ""},
+		{"failed", endLine(1, "a", "route=r status=502 reason=endpointFailed"), losses.Failed, "endpointFailed", ""},
+		{"the endpoint's own failure", endLine(1, "a", "route=r status=500 reason="), losses.Failed, losses.CauseEndpoint, ""},
+		{"the caller left", endLine(1, "a", "route=r status=0 reason=cancelled"), losses.Left, "cancelled", ""},
+		{"wrong key", endLine(1, "a", "route=r status=401 reason=unauthorized"), losses.Left, "unauthorized", ""},
+		{"came back too late", endLine(1, "a", late+"sinceFirstMs=900 firstMs=1200 stagesMs=1100"), losses.Late, losses.CauseCameBack, ""},
+		{"slow to its first event", endLine(1, "a", late+"firstMs=2400 stagesMs=900"), losses.Late, losses.CausePrompt, ""},
+		{"a slow stage", endLine(1, "a", late+`firstMs=2400 stagesMs=2300 spans="0@0+300 1@300+1500 2@1800+500"`), losses.Late, losses.CauseStage, "stage 1"},
+		{"a stage failed", endLine(1, "a", late+`firstMs=2400 stagesMs=2300 spans="0@0+300! 0@300+1500"`), losses.Late, losses.CauseFailed, ""},
+		{"stages ran twice", endLine(1, "a", late+`firstMs=2400 stagesMs=2300 spans="0@0+300 0@300+1500"`), losses.Late, losses.CauseAgain, ""},
+		{
+			"the owner was lost, told by a line that comes later in the file",
+			endLine(1, "a", late+"firstMs=2400 stagesMs=2300") + "time=2026-03-01T10:00:00.500Z msg=\"owner lost\" process=gw-1 request=a pool=enc\n",
+			losses.Late, losses.CauseOwner, "",
+		},
+		{
+			"a stage was put off",
+			"time=2026-03-01T10:00:00.500Z msg=\"stage put off\" process=gw-1 request=a\n" + endLine(1, "a", late+`firstMs=2000 stagesMs=1900 spans="0@0+1900"`),
+			losses.Late, losses.CausePutOff, "",
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			report := read(t, tt.log)
+			assert.Equal(t, len(report.Causes), 1)
+			got := report.Causes[0]
+			assert.Equal(t, got.Outcome, tt.outcome)
+			assert.Equal(t, got.Cause, tt.cause)
+			assert.Equal(t, got.Pool, tt.pool)
+			assert.Equal(t, report.Routes[0].ByEnd[tt.outcome], 1)
+		})
+	}
+}
+
+func TestAnswersInTimeHaveNoCause(t *testing.T) {
+	report := read(t, endLine(1, "a", "route=r status=200 reason= objectiveMs=1900 firstMs=1800 stagesMs=1700")+
+		endLine(4, "b", "route=plain status=200 reason= objectiveMs=300 tookMs=60"))
+	assert.Equal(t, len(report.Causes), 0)
+	assert.Equal(t, len(report.Spans), 2)
+	assert.Equal(t, report.Spans[1].ByEnd[losses.InTime], 1)
+	assert.Equal(t, report.Phases[0].Phase, "firstEvent")
+	assert.Equal(t, int64(report.Phases[0].P50Ms), int64(1800))
+}
+
+// A process logs more than it may, and a collector cuts lines. What is missing is
+// said, so that nobody takes the sums for the whole.
+func TestWhatIsMissingIsCounted(t *testing.T) {
+	report := read(t, "level=warn msg=\"log lines dropped\" lines=41\n"+
+		"request ended without anything else\n\x00\xff\n"+endLine(1, "a", "route=r status=200"))
+	assert.Equal(t, report.Dropped, 41)
+	assert.Equal(t, report.Skipped, 1)
+	assert.Equal(t, report.Lines, 4)
+}
+
+func TestChart(t *testing.T) {
+	for name, log := range map[string]string{
+		"nothing lost": endLine(1, "a", "route=r status=200"),
+		"two causes": endLine(1, "a", "route=r status=503 reason=overloaded") + endLine(5, "b", "route=r status=503 reason=notReady") +
+			endLine(9, "c", "route=r status=503 reason=overloaded"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			assert.NilError(t, losses.Chart(&out, read(t, log)))
+			assert.Assert(t, strings.Contains(out.String(), "<svg"))
+			assert.Equal(t, strings.Contains(out.String(), "overloaded"), name == "two causes")
+		})
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(endLine(1, "a", "route=r status=200 objectiveMs=10 firstMs=2400 stagesMs=9 spans=\"0@0+300! x@ 1@+\""))
+	f.Add("level=warn msg=\"log lines dropped\" lines=99999999999999999999\n")
+	f.Add("time=2026-03-01T10:00:00Z msg=\"owner lost\" request=a\n")
+	f.Fuzz(func(t *testing.T, log string) {
+		report, err := losses.Read(strings.NewReader(log), 1)
+		if err != nil {
+			return // a line beyond the bound
+		}
+		ends := 0
+		for _, route := range report.Routes {
+			ends += route.Attempts
+		}
+		inSpans := 0
+		for _, span := range report.Spans {
+			for _, count := range span.ByEnd {
+				inSpans += count
+			}
+		}
+		assert.Equal(t, ends, inSpans)
+	})
+}
--- a/internal/ops/record/record.go
+++ b/internal/ops/record/record.go
@@ -79,7 +79,7 @@
 		if !names && !bytes.Contains(scanner.Bytes(), []byte(endpointChanged)) {
 			continue
 		}
-		line, ok := parse(scanner.Text())
+		line, ok := Parse(scanner.Text())
 		switch {
 		case !ok:
 			history.Skipped++
@@ -118,8 +118,8 @@
 	return found
 }
 
-// parse reads one line; false if it holds no time and message.
-func parse(text string) (Line, bool) {
+// Parse reads one line; false if it holds no time and message.
+func Parse(text string) (Line, bool) {
 	start := strings.Index(text, "time=")
 	if start < 0 {
 		return Line{}, false
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -59,6 +59,10 @@
 	estimate clock.Millis
 	stages   clock.Millis
 	first    clock.Millis
+	// binding is the pool whose queue was too long to begin.
+	binding string
+	// spans are the times of the stages, in the order in which they ended.
+	spans []span
 	// held is the time until the first send, in the stages and in waiting.
 	held clock.Millis
 	// begun says that the caller has got the head of an answer, whose status it is.
--- a/internal/serve/gate/progress.go
+++ b/internal/serve/gate/progress.go
@@ -13,6 +13,7 @@
 // stageEnd is the end of one stage, or the news that it has read its inputs.
 type stageEnd struct {
 	stage   int
+	began   clock.Millis
 	fetched bool
 	made    *wire.Made
 	err     error
@@ -130,10 +131,11 @@
 	p.arrived(stage)
 	p.running++
 	ask := p.g.ask(p.req, stage)
+	began := p.g.Clock.Now()
 	go func() {
 		fetched := func() { p.ends <- stageEnd{stage: ask.Stage, fetched: true} }
 		made, err := p.g.make(ctx, p.req, ask, fetched)
-		p.ends <- stageEnd{stage: ask.Stage, made: made, err: err}
+		p.ends <- stageEnd{stage: ask.Stage, began: began, made: made, err: err}
 	}()
 }
 
@@ -161,6 +163,7 @@
 		return
 	}
 	p.running--
+	p.req.spans = append(p.req.spans, span{stage: end.stage, from: end.began - p.req.began, took: p.g.Clock.Since(end.began), failed: end.err != nil})
 	switch {
 	case end.err == nil:
 		p.finish(end)
--- a/internal/serve/gate/reach.go
+++ b/internal/serve/gate/reach.go
@@ -23,8 +23,9 @@
 	if r.Begins(remaining) {
 		return nil
 	}
+	req.binding = r.Binding(g.queue)
 	g.Log.Info("request not begun", "request", req.Request, "route", req.route.Name, "estimateMs", int64(remaining),
-		"slackMs", int64(r.Slack), "timeLeftMs", int64(r.Left))
+		"slackMs", int64(r.Slack), "timeLeftMs", int64(r.Left), "pool", req.binding)
 	return &fault.RefusalError{
 		Reason: fault.Overloaded, Ran: fault.NotRun, RetryAfter: spread(max(r.Excess(remaining), comeBackFull)),
 		Detail: "the stages' queues are too long",
