perf(reach): estimates are corrected by what they were off by; no share of the queues for priorities

What they are off by can be learned for each route. Change: reach.Bias raises an estimate so that three of four requests of its route take no longer; a request begins if that fits into its objective. The shares go.

--- a/internal/flow/reach/load_test.go
+++ b/internal/flow/reach/load_test.go
@@ -20,6 +20,7 @@
 	busy    []clock.Millis // until when each engine has a call
 	calls   [][]batch.Item
 	left    map[*batch.Group]int
+	bias    reach.Bias
 	admits  bool
 	yields  bool
 	arrived int
@@ -55,11 +56,13 @@
 	r := &reach.Request{
 		Stages: []table.Stage{{Pool: "a"}}, Pieces: []int{pieces}, Done: []bool{false}, Slack: objective, Left: deadline, Last: 150,
 	}
-	if p.admits && !r.Begins(r.Remaining(func(string) *reach.Queue { return p.known() })) {
+	remaining := r.Remaining(func(string) *reach.Queue { return p.known() })
+	r.Doubt = p.bias.Doubt(p.now)
+	if p.admits && !r.Begins(remaining) {
 		p.refused++
 		return
 	}
-	g := &batch.Group{Count: pieces, Rank: p.now + objective, Wanted: p.now + objective - 150, Until: p.now + deadline}
+	g := &batch.Group{Owner: clock.Millis(remaining), Count: pieces, Rank: p.now + objective, Wanted: p.now + objective - 150, Until: p.now + deadline}
 	p.left[g] = pieces
 	p.queue.Add(g)
 }
@@ -92,6 +95,7 @@
 	}
 	took := p.now - (g.Wanted + 150 - objective) + 150
 	p.slowest = max(p.slowest, took)
+	p.bias.Learn(g.Owner.(clock.Millis), took, p.now)
 	if took <= objective {
 		p.inTime++
 		return
--- a/internal/flow/reach/reach.go
+++ b/internal/flow/reach/reach.go
@@ -102,11 +102,12 @@
 	// Slack is the time until the objective, Left that until the deadline.
 	Slack clock.Millis
 	Left  clock.Millis
-	// Penalty puts the request behind others, Priority is its rank, 0 first.
-	Penalty  clock.Millis
-	Priority int
+	// Penalty puts the request behind others.
+	Penalty clock.Millis
 	// Last is how long the request itself takes after its stages, in milliseconds.
 	Last float64
+	// Doubt is how much longer than estimated it probably takes, in milliseconds.
+	Doubt float64
 }
 
 // Remaining estimates the time to the first byte of the answer, in
@@ -225,29 +226,17 @@
 	return false
 }
 
-// Shares of objective and deadline up to which requests begin and go on.
+// Shares of the time left up to which requests go on.
 const (
-	// beginShare: a request begins if it probably meets its objective. Under
-	// load the queues grow until this bound holds requests back, so that all take
-	// about this part of their objective; estimates are off by a tenth.
-	beginShare = 0.88
-	// priorityShare is how much less of it requests of the next lower priority
-	// may fill the queues: what is more urgent then finds them shorter.
-	priorityShare = 0.1
-	leastShare    = 0.5
 	// goOnShare: a request that has begun goes on as long as it probably has its
 	// answer within its deadline; what was spent on it would be lost otherwise.
 	goOnShare = 0.9
 )
 
 // Begins reports whether a request that would take so many milliseconds is
-// begun.
+// begun: if it probably meets its objective.
 func (r *Request) Begins(remaining float64) bool {
-	return remaining <= r.share()*float64(r.Slack) && remaining <= goOnShare*float64(r.Left)
-}
-
-func (r *Request) share() float64 {
-	return max(beginShare-priorityShare*float64(max(r.Priority, 0)), leastShare)
+	return remaining+r.Doubt <= float64(r.Slack) && remaining <= goOnShare*float64(r.Left)
 }
 
 // GoesOn reports whether a request that has begun goes on.
@@ -256,5 +245,5 @@
 // Excess returns by how many milliseconds a request misses what it needs to
 // begin: when the queues have become so much shorter it may come back.
 func (r *Request) Excess(remaining float64) clock.Millis {
-	return clock.Millis(max(remaining-r.share()*float64(r.Slack), 0))
+	return clock.Millis(max(remaining+r.Doubt-float64(r.Slack), 0))
 }
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -68,6 +68,7 @@
 	pieceExtras *extra.Budget
 	prefixes    *target.Prefixes
 	coming      *coming.Book
+	biases      sync.Map // *reach.Bias by the name of a route
 	bounds      atomic.Pointer[Bounds]
 	leaving     atomic.Bool
 	open        sync.WaitGroup
--- a/internal/serve/gate/reach.go
+++ b/internal/serve/gate/reach.go
@@ -20,12 +20,13 @@
 	r := g.reachOf(req)
 	remaining := r.Remaining(g.queue)
 	req.estimate = clock.Millis(remaining)
+	r.Doubt = g.biasOf(req.route.Name).Doubt(g.Clock.Now())
 	if r.Begins(remaining) {
 		return nil
 	}
 	req.binding = r.Binding(g.queue)
 	g.Log.Info("request not begun", "request", req.Request, "route", req.route.Name, "estimateMs", int64(remaining),
-		"slackMs", int64(r.Slack), "timeLeftMs", int64(r.Left), "pool", req.binding)
+		"doubtMs", int64(r.Doubt), "slackMs", int64(r.Slack), "timeLeftMs", int64(r.Left), "pool", req.binding)
 	return &fault.RefusalError{
 		Reason: fault.Overloaded, Ran: fault.NotRun, RetryAfter: spread(max(r.Excess(remaining), comeBackFull)),
 		Detail: "the stages' queues are too long",
@@ -50,7 +51,7 @@
 	now := g.Clock.Now()
 	r := &reach.Request{
 		Stages: req.route.Stages, Pieces: req.Pieces, Done: make([]bool, len(req.route.Stages)),
-		Slack: req.objective - now, Left: req.deadline - now, Penalty: penalty(req), Priority: req.route.Priority, Last: float64(req.generation),
+		Slack: req.objective - now, Left: req.deadline - now, Penalty: penalty(req), Last: float64(req.generation),
 	}
 	for i := range r.Done {
 		r.Done[i] = !req.run.Waiting(i)
@@ -109,3 +110,12 @@
 		return &reach.Queue{Bounds: batch.BoundsOf(batching), Free: 1, Engines: 1}
 	}))
 }
+
+// biasOf returns what is known of the estimates of a route's requests.
+func (g *Gate) biasOf(route string) *reach.Bias {
+	if known, ok := g.biases.Load(route); ok {
+		return known.(*reach.Bias)
+	}
+	known, _ := g.biases.LoadOrStore(route, &reach.Bias{})
+	return known.(*reach.Bias)
+}
