perf(reach,recall): callers that come back as told are known, and begin late behind all others

Cause: a caller that was refused for load and comes back looks like a new one. Change: processes tell each other whom they told to come back, and when. One that comes no sooner is recognised by the key of its pieces wherever it arrives; its objective counts from its first attempt. If that can't be met any more it begins behind all work that can be in time, where it probably has its answer within 0.3 of the time left. One that doesn't wait is new.

--- a/internal/flow/reach/load_test.go
+++ b/internal/flow/reach/load_test.go
@@ -28,6 +28,20 @@
 	late    int
 	refused int
 	slowest clock.Millis
+	// returns says that refused callers come back once, and knows that they are
+	// then known.
+	returns bool
+	knows   bool
+	back    []caller
+	twice   int
+}
+
+// caller is one caller with its first attempt, and when it comes back.
+type caller struct {
+	pieces int
+	first  clock.Millis
+	at     clock.Millis
+	tries  int
 }
 
 const (
@@ -53,22 +67,76 @@
 // arrive is one request with so many pieces.
 func (p *play) arrive(pieces int) {
 	p.arrived++
+	p.attempt(caller{pieces: pieces, first: p.now})
+}
+
+// last is what a request takes after its stage.
+const last = 150 * clock.Millis(1)
+
+// attempt is one attempt of a caller.
+func (p *play) attempt(c caller) {
 	r := &reach.Request{
-		Stages: []table.Stage{{Pool: "a"}}, Pieces: []int{pieces}, Done: []bool{false}, Slack: objective, Left: deadline, Last: 150,
+		Stages: []table.Stage{{Pool: "a"}}, Pieces: []int{c.pieces}, Done: []bool{false},
+		Slack: objective, Left: deadline, Last: float64(last),
+	}
+	if p.knows && c.tries > 0 {
+		r.Returned, r.Slack = true, c.first+objective-p.now
 	}
-	remaining := r.Remaining(func(string) *reach.Queue { return p.known() })
+	r.Left -= p.now - c.first
+	queues := func(string) *reach.Queue { return p.known() }
+	remaining := r.Remaining(queues)
 	r.Doubt = p.bias.Doubt(p.now)
 	if p.admits && !r.Begins(remaining) {
-		p.refused++
-		return
+		r.Penalty = 2 * batch.LateBehind
+		if !r.BeginsLate(r.Remaining(queues)) {
+			p.refuse(c)
+			return
+		}
+	}
+	wanted := p.now + r.Slack
+	g := &batch.Group{
+		Owner: job{first: c.first, estimate: clock.Millis(remaining), began: p.now, late: r.Penalty > 0},
+		Count: c.pieces, Rank: wanted + r.Penalty, Wanted: wanted - last, Until: p.now + r.Left,
 	}
-	g := &batch.Group{Owner: clock.Millis(remaining), Count: pieces, Rank: p.now + objective, Wanted: p.now + objective - 150, Until: p.now + deadline}
-	p.left[g] = pieces
+	p.left[g] = c.pieces
 	p.queue.Add(g)
 }
 
+// job is what a group was begun with.
+type job struct {
+	first    clock.Millis
+	began    clock.Millis
+	estimate clock.Millis
+	late     bool
+}
+
+// comeBack is the time to come back that refused callers are told.
+const comeBack = 350 * clock.Millis(1)
+
+func (p *play) refuse(c caller) {
+	switch {
+	case p.returns && c.tries == 0:
+		c.tries, c.at = 1, p.now+comeBack
+		p.back = append(p.back, c)
+	case c.tries > 0:
+		p.twice++
+	default:
+		p.refused++
+	}
+}
+
+// comeBacks lets callers come back whose time it is.
+func (p *play) comeBacks() {
+	for len(p.back) > 0 && p.back[0].at <= p.now {
+		c := p.back[0]
+		p.back = p.back[1:]
+		p.attempt(c)
+	}
+}
+
 // step ends calls and begins others.
 func (p *play) step() {
+	p.comeBacks()
 	for i, until := range p.busy {
 		if until > p.now {
 			continue
@@ -93,9 +161,12 @@
 	if p.left[g] > 0 {
 		return
 	}
-	took := p.now - (g.Wanted + 150 - objective) + 150
+	began := g.Owner.(job)
+	took := p.now - began.first + last
 	p.slowest = max(p.slowest, took)
-	p.bias.Learn(g.Owner.(clock.Millis), took, p.now)
+	if !began.late {
+		p.bias.Learn(began.estimate, p.now-began.began+last, p.now)
+	}
 	if took <= objective {
 		p.inTime++
 		return
@@ -177,3 +248,34 @@
 	assert.Equal(t, ordered.arrived, yielding.arrived)
 	assert.Assert(t, yielding.inTime > ordered.inTime+ordered.arrived/10)
 }
+
+// Bursts of five seconds come, each with nearly twice the work that five engines
+// do, and five calm seconds after each. Whoever is refused comes back once, as it
+// was told.
+//
+// A process that takes it for a new caller refuses most of them again, in the same
+// burst: they get nothing. Known, they are served behind the others, as soon as
+// there is room, and no fewer of the others are answered in time.
+func TestCallersThatComeBackAreServed(t *testing.T) {
+	strange, known := newPlay(5, true), newPlay(5, true)
+	known.knows = true
+	for _, p := range []*play{strange, known} {
+		p.returns, p.yields = true, true
+		random := rand.New(rand.NewPCG(5, 6))
+		for ; p.now < 40*clock.Second; p.now++ {
+			rate := 0.02
+			if p.now%10_000 < 5000 && p.now < 30*clock.Second {
+				rate = 0.1
+			}
+			if random.Float64() < rate {
+				p.arrive(1 + random.IntN(4))
+			}
+			p.step()
+		}
+		t.Logf("known %v: %d arrived, %d in time, %d late, %d refused twice", p.knows, p.arrived, p.inTime, p.late, p.twice)
+	}
+	assert.Equal(t, strange.arrived, known.arrived)
+	assert.Assert(t, known.twice < strange.twice)
+	assert.Assert(t, known.inTime+known.late > strange.inTime+strange.late)
+	assert.Assert(t, known.inTime >= strange.inTime)
+}
--- a/internal/flow/reach/reach.go
+++ b/internal/flow/reach/reach.go
@@ -104,6 +104,8 @@
 	Left  clock.Millis
 	// Penalty puts the request behind others.
 	Penalty clock.Millis
+	// Returned says that its caller was refused before and has come back as told.
+	Returned bool
 	// Last is how long the request itself takes after its stages, in milliseconds.
 	Last float64
 	// Doubt is how much longer than estimated it probably takes, in milliseconds.
@@ -226,11 +228,16 @@
 	return false
 }
 
-// Shares of the time left up to which requests go on.
+// Shares of the time left up to which requests begin late, and go on.
 const (
 	// goOnShare: a request that has begun goes on as long as it probably has its
 	// answer within its deadline; what was spent on it would be lost otherwise.
 	goOnShare = 0.9
+	// lateShare: a request whose caller has come back begins behind others, though
+	// it will be late, if it probably has its answer within this part of the time
+	// left. Refused once more it would not come again; estimates of how long it
+	// waits behind others are rough.
+	lateShare = 0.3
 )
 
 // Begins reports whether a request that would take so many milliseconds is
@@ -242,6 +249,12 @@
 // GoesOn reports whether a request that has begun goes on.
 func (r *Request) GoesOn(remaining float64) bool { return remaining <= goOnShare*float64(r.Left) }
 
+// BeginsLate reports whether a request is begun that will probably miss its
+// objective, behind all that won't, where it would take so many milliseconds.
+func (r *Request) BeginsLate(remaining float64) bool {
+	return r.Returned && remaining <= lateShare*float64(r.Left)
+}
+
 // Excess returns by how many milliseconds a request misses what it needs to
 // begin: when the queues have become so much shorter it may come back.
 func (r *Request) Excess(remaining float64) clock.Millis {
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -305,6 +305,17 @@
 	Coming []Coming `cbor:"coming,omitempty"`
 	// Prefixes are those used since the message before.
 	Prefixes []PrefixUse `cbor:"prefixes,omitempty"`
+	// Refused are the callers told to come back since the message before.
+	Refused []Refused `cbor:"refused,omitempty"`
+}
+
+// Refused is a caller that was told to come back. Processes' clocks differ, so
+// that it holds spans until the message was sent, in milliseconds.
+type Refused struct {
+	Key uint64 `cbor:"key"`
+	// Age of its first attempt, and the Wait that is left until it may return.
+	Age  clock.Millis `cbor:"age"`
+	Wait clock.Millis `cbor:"wait"`
 }
 
 // Coming is the pieces that will be asked for in one pool, by class of rank.
--- a/internal/link/wire/wire_test.go
+++ b/internal/link/wire/wire_test.go
@@ -37,6 +37,7 @@
 		{Kind: wire.KindLoads, Loads: &wire.Loads{
 			Endpoints: []wire.EndpointLoad{{Endpoint: "e", Running: 2}}, Pools: []wire.PoolLoad{{Pool: "rerank", Waiting: []int{0, 4}}},
 			Seen: []wire.Revision{{Kind: "config", Revision: 9}}, Prefixes: []wire.PrefixUse{{Endpoint: "e", Parts: []string{"p"}}},
+			Refused: []wire.Refused{{Key: 1 << 63, Age: 900, Wait: 300}},
 		}},
 	}
 }
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -30,7 +30,13 @@
 	header http.Header
 	body   []byte
 
-	began     clock.Millis
+	began clock.Millis
+	// arrived is when the caller's first attempt did, as far as is known, and
+	// returned says that this one comes back as it was told.
+	arrived  clock.Millis
+	returned bool
+	// behind says that it was begun although it will be late.
+	behind    bool
 	objective clock.Millis
 	deadline  clock.Millis
 
@@ -83,7 +89,7 @@
 // accept reads a request and checks everything that can be known without
 // asking anybody. A request that is refused here reaches no endpoint.
 func (g *Gate) accept(w http.ResponseWriter, r *http.Request, now clock.Millis) (*request, *fault.RefusalError) {
-	req := &request{began: now, method: r.Method, host: r.Host, target: r.RequestURI, header: r.Header}
+	req := &request{began: now, arrived: now, method: r.Method, host: r.Host, target: r.RequestURI, header: r.Header}
 	demand, err := g.Spelling.DemandFunc(r.Header)
 	req.Demand = demand
 	if len(r.TransferEncoding) > 0 {
@@ -179,6 +185,7 @@
 	}
 	req.run = run
 	req.made = make(map[string]madeAt)
+	g.recognise(req)
 	return nil
 }
 
--- /dev/null
+++ b/internal/serve/gate/again.go
@@ -0,0 +1,68 @@
+package gate
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/flow/recall"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+)
+
+// recallKey names a caller's request: all its attempts have the same key for
+// their pieces, on the same route. 0 for a request without one.
+func recallKey(req *request) uint64 {
+	if req.PieceKey == "" || req.route == nil {
+		return 0
+	}
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, part := range []string{req.route.Name, req.organisation, req.PieceKey} {
+		_, _ = digest.WriteString(part) // never fails
+		_, _ = digest.WriteString("\x00")
+	}
+	return digest.Sum64()
+}
+
+// recognise takes up a request where its caller was told to come back: its
+// objective counts from the first attempt.
+func (g *Gate) recognise(req *request) {
+	refusal, returned := g.recall.Returned(recallKey(req), req.began)
+	if !returned {
+		return
+	}
+	req.arrived, req.returned = refusal.First, true
+	req.objective = req.arrived + req.route.Objective
+	g.meter.returns.WithLabelValues(req.route.Name).Inc()
+	g.Log.Info("caller came back", "request", req.Request, "route", req.route.Name, "firstMs", int64(req.began-req.arrived),
+		"slackMs", int64(req.objective-req.began))
+}
+
+// remember notes that a caller was told to come back.
+func (g *Gate) remember(req *request, refused *fault.RefusalError) {
+	key := recallKey(req)
+	if key == 0 || refused.Ran != fault.NotRun || refused.RetryAfter == 0 {
+		return
+	}
+	now := g.Clock.Now()
+	g.recall.Refuse(recall.Refusal{Key: key, First: req.arrived, Return: now + refused.RetryAfter}, now)
+}
+
+// Refused returns the callers told to come back that peers don't know of yet.
+func (g *Gate) Refused() []wire.Refused {
+	now := g.Clock.Now()
+	var refused []wire.Refused
+	for _, refusal := range g.recall.Untold() {
+		refused = append(refused, wire.Refused{Key: refusal.Key, Age: now - refusal.First, Wait: refusal.Return - now})
+	}
+	return refused
+}
+
+// TakeRefused remembers callers that a peer told to come back.
+func (g *Gate) TakeRefused(refused []wire.Refused) {
+	now := g.Clock.Now()
+	refusals := make([]recall.Refusal, 0, len(refused))
+	for _, r := range refused {
+		refusals = append(refusals, recall.Refusal{Key: r.Key, First: now - max(r.Age, 0), Return: now + r.Wait})
+	}
+	g.recall.Learn(refusals, now)
+}
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -20,6 +20,7 @@
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
 	"github.com/jujubescale/jujubescale/internal/flow/coming"
 	"github.com/jujubescale/jujubescale/internal/flow/extra"
+	"github.com/jujubescale/jujubescale/internal/flow/recall"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/host"
@@ -68,6 +69,7 @@
 	pieceExtras *extra.Budget
 	prefixes    *target.Prefixes
 	coming      *coming.Book
+	recall      *recall.Book
 	biases      sync.Map // *reach.Bias by the name of a route
 	rates       sync.Map // *place.Rate by the name of a pool
 	bounds      atomic.Pointer[Bounds]
@@ -80,7 +82,7 @@
 
 // New returns a gate. Join it to its mesh and host before it serves.
 func New(settings Settings) *Gate {
-	g := &Gate{Settings: settings, meter: NewMeter(settings.Registry), coming: coming.New()}
+	g := &Gate{Settings: settings, meter: NewMeter(settings.Registry), coming: coming.New(), recall: recall.New()}
 	g.bounds.Store(&Bounds{})
 	g.targets = target.NewSet(g.Clock, g.mostConns, g.meter.dialed)
 	g.prefixes = target.NewPrefixes(g.targets)
--- a/internal/serve/gate/meter.go
+++ b/internal/serve/gate/meter.go
@@ -16,6 +16,7 @@
 	first   *prometheus.HistogramVec
 	stages  *prometheus.HistogramVec
 	retries *prometheus.CounterVec
+	returns *prometheus.CounterVec
 	dials   prometheus.Counter
 }
 
@@ -39,6 +40,7 @@
 		ends:    counter("jujubescale_routed_requests_total", "Requests of routed services by route and status.", "route", "status"),
 		refused: counter("jujubescale_routed_refusals_total", "Requests of routed services that got no endpoint's answer, by reason.", "reason"),
 		retries: counter("jujubescale_routed_retries_total", "Requests sent to another endpoint, by pool and reason.", "pool", "reason"),
+		returns: counter("jujubescale_routed_returns_total", "Callers that came back as they were told, by route.", "route"),
 		took:    histogram("jujubescale_routed_request_seconds", "Time from a request's head to the end of its answer, by route.", "route"),
 		first:   histogram("jujubescale_routed_first_event_seconds", "Time from a request's head to the first event of its answer, by route.", "route"),
 		stages:  histogram("jujubescale_routed_stages_seconds", "Time that the stages before a request took, by route.", "route"),
--- a/internal/serve/gate/reach.go
+++ b/internal/serve/gate/reach.go
@@ -14,6 +14,10 @@
 // inputs.
 const generationTime = 60 * clock.Millis(1)
 
+// lateBehind is how far a request that begins late is put behind others: it is
+// late by less than this and has no other penalty than requests in time have.
+const lateBehind = 2 * batch.LateBehind
+
 // begins refuses a request that would probably miss its objective, before any
 // engine has worked for it.
 func (g *Gate) begins(req *request) error {
@@ -24,11 +28,20 @@
 	if r.Begins(remaining) {
 		return nil
 	}
+	if req.returned {
+		r.Penalty += lateBehind
+		if r.BeginsLate(r.Remaining(g.queue)) {
+			req.behind = true
+			g.Log.Info("request begun late", "request", req.Request, "route", req.route.Name, "estimateMs", int64(remaining),
+				"slackMs", int64(r.Slack), "timeLeftMs", int64(r.Left))
+			return nil
+		}
+	}
 	req.binding = r.Binding(g.queue)
 	g.Log.Info("request not begun", "request", req.Request, "route", req.route.Name, "estimateMs", int64(remaining),
-		"doubtMs", int64(r.Doubt), "slackMs", int64(r.Slack), "timeLeftMs", int64(r.Left), "pool", req.binding)
+		"doubtMs", int64(r.Doubt), "pool", req.binding, "slackMs", int64(r.Slack), "timeLeftMs", int64(r.Left))
 	return &fault.RefusalError{
-		Reason: fault.Overloaded, Ran: fault.NotRun, RetryAfter: spread(max(r.Excess(remaining), comeBackFull)),
+		Reason: fault.Overloaded, Ran: fault.NotRun, RetryAfter: spread(max(r.Excess(remaining), comeBackLoad)),
 		Detail: "the stages' queues are too long",
 	}
 }
@@ -51,7 +64,7 @@
 	now := g.Clock.Now()
 	r := &reach.Request{
 		Stages: req.route.Stages, Pieces: req.Pieces, Done: make([]bool, len(req.route.Stages)),
-		Slack: req.objective - now, Left: req.deadline - now, Penalty: penalty(req), Last: float64(req.generation),
+		Slack: req.objective - now, Left: req.deadline - now, Penalty: penalty(req), Returned: req.returned, Last: float64(req.generation),
 	}
 	for i := range r.Done {
 		r.Done[i] = !req.run.Waiting(i)
@@ -63,7 +76,11 @@
 // takes precedence, and among requests of organisations of one priority by its
 // route's.
 func penalty(req *request) clock.Millis {
-	return clock.Millis(max(req.priority, 0))*organisationPenalty + clock.Millis(max(req.route.Priority, 0))*routePenalty
+	behind := clock.Millis(0)
+	if req.behind {
+		behind = lateBehind
+	}
+	return behind + clock.Millis(max(req.priority, 0))*organisationPenalty + clock.Millis(max(req.route.Priority, 0))*routePenalty
 }
 
 // queue returns what is known of the queue of a pool: from this process if it
@@ -111,7 +128,7 @@
 	}))
 }
 
-// biasOf returns what is known of the estimates of a route's requests.
+// biasOf returns what the estimates for a route's requests were off by.
 func (g *Gate) biasOf(route string) *reach.Bias {
 	if known, ok := g.biases.Load(route); ok {
 		return known.(*reach.Bias)
--- a/internal/serve/gate/refuse.go
+++ b/internal/serve/gate/refuse.go
@@ -26,6 +26,7 @@
 	if refused.Reason == fault.BodyTooLarge || refused.Reason == fault.BadRequest {
 		w.Header().Set("Connection", "close")
 	}
+	g.remember(req, refused)
 	req.status = front.Refuse(w, refused)
 	g.ended(req, refused)
 }
@@ -54,7 +55,7 @@
 	g.Log.Info("request ended", "request", req.Request, "route", route, "organisation", req.organisation,
 		"configuration", version, "status", req.status, "reason", reason, "ran", ran, "detail", detail,
 		"tookMs", int64(took), "estimateMs", int64(req.estimate), "stagesMs", int64(req.stages), "heldMs", int64(req.held), "firstMs", int64(req.first),
-		"objectiveMs", int64(req.objective-req.began), "pool", req.binding, "spans", spansText(req.spans),
+		"objectiveMs", int64(req.objective-req.arrived), "sinceFirstMs", int64(req.began-req.arrived), "pool", req.binding, "spans", spansText(req.spans),
 		"sent", req.sent, "endpoint", endpoint, "events", req.events,
 		"timeLeftMs", int64(req.deadline-g.Clock.Now()))
 }
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -174,6 +174,8 @@
 	comeBackNone = 600 * clock.Millis(1)
 	comeBackCold = 250 * clock.Millis(1)
 	comeBackFull = 200 * clock.Millis(1)
+	// comeBackLoad leaves peers the time to hear of the refusal.
+	comeBackLoad = 350 * clock.Millis(1)
 )
 
 // result is the end of one attempt, and the error for the caller if no other
--- a/internal/serve/gate/stages.go
+++ b/internal/serve/gate/stages.go
@@ -39,7 +39,7 @@
 	}
 	err := newProgress(g, req).run(ctx)
 	req.stages = g.Clock.Since(began)
-	if err == nil {
+	if err == nil && !req.behind {
 		g.biasOf(req.route.Name).Learn(req.estimate, req.stages+req.generation, g.Clock.Now())
 	}
 	g.meter.stages.WithLabelValues(req.route.Name).Observe(seconds(req.stages))
@@ -93,6 +93,9 @@
 	}
 	made := ask.Bytes * int64(ask.Count)
 	slack := float64(max(ask.Slack, 0))
+	if req.behind {
+		slack = float64(max(ask.TimeLeft, 0)) // it is late already; results that cross zones cost the same
+	}
 	switch {
 	case read >= readBytes && read > made:
 		ask.Zone = req.zoneOf(ask.Inputs)
--- a/internal/serve/mesh/ask.go
+++ b/internal/serve/mesh/ask.go
@@ -195,6 +195,9 @@
 	if len(loads.Prefixes) > 0 {
 		m.prefixFunc(loads.Prefixes)
 	}
+	if len(loads.Refused) > 0 {
+		m.refusedFunc(loads.Refused)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if p := m.peers[s.Peer().Process]; p != nil && p.session == s {
@@ -225,7 +228,8 @@
 	quiet, every := 0, tellEvery
 	for m.pause(ctx, m.tell, every, tellGap) == nil {
 		loads := m.loadsFunc()
-		empty := len(loads.Endpoints) == 0 && len(loads.Pools) == 0 && len(loads.Prefixes) == 0 && len(loads.Coming) == 0
+		empty := len(loads.Endpoints) == 0 && len(loads.Pools) == 0 && len(loads.Prefixes) == 0 &&
+			len(loads.Coming) == 0 && len(loads.Refused) == 0
 		if !empty || quiet%quietEvery == 0 {
 			m.tellLoads(loads)
 		}
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -96,6 +96,7 @@
 	loadsFunc   func() *wire.Loads
 	toldFunc    func(all []*wire.Loads)
 	prefixFunc  func([]wire.PrefixUse)
+	refusedFunc func([]wire.Refused)
 	release     func() uint64
 	newerFunc   func()
 
@@ -152,6 +153,11 @@
 	return func(m *Mesh) { m.prefixFunc = take }
 }
 
+// WithRefused sets who hears which callers peers have told to come back.
+func WithRefused(take func([]wire.Refused)) Option {
+	return func(m *Mesh) { m.refusedFunc = take }
+}
+
 // WithRelease sets the version of the routes in force here, which every frame
 // carries, and who is told that a peer has a newer one.
 func WithRelease(release func() uint64, newer func()) Option {
@@ -168,6 +174,7 @@
 		loadsFunc:   func() *wire.Loads { return &wire.Loads{} },
 		toldFunc:    func([]*wire.Loads) {},
 		prefixFunc:  func([]wire.PrefixUse) {},
+		refusedFunc: func([]wire.Refused) {},
 		release:     func() uint64 { return 0 },
 		newerFunc:   func() {},
 		tell:        make(chan struct{}, 1),
--- a/internal/serve/router/fault_test.go
+++ b/internal/serve/router/fault_test.go
@@ -225,3 +225,20 @@
 	// Five a second, and what the bound allows besides (half as much and five).
 	assert.Assert(t, ran > 0 && ran <= 5*(seconds+1), "%d ran", ran)
 }
+
+// No engine is left that generates. A caller is refused by one process and told
+// when to come back; the platform leads its next attempt to another one. If that
+// doesn't know it, it waits behind callers that came after it, and is refused
+// again first.
+func TestCallerThatComesBackIsKnownElsewhere(t *testing.T) {
+	b := start(t, 2)
+	for _, e := range b.Engines(models) {
+		b.Remove(e)
+	}
+	first := b.eventually(b.gateways[0], draft, func(got stand.Got) bool {
+		return got.Status == http.StatusServiceUnavailable && got.RetryAfter > 0
+	})
+	<-time.After(first.RetryAfter + time.Second) // the caller waits as it was told, and a little more
+	b.do(b.gateways[1], draft())
+	assert.Equal(t, b.gateways[1].counted(t, "jujubescale_routed_returns_total"), 1.0)
+}
--- a/internal/serve/router/harness_test.go
+++ b/internal/serve/router/harness_test.go
@@ -49,9 +49,10 @@
 // gateway is one of them, with the ports that a daemon gives it.
 type gateway struct {
 	*router.Gateway
-	address string
-	ready   string
-	stop    func()
+	address  string
+	ready    string
+	registry *prometheus.Registry
+	stop     func()
 }
 
 func config() stand.Config {
@@ -147,10 +148,10 @@
 	assert.NilError(b.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	transport := &http.Transport{DialContext: conn.Dial}
-	g := &gateway{address: callers.Addr().String(), ready: ready.Addr().String()}
+	g := &gateway{address: callers.Addr().String(), ready: ready.Addr().String(), registry: prometheus.NewRegistry()}
 	g.Gateway = router.New(ctx, router.Settings{
 		Name: name, Zone: []string{zoneA, zoneB}[len(b.gateways)%2], Address: sessions.Addr().String(), Clock: clock.New(), Log: log,
-		Registry: prometheus.NewRegistry(), Dialect: platform.Dialect(),
+		Registry: g.registry, Dialect: platform.Dialect(),
 		Store:  platform.NewStore("http://"+b.Address, &http.Client{Transport: transport}, clock.Second, 300),
 		Bounds: gate.Bounds{ExtraShare: 0.2, ExtraSpare: 50, ExtraWindow: 10 * clock.Second, ColdShare: 1.5, ColdSpare: 5},
 	})
@@ -249,3 +250,20 @@
 		Body: "shift log", DeadlineMs: 8000, Stream: 8, Once: true, Prompt: 200, Prefix: "aa:100,dd:100",
 	}
 }
+
+// counted returns the sum of a counter over its labels.
+func (g *gateway) counted(t *testing.T, name string) float64 {
+	t.Helper()
+	families, err := g.registry.Gather()
+	assert.NilError(t, err)
+	sum := 0.0
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			sum += metric.GetCounter().GetValue()
+		}
+	}
+	return sum
+}
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -34,7 +34,7 @@
 
 // loads is what this process tells its peers.
 func (g *Gateway) loads() *wire.Loads {
-	loads := &wire.Loads{Pools: g.host.Loads(g.mesh.Owns), Prefixes: g.gate.Prefixes()}
+	loads := &wire.Loads{Pools: g.host.Loads(g.mesh.Owns), Prefixes: g.gate.Prefixes(), Refused: g.gate.Refused()}
 	for _, load := range g.gate.Coming() {
 		loads.Coming = append(loads.Coming, wire.Coming{Pool: load.Pool, Pieces: load.Pieces})
 	}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -105,7 +105,7 @@
 	g.mesh = mesh.New(ctx, mesh.Member{Name: g.Name, Address: g.Address, Incarnation: g.incarnation, Zone: g.Zone, Capacity: g.Capacity},
 		mesh.WithClock(g.Clock), mesh.WithLog(g.Log), mesh.WithPieces(g.takePieces, g.dropPieces),
 		mesh.WithUnused(g.host.Unused),
-		mesh.WithLoads(g.loads, g.told), mesh.WithPrefixes(g.gate.TakePrefixes), mesh.WithRelease(g.release, func() { g.feeds.config.Again() }))
+		mesh.WithLoads(g.loads, g.told), mesh.WithPrefixes(g.gate.TakePrefixes), mesh.WithRefused(g.gate.TakeRefused), mesh.WithRelease(g.release, func() { g.feeds.config.Again() }))
 	g.gate.Join(g.mesh, g.host)
 	g.makeFeeds()
 	return g
