--- a/internal/guard/memory/memory.go
+++ b/internal/guard/memory/memory.go
@@ -18,7 +18,7 @@
 const (
 	// usableShare is the part of an engine's memory that is used: sizes in the
 	// configuration are approximate.
-	usableShare = 0.85
+	usableShare = 0.92
 	// giveFrom is the part from which results that nobody needs are given back
 	// by a call; below it they expire by themselves, which costs nothing.
 	giveFrom = 0.2
