fix(host,mesh,router): nothing is made or kept for a peer that is gone

After each change of owner its first calls waited behind those of the owner before, while their inputs counted as read after 120 ms and were given back: up to 80 pieces a second found them gone. Change: the questions of a peer whose session ended are ended; what a run of a process was handed is given back when another run of it joins; inputs count as read before a call's end only at an engine whose last call took its usual time.

--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -34,6 +34,9 @@
 	// slowFrom is how many times longer than expected calls take at an engine
 	// that gets work only when the others have enough.
 	slowFrom = 2.0
+	// promptTimes is how many times longer than expected a call takes at most that
+	// didn't wait behind one of another owner.
+	promptTimes = 1.4
 	// slowWeight is the part of the newest call in that figure.
 	slowWeight = 0.5
 	// reuseIdle bounds how long a connection for giving results back may have
@@ -53,11 +56,14 @@
 	}
 	h.Meter.call(q.name, len(items))
 	ended := make(chan struct{})
-	h.group.Add(2)
-	go func() {
-		defer h.group.Done()
-		h.watchInputs(pool, items, ended)
-	}()
+	if e.prompt {
+		h.group.Add(1)
+		go func() {
+			defer h.group.Done()
+			h.watchInputs(pool, items, ended)
+		}()
+	}
+	h.group.Add(1)
 	go func() {
 		defer h.group.Done()
 		defer close(ended)
@@ -85,8 +91,10 @@
 
 // fetchedAfter is the part of a call's fixed time after which its inputs count
 // as read: engines read them at its beginning, over links that carry them
-// within a few milliseconds, and work for the whole of that time afterwards. If
-// an input is given back too early after all, the stage before runs again.
+// within a few milliseconds, and work for the whole of that time afterwards. An
+// engine whose last call took too long may have another owner as well, whose call
+// goes first: there, inputs count as read only once the call has ended. If one is
+// given back too early after all, the stage before runs again.
 const fetchedAfter = 2
 
 // fetchedBy notes that pieces have read their inputs. The caller holds the lock.
@@ -184,6 +192,7 @@
 func (h *Host) finish(q *queue, e *engine, pool *table.Batching, items []batch.Item, results []spell.Result, err error, began clock.Millis) {
 	now := h.Clock.Now()
 	e.calls--
+	e.prompt = false
 	expected := batch.BoundsOf(pool).Duration(len(items))
 	h.Log.Info("pieces made", "pool", q.name, "endpoint", e.ID, "pieces", len(items), "tookMs", int64(now-began),
 		"expectedMs", int64(expected), "waiting", q.waiting.Pieces(), "failed", failures(results),
@@ -191,6 +200,7 @@
 	if err != nil {
 		h.callFailed(q, e, items, err, now)
 	} else {
+		e.prompt = float64(now-began) < promptTimes*expected
 		e.slow += slowWeight * (float64(now-began)/expected - e.slow)
 		e.slow = max(e.slow, 1)
 		for i, item := range items {
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -76,6 +76,9 @@
 	memory *memory.Account
 	// slow is how many times longer than expected its calls take.
 	slow float64
+	// prompt says that the last call began when it was sent: no other owner's was
+	// before it.
+	prompt bool
 }
 
 // queue is one pool.
@@ -165,6 +168,13 @@
 	h.unusedOf(q, job)
 }
 
+// Abandon ends a job whose asker is gone, or asks another owner by now.
+func (h *Host) Abandon(job *Job) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fail(job, fault.Leaving)
+}
+
 // unusedOf gives back the results that a job already has.
 func (h *Host) unusedOf(q *queue, job *Job) {
 	for _, reference := range job.result.References {
@@ -204,6 +214,23 @@
 	h.dispatch(q)
 }
 
+// Reclaim gives back those of some results that this process still accounts for,
+// because whoever was handed them has ended.
+func (h *Host) Reclaim(unused *wire.Unused) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	q := h.queues[unused.Pool]
+	if q == nil {
+		return
+	}
+	for i, reference := range unused.References {
+		if e := q.holder(reference); e != nil {
+			e.memory.Drop(memory.Result{Reference: reference, Bytes: unused.Bytes[i]})
+		}
+	}
+	h.dispatch(q)
+}
+
 // foreign returns the engine where a result lies that this owner doesn't know,
 // because it was made for the owner before; nil when this process has owned the
 // pool for so long that the result must have been given back already.
--- a/internal/serve/host/host_test.go
+++ b/internal/serve/host/host_test.go
@@ -237,6 +237,97 @@
 	assert.Assert(t, calls.Load() <= 6, "%d calls", calls.Load())
 }
 
+// askInputs asks for a piece that reads inputs, and returns where the news that it
+// has read them arrives, and its end.
+func (b *bench) askInputs(request string) (fetched chan struct{}, outcome chan host.Outcome) {
+	fetched, outcome = make(chan struct{}, 1), make(chan host.Outcome, 1)
+	b.Submit(&wire.Pieces{
+		Pool: pool, Request: request, Count: 1, Inputs: []string{"e9/i/0"}, TimeLeft: 8000, Slack: 8000, Bytes: 100,
+	}, func() { fetched <- struct{}{} }, func(o host.Outcome) { outcome <- o })
+	return fetched, outcome
+}
+
+// A pool has a new owner, and an engine still works for the one before. The new
+// owner's call waits there, and reads its inputs later than in other calls. Were
+// they given back by time alone, they would be gone by then, and all stages of
+// the request would run again.
+func TestInputsAreKeptWhereAnotherOwnerMayGoFirst(t *testing.T) {
+	e := newEngine(t, "e1")
+	e.hold = make(chan struct{})
+	b := start(t, e)
+	fetched, outcome := b.askInputs("first")
+	b.awaitBusy()
+	<-time.After(100 * time.Millisecond) // ten times as long as inputs take elsewhere
+	assert.Equal(t, len(fetched), 0)
+	e.hold <- struct{}{}
+	assert.Equal(t, b.wait(outcome).Reason, fault.Reason(""))
+}
+
+// An engine answers in the time that its calls take. It has no other owner, and
+// memory for its inputs is freed while the next call still runs.
+func TestInputsAreFreedEarlyAtAnEngineThatKeepsTime(t *testing.T) {
+	e := newEngine(t, "e1")
+	e.hold = make(chan struct{})
+	b := start(t, e)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_, quick := b.askInputs("quick")
+		e.hold <- struct{}{}
+		assert.Equal(t, b.wait(quick).Reason, fault.Reason(""))
+		fetched, held := b.askInputs("held")
+		defer b.wait(held)
+		defer func() { e.hold <- struct{}{} }()
+		select {
+		case <-fetched:
+			return poll.Success()
+		case <-time.After(200 * time.Millisecond):
+			return poll.Continue("the quick call was not quick")
+		}
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+// The process that asked was killed while its pieces wait and others are made.
+// Nobody needs them: what waits is not made any more, and what was made is given
+// back when the memory is wanted.
+func TestQuestionsOfALostProcessEnd(t *testing.T) {
+	e := newEngine(t, "e1")
+	e.hold = make(chan struct{})
+	b := start(t, e)
+	running, outcome := b.ask("running", 4, 5000)
+	b.awaitBusy()
+	waiting, other := b.ask("waiting", 4, 5000)
+	b.Abandon(running)
+	b.Abandon(waiting)
+	assert.Equal(t, b.wait(outcome).Reason, fault.Leaving)
+	assert.Equal(t, b.wait(other).Reason, fault.Leaving)
+	close(e.hold)
+	_, next := b.ask("next", 4, 5000)
+	assert.Equal(t, b.wait(next).Reason, fault.Reason(""))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, request := range e.made {
+		assert.Assert(t, request != "waiting")
+	}
+}
+
+// A process that was killed had been handed results. They are given back though
+// it never will, and only those that still lie there.
+func TestResultsOfAnEndedProcessAreReclaimed(t *testing.T) {
+	e := newEngine(t, "e1")
+	b := start(t, e)
+	_, outcome := b.ask("handed", 4, 5000)
+	made := b.wait(outcome)
+	unused := &wire.Unused{Pool: pool, References: append(made.References, "e1/long/gone"), Bytes: []int64{100, 100, 100, 100, 100}}
+	b.Reclaim(unused)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if len(e.freed) == len(made.References) {
+			return poll.Success()
+		}
+		return poll.Continue("%v", e.freed)
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+}
+
 // The caller leaves while a call is under way. Nobody hears of its results, and
 // what was made is given back when the memory is wanted.
 func TestResultsOfADroppedRequestAreGivenBack(t *testing.T) {
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -97,6 +97,8 @@
 	toldFunc    func(all []*wire.Loads)
 	prefixFunc  func([]wire.PrefixUse)
 	refusedFunc func([]wire.Refused)
+	lostFunc    func(peer string)
+	endedFunc   func(peer string)
 	release     func() uint64
 	newerFunc   func()
 
@@ -112,6 +114,8 @@
 	peers   map[string]*peer
 	dialing map[string]Member
 	members map[string]Member
+	// runs holds the newest run of each process that was ever a peer.
+	runs map[string]token.Incarnation
 	// owns says that this process may own pools: it knows routes and endpoints,
 	// and no planned stop has begun.
 	owns    bool
@@ -158,6 +162,13 @@
 	return func(m *Mesh) { m.refusedFunc = take }
 }
 
+// WithLost sets who hears that the session with a peer ended, whose questions
+// are answered by nobody here any more, and who hears that a peer was restarted:
+// the run of it before holds no request any more.
+func WithLost(lost, ended func(peer string)) Option {
+	return func(m *Mesh) { m.lostFunc, m.endedFunc = lost, ended }
+}
+
 // WithRelease sets the version of the routes in force here, which every frame
 // carries, and who is told that a peer has a newer one.
 func WithRelease(release func() uint64, newer func()) Option {
@@ -175,11 +186,14 @@
 		toldFunc:    func([]*wire.Loads) {},
 		prefixFunc:  func([]wire.PrefixUse) {},
 		refusedFunc: func([]wire.Refused) {},
+		lostFunc:    func(string) {},
+		endedFunc:   func(string) {},
 		release:     func() uint64 { return 0 },
 		newerFunc:   func() {},
 		tell:        make(chan struct{}, 1),
 		hear:        make(chan struct{}, 1),
 		peers:       make(map[string]*peer), dialing: make(map[string]Member), members: make(map[string]Member),
+		runs: make(map[string]token.Incarnation),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -329,9 +343,21 @@
 	if before != nil {
 		before.fail()
 	}
+	run := s.Peer().Incarnation
+	last, known := m.runs[name]
+	m.runs[name] = run
+	stopped := m.stopped
 	m.mu.Unlock()
+	if stopped {
+		// It opened while Stop closed the others, and Stop waits for its end.
+		s.Close(errStopped)
+	}
 	if before != nil {
 		before.session.Close(errReplaced)
+		m.lostFunc(name)
+	}
+	if known && last != run {
+		m.endedFunc(name)
 	}
 	m.Tell()
 	m.log.Info("peer joined", "peer", name, logs.KeyIncarnation, s.Peer().Incarnation)
@@ -349,6 +375,7 @@
 	}
 	m.mu.Unlock()
 	if current {
+		m.lostFunc(name)
 		m.log.Info("peer lost", "peer", name, logs.KeyError, s.Err())
 	}
 }
--- a/internal/serve/mesh/mesh_test.go
+++ b/internal/serve/mesh/mesh_test.go
@@ -144,3 +144,27 @@
 	fresh.Leave()
 	waitFor(t, func() bool { return len(all[0].Alive()) == 2 && len(all[1].Alive()) == 2 })
 }
+
+// A process is killed and started again. Its peers must hear that its requests
+// are gone, or engines go on working for them and keep their results.
+func TestRestartOfAPeerIsNoticed(t *testing.T) {
+	var lost, ended atomic.Int64
+	watcher := mesh.New(t.Context(), mesh.Member{Name: "a", Incarnation: token.NewIncarnation()},
+		mesh.WithLost(func(string) { lost.Add(1) }, func(string) { ended.Add(1) }))
+	server := httptest.NewServer(watcher.Handler())
+	t.Cleanup(func() { watcher.Stop(); server.Close() })
+	self := mesh.Member{Name: "a", Address: strings.TrimPrefix(server.URL, "http://")}
+	run := func(incarnation token.Incarnation) *mesh.Mesh {
+		p := mesh.New(t.Context(), mesh.Member{Name: "0", Incarnation: incarnation})
+		p.SetMembers([]mesh.Member{self})
+		waitFor(t, func() bool { return watcher.Sessions() == 1 })
+		return p
+	}
+	first := token.NewIncarnation()
+	for i, incarnation := range []token.Incarnation{first, first, token.NewIncarnation()} {
+		p := run(incarnation)
+		assert.Equal(t, ended.Load(), int64(i/2), "only the third is another run")
+		p.Stop()
+		waitFor(t, func() bool { return lost.Load() == int64(i+1) && watcher.Sessions() == 0 })
+	}
+}
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -20,6 +20,7 @@
 	g.jobs.Store(key, (*host.Job)(nil))
 	job := g.host.Submit(pieces, reply.FetchedFunc, func(outcome host.Outcome) {
 		g.jobs.Delete(key)
+		g.handed.add(from, pieces, outcome, g.Clock.Now())
 		reply.MadeFunc(outcome.Made())
 	})
 	g.jobs.CompareAndSwap(key, (*host.Job)(nil), job)
@@ -32,6 +33,40 @@
 	}
 }
 
+// abandon ends the questions of a peer whose session ended. If it still runs, it
+// has asked another owner by now; if not, engines would go on working for nobody.
+func (g *Gateway) abandon(peer string) {
+	count := 0
+	g.jobs.Range(func(key, value any) bool {
+		if key.(jobKey).from != peer {
+			return true
+		}
+		if job, _ := value.(*host.Job); job != nil {
+			g.jobs.Delete(key)
+			g.host.Abandon(job)
+			count++
+		}
+		return true
+	})
+	if count > 0 {
+		g.Log.Info("questions abandoned", "peer", peer, "jobs", count)
+	}
+}
+
+// clear gives back what was handed to the run of a peer that has ended. Nobody
+// else knows of these results; they would lie in the engines' memory until they
+// expire, for seconds in which calls are small.
+func (g *Gateway) clear(peer string) {
+	results := 0
+	for _, unused := range g.handed.take(peer, g.Clock.Now()) {
+		results += len(unused.References)
+		g.host.Reclaim(unused)
+	}
+	if results > 0 {
+		g.Log.Info("results of an ended process reclaimed", "peer", peer, "results", results)
+	}
+}
+
 // loads is what this process tells its peers.
 func (g *Gateway) loads() *wire.Loads {
 	loads := &wire.Loads{Pools: g.host.Loads(g.mesh.Owns), Prefixes: g.gate.Prefixes(), Refused: g.gate.Refused()}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -85,9 +85,11 @@
 	host  *host.Host
 	feeds struct{ config, endpoints, emptied, members *feed.Feed }
 
-	jobs  sync.Map // questions of peers: jobKey to *host.Job
-	group sync.WaitGroup
-	stop  context.CancelFunc
+	jobs sync.Map // questions of peers: jobKey to *host.Job
+	// handed holds the results that peers were handed lately.
+	handed handed
+	group  sync.WaitGroup
+	stop   context.CancelFunc
 }
 
 // New builds a gateway; Start sets it to work. Its calls end with the context.
@@ -105,7 +107,7 @@
 	g.mesh = mesh.New(ctx, mesh.Member{Name: g.Name, Address: g.Address, Incarnation: g.incarnation, Zone: g.Zone, Capacity: g.Capacity},
 		mesh.WithClock(g.Clock), mesh.WithLog(g.Log), mesh.WithPieces(g.takePieces, g.dropPieces),
 		mesh.WithUnused(g.host.Unused),
-		mesh.WithLoads(g.loads, g.told), mesh.WithPrefixes(g.gate.TakePrefixes), mesh.WithRefused(g.gate.TakeRefused), mesh.WithRelease(g.release, func() { g.feeds.config.Again() }))
+		mesh.WithLoads(g.loads, g.told), mesh.WithPrefixes(g.gate.TakePrefixes), mesh.WithRefused(g.gate.TakeRefused), mesh.WithLost(g.abandon, g.clear), mesh.WithRelease(g.release, func() { g.feeds.config.Again() }))
 	g.gate.Join(g.mesh, g.host)
 	g.makeFeeds()
 	return g
