perf(reach): lower priorities leave room only while they are begun nearly as often

With a fixed share it is the other way round. Change: a request of a lower priority leaves 0.1 of its objective free for each step, less the less often its route was begun lately than all, and nothing at three quarters of that.

--- a/internal/flow/reach/reach.go
+++ b/internal/flow/reach/reach.go
@@ -110,6 +110,8 @@
 	Last float64
 	// Doubt is how much longer than estimated it probably takes, in milliseconds.
 	Doubt float64
+	// Yield is the part of its slack that it leaves free for more urgent requests.
+	Yield float64
 }
 
 // Remaining estimates the time to the first byte of the answer, in
@@ -243,9 +245,12 @@
 // Begins reports whether a request that would take so many milliseconds is
 // begun: if it probably meets its objective.
 func (r *Request) Begins(remaining float64) bool {
-	return remaining+r.Doubt <= float64(r.Slack) && remaining <= goOnShare*float64(r.Left)
+	return remaining+r.Doubt <= r.share() && remaining <= goOnShare*float64(r.Left)
 }
 
+// share is the part of the slack that the request may use, in milliseconds.
+func (r *Request) share() float64 { return (1 - r.Yield) * float64(r.Slack) }
+
 // GoesOn reports whether a request that has begun goes on.
 func (r *Request) GoesOn(remaining float64) bool { return remaining <= goOnShare*float64(r.Left) }
 
@@ -258,5 +263,5 @@
 // Excess returns by how many milliseconds a request misses what it needs to
 // begin: when the queues have become so much shorter it may come back.
 func (r *Request) Excess(remaining float64) clock.Millis {
-	return clock.Millis(max(remaining+r.Doubt-float64(r.Slack), 0))
+	return clock.Millis(max(remaining+r.Doubt-r.share(), 0))
 }
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -20,6 +20,7 @@
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
 	"github.com/jujubescale/jujubescale/internal/flow/coming"
 	"github.com/jujubescale/jujubescale/internal/flow/extra"
+	"github.com/jujubescale/jujubescale/internal/flow/reach"
 	"github.com/jujubescale/jujubescale/internal/flow/recall"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/route/view"
@@ -72,6 +73,8 @@
 	recall      *recall.Book
 	biases      sync.Map // *reach.Bias by the name of a route
 	rates       sync.Map // *place.Rate by the name of a pool
+	admitted    reach.Admitted
+	admittedBy  sync.Map // *reach.Admitted by the name of a route
 	bounds      atomic.Pointer[Bounds]
 	leaving     atomic.Bool
 	open        sync.WaitGroup
--- a/internal/serve/gate/reach.go
+++ b/internal/serve/gate/reach.go
@@ -24,8 +24,14 @@
 	r := g.reachOf(req)
 	remaining := r.Remaining(g.queue)
 	req.estimate = clock.Millis(remaining)
-	r.Doubt = g.biasOf(req.route.Name).Doubt(g.Clock.Now())
-	if r.Begins(remaining) {
+	now := g.Clock.Now()
+	admitted := g.admittedOf(req.route.Name)
+	r.Doubt = g.biasOf(req.route.Name).Doubt(now)
+	r.Yield = reach.Yield(req.route.Priority, admitted.Share(now), g.admitted.Share(now))
+	begins := r.Begins(remaining)
+	admitted.Count(begins, now)
+	g.admitted.Count(begins, now)
+	if begins {
 		return nil
 	}
 	if req.returned {
@@ -39,7 +45,7 @@
 	}
 	req.binding = r.Binding(g.queue)
 	g.Log.Info("request not begun", "request", req.Request, "route", req.route.Name, "estimateMs", int64(remaining),
-		"doubtMs", int64(r.Doubt), "pool", req.binding, "slackMs", int64(r.Slack), "timeLeftMs", int64(r.Left))
+		"doubtMs", int64(r.Doubt), "yield", r.Yield, "pool", req.binding, "slackMs", int64(r.Slack), "timeLeftMs", int64(r.Left))
 	return &fault.RefusalError{
 		Reason: fault.Overloaded, Ran: fault.NotRun, RetryAfter: spread(max(r.Excess(remaining), comeBackLoad)),
 		Detail: "the stages' queues are too long",
@@ -136,3 +142,12 @@
 	known, _ := g.biases.LoadOrStore(route, &reach.Bias{})
 	return known.(*reach.Bias)
 }
+
+// admittedOf returns which part of a route's requests was begun lately.
+func (g *Gate) admittedOf(route string) *reach.Admitted {
+	if known, ok := g.admittedBy.Load(route); ok {
+		return known.(*reach.Admitted)
+	}
+	known, _ := g.admittedBy.LoadOrStore(route, &reach.Admitted{})
+	return known.(*reach.Admitted)
+}
