--- a/internal/flow/reach/reach.go
+++ b/internal/flow/reach/reach.go
@@ -26,6 +26,9 @@
 	Fill float64
 	// Room is the memory for results of one engine, in bytes.
 	Room int64
+	// Late is how much older this is than it usually is, in milliseconds. Its owner
+	// may hang: the queue that it told of last is not there for ever.
+	Late float64
 	// Waiting is the pieces that wait, by rank: see Edges.
 	Waiting []int
 	// Coming is the pieces that requests under way will ask for after the stages
@@ -69,7 +72,7 @@
 	}
 	span := q.Bounds.Duration(int(fill))
 	rate := fill * float64(q.Engines) / span
-	ahead := float64(upTo(q.Waiting, rank)) + float64(upTo(q.Coming, rank)) - rate*arrives
+	ahead := float64(upTo(q.Waiting, rank)) + float64(upTo(q.Coming, rank)) - rate*(arrives+q.Late)
 	if ahead < float64(q.Free*q.Bounds.Pieces) {
 		return 0
 	}
--- a/internal/flow/reach/reach_test.go
+++ b/internal/flow/reach/reach_test.go
@@ -140,3 +140,16 @@
 		r.Remaining(func(string) *reach.Queue { return q })
 	}
 }
+
+// The owner of a pool hangs while its queue is long. If its last word counted on,
+// all processes would refuse every request for seconds, and as nobody asks the
+// owner any more, nobody would notice that it is gone.
+func TestQueueOfASilentOwnerIsForgotten(t *testing.T) {
+	q := queue(300)
+	now := q.Wait(0, 0)
+	q.Late = 500
+	later := q.Wait(0, 0)
+	assert.Assert(t, now-later > 450, "%f, then %f", now, later)
+	q.Late = 10_000
+	assert.Assert(t, q.Wait(0, 0) < 100)
+}
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -96,7 +96,7 @@
 	t.Load.Running.Add(1)
 	l.alone = t.Load.Prefill.Load()+t.Load.PeerPrefill.Load() == 0
 	l.from = g.Clock.Now()
-	t.Load.Sent(l.prefill, g.rateOf(req.pool.Name).TokensPerMs(), l.from)
+	t.Load.Sent(l.prefill, g.rates.of(req.pool.Name).TokensPerMs(), l.from)
 	t.Load.Memory.Add(l.memory)
 	if l.prefill >= longPrompt {
 		g.mesh.Tell()
@@ -108,7 +108,7 @@
 // before.
 func (g *Gate) learn(l *load, pool string) {
 	if l.alone && l.prefill >= longPrompt {
-		g.rateOf(pool).Learn(l.prefill, float64(g.Clock.Since(l.from)-generationTime/2))
+		g.rates.of(pool).Learn(l.prefill, float64(g.Clock.Since(l.from)-generationTime/2))
 	}
 }
 
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -97,7 +97,7 @@
 func (g *Gate) chooseEngine(req *request, found []*target.Target, shut []bool, wait, now clock.Millis) choice {
 	engines := make([]place.Engine, len(found))
 	hot := g.prefixes.Hot(req.Parts, now)
-	rate := g.rateOf(req.pool.Name).TokensPerMs()
+	rate := g.rates.of(req.pool.Name).TokensPerMs()
 	for i, t := range found {
 		engines[i] = place.Engine{ID: t.ID, Zone: t.Zone, Shut: shut[i], Capacity: req.pool.Generation.Tokens}
 		if shut[i] {
@@ -231,17 +231,8 @@
 	}
 }
 
-// rateOf returns how fast the engines of a pool read prompts.
-func (g *Gate) rateOf(pool string) *place.Rate {
-	if known, ok := g.rates.Load(pool); ok {
-		return known.(*place.Rate)
-	}
-	known, _ := g.rates.LoadOrStore(pool, &place.Rate{})
-	return known.(*place.Rate)
-}
-
 // Unread returns the prompt tokens that this process sent to an endpoint and
 // that are probably still to be read.
 func (g *Gate) Unread(e *view.Endpoint) int64 {
-	return e.Load.Unread(g.rateOf(e.Pool).TokensPerMs(), g.Clock.Now())
+	return e.Load.Unread(g.rates.of(e.Pool).TokensPerMs(), g.Clock.Now())
 }
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -23,6 +23,7 @@
 	"github.com/jujubescale/jujubescale/internal/flow/reach"
 	"github.com/jujubescale/jujubescale/internal/flow/recall"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/route/place"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/host"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
@@ -71,16 +72,17 @@
 	prefixes    *target.Prefixes
 	coming      *coming.Book
 	recall      *recall.Book
-	biases      sync.Map // *reach.Bias by the name of a route
-	rates       sync.Map // *place.Rate by the name of a pool
-	admitted    reach.Admitted
-	admittedBy  sync.Map // *reach.Admitted by the name of a route
-	bounds      atomic.Pointer[Bounds]
-	leaving     atomic.Bool
-	open        sync.WaitGroup
-	count       atomic.Int64
-	cut         context.Context
-	cutAll      context.CancelFunc
+	routes      byName[routeRecord]
+	// rates holds how fast the engines of each pool read prompts.
+	rates byName[place.Rate]
+	// admitted counts the requests of all routes with stages.
+	admitted reach.Admitted
+	bounds   atomic.Pointer[Bounds]
+	leaving  atomic.Bool
+	open     sync.WaitGroup
+	count    atomic.Int64
+	cut      context.Context
+	cutAll   context.CancelFunc
 }
 
 // New returns a gate. Join it to its mesh and host before it serves.
--- a/internal/serve/gate/reach.go
+++ b/internal/serve/gate/reach.go
@@ -25,11 +25,11 @@
 	remaining := r.Remaining(g.queue)
 	req.estimate = clock.Millis(remaining)
 	now := g.Clock.Now()
-	admitted := g.admittedOf(req.route.Name)
-	r.Doubt = g.biasOf(req.route.Name).Doubt(now)
-	r.Yield = reach.Yield(req.route.Priority, admitted.Share(now), g.admitted.Share(now))
+	record := g.routes.of(req.route.Name)
+	r.Doubt = record.bias.Doubt(now)
+	r.Yield = reach.Yield(req.route.Priority, record.admitted.Share(now), g.admitted.Share(now))
 	begins := r.Begins(remaining)
-	admitted.Count(begins, now)
+	record.admitted.Count(begins, now)
 	g.admitted.Count(begins, now)
 	if begins {
 		return nil
@@ -96,13 +96,14 @@
 	if batching == nil {
 		return nil
 	}
-	load, known := g.load(name)
+	load, late, known := g.load(name)
 	q := &reach.Queue{
 		Bounds: batch.BoundsOf(batching), Room: batching.Room,
 		Coming: coming.Sum(g.coming.Of(name, g.Clock.Now()), g.mesh.Coming(name)),
 	}
 	if known {
 		q.Engines, q.Free, q.Fill, q.Waiting = load.Engines, load.Free, load.Fill, load.Waiting
+		q.Late = float64(late)
 		return q
 	}
 	// Nobody has told of the pool yet: as far as is known, nothing waits.
@@ -111,9 +112,10 @@
 	return q
 }
 
-func (g *Gate) load(pool string) (wire.PoolLoad, bool) {
+func (g *Gate) load(pool string) (load wire.PoolLoad, late clock.Millis, known bool) {
 	if g.mesh.Owns(pool) {
-		return g.host.Load(pool)
+		load, known = g.host.Load(pool)
+		return load, 0, known
 	}
 	return g.mesh.Pool(pool)
 }
@@ -133,21 +135,3 @@
 		return &reach.Queue{Bounds: batch.BoundsOf(batching), Free: 1, Engines: 1}
 	}))
 }
-
-// biasOf returns what the estimates for a route's requests were off by.
-func (g *Gate) biasOf(route string) *reach.Bias {
-	if known, ok := g.biases.Load(route); ok {
-		return known.(*reach.Bias)
-	}
-	known, _ := g.biases.LoadOrStore(route, &reach.Bias{})
-	return known.(*reach.Bias)
-}
-
-// admittedOf returns which part of a route's requests was begun lately.
-func (g *Gate) admittedOf(route string) *reach.Admitted {
-	if known, ok := g.admittedBy.Load(route); ok {
-		return known.(*reach.Admitted)
-	}
-	known, _ := g.admittedBy.LoadOrStore(route, &reach.Admitted{})
-	return known.(*reach.Admitted)
-}
--- a/internal/serve/mesh/ask.go
+++ b/internal/serve/mesh/ask.go
@@ -201,7 +201,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if p := m.peers[s.Peer().Process]; p != nil && p.session == s {
-		p.loads = loads
+		p.loads, p.heard = loads, m.clock.Now()
 		m.setLeaving(p, loads.Leaving)
 		wake(m.hear)
 	}
@@ -279,16 +279,17 @@
 func (m *Mesh) gather() {
 	m.mu.Lock()
 	all := make([]*wire.Loads, 0, len(m.peers))
+	var pools []told
 	for _, p := range m.peers {
-		if p.loads != nil {
-			all = append(all, p.loads)
+		if p.loads == nil {
+			continue
+		}
+		all = append(all, p.loads)
+		for _, load := range p.loads.Pools {
+			pools = append(pools, told{load: load, at: p.heard})
 		}
 	}
 	m.mu.Unlock()
-	var pools []wire.PoolLoad
-	for _, loads := range all {
-		pools = append(pools, loads.Pools...)
-	}
 	m.pools.Store(&pools)
 	var sums []coming.Load
 	for _, loads := range all {
@@ -310,16 +311,20 @@
 	return coming.Of(*sums, pool)
 }
 
-// Pool returns what peers told of a pool's queue last, false when none did.
-func (m *Mesh) Pool(name string) (wire.PoolLoad, bool) {
+// Pool returns what peers told of a pool's queue last, false when none did. Late
+// is how much older it is than what owners tell regularly.
+func (m *Mesh) Pool(name string) (load wire.PoolLoad, late clock.Millis, known bool) {
 	pools := m.pools.Load()
 	if pools == nil {
-		return wire.PoolLoad{}, false
+		return wire.PoolLoad{}, 0, false
 	}
 	for _, pool := range *pools {
-		if pool.Pool == name {
-			return pool, true
+		if pool.load.Pool == name {
+			return pool.load, max(m.clock.Since(pool.at)-usualAge, 0), true
 		}
 	}
-	return wire.PoolLoad{}, false
+	return wire.PoolLoad{}, 0, false
 }
+
+// usualAge is how old what an owner told may be with nothing wrong.
+const usualAge = 2 * ownerEvery
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -74,9 +74,16 @@
 	session *sess.Session
 	leaving bool
 	loads   *wire.Loads
+	heard   clock.Millis // when loads came
 	tickets map[uint64]*question
 }
 
+// told is what a peer said of a pool that it owns, and when that came.
+type told struct {
+	load wire.PoolLoad
+	at   clock.Millis
+}
+
 // living are the processes that can own pools.
 type living struct {
 	names []string
@@ -105,7 +112,7 @@
 	tell  chan struct{} // this process has something to tell at once
 	hear  chan struct{} // a peer has told something
 	alive atomic.Pointer[living]
-	pools atomic.Pointer[[]wire.PoolLoad]
+	pools atomic.Pointer[[]told]
 	// coming is the work that all peers say will come.
 	coming atomic.Pointer[[]coming.Load]
 	next   atomic.Uint64
