--- a/internal/ops/losses/losses.go
+++ b/internal/ops/losses/losses.go
@@ -117,35 +117,58 @@
 
 // line takes one line, of which most concern no loss.
 func (r *reader) line(raw []byte) {
-	wanted := false
-	for _, message := range []string{ended, putOff, owner, dropped} {
-		wanted = wanted || bytes.Contains(raw, []byte(message))
+	if bytes.Contains(raw, []byte(dropped)) {
+		r.report.Dropped += droppedIn(string(raw))
+		return
 	}
-	if !wanted {
+	if !concerns(raw) {
 		return
 	}
 	line, ok := record.Parse(string(raw))
-	if !ok && !bytes.Contains(raw, []byte(dropped)) {
+	if !ok {
 		r.report.Skipped++
 		return
 	}
 	request := line.Value(logs.KeyRequest)
-	switch {
-	case bytes.Contains(raw, []byte(dropped)):
-		r.report.Dropped += droppedIn(string(raw))
-	case line.Message != ended && len(r.notes) >= maxAttempts: // it only refines a cause
-	case line.Message == putOff || line.Message == owner:
-		n := r.notes[request]
-		n.putOff = n.putOff || line.Message == putOff
-		n.owner = n.owner || line.Message == owner
-		r.notes[request] = n
-	case line.Message == ended && len(r.ends) >= maxAttempts:
+	switch line.Message {
+	case ended:
+		r.end(request, &line)
+	case putOff, owner:
+		r.note(request, line.Message)
+	}
+}
+
+// concerns reports whether a line may be one that matters here.
+func concerns(raw []byte) bool {
+	for _, message := range []string{ended, putOff, owner} {
+		if bytes.Contains(raw, []byte(message)) {
+			return true
+		}
+	}
+	return false
+}
+
+// end takes the end of a request.
+func (r *reader) end(request string, line *record.Line) {
+	if len(r.ends) >= maxAttempts {
 		r.report.LeftOut++
-	case line.Message == ended:
-		a := outcomeOf(&line)
-		a.route, a.pool = r.word(a.route), r.word(a.pool)
-		r.ends[request] = a
+		return
+	}
+	a := outcomeOf(line)
+	a.route, a.pool = r.word(a.route), r.word(a.pool)
+	r.ends[request] = a
+}
+
+// note takes what happened to a request on its way. Beyond the bound it is left
+// out: it only refines a cause.
+func (r *reader) note(request, message string) {
+	if len(r.notes) >= maxAttempts {
+		return
 	}
+	n := r.notes[request]
+	n.putOff = n.putOff || message == putOff
+	n.owner = n.owner || message == owner
+	r.notes[request] = n
 }
 
 // word returns the one copy of a word that is kept.
