--- a/internal/flow/batch/batch.go
+++ b/internal/flow/batch/batch.go
@@ -174,7 +174,7 @@
 
 // LateBehind is how far groups are put behind that will be late, in
 // milliseconds: further than objectives differ. An answer beyond its objective
-// is worth a sixth of one within it on the users' sheets, however late it is.
+// is worth little to its caller, however late it is.
 const LateBehind = 3 * clock.Second
 
 // Yield puts groups behind the others that can't be ready when they are wanted,
--- a/internal/flow/coming/coming.go
+++ b/internal/flow/coming/coming.go
@@ -4,8 +4,7 @@
 //
 // It answers bursts. A request that is admitted by the queues of that moment
 // meets in its third stage all the others that were admitted in the half second
-// before it. On a day of bursts at 29 processes half of the requests took over
-// 385 ms longer than estimated from queues alone, one in ten over a second.
+// before it, and comes later than estimated from queues alone.
 package coming
 
 import (
--- a/internal/flow/reach/reach.go
+++ b/internal/flow/reach/reach.go
@@ -195,11 +195,9 @@
 // PutOff returns for how long a stage that could begin now is better put off, 0
 // for not at all. The results of a stage that only the request itself reads lie
 // in its engine's memory until the other stages are done, too. Large ones leave
-// no room for the calls of others meanwhile: engines that make results of 1.5
-// MB hold ten of them, and work in calls of two or three pieces during bursts.
-// Begun so that it ends shortly before the others do, such a stage takes memory
-// for its own call and little more. With this, and inputs given back once they
-// are read, the worth of a day of bursts rose from 0.62 to 0.69.
+// no room for the calls of others meanwhile, and engines work in calls of a few
+// pieces during bursts. Begun so that it ends shortly before the others do, such a
+// stage takes memory for its own call and little more.
 func (r *Request) PutOff(stage int, queues func(pool string) *Queue) clock.Millis {
 	q := queues(r.Stages[stage].Pool)
 	results := float64(r.Stages[stage].ResultBytes) * float64(r.Pieces[stage])
--- a/internal/route/owner/owner.go
+++ b/internal/route/owner/owner.go
@@ -23,9 +23,7 @@
 
 // strongShare is the part of the largest capacity from which a process may own.
 // An owner takes and sends the pieces of all processes' requests; a host with an
-// eighth of a processor and 10 Mbit/s does that late in bursts. Where such hosts
-// own nothing, 92% of the worth of one kind of request was served on a day of
-// bursts and not 79% (29 processes, ten of them on large hosts).
+// eighth of a processor and a slow link does that late in bursts.
 const strongShare = 0.5
 
 // Of returns the name of the process with the highest hash for a subject, ""
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -69,11 +69,8 @@
 
 // longPrompt is the number of tokens to read, about 30 ms of an engine's time,
 // from which all other processes are told at once that a prompt is sent. They
-// choose engines by the same parts of prompts. With loads told every 100 ms,
-// 540 of 620 first tokens that took over 500 ms had waited for prompts of other
-// processes that had been sent within that time; told at once, 7% of the most
-// valuable requests missed their objective and not 15% (one day of 48 engines
-// behind 26 processes).
+// choose engines by the same parts of prompts; told only with the next regular
+// message, several would send theirs to one engine, where they wait for each other.
 const longPrompt = 1500
 
 // load is one request's part in the load of an endpoint.
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -225,9 +225,8 @@
 
 const (
 	// startWait is how long a request waits for a process that is just reading
-	// what it needs: 50 ms on a large host, 460 ms on one with an eighth of a
-	// processor and 10 Mbit/s. 220 requests were refused in that time after 29
-	// processes had been killed at once.
+	// what it needs: longer than that takes on a host with an eighth of a processor
+	// and a slow link.
 	startWait = 600 * clock.Millis(1)
 	startLook = 20 * clock.Millis(1)
 )
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -58,8 +58,7 @@
 	// leastRest and mostRest bound the pause between two reads of the endpoints'
 	// changes, so that those of a zone that leaves or returns are read together.
 	// What leaves must be known within two seconds. Each change is read by every
-	// process, and each read is paid for: 582 of 2,750 calls of 29 processes on one
-	// day brought changes of endpoints.
+	// process, and each read is paid for.
 	leastRest  = 120 * clock.Millis(1)
 	mostRest   = 850 * clock.Millis(1)
 	memberRest = 250 * clock.Millis(1)
@@ -193,8 +192,8 @@
 // number from 0 to 1. A change wakes all watches at once, and the next one may
 // come while the store forgets them: drawn from the least wait on, some watch of
 // a large fleet still ends soon, while the mean, and so the calls to the store,
-// stay the same. Drawn around the mean, the first of 29 ended after five seconds,
-// and keys that had been taken away worked until then.
+// stay the same. Drawn around the mean, the first of many may end after seconds,
+// and keys that have been taken away work until then.
 func watchSpan(processes int, draw float64) clock.Millis {
 	mean := leastWait * clock.Millis(max(processes, watchers)) / watchers
 	spread := 2*(mean-leastWait) + leastWait/2
