test(mesh): the process that knows no endpoint runs as processes do

Trace: its word that it owns pools now is sent to the peers that it knows. A peer may already count the session that the process itself has not entered yet; that peer then hears of it with the next message on loads, which repeats the word for this reason. The test never ran what sends them, and waited for ten seconds. Now it does, with the same assertions.

--- a/internal/serve/mesh/mesh_test.go
+++ b/internal/serve/mesh/mesh_test.go
@@ -1,6 +1,7 @@
 package mesh_test
 
 import (
+	"context"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -134,6 +135,10 @@
 	server := httptest.NewServer(fresh.Handler())
 	t.Cleanup(func() { fresh.Stop(); server.Close() })
 	fresh.member.Address = strings.TrimPrefix(server.URL, "http://")
+	ended := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { defer close(ended); fresh.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
 	for _, p := range all {
 		p.SetMembers([]mesh.Member{all[0].member, all[1].member, fresh.member})
 	}
