refactor(host,reach): one way to drop a held result, one decay; one wait for freed results in tests

Reclaim and unusedOf looked results up and dropped them alike; Bias and Admitted faded by the same formula; two tests polled the same list. Behaviour and assertions stay.

--- a/internal/flow/reach/bias.go
+++ b/internal/flow/reach/bias.go
@@ -56,7 +56,10 @@
 // fade forgets with time; the caller holds the lock.
 func (b *Bias) fade(now clock.Millis) {
 	if b.at > 0 && now > b.at {
-		b.doubt *= math.Exp2(-float64(now-b.at) / float64(doubtHalf))
+		b.doubt *= keptAfter(now-b.at, doubtHalf)
 	}
 	b.at = max(b.at, now)
 }
+
+// keptAfter is the part that is left after a span of what halves in another.
+func keptAfter(span, half clock.Millis) float64 { return math.Exp2(-float64(span) / float64(half)) }
--- a/internal/flow/reach/yield.go
+++ b/internal/flow/reach/yield.go
@@ -1,7 +1,6 @@
 package reach
 
 import (
-	"math"
 	"sync"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
@@ -52,7 +51,7 @@
 // fade forgets with time; the caller holds the lock.
 func (a *Admitted) fade(now clock.Millis) {
 	if now > a.at {
-		kept := math.Exp2(-float64(now-a.at) / float64(admittedHalf))
+		kept := keptAfter(now-a.at, admittedHalf)
 		a.begun *= kept
 		a.asked *= kept
 		a.at = now
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -178,9 +178,7 @@
 // unusedOf gives back the results that a job already has.
 func (h *Host) unusedOf(q *queue, job *Job) {
 	for _, reference := range job.result.References {
-		if e := q.holder(reference); e != nil {
-			e.memory.Drop(memory.Result{Reference: reference, Bytes: job.group.Bytes})
-		}
+		q.drop(memory.Result{Reference: reference, Bytes: job.group.Bytes})
 	}
 }
 
@@ -224,9 +222,7 @@
 		return
 	}
 	for i, reference := range unused.References {
-		if e := q.holder(reference); e != nil {
-			e.memory.Drop(memory.Result{Reference: reference, Bytes: unused.Bytes[i]})
-		}
+		q.drop(memory.Result{Reference: reference, Bytes: unused.Bytes[i]})
 	}
 	h.dispatch(q)
 }
@@ -270,6 +266,13 @@
 	return nil
 }
 
+// drop notes that nobody needs a result any more, if it lies at an engine.
+func (q *queue) drop(result memory.Result) {
+	if e := q.holder(result.Reference); e != nil {
+		e.memory.Drop(result)
+	}
+}
+
 // Retire gives back what waits here, because this process leaves: whoever asked
 // asks the next owner. Calls that are under way end here.
 func (h *Host) Retire() {
--- a/internal/serve/host/host_test.go
+++ b/internal/serve/host/host_test.go
@@ -87,6 +87,19 @@
 	_ = json.NewEncoder(w).Encode(results)
 }
 
+// awaitFreed waits until so many results were given back.
+func (e *engine) awaitFreed(t *testing.T, count int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if len(e.freed) == count {
+			return poll.Success()
+		}
+		return poll.Continue("%v", e.freed)
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+}
+
 func spelling() *spell.Spelling {
 	return &spell.Spelling{
 		PiecesPath: "/pieces", UnusedPath: "/unused", ReportPath: "/report",
@@ -318,14 +331,7 @@
 	made := b.wait(outcome)
 	unused := &wire.Unused{Pool: pool, References: append(made.References, "e1/long/gone"), Bytes: []int64{100, 100, 100, 100, 100}}
 	b.Reclaim(unused)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if len(e.freed) == len(made.References) {
-			return poll.Success()
-		}
-		return poll.Continue("%v", e.freed)
-	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	e.awaitFreed(t, len(made.References))
 }
 
 // The caller leaves while a call is under way. Nobody hears of its results, and
@@ -340,14 +346,7 @@
 	_, other := b.ask("other", 4, 5000)
 	close(e.hold)
 	assert.Equal(t, b.wait(other).Reason, fault.Reason(""))
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if len(e.freed) == 4 {
-			return poll.Success()
-		}
-		return poll.Continue("%v", e.freed)
-	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	e.awaitFreed(t, 4)
 	assert.Equal(t, len(outcome), 0)
 }
 
