--- /dev/null
+++ b/internal/flow/sums/message.go
@@ -0,0 +1,126 @@
+package sums
+
+import (
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/flow/coming"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+)
+
+// Cursor is how far one destination has been told. The zero value has been told
+// nothing.
+type Cursor struct {
+	changed uint64
+	hurried uint64
+	events  uint64
+	begun   bool
+}
+
+// Reset has the next message hold everything, because one was lost.
+func (c *Cursor) Reset() { *c = Cursor{events: c.events} }
+
+// ForAggregator returns the sums of the group for another aggregator; nil when
+// there is nothing to tell. Regular messages hold everything that changed,
+// others only what is urgent.
+func (b *Book) ForAggregator(c *Cursor, regular bool, now clock.Millis) *wire.Sums {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	local := func(from Source) bool { return !from.Group }
+	message := b.message(c, regular, func(endpoint string, e *entry) wire.Work {
+		work := e.group
+		work.Endpoint = endpoint
+		return work
+	})
+	message.Prefixes, message.Refused = b.eventsFor(c, local, now)
+	if regular {
+		b.addLoads(message, local, now)
+	}
+	return ifAny(message)
+}
+
+// ForProcess returns the sums of everything but the own work of a process that
+// reports here; nil when there is nothing to tell.
+func (b *Book) ForProcess(process string, c *Cursor, regular bool, now clock.Millis) *wire.Sums {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own := b.ownOf(process)
+	others := func(from Source) bool { return from != (Source{Process: process}) }
+	message := b.message(c, regular, func(endpoint string, e *entry) wire.Work { return e.without(own, endpoint) })
+	message.Prefixes, message.Refused = b.eventsFor(c, others, now)
+	if regular {
+		b.addLoads(message, others, now)
+	}
+	return ifAny(message)
+}
+
+func ifAny(message *wire.Sums) *wire.Sums {
+	if !message.Regular && !message.Whole && len(message.Work) == 0 && len(message.Prefixes) == 0 && len(message.Refused) == 0 {
+		return nil
+	}
+	return message
+}
+
+// message holds the work that a destination has not been told. The caller holds
+// the lock.
+func (b *Book) message(c *Cursor, regular bool, work func(string, *entry) wire.Work) *wire.Sums {
+	message := &wire.Sums{Whole: !c.begun, Regular: regular, Urgent: !regular}
+	if !c.begun {
+		c.events = max(c.events, b.dropped+uint64(len(b.events)))
+	}
+	for endpoint, e := range b.entries {
+		told := e.hurried <= max(c.hurried, c.changed)
+		if regular || !c.begun {
+			told = e.changed <= c.changed
+		}
+		if told {
+			continue
+		}
+		if w := work(endpoint, e); c.begun || !w.None() {
+			message.Work = append(message.Work, w)
+		}
+	}
+	if regular || !c.begun {
+		c.changed = b.step
+	}
+	c.hurried, c.begun = b.step, true
+	return message
+}
+
+// eventsFor returns the events that a destination has not been told. The caller
+// holds the lock.
+func (b *Book) eventsFor(c *Cursor, take func(Source) bool, now clock.Millis) (prefixes []wire.PrefixUse, refused []wire.Refused) {
+	from := max(c.events, b.dropped) - b.dropped
+	for _, e := range b.events[min(from, uint64(len(b.events))):] {
+		switch {
+		case !take(e.from):
+		case e.prefix != nil:
+			prefixes = append(prefixes, *e.prefix)
+		default:
+			// Its spans are as of when it was heard.
+			passed := now - e.at
+			refused = append(refused, wire.Refused{Key: e.refused.Key, Age: e.refused.Age + passed, Wait: e.refused.Wait - passed})
+		}
+	}
+	c.events = b.dropped + uint64(len(b.events))
+	return prefixes, refused
+}
+
+// addLoads adds what only regular messages hold. The caller holds the lock.
+func (b *Book) addLoads(message *wire.Sums, take func(Source) bool, now clock.Millis) {
+	for _, pool := range b.pools(take) {
+		load := pool.Load
+		load.Age = now - pool.At
+		message.Pools = append(message.Pools, load)
+	}
+	for _, load := range b.coming(take) {
+		message.Coming = append(message.Coming, wire.Coming{Pool: load.Pool, Pieces: load.Pieces})
+	}
+}
+
+// ComingOf converts what will come from a message.
+func ComingOf(loads []wire.Coming) []coming.Load {
+	var all []coming.Load
+	for _, load := range loads {
+		all = coming.Add(all, coming.Load{Pool: load.Pool, Pieces: load.Pieces})
+	}
+	return all
+}
--- /dev/null
+++ b/internal/flow/sums/sums.go
@@ -0,0 +1,432 @@
+// Package sums adds up what processes report of their work at endpoints, so
+// that each of them learns the work of all others from one message and not from
+// one of each.
+//
+// A Book belongs to one process. As an aggregator it holds the reports of its
+// group and the sums of the other groups; it hands out the sum of its group for
+// other aggregators, and the sum of everything but a process's own work for that
+// process. Messages hold what changed since the one before.
+package sums
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/flow/coming"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+)
+
+const (
+	// maxEvents bounds the prefixes and refused callers that wait to be passed on.
+	maxEvents = 4096
+	// keepNone is how long an endpoint without work is kept, so that every
+	// destination is told of it.
+	keepNone = 10 * clock.Second
+)
+
+// Source names who sent sums: a process of the group, or the aggregator of
+// another one.
+type Source struct {
+	Process string
+	Group   bool
+}
+
+// ReportError says that sums contradict themselves or those before.
+type ReportError struct {
+	Process string
+	Cause   string
+}
+
+// Error implements error.
+func (e *ReportError) Error() string { return fmt.Sprintf("report of %q: %s", e.Process, e.Cause) }
+
+// UnknownError says that sums tell changes of a source of which nothing is known:
+// whole ones have to be asked for.
+type UnknownError struct {
+	Process string
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string { return fmt.Sprintf("nothing is known of %q yet", e.Process) }
+
+// entry is the work at one endpoint.
+type entry struct {
+	group, all wire.Work
+	// changed and hurried are the steps of the last change, and of the last one
+	// that was urgent.
+	changed, hurried uint64
+	noneSince        clock.Millis
+}
+
+// reported is what one source sent last.
+type reported struct {
+	work    map[string]wire.Work
+	pools   []wire.PoolLoad
+	poolsAt clock.Millis
+	coming  []wire.Coming
+	seen    []wire.Seen
+	members []wire.Presence
+	at      clock.Millis
+	// silent says that nothing was heard for long: the source does not count
+	// until it is heard again.
+	silent bool
+}
+
+// event is something that happened at a source, to be passed on once.
+type event struct {
+	from    Source
+	at      clock.Millis
+	prefix  *wire.PrefixUse
+	refused *wire.Refused
+}
+
+// Book adds up sums. It is safe for use by several goroutines.
+type Book struct {
+	mu      sync.Mutex
+	step    uint64
+	entries map[string]*entry
+	sources map[Source]*reported
+	events  []event
+	// dropped is how many events were dropped from the front.
+	dropped uint64
+}
+
+// New returns an empty book.
+func New() *Book {
+	return &Book{entries: make(map[string]*entry), sources: make(map[Source]*reported)}
+}
+
+// Check returns a ReportError if sums can't be right.
+func Check(from Source, sums *wire.Sums) error {
+	for _, work := range sums.Work {
+		switch {
+		case work.Endpoint == "":
+			return &ReportError{Process: from.Process, Cause: "work at no endpoint"}
+		case work.Running < 0 || work.Prefill < 0 || work.Memory < 0 || work.Planned < 0:
+			return &ReportError{Process: from.Process, Cause: fmt.Sprintf("negative work at endpoint %q", work.Endpoint)}
+		}
+	}
+	for _, load := range sums.Pools {
+		if load.Pool == "" || load.Age < 0 || load.Engines < 0 || load.Free < 0 {
+			return &ReportError{Process: from.Process, Cause: fmt.Sprintf("impossible load of pool %q", load.Pool)}
+		}
+	}
+	for _, seen := range sums.Seen {
+		if seen.Age < 0 || seen.Changed > seen.Revision {
+			return &ReportError{Process: from.Process, Cause: fmt.Sprintf("impossible revision of %q", seen.Kind)}
+		}
+	}
+	return nil
+}
+
+// Put takes sums and returns the endpoints whose work changed. The first sums of
+// a source must be whole; others return an UnknownError.
+func (b *Book) Put(from Source, sums *wire.Sums, now clock.Millis) ([]string, error) {
+	if err := Check(from, sums); err != nil {
+		return nil, err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := b.sources[from]
+	if known == nil {
+		if !sums.Whole {
+			return nil, &UnknownError{Process: from.Process}
+		}
+		known = &reported{work: make(map[string]wire.Work)}
+		b.sources[from] = known
+	}
+	b.step++
+	known.at = now
+	changed := b.revive(from, known, now)
+	if sums.Whole {
+		changed = append(changed, b.clear(from, known, sums, now)...)
+	}
+	for _, work := range sums.Work {
+		if b.set(from, known, work, sums.Urgent, now) {
+			changed = append(changed, work.Endpoint)
+		}
+	}
+	if sums.Regular {
+		known.pools, known.poolsAt, known.coming, known.seen = sums.Pools, now, sums.Coming, sums.Seen
+	}
+	if sums.HasMembers {
+		known.members = sums.Members
+	}
+	b.note(from, sums, now)
+	return changed, nil
+}
+
+// clear sets to none what whole sums no longer hold. The caller holds the lock.
+func (b *Book) clear(from Source, known *reported, sums *wire.Sums, now clock.Millis) []string {
+	held := make(map[string]bool, len(sums.Work))
+	for _, work := range sums.Work {
+		held[work.Endpoint] = true
+	}
+	var cleared []string
+	for endpoint := range known.work {
+		if !held[endpoint] && b.set(from, known, wire.Work{Endpoint: endpoint}, false, now) {
+			cleared = append(cleared, endpoint)
+		}
+	}
+	return cleared
+}
+
+// set replaces the work of a source at one endpoint and reports whether that
+// changed anything. The caller holds the lock.
+func (b *Book) set(from Source, known *reported, work wire.Work, urgent bool, now clock.Millis) bool {
+	change := work.Minus(known.work[work.Endpoint])
+	if change.None() {
+		return false
+	}
+	if work.None() {
+		delete(known.work, work.Endpoint)
+	} else {
+		known.work[work.Endpoint] = work
+	}
+	b.add(from, work.Endpoint, change, urgent, now)
+	return true
+}
+
+// add changes the sums at one endpoint. The caller holds the lock.
+func (b *Book) add(from Source, endpoint string, change wire.Work, urgent bool, now clock.Millis) {
+	e := b.entries[endpoint]
+	if e == nil {
+		e = &entry{}
+		b.entries[endpoint] = e
+	}
+	e.all = e.all.Plus(change)
+	if !from.Group {
+		e.group = e.group.Plus(change)
+	}
+	e.changed = b.step
+	if urgent {
+		e.hurried = b.step
+	}
+	if e.all.None() {
+		e.noneSince = now
+	}
+}
+
+// mute takes the work of a source out of the sums and returns the endpoints. The
+// caller holds the lock.
+func (b *Book) mute(from Source, known *reported, now clock.Millis) []string {
+	if known.silent {
+		return nil
+	}
+	known.silent = true
+	b.step++
+	endpoints := make([]string, 0, len(known.work))
+	for endpoint, work := range known.work {
+		b.add(from, endpoint, wire.Work{}.Minus(work), false, now)
+		endpoints = append(endpoints, endpoint)
+	}
+	return endpoints
+}
+
+// revive adds the work of a source that was silent. The caller holds the lock.
+func (b *Book) revive(from Source, known *reported, now clock.Millis) []string {
+	if !known.silent {
+		return nil
+	}
+	known.silent = false
+	endpoints := make([]string, 0, len(known.work))
+	for endpoint, work := range known.work {
+		b.add(from, endpoint, work, false, now)
+		endpoints = append(endpoints, endpoint)
+	}
+	return endpoints
+}
+
+// note enters what happened at a source. The caller holds the lock.
+func (b *Book) note(from Source, sums *wire.Sums, now clock.Millis) {
+	for i := range sums.Prefixes {
+		b.events = append(b.events, event{from: from, at: now, prefix: &sums.Prefixes[i]})
+	}
+	for i := range sums.Refused {
+		b.events = append(b.events, event{from: from, at: now, refused: &sums.Refused[i]})
+	}
+	if surplus := len(b.events) - maxEvents; surplus > 0 {
+		b.events = append([]event(nil), b.events[surplus:]...)
+		b.dropped += uint64(surplus)
+	}
+}
+
+// Drop forgets a source and returns the endpoints whose work changed.
+func (b *Book) Drop(from Source, now clock.Millis) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := b.sources[from]
+	if known == nil {
+		return nil
+	}
+	delete(b.sources, from)
+	return b.mute(from, known, now)
+}
+
+// Mute leaves sources out of the sums, but for one process's own, that were last
+// heard before an instant. It returns them and the endpoints whose work changed.
+func (b *Book) Mute(self string, before, now clock.Millis) (silent []Source, changed []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for from, known := range b.sources {
+		if known.at < before && !known.silent && from != (Source{Process: self}) {
+			silent = append(silent, from)
+			changed = append(changed, b.mute(from, known, now)...)
+		}
+	}
+	for endpoint, e := range b.entries {
+		if e.all.None() && now-e.noneSince > keepNone {
+			delete(b.entries, endpoint)
+		}
+	}
+	return silent, changed
+}
+
+// Heard returns when a source was last heard, false when it never was.
+func (b *Book) Heard(from Source) (clock.Millis, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := b.sources[from]
+	if known == nil {
+		return 0, false
+	}
+	return known.at, true
+}
+
+// Reporters returns how many processes of the group are heard besides one.
+func (b *Book) Reporters(self string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := 0
+	for from, known := range b.sources {
+		if !from.Group && !known.silent && from.Process != self {
+			count++
+		}
+	}
+	return count
+}
+
+// Others returns the work of all but one process of the group at some endpoints.
+func (b *Book) Others(process string, endpoints []string) []wire.Work {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own := b.ownOf(process)
+	others := make([]wire.Work, 0, len(endpoints))
+	for _, endpoint := range endpoints {
+		if e := b.entries[endpoint]; e != nil {
+			others = append(others, e.without(own, endpoint))
+		}
+	}
+	return others
+}
+
+// AllOthers is Others of every endpoint.
+func (b *Book) AllOthers(process string) []wire.Work {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own := b.ownOf(process)
+	others := make([]wire.Work, 0, len(b.entries))
+	for endpoint, e := range b.entries {
+		others = append(others, e.without(own, endpoint))
+	}
+	return others
+}
+
+func (b *Book) ownOf(process string) map[string]wire.Work {
+	if known := b.sources[Source{Process: process}]; known != nil && !known.silent {
+		return known.work
+	}
+	return nil
+}
+
+func (e *entry) without(own map[string]wire.Work, endpoint string) wire.Work {
+	left := e.all.Minus(own[endpoint])
+	left.Endpoint = endpoint
+	return left
+}
+
+// Pool is what an owner said of a pool, and when.
+type Pool struct {
+	Load wire.PoolLoad
+	At   clock.Millis
+}
+
+// Pools returns what all but one process of the group said of their pools.
+func (b *Book) Pools(except string) []Pool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pools(func(from Source) bool { return from != (Source{Process: except}) })
+}
+
+func (b *Book) pools(take func(Source) bool) []Pool {
+	var pools []Pool
+	for from, known := range b.sources {
+		if known.silent || !take(from) {
+			continue
+		}
+		for _, load := range known.pools {
+			pools = append(pools, Pool{Load: load, At: known.poolsAt - load.Age})
+		}
+	}
+	return pools
+}
+
+// Coming returns the sum of what all but one process of the group say will come.
+func (b *Book) Coming(except string) []coming.Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.coming(func(from Source) bool { return from != (Source{Process: except}) })
+}
+
+func (b *Book) coming(take func(Source) bool) []coming.Load {
+	var loads []coming.Load
+	for from, known := range b.sources {
+		if known.silent || !take(from) {
+			continue
+		}
+		for _, load := range known.coming {
+			loads = coming.Add(loads, coming.Load{Pool: load.Pool, Pieces: load.Pieces})
+		}
+	}
+	return loads
+}
+
+// Present returns all processes that report to this one or to another
+// aggregator.
+func (b *Book) Present() []wire.Presence {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.present(func(Source) bool { return true })
+}
+
+// Group returns the processes that report to this one.
+func (b *Book) Group() []wire.Presence {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.present(func(from Source) bool { return !from.Group })
+}
+
+func (b *Book) present(take func(Source) bool) []wire.Presence {
+	var present []wire.Presence
+	for from, known := range b.sources {
+		if !known.silent && take(from) {
+			present = append(present, known.members...)
+		}
+	}
+	slices.SortFunc(present, func(a, b wire.Presence) int { return cmp.Compare(a.Process, b.Process) })
+	return present
+}
+
+// Seen returns how far a source has followed the store, and when it said so.
+func (b *Book) Seen(from Source) ([]wire.Seen, clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := b.sources[from]
+	if known == nil {
+		return nil, 0
+	}
+	return known.seen, known.poolsAt
+}
--- a/internal/link/sess/open.go
+++ b/internal/link/sess/open.go
@@ -49,6 +49,7 @@
 	beatIdle     clock.Millis
 	beatBusy     clock.Millis
 	writeTimeout clock.Millis
+	opening      clock.Millis
 }
 
 // Option changes how a session is opened.
@@ -96,6 +97,10 @@
 	return func(o *options) { o.beatIdle, o.beatBusy = idle, busy }
 }
 
+// WithOpening bounds how long a dialed session may take to open, connecting
+// included.
+func WithOpening(timeout clock.Millis) Option { return func(o *options) { o.opening = timeout } }
+
 // WithQueue sets how many frames may wait for the peer.
 func WithQueue(frames int) Option { return func(o *options) { o.queue = frames } }
 
@@ -114,6 +119,7 @@
 		beatIdle:     defaultBeatIdle,
 		beatBusy:     defaultBeatBusy,
 		writeTimeout: defaultWriteTimeout,
+		opening:      defaultHelloTimeout,
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -139,7 +145,7 @@
 	dialer := websocket.Dialer{
 		NetDialContext:   o.dial,
 		TLSClientConfig:  o.tls,
-		HandshakeTimeout: defaultHelloTimeout.Duration(),
+		HandshakeTimeout: o.opening.Duration(),
 		ReadBufferSize:   bufferBytes,
 		WriteBufferSize:  bufferBytes,
 		WriteBufferPool:  &writeBuffers,
@@ -237,7 +243,7 @@
 }
 
 func (s *Session) hearHello() error {
-	deadline := time.Now().Add(defaultHelloTimeout.Duration())
+	deadline := time.Now().Add(s.opts.opening.Duration())
 	if err := s.conn.SetReadDeadline(deadline); err != nil {
 		return err
 	}
--- a/internal/link/wire/codec.go
+++ b/internal/link/wire/codec.go
@@ -134,6 +134,12 @@
 		return f.Loads != nil
 	case KindFetched:
 		return f.Fetched != nil
+	case KindReport, KindGroup, KindTotal:
+		return f.Sums != nil
+	case KindFollow:
+		return f.Follow != nil
+	case KindUpdate:
+		return f.Update != nil
 	default:
 		return f.Kind != 0
 	}
--- /dev/null
+++ b/internal/link/wire/relay.go
@@ -0,0 +1,117 @@
+package wire
+
+import (
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/token"
+)
+
+// Sums is the work of one process or of several. A KindReport carries that of
+// the sender, a KindGroup that of all processes that report to the sender, and a
+// KindTotal that of all processes but the receiver. The kinds differ so that no
+// process adds up what already contains its own work.
+type Sums struct {
+	// Whole says that the message replaces all that the sender sent before. The
+	// first message of a session is whole.
+	Whole bool `cbor:"whole,omitempty"`
+	// Urgent asks aggregators to pass the message on at once.
+	Urgent bool `cbor:"urgent,omitempty"`
+	// Ended withdraws all that the sender sent before: it reports elsewhere now.
+	Ended bool `cbor:"ended,omitempty"`
+	// Owns says that the sender of a report may own pools.
+	Owns bool `cbor:"owns,omitempty"`
+	// Work holds the endpoints that changed.
+	Work []Work `cbor:"work,omitempty"`
+	// Regular says that Pools, Coming and Seen are complete; other messages leave
+	// them as they were.
+	Regular bool       `cbor:"regular,omitempty"`
+	Pools   []PoolLoad `cbor:"pools,omitempty"`
+	Coming  []Coming   `cbor:"coming,omitempty"`
+	Seen    []Seen     `cbor:"seen,omitempty"`
+	// Members are the processes of a group, when HasMembers is set; in a total,
+	// the listed processes that are not to be used.
+	HasMembers bool       `cbor:"hasMembers,omitempty"`
+	Members    []Presence `cbor:"members,omitempty"`
+	// Prefixes and Refused are those since the message before.
+	Prefixes []PrefixUse `cbor:"prefixes,omitempty"`
+	Refused  []Refused   `cbor:"refused,omitempty"`
+}
+
+// Work is what some processes have running at one endpoint; see EndpointLoad.
+// All zero means none.
+type Work struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	Running  int64
+	Prefill  int64
+	Memory   int64
+	Planned  int64
+}
+
+// None reports whether there is no work.
+func (w Work) None() bool {
+	return w.Running == 0 && w.Prefill == 0 && w.Memory == 0 && w.Planned == 0
+}
+
+// Plus returns the sum of two pieces of work at one endpoint.
+func (w Work) Plus(more Work) Work {
+	w.Running += more.Running
+	w.Prefill += more.Prefill
+	w.Memory += more.Memory
+	w.Planned += more.Planned
+	return w
+}
+
+// Minus returns the difference.
+func (w Work) Minus(less Work) Work {
+	w.Running -= less.Running
+	w.Prefill -= less.Prefill
+	w.Memory -= less.Memory
+	w.Planned -= less.Planned
+	return w
+}
+
+// Presence is one process that reports to an aggregator.
+type Presence struct {
+	_           struct{} `cbor:",toarray"`
+	Process     string
+	Incarnation token.Incarnation
+	Owns        bool
+}
+
+// Seen is how far the sender has followed one kind of objects of the store: it
+// has all changes up to Revision, the last one at Changed, as of Age
+// milliseconds ago.
+type Seen struct {
+	Kind     string       `cbor:"kind"`
+	Revision uint64       `cbor:"revision"`
+	Changed  uint64       `cbor:"changed"`
+	Age      clock.Millis `cbor:"age"`
+}
+
+// Follow asks a peer to pass on the changes of some kinds of objects, from the
+// revisions that the sender has.
+type Follow struct {
+	Kinds []Revision `cbor:"kinds"`
+}
+
+// Update passes on changes of one kind of objects in the store, those after
+// Since up to Revision, or, if Whole is set, all objects as of Revision.
+type Update struct {
+	Kind     string       `cbor:"kind"`
+	Since    uint64       `cbor:"since,omitempty"`
+	Revision uint64       `cbor:"revision"`
+	Changed  uint64       `cbor:"changed"`
+	Whole    bool         `cbor:"whole,omitempty"`
+	Age      clock.Millis `cbor:"age,omitempty"`
+	// Away is how long the store had been out of reach before, in milliseconds.
+	Away    clock.Millis `cbor:"away,omitempty"`
+	Objects []Stored     `cbor:"objects,omitempty"`
+}
+
+// Stored is one object of the store.
+type Stored struct {
+	Name    string `cbor:"name"`
+	Version uint64 `cbor:"version,omitempty"`
+	Value   []byte `cbor:"value,omitempty"`
+	Deleted bool   `cbor:"deleted,omitempty"`
+}
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -38,6 +38,13 @@
 	KindUnused  Kind = 17
 	KindLoads   Kind = 18
 	KindFetched Kind = 19
+	KindReport  Kind = 20
+	KindGroup   Kind = 21
+	KindTotal   Kind = 22
+	KindFollow  Kind = 23
+	KindUpdate  Kind = 24
+	// KindRenew asks for whole sums on this session; it has no content.
+	KindRenew Kind = 25
 )
 
 // Frame is one message. Exactly the field that Kind names is set. Release is
@@ -66,6 +73,9 @@
 	Unused  *Unused  `cbor:"unused,omitempty"`
 	Loads   *Loads   `cbor:"loads,omitempty"`
 	Fetched *Fetched `cbor:"fetched,omitempty"`
+	Sums    *Sums    `cbor:"sums,omitempty"`
+	Follow  *Follow  `cbor:"follow,omitempty"`
+	Update  *Update  `cbor:"update,omitempty"`
 }
 
 // Hello opens a session in both directions.
@@ -80,8 +90,11 @@
 	Endpoint         string            `cbor:"endpoint,omitempty"`
 	Load             *Load             `cbor:"load,omitempty"`
 	Leaving          bool              `cbor:"leaving,omitempty"`
-	// Capacity is what a gateway may use of its host, in parts of a processor.
+	// Capacity is what a gateway may use of its host, in cores.
 	Capacity float64 `cbor:"capacity,omitempty"`
+	// Relays says that a gateway takes reports and passes sums on. One of the
+	// version before tells its loads to each peer and hears them from each.
+	Relays bool `cbor:"relays,omitempty"`
 }
 
 // Call asks an agent to run one attempt of one stage. TimeLeft is a span
@@ -357,4 +370,6 @@
 	Free    int   `cbor:"free,omitempty"`
 	// Fill is how many pieces a call holds when more wait.
 	Fill float64 `cbor:"fill,omitempty"`
+	// Age is how long ago its owner said so, in milliseconds, when it was passed on.
+	Age clock.Millis `cbor:"age,omitempty"`
 }
--- a/internal/route/owner/owner.go
+++ b/internal/route/owner/owner.go
@@ -17,8 +17,10 @@
 	// not made. In a restart of all hosts one after the other, pools then move
 	// once for each restart of their owner and not twice.
 	Key string
-	// Capacity is what the process may use of its host, in parts of a processor.
+	// Capacity is what the process may use of its host, in cores.
 	Capacity float64
+	// Zone is the availability zone of its host.
+	Zone string
 }
 
 // strongShare is the part of the largest capacity from which a process may own.
@@ -48,6 +50,33 @@
 	return processes[best].Name
 }
 
+// In returns the owner of a subject whose engines stand in an availability zone:
+// a process of that zone, or any if the zone has none.
+func In(subject, zone string, processes []Process) string {
+	var near []Process
+	for _, process := range processes {
+		if process.Zone == zone {
+			near = append(near, process)
+		}
+	}
+	if len(near) == 0 {
+		near = processes
+	}
+	return Of(subject, near)
+}
+
+// Strong returns the processes on hosts large enough to work for others.
+func Strong(processes []Process) []Process {
+	least := strongShare * largest(processes)
+	var strong []Process
+	for _, process := range processes {
+		if process.Capacity >= least {
+			strong = append(strong, process)
+		}
+	}
+	return strong
+}
+
 func largest(processes []Process) float64 {
 	most := 0.0
 	for _, process := range processes {
--- /dev/null
+++ b/internal/route/relay/relay_test.go
@@ -0,0 +1,108 @@
+package relay_test
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/route/owner"
+	"github.com/jujubescale/jujubescale/internal/route/relay"
+)
+
+// fleet returns so many processes in five availability zones, one in six of them
+// on a large host.
+func fleet(count int) []owner.Process {
+	var all []owner.Process
+	for i := range count {
+		process := owner.Process{Name: fmt.Sprintf("gateway-%04d", i), Capacity: 0.144, Zone: fmt.Sprint("zone-", i%5)}
+		process.Key = process.Name + "/1"
+		if i/5%6 == 0 {
+			process.Capacity = 0.8
+		}
+		all = append(all, process)
+	}
+	return all
+}
+
+func nobody(string) bool { return false }
+
+func ExampleNew() {
+	plan := relay.New([]owner.Process{{Name: "a", Key: "a/1", Zone: "east"}, {Name: "b", Key: "b/1", Zone: "west"}})
+	fmt.Println(plan.Aggregators)
+	fmt.Println(plan.For("c", "west", func(string) bool { return false }))
+	// Output:
+	// [a b]
+	// b
+}
+
+// Guards against a fleet in which what one process sends grows with the number of
+// processes: a process has one destination, an aggregator a square root of them.
+func TestDestinationsDoNotGrowWithTheFleet(t *testing.T) {
+	for _, count := range []int{1, 3, 10, 100, 500, 1000} {
+		all := fleet(count)
+		plan := relay.New(all)
+		groups := make(map[string]int)
+		for _, process := range all {
+			if !plan.Aggregates(process.Name) {
+				groups[plan.For(process.Name, process.Zone, nobody)]++
+			}
+		}
+		most := 0
+		for _, name := range plan.Aggregators {
+			most = max(most, groups[name]+len(plan.Aggregators)-1)
+		}
+		t.Logf("%d processes: %d aggregators, at most %d destinations", count, len(plan.Aggregators), most)
+		assert.Assert(t, most <= 12+int(4*math.Sqrt(float64(count))), "%d processes: %d destinations", count, most)
+		assert.Equal(t, len(plan.Watchers), min(relay.Watchers, len(plan.Aggregators)))
+		for _, name := range plan.Watchers {
+			assert.Assert(t, plan.Aggregates(name))
+		}
+	}
+}
+
+// Guards against aggregators on small hosts, where adding up for others takes
+// what callers need.
+func TestAggregatorsStandOnLargeHosts(t *testing.T) {
+	all := fleet(100)
+	for _, name := range relay.New(all).Aggregators {
+		at := slices.IndexFunc(all, func(p owner.Process) bool { return p.Name == name })
+		assert.Equal(t, all[at].Capacity, 0.8)
+	}
+}
+
+// Guards against a fleet whose reports all move when one process ends.
+func TestOnlyReportsToTheLostAggregatorMove(t *testing.T) {
+	for _, count := range []int{10, 100, 500, 1000} {
+		all := fleet(count)
+		before := relay.New(all)
+		lost := before.Aggregators[0]
+		left := slices.DeleteFunc(slices.Clone(all), func(p owner.Process) bool { return p.Name == lost })
+		after := relay.New(left)
+		moved := 0
+		for _, process := range left {
+			to := before.For(process.Name, process.Zone, nobody)
+			if to != lost && to != after.For(process.Name, process.Zone, nobody) {
+				moved++
+			}
+		}
+		assert.Assert(t, moved*5 <= count, "%d of %d moved", moved, count)
+	}
+}
+
+// Guards against a process without anybody to report to because its availability
+// zone has no other, or because the aggregators there do not answer.
+func TestProcessReportsElsewhereWhenItsZoneHasNobody(t *testing.T) {
+	plan := relay.New(fleet(100))
+	assert.Assert(t, plan.For("new", "an empty zone", nobody) != "")
+	own := plan.ByZone["zone-1"]
+	to := plan.For("new", "zone-1", func(name string) bool { return slices.Contains(own, name) })
+	assert.Assert(t, to != "" && !slices.Contains(own, to), to)
+	assert.Equal(t, plan.For("new", "zone-1", func(string) bool { return true }), "")
+	alone := relay.New(fleet(1))
+	assert.Equal(t, alone.For("gateway-0000", "zone-0", nobody), "")
+	assert.DeepEqual(t, alone.Watchers, []string{"gateway-0000"})
+	assert.Equal(t, len(relay.New(nil).Aggregators), 0)
+}
--- a/internal/route/view/view.go
+++ b/internal/route/view/view.go
@@ -69,6 +69,19 @@
 	PeerPlanned atomic.Int64
 }
 
+// Work is what peers have running at an endpoint.
+type Work struct {
+	Running, Prefill, Memory, Planned int64
+}
+
+// SetPeers replaces the work of all peers.
+func (l *Load) SetPeers(work Work) {
+	l.PeerRunning.Store(work.Running)
+	l.PeerPrefill.Store(work.Prefill)
+	l.PeerMemory.Store(work.Memory)
+	l.PeerPlanned.Store(work.Planned)
+}
+
 // Sent counts a prompt that this process sends, at an engine that reads so many
 // tokens in a millisecond.
 func (l *Load) Sent(tokens int64, tokensPerMs float64, now clock.Millis) {
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -1,6 +1,10 @@
 // Package feed follows one kind of objects in the platform's store: it reads
 // all of them once, then waits for changes, and starts over when the store has
 // dropped its history. It tells when the store was lost and found again.
+//
+// Calls to the store are paid for, so that most processes follow it through a
+// peer that passes changes on and says from time to time that there are none. A
+// feed that hears neither for a while asks the store itself.
 package feed
 
 import (
@@ -8,11 +12,13 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 )
@@ -36,18 +42,17 @@
 	log   *log.Logger
 	wait  func() clock.Millis
 	rest  func() clock.Millis
-	// known is the revision up to which everything was read, changed that of the
-	// last change that was noticed.
-	known   atomic.Uint64
-	changed atomic.Uint64
-	// behind is since when others have noticed more, 0 when they have not.
-	behind clock.Millis
+	// longest is the longest pause after a failed call.
+	longest func() clock.Millis
 
 	// listFunc takes the whole list, and whether the store had been lost;
-	// changeFunc takes changes in order.
+	// changeFunc takes changes in order, passFunc what peers are to know.
 	listFunc   func(objects []store.Object, after clock.Millis)
 	changeFunc func(changes []store.Change)
+	passFunc   func(*wire.Update)
 	wakeUp     chan struct{}
+	// passed wakes the feed when a peer began to pass changes on.
+	passed chan struct{}
 	// lost is when the store stopped answering, 0 while it answers; away is how
 	// long it was lost since the last list.
 	lost    clock.Millis
@@ -55,6 +60,9 @@
 	backoff clock.Millis
 	outage  *Outage
 	down    atomic.Bool
+
+	mu    sync.Mutex
+	state state
 }
 
 // Option changes a Feed while it is built.
@@ -76,6 +84,9 @@
 // times a second are read several at a time.
 func WithRest(rest func() clock.Millis) Option { return func(f *Feed) { f.rest = rest } }
 
+// WithBackoff sets the longest pause after a failed call.
+func WithBackoff(longest func() clock.Millis) Option { return func(f *Feed) { f.longest = longest } }
+
 // WithList sets who takes the whole list. Away is how long the store had been
 // lost before, 0 when it had not.
 func WithList(list func(objects []store.Object, away clock.Millis)) Option {
@@ -85,13 +96,17 @@
 // WithChanges sets who takes changes.
 func WithChanges(change func([]store.Change)) Option { return func(f *Feed) { f.changeFunc = change } }
 
+// WithPass sets who passes on to peers what was read.
+func WithPass(pass func(*wire.Update)) Option { return func(f *Feed) { f.passFunc = pass } }
+
 // New returns a feed of one kind; Run follows it.
 func New(kind string, from *store.Store, opts ...Option) *Feed {
 	f := &Feed{
-		kind: kind, store: from, clock: clock.New(), log: log.New(io.Discard), wakeUp: make(chan struct{}, 1), outage: NewOutage(),
+		kind: kind, store: from, clock: clock.New(), log: log.New(io.Discard), wakeUp: make(chan struct{}, 1), passed: make(chan struct{}, 1), outage: NewOutage(),
 		wait:     func() clock.Millis { return defaultWait },
 		rest:     func() clock.Millis { return 0 },
-		listFunc: func([]store.Object, clock.Millis) {}, changeFunc: func([]store.Change) {},
+		longest:  func() clock.Millis { return maxBackoff },
+		listFunc: func([]store.Object, clock.Millis) {}, changeFunc: func([]store.Change) {}, passFunc: func(*wire.Update) {},
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -111,118 +126,102 @@
 // Down reports whether the store gave no answer to the last call.
 func (f *Feed) Down() bool { return f.down.Load() }
 
-// Kind returns the kind that is followed.
-func (f *Feed) Kind() string { return f.kind }
-
-// Changed returns the revision of the last change that was noticed.
-func (f *Feed) Changed() uint64 { return f.changed.Load() }
-
-// hintPatience is how long a feed may be behind what others have noticed, beyond
-// its own rest, before it reads the list again: mostly its own watch is about to
-// tell it.
-const hintPatience = 600 * clock.Millis(1)
-
-// Hint tells that somebody else has noticed a change at a revision. If this
-// process has not read that far for a while, it reads the list again. Hints are
-// given from one goroutine, again and again.
-func (f *Feed) Hint(revision uint64) {
-	if revision <= f.known.Load() {
-		f.behind = 0
-		return
-	}
-	now := f.clock.Now()
-	switch {
-	case f.behind == 0:
-		f.behind = now
-	case now-f.behind >= hintPatience+f.rest():
-		f.behind = 0
-		f.Again()
-	}
-}
-
-// read notes how far everything was read.
-func (f *Feed) read(revision uint64) { f.known.Store(max(f.known.Load(), revision)) }
-
-// noticed notes a change.
-func (f *Feed) noticed(revision uint64) { f.changed.Store(max(f.changed.Load(), revision)) }
-
-// Run follows the kind until the context ends.
+// Run follows the kind until the context ends: through a peer while one passes
+// changes on, else in the store.
 func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		listing, err := f.store.Scan(ctx, f.kind)
-		if err != nil {
-			f.failed(ctx, err)
+		if f.Passed() {
+			f.awaitPeer(ctx)
 			continue
 		}
-		f.found()
-		f.read(listing.Revision)
-		for _, object := range listing.Objects {
-			f.noticed(object.Version)
+		if since, current := f.known(); current {
+			f.follow(ctx, since)
+			continue
 		}
-		f.listFunc(listing.Objects, f.away)
-		f.away = 0
-		f.follow(ctx, listing.Revision)
+		f.list(ctx)
 	}
 }
 
-// follow reads changes until the list has to be read again.
+// list reads the whole list.
+func (f *Feed) list(ctx context.Context) {
+	listing, err := f.store.Scan(ctx, f.kind)
+	if err != nil {
+		f.failed(ctx, err)
+		return
+	}
+	f.found()
+	f.takeList(listing.Objects, listing.Revision, listing.Revision, f.away, f.clock.Now())
+	f.away = 0
+}
+
+// follow reads changes until the list has to be read again or a peer passes them
+// on.
 func (f *Feed) follow(ctx context.Context, since uint64) {
 	for ctx.Err() == nil {
 		changes, err := f.waitForChanges(ctx, since)
 		var gone *store.HistoryError
 		switch {
+		case errors.Is(err, errPassed):
+			return
 		case errors.Is(err, errAgain):
+			f.doubt()
 			return
 		case errors.As(err, &gone):
 			f.log.Info("history dropped, reading the list again", "kind", f.kind, "since", since)
+			f.doubt()
 			return
 		case errors.Is(err, context.DeadlineExceeded):
 			// Nothing came within the wait, not even that there is nothing: the
 			// list tells whether the store is there and what was missed.
 			f.log.Info("watch went silent, reading the list again", "kind", f.kind, "since", since)
+			f.doubt()
 			return
 		case err != nil:
+			f.doubt()
 			f.failed(ctx, err)
 			return
 		}
-		since = max(since, changes.Revision)
-		f.read(since)
 		if f.found(); f.away > 0 {
 			// While the store was away entries may have lapsed. The list tells
 			// which are there, and the reader learns how long it was blind.
+			f.doubt()
 			return
 		}
-		if len(changes.Changes) > 0 {
-			f.noticed(since)
-			f.changeFunc(changes.Changes)
-		}
-		if rest := f.rest(); rest > 0 {
+		since = f.takeChanges(changes.Changes, since, max(since, changes.Revision), f.clock.Now())
+		if rest := f.rest(); rest > 0 && len(changes.Changes) > 0 {
 			_ = f.clock.Sleep(ctx, rest) // the loop sees the end of the context
 		}
 	}
 }
 
-// errAgain says that the list was asked for.
-var errAgain = errors.New("list asked for")
+// Errors that end a wait for changes: the list was asked for, or a peer passes
+// changes on.
+var (
+	errAgain  = errors.New("list asked for")
+	errPassed = errors.New("a peer passes changes on")
+)
 
 func (f *Feed) waitForChanges(ctx context.Context, since uint64) (store.Changes, error) {
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
-	again := make(chan bool, 1)
+	cause := make(chan error, 1)
 	go func() {
 		select {
 		case <-f.wakeUp:
 			cancel()
-			again <- true
+			cause <- errAgain
+		case <-f.passed:
+			cancel()
+			cause <- errPassed
 		case <-done:
-			again <- false
+			cause <- nil
 		}
 	}()
 	changes, err := f.store.Follow(call, f.kind, since, f.wait())
 	close(done)
-	if <-again {
-		return store.Changes{}, errAgain
+	if ended := <-cause; ended != nil {
+		return store.Changes{}, ended
 	}
 	return changes, err
 }
@@ -236,7 +235,7 @@
 		f.lost = f.clock.Now()
 		f.log.Info("platform lost", "kind", f.kind, logs.KeyError, err)
 	}
-	f.backoff = min(max(2*f.backoff, firstBackoff), maxBackoff)
+	f.backoff = min(max(2*f.backoff, firstBackoff), max(f.longest(), firstBackoff))
 	// Jitter: all processes lose the store at the same moment, and must not all
 	// come back at the same moment to one that allows so many calls a second.
 	pause := f.backoff/2 + clock.Millis(rand.Int64N(int64(f.backoff)))
@@ -244,7 +243,18 @@
 		f.waitForOther(ctx, found)
 		pause = clock.Millis(rand.Int64N(int64(firstBackoff)))
 	}
-	_ = f.clock.Sleep(ctx, pause) // the loop sees the end of the context
+	f.rests(ctx, pause)
+}
+
+// rests waits, but no longer than until a peer passes changes on.
+func (f *Feed) rests(ctx context.Context, pause clock.Millis) {
+	over, forget := f.clock.After(pause)
+	defer forget()
+	select {
+	case <-over:
+	case <-f.passed:
+	case <-ctx.Done():
+	}
 }
 
 // found notes that the store answered, and how long it had been lost.
--- /dev/null
+++ b/internal/serve/feed/peer.go
@@ -0,0 +1,276 @@
+package feed
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/plat/store"
+)
+
+// passedFor is how long after the store's last answer, as a peer tells of it, a
+// feed goes without asking the store itself. Together with one call it stays
+// below the shortest time within which changes must be in force.
+const passedFor = 1400 * clock.Millis(1)
+
+// state is what a feed knows.
+type state struct {
+	// listed says that the list was read at least once, doubted that it has to be
+	// read again.
+	listed  bool
+	doubted bool
+	// known is the revision up to which everything was read, changed that of the
+	// last change.
+	known   uint64
+	changed uint64
+	objects map[string]store.Object
+	// confirmed is when the store last said so, to this process or to a peer that
+	// passed it on; passed is the latter alone.
+	confirmed clock.Millis
+	passed    clock.Millis
+}
+
+// Kind returns the kind that is followed.
+func (f *Feed) Kind() string { return f.kind }
+
+// Changed returns the revision of the last change that was read.
+func (f *Feed) Changed() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.changed
+}
+
+// Passed reports whether a peer passes changes on.
+func (f *Feed) Passed() bool { return f.passedLeft() > 0 }
+
+// passedLeft returns how long a peer's word still counts.
+func (f *Feed) passedLeft() clock.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.state.listed || f.state.doubted || f.state.passed == 0 {
+		return 0
+	}
+	return f.state.passed + passedFor - f.clock.Now()
+}
+
+// awaitPeer returns when the list is asked for, or when no peer has confirmed for
+// a while what is known.
+func (f *Feed) awaitPeer(ctx context.Context) {
+	f.foundByPeer()
+	for left := f.passedLeft(); left > 0; left = f.passedLeft() {
+		over, forget := f.clock.After(left)
+		select {
+		case <-over:
+		case <-f.passed:
+		case <-f.wakeUp:
+			f.doubt()
+		case <-ctx.Done():
+		}
+		forget()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	f.log.Info("peer passes no changes on", "kind", f.kind, "ageMs", int64(passedFor))
+}
+
+// known returns the revision up to which everything was read, and whether
+// changes can be followed from there.
+func (f *Feed) known() (since uint64, current bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.known, f.state.listed && !f.state.doubted
+}
+
+// doubt has the whole list read again.
+func (f *Feed) doubt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.doubted, f.state.passed = true, 0
+}
+
+// foundByPeer notes that a peer has an answer of the store, while this process
+// may have had none.
+func (f *Feed) foundByPeer() {
+	f.backoff, f.away = 0, 0
+	f.outage.answered(f)
+	f.down.Store(false)
+	if f.lost > 0 {
+		f.log.Info("platform found again through a peer", "kind", f.kind, "awayMs", int64(f.clock.Since(f.lost)))
+		f.lost = 0
+	}
+}
+
+// Seen returns how far the kind was followed.
+func (f *Feed) Seen() wire.Seen {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return wire.Seen{
+		Kind: f.kind, Revision: f.state.known, Changed: min(f.state.changed, f.state.known),
+		Age: max(f.clock.Now()-f.state.confirmed, 0),
+	}
+}
+
+// Whole returns all objects, nil before they were read.
+func (f *Feed) Whole() *wire.Update {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.state.listed {
+		return nil
+	}
+	return f.whole(0)
+}
+
+// whole returns all objects; the caller holds the lock.
+func (f *Feed) whole(away clock.Millis) *wire.Update {
+	update := &wire.Update{
+		Kind: f.kind, Revision: f.state.known, Changed: f.state.changed, Whole: true, Away: away,
+		Age: max(f.clock.Now()-f.state.confirmed, 0),
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.state.objects)) {
+		object := f.state.objects[name]
+		update.Objects = append(update.Objects, wire.Stored{Name: name, Version: object.Version, Value: object.Value})
+	}
+	return update
+}
+
+// takeList takes the whole list as of a revision.
+func (f *Feed) takeList(objects []store.Object, revision, changed uint64, away, at clock.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := &f.state
+	s.doubted = false
+	if s.listed && revision < s.known {
+		return // a peer has passed on something newer meanwhile
+	}
+	s.listed, s.known, s.changed = true, revision, changed
+	s.confirmed = max(s.confirmed, at)
+	s.objects = make(map[string]store.Object, len(objects))
+	for _, object := range objects {
+		s.objects[object.Name] = object
+	}
+	f.listFunc(objects, away)
+	f.passFunc(f.whole(away))
+}
+
+// takeChanges takes the changes between two revisions and returns the revision
+// that is known now. It leaves out those that are known already.
+func (f *Feed) takeChanges(changes []store.Change, since, revision uint64, at clock.Millis) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := &f.state
+	s.confirmed = max(s.confirmed, at)
+	if revision <= s.known {
+		return s.known
+	}
+	fresh := slices.DeleteFunc(slices.Clone(changes), func(change store.Change) bool { return f.isOld(change, since) })
+	s.known = revision
+	if len(fresh) == 0 {
+		return s.known
+	}
+	s.changed = revision
+	for _, change := range fresh {
+		if change.Deleted {
+			delete(s.objects, change.Object.Name)
+			continue
+		}
+		s.objects[change.Object.Name] = change.Object
+	}
+	f.changeFunc(fresh)
+	f.passFunc(f.update(fresh, since))
+	return s.known
+}
+
+// isOld reports whether a change was known before, where changes overlap with
+// what was read another way. The caller holds the lock.
+func (f *Feed) isOld(change store.Change, since uint64) bool {
+	if since == f.state.known {
+		return false
+	}
+	held, found := f.state.objects[change.Object.Name]
+	if change.Deleted {
+		return !found || held.Version > change.Object.Version
+	}
+	if found {
+		return held.Version >= change.Object.Version
+	}
+	return change.Object.Version <= f.state.known
+}
+
+// update returns a message of changes; the caller holds the lock.
+func (f *Feed) update(changes []store.Change, since uint64) *wire.Update {
+	update := &wire.Update{
+		Kind: f.kind, Since: since, Revision: f.state.known, Changed: f.state.changed,
+		Age: max(f.clock.Now()-f.state.confirmed, 0),
+	}
+	for _, change := range changes {
+		update.Objects = append(update.Objects, wire.Stored{
+			Name: change.Object.Name, Version: change.Object.Version, Value: change.Object.Value, Deleted: change.Deleted,
+		})
+	}
+	return update
+}
+
+// Take takes what a peer passes on, and reports whether changes before it are
+// missing.
+func (f *Feed) Take(update *wire.Update, now clock.Millis) (missing bool) {
+	at := now - update.Age
+	if update.Whole {
+		f.takeList(objectsOf(update), update.Revision, update.Changed, update.Away, at)
+	} else {
+		if known, current := f.known(); !current || update.Since > known {
+			return true
+		}
+		f.takeChanges(changesOf(update), update.Since, update.Revision, at)
+	}
+	f.trust(at)
+	return false
+}
+
+// Confirm takes how far a peer has followed the kind, as of an instant, and
+// reports whether this feed lacks changes that the peer has.
+func (f *Feed) Confirm(seen wire.Seen, now clock.Millis) (missing bool) {
+	f.mu.Lock()
+	if f.state.known < seen.Changed || !f.state.listed {
+		f.mu.Unlock()
+		return true
+	}
+	f.state.known, f.state.doubted = max(f.state.known, seen.Revision), false
+	f.mu.Unlock()
+	f.trust(now - seen.Age)
+	return false
+}
+
+// trust notes that a peer passes on what the store said at an instant.
+func (f *Feed) trust(at clock.Millis) {
+	before := f.Passed()
+	f.mu.Lock()
+	f.state.passed = max(f.state.passed, at)
+	f.state.confirmed = max(f.state.confirmed, at)
+	f.mu.Unlock()
+	if !before && f.Passed() {
+		f.log.Info("changes passed on by a peer", "kind", f.kind, "ageMs", int64(f.clock.Now()-at))
+		select {
+		case f.passed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func objectsOf(update *wire.Update) []store.Object {
+	objects := make([]store.Object, 0, len(update.Objects))
+	for _, o := range update.Objects {
+		objects = append(objects, store.Object{Name: o.Name, Version: o.Version, Value: o.Value})
+	}
+	return objects
+}
+
+func changesOf(update *wire.Update) []store.Change {
+	changes := make([]store.Change, 0, len(update.Objects))
+	for _, o := range update.Objects {
+		changes = append(changes, store.Change{Object: store.Object{Name: o.Name, Version: o.Version, Value: o.Value}, Deleted: o.Deleted})
+	}
+	return changes
+}
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -91,7 +91,7 @@
 	}
 	bounds := g.bounds.Load()
 	all := (rate*bounds.ColdShare + bounds.ColdSpare) * warmUse
-	return max(int(all)/max(len(g.mesh.Alive()), 1), leastWarm)
+	return max(int(all)/max(g.mesh.Count(), 1), leastWarm)
 }
 
 func (g *Gate) chooseEngine(req *request, found []*target.Target, shut []bool, wait, now clock.Millis) choice {
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -91,7 +91,7 @@
 	g.bounds.Store(&Bounds{})
 	g.targets = target.NewSet(g.Clock, g.mostConns, g.meter.dialed)
 	g.prefixes = target.NewPrefixes(g.targets)
-	g.extras = extra.New(g.Clock, g.extraBounds, func() int { return len(g.mesh.Alive()) })
+	g.extras = extra.New(g.Clock, g.extraBounds, func() int { return g.mesh.Count() })
 	g.pieceExtras = extra.New(g.Clock, g.extraBounds, func() int { return ownersAtOnce })
 	g.cut, g.cutAll = context.WithCancel(context.Background())
 	return g
@@ -145,7 +145,7 @@
 	if pool == nil || pool.MaxConns == 0 {
 		return 1
 	}
-	return max(pool.MaxConns*7/8/max(len(g.mesh.Alive()), 1), 2)
+	return max(pool.MaxConns*7/8/max(g.mesh.Count(), 1), 2)
 }
 
 // Join sets the processes that pools are shared with, and the host of the
--- /dev/null
+++ b/internal/serve/mesh/report.go
@@ -0,0 +1,479 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/token"
+	"github.com/jujubescale/jujubescale/internal/flow/coming"
+	"github.com/jujubescale/jujubescale/internal/flow/sums"
+	"github.com/jujubescale/jujubescale/internal/link/sess"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/ops/logs"
+)
+
+const (
+	// regularEvery is how often a process reports in full, and how often an
+	// aggregator tells what changed. Long prompts are reported at once.
+	regularEvery = 100 * clock.Millis(1)
+	// leastGap is the shortest pause between two rounds of reports, gapEach what
+	// each destination adds to it: the more there are, the fewer messages each
+	// gets, so that an aggregator's messages a second do not grow with the fleet.
+	leastGap = 6 * clock.Millis(1)
+	gapEach  = 2 * clock.Millis(1)
+	// muteAfter is the silence after which the work of a process or group does
+	// not count any more.
+	muteAfter = 1500 * clock.Millis(1)
+	// totalSilence is the silence after which a process reports to another
+	// aggregator, and avoidFor how long it avoids the silent one.
+	totalSilence = 700 * clock.Millis(1)
+	avoidFor     = 5 * clock.Second
+	// presenceGrace is how long a process may report to nobody: it may be on its
+	// way to another aggregator. A new aggregator judges after judgeAfter.
+	presenceGrace = 500 * clock.Millis(1)
+	judgeAfter    = clock.Second
+	// membersEvery is how often unchanged lists of processes are repeated.
+	membersEvery = clock.Second
+	// poolAge is the usual age of what is known of another owner's queue: three
+	// hops of half an interval, and as much again.
+	poolAge = 3 * regularEvery
+)
+
+// way is through whom this process reports and follows the store now.
+type way struct {
+	// aggregator that it reports to, "" while it is one itself.
+	aggregator string
+	// upstream is whose reading of the store it follows, "" for none.
+	upstream string
+}
+
+// sighting is when a process was last among those that report.
+type sighting struct {
+	presence wire.Presence
+	at       clock.Millis
+}
+
+// reports is the state of Run.
+type reports struct {
+	regular      clock.Millis // when the last regular round was
+	acting       bool         // this process is an aggregator
+	actingSince  clock.Millis
+	since        clock.Millis // when reporting to the aggregator began
+	avoided      map[string]clock.Millis
+	seen         map[string]sighting
+	absentSince  clock.Millis // when the absent ones changed last
+	group        []wire.Presence
+	groupSince   clock.Millis
+	upstreamLink *link
+	destinations int
+}
+
+func (r *reports) init() {
+	r.avoided, r.seen = make(map[string]clock.Millis), make(map[string]sighting)
+}
+
+// Tell has the loads reported at once, because others choose by them.
+func (m *Mesh) Tell() {
+	m.hurry.Store(true)
+	m.wakeUp()
+}
+
+// wakeUp begins a round soon.
+func (m *Mesh) wakeUp() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run reports loads and passes on those of others until the context ends.
+func (m *Mesh) Run(ctx context.Context) {
+	for m.pause(ctx) == nil {
+		m.round(m.clock.Now())
+	}
+}
+
+// pause waits until the next regular round is due or an urgent one is asked for.
+func (m *Mesh) pause(ctx context.Context) error {
+	gap := min(max(leastGap, gapEach*clock.Millis(m.reports.destinations)), regularEvery)
+	if err := m.clock.Sleep(ctx, gap); err != nil {
+		return err
+	}
+	over, forget := m.clock.After(max(m.reports.regular+regularEvery-m.clock.Now(), 0))
+	defer forget()
+	select {
+	case <-m.wake:
+		return nil
+	case <-over:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (m *Mesh) round(now clock.Millis) {
+	r := &m.reports
+	regular := now-r.regular >= regularEvery
+	if hurry := m.hurry.Swap(false); hurry || regular {
+		m.putOwn(hurry, now)
+	}
+	if regular {
+		r.regular = now
+		m.mute(now)
+		m.closeIdle(now)
+		m.judge(now)
+	}
+	m.chooseRole(now)
+	if regular {
+		m.chooseUpstream(now)
+		m.gather()
+	}
+	r.destinations = m.send(regular, now)
+}
+
+// putOwn enters the loads of this process.
+func (m *Mesh) putOwn(urgent bool, now clock.Millis) {
+	loads := m.loadsFunc()
+	own := sumsOf(loads, urgent)
+	own.HasMembers, own.Members = true, []wire.Presence{{Process: m.self.Name, Incarnation: m.self.Incarnation, Owns: m.mayOwn()}}
+	if _, err := m.book.Put(sums.Source{Process: m.self.Name}, own, now); err != nil {
+		m.log.Error("own loads not usable", logs.KeyError, err)
+	}
+	m.sendLegacy(loads)
+}
+
+// sumsOf converts the loads of one process.
+func sumsOf(loads *wire.Loads, urgent bool) *wire.Sums {
+	own := &wire.Sums{
+		Whole: true, Urgent: urgent, Regular: true, Pools: loads.Pools, Coming: loads.Coming,
+		Prefixes: loads.Prefixes, Refused: loads.Refused, Owns: !loads.Leaving,
+	}
+	for _, load := range loads.Endpoints {
+		work := wire.Work{
+			Endpoint: load.Endpoint, Running: max(load.Running, 0), Prefill: max(load.Prefill, 0), Memory: max(load.Memory, 0),
+			Planned: max(load.Planned, 0),
+		}
+		if !work.None() {
+			own.Work = append(own.Work, work)
+		}
+	}
+	return own
+}
+
+// sendLegacy tells peers of the version before what they expect.
+func (m *Mesh) sendLegacy(loads *wire.Loads) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, in := range m.inbound {
+		if in.legacy {
+			own := *loads
+			own.Leaving = !m.owns
+			_ = in.session.Send(&wire.Frame{Kind: wire.KindLoads, Loads: &own}) // a session that can't send is ending
+		}
+	}
+}
+
+// mute leaves out who was silent for long.
+func (m *Mesh) mute(now clock.Millis) {
+	silent, changed := m.book.Mute(m.self.Name, now-muteAfter, now)
+	for _, source := range silent {
+		m.log.Info("reports stopped", "peer", source.Process, "group", source.Group, "ageMs", int64(muteAfter))
+	}
+	m.pushOthers(changed)
+}
+
+// pushOthers passes on what changed at some endpoints, if this process adds up
+// by itself.
+func (m *Mesh) pushOthers(endpoints []string) {
+	m.pushing.Lock()
+	defer m.pushing.Unlock()
+	if len(endpoints) > 0 && m.way.Load().aggregator == "" {
+		m.workFunc(m.book.Others(m.self.Name, endpoints), false)
+	}
+}
+
+// pushAll passes on the work of all others.
+func (m *Mesh) pushAll() {
+	m.pushing.Lock()
+	defer m.pushing.Unlock()
+	m.workFunc(m.book.AllOthers(m.self.Name), true)
+}
+
+// forget drops what a source reported.
+func (m *Mesh) forget(source sums.Source) { m.pushOthers(m.book.Drop(source, m.clock.Now())) }
+
+// chooseRole decides whether this process is an aggregator, and to whom it
+// reports otherwise.
+func (m *Mesh) chooseRole(now clock.Millis) {
+	r, plan, before := &m.reports, m.view.Load().plan, m.way.Load()
+	acting := plan.Aggregates(m.self.Name) || m.book.Reporters(m.self.Name) > 0
+	to := ""
+	if !acting {
+		m.avoidSilent(before.aggregator, now)
+		to = plan.For(m.self.Name, m.self.Zone, func(name string) bool { return r.avoided[name] > now })
+		acting = to == ""
+	}
+	if acting && !r.acting {
+		r.actingSince = now
+	}
+	r.acting = acting
+	if to == before.aggregator {
+		return
+	}
+	m.way.Store(&way{aggregator: to, upstream: before.upstream})
+	r.since = now
+	m.log.Info("aggregator chosen", "aggregator", to, "before", before.aggregator, "aggregators", len(plan.Aggregators))
+	if to == "" {
+		m.pushAll()
+	}
+}
+
+// avoidSilent notes that the aggregator does not answer.
+func (m *Mesh) avoidSilent(aggregator string, now clock.Millis) {
+	if aggregator == "" {
+		return
+	}
+	r := &m.reports
+	m.mu.Lock()
+	heard := r.since
+	if l := m.links[aggregator]; l != nil {
+		heard = max(heard, l.total)
+	}
+	m.mu.Unlock()
+	if now-heard > totalSilence {
+		r.avoided[aggregator] = now + avoidFor
+		m.log.Info("aggregator silent", "aggregator", aggregator, "ageMs", int64(now-heard))
+	}
+}
+
+// judge decides, as an aggregator, which listed processes are not to be used:
+// those that report to nobody, or say that they own nothing.
+func (m *Mesh) judge(now clock.Millis) {
+	r := &m.reports
+	for _, presence := range m.book.Present() {
+		r.seen[presence.Process] = sighting{presence: presence, at: now}
+	}
+	if group := m.book.Group(); !slices.Equal(group, r.group) {
+		r.group, r.groupSince = group, now
+	}
+	if !r.acting || now-r.actingSince < judgeAfter {
+		return
+	}
+	absent := make(map[string]token.Incarnation)
+	m.mu.Lock()
+	for name, member := range m.members {
+		s, seen := r.seen[name]
+		if !seen || now-s.at > presenceGrace || s.presence.Incarnation != member.Incarnation || !s.presence.Owns {
+			absent[name] = member.Incarnation
+		}
+	}
+	for name := range r.seen {
+		if _, listed := m.members[name]; !listed && now-r.seen[name].at > muteAfter {
+			delete(r.seen, name)
+		}
+	}
+	m.mu.Unlock()
+	if m.setAbsent(absent) {
+		r.absentSince = now
+	}
+}
+
+// setAbsent takes which processes are not to be used and reports whether that
+// changed anything.
+func (m *Mesh) setAbsent(absent map[string]token.Incarnation) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if maps.Equal(m.absent, absent) {
+		return false
+	}
+	for name, run := range absent {
+		if !isRun(m.absent, name, run) {
+			m.log.Info("peer absent", "peer", name, logs.KeyIncarnation, run)
+		}
+	}
+	for name, run := range m.absent {
+		if !isRun(absent, name, run) {
+			m.log.Info("peer present", "peer", name, logs.KeyIncarnation, run)
+		}
+	}
+	m.absent = absent
+	m.publish()
+	return true
+}
+
+// absentees returns the processes that are not to be used, for a message.
+func (m *Mesh) absentees() []wire.Presence {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []wire.Presence
+	for name, run := range m.absent {
+		all = append(all, wire.Presence{Process: name, Incarnation: run})
+	}
+	return all
+}
+
+// gather takes up what all peers say of their pools, if this process adds up by
+// itself.
+func (m *Mesh) gather() {
+	if m.way.Load().aggregator != "" {
+		return
+	}
+	pools, sum := m.book.Pools(m.self.Name), m.book.Coming(m.self.Name)
+	m.pools.Store(&pools)
+	m.coming.Store(&sum)
+}
+
+// Coming returns the pieces that requests of peers will ask for in a pool, by
+// class of rank; nil for none.
+func (m *Mesh) Coming(pool string) []int {
+	loads := m.coming.Load()
+	if loads == nil {
+		return nil
+	}
+	return coming.Of(*loads, pool)
+}
+
+// Pool returns what peers said of a pool's queue last, false when none did. Late
+// is how much older it is than usual.
+func (m *Mesh) Pool(name string) (load wire.PoolLoad, late clock.Millis, known bool) {
+	pools := m.pools.Load()
+	if pools == nil {
+		return wire.PoolLoad{}, 0, false
+	}
+	for _, pool := range *pools {
+		if pool.Load.Pool == name {
+			return pool.Load, max(m.clock.Since(pool.At)-poolAge, 0), true
+		}
+	}
+	return wire.PoolLoad{}, 0, false
+}
+
+// takeReport takes the report of a process of this group.
+func (m *Mesh) takeReport(s *sess.Session, report *wire.Sums) {
+	hello := s.Peer()
+	m.mu.Lock()
+	if in := m.inbound[hello.Process]; in != nil && in.session == s {
+		in.reports, in.renewed = !report.Ended, in.renewed || report.Whole
+	}
+	m.mu.Unlock()
+	report.HasMembers = true
+	report.Members = []wire.Presence{{Process: hello.Process, Incarnation: hello.Incarnation, Owns: report.Owns}}
+	m.takeSums(s, false, report)
+	if report.Whole {
+		m.wakeUp()
+	}
+}
+
+// takeGroup takes the sums of another group on a session that its aggregator
+// opened.
+func (m *Mesh) takeGroup(s *sess.Session, group *wire.Sums) {
+	m.mu.Lock()
+	if in := m.inbound[s.Peer().Process]; in != nil && in.session == s {
+		in.groups = !group.Ended
+	}
+	m.mu.Unlock()
+	m.takeSums(s, true, group)
+}
+
+// takeLoads takes the loads of a peer of the version before as its report.
+func (m *Mesh) takeLoads(s *sess.Session, loads *wire.Loads) {
+	m.leaves(s.Peer(), loads.Leaving)
+	report := sumsOf(loads, false)
+	report.HasMembers = true
+	report.Members = []wire.Presence{{Process: s.Peer().Process, Incarnation: s.Peer().Incarnation, Owns: !loads.Leaving}}
+	m.takeSums(s, false, report)
+}
+
+// takeSums takes a report or the sums of a group.
+func (m *Mesh) takeSums(s *sess.Session, group bool, taken *wire.Sums) {
+	from, now := s.Peer().Process, m.clock.Now()
+	source := sums.Source{Process: from, Group: group}
+	if taken.Ended {
+		m.forget(source)
+		return
+	}
+	changed, err := m.book.Put(source, taken, now)
+	var unknown *sums.UnknownError
+	if errors.As(err, &unknown) {
+		_ = s.Send(&wire.Frame{Kind: wire.KindRenew}) // a session that can't send is ending
+		return
+	}
+	if err != nil {
+		m.ignoredFunc("contradictory")
+		m.log.Warn("report ignored", "peer", from, "group", group, logs.KeyError, err)
+		return
+	}
+	m.takeEvents(taken)
+	m.pushOthers(changed)
+	if group && taken.Regular && m.way.Load().upstream == from {
+		m.confirm(from, taken.Seen, now)
+	}
+	if taken.Urgent {
+		m.wakeUp()
+	}
+}
+
+func (m *Mesh) takeEvents(taken *wire.Sums) {
+	if len(taken.Prefixes) > 0 {
+		m.prefixFunc(taken.Prefixes)
+	}
+	if len(taken.Refused) > 0 {
+		m.refusedFunc(taken.Refused)
+	}
+}
+
+// pushTotal passes on the work that an aggregator tells, and reports whether it is
+// the one that this process reports to.
+func (m *Mesh) pushTotal(from string, total *wire.Sums) bool {
+	m.pushing.Lock()
+	defer m.pushing.Unlock()
+	if m.way.Load().aggregator != from {
+		return false
+	}
+	m.workFunc(total.Work, total.Whole)
+	return true
+}
+
+// takeTotal takes the work of all others from this process's aggregator.
+func (m *Mesh) takeTotal(from string, total *wire.Sums) {
+	now := m.clock.Now()
+	if err := sums.Check(sums.Source{Process: from, Group: true}, total); err != nil {
+		m.ignoredFunc("contradictory")
+		m.log.Warn("total ignored", "peer", from, logs.KeyError, err)
+		return
+	}
+	m.mu.Lock()
+	if l := m.links[from]; l != nil {
+		l.total = now
+	}
+	m.mu.Unlock()
+	if !m.pushTotal(from, total) {
+		return
+	}
+	m.takeEvents(total)
+	if total.HasMembers {
+		absent := make(map[string]token.Incarnation, len(total.Members))
+		for _, presence := range total.Members {
+			if presence.Process != m.self.Name {
+				absent[presence.Process] = presence.Incarnation
+			}
+		}
+		m.setAbsent(absent)
+	}
+	if !total.Regular {
+		return
+	}
+	pools := make([]sums.Pool, 0, len(total.Pools))
+	for _, load := range total.Pools {
+		pools = append(pools, sums.Pool{Load: load, At: now - load.Age})
+	}
+	sum := sums.ComingOf(total.Coming)
+	m.pools.Store(&pools)
+	m.coming.Store(&sum)
+	if m.way.Load().upstream == from {
+		m.confirm(from, total.Seen, now)
+	}
+}
--- a/internal/serve/router/members.go
+++ b/internal/serve/router/members.go
@@ -106,21 +106,28 @@
 const (
 	// enlistEvery is how often a process looks whether it is still listed.
 	enlistEvery = 500 * clock.Millis(1)
+	// readyLook is how often a process that starts looks whether it is ready.
+	readyLook = 20 * clock.Millis(1)
 )
 
-// enlist lists this process, and does so again when its entry was removed.
+// enlist lists this process once it can serve, and does so again when its entry
+// was removed: whoever is listed may be asked for pieces.
 func (g *Gateway) enlist(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !g.member.Load() && g.gate.Staying() {
+		pause := enlistEvery
+		switch {
+		case !g.gate.Ready():
+			pause = readyLook
+		case !g.member.Load():
 			g.enlistOnce(ctx)
 		}
-		_ = g.Clock.Sleep(ctx, enlistEvery) // the loop sees the end of the context
+		_ = g.Clock.Sleep(ctx, pause) // the loop sees the end of the context
 	}
 }
 
 func (g *Gateway) enlistOnce(ctx context.Context) {
 	name := g.Dialect.MemberKind + "/" + g.Name
-	self := mesh.Member{Name: g.Name, Address: g.Address, Incarnation: g.incarnation, Zone: g.Zone}
+	self := mesh.Member{Name: g.Name, Address: g.Address, Incarnation: g.incarnation, Zone: g.Zone, Capacity: g.Capacity}
 	value, err := json.Marshal(self)
 	if err != nil {
 		g.Log.Error("not listed", logs.KeyError, err)
--- /dev/null
+++ b/internal/serve/router/meter.go
@@ -0,0 +1,18 @@
+package router
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// meter counts what peers send that is not used.
+type meter struct {
+	reports *prometheus.CounterVec
+}
+
+func newMeter(r prometheus.Registerer) *meter {
+	m := &meter{reports: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "jujubescale_peer_reports_ignored_total", Help: "Reports of peers that were ignored, by reason.",
+	}, []string{"reason"})}
+	r.MustRegister(m.reports)
+	return m
+}
+
+func (m *meter) ignored(reason string) { m.reports.WithLabelValues(reason).Inc() }
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/feed"
@@ -67,15 +68,12 @@
 	}
 }
 
-// loads is what this process tells its peers.
+// loads is what this process reports.
 func (g *Gateway) loads() *wire.Loads {
 	loads := &wire.Loads{Pools: g.host.Loads(g.mesh.Owns), Prefixes: g.gate.Prefixes(), Refused: g.gate.Refused()}
 	for _, load := range g.gate.Coming() {
 		loads.Coming = append(loads.Coming, wire.Coming{Pool: load.Pool, Pieces: load.Pieces})
 	}
-	for _, f := range g.followed() {
-		loads.Seen = append(loads.Seen, wire.Revision{Kind: f.Kind(), Revision: f.Changed()})
-	}
 	g.gate.EachUsed(func(e *view.Endpoint) {
 		load := wire.EndpointLoad{
 			Endpoint: e.ID, Running: e.Load.Running.Load(), Prefill: g.gate.Unread(e), Memory: e.Load.Memory.Load(),
@@ -88,43 +86,50 @@
 	return loads
 }
 
-// followed are the feeds of which processes tell each other.
-func (g *Gateway) followed() []*feed.Feed {
-	return []*feed.Feed{g.feeds.config, g.feeds.endpoints, g.feeds.emptied}
-}
-
-// hint passes on which changes peers have noticed.
-func (g *Gateway) hint(all []*wire.Loads) {
-	for _, loads := range all {
-		for _, seen := range loads.Seen {
-			for _, f := range g.followed() {
-				if f.Kind() == seen.Kind {
-					f.Hint(seen.Revision)
-				}
-			}
+// setWork takes what peers have running at endpoints: what changed, or all.
+func (g *Gateway) setWork(work []wire.Work, whole bool) {
+	endpoints := g.book.Now()
+	if whole {
+		endpoints.Each(func(e *view.Endpoint) { e.Load.SetPeers(view.Work{}) })
+	}
+	for _, w := range work {
+		if e := endpoints.Find(w.Endpoint); e != nil {
+			e.Load.SetPeers(view.Work{Running: w.Running, Prefill: w.Prefill, Memory: w.Memory, Planned: w.Planned})
 		}
 	}
 }
 
-// told adds up what all peers have running.
-func (g *Gateway) told(all []*wire.Loads) {
-	g.hint(all)
-	sums := make(map[string]wire.EndpointLoad)
-	for _, loads := range all {
-		for _, load := range loads.Endpoints {
-			sum := sums[load.Endpoint]
-			sum.Running += load.Running
-			sum.Prefill += load.Prefill
-			sum.Memory += load.Memory
-			sum.Planned += load.Planned
-			sums[load.Endpoint] = sum
+// follower is how peers and this process follow the store through each other.
+func (g *Gateway) follower() mesh.Follower {
+	each := func(kind string, do func(*feed.Feed) bool) []string {
+		for _, f := range g.feeds.all() {
+			if f.Kind() == kind && do(f) {
+				return []string{kind}
+			}
 		}
+		return nil
+	}
+	return mesh.Follower{
+		SeenFunc: func() []wire.Seen {
+			var seen []wire.Seen
+			for _, f := range g.feeds.all() {
+				seen = append(seen, f.Seen())
+			}
+			return seen
+		},
+		WholeFunc: func(kind string) (whole *wire.Update) {
+			each(kind, func(f *feed.Feed) bool { whole = f.Whole(); return false })
+			return whole
+		},
+		TakeFunc: func(update *wire.Update, now clock.Millis) []string {
+			return each(update.Kind, func(f *feed.Feed) bool { return f.Take(update, now) })
+		},
+		ConfirmFunc: func(seen []wire.Seen, now clock.Millis) []string {
+			var missing []string
+			for _, s := range seen {
+				missing = append(missing, each(s.Kind, func(f *feed.Feed) bool { return f.Confirm(s, now) })...)
+			}
+			return missing
+		},
 	}
-	g.book.Now().Each(func(e *view.Endpoint) {
-		sum := sums[e.ID]
-		e.Load.PeerRunning.Store(sum.Running)
-		e.Load.PeerPrefill.Store(sum.Prefill)
-		e.Load.PeerMemory.Store(sum.Memory)
-		e.Load.PeerPlanned.Store(sum.Planned)
-	})
 }
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -55,19 +55,19 @@
 }
 
 const (
-	// leastRest and mostRest bound the pause between two reads of the endpoints'
-	// changes, so that those of a zone that leaves or returns are read together.
-	// What leaves must be known within two seconds. Each change is read by every
-	// process, and each read is paid for.
-	leastRest  = 120 * clock.Millis(1)
-	mostRest   = 850 * clock.Millis(1)
-	memberRest = 250 * clock.Millis(1)
-	// memberWait may be long: a new process is reached by those that know it,
-	// and whoever is gone is noticed by its session.
-	memberWait = 10 * clock.Second
-	sweepEvery = 250 * clock.Millis(1)
+	// endpointRest and memberRest are the pauses between two reads of changes, so
+	// that those of a zone that leaves or returns are read together. What leaves
+	// must be known within two seconds; each read is paid for.
+	endpointRest = 250 * clock.Millis(1)
+	memberRest   = 250 * clock.Millis(1)
+	sweepEvery   = 250 * clock.Millis(1)
 )
 
+// feeds are what a gateway follows in the store.
+type feeds struct{ config, endpoints, emptied, members *feed.Feed }
+
+func (f *feeds) all() []*feed.Feed { return []*feed.Feed{f.config, f.endpoints, f.emptied, f.members} }
+
 // Gateway is one such process.
 type Gateway struct {
 	Settings
@@ -82,7 +82,8 @@
 	gate  *gate.Gate
 	mesh  *mesh.Mesh
 	host  *host.Host
-	feeds struct{ config, endpoints, emptied, members *feed.Feed }
+	meter *meter
+	feeds feeds
 
 	jobs sync.Map // questions of peers: jobKey to *host.Job
 	// handed holds the results that peers were handed lately.
@@ -93,7 +94,7 @@
 
 // New builds a gateway; Start sets it to work. Its calls end with the context.
 func New(ctx context.Context, settings Settings) *Gateway {
-	g := &Gateway{Settings: settings, incarnation: token.NewIncarnation(), began: settings.Clock.Now(), book: view.New()}
+	g := &Gateway{Settings: settings, incarnation: token.NewIncarnation(), began: settings.Clock.Now(), book: view.New(), meter: newMeter(settings.Registry)}
 	g.gate = gate.New(gate.Settings{
 		Clock: g.Clock, Log: g.Log, Spelling: g.Dialect.Spelling, Registry: g.Registry, Zone: g.Zone,
 		Table: g.table.Load, View: g.book.Now, Starting: g.starting,
@@ -106,7 +107,9 @@
 	g.mesh = mesh.New(ctx, mesh.Member{Name: g.Name, Address: g.Address, Incarnation: g.incarnation, Zone: g.Zone, Capacity: g.Capacity},
 		mesh.WithClock(g.Clock), mesh.WithLog(g.Log), mesh.WithPieces(g.takePieces, g.dropPieces),
 		mesh.WithUnused(g.host.Unused),
-		mesh.WithLoads(g.loads, g.told), mesh.WithPrefixes(g.gate.TakePrefixes), mesh.WithRefused(g.gate.TakeRefused), mesh.WithLost(g.abandon, g.clear), mesh.WithRelease(g.release, func() { g.feeds.config.Again() }))
+		mesh.WithLoads(g.loads, g.setWork), mesh.WithPrefixes(g.gate.TakePrefixes), mesh.WithRefused(g.gate.TakeRefused),
+		mesh.WithLost(g.abandon, g.clear), mesh.WithIgnored(g.meter.ignored), mesh.WithFollower(g.follower()),
+		mesh.WithRelease(g.release, g.newerRelease))
 	g.gate.Join(g.mesh, g.host)
 	g.makeFeeds()
 	return g
@@ -151,53 +154,58 @@
 	return 0
 }
 
+// newerRelease is called when a peer has a newer configuration. Mostly it is on
+// its way here.
+func (g *Gateway) newerRelease() {
+	if !g.feeds.config.Passed() {
+		g.feeds.config.Again()
+	}
+}
+
 func (g *Gateway) makeFeeds() {
-	common := []feed.Option{feed.WithClock(g.Clock), feed.WithLog(g.Log), feed.WithWait(g.watchWait), feed.WithOutage(feed.NewOutage())}
+	common := []feed.Option{
+		feed.WithClock(g.Clock), feed.WithLog(g.Log), feed.WithWait(func() clock.Millis { return watchSpan(rand.Float64()) }),
+		feed.WithOutage(feed.NewOutage()), feed.WithBackoff(g.storeBackoff), feed.WithPass(g.mesh.Pass),
+	}
 	with := func(kind string, more ...feed.Option) *feed.Feed {
 		return feed.New(kind, g.Store, append(append([]feed.Option{}, common...), more...)...)
 	}
 	g.feeds.config = with(g.Dialect.ConfigKind, feed.WithList(g.listConfig), feed.WithChanges(g.changeConfig))
-	g.feeds.endpoints = with(g.Dialect.EndpointKind, feed.WithRest(g.endpointRest),
+	g.feeds.endpoints = with(g.Dialect.EndpointKind, feed.WithRest(func() clock.Millis { return endpointRest }),
 		feed.WithList(g.listEndpoints), feed.WithChanges(g.changeEndpoints))
 	zones := newNames(func(names []string) { g.setEmptied(names) })
 	g.feeds.emptied = with(g.Dialect.EmptiedKind, feed.WithList(zones.list), feed.WithChanges(zones.change))
 	members := newMembers(g.setMembers)
 	g.feeds.members = with(g.Dialect.MemberKind, feed.WithRest(func() clock.Millis { return memberRest }),
-		feed.WithWait(func() clock.Millis { return memberWait }), feed.WithList(members.list), feed.WithChanges(members.change))
+		feed.WithList(members.list), feed.WithChanges(members.change))
 }
 
 const (
-	// leastWait is how long a watch waits in a small fleet. A change must be in
-	// force within two seconds, also if the store has forgotten the watch.
-	leastWait = 900 * clock.Millis(1)
-	// mostWait bounds the wait in a large one.
-	mostWait = 20 * clock.Second
-	// watchers is how many processes' watches together end in leastWait; all
-	// others hear from them. It keeps the calls to the store the same however
-	// large the fleet is.
-	watchers = 4
+	// watchWait is how long a watch waits on average. A change must be in force
+	// within two seconds, also if the store has forgotten the watch.
+	watchWait = 900 * clock.Millis(1)
+	// backoffEach is what each process of the fleet adds to the longest pause
+	// after a failed call: a store that is away is asked as often by three hundred
+	// processes as by thirty.
+	backoffEach   = 60 * clock.Millis(1)
+	leastBackoff  = 800 * clock.Millis(1)
+	longestPauses = 6 * clock.Second
 )
 
-// endpointRest grows with the fleet: each change is read by every process, and
-// each read is paid for.
-func (g *Gateway) endpointRest() clock.Millis {
-	return min(leastRest*clock.Millis(max(len(g.mesh.Alive()), watchers))/watchers, mostRest)
+// watchSpan returns how long one watch waits, by a number from 0 to 1. A change
+// wakes all watches at once, and the next one may come while the store forgets
+// them: drawn from a span, some watch ends soon.
+func watchSpan(draw float64) clock.Millis {
+	return watchWait*3/4 + clock.Millis(draw*float64(watchWait/2))
 }
 
-// watchWait spreads the watches of all processes over time: each call that
-// returns is paid for, and whoever notices a change tells all others.
-func (g *Gateway) watchWait() clock.Millis { return watchSpan(len(g.mesh.Alive()), rand.Float64()) }
-
-// watchSpan returns how long a watch waits in a fleet of so many processes, by a
-// number from 0 to 1. A change wakes all watches at once, and the next one may
-// come while the store forgets them: drawn from the least wait on, some watch of
-// a large fleet still ends soon, while the mean, and so the calls to the store,
-// stay the same. Drawn around the mean, the first of many may end after seconds,
-// and keys that have been taken away work until then.
-func watchSpan(processes int, draw float64) clock.Millis {
-	mean := leastWait * clock.Millis(max(processes, watchers)) / watchers
-	spread := 2*(mean-leastWait) + leastWait/2
-	return min(leastWait*3/4+clock.Millis(draw*float64(spread)), mostWait)
+// storeBackoff is the longest pause after a failed call to the store. Watchers
+// ask often, because all others hear from them.
+func (g *Gateway) storeBackoff() clock.Millis {
+	if g.mesh.Watches() {
+		return leastBackoff
+	}
+	return min(max(backoffEach*clock.Millis(g.mesh.Count()), leastBackoff), longestPauses)
 }
 
 // Start begins to follow the store and to work. Stop ends it.
