feat(shard,spill,host): large pools are divided among owners by availability zone

Cause: one owner queued all pieces of a pool of 46 engines.

A process sends pieces to the shard where inputs and reader are, and to another one when the wait there is longer than leaving the zone costs, or its owner is silent (flow/spill, two others drawn at random). Admission counts all shards together. A shard that has no engines left gives its pieces back.

Besides: a process that becomes a watcher asks the store at once, where it waited until its peer's word was 1,400 ms old; a first list of endpoints is one log line.

--- /dev/null
+++ b/internal/flow/reach/merge.go
@@ -0,0 +1,34 @@
+package reach
+
+// Merge returns the queue that several shards of a pool make together.
+func Merge(parts []*Queue) *Queue {
+	merged := &Queue{}
+	var filled, late, weight float64
+	for _, part := range parts {
+		merged.Engines += part.Engines
+		merged.Free += part.Free
+		merged.Waiting = addClasses(merged.Waiting, part.Waiting)
+		if part.Fill > 0 {
+			filled += part.Fill * float64(part.Engines)
+			weight += float64(part.Engines)
+		}
+		late += part.Late * float64(part.Engines)
+	}
+	if weight > 0 {
+		merged.Fill = filled / weight
+	}
+	if merged.Engines > 0 {
+		merged.Late = late / float64(merged.Engines)
+	}
+	return merged
+}
+
+func addClasses(sum, more []int) []int {
+	for class, pieces := range more {
+		if class == len(sum) {
+			sum = append(sum, 0)
+		}
+		sum[class] += pieces
+	}
+	return sum
+}
--- a/internal/flow/reach/reach_test.go
+++ b/internal/flow/reach/reach_test.go
@@ -153,3 +153,36 @@
 	q.Late = 10_000
 	assert.Assert(t, q.Wait(0, 0) < 100)
 }
+
+// Guards against an estimate for a divided pool that differs from that for the
+// same engines in one queue.
+func TestShardsTogetherAreThePool(t *testing.T) {
+	one := queue(100)
+	one.Waiting = allClasses()
+	var parts []*reach.Queue
+	for range 5 {
+		part := &reach.Queue{Bounds: bounds, Engines: 1, Waiting: make([]int, len(reach.Edges)+1)}
+		for class, pieces := range one.Waiting {
+			part.Waiting[class] = pieces / 5
+		}
+		parts = append(parts, part)
+	}
+	merged := reach.Merge(parts)
+	merged.Bounds = bounds
+	for _, rank := range []clock.Millis{-100, 100, 700, 2600} {
+		assert.Equal(t, merged.Wait(rank, 50), one.Wait(rank, 50))
+	}
+	assert.Equal(t, reach.Merge(nil).Engines, 0)
+	parts[0].Fill, parts[0].Late = 4, 1000
+	assert.Equal(t, reach.Merge(parts).Fill, 4.0)
+	assert.Equal(t, reach.Merge(parts).Late, 200.0)
+}
+
+// allClasses is pieces in all classes of rank.
+func allClasses() []int {
+	classes := make([]int, len(reach.Edges)+1)
+	for i := range classes {
+		classes[i] = 10 * i
+	}
+	return classes
+}
--- a/internal/route/view/view.go
+++ b/internal/route/view/view.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/route/shard"
 )
 
 // Entry is what an endpoint says of itself in the platform's store.
@@ -136,6 +137,8 @@
 // Snapshot is the endpoints at one moment.
 type Snapshot struct {
 	pools    map[string][]*Endpoint
+	shards   map[string][]Shard
+	byShard  map[string]*Shard
 	emptied  map[string]bool
 	byID     map[string]*Endpoint
 	entries  int
@@ -154,6 +157,60 @@
 	return s.pools[name]
 }
 
+// Shard is a part of a pool with an owner of its own.
+type Shard struct {
+	Name string
+	// Zone of its endpoints, "" if they are all of the pool.
+	Zone      string
+	Endpoints []*Endpoint
+}
+
+// Shards returns the shards of a pool, none if it has no endpoints.
+func (s *Snapshot) Shards(pool string) []Shard {
+	if s == nil {
+		return nil
+	}
+	return s.shards[pool]
+}
+
+// Shard returns a shard by its name, nil if it has no endpoints.
+func (s *Snapshot) Shard(name string) *Shard {
+	if s == nil {
+		return nil
+	}
+	return s.byShard[name]
+}
+
+// MostShards returns the number of shards of the pool that has most.
+func (s *Snapshot) MostShards() int {
+	if s == nil {
+		return 0
+	}
+	most := 0
+	for _, shards := range s.shards {
+		most = max(most, len(shards))
+	}
+	return most
+}
+
+// split divides the pools into shards.
+func (s *Snapshot) split() {
+	for pool, endpoints := range s.pools {
+		engines := make([]shard.Engine, 0, len(endpoints))
+		for _, e := range endpoints {
+			engines = append(engines, shard.Engine{ID: e.ID, Zone: e.Zone})
+		}
+		for _, part := range shard.Split(pool, engines) {
+			own := Shard{Name: part.Name, Zone: part.Zone}
+			for _, i := range part.Engines {
+				own.Endpoints = append(own.Endpoints, endpoints[i])
+			}
+			s.shards[pool] = append(s.shards[pool], own)
+			s.byShard[own.Name] = &own
+		}
+	}
+}
+
 // Find returns an endpoint by its id, or nil.
 func (s *Snapshot) Find(id string) *Endpoint {
 	if s == nil {
@@ -328,7 +385,7 @@
 // Publish makes the newest snapshot.
 func (b *Book) Publish() {
 	s := &Snapshot{
-		pools: make(map[string][]*Endpoint), emptied: b.emptied,
+		pools: make(map[string][]*Endpoint), shards: make(map[string][]Shard), byShard: make(map[string]*Shard), emptied: b.emptied,
 		byID: make(map[string]*Endpoint, len(b.byID)), entries: len(b.byID), complete: b.listed,
 	}
 	for id, e := range b.byID {
@@ -340,5 +397,6 @@
 	for _, endpoints := range s.pools {
 		slices.SortFunc(endpoints, func(a, b *Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	s.split()
 	b.now.Store(s)
 }
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -206,24 +206,32 @@
 	defer cancel()
 	done := make(chan struct{})
 	cause := make(chan error, 1)
-	go func() {
+	go func() { cause <- f.awaitEnd(cancel, done) }()
+	changes, err := f.store.Follow(call, f.kind, since, f.wait())
+	close(done)
+	if ended := <-cause; ended != nil {
+		return store.Changes{}, ended
+	}
+	return changes, err
+}
+
+// awaitEnd cancels a call once it is not needed any more and returns why, nil if
+// it was done before.
+func (f *Feed) awaitEnd(cancel func(), done <-chan struct{}) error {
+	for {
 		select {
 		case <-f.wakeUp:
 			cancel()
-			cause <- errAgain
+			return errAgain
 		case <-f.passed:
-			cancel()
-			cause <- errPassed
+			if f.Passed() {
+				cancel()
+				return errPassed
+			}
 		case <-done:
-			cause <- nil
+			return nil
 		}
-	}()
-	changes, err := f.store.Follow(call, f.kind, since, f.wait())
-	close(done)
-	if ended := <-cause; ended != nil {
-		return store.Changes{}, ended
 	}
-	return changes, err
 }
 
 func (f *Feed) failed(ctx context.Context, err error) {
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -243,6 +243,22 @@
 	return false
 }
 
+// Alone has the store asked at once: no peer is followed any more.
+func (f *Feed) Alone() {
+	f.mu.Lock()
+	f.state.passed = 0
+	f.mu.Unlock()
+	f.nudge()
+}
+
+// nudge has Run look again whether a peer passes changes on.
+func (f *Feed) nudge() {
+	select {
+	case f.passed <- struct{}{}:
+	default:
+	}
+}
+
 // trust notes that a peer passes on what the store said at an instant.
 func (f *Feed) trust(at clock.Millis) {
 	before := f.Passed()
@@ -252,10 +268,7 @@
 	f.mu.Unlock()
 	if !before && f.Passed() {
 		f.log.Info("changes passed on by a peer", "kind", f.kind, "ageMs", int64(f.clock.Now()-at))
-		select {
-		case f.passed <- struct{}{}:
-		default:
-		}
+		f.nudge()
 	}
 }
 
--- a/internal/serve/gate/progress.go
+++ b/internal/serve/gate/progress.go
@@ -15,8 +15,10 @@
 	stage   int
 	began   clock.Millis
 	fetched bool
-	made    *wire.Made
-	err     error
+	// pool is the shard whose owner made the pieces.
+	pool string
+	made *wire.Made
+	err  error
 }
 
 // progress brings the stages of one request to their end.
@@ -135,7 +137,7 @@
 	go func() {
 		fetched := func() { p.ends <- stageEnd{stage: ask.Stage, fetched: true} }
 		made, err := p.g.make(ctx, p.req, ask, fetched)
-		p.ends <- stageEnd{stage: ask.Stage, began: began, made: made, err: err}
+		p.ends <- stageEnd{stage: ask.Stage, began: began, pool: ask.Pool, made: made, err: err}
 	}()
 }
 
@@ -184,7 +186,7 @@
 func (p *progress) finish(end stageEnd) {
 	stage := p.req.route.Stages[end.stage]
 	for i, reference := range end.made.References {
-		at := madeAt{pool: stage.Pool, bytes: stage.ResultBytes}
+		at := madeAt{pool: end.pool, bytes: stage.ResultBytes}
 		if i < len(end.made.Zones) && i < len(end.made.Endpoints) {
 			at.zone, at.endpoint = end.made.Zones[i], end.made.Endpoints[i]
 		}
--- a/internal/serve/gate/reach.go
+++ b/internal/serve/gate/reach.go
@@ -3,10 +3,12 @@
 import (
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/flow/batch"
 	"github.com/jujubescale/jujubescale/internal/flow/coming"
 	"github.com/jujubescale/jujubescale/internal/flow/reach"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/route/view"
 )
 
 // generationTime is what a generation takes to its first event besides reading
@@ -89,35 +91,55 @@
 	return behind + clock.Millis(max(req.priority, 0))*organisationPenalty + clock.Millis(max(req.route.Priority, 0))*routePenalty
 }
 
-// queue returns what is known of the queue of a pool: from this process if it
-// owns the pool, else from what the owner told last.
+// queue returns what is known of the queue of a pool, over all its shards; nil if
+// it makes no pieces.
 func (g *Gate) queue(name string) *reach.Queue {
 	batching := g.Table().Batching(name)
 	if batching == nil {
 		return nil
 	}
-	load, late, known := g.load(name)
-	q := &reach.Queue{
-		Bounds: batch.BoundsOf(batching), Room: batching.Room,
-		Coming: coming.Sum(g.coming.Of(name, g.Clock.Now()), g.mesh.Coming(name)),
+	var parts []*reach.Queue
+	for _, part := range g.View().Shards(name) {
+		q, _ := g.shardQueue(&part, batching)
+		parts = append(parts, q)
 	}
+	q := reach.Merge(parts)
+	q.Bounds, q.Room = batch.BoundsOf(batching), batching.Room
+	q.Coming = coming.Sum(g.coming.Of(name, g.Clock.Now()), g.mesh.Coming(name))
+	return q
+}
+
+// shardQueue returns what is known of the queue of a shard: from this process if
+// it owns the shard, else from what the owner reported last.
+func (g *Gate) shardQueue(part *view.Shard, batching *table.Batching) (q *reach.Queue, known bool) {
+	load, late, known := g.load(part)
+	q = &reach.Queue{Bounds: batch.BoundsOf(batching), Room: batching.Room}
 	if known {
 		q.Engines, q.Free, q.Fill, q.Waiting = load.Engines, load.Free, load.Fill, load.Waiting
 		q.Late = float64(late)
-		return q
+		return q, true
 	}
-	// Nobody has told of the pool yet: as far as is known, nothing waits.
-	q.Engines = max(len(g.View().Pool(name)), 1)
+	// Nobody has told of it yet: as far as is known, nothing waits.
+	q.Engines = max(len(part.Endpoints), 1)
 	q.Free = q.Engines
-	return q
+	return q, false
 }
 
-func (g *Gate) load(pool string) (load wire.PoolLoad, late clock.Millis, known bool) {
-	if g.mesh.Owns(pool) {
-		load, known = g.host.Load(pool)
+func (g *Gate) load(part *view.Shard) (load wire.PoolLoad, late clock.Millis, known bool) {
+	if g.ownerOf(part.Name) == g.mesh.Self() {
+		load, known = g.host.Load(part.Name)
 		return load, 0, known
 	}
-	return g.mesh.Pool(pool)
+	return g.mesh.Pool(part.Name)
+}
+
+// ownerOf returns the process that owns a shard, or a pool that is not divided.
+func (g *Gate) ownerOf(name string) string {
+	zone := ""
+	if part := g.View().Shard(name); part != nil {
+		zone = part.Zone
+	}
+	return g.mesh.OwnerIn(name, zone)
 }
 
 // after is what the stages behind one, and the request itself, take at least
--- a/internal/serve/gate/stages.go
+++ b/internal/serve/gate/stages.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/flow/spill"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/serve/host"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
@@ -135,26 +137,68 @@
 // the other, processes see different owners for a moment, and the next one may
 // just leave, too; asked again a little later, one of them stays.
 func (g *Gate) make(ctx context.Context, req *request, ask *wire.Pieces, fetched func()) (*wire.Made, error) {
+	tried := make(map[string]bool)
+	pool, hold := ask.Pool, ask.Hold
 	for try := range maxOwners {
 		if err := g.pauseBefore(ctx, try); err != nil {
 			return nil, err
 		}
 		ask.TimeLeft = req.deadline - g.Clock.Now() - g.after(req, ask.Stage)
+		ask.Hold = hold
+		g.chooseShard(ask, pool, tried)
 		made, err := g.askOwner(ctx, ask, fetched)
 		var lost *mesh.LostError
 		switch {
 		case errors.As(err, &lost):
+			tried[ask.Pool] = true
 			g.Log.Info("owner lost", "request", req.Request, "pool", ask.Pool, "peer", lost.Peer, "try", try)
 		case err != nil:
 			return nil, err
 		case made.Reason == fault.Leaving:
+		case made.Reason == fault.ZoneLeft:
+			tried[ask.Pool] = true
+			g.Log.Info("shard dissolved", "request", req.Request, "pool", ask.Pool, "try", try)
 		case made.Reason != "":
 			return nil, g.stageRefused(req, ask, made)
 		default:
 			return made, nil
 		}
 	}
-	return nil, fault.Refuse(fault.NoEndpoint, "owners of "+ask.Pool+" were lost")
+	return nil, fault.Refuse(fault.NoEndpoint, "owners of "+pool+" were lost")
+}
+
+// chooseShard directs a request for pieces to a shard of its pool. One in another
+// zone than is wanted makes them anywhere.
+func (g *Gate) chooseShard(ask *wire.Pieces, pool string, tried map[string]bool) {
+	parts, batching := g.View().Shards(pool), g.Table().Batching(pool)
+	if len(parts) == 0 || batching == nil {
+		ask.Pool = pool
+		return
+	}
+	if len(parts) == 1 {
+		ask.Pool = parts[0].Name
+		return
+	}
+	want := spill.Want{Zone: ask.Zone, Hold: ask.Hold}
+	if want.Zone == "" {
+		want.Zone = g.Zone
+	}
+	shards := make([]spill.Shard, len(parts))
+	for i := range parts {
+		q, known := g.shardQueue(&parts[i], batching)
+		shards[i] = spill.Shard{
+			Zone: parts[i].Zone, Wait: q.Wait(ask.Slack+ask.Penalty, 0), Known: known, Late: clock.Millis(q.Late), Tried: tried[parts[i].Name],
+		}
+	}
+	at := spill.Choose(shards, want, rand.IntN)
+	if at == spill.None {
+		clear(tried)
+		at = rand.IntN(len(parts))
+	}
+	ask.Pool = parts[at].Name
+	if parts[at].Zone != ask.Zone {
+		ask.Hold = 0
+	}
 }
 
 // pauseBefore waits before another owner is asked. The first successor is known
@@ -178,7 +222,7 @@
 }
 
 func (g *Gate) askOwner(ctx context.Context, ask *wire.Pieces, fetched func()) (*wire.Made, error) {
-	if to := g.mesh.Owner(ask.Pool); to != g.mesh.Self() {
+	if to := g.ownerOf(ask.Pool); to != g.mesh.Self() {
 		return g.mesh.Ask(ctx, to, ask, fetched)
 	}
 	answer := make(chan host.Outcome, 1)
@@ -227,7 +271,7 @@
 		unused.Bytes = append(unused.Bytes, at.bytes)
 	}
 	for pool, unused := range byPool {
-		if to := g.mesh.Owner(pool); to != g.mesh.Self() {
+		if to := g.ownerOf(pool); to != g.mesh.Self() {
 			g.mesh.GiveBack(to, unused)
 			continue
 		}
--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -54,7 +54,7 @@
 		job := item.Group.Owner.(*Job)
 		job.tries[item.Piece]++
 	}
-	h.Meter.call(q.name, len(items))
+	h.Meter.call(h.poolOf(q.name), len(items))
 	ended := make(chan struct{})
 	if e.prompt {
 		h.group.Add(1)
@@ -232,7 +232,7 @@
 		bar = barFull
 	}
 	e.Bar(now + bar)
-	h.Meter.failed(q.name)
+	h.Meter.failed(h.poolOf(q.name))
 	for _, item := range items {
 		e.memory.Release(item.Group.Bytes)
 		h.again(q, item, fault.EndpointFailed, now)
@@ -318,6 +318,6 @@
 	q := h.queue(job.pool)
 	q.waiting.Drop(job.group)
 	h.unusedOf(q, job)
-	h.Meter.refused(job.pool, reason)
+	h.Meter.refused(h.poolOf(job.pool), reason)
 	job.done(Outcome{Reason: reason})
 }
--- a/internal/serve/host/dispatch.go
+++ b/internal/serve/host/dispatch.go
@@ -17,7 +17,7 @@
 		return 0, nil
 	}
 	now := h.Clock.Now()
-	for _, endpoint := range h.View().Pool(q.name) {
+	for _, endpoint := range h.endpoints(q.name) {
 		if endpoint.Out() {
 			continue
 		}
@@ -64,7 +64,7 @@
 	for i, e := range free {
 		slot := batch.Slot{
 			Zone: e.Zone, Room: e.memory.Room(limits, now), Free: len(free) - i,
-			AgainFunc: func() bool { return h.Retry(q.name) },
+			AgainFunc: func() bool { return h.Retry(h.poolOf(q.name)) },
 		}
 		items := q.waiting.Take(bounds, slot, now)
 		if len(items) == 0 {
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -22,6 +22,7 @@
 	"github.com/jujubescale/jujubescale/internal/flow/reach"
 	"github.com/jujubescale/jujubescale/internal/guard/memory"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/route/shard"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 )
 
@@ -148,7 +149,7 @@
 		h.fail(job, fault.NoEndpoint)
 		return job
 	}
-	h.Earn(q.name)
+	h.Earn(h.poolOf(q.name))
 	job.group.Owner = job
 	q.waiting.Add(job.group)
 	h.dispatch(q)
@@ -337,8 +338,39 @@
 	return q
 }
 
-// pool returns what the engines of a pool bear, nil when it makes no pieces.
-func (h *Host) pool(name string) *table.Batching { return h.Table().Batching(name) }
+// pool returns what the engines of a pool, or of a shard of it, bear, nil when
+// they make no pieces.
+func (h *Host) pool(name string) *table.Batching { return h.Table().Batching(h.poolOf(name)) }
+
+// poolOf returns the pool of a shard. A name that the table knows is a pool's.
+func (h *Host) poolOf(name string) string {
+	if h.Table().Batching(name) != nil {
+		return name
+	}
+	return shard.PoolOf(name)
+}
+
+// endpoints returns the engines of a pool or of a shard of it.
+func (h *Host) endpoints(name string) []*view.Endpoint {
+	if part := h.View().Shard(name); part != nil {
+		return part.Endpoints
+	}
+	return h.View().Pool(name)
+}
+
+// dissolve ends the jobs of a shard that has no engines left, because its zone was
+// emptied or the pool is divided otherwise now: another shard makes their pieces.
+func (h *Host) dissolve(q *queue) {
+	if h.poolOf(q.name) == q.name || h.View().Shard(q.name) != nil || q.waiting.Pieces() == 0 {
+		return
+	}
+	var waiting []*Job
+	q.waiting.Each(func(g *batch.Group) { waiting = append(waiting, g.Owner.(*Job)) })
+	for _, job := range waiting {
+		h.fail(job, fault.ZoneLeft)
+	}
+	h.Log.Info("shard dissolved", "pool", q.name, "jobs", len(waiting))
+}
 
 // Run looks through the queues until the context ends, and then waits for the
 // calls that are under way.
@@ -347,6 +379,7 @@
 		h.mu.Lock()
 		for _, q := range h.queues {
 			h.sweep(q)
+			h.dissolve(q)
 			h.dispatch(q)
 		}
 		h.mu.Unlock()
--- a/internal/serve/mesh/follow.go
+++ b/internal/serve/mesh/follow.go
@@ -40,6 +40,9 @@
 		m.log.Info("store followed through", "peer", upstream, "before", before.upstream)
 	}
 	r.upstreamLink = open
+	if upstream == "" {
+		m.follower.AloneFunc()
+	}
 	if open != nil {
 		m.askFor(open, nil)
 	}
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -78,6 +78,8 @@
 	// missing.
 	TakeFunc    func(update *wire.Update, now clock.Millis) []string
 	ConfirmFunc func(seen []wire.Seen, now clock.Millis) []string
+	// AloneFunc is called when this process is to follow the store by itself.
+	AloneFunc func()
 }
 
 // Mesh is this process's sessions with the others.
@@ -104,7 +106,7 @@
 	book *sums.Book
 	view atomic.Pointer[view]
 	// pools and coming are what all peers say.
-	pools  atomic.Pointer[[]sums.Pool]
+	pools  atomic.Pointer[map[string]sums.Pool]
 	coming atomic.Pointer[[]coming.Load]
 	next   atomic.Uint64
 	// hurry says that this process has something to report at once, and wake
@@ -221,6 +223,7 @@
 			WholeFunc:   func(string) *wire.Update { return nil },
 			TakeFunc:    func(*wire.Update, clock.Millis) []string { return nil },
 			ConfirmFunc: func([]wire.Seen, clock.Millis) []string { return nil },
+			AloneFunc:   func() {},
 		},
 		book:    sums.New(),
 		wake:    make(chan struct{}, 1),
--- a/internal/serve/mesh/report.go
+++ b/internal/serve/mesh/report.go
@@ -289,21 +289,24 @@
 	if maps.Equal(m.absent, absent) {
 		return false
 	}
-	for name, run := range absent {
-		if !isRun(m.absent, name, run) {
-			m.log.Info("peer absent", "peer", name, logs.KeyIncarnation, run)
-		}
-	}
-	for name, run := range m.absent {
-		if !isRun(absent, name, run) {
-			m.log.Info("peer present", "peer", name, logs.KeyIncarnation, run)
-		}
-	}
+	m.log.Info("absent peers changed", "absent", newIn(absent, m.absent), "present", newIn(m.absent, absent), "listed", len(m.members))
 	m.absent = absent
 	m.publish()
 	return true
 }
 
+// newIn returns the names of the runs that are in one set and not in another.
+func newIn(set, other map[string]token.Incarnation) []string {
+	var names []string
+	for name, run := range set {
+		if !isRun(other, name, run) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // absentees returns the processes that are not to be used, for a message.
 func (m *Mesh) absentees() []wire.Presence {
 	m.mu.Lock()
@@ -321,8 +324,8 @@
 	if m.way.Load().aggregator != "" {
 		return
 	}
-	pools, sum := m.book.Pools(m.self.Name), m.book.Coming(m.self.Name)
-	m.pools.Store(&pools)
+	sum := m.book.Coming(m.self.Name)
+	m.setPools(m.book.Pools(m.self.Name))
 	m.coming.Store(&sum)
 }
 
@@ -343,12 +346,23 @@
 	if pools == nil {
 		return wire.PoolLoad{}, 0, false
 	}
-	for _, pool := range *pools {
-		if pool.Load.Pool == name {
-			return pool.Load, max(m.clock.Since(pool.At)-poolAge, 0), true
+	pool, known := (*pools)[name]
+	if !known {
+		return wire.PoolLoad{}, 0, false
+	}
+	return pool.Load, max(m.clock.Since(pool.At)-poolAge, 0), true
+}
+
+// setPools takes what owners said of their pools; of two owners of one, the newer
+// word counts.
+func (m *Mesh) setPools(all []sums.Pool) {
+	pools := make(map[string]sums.Pool, len(all))
+	for _, pool := range all {
+		if known, found := pools[pool.Load.Pool]; !found || known.At < pool.At {
+			pools[pool.Load.Pool] = pool
 		}
 	}
-	return wire.PoolLoad{}, 0, false
+	m.pools.Store(&pools)
 }
 
 // takeReport takes the report of a process of this group.
@@ -471,7 +485,7 @@
 		pools = append(pools, sums.Pool{Load: load, At: now - load.Age})
 	}
 	sum := sums.ComingOf(total.Coming)
-	m.pools.Store(&pools)
+	m.setPools(pools)
 	m.coming.Store(&sum)
 	if m.way.Load().upstream == from {
 		m.confirm(from, total.Seen, now)
--- a/internal/serve/router/follow.go
+++ b/internal/serve/router/follow.go
@@ -62,10 +62,15 @@
 	if away >= blindAfter {
 		g.back, wait = now, patience
 	}
+	first := !g.book.Now().Complete()
 	changes := g.book.List(entries, now, wait)
 	g.book.Publish()
 	g.bookLock.Unlock()
-	g.logChanges(changes)
+	if first {
+		g.Log.Info("endpoints listed", "endpoints", len(entries), "awayMs", int64(away))
+	} else {
+		g.logChanges(changes)
+	}
 	g.openIfReady()
 }
 
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -68,9 +68,15 @@
 	}
 }
 
+// owns reports whether this process owns a pool that is not divided, or a shard.
+func (g *Gateway) owns(name string) bool {
+	part := g.book.Now().Shard(name)
+	return part != nil && g.mesh.OwnerIn(name, part.Zone) == g.Name
+}
+
 // loads is what this process reports.
 func (g *Gateway) loads() *wire.Loads {
-	loads := &wire.Loads{Pools: g.host.Loads(g.mesh.Owns), Prefixes: g.gate.Prefixes(), Refused: g.gate.Refused()}
+	loads := &wire.Loads{Pools: g.host.Loads(g.owns), Prefixes: g.gate.Prefixes(), Refused: g.gate.Refused()}
 	for _, load := range g.gate.Coming() {
 		loads.Coming = append(loads.Coming, wire.Coming{Pool: load.Pool, Pieces: load.Pieces})
 	}
@@ -131,5 +137,10 @@
 			}
 			return missing
 		},
+		AloneFunc: func() {
+			for _, f := range g.feeds.all() {
+				f.Alone()
+			}
+		},
 	}
 }
