feat(subset,gate): stable subsets of large pools

Cause: on the large deployment prompts met at one engine. Of 319 long prompts that were sent while another process's was still being read there, 254 had been sent within 40 ms of it, before anybody could know: all 103 processes saw the same engine become the best at the same moment. Late requests had 8,800 tokens sent to their engine within the 400 ms before, and expected none.

Change: of pools of more than 64 endpoints a process uses 32, half of them in its zone, by rendezvous, besides those that hold the prompt's shared parts and cold ones that it owns. Where none of them takes requests it considers all.

--- /dev/null
+++ b/internal/route/subset/subset.go
@@ -0,0 +1,77 @@
+// Package subset chooses which endpoints of a large pool a process normally uses.
+//
+// With hundreds of processes and endpoints, a process that considers all of them
+// opens a connection to each, learns of each failure by itself, and sees an idle
+// endpoint at the same moment as all other processes, which then all send to it.
+// A subset is stable: it follows from names alone, and changes by one endpoint
+// when one joins or leaves.
+package subset
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/jujubescale/jujubescale/internal/route/owner"
+)
+
+const (
+	// Whole is the largest pool that is used as a whole.
+	Whole = 64
+	// near and far are how many endpoints of the process's own availability zone
+	// are used, and of all others together.
+	near = 16
+	far  = 16
+)
+
+// Endpoint is one endpoint of a pool.
+type Endpoint struct {
+	ID   string
+	Zone string
+}
+
+// Of returns the positions of the endpoints that a process in an availability
+// zone uses, in ascending order.
+func Of(process, zone string, endpoints []Endpoint) []int {
+	byZone := make(map[string][]int)
+	for i, e := range endpoints {
+		byZone[e.Zone] = append(byZone[e.Zone], i)
+	}
+	if len(endpoints) <= Whole {
+		return everyone(endpoints)
+	}
+	others := len(byZone)
+	if byZone[zone] != nil {
+		others--
+	}
+	var chosen []int
+	for name, members := range byZone {
+		count := near
+		if name != zone {
+			count = (far + others - 1) / others
+			if byZone[zone] == nil {
+				count += near / others
+			}
+		}
+		chosen = append(chosen, top(process, endpoints, members, count)...)
+	}
+	slices.Sort(chosen)
+	return chosen
+}
+
+func everyone(endpoints []Endpoint) []int {
+	all := make([]int, len(endpoints))
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// top returns the members with the highest weights for a process.
+func top(process string, endpoints []Endpoint, members []int, count int) []int {
+	slices.SortFunc(members, func(a, b int) int {
+		return cmp.Or(
+			cmp.Compare(owner.Weight(process, endpoints[b].ID), owner.Weight(process, endpoints[a].ID)),
+			cmp.Compare(endpoints[a].ID, endpoints[b].ID))
+	})
+	return members[:min(count, len(members))]
+}
--- /dev/null
+++ b/internal/route/subset/subset_test.go
@@ -0,0 +1,76 @@
+package subset_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/route/subset"
+)
+
+func pool(count, zones int) []subset.Endpoint {
+	var all []subset.Endpoint
+	for i := range count {
+		all = append(all, subset.Endpoint{ID: fmt.Sprint("e", i), Zone: fmt.Sprint("z", i%zones)})
+	}
+	return all
+}
+
+func names(of []int, all []subset.Endpoint) []string {
+	var ids []string
+	for _, i := range of {
+		ids = append(ids, all[i].ID)
+	}
+	return ids
+}
+
+func ExampleOf() {
+	fmt.Println(subset.Of("gateway-1", "east", []subset.Endpoint{{ID: "a", Zone: "east"}, {ID: "b", Zone: "west"}}))
+	// Output: [0 1]
+}
+
+// Guards against connections and knowledge that grow with the pool, and against
+// endpoints that few processes use while others are used by many.
+func TestSubsetsAreSmallAndEven(t *testing.T) {
+	for _, tt := range []struct{ processes, endpoints int }{{10, 50}, {100, 160}, {500, 1500}, {1000, 3000}} {
+		all := pool(tt.endpoints, 5)
+		users := make([]int, len(all))
+		total := 0
+		for p := range tt.processes {
+			chosen := subset.Of(fmt.Sprint("g", p), fmt.Sprint("z", p%5), all)
+			assert.Assert(t, slices.IsSorted(chosen))
+			assert.Assert(t, tt.endpoints <= subset.Whole || len(chosen) == 32, "%d", len(chosen))
+			zones := make(map[string]int)
+			for _, i := range chosen {
+				users[i]++
+				zones[all[i].Zone]++
+			}
+			assert.Equal(t, len(zones), 5)
+			total += len(chosen)
+		}
+		least, most, mean := slices.Min(users), slices.Max(users), total/len(all)
+		t.Logf("%d processes, %d endpoints: used by %d to %d, on average %d", tt.processes, tt.endpoints, least, most, mean)
+		assert.Assert(t, least > 0 && most <= 3*mean+5)
+	}
+}
+
+// Guards against connections that are all opened anew when an endpoint or a zone
+// is lost.
+func TestSubsetIsStable(t *testing.T) {
+	all := pool(160, 5)
+	before := names(subset.Of("g", "z1", all), all)
+	without := slices.DeleteFunc(slices.Clone(all), func(e subset.Endpoint) bool { return e.ID == before[0] })
+	after := names(subset.Of("g", "z1", without), without)
+	kept := 0
+	for _, id := range after {
+		if slices.Contains(before, id) {
+			kept++
+		}
+	}
+	assert.Equal(t, kept, len(before)-1)
+	lost := slices.DeleteFunc(slices.Clone(all), func(e subset.Endpoint) bool { return e.Zone == "z1" })
+	assert.Assert(t, len(subset.Of("g", "z1", lost)) >= 32, "a process without engines in its zone uses as many of others")
+	assert.Equal(t, len(subset.Of("g", "z1", nil)), 0)
+}
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -49,7 +49,7 @@
 
 func (g *Gate) chooseAmong(req *request, barred bool) choice {
 	now := g.Clock.Now()
-	endpoints := g.View().Pool(req.pool.Name)
+	endpoints := g.candidates(req, now)
 	shut := make([]bool, len(endpoints))
 	found := make([]*target.Target, len(endpoints))
 	var wait clock.Millis
@@ -73,6 +73,43 @@
 	return g.chooseServer(found, shut, wait)
 }
 
+// candidates returns the endpoints that a request may be sent to: those that this
+// process normally uses, those that hold the prompt's shared parts, and cold ones
+// that only this process may send to. Where none of them takes requests, all are.
+func (g *Gate) candidates(req *request, now clock.Millis) []*view.Endpoint {
+	all := g.View().Pool(req.pool.Name)
+	chosen := g.subsets.Of(g.View(), req.pool.Name)
+	if len(chosen) == len(all) {
+		return all
+	}
+	group := req.group()
+	var candidates []*view.Endpoint
+	usable := false
+	for i, e := range all {
+		usual := len(chosen) > 0 && chosen[0] == i
+		if usual {
+			chosen = chosen[1:]
+		}
+		if usual || (group != "" && g.targets.Of(e).Holds(group, now)) || (e.Cold(now) && g.mesh.Owns(e.ID)) {
+			candidates = append(candidates, e)
+			usable = usable || (!e.Barred(now) && !e.Out() && !slices.Contains(req.tried, e))
+		}
+	}
+	if !usable {
+		return all
+	}
+	return candidates
+}
+
+// group names the last part of the prompt that other requests have, too; empty
+// without any.
+func (r *request) group() string {
+	if len(r.Parts) < 2 {
+		return ""
+	}
+	return r.Parts[len(r.Parts)-2].ID
+}
+
 // unbounded is a pace that holds nothing back.
 const unbounded = 1 << 20
 
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -36,7 +36,8 @@
 	Log      *log.Logger
 	Spelling *spell.Spelling
 	Registry prometheus.Registerer
-	// Zone is the availability zone that this process stands in.
+	// Name of this process, and the availability zone that it stands in.
+	Name string
 	Zone string
 	// Table and View return the newest routes and endpoints, nil before the first.
 	Table func() *table.Table
@@ -70,6 +71,7 @@
 	// pieceExtras are those of the pools that this process owns.
 	pieceExtras *extra.Budget
 	prefixes    *target.Prefixes
+	subsets     subsets
 	coming      *coming.Book
 	recall      *recall.Book
 	routes      byName[routeRecord]
@@ -92,7 +94,8 @@
 	g.targets = target.NewSet(g.Clock, g.mostConns, g.meter.dialed)
 	g.prefixes = target.NewPrefixes(g.targets)
 	g.extras = extra.New(g.Clock, g.extraBounds, func() int { return g.mesh.Count() })
-	g.pieceExtras = extra.New(g.Clock, g.extraBounds, func() int { return ownersAtOnce })
+	g.pieceExtras = extra.New(g.Clock, g.extraBounds, func() int { return g.View().MostShards() + 1 })
+	g.subsets = subsets{process: settings.Name, zone: settings.Zone}
 	g.cut, g.cutAll = context.WithCancel(context.Background())
 	return g
 }
@@ -112,17 +115,14 @@
 // Conns returns the connections to an endpoint.
 func (g *Gate) Conns(e *view.Endpoint) *conn.Group { return g.targets.Of(e).Conns }
 
-// ownersAtOnce is how many processes send to the stage engines of one pool: its
-// owner, and for some moments the one before.
-const ownersAtOnce = 2
-
 func (g *Gate) extraBounds() extra.Bounds {
 	bounds := g.bounds.Load()
 	return extra.Bounds{Share: bounds.ExtraShare, Spare: bounds.ExtraSpare, Window: bounds.ExtraWindow}
 }
 
 // PieceExtras returns the budget for pieces that are sent once more to the
-// stage engines of pools that this process owns.
+// stage engines of pools that this process owns. The owners of a pool's shards
+// share it, and for some moments the owner before one of them.
 func (g *Gate) PieceExtras() *extra.Budget { return g.pieceExtras }
 
 // Prefixes returns what peers have not been told yet of prompts that were sent.
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -96,7 +96,7 @@
 func New(ctx context.Context, settings Settings) *Gateway {
 	g := &Gateway{Settings: settings, incarnation: token.NewIncarnation(), began: settings.Clock.Now(), book: view.New(), meter: newMeter(settings.Registry)}
 	g.gate = gate.New(gate.Settings{
-		Clock: g.Clock, Log: g.Log, Spelling: g.Dialect.Spelling, Registry: g.Registry, Zone: g.Zone,
+		Clock: g.Clock, Log: g.Log, Spelling: g.Dialect.Spelling, Registry: g.Registry, Name: g.Name, Zone: g.Zone,
 		Table: g.table.Load, View: g.book.Now, Starting: g.starting,
 	})
 	g.SetBounds(settings.Bounds)
--- a/internal/serve/target/target.go
+++ b/internal/serve/target/target.go
@@ -110,6 +110,14 @@
 	return tokens, hotTokens
 }
 
+// Holds reports whether a part of a prompt is believed to be in memory.
+func (t *Target) Holds(part string, now clock.Millis) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	used, found := t.parts[part]
+	return found && now-used <= keepParts
+}
+
 // Use remembers that the parts of a prompt were sent.
 func (t *Target) Use(ids []string, now clock.Millis) {
 	t.mu.Lock()
