fix(mesh): a watcher that is cut off from the store follows another process

Cause: three of five processes don't reach the store, among them both aggregators.

Change: a watcher whose last word from the store is old follows a fresh aggregator, and an aggregator a process that reports to it, if no aggregator is fresh.

--- a/internal/serve/mesh/follow.go
+++ b/internal/serve/mesh/follow.go
@@ -47,13 +47,14 @@
 	}
 }
 
-// freshest returns the aggregator through which another one follows the store.
+// freshest returns the process through which an aggregator follows the store, "" for
+// none. A watcher that is cut off from the store follows another process, too.
 func (m *Mesh) freshest(current string, now clock.Millis) string {
 	plan := m.view.Load().plan
-	if slices.Contains(plan.Watchers, m.self.Name) {
+	if slices.Contains(plan.Watchers, m.self.Name) && !m.isStale(m.follower.SeenFunc(), 0) {
 		return ""
 	}
-	candidates := append(slices.Clone(plan.Watchers), plan.Aggregators...)
+	candidates := slices.Concat(plan.Watchers, plan.Aggregators, m.reporters())
 	if current != "" {
 		candidates = append([]string{current}, candidates...)
 	}
@@ -65,18 +66,35 @@
 	return ""
 }
 
-// isFresh reports whether an aggregator has heard from the store a moment ago.
-func (m *Mesh) isFresh(name string, now clock.Millis) bool {
-	seen, at := m.book.Seen(sums.Source{Process: name, Group: true})
-	if len(seen) == 0 {
-		return false
+// reporters returns the processes that report to this one. One of them may reach
+// the store when no aggregator does.
+func (m *Mesh) reporters() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for name, in := range m.inbound {
+		if in.reports {
+			names = append(names, name)
+		}
 	}
-	for _, s := range seen {
-		if s.Age+now-at > m.follower.Fresh {
-			return false
+	slices.Sort(names)
+	return names
+}
+
+// isFresh reports whether a process has heard from the store a moment ago.
+func (m *Mesh) isFresh(name string, now clock.Millis) bool {
+	for _, source := range []sums.Source{{Process: name, Group: true}, {Process: name}} {
+		if seen, at := m.book.Seen(source); len(seen) > 0 && !m.isStale(seen, now-at) {
+			return true
 		}
 	}
-	return true
+	return false
+}
+
+// isStale reports whether some kind of objects was last confirmed by the store too
+// long ago, where that was told a while ago.
+func (m *Mesh) isStale(seen []wire.Seen, told clock.Millis) bool {
+	return slices.ContainsFunc(seen, func(s wire.Seen) bool { return s.Age+told > m.follower.Fresh })
 }
 
 func (m *Mesh) ifOpen(l *link) *link {
--- a/internal/serve/router/harness_test.go
+++ b/internal/serve/router/harness_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,6 +55,8 @@
 	ready    string
 	registry *prometheus.Registry
 	stop     func()
+	// cut says that it doesn't reach the store.
+	cut atomic.Bool
 }
 
 func config() stand.Config {
@@ -147,12 +151,18 @@
 	log, err := logs.New(io.Discard, "debug")
 	assert.NilError(b.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	transport := &http.Transport{DialContext: conn.Dial}
 	g := &gateway{address: callers.Addr().String(), ready: ready.Addr().String(), registry: prometheus.NewRegistry()}
+	transport := &http.Transport{DialContext: conn.Dial}
+	toStore := roundTrip(func(r *http.Request) (*http.Response, error) {
+		if g.cut.Load() {
+			return nil, errors.New("cut off from the store")
+		}
+		return transport.RoundTrip(r)
+	})
 	g.Gateway = router.New(ctx, router.Settings{
 		Name: name, Zone: []string{zoneA, zoneB}[len(b.gateways)%2], Address: sessions.Addr().String(), ChangeWithin: 2 * clock.Second, LeaveWithin: 2 * clock.Second, Clock: clock.New(), Log: log,
 		Registry: g.registry, Dialect: platform.Dialect(),
-		Store:  platform.NewStore("http://"+b.Address, &http.Client{Transport: transport}, clock.Second, 300),
+		Store:  platform.NewStore("http://"+b.Address, &http.Client{Transport: toStore}, clock.Second, 300),
 		Bounds: gate.Bounds{ExtraShare: 0.2, ExtraSpare: 50, ExtraWindow: 10 * clock.Second, ColdShare: 1.5, ColdSpare: 5},
 	})
 	servers := []*http.Server{
@@ -171,6 +181,12 @@
 	return g
 }
 
+// roundTrip is a transport.
+type roundTrip func(*http.Request) (*http.Response, error)
+
+// RoundTrip implements http.RoundTripper.
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
 // awaitPeers waits until a gateway sees so many, itself among them.
 func (b *bench) awaitPeers(g *gateway, count int) {
 	b.t.Helper()
