fix(mesh,router): whom a process follows doesn't change in calm

Cause: a watch and the pause after it may take 0.69 of the time within which a change must be in force; a peer's word counted as old from 0.6 on, also a watcher's own.

Change: watches wait 0.4 of that time and pause 0.1; a peer is followed up to 0.65, its word counts up to 0.75, and a watcher takes itself for cut off from 0.9 on.

--- a/internal/serve/mesh/follow.go
+++ b/internal/serve/mesh/follow.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// defaultFresh bounds how long ago an upstream may have heard from the store.
-	defaultFresh = 1200 * clock.Millis(1)
+	// defaultFresh bounds how long ago an upstream may have heard from the store, and
+	// defaultLost how long ago a watcher that is not cut off.
+	defaultFresh = 1300 * clock.Millis(1)
+	defaultLost  = 1800 * clock.Millis(1)
 	// askPause is the shortest pause between two requests for missing changes.
 	askPause = 300 * clock.Millis(1)
 )
@@ -51,7 +53,7 @@
 // none. A watcher that is cut off from the store follows another process, too.
 func (m *Mesh) freshest(current string, now clock.Millis) string {
 	plan := m.view.Load().plan
-	if slices.Contains(plan.Watchers, m.self.Name) && !m.isStale(m.follower.SeenFunc(), 0) {
+	if slices.Contains(plan.Watchers, m.self.Name) && !isStale(m.follower.SeenFunc(), m.follower.Lost) {
 		return ""
 	}
 	candidates := slices.Concat(plan.Watchers, plan.Aggregators, m.reporters())
@@ -84,17 +86,17 @@
 // isFresh reports whether a process has heard from the store a moment ago.
 func (m *Mesh) isFresh(name string, now clock.Millis) bool {
 	for _, source := range []sums.Source{{Process: name, Group: true}, {Process: name}} {
-		if seen, at := m.book.Seen(source); len(seen) > 0 && !m.isStale(seen, now-at) {
+		if seen, at := m.book.Seen(source); len(seen) > 0 && !isStale(seen, m.follower.Fresh-(now-at)) {
 			return true
 		}
 	}
 	return false
 }
 
-// isStale reports whether some kind of objects was last confirmed by the store too
-// long ago, where that was told a while ago.
-func (m *Mesh) isStale(seen []wire.Seen, told clock.Millis) bool {
-	return slices.ContainsFunc(seen, func(s wire.Seen) bool { return s.Age+told > m.follower.Fresh })
+// isStale reports whether some kind of objects was last confirmed by the store
+// longer ago than a bound.
+func isStale(seen []wire.Seen, bound clock.Millis) bool {
+	return slices.ContainsFunc(seen, func(s wire.Seen) bool { return s.Age > bound })
 }
 
 func (m *Mesh) ifOpen(l *link) *link {
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -79,8 +79,8 @@
 	TakeFunc    func(update *wire.Update, now clock.Millis) []string
 	ConfirmFunc func(seen []wire.Seen, now clock.Millis) []string
 	// Fresh bounds how long ago a peer that this process follows may have heard from
-	// the store, in milliseconds.
-	Fresh clock.Millis
+	// the store, Lost how long ago a watcher; in milliseconds.
+	Fresh, Lost clock.Millis
 	// AloneFunc is called when this process is to follow the store by itself.
 	AloneFunc func()
 }
@@ -228,6 +228,7 @@
 			ConfirmFunc: func([]wire.Seen, clock.Millis) []string { return nil },
 			AloneFunc:   func() {},
 			Fresh:       defaultFresh,
+			Lost:        defaultLost,
 		},
 		book:    sums.New(),
 		wake:    make(chan struct{}, 1),
--- a/internal/serve/router/fleet_test.go
+++ b/internal/serve/router/fleet_test.go
@@ -131,3 +131,17 @@
 	play(b.gateways, func() { b.Refill(zoneA) })
 	play(b.gateways[:2], b.gateways[3].stop)
 }
+
+// Guards against processes that change whom they follow again and again in calm:
+// each change costs calls, and the log says nothing any more.
+func TestNobodyChangesItsPeerInCalm(t *testing.T) {
+	b := start(t, 5)
+	time.Sleep(2500 * time.Millisecond)
+	for _, g := range b.gateways {
+		g.quiet.Store(0)
+	}
+	time.Sleep(4 * time.Second)
+	for _, g := range b.gateways {
+		assert.Equal(t, g.quiet.Load(), int64(0), "changes of the peer that is followed")
+	}
+}
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -138,6 +138,7 @@
 			return missing
 		},
 		Fresh: clock.Millis(freshShare * float64(min(g.ChangeWithin, g.LeaveWithin))),
+		Lost:  clock.Millis(lostShare * float64(min(g.ChangeWithin, g.LeaveWithin))),
 		AloneFunc: func() {
 			for _, f := range g.feeds.all() {
 				f.Alone()
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -196,12 +196,15 @@
 const (
 	// watchShare is how long a watch waits on average, restShare the pause between
 	// two reads of changes of endpoints.
-	watchShare = 0.45
-	restShare  = 0.125
-	// trustShare is how long a peer's word on the store counts, freshShare how old
-	// that of a peer may be that is followed.
-	trustShare = 0.7
-	freshShare = 0.6
+	watchShare = 0.4
+	restShare  = 0.1
+	// freshShare is how old the word of a peer that is followed may be, trustShare
+	// how old it counts at all, and lostShare how old a watcher's own is once it is
+	// cut off. The first is longer than a watch and a pause together: a follower
+	// would change its peer all the time otherwise.
+	freshShare = 0.65
+	trustShare = 0.75
+	lostShare  = 0.9
 )
 
 const (
