fix(sums): a new destination learns what happened in the last seconds

Cause: a process is told of refused callers and prompts from its first message on.

Ruled out: late reports; the caller waits for more than a second.

Change: the first message holds the events of the last five seconds.

--- a/internal/flow/sums/message.go
+++ b/internal/flow/sums/message.go
@@ -9,10 +9,10 @@
 // Cursor is how far one destination has been told. The zero value has been told
 // nothing.
 type Cursor struct {
-	changed uint64
-	hurried uint64
-	events  uint64
-	begun   bool
+	changed  uint64
+	urgentAt uint64
+	events   uint64
+	begun    bool
 }
 
 // Reset has the next message hold everything, because one was lost.
@@ -63,11 +63,8 @@
 // the lock.
 func (b *Book) message(c *Cursor, regular bool, work func(string, *entry) wire.Work) *wire.Sums {
 	message := &wire.Sums{Whole: !c.begun, Regular: regular, Urgent: !regular}
-	if !c.begun {
-		c.events = max(c.events, b.dropped+uint64(len(b.events)))
-	}
 	for endpoint, e := range b.entries {
-		told := e.hurried <= max(c.hurried, c.changed)
+		told := e.urgentAt <= max(c.urgentAt, c.changed)
 		if regular || !c.begun {
 			told = e.changed <= c.changed
 		}
@@ -81,7 +78,7 @@
 	if regular || !c.begun {
 		c.changed = b.step
 	}
-	c.hurried, c.begun = b.step, true
+	c.urgentAt, c.begun = b.step, true
 	return message
 }
 
@@ -91,7 +88,7 @@
 	from := max(c.events, b.dropped) - b.dropped
 	for _, e := range b.events[min(from, uint64(len(b.events))):] {
 		switch {
-		case !take(e.from):
+		case !take(e.from) || now-e.at > keepEvents:
 		case e.prefix != nil:
 			prefixes = append(prefixes, *e.prefix)
 		default:
--- a/internal/flow/sums/sums.go
+++ b/internal/flow/sums/sums.go
@@ -19,6 +19,9 @@
 const (
 	// maxEvents bounds the prefixes and refused callers that wait to be passed on.
 	maxEvents = 4096
+	// keepEvents is how long they are told to a new destination: a caller may be
+	// refused before the process that it returns to is reached.
+	keepEvents = 5 * clock.Second
 	// keepNone is how long an endpoint without work is kept, so that every
 	// destination is told of it.
 	keepNone = 10 * clock.Second
@@ -52,10 +55,10 @@
 // entry is the work at one endpoint.
 type entry struct {
 	group, all wire.Work
-	// changed and hurried are the steps of the last change, and of the last one
+	// changed and urgentAt are the steps of the last change, and of the last one
 	// that was urgent.
-	changed, hurried uint64
-	noneSince        clock.Millis
+	changed, urgentAt uint64
+	noneSince         clock.Millis
 }
 
 // reported is what one source sent last.
@@ -200,7 +203,7 @@
 	}
 	e.changed = b.step
 	if urgent {
-		e.hurried = b.step
+		e.urgentAt = b.step
 	}
 	if e.all.None() {
 		e.noneSince = now
