refactor(feed,mesh): usual terms for relayed changes

What was passed on is relayed or forwarded, a trust is a largest age, patience a grace, a way an uplink. Nothing else changes but the words of two log lines.

--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -3,7 +3,7 @@
 // dropped its history. It tells when the store was lost and found again.
 //
 // Calls to the store are paid for, so that most processes follow it through a
-// peer that passes changes on and says from time to time that there are none. A
+// peer that relays changes and says from time to time that there are none. A
 // feed that hears neither for a while asks the store itself.
 package feed
 
@@ -44,20 +44,20 @@
 	rest  func() clock.Millis
 	// longest is the longest pause after a failed call.
 	longest func() clock.Millis
-	// trust is how long the store's last word counts without a call, patience for
+	// maxAge is how long the store's last word counts without a call, grace for
 	// how much of that a peer is awaited, firstWait how long before the first list.
-	trust     clock.Millis
-	patience  func() clock.Millis
+	maxAge    clock.Millis
+	grace     func() clock.Millis
 	firstWait func(kind string) clock.Millis
 
 	// listFunc takes the whole list, and whether the store had been lost;
-	// changeFunc takes changes in order, passFunc what peers are to know.
-	listFunc   func(objects []store.Object, after clock.Millis)
-	changeFunc func(changes []store.Change)
-	passFunc   func(*wire.Update)
-	wakeUp     chan struct{}
-	// passed wakes the feed when a peer began to pass changes on.
-	passed chan struct{}
+	// changeFunc takes changes in order, forwardFunc what peers are to know.
+	listFunc    func(objects []store.Object, after clock.Millis)
+	changeFunc  func(changes []store.Change)
+	forwardFunc func(*wire.Update)
+	wakeUp      chan struct{}
+	// relayed wakes the feed when a peer began to relay changes.
+	relayed chan struct{}
 	// lost is when the store stopped answering, 0 while it answers; away is how
 	// long it was lost since the last list.
 	lost    clock.Millis
@@ -92,14 +92,14 @@
 // WithBackoff sets the longest pause after a failed call.
 func WithBackoff(longest func() clock.Millis) Option { return func(f *Feed) { f.longest = longest } }
 
-// WithTrust sets how long the store's last word, as a peer passes it on, counts
+// WithMaxAge sets how long the store's last word, as a peer relays it, counts
 // without a call.
-func WithTrust(span clock.Millis) Option { return func(f *Feed) { f.trust = span } }
+func WithMaxAge(span clock.Millis) Option { return func(f *Feed) { f.maxAge = span } }
 
 // WithPeers sets for how long a peer's word is awaited before the store is asked:
 // after the store's last word, and before the list is read for the first time.
-func WithPeers(patience func() clock.Millis, firstWait func(kind string) clock.Millis) Option {
-	return func(f *Feed) { f.patience, f.firstWait = patience, firstWait }
+func WithPeers(grace func() clock.Millis, firstWait func(kind string) clock.Millis) Option {
+	return func(f *Feed) { f.grace, f.firstWait = grace, firstWait }
 }
 
 // WithList sets who takes the whole list. Away is how long the store had been
@@ -111,18 +111,18 @@
 // WithChanges sets who takes changes.
 func WithChanges(change func([]store.Change)) Option { return func(f *Feed) { f.changeFunc = change } }
 
-// WithPass sets who passes on to peers what was read.
-func WithPass(pass func(*wire.Update)) Option { return func(f *Feed) { f.passFunc = pass } }
+// WithForward sets who relays to peers what was read.
+func WithForward(forward func(*wire.Update)) Option { return func(f *Feed) { f.forwardFunc = forward } }
 
 // New returns a feed of one kind; Run follows it.
 func New(kind string, from *store.Store, opts ...Option) *Feed {
 	f := &Feed{
-		kind: kind, store: from, clock: clock.New(), log: log.New(io.Discard), wakeUp: make(chan struct{}, 1), passed: make(chan struct{}, 1), outage: NewOutage(),
+		kind: kind, store: from, clock: clock.New(), log: log.New(io.Discard), wakeUp: make(chan struct{}, 1), relayed: make(chan struct{}, 1), outage: NewOutage(),
 		wait:    func() clock.Millis { return defaultWait },
 		rest:    func() clock.Millis { return 0 },
 		longest: func() clock.Millis { return maxBackoff },
-		trust:   defaultTrust, patience: func() clock.Millis { return 0 }, firstWait: func(string) clock.Millis { return 0 },
-		listFunc: func([]store.Object, clock.Millis) {}, changeFunc: func([]store.Change) {}, passFunc: func(*wire.Update) {},
+		maxAge:  defaultMaxAge, grace: func() clock.Millis { return 0 }, firstWait: func(string) clock.Millis { return 0 },
+		listFunc: func([]store.Object, clock.Millis) {}, changeFunc: func([]store.Change) {}, forwardFunc: func(*wire.Update) {},
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -145,14 +145,14 @@
 // Run follows the kind until the context ends: through a peer while one passes
 // changes on, else in the store.
 func (f *Feed) Run(ctx context.Context) {
-	f.rests(ctx, f.firstWait(f.kind))
+	f.pauseUnlessRelayed(ctx, f.firstWait(f.kind))
 	for ctx.Err() == nil {
-		if f.Passed() {
-			f.awaitPeer(ctx)
+		if f.Relayed() {
+			f.awaitRelay(ctx)
 			continue
 		}
-		if left := f.patienceLeft(); left > 0 {
-			f.rests(ctx, left)
+		if left := f.graceLeft(); left > 0 {
+			f.pauseUnlessRelayed(ctx, left)
 			continue
 		}
 		if since, current := f.known(); current {
@@ -182,34 +182,34 @@
 		changes, err := f.waitForChanges(ctx, since)
 		var gone *store.HistoryError
 		switch {
-		case errors.Is(err, errPassed):
+		case errors.Is(err, errRelayed):
 			return
 		case errors.Is(err, errAgain):
-			f.doubt()
+			f.requireList()
 			return
 		case errors.As(err, &gone):
 			f.log.Info("history dropped, reading the list again", "kind", f.kind, "since", since)
-			f.doubt()
+			f.requireList()
 			return
 		case errors.Is(err, context.DeadlineExceeded):
 			// Nothing came within the wait, not even that there is nothing: the
 			// list tells whether the store is there and what was missed.
 			f.log.Info("watch went silent, reading the list again", "kind", f.kind, "since", since)
-			f.doubt()
+			f.requireList()
 			return
 		case err != nil:
-			f.doubt()
+			f.requireList()
 			f.failed(ctx, err)
 			return
 		}
 		if f.found(); f.away > 0 {
 			// While the store was away entries may have lapsed. The list tells
 			// which are there, and the reader learns how long it was blind.
-			f.doubt()
+			f.requireList()
 			return
 		}
 		since = f.takeChanges(changes.Changes, since, max(since, changes.Revision), f.clock.Now())
-		if f.patienceLeft() > 0 {
+		if f.graceLeft() > 0 {
 			return
 		}
 		if rest := f.rest(); rest > 0 && len(changes.Changes) > 0 {
@@ -221,8 +221,8 @@
 // Errors that end a wait for changes: the list was asked for, or a peer passes
 // changes on.
 var (
-	errAgain  = errors.New("list asked for")
-	errPassed = errors.New("a peer passes changes on")
+	errAgain   = errors.New("list asked for")
+	errRelayed = errors.New("a peer relays changes")
 )
 
 func (f *Feed) waitForChanges(ctx context.Context, since uint64) (store.Changes, error) {
@@ -247,10 +247,10 @@
 		case <-f.wakeUp:
 			cancel()
 			return errAgain
-		case <-f.passed:
-			if f.Passed() {
+		case <-f.relayed:
+			if f.Relayed() {
 				cancel()
-				return errPassed
+				return errRelayed
 			}
 		case <-done:
 			return nil
@@ -275,16 +275,16 @@
 		f.waitForOther(ctx, found)
 		pause = clock.Millis(rand.Int64N(int64(firstBackoff)))
 	}
-	f.rests(ctx, pause)
+	f.pauseUnlessRelayed(ctx, pause)
 }
 
-// rests waits, but no longer than until a peer passes changes on.
-func (f *Feed) rests(ctx context.Context, pause clock.Millis) {
+// pauseUnlessRelayed waits, but no longer than until a peer relays changes.
+func (f *Feed) pauseUnlessRelayed(ctx context.Context, pause clock.Millis) {
 	over, forget := f.clock.After(pause)
 	defer forget()
 	select {
 	case <-over:
-	case <-f.passed:
+	case <-f.relayed:
 	case <-ctx.Done():
 	}
 }
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -10,26 +10,26 @@
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 )
 
-// defaultTrust is how long after the store's last answer, as a peer tells of it, a
+// defaultMaxAge is how long after the store's last answer, as a peer tells of it, a
 // feed goes without asking the store itself. Together with one call it stays
 // below the shortest time within which changes must be in force.
-const defaultTrust = 1400 * clock.Millis(1)
+const defaultMaxAge = 1400 * clock.Millis(1)
 
 // state is what a feed knows.
 type state struct {
-	// listed says that the list was read at least once, doubted that it has to be
+	// listed says that the list was read at least once, listDue that it has to be
 	// read again.
 	listed  bool
-	doubted bool
+	listDue bool
 	// known is the revision up to which everything was read, changed that of the
 	// last change.
 	known   uint64
 	changed uint64
 	objects map[string]store.Object
 	// confirmed is when the store last said so, to this process or to a peer that
-	// passed it on; passed is the latter alone.
+	// relayed it; relayed is the latter alone.
 	confirmed clock.Millis
-	passed    clock.Millis
+	relayed   clock.Millis
 }
 
 // Kind returns the kind that is followed.
@@ -56,42 +56,42 @@
 	return f.state.changed
 }
 
-// Passed reports whether a peer passes changes on.
-func (f *Feed) Passed() bool { return f.passedLeft() > 0 }
+// Relayed reports whether a peer relays changes.
+func (f *Feed) Relayed() bool { return f.relayedLeft() > 0 }
 
-// passedLeft returns how long a peer's word still counts.
-func (f *Feed) passedLeft() clock.Millis {
+// relayedLeft returns how long a peer's word still counts.
+func (f *Feed) relayedLeft() clock.Millis {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.state.listed || f.state.doubted || f.state.passed == 0 {
+	if !f.state.listed || f.state.listDue || f.state.relayed == 0 {
 		return 0
 	}
-	return f.state.passed + f.trust - f.clock.Now()
+	return f.state.relayed + f.maxAge - f.clock.Now()
 }
 
-// patienceLeft returns how long a peer's word is still awaited after the store's
+// graceLeft returns how long a peer's word is still awaited after the store's
 // last one.
-func (f *Feed) patienceLeft() clock.Millis {
-	patience := f.patience()
+func (f *Feed) graceLeft() clock.Millis {
+	grace := f.grace()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.state.listed || f.state.doubted || patience == 0 {
+	if !f.state.listed || f.state.listDue || grace == 0 {
 		return 0
 	}
-	return f.state.confirmed + patience - f.clock.Now()
+	return f.state.confirmed + grace - f.clock.Now()
 }
 
-// awaitPeer returns when the list is asked for, or when no peer has confirmed for
+// awaitRelay returns when the list is asked for, or when no peer has confirmed for
 // a while what is known.
-func (f *Feed) awaitPeer(ctx context.Context) {
-	f.foundByPeer()
-	for left := f.passedLeft(); left > 0; left = f.passedLeft() {
+func (f *Feed) awaitRelay(ctx context.Context) {
+	f.foundByRelay()
+	for left := f.relayedLeft(); left > 0; left = f.relayedLeft() {
 		over, forget := f.clock.After(left)
 		select {
 		case <-over:
-		case <-f.passed:
+		case <-f.relayed:
 		case <-f.wakeUp:
-			f.doubt()
+			f.requireList()
 		case <-ctx.Done():
 		}
 		forget()
@@ -99,7 +99,7 @@
 			return
 		}
 	}
-	f.log.Info("peer passes no changes on", "kind", f.kind, "ageMs", int64(f.trust))
+	f.log.Info("peer relays no changes", "kind", f.kind, "ageMs", int64(f.maxAge))
 }
 
 // known returns the revision up to which everything was read, and whether
@@ -107,19 +107,19 @@
 func (f *Feed) known() (since uint64, current bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.known, f.state.listed && !f.state.doubted
+	return f.state.known, f.state.listed && !f.state.listDue
 }
 
-// doubt has the whole list read again.
-func (f *Feed) doubt() {
+// requireList has the whole list read again.
+func (f *Feed) requireList() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.state.doubted, f.state.passed = true, 0
+	f.state.listDue, f.state.relayed = true, 0
 }
 
-// foundByPeer notes that a peer has an answer of the store, while this process
+// foundByRelay notes that a peer has an answer of the store, while this process
 // may have had none.
-func (f *Feed) foundByPeer() {
+func (f *Feed) foundByRelay() {
 	f.backoff, f.away = 0, 0
 	f.outage.answered(f)
 	f.down.Store(false)
@@ -167,9 +167,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := &f.state
-	s.doubted = false
+	s.listDue = false
 	if s.listed && revision < s.known {
-		return // a peer has passed on something newer meanwhile
+		return // a peer has relayed something newer meanwhile
 	}
 	s.listed, s.known, s.changed = true, revision, changed
 	s.confirmed = max(s.confirmed, at)
@@ -178,7 +178,7 @@
 		s.objects[object.Name] = object
 	}
 	f.listFunc(objects, away)
-	f.passFunc(f.whole(away))
+	f.forwardFunc(f.whole(away))
 }
 
 // takeChanges takes the changes between two revisions and returns the revision
@@ -205,7 +205,7 @@
 		s.objects[change.Object.Name] = change.Object
 	}
 	f.changeFunc(fresh)
-	f.passFunc(f.update(fresh, since))
+	f.forwardFunc(f.update(fresh, since))
 	return s.known
 }
 
@@ -239,7 +239,7 @@
 	return update
 }
 
-// Take takes what a peer passes on, and reports whether changes before it are
+// Take takes what a peer relays, and reports whether changes before it are
 // missing.
 func (f *Feed) Take(update *wire.Update, now clock.Millis) (missing bool) {
 	at := now - update.Age
@@ -251,7 +251,7 @@
 		}
 		f.takeChanges(changesOf(update), update.Since, update.Revision, at)
 	}
-	f.trusted(at)
+	f.relayedAt(at)
 	return false
 }
 
@@ -263,37 +263,37 @@
 		f.mu.Unlock()
 		return true
 	}
-	f.state.known, f.state.doubted = max(f.state.known, seen.Revision), false
+	f.state.known, f.state.listDue = max(f.state.known, seen.Revision), false
 	f.mu.Unlock()
-	f.trusted(now - seen.Age)
+	f.relayedAt(now - seen.Age)
 	return false
 }
 
 // Alone has the store asked at once: no peer is followed any more.
 func (f *Feed) Alone() {
 	f.mu.Lock()
-	f.state.passed = 0
+	f.state.relayed = 0
 	f.mu.Unlock()
 	f.nudge()
 }
 
-// nudge has Run look again whether a peer passes changes on.
+// nudge has Run look again whether a peer relays changes.
 func (f *Feed) nudge() {
 	select {
-	case f.passed <- struct{}{}:
+	case f.relayed <- struct{}{}:
 	default:
 	}
 }
 
-// trusted notes that a peer passes on what the store said at an instant.
-func (f *Feed) trusted(at clock.Millis) {
-	before := f.Passed()
+// relayedAt notes that a peer relays what the store said at an instant.
+func (f *Feed) relayedAt(at clock.Millis) {
+	before := f.Relayed()
 	f.mu.Lock()
-	f.state.passed = max(f.state.passed, at)
+	f.state.relayed = max(f.state.relayed, at)
 	f.state.confirmed = max(f.state.confirmed, at)
 	f.mu.Unlock()
-	if !before && f.Passed() {
-		f.log.Info("changes passed on by a peer", "kind", f.kind, "ageMs", int64(f.clock.Now()-at))
+	if !before && f.Relayed() {
+		f.log.Info("changes relayed by a peer", "kind", f.kind, "ageMs", int64(f.clock.Now()-at))
 		f.nudge()
 	}
 }
--- a/internal/serve/feed/peer_test.go
+++ b/internal/serve/feed/peer_test.go
@@ -15,7 +15,7 @@
 	"github.com/jujubescale/jujubescale/internal/serve/feed"
 )
 
-// passing is a feed that a peer passes changes on to, on a fake clock, and the
+// passing is a feed that a peer relays changes to, on a fake clock, and the
 // calls that it makes to the store.
 type passing struct {
 	*feed.Feed
@@ -40,7 +40,7 @@
 		},
 	}
 	p.Feed = feed.New("k", s, feed.WithClock(p.fake.Clock()),
-		feed.WithPass(func(*wire.Update) { p.passed.Add(1) }),
+		feed.WithForward(func(*wire.Update) { p.passed.Add(1) }),
 		feed.WithList(func(objects []store.Object, _ clock.Millis) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -90,7 +90,7 @@
 func TestChangesOfAPeerNeedNoCall(t *testing.T) {
 	p := newPassing(t)
 	p.confirm(t)
-	p.await(t, func() bool { return p.Passed() })
+	p.await(t, func() bool { return p.Relayed() })
 	for range 30 {
 		p.fake.Advance(500)
 		p.confirm(t)
@@ -100,7 +100,7 @@
 	assert.Equal(t, p.Changed(), uint64(7))
 	assert.Equal(t, p.scans.Load(), int64(1))
 	assert.Assert(t, p.follows.Load() <= 1, "%d", p.follows.Load())
-	assert.Equal(t, p.passed.Load(), int64(2), "the list and the change are passed on")
+	assert.Equal(t, p.passed.Load(), int64(2), "the list and the change are relayed")
 }
 
 // Guards against a process that misses a change because the peer it follows the
@@ -116,7 +116,7 @@
 	p.await(t, func() bool { return p.follows.Load() == 2 })
 	// Confirmed again, but as of long ago.
 	assert.Assert(t, !p.Confirm(wire.Seen{Kind: "k", Revision: 5, Changed: 5, Age: 3000}, p.now()))
-	assert.Assert(t, !p.Passed())
+	assert.Assert(t, !p.Relayed())
 }
 
 // Guards against a gap: changes that follow on others which never arrived would
@@ -125,12 +125,12 @@
 	p := newPassing(t)
 	assert.Assert(t, p.Take(update(6, 7, wire.Stored{Name: "k/b", Version: 7}), p.now()))
 	assert.Assert(t, p.Confirm(wire.Seen{Kind: "k", Revision: 9, Changed: 7}, p.now()))
-	assert.Assert(t, !p.Passed(), "it goes on asking the store itself")
+	assert.Assert(t, !p.Relayed(), "it goes on asking the store itself")
 	all := update(0, 9, wire.Stored{Name: "k/a", Version: 5}, wire.Stored{Name: "k/b", Version: 7})
 	all.Whole = true
 	assert.Assert(t, !p.Take(all, p.now()))
 	p.until(t, func(h *heard) bool { return len(h.lists) == 2 && h.lists[1] == 2 })
-	assert.Assert(t, p.Passed())
+	assert.Assert(t, p.Relayed())
 }
 
 // Guards against a late message that undoes what is known: an older list, or
@@ -170,5 +170,5 @@
 		assert.Assert(t, time.Since(began) < 5*time.Second)
 		time.Sleep(time.Millisecond)
 	}
-	assert.Assert(t, f.Passed())
+	assert.Assert(t, f.Relayed())
 }
--- a/internal/serve/mesh/follow.go
+++ b/internal/serve/mesh/follow.go
@@ -22,7 +22,7 @@
 // its aggregator, an aggregator through a watcher. Watchers follow it themselves,
 // and so does everybody whose upstream stops.
 func (m *Mesh) chooseUpstream(now clock.Millis) {
-	r, before := &m.reports, m.way.Load()
+	r, before := &m.reports, m.uplink.Load()
 	upstream := before.aggregator
 	if upstream == "" {
 		upstream = m.freshest(before.upstream, now)
@@ -37,7 +37,7 @@
 		return
 	}
 	if upstream != before.upstream {
-		m.way.Store(&way{aggregator: before.aggregator, upstream: upstream})
+		m.uplink.Store(&uplink{aggregator: before.aggregator, upstream: upstream})
 		m.log.Info("store followed through", "peer", upstream, "before", before.upstream)
 	}
 	r.upstreamLink = open
@@ -134,8 +134,8 @@
 	}
 }
 
-// Pass passes changes on to all who follow the store through this process.
-func (m *Mesh) Pass(update *wire.Update) {
+// Forward sends changes to all who follow the store through this process.
+func (m *Mesh) Forward(update *wire.Update) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, in := range m.inbound {
@@ -151,7 +151,7 @@
 		m.log.Warn("update ignored", "peer", from, "kind", update.Kind, "revision", update.Revision)
 		return
 	}
-	if m.way.Load().upstream == from {
+	if m.uplink.Load().upstream == from {
 		m.askAgain(from, m.follower.TakeFunc(update, m.clock.Now()))
 	}
 }
--- a/internal/serve/mesh/link.go
+++ b/internal/serve/mesh/link.go
@@ -74,7 +74,7 @@
 	m.group.Add(1)
 	go func() {
 		defer m.group.Done()
-		m.hold(l)
+		m.maintain(l)
 	}()
 	return l
 }
@@ -98,9 +98,9 @@
 	return l
 }
 
-// hold opens a link and keeps it until its session ends. A process that can't be
+// maintain opens a link and keeps it until its session ends. A process that can't be
 // reached is tried again for a while: it may only have been cut off.
-func (m *Mesh) hold(l *link) {
+func (m *Mesh) maintain(l *link) {
 	s, err := m.dial(l.member)
 	if err == nil && s.Peer().Incarnation != l.member.Incarnation {
 		// The listed run has ended; its successor is used once it is listed.
@@ -125,8 +125,8 @@
 		return nil, err
 	}
 	if s.Peer().Process != member.Name {
-		s.Close(errStranger)
-		return nil, errStranger
+		s.Close(errWrongPeer)
+		return nil, errWrongPeer
 	}
 	return s, nil
 }
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -46,7 +46,7 @@
 	errReplaced  = errors.New("the peer opened a newer session")
 	errStopped   = errors.New("this process stops")
 	errIdle      = errors.New("the session was idle")
-	errStranger  = errors.New("another process answers at the address")
+	errWrongPeer = errors.New("another process answers at the address")
 	errRestarted = errors.New("the process was restarted")
 )
 
@@ -112,18 +112,18 @@
 	pools  atomic.Pointer[map[string]sums.Pool]
 	coming atomic.Pointer[[]coming.Load]
 	next   atomic.Uint64
-	// hurry says that this process has something to report at once, and wake
+	// urgent says that this process has something to report at once, and wake
 	// wakes the round that sends reports.
-	hurry atomic.Bool
-	wake  chan struct{}
+	urgent atomic.Bool
+	wake   chan struct{}
 
-	// pushing orders the calls of workFunc: what was added up first is passed on
+	// workLock orders the calls of workFunc: what was added up first is passed on
 	// first.
-	pushing sync.Mutex
+	workLock sync.Mutex
 
 	// reports is the state of sending reports; only Run uses it.
 	reports reports
-	way     atomic.Pointer[way]
+	uplink  atomic.Pointer[uplink]
 
 	mu      sync.Mutex
 	members map[string]Member
@@ -237,7 +237,7 @@
 		leaving: make(map[string]token.Incarnation), absent: make(map[string]token.Incarnation),
 	}
 	m.reports.init()
-	m.way.Store(&way{})
+	m.uplink.Store(&uplink{})
 	for _, opt := range opts {
 		opt(m)
 	}
--- a/internal/serve/mesh/report.go
+++ b/internal/serve/mesh/report.go
@@ -30,9 +30,9 @@
 	totalSilence = 700 * clock.Millis(1)
 	avoidFor     = 5 * clock.Second
 	// presenceGrace is how long a process may report to nobody: it may be on its
-	// way to another aggregator. A new aggregator judges after judgeAfter.
-	presenceGrace = 500 * clock.Millis(1)
-	judgeAfter    = clock.Second
+	// way to another aggregator. A new aggregator decides after absentAfterStart.
+	presenceGrace    = 500 * clock.Millis(1)
+	absentAfterStart = clock.Second
 	// membersEvery is how often unchanged lists of processes are repeated.
 	membersEvery = clock.Second
 	// poolAge is the usual age of what is known of another owner's queue: three
@@ -40,16 +40,16 @@
 	poolAge = 3 * regularEvery
 )
 
-// way is through whom this process reports and follows the store now.
-type way struct {
+// uplink is through whom this process reports and follows the store now.
+type uplink struct {
 	// aggregator that it reports to, "" while it is one itself.
 	aggregator string
 	// upstream is whose reading of the store it follows, "" for none.
 	upstream string
 }
 
-// sighting is when a process was last among those that report.
-type sighting struct {
+// lastReport is when a process was last among those that report.
+type lastReport struct {
 	presence wire.Presence
 	at       clock.Millis
 }
@@ -61,7 +61,7 @@
 	actingSince  clock.Millis
 	since        clock.Millis // when reporting to the aggregator began
 	avoided      map[string]clock.Millis
-	seen         map[string]sighting
+	seen         map[string]lastReport
 	absentSince  clock.Millis // when the absent ones changed last
 	group        []wire.Presence
 	groupSince   clock.Millis
@@ -70,12 +70,12 @@
 }
 
 func (r *reports) init() {
-	r.avoided, r.seen = make(map[string]clock.Millis), make(map[string]sighting)
+	r.avoided, r.seen = make(map[string]clock.Millis), make(map[string]lastReport)
 }
 
 // Tell has the loads reported at once, because others choose by them.
 func (m *Mesh) Tell() {
-	m.hurry.Store(true)
+	m.urgent.Store(true)
 	m.wakeUp()
 }
 
@@ -115,14 +115,14 @@
 func (m *Mesh) round(now clock.Millis) {
 	r := &m.reports
 	regular := now-r.regular >= regularEvery
-	if hurry := m.hurry.Swap(false); hurry || regular {
-		m.putOwn(hurry, now)
+	if urgent := m.urgent.Swap(false); urgent || regular {
+		m.putOwn(urgent, now)
 	}
 	if regular {
 		r.regular = now
 		m.mute(now)
 		m.closeIdle(now)
-		m.judge(now)
+		m.updateAbsent(now)
 	}
 	m.chooseRole(now)
 	if regular {
@@ -186,17 +186,17 @@
 // pushOthers passes on what changed at some endpoints, if this process adds up
 // by itself.
 func (m *Mesh) pushOthers(endpoints []string) {
-	m.pushing.Lock()
-	defer m.pushing.Unlock()
-	if len(endpoints) > 0 && m.way.Load().aggregator == "" {
+	m.workLock.Lock()
+	defer m.workLock.Unlock()
+	if len(endpoints) > 0 && m.uplink.Load().aggregator == "" {
 		m.workFunc(m.book.Others(m.self.Name, endpoints), false)
 	}
 }
 
 // pushAll passes on the work of all others.
 func (m *Mesh) pushAll() {
-	m.pushing.Lock()
-	defer m.pushing.Unlock()
+	m.workLock.Lock()
+	defer m.workLock.Unlock()
 	m.workFunc(m.book.AllOthers(m.self.Name), true)
 }
 
@@ -206,7 +206,7 @@
 // chooseRole decides whether this process is an aggregator, and to whom it
 // reports otherwise.
 func (m *Mesh) chooseRole(now clock.Millis) {
-	r, plan, before := &m.reports, m.view.Load().plan, m.way.Load()
+	r, plan, before := &m.reports, m.view.Load().plan, m.uplink.Load()
 	acting := plan.Aggregates(m.self.Name) || m.book.Reporters(m.self.Name) > 0
 	to := ""
 	if !acting {
@@ -221,7 +221,7 @@
 	if to == before.aggregator {
 		return
 	}
-	m.way.Store(&way{aggregator: to, upstream: before.upstream})
+	m.uplink.Store(&uplink{aggregator: to, upstream: before.upstream})
 	r.since = now
 	m.log.Info("aggregator chosen", "aggregator", to, "before", before.aggregator, "aggregators", len(plan.Aggregators))
 	if to == "" {
@@ -247,17 +247,17 @@
 	}
 }
 
-// judge decides, as an aggregator, which listed processes are not to be used:
+// updateAbsent decides, as an aggregator, which listed processes are not to be used:
 // those that report to nobody, or say that they own nothing.
-func (m *Mesh) judge(now clock.Millis) {
+func (m *Mesh) updateAbsent(now clock.Millis) {
 	r := &m.reports
 	for _, presence := range m.book.Present() {
-		r.seen[presence.Process] = sighting{presence: presence, at: now}
+		r.seen[presence.Process] = lastReport{presence: presence, at: now}
 	}
 	if group := m.book.Group(); !slices.Equal(group, r.group) {
 		r.group, r.groupSince = group, now
 	}
-	if !r.acting || now-r.actingSince < judgeAfter {
+	if !r.acting || now-r.actingSince < absentAfterStart {
 		return
 	}
 	absent := make(map[string]token.Incarnation)
@@ -319,7 +319,7 @@
 // gather takes up what all peers say of their pools, if this process adds up by
 // itself.
 func (m *Mesh) gather() {
-	if m.way.Load().aggregator != "" {
+	if m.uplink.Load().aggregator != "" {
 		return
 	}
 	sum := m.book.Coming(m.self.Name)
--- a/internal/serve/mesh/send.go
+++ b/internal/serve/mesh/send.go
@@ -32,7 +32,7 @@
 // wanted returns to which processes this one opens sessions for reports, and what
 // it sends there.
 func (m *Mesh) wanted() map[string]wire.Kind {
-	v, aggregator := m.view.Load(), m.way.Load().aggregator
+	v, aggregator := m.view.Load(), m.uplink.Load().aggregator
 	if aggregator != "" {
 		return map[string]wire.Kind{aggregator: wire.KindReport}
 	}
@@ -52,7 +52,7 @@
 	for name := range wanted {
 		m.linkTo(name)
 	}
-	acting := m.way.Load().aggregator == ""
+	acting := m.uplink.Load().aggregator == ""
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var all []outgoing
--- a/internal/serve/mesh/take.go
+++ b/internal/serve/mesh/take.go
@@ -67,7 +67,7 @@
 	}
 	m.takeEvents(taken)
 	m.pushOthers(changed)
-	if taken.Regular && m.way.Load().upstream == from {
+	if taken.Regular && m.uplink.Load().upstream == from {
 		m.confirm(from, taken.Seen, now)
 	}
 	if taken.Urgent {
@@ -87,9 +87,9 @@
 // pushTotal passes on the work that an aggregator tells, and reports whether it is
 // the one that this process reports to.
 func (m *Mesh) pushTotal(from string, total *wire.Sums) bool {
-	m.pushing.Lock()
-	defer m.pushing.Unlock()
-	if m.way.Load().aggregator != from {
+	m.workLock.Lock()
+	defer m.workLock.Unlock()
+	if m.uplink.Load().aggregator != from {
 		return false
 	}
 	m.workFunc(total.Work, total.Whole)
@@ -132,7 +132,7 @@
 	sum := sums.ComingOf(total.Coming)
 	m.setPools(pools)
 	m.coming.Store(&sum)
-	if m.way.Load().upstream == from {
+	if m.uplink.Load().upstream == from {
 		m.confirm(from, total.Seen, now)
 	}
 }
--- a/internal/serve/router/harness_test.go
+++ b/internal/serve/router/harness_test.go
@@ -64,7 +64,7 @@
 
 // Write implements io.Writer for its log.
 func (g *gateway) Write(line []byte) (int, error) {
-	if bytes.Contains(line, []byte("store followed through")) || bytes.Contains(line, []byte("peer passes no changes on")) {
+	if bytes.Contains(line, []byte("store followed through")) || bytes.Contains(line, []byte("peer relays no changes")) {
 		g.quiet.Add(1)
 	}
 	return len(line), nil
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -161,7 +161,7 @@
 // newerRelease is called when a peer has a newer configuration. Mostly it is on
 // its way here.
 func (g *Gateway) newerRelease() {
-	if !g.feeds.config.Passed() {
+	if !g.feeds.config.Relayed() {
 		g.feeds.config.Again()
 	}
 }
@@ -169,14 +169,14 @@
 func (g *Gateway) makeFeeds() {
 	common := []feed.Option{
 		feed.WithClock(g.Clock), feed.WithLog(g.Log), feed.WithOutage(feed.NewOutage()), feed.WithBackoff(g.storeBackoff),
-		feed.WithPass(g.mesh.Pass),
+		feed.WithForward(g.mesh.Forward),
 	}
 	with := func(kind string, bound clock.Millis, more ...feed.Option) *feed.Feed {
 		wait := clock.Millis(watchShare * float64(bound))
 		own := []feed.Option{
-			feed.WithTrust(clock.Millis(trustShare * float64(bound))),
+			feed.WithMaxAge(clock.Millis(maxAgeShare * float64(bound))),
 			feed.WithWait(func() clock.Millis { return watchSpan(wait, rand.Float64()) }),
-			feed.WithPeers(func() clock.Millis { return g.patience(wait) }, g.firstWait),
+			feed.WithPeers(func() clock.Millis { return g.relayGrace(wait) }, g.firstWait),
 		}
 		return feed.New(kind, g.Store, slices.Concat(common, own, more)...)
 	}
@@ -198,13 +198,13 @@
 	// two reads of changes of endpoints.
 	watchShare = 0.4
 	restShare  = 0.1
-	// freshShare is how old the word of a peer that is followed may be, trustShare
+	// freshShare is how old the word of a peer that is followed may be, maxAgeShare
 	// how old it counts at all, and lostShare how old a watcher's own is once it is
 	// cut off. The first is longer than a watch and a pause together: a follower
 	// would change its peer all the time otherwise.
-	freshShare = 0.65
-	trustShare = 0.75
-	lostShare  = 0.9
+	freshShare  = 0.65
+	maxAgeShare = 0.75
+	lostShare   = 0.9
 )
 
 const (
@@ -230,11 +230,11 @@
 	return mean*3/4 + clock.Millis(draw*float64(mean/2))
 }
 
-// patience is how long a process awaits its peers' word before it asks the store
+// relayGrace is how long a process awaits its peers' word before it asks the store
 // itself. Watchers do not: all others hear from them. When all processes start at
 // once, each seems to be alone at first; it looks again who is there before it
 // watches anything.
-func (g *Gateway) patience(wait clock.Millis) clock.Millis {
+func (g *Gateway) relayGrace(wait clock.Millis) clock.Millis {
 	switch {
 	case g.Clock.Since(g.began) < startSpan:
 		return settleWait
