--- a/internal/flow/sums/message.go
+++ b/internal/flow/sums/message.go
@@ -114,10 +114,11 @@
 }
 
 // ComingOf converts what will come from a message.
-func ComingOf(loads []wire.Coming) []coming.Load {
-	var all []coming.Load
-	for _, load := range loads {
-		all = coming.Add(all, coming.Load{Pool: load.Pool, Pieces: load.Pieces})
+func ComingOf(loads []wire.Coming) []coming.Load { return addComing(nil, loads) }
+
+func addComing(sum []coming.Load, more []wire.Coming) []coming.Load {
+	for _, load := range more {
+		sum = coming.Add(sum, coming.Load{Pool: load.Pool, Pieces: load.Pieces})
 	}
-	return all
+	return sum
 }
--- a/internal/flow/sums/query.go
+++ b/internal/flow/sums/query.go
@@ -100,9 +100,7 @@
 		if known.silent || !take(from) {
 			continue
 		}
-		for _, load := range known.coming {
-			loads = coming.Add(loads, coming.Load{Pool: load.Pool, Pieces: load.Pieces})
-		}
+		loads = addComing(loads, known.coming)
 	}
 	return loads
 }
--- a/internal/serve/mesh/link.go
+++ b/internal/serve/mesh/link.go
@@ -69,7 +69,7 @@
 	if !listed || m.stopped || m.base.Err() != nil || isRun(m.lost, name, member.Incarnation) {
 		return nil
 	}
-	l := &link{member: member, opened: make(chan struct{}), pending: make(map[uint64]*request), used: now}
+	l := newLink(member, now)
 	m.links[name] = l
 	m.group.Add(1)
 	go func() {
@@ -90,12 +90,12 @@
 	case <-ctx.Done():
 		return nil
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if l.session == nil {
-		return nil
-	}
-	return l
+	return m.ifOpen(l)
+}
+
+// newLink returns a link that is not open yet.
+func newLink(member Member, now clock.Millis) *link {
+	return &link{member: member, opened: make(chan struct{}), pending: make(map[uint64]*request), used: now}
 }
 
 // maintain opens a link and keeps it until its session ends. A process that can't be
@@ -112,10 +112,15 @@
 		<-s.Done()
 		err = s.Err()
 	}
-	if !m.unlinked(l, err) {
+	m.linkEnded(l, err)
+}
+
+// linkEnded removes a link, and tries to reach its process again if it is lost.
+func (m *Mesh) linkEnded(l *link, cause error) {
+	if !m.unlinked(l, cause) {
 		return
 	}
-	m.log.Info("peer lost", "peer", l.member.Name, logs.KeyIncarnation, l.member.Incarnation, logs.KeyError, err)
+	m.log.Info("peer lost", "peer", l.member.Name, logs.KeyIncarnation, l.member.Incarnation, logs.KeyError, cause)
 	m.redial(l.member)
 }
 
@@ -215,7 +220,7 @@
 		s.Close(errIdle)
 		return false
 	}
-	l := &link{member: member, opened: make(chan struct{}), pending: make(map[uint64]*request), used: m.clock.Now()}
+	l := newLink(member, m.clock.Now())
 	m.links[member.Name] = l
 	delete(m.lost, member.Name)
 	m.publish()
@@ -225,10 +230,7 @@
 	go func() {
 		defer m.group.Done()
 		<-s.Done()
-		if cause := s.Err(); m.unlinked(l, cause) {
-			m.log.Info("peer lost", "peer", member.Name, logs.KeyIncarnation, member.Incarnation, logs.KeyError, cause)
-			m.redial(member)
-		}
+		m.linkEnded(l, s.Err())
 	}()
 	return true
 }
