feat(conns,proc): connections that end unanswered are logged and counted

A port now follows its connections; one that it closes after it has read bytes that nothing was written in reply to leaves a line and counts in jujubescale_connections_unanswered_total. Callers that leave first, answers that were begun and hijacked connections don't count.

--- a/internal/cli/daemon/entry.go
+++ b/internal/cli/daemon/entry.go
@@ -199,10 +199,11 @@
 func (r *entryRun) openCallers(ctx context.Context) error {
 	var err error
 	r.callers, err = proc.Open(ctx, proc.PortOptions{
-		Name: "callers", Address: r.settings.Callers, Handler: r.entry.Handler(),
+		Name: callersPort, Address: r.settings.Callers, Handler: r.entry.Handler(),
 		TLS: proc.ServerTLS(r.callersTLS), MaxConnections: r.settings.MaxConnections,
 		MaxHeaderBytes: r.settings.MaxHeaderBytes, HeaderTimeout: r.settings.HeaderMs.Duration(),
 		IdleTimeout: r.settings.CallersIdleMs.Duration(), Log: r.Log,
+		Unanswered: r.Unanswered.WithLabelValues(callersPort),
 	})
 	return err
 }
--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -25,6 +25,9 @@
 
 const roleGateway = "gateway"
 
+// callersPort names the port that callers reach.
+const callersPort = "callers"
+
 func newGateway() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "gateway",
@@ -210,9 +213,10 @@
 func (r *gatewayRun) openCallers(ctx context.Context) error {
 	var err error
 	r.callers, err = proc.Open(ctx, proc.PortOptions{
-		Name: "callers", Address: r.settings.Callers, Handler: r.gateway.Handler(),
+		Name: callersPort, Address: r.settings.Callers, Handler: r.gateway.Handler(),
 		MaxConnections: int(callersFds * float64(r.settings.MaxFds)), MaxHeaderBytes: callersHeader,
 		HeaderTimeout: callersTimeout.Duration(), IdleTimeout: callersIdle.Duration(), Log: r.Log,
+		Unanswered: r.Unanswered.WithLabelValues(callersPort),
 	})
 	return err
 }
--- a/internal/cli/proc/port.go
+++ b/internal/cli/proc/port.go
@@ -6,10 +6,13 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/jujubescale/jujubescale/internal/link/conns"
 	"github.com/jujubescale/jujubescale/internal/link/limit"
 )
 
@@ -30,6 +33,9 @@
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 	Log           *log.Logger
+	// Unanswered counts connections that end with a request that got no answer; nil
+	// counts none.
+	Unanswered prometheus.Counter
 }
 
 // Port is one listening address of the daemon.
@@ -38,6 +44,8 @@
 	server *http.Server
 	actual net.Addr
 	done   chan error
+	// stopping says that Shutdown or Close was called.
+	stopping atomic.Bool
 }
 
 // Open listens and serves until Close or Shutdown; done then has one value.
@@ -60,11 +68,23 @@
 			ErrorLog:          options.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 		},
 	}
-	bounded := limit.New(listener, options.MaxConnections)
-	go func() { p.done <- p.serve(bounded) }()
+	callers := conns.New(limit.New(listener, options.MaxConnections), conns.WithUnanswered(p.unanswered(&options)))
+	p.server.ConnState = callers.State
+	go func() { p.done <- p.serve(callers) }()
 	return p, nil
 }
 
+// unanswered returns what logs and counts connections that end without an answer.
+func (p *Port) unanswered(options *PortOptions) func(conns.Unanswered) {
+	return func(ended conns.Unanswered) {
+		options.Log.Warn("connection ended unanswered", "port", p.name, "caller", ended.Remote,
+			"bytes", ended.Bytes, "readMs", int64(ended.Age), "stopping", p.stopping.Load())
+		if options.Unanswered != nil {
+			options.Unanswered.Inc()
+		}
+	}
+}
+
 func (p *Port) serve(listener net.Listener) error {
 	var err error
 	if p.server.TLSConfig == nil {
@@ -82,12 +102,16 @@
 func (p *Port) Address() net.Addr { return p.actual }
 
 // Shutdown stops accepting and waits for open requests until the context ends.
-func (p *Port) Shutdown(ctx context.Context) error { return p.server.Shutdown(ctx) }
+func (p *Port) Shutdown(ctx context.Context) error {
+	p.stopping.Store(true)
+	return p.server.Shutdown(ctx)
+}
 
 // Close ends the port with all its connections at once. A port that was never
 // opened is nil.
 func (p *Port) Close() {
 	if p != nil {
+		p.stopping.Store(true)
 		_ = p.server.Close()
 	}
 }
--- a/internal/cli/proc/process.go
+++ b/internal/cli/proc/process.go
@@ -41,6 +41,9 @@
 	Clock    *clock.Clock
 	Registry *prometheus.Registry
 	Holder   *spread.Holder
+	// Unanswered counts connections that ended with a request that got no answer, by
+	// port.
+	Unanswered *prometheus.CounterVec
 	// Log is set by StartLog, Platform by ReachPlatform, ProcessesTLS by
 	// ReadCertificates (nil without files), Operators by OpenOperators.
 	Log          *log.Logger
@@ -58,6 +61,10 @@
 	return &Process{
 		Role: role, Settings: settings, Clock: clock.New(), out: out,
 		Registry: prometheus.NewRegistry(), Holder: &spread.Holder{},
+		Unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "jujubescale_connections_unanswered_total",
+			Help: "Connections closed by this process after a request that got no answer, by port.",
+		}, []string{"port"}),
 	}
 }
 
@@ -71,7 +78,7 @@
 
 // StartMetrics registers the metrics of runtime and process.
 func (p *Process) StartMetrics(context.Context) error {
-	p.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	p.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), p.Unanswered)
 	return nil
 }
 
--- /dev/null
+++ b/internal/link/conns/conns_test.go
@@ -0,0 +1,94 @@
+package conns_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/link/conns"
+)
+
+// serve starts a server and returns its address and what it reports.
+func serve(t *testing.T, handler http.HandlerFunc) (address string, reports chan conns.Unanswered) {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	reports = make(chan conns.Unanswered, 8)
+	listener := conns.New(inner, conns.WithUnanswered(func(ended conns.Unanswered) { reports <- ended }))
+	server := &http.Server{Handler: handler, ConnState: listener.State, ReadHeaderTimeout: time.Minute}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = server.Close()
+		<-served
+	})
+	return inner.Addr().String(), reports
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	return c
+}
+
+const get = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"
+
+// Guards against requests that end unanswered and leave no trace.
+func TestConnectionThatEndsUnansweredIsReported(t *testing.T) {
+	address, reports := serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	c := dial(t, address)
+	_, err := io.WriteString(c, get)
+	assert.NilError(t, err)
+	rest, err := io.ReadAll(c)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rest), 0)
+	ended := <-reports
+	assert.Equal(t, ended.Bytes, len(get))
+	assert.Equal(t, ended.Remote, c.LocalAddr().String())
+}
+
+func TestOrdinaryEndsAreNotReported(t *testing.T) {
+	handlers := map[string]http.HandlerFunc{
+		"answered": func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") },
+		"begun": func(w http.ResponseWriter, _ *http.Request) {
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		},
+		"hijacked": func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_ = c.Close()
+			}
+		},
+		"caller left": func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done(); panic(http.ErrAbortHandler) },
+	}
+	for name, handler := range handlers {
+		t.Run(name, func(t *testing.T) {
+			done := make(chan struct{})
+			address, reports := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				defer close(done)
+				handler(w, r)
+			})
+			c := dial(t, address)
+			_, err := io.WriteString(c, get)
+			assert.NilError(t, err)
+			if name == "caller left" {
+				assert.NilError(t, c.Close())
+			}
+			<-done
+			_, _ = io.ReadAll(c) // until the server has closed
+			select {
+			case ended := <-reports:
+				t.Fatalf("reported %+v", ended)
+			default:
+			}
+		})
+	}
+}
