--- /dev/null
+++ b/internal/cli/proc/port_test.go
@@ -0,0 +1,159 @@
+package proc_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/cli/proc"
+)
+
+// served is an open port, and how many of its connections ended unanswered.
+type served struct {
+	*proc.Port
+	unanswered prometheus.Counter
+}
+
+func open(t *testing.T, handler http.HandlerFunc) *served {
+	t.Helper()
+	unanswered := prometheus.NewCounter(prometheus.CounterOpts{Name: "unanswered"})
+	port, err := proc.Open(t.Context(), proc.PortOptions{
+		Name: "callers", Address: "127.0.0.1:0", Handler: handler, MaxConnections: 64, MaxHeaderBytes: 4 << 10,
+		HeaderTimeout: time.Minute, IdleTimeout: time.Minute, Log: log.New(io.Discard), Unanswered: unanswered,
+	})
+	assert.NilError(t, err)
+	t.Cleanup(port.Close)
+	return &served{Port: port, unanswered: unanswered}
+}
+
+// caller is a connection whose bytes the test writes by itself.
+type caller struct {
+	net.Conn
+	replies *bufio.Reader
+}
+
+func (s *served) dial(t *testing.T) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Address().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
+	return &caller{Conn: c, replies: bufio.NewReader(c)}
+}
+
+func (c *caller) write(t *testing.T, text string) {
+	t.Helper()
+	_, err := io.WriteString(c, text)
+	assert.NilError(t, err)
+}
+
+// reply reads the next answer.
+func (c *caller) reply() (*http.Response, error) {
+	response, err := http.ReadResponse(c.replies, nil)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response, errors.Join(err, response.Body.Close())
+}
+
+const (
+	head = "GET / HTTP/1.1\r\nHost: a.example\r\n"
+	tail = "X-Last: 1\r\n\r\n"
+)
+
+// Guards against callers that get neither an answer nor a refusal because their
+// request is read after a planned stop has closed the port.
+func TestRequestReadDuringAPlannedStopIsAnswered(t *testing.T) {
+	cases := map[string]func(t *testing.T, c *caller){
+		"new connection": func(*testing.T, *caller) {},
+		"kept connection": func(t *testing.T, c *caller) {
+			c.write(t, head+tail)
+			_, err := c.reply()
+			assert.NilError(t, err)
+		},
+	}
+	for name, before := range cases {
+		t.Run(name, func(t *testing.T) {
+			running, release := make(chan struct{}), make(chan struct{})
+			s := open(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/long" {
+					close(running)
+					<-release
+				}
+				w.WriteHeader(http.StatusOK)
+			})
+			other, crossing := s.dial(t), s.dial(t)
+			other.write(t, "GET /long HTTP/1.1\r\nHost: a.example\r\n\r\n")
+			<-running
+			before(t, crossing)
+			crossing.write(t, head)
+			stopped := make(chan error, 1)
+			go func() { stopped <- s.Shutdown(t.Context()) }()
+			awaitClosed(t, s)
+			crossing.write(t, tail)
+			response, err := crossing.reply()
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+			assert.Assert(t, response.Close, "the caller is to open another connection")
+			close(release)
+			_, err = other.reply()
+			assert.NilError(t, err)
+			assert.NilError(t, <-stopped)
+			assert.Equal(t, testutil.ToFloat64(s.unanswered), 0.0)
+		})
+	}
+}
+
+// awaitClosed returns once the port takes no connections.
+func awaitClosed(t *testing.T, s *served) {
+	t.Helper()
+	for {
+		c, err := net.DialTimeout("tcp", s.Address().String(), time.Second)
+		if err != nil {
+			return
+		}
+		_ = c.Close()
+		assert.NilError(t, t.Context().Err())
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against stops that wait for callers that keep a connection open and
+// send nothing.
+func TestPlannedStopEndsUnusedConnections(t *testing.T) {
+	s := open(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	kept, silent := s.dial(t), s.dial(t)
+	kept.write(t, head+tail)
+	_, err := kept.reply()
+	assert.NilError(t, err)
+	assert.NilError(t, s.Shutdown(t.Context()))
+	for _, c := range []*caller{kept, silent} {
+		_, err := c.replies.ReadByte()
+		assert.Assert(t, err != nil)
+	}
+	assert.Equal(t, testutil.ToFloat64(s.unanswered), 0.0)
+}
+
+// Guards against stops that never end because a request runs on.
+func TestPlannedStopEndsWithItsContext(t *testing.T) {
+	running, release := make(chan struct{}), make(chan struct{})
+	s := open(t, func(http.ResponseWriter, *http.Request) { close(running); <-release })
+	defer close(release)
+	c := s.dial(t)
+	c.write(t, head+tail)
+	<-running
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, s.Shutdown(ctx) != nil)
+}
