fix(conns,proc,gate): a planned stop answers each request that has arrived

Cause: http.Server.Shutdown decides from what it believes of a connection, not from what has arrived on it. It closes a kept connection as unused until the whole head of a request is parsed, and after it has begun it ends each connection whose request it then reads, without an answer. A process that gets no processor time for 0.2 s reads requests that late. The class of fault: a resource is closed by a belief that is older than what uses it.

Change: link/conns follows the connections of a port. Draining sets a read deadline on those that wait for a request; the goroutine that reads decides, and before it gives up it reads what has arrived. Connections from the listener's queue are taken for 100 ms more, new ones may wait 250 ms for their first request. http.Server.Shutdown runs only once all connections of HTTP/1 have ended. The same final look holds for connections that end by their idle time.

Elsewhere: Gate.Wait took the first moment without open requests for the end, and the process could exit before the answers of cut requests were written. It now follows the port, and the port waits for these answers. A request whose body never arrives held up the whole stop; it is bounded now.

--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -224,8 +224,10 @@
 const (
 	// endMargin is kept between the end of a planned stop and the kill that follows.
 	endMargin = 600 * clock.Millis(1)
-	// withdrawTime is the part of it that taking this process off the list may
-	// take, also while the store is silent.
+	// answerTime is the part of it in which callers whose requests were cut get
+	// their answers, withdrawTime what taking this process off the list may take,
+	// also while the store is silent.
+	answerTime   = 100 * clock.Millis(1)
 	withdrawTime = 200 * clock.Millis(1)
 )
 
@@ -240,18 +242,24 @@
 	r.Log.Info("leaving", "graceMs", int64(grace), "open", r.gateway.Open())
 	r.gateway.Leave()
 	_ = r.Clock.Sleep(limit, r.settings.BalancerLagMs) // the limit ends the stop, too
-	closed := make(chan error, 1)
-	go func() { closed <- r.callers.Shutdown(limit) }()
-	cut := r.gateway.Wait(limit)
-	if err := <-closed; err != nil {
-		r.Log.Info("callers' connections left open", "error", err)
+	r.Log.Info("callers' port closing", "open", r.gateway.Open(), "tookMs", int64(r.Clock.Since(began)))
+	var cut int64
+	if err := r.callers.Shutdown(limit); err != nil {
+		cut = r.gateway.Wait(limit)
+		r.Log.Info("callers' connections left open", "error", err, "cut", cut)
+		within(answerTime, func(ctx context.Context) { _ = r.callers.Shutdown(ctx) }) // logged already
 	}
-	withdrawn, cancelWithdrawal := context.WithTimeout(context.Background(), withdrawTime.Duration())
-	defer cancelWithdrawal()
-	r.gateway.Withdraw(withdrawn)
+	within(withdrawTime, r.gateway.Withdraw)
 	r.Log.Info("stopped", "cut", cut, "tookMs", int64(r.Clock.Since(began)))
 }
 
+// within calls a function with a context that ends after a while.
+func within(span clock.Millis, call func(context.Context)) {
+	ctx, cancel := context.WithTimeout(context.Background(), span.Duration())
+	defer cancel()
+	call(ctx)
+}
+
 func (r *gatewayRun) close(stop context.CancelFunc) {
 	stop()
 	for _, port := range []*proc.Port{r.callers, r.ready, r.sessions, r.metrics} {
--- a/internal/cli/proc/port.go
+++ b/internal/cli/proc/port.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/conns"
 	"github.com/jujubescale/jujubescale/internal/link/limit"
 )
@@ -40,14 +42,30 @@
 
 // Port is one listening address of the daemon.
 type Port struct {
-	name   string
-	server *http.Server
-	actual net.Addr
-	done   chan error
+	name    string
+	server  *http.Server
+	callers *conns.Listener
+	actual  net.Addr
+	clock   *clock.Clock
+	done    chan error
+	// served is closed once no more connections are accepted.
+	served chan struct{}
 	// stopping says that Shutdown or Close was called.
 	stopping atomic.Bool
 }
 
+// OpenError says that connections of callers were open when the time of a planned
+// stop was over.
+type OpenError struct {
+	Port        string
+	Connections int
+}
+
+// Error implements error.
+func (e *OpenError) Error() string {
+	return fmt.Sprintf("port %s: %d connections were still open", e.Port, e.Connections)
+}
+
 // Open listens and serves until Close or Shutdown; done then has one value.
 func Open(ctx context.Context, options PortOptions) (*Port, error) {
 	var config net.ListenConfig
@@ -58,9 +76,10 @@
 	p := &Port{
 		name:   options.Name,
 		actual: listener.Addr(),
+		clock:  clock.New(),
 		done:   make(chan error, 1),
+		served: make(chan struct{}),
 		server: &http.Server{
-			Handler:           options.Handler,
 			TLSConfig:         options.TLS,
 			MaxHeaderBytes:    options.MaxHeaderBytes,
 			ReadHeaderTimeout: options.HeaderTimeout,
@@ -68,12 +87,27 @@
 			ErrorLog:          options.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 		},
 	}
-	callers := conns.New(limit.New(listener, options.MaxConnections), conns.WithUnanswered(p.unanswered(&options)))
-	p.server.ConnState = callers.State
-	go func() { p.done <- p.serve(callers) }()
+	p.callers = conns.New(limit.New(listener, options.MaxConnections), conns.WithClock(p.clock), conns.WithUnanswered(p.unanswered(&options)))
+	p.server.ConnState = p.callers.State
+	p.server.Handler = p.closing(options.Handler)
+	go func() {
+		defer close(p.served)
+		p.done <- p.serve(p.callers)
+	}()
 	return p, nil
 }
 
+// closing has callers open another connection for their next request once the
+// port is being closed.
+func (p *Port) closing(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // unanswered returns what logs and counts connections that end without an answer.
 func (p *Port) unanswered(options *PortOptions) func(conns.Unanswered) {
 	return func(ended conns.Unanswered) {
@@ -92,7 +126,7 @@
 	} else {
 		err = p.server.ServeTLS(listener, "", "")
 	}
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || (p.stopping.Load() && errors.Is(err, net.ErrClosed)) {
 		return nil
 	}
 	return err
@@ -101,10 +135,26 @@
 // Address returns where the port listens.
 func (p *Port) Address() net.Addr { return p.actual }
 
-// Shutdown stops accepting and waits for open requests until the context ends.
+// acceptTime is how long connections are still accepted when a port is being
+// closed: the kernel has completed some that the process has not seen yet.
+const acceptTime = 100 * clock.Millis(1)
+
+// Shutdown stops accepting and returns once each request that was sent on an open
+// connection is answered, or with an OpenError when the context ends.
 func (p *Port) Shutdown(ctx context.Context) error {
-	p.stopping.Store(true)
-	return p.server.Shutdown(ctx)
+	if !p.stopping.Swap(true) {
+		p.callers.Drain()
+		_ = p.clock.Sleep(ctx, acceptTime) // the context ends the rest, too
+		_ = p.callers.Close()
+	}
+	select {
+	case <-p.served:
+	case <-ctx.Done():
+	}
+	if p.callers.Wait(ctx) != nil {
+		return &OpenError{Port: p.name, Connections: p.callers.Open()}
+	}
+	return p.server.Shutdown(ctx) // connections of HTTP/2 are left
 }
 
 // Close ends the port with all its connections at once. A port that was never
--- a/internal/cli/proc/port_test.go
+++ b/internal/cli/proc/port_test.go
@@ -5,8 +5,11 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -157,3 +160,62 @@
 	defer cancel()
 	assert.Assert(t, s.Shutdown(ctx) != nil)
 }
+
+// Guards against callers that lose their requests however these cross a planned stop.
+func TestEachRequestThatRunsDuringAPlannedStopIsAnswered(t *testing.T) {
+	const callers = 100
+	var ran, answered atomic.Int64
+	s := open(t, func(w http.ResponseWriter, _ *http.Request) {
+		ran.Add(1)
+		time.Sleep(time.Duration(rand.IntN(3000)) * time.Microsecond)
+		w.WriteHeader(http.StatusOK)
+	})
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for answered.Add(s.talk()); !s.closed(); {
+				answered.Add(s.talk())
+			}
+		})
+	}
+	time.Sleep(20 * time.Millisecond)
+	assert.NilError(t, s.Shutdown(t.Context()))
+	group.Wait()
+	assert.Equal(t, answered.Load(), ran.Load())
+	assert.Equal(t, testutil.ToFloat64(s.unanswered), 0.0)
+}
+
+// talk sends one request after the other on a connection of its own until that
+// ends, and returns how many were answered.
+func (s *served) talk() (answered int64) {
+	connection, err := net.Dial("tcp", s.Address().String())
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = connection.Close() }()
+	c := &caller{Conn: connection, replies: bufio.NewReader(connection)}
+	for {
+		if _, err := io.WriteString(c, head+tail); err != nil {
+			return answered
+		}
+		response, err := c.reply()
+		if err != nil {
+			return answered
+		}
+		answered++
+		if response.Close {
+			return answered
+		}
+		time.Sleep(time.Duration(rand.IntN(500)) * time.Microsecond)
+	}
+}
+
+// closed reports whether the port takes no more connections.
+func (s *served) closed() bool {
+	c, err := net.Dial("tcp", s.Address().String())
+	if err != nil {
+		return true
+	}
+	_ = c.Close()
+	return false
+}
--- a/internal/link/conns/conns.go
+++ b/internal/link/conns/conns.go
@@ -1,10 +1,12 @@
-// Package conns follows the connections that a port accepts, so that none of
-// them ends unnoticed with a request that got no answer.
+// Package conns follows the connections that a port accepts, and ends them
+// without losing a request. http.Server.Shutdown does lose some: it closes
+// connections that it holds for unused without looking at what has arrived, and
+// ends those whose request it reads after it has begun.
 package conns
 
 import (
+	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +14,10 @@
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 )
 
+// newGrace is how long after it was accepted a connection may wait for its first
+// request while the listener drains.
+const newGrace = 250 * clock.Millis(1)
+
 // Unanswered describes a connection that this process closed after it had read
 // bytes from its caller that nothing was written in reply to.
 type Unanswered struct {
@@ -28,6 +34,15 @@
 	net.Listener
 	clock          *clock.Clock
 	unansweredFunc func(Unanswered)
+
+	mu       sync.Mutex
+	open     map[*conn]struct{}
+	draining bool
+	// awaited says that Wait was called, empty is closed once no connection is open
+	// after that.
+	awaited   bool
+	empty     chan struct{}
+	emptyOnce sync.Once
 }
 
 // Option changes a Listener while it is built.
@@ -43,7 +58,10 @@
 
 // New follows the connections of a listener.
 func New(inner net.Listener, options ...Option) *Listener {
-	l := &Listener{Listener: inner, clock: clock.New(), unansweredFunc: func(Unanswered) {}}
+	l := &Listener{
+		Listener: inner, clock: clock.New(), unansweredFunc: func(Unanswered) {},
+		open: make(map[*conn]struct{}), empty: make(chan struct{}),
+	}
 	for _, option := range options {
 		option(l)
 	}
@@ -56,82 +74,89 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: inner, listener: l}, nil
-}
-
-// State is a ConnState hook.
-func (l *Listener) State(c net.Conn, state http.ConnState) {
-	if wrapped, ok := c.(*tls.Conn); ok {
-		c = wrapped.NetConn()
-	}
-	followed, ok := c.(*conn)
-	if !ok {
-		return
-	}
-	if state == http.StateHijacked {
-		followed.release()
+	c := newConn(inner, l)
+	l.mu.Lock()
+	l.open[c] = struct{}{}
+	draining := l.draining
+	l.mu.Unlock()
+	if draining {
+		c.endUnused()
 	}
+	return c, nil
 }
 
-// conn is one connection of a caller.
-type conn struct {
-	net.Conn
-	listener *Listener
-
-	mu sync.Mutex
-	// unanswered are the bytes read since the last answer, at the time of the last
-	// of them.
-	unanswered int
-	readAt     clock.Millis
-	// released connections are not followed: the caller left, or another protocol
-	// than HTTP/1 is spoken.
-	released bool
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
 }
 
-func (c *conn) release() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.released = true
+// Drain has every connection end that waits for a request, at once or as soon as
+// it waits for its next one. What has arrived by then is served. Connections are
+// accepted until Close.
+func (l *Listener) Drain() {
+	l.mu.Lock()
+	l.draining = true
+	waiting := make([]*conn, 0, len(l.open))
+	for c := range l.open {
+		waiting = append(waiting, c)
+	}
+	l.mu.Unlock()
+	for _, c := range waiting {
+		c.endUnused()
+	}
 }
 
-// Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if n > 0 {
-		c.unanswered += n
-		c.readAt = c.listener.clock.Now()
+// Wait returns once no connection is open, or with the context's error. Call it
+// after Drain and the end of the loop that accepts: connections that come later are
+// not awaited.
+func (l *Listener) Wait(ctx context.Context) error {
+	l.mu.Lock()
+	l.awaited = true
+	l.signalEmpty()
+	l.mu.Unlock()
+	select {
+	case <-l.empty:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	if err != nil && !isTimeout(err) {
-		c.released = true
-	}
-	return n, err
 }
 
-func isTimeout(err error) bool {
-	var failed net.Error
-	return errors.As(err, &failed) && failed.Timeout()
+// forget removes a connection that ended or is not followed any more.
+func (l *Listener) forget(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+	l.signalEmpty()
 }
 
-// Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	c.unanswered = 0
-	c.mu.Unlock()
-	return c.Conn.Write(p)
+func (l *Listener) signalEmpty() {
+	if l.awaited && len(l.open) == 0 {
+		l.emptyOnce.Do(func() { close(l.empty) })
+	}
 }
 
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	c.mu.Lock()
-	ended := Unanswered{Bytes: c.unanswered, Age: c.listener.clock.Since(c.readAt)}
-	report := c.unanswered > 0 && !c.released
-	c.released = true
-	c.mu.Unlock()
-	if report {
-		ended.Remote = c.RemoteAddr().String()
-		c.listener.unansweredFunc(ended)
+// State is a ConnState hook.
+func (l *Listener) State(c net.Conn, state http.ConnState) {
+	multiplexed := false
+	if wrapped, ok := c.(*tls.Conn); ok {
+		multiplexed = wrapped.ConnectionState().NegotiatedProtocol == "h2"
+		c = wrapped.NetConn()
+	}
+	followed, ok := c.(*conn)
+	switch {
+	case !ok:
+	case state == http.StateHijacked || multiplexed:
+		followed.release()
+	case state == http.StateIdle:
+		followed.awaitNext()
 	}
-	return c.Conn.Close()
+}
+
+func (l *Listener) isDraining() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.draining
 }
--- a/internal/link/limit/limit.go
+++ b/internal/link/limit/limit.go
@@ -4,8 +4,10 @@
 package limit
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // Listener accepts a connection only while fewer than its limit are open; the
@@ -50,6 +52,15 @@
 	release func()
 }
 
+// SyscallConn implements syscall.Conn where the connection does.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return inner.SyscallConn()
+}
+
 // Close ends the connection and frees its slot.
 func (c *conn) Close() error {
 	defer c.once.Do(c.release)
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -205,10 +205,19 @@
 	}
 	left := g.count.Load()
 	g.cutAll()
-	<-done
+	ended, forget := g.Clock.After(cutTime)
+	defer forget()
+	select {
+	case <-done:
+	case <-ended:
+	}
 	return left
 }
 
+// cutTime is how long requests that were cut may take to end: one whose body does
+// not arrive ends only with its connection.
+const cutTime = 150 * clock.Millis(1)
+
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
 	g.open.Add(1)
 	g.count.Add(1)
