fix(conns,proc,whole): the end of a port follows what its server does

Cause: whether a connection waits for a request was taken from the bytes read on it. Now it follows the read deadlines that http.Server sets: one ahead while it waits and reads a head, none once the head is read. A head that has begun gets a second while the port closes. The listener closes once the kernel's queue is empty, within a second. Connection: close is decided when the head is written. conns.Server holds all of that; the stand-ins of the end-to-end tests use it, too, which had http.Server.Shutdown and with it the old fault.

A begun head in one segment with the request before it is still cut, as before.

--- a/internal/cli/proc/stop.go
+++ b/internal/cli/proc/stop.go
@@ -58,7 +58,7 @@
 	failed := make(chan error, len(s.Ports))
 	for _, p := range s.Ports {
 		go func() {
-			if err := <-p.done; err != nil {
+			if err := <-p.server.Done(); err != nil {
 				failed <- fmt.Errorf("port %s: %w", p.name, err)
 			}
 		}()
--- a/internal/link/conns/conn.go
+++ b/internal/link/conns/conn.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -10,19 +11,34 @@
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 )
 
+const (
+	// firstGrace is how long after it was accepted a connection may wait for its
+	// first request while the server stops, headGrace how long a head may take of
+	// which some bytes have arrived.
+	firstGrace = 250 * clock.Millis(1)
+	headGrace  = clock.Second
+)
+
 // conn is one connection of a caller.
+//
+// What the server does on it shows in the read deadlines that it sets: one ahead
+// while it waits for a request and reads its head, none once the head is read, and
+// one in the past to end its own read.
 type conn struct {
 	net.Conn
-	listener *Listener
+	listener *listener
 	accepted clock.Millis
 
 	mu sync.Mutex
-	// waiting says that no byte of the next request has been read.
+	// waiting says that no head has been read since the last answer, begun that
+	// some bytes of it have, at beganAt.
 	waiting bool
-	// readLimit is the read deadline that the server has set, and ending when a
-	// connection that waits ends sooner than that, zero for never.
-	readLimit time.Time
-	ending    time.Time
+	begun   bool
+	beganAt clock.Millis
+	// deadline is what the server has set, and draining when the connection began to
+	// be ended, 0 for never.
+	deadline time.Time
+	draining clock.Millis
 	// unanswered are the bytes read since the last answer, at the time of the last
 	// of them.
 	unanswered int
@@ -32,7 +48,7 @@
 	released bool
 }
 
-func newConn(inner net.Conn, l *Listener) *conn {
+func newConn(inner net.Conn, l *listener) *conn {
 	return &conn{Conn: inner, listener: l, accepted: l.clock.Now(), waiting: true}
 }
 
@@ -40,53 +56,53 @@
 func (c *conn) release() {
 	c.mu.Lock()
 	c.released = true
+	c.applyDeadline()
 	c.mu.Unlock()
 	c.listener.forget(c)
 }
 
-// awaitNext notes that the last request was answered.
-func (c *conn) awaitNext() {
-	c.mu.Lock()
-	c.waiting = true
-	c.mu.Unlock()
-	if c.listener.isDraining() {
-		c.endUnused()
-	}
-}
-
-// endUnused has the connection end while it waits for a request.
-func (c *conn) endUnused() {
-	left := max(c.accepted+newGrace-c.listener.clock.Now(), 0)
+// drain has the connection end when it waits for a request.
+func (c *conn) drain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ending = time.Now().Add(left.Duration())
-	c.limitRead()
+	c.draining = c.listener.clock.Now()
+	c.applyDeadline()
 }
 
-// limitRead sets the read deadline; the caller holds the lock.
-func (c *conn) limitRead() {
-	limit := c.readLimit
-	if c.waiting && !c.released && !c.ending.IsZero() && (limit.IsZero() || c.ending.Before(limit)) {
-		limit = c.ending
+// applyDeadline sets the read deadline; the caller holds the lock.
+func (c *conn) applyDeadline() {
+	deadline := c.deadline
+	if c.draining > 0 && c.waiting && !c.released {
+		left := c.accepted + firstGrace
+		if c.begun {
+			left = max(c.beganAt, c.draining) + headGrace
+		}
+		own := time.Now().Add(max(left-c.listener.clock.Now(), 0).Duration())
+		if deadline.IsZero() || own.Before(deadline) {
+			deadline = own
+		}
 	}
-	_ = c.Conn.SetReadDeadline(limit) // a closed connection needs none
+	_ = c.Conn.SetReadDeadline(deadline) // a closed connection needs none
 }
 
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readLimit = t
-	c.limitRead()
+	switch {
+	case t.IsZero():
+		c.waiting = false
+	case !c.waiting && t.After(time.Now()):
+		c.waiting, c.begun = true, false
+	}
+	c.deadline = t
+	c.applyDeadline()
 	return nil
 }
 
 // SetDeadline implements net.Conn.
 func (c *conn) SetDeadline(t time.Time) error {
-	if err := c.SetReadDeadline(t); err != nil {
-		return err
-	}
-	return c.SetWriteDeadline(t)
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
 // Read implements net.Conn.
@@ -94,18 +110,18 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.waiting && isTimeout(err) {
+	if c.waiting && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readArrived(p, err)
 	}
 	if n > 0 {
 		c.unanswered += n
 		c.readAt = c.listener.clock.Now()
-		if c.waiting {
-			c.waiting = false
-			c.limitRead()
+		if c.waiting && !c.begun {
+			c.begun, c.beganAt = true, c.readAt
+			c.applyDeadline()
 		}
 	}
-	if err != nil && !isTimeout(err) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.released = true
 	}
 	return n, err
@@ -125,6 +141,7 @@
 		return 0, expired
 	}
 	_ = c.Conn.SetReadDeadline(time.Time{}) // or nothing could be read any more
+	defer c.applyDeadline()
 	n := 0
 	err = raw.Read(func(fd uintptr) bool {
 		n, _ = syscall.Read(int(fd), p) // no data is an error, too
@@ -136,11 +153,6 @@
 	return n, nil
 }
 
-func isTimeout(err error) bool {
-	var failed net.Error
-	return errors.As(err, &failed) && failed.Timeout()
-}
-
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/link/conns/conns.go
+++ b/internal/link/conns/conns.go
@@ -1,162 +1,149 @@
-// Package conns follows the connections that a port accepts, and ends them
-// without losing a request. http.Server.Shutdown does lose some: it closes
-// connections that it holds for unused without looking at what has arrived, and
-// ends those whose request it reads after it has begun.
+// Package conns serves HTTP on a listener and stops without losing a request.
+//
+// http.Server.Shutdown does lose some: it closes connections that it holds for
+// unused without looking at what has arrived on them, and ends those whose request
+// it reads after it has begun. A Server follows its connections by itself and calls
+// Shutdown once they have ended.
 package conns
 
 import (
 	"context"
-	"crypto/tls"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
-	"sync"
+	"sync/atomic"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 )
 
-// newGrace is how long after it was accepted a connection may wait for its first
-// request while the listener drains.
-const newGrace = 250 * clock.Millis(1)
+const (
+	// acceptTime bounds how long connections are accepted from the kernel's queue
+	// once the server stops, acceptLook is the pause between two looks.
+	acceptTime = clock.Second
+	acceptLook = 5 * clock.Millis(1)
+)
 
 // Unanswered describes a connection that this process closed after it had read
-// bytes from its caller that nothing was written in reply to.
+// bytes from its caller that nothing was written in reply to. Over TLS the alert that
+// closes a connection counts as a reply.
 type Unanswered struct {
 	// Remote is the caller's address.
 	Remote string
 	// Bytes were read since the last answer, the last of them Age ago.
 	Bytes int
 	Age   clock.Millis
+	// Stopping says that the server was being stopped.
+	Stopping bool
+}
+
+// OpenError says that connections were open when the time of a stop was over.
+type OpenError struct {
+	Connections int
 }
 
-// Listener follows the connections that it accepts. Give its State method to the
-// http.Server that serves it.
-type Listener struct {
-	net.Listener
+// Error implements error.
+func (e *OpenError) Error() string {
+	return fmt.Sprintf("%d connections were still open", e.Connections)
+}
+
+// Server serves one listener.
+type Server struct {
+	http     *http.Server
+	listener *listener
+	clock    *clock.Clock
+	done     chan error
+	// served is closed once no more connections are accepted.
+	served   chan struct{}
+	stopping atomic.Bool
+}
+
+type options struct {
 	clock          *clock.Clock
 	unansweredFunc func(Unanswered)
-
-	mu       sync.Mutex
-	open     map[*conn]struct{}
-	draining bool
-	// awaited says that Wait was called, empty is closed once no connection is open
-	// after that.
-	awaited   bool
-	empty     chan struct{}
-	emptyOnce sync.Once
 }
 
-// Option changes a Listener while it is built.
-type Option func(*Listener)
+// Option changes a Server while it is built.
+type Option func(*options)
 
 // WithClock replaces the clock.
-func WithClock(c *clock.Clock) Option { return func(l *Listener) { l.clock = c } }
+func WithClock(c *clock.Clock) Option { return func(o *options) { o.clock = c } }
 
 // WithUnanswered sets what is called when a connection ends unanswered.
 func WithUnanswered(ended func(Unanswered)) Option {
-	return func(l *Listener) { l.unansweredFunc = ended }
+	return func(o *options) { o.unansweredFunc = ended }
 }
 
-// New follows the connections of a listener.
-func New(inner net.Listener, options ...Option) *Listener {
-	l := &Listener{
-		Listener: inner, clock: clock.New(), unansweredFunc: func(Unanswered) {},
-		open: make(map[*conn]struct{}), empty: make(chan struct{}),
-	}
-	for _, option := range options {
-		option(l)
+// Serve serves a listener until Shutdown or Close. It takes over the server's
+// ConnState and wraps its Handler. The server needs a ReadHeaderTimeout and an
+// IdleTimeout.
+func Serve(server *http.Server, inner net.Listener, opts ...Option) *Server {
+	o := &options{clock: clock.New(), unansweredFunc: func(Unanswered) {}}
+	for _, opt := range opts {
+		opt(o)
 	}
-	return l
+	s := &Server{http: server, clock: o.clock, done: make(chan error, 1), served: make(chan struct{})}
+	s.listener = newListener(inner, o.clock, func(ended Unanswered) {
+		ended.Stopping = s.stopping.Load()
+		o.unansweredFunc(ended)
+	})
+	server.ConnState = s.listener.state
+	server.Handler = s.closing(server.Handler)
+	go func() {
+		defer close(s.served)
+		s.done <- s.serve()
+	}()
+	return s
 }
 
-// Accept waits for the next connection.
-func (l *Listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+func (s *Server) serve() error {
+	var err error
+	if s.http.TLSConfig == nil {
+		err = s.http.Serve(s.listener)
+	} else {
+		err = s.http.ServeTLS(s.listener, "", "")
 	}
-	c := newConn(inner, l)
-	l.mu.Lock()
-	l.open[c] = struct{}{}
-	draining := l.draining
-	l.mu.Unlock()
-	if draining {
-		c.endUnused()
+	if errors.Is(err, http.ErrServerClosed) || (s.stopping.Load() && errors.Is(err, net.ErrClosed)) {
+		return nil
 	}
-	return c, nil
+	return err
 }
 
-// Open returns the number of open connections.
-func (l *Listener) Open() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.open)
-}
-
-// Drain has every connection end that waits for a request, at once or as soon as
-// it waits for its next one. What has arrived by then is served. Connections are
-// accepted until Close.
-func (l *Listener) Drain() {
-	l.mu.Lock()
-	l.draining = true
-	waiting := make([]*conn, 0, len(l.open))
-	for c := range l.open {
-		waiting = append(waiting, c)
-	}
-	l.mu.Unlock()
-	for _, c := range waiting {
-		c.endUnused()
+// Done returns a channel that gets one value when no more connections are accepted:
+// nil after Shutdown or Close, else why.
+func (s *Server) Done() <-chan error { return s.done }
+
+// Shutdown stops accepting, ends unused connections and returns once each request
+// that has arrived on an open connection is answered. When the context ends first it
+// returns an OpenError, and the connections that are left stay open until Close.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if !s.stopping.Swap(true) {
+		s.listener.drain()
+		s.stopAccepting(ctx)
 	}
-}
-
-// Wait returns once no connection is open, or with the context's error. Call it
-// after Drain and the end of the loop that accepts: connections that come later are
-// not awaited.
-func (l *Listener) Wait(ctx context.Context) error {
-	l.mu.Lock()
-	l.awaited = true
-	l.signalEmpty()
-	l.mu.Unlock()
 	select {
-	case <-l.empty:
-		return nil
+	case <-s.served:
 	case <-ctx.Done():
-		return ctx.Err()
 	}
-}
-
-// forget removes a connection that ended or is not followed any more.
-func (l *Listener) forget(c *conn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.open, c)
-	l.signalEmpty()
-}
-
-func (l *Listener) signalEmpty() {
-	if l.awaited && len(l.open) == 0 {
-		l.emptyOnce.Do(func() { close(l.empty) })
+	if s.listener.wait(ctx) != nil {
+		return &OpenError{Connections: s.listener.numOpen()}
 	}
+	return s.http.Shutdown(ctx) // ends those of HTTP/2, which it does not cut
 }
 
-// State is a ConnState hook.
-func (l *Listener) State(c net.Conn, state http.ConnState) {
-	multiplexed := false
-	if wrapped, ok := c.(*tls.Conn); ok {
-		multiplexed = wrapped.ConnectionState().NegotiatedProtocol == "h2"
-		c = wrapped.NetConn()
-	}
-	followed, ok := c.(*conn)
-	switch {
-	case !ok:
-	case state == http.StateHijacked || multiplexed:
-		followed.release()
-	case state == http.StateIdle:
-		followed.awaitNext()
+// stopAccepting closes the listener once the kernel's queue is empty: what waits
+// there would be reset.
+func (s *Server) stopAccepting(ctx context.Context) {
+	for end := s.clock.Now() + acceptTime; s.listener.pending() && s.clock.Now() < end; {
+		if s.clock.Sleep(ctx, acceptLook) != nil {
+			break
+		}
 	}
+	_ = s.listener.Close() // Serve returns its error
 }
 
-func (l *Listener) isDraining() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.draining
+// Close ends the server with all its connections at once.
+func (s *Server) Close() {
+	s.stopping.Store(true)
+	_ = s.http.Close()
 }
--- a/internal/link/conns/conns_test.go
+++ b/internal/link/conns/conns_test.go
@@ -18,16 +18,11 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	reports = make(chan conns.Unanswered, 8)
-	listener := conns.New(inner, conns.WithUnanswered(func(ended conns.Unanswered) { reports <- ended }))
-	server := &http.Server{Handler: handler, ConnState: listener.State, ReadHeaderTimeout: time.Minute}
-	served := make(chan struct{})
-	go func() {
-		defer close(served)
-		_ = server.Serve(listener) // ends with Close
-	}()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	s := conns.Serve(server, inner, conns.WithUnanswered(func(ended conns.Unanswered) { reports <- ended }))
 	t.Cleanup(func() {
-		_ = server.Close()
-		<-served
+		s.Close()
+		assert.NilError(t, <-s.Done())
 	})
 	return inner.Addr().String(), reports
 }
@@ -95,65 +90,3 @@
 		})
 	}
 }
-
-// accept returns both ends of a connection.
-func accept(t *testing.T) (l *conns.Listener, accepted, caller net.Conn) {
-	t.Helper()
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	l = conns.New(inner)
-	t.Cleanup(func() { _ = l.Close() })
-	caller = dial(t, inner.Addr().String())
-	accepted, err = l.Accept()
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = accepted.Close() })
-	return l, accepted, caller
-}
-
-// Guards against requests that are lost because the process had no processor time
-// while they arrived, and notices the end of an unused connection first.
-func TestRequestThatArrivedOutlivesTheDeadline(t *testing.T) {
-	_, accepted, caller := accept(t)
-	assert.NilError(t, accepted.SetReadDeadline(time.Now().Add(-time.Second)))
-	got := make([]byte, len(get))
-	_, err := accepted.Read(got)
-	assert.ErrorContains(t, err, "timeout")
-	_, err = io.WriteString(caller, get)
-	assert.NilError(t, err)
-	_, err = io.ReadFull(accepted, got)
-	assert.NilError(t, err)
-	assert.Equal(t, string(got), get)
-}
-
-func TestDrainEndsConnectionsThatWait(t *testing.T) {
-	l, accepted, caller := accept(t)
-	failed := make(chan error, 1)
-	go func() {
-		_, err := accepted.Read(make([]byte, 1))
-		failed <- err
-	}()
-	l.Drain()
-	assert.ErrorContains(t, <-failed, "timeout")
-	assert.NilError(t, accepted.SetReadDeadline(time.Now().Add(time.Hour))) // as a server does between two requests
-	_, err := accepted.Read(make([]byte, 1))
-	assert.ErrorContains(t, err, "timeout")
-	assert.Equal(t, l.Open(), 1)
-	assert.NilError(t, accepted.Close())
-	assert.NilError(t, l.Wait(t.Context()))
-	_, err = caller.Read(make([]byte, 1))
-	assert.ErrorIs(t, err, io.EOF)
-}
-
-// Guards against drains that cut a request whose first bytes have been read.
-func TestDrainLeavesARequestThatHasBegun(t *testing.T) {
-	l, accepted, caller := accept(t)
-	_, err := io.WriteString(caller, get[:1])
-	assert.NilError(t, err)
-	_, err = accepted.Read(make([]byte, 1))
-	assert.NilError(t, err)
-	l.Drain()
-	_, err = io.WriteString(caller, get[1:])
-	assert.NilError(t, err)
-	_, err = io.ReadFull(accepted, make([]byte, len(get)-1))
-	assert.NilError(t, err)
-}
--- a/internal/link/limit/limit.go
+++ b/internal/link/limit/limit.go
@@ -39,6 +39,9 @@
 	return &conn{Conn: inner, release: func() { <-l.slots }}, nil
 }
 
+// SyscallConn implements syscall.Conn where the listener does.
+func (l *Listener) SyscallConn() (syscall.RawConn, error) { return rawOf(l.Listener) }
+
 // Close stops accepting. Open connections stay.
 func (l *Listener) Close() error {
 	l.once.Do(func() { close(l.closed) })
@@ -53,12 +56,14 @@
 }
 
 // SyscallConn implements syscall.Conn where the connection does.
-func (c *conn) SyscallConn() (syscall.RawConn, error) {
-	inner, ok := c.Conn.(syscall.Conn)
+func (c *conn) SyscallConn() (syscall.RawConn, error) { return rawOf(c.Conn) }
+
+func rawOf(inner any) (syscall.RawConn, error) {
+	source, ok := inner.(syscall.Conn)
 	if !ok {
 		return nil, errors.ErrUnsupported
 	}
-	return inner.SyscallConn()
+	return source.SyscallConn()
 }
 
 // Close ends the connection and frees its slot.
--- a/internal/serve/entry/leave.go
+++ b/internal/serve/entry/leave.go
@@ -62,7 +62,7 @@
 
 // Stop carries out a planned stop: Leave, serve on while the balancer lags,
 // then let shutdown stop accepting and wait for what runs (as
-// http.Server.Shutdown does), keep the outcomes of keys, and close. When the
+// conns.Server.Shutdown does), keep the outcomes of keys, and close. When the
 // context ends first, the requests that are still open are cut; Stop returns
 // their ids, and none if everything was finished.
 func (e *Entry) Stop(ctx context.Context, shutdown func(context.Context) error) []string {
--- a/internal/stand/whole/server.go
+++ b/internal/stand/whole/server.go
@@ -11,13 +11,14 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+
+	"github.com/jujubescale/jujubescale/internal/link/conns"
 )
 
 // Server is one HTTP server on loopback.
 type Server struct {
 	listener net.Listener
-	http     *http.Server
-	done     chan error
+	http     *conns.Server
 }
 
 // Serve starts a server on an address (IP:port).
@@ -26,9 +27,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: listener, http: &http.Server{Handler: handler}, done: make(chan error, 1)}
-	go func() { s.done <- s.http.Serve(listener) }()
-	return s, nil
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	return &Server{listener: listener, http: conns.Serve(server, listener)}, nil
 }
 
 // Ports that the stand-ins draw from. They lie below those that the kernel
@@ -87,12 +87,12 @@
 
 // Close ends the server and its connections at once. A second call does nothing.
 func (s *Server) Close() {
-	if s == nil || s.done == nil {
+	if s == nil || s.http == nil {
 		return
 	}
-	_ = s.http.Close()
-	if err := <-s.done; !errors.Is(err, http.ErrServerClosed) {
+	s.http.Close()
+	if err := <-s.http.Done(); err != nil {
 		log.Warn("server ended", "error", err)
 	}
-	s.done = nil
+	s.http = nil
 }
