fix(sess): a process without processor time does not take its peers for silent

The heartbeat is judged when its timer fires. In a process that got no processor time meanwhile the timer fires late, before the peer's sign of life is read, and the session ends as silent; pieces are then made again and calls resumed elsewhere.

A tick that comes a whole beat late now starts the silence anew.

--- a/internal/link/sess/sess.go
+++ b/internal/link/sess/sess.go
@@ -41,6 +41,7 @@
 	batch   []*wire.Frame // the writer's own
 	hurry   chan struct{} // wakes the writer when the first call is in flight
 	asked   clock.Millis  // when the writer last asked for a sign of life
+	resumed clock.Millis  // when the writer last got processor time late
 }
 
 // Peer returns what the other side said of itself.
@@ -143,6 +144,7 @@
 func (s *Session) write(ctx context.Context) error {
 	var buf []byte
 	due, stop := s.opts.clock.After(s.pause())
+	expected := s.opts.clock.Now() + s.pause()
 	defer func() { stop() }()
 	for {
 		select {
@@ -155,6 +157,9 @@
 			// that is always sending would never find out that it is silent.
 			continue
 		case <-due:
+			if now := s.opts.clock.Now(); now-expected >= s.pause() {
+				s.resumed = now
+			}
 			if err := s.heartbeat(); err != nil {
 				return err
 			}
@@ -166,15 +171,18 @@
 			return errors.Join(ctx.Err(), s.writeLast(buf))
 		}
 		due, stop = s.opts.clock.After(s.pause())
+		expected = s.opts.clock.Now() + s.pause()
 	}
 }
 
 // heartbeat asks the peer for a sign of life when nothing was heard for a
 // while, and ends the session when a sign that was asked for does not come.
 // Silence counts from the request and not from the last message: a session
-// that was idle has heard nothing for long, and that proves nothing.
+// that was idle has heard nothing for long, and that proves nothing. Neither does
+// silence while this process got no processor time: the peer's messages may have
+// arrived, and be read in a moment.
 func (s *Session) heartbeat() error {
-	now, heard := s.opts.clock.Now(), s.LastHeard()
+	now, heard := s.opts.clock.Now(), max(s.LastHeard(), s.resumed)
 	if !s.dialed {
 		if silence := now - heard; silence > silentBeats*s.opts.beatIdle {
 			return &SilentError{Process: s.peer.Process, Silence: silence}
--- a/internal/link/sess/silent_test.go
+++ b/internal/link/sess/silent_test.go
@@ -98,6 +98,41 @@
 	}
 }
 
+// Guards against sessions that end as silent because this process got no processor
+// time: the peer's sign of life has arrived and is not read yet.
+func TestSessionOfAStarvedProcessIsNotSilent(t *testing.T) {
+	const idle, busy = 60 * clock.Minute, 50 * clock.Millis(1)
+	fake, mute := clock.NewFake(1000), make(chan struct{})
+	s, err := sess.Dial(t.Context(), listen(t, func(*sess.Session, *wire.Frame) {}),
+		sess.WithDial(dialMute(mute)), sess.WithClock(fake.Clock()), sess.WithBeats(idle, busy))
+	assert.NilError(t, err)
+	close(mute)
+	s.Busy(1)
+	// tick lets time pass at once, and waits until the session waits again.
+	tick := func(span clock.Millis) {
+		wait(t, func() bool { return fake.Waiting() == 1 })
+		fake.Advance(span)
+	}
+	ended := func() bool {
+		select {
+		case <-s.Done():
+			return true
+		default:
+			return false
+		}
+	}
+	tick(busy) // asks for a sign of life
+	tick(20 * busy)
+	wait(t, func() bool { return ended() || fake.Waiting() == 1 })
+	assert.Assert(t, !ended(), "%v", s.Err())
+	for !ended() {
+		tick(busy)
+		wait(t, func() bool { return ended() || fake.Waiting() == 1 })
+	}
+	var silent *sess.SilentError
+	assert.Assert(t, errors.As(s.Err(), &silent), "%v", s.Err())
+}
+
 func wait(t *testing.T, done func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
