feat(gate,crash): an endpoint that crashed under a request is found out and logged

When an attempt breaks off, the gateway now opens a connection to the endpoint. If that is refused, or another start of the endpoint was seen, it logs the crash with a key that is the same for all attempts of the request (organisation, method, host, path and body), and counts it by pool.

--- /dev/null
+++ b/internal/flow/crash/key.go
@@ -0,0 +1,47 @@
+// Package crash recognises requests under which endpoints crash, whatever their
+// ids are.
+package crash
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+)
+
+// Key names what a request asks for, whoever sends it how often.
+type Key [16]byte
+
+// KeyOf returns the key of a request.
+func KeyOf(organisation, method, host, target string, body []byte) Key {
+	digest := sha256.New()
+	var length [8]byte
+	for _, part := range [][]byte{[]byte(organisation), []byte(method), []byte(host), []byte(target), body} {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		_, _ = digest.Write(length[:]) // never fails
+		_, _ = digest.Write(part)
+	}
+	return Key(digest.Sum(nil)[:len(Key{})])
+}
+
+// KeyError says that a text is no key.
+type KeyError struct {
+	Text string
+}
+
+// Error implements error.
+func (e *KeyError) Error() string {
+	return fmt.Sprintf("%q is no key of a request: %d hexadecimal digits are needed", e.Text, 2*len(Key{}))
+}
+
+// ParseKey reads a key as String writes it.
+func ParseKey(text string) (Key, error) {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != len(Key{}) {
+		return Key{}, &KeyError{Text: text}
+	}
+	return Key(raw), nil
+}
+
+// String returns the key in hexadecimal digits.
+func (k Key) String() string { return hex.EncodeToString(k[:]) }
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -10,6 +10,7 @@
 	"github.com/jujubescale/jujubescale/internal/base/fault"
 	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
+	"github.com/jujubescale/jujubescale/internal/flow/crash"
 	"github.com/jujubescale/jujubescale/internal/flow/graph"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
@@ -32,6 +33,8 @@
 	host   string
 	header http.Header
 	body   []byte
+	// key is set by crashKey.
+	key crash.Key
 
 	// tried at the candidate version, if the pool's rollout runs.
 	canary bool
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -59,13 +59,23 @@
 	if req.pool.Generation != nil {
 		g.spareInputs(req, t)
 	}
+	result := g.exchange(ctx, w, req, l, stall)
+	if result.end == broken && ctx.Err() == nil {
+		g.suspect(req, t)
+	}
+	return result
+}
+
+// exchange sends the request to the endpoint of a load and passes the answer on.
+func (g *Gate) exchange(ctx context.Context, w http.ResponseWriter, req *request, l *load, s *stall) result {
+	t, now := l.target, g.Clock.Now()
 	reply, err := t.Conns.Do(ctx, g.request(req, t, now))
 	if err != nil {
 		return g.noReply(ctx, req, t, l, err)
 	}
 	defer reply.Finish()
 	req.sent++
-	return g.takeReply(w, req, t, reply, l, stall, now)
+	return g.takeReply(w, req, t, reply, l, s, now)
 }
 
 // longPrompt is the number of tokens to read, about 30 ms of an engine's time,
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -77,6 +77,7 @@
 	subsets     subsets
 	inflow      *inflow.Book
 	recall      *recall.Book
+	suspects    chan suspect
 	routes      byName[routeRecord]
 	// rates holds how fast the engines of each pool read prompts.
 	rates byName[place.Rate]
@@ -92,7 +93,10 @@
 
 // New returns a gate. Join it to its mesh and host before it serves.
 func New(settings Settings) *Gate {
-	g := &Gate{Settings: settings, meter: NewMeter(settings.Registry), inflow: inflow.New(), recall: recall.New()}
+	g := &Gate{
+		Settings: settings, meter: NewMeter(settings.Registry), inflow: inflow.New(), recall: recall.New(),
+		suspects: make(chan suspect, maxSuspects),
+	}
 	g.bounds.Store(&Bounds{})
 	g.targets = target.NewSet(g.Clock, g.mostConns, g.meter.dialed)
 	g.prefixes = target.NewPrefixes(g.targets)
--- a/internal/serve/gate/meter.go
+++ b/internal/serve/gate/meter.go
@@ -18,6 +18,8 @@
 	retries *prometheus.CounterVec
 	returns *prometheus.CounterVec
 	dials   prometheus.Counter
+
+	crashes *prometheus.CounterVec
 }
 
 // spans are the bounds of latency histograms, in seconds: around the
@@ -44,6 +46,7 @@
 		took:    histogram("jujubescale_routed_request_seconds", "Time from a request's head to the end of its answer, by route.", "route"),
 		first:   histogram("jujubescale_routed_first_event_seconds", "Time from a request's head to the first event of its answer, by route.", "route"),
 		stages:  histogram("jujubescale_routed_stages_seconds", "Time that the stages before a request took, by route.", "route"),
+		crashes: counter("jujubescale_routed_crashes_total", "Requests that broke off at an endpoint that crashed, by pool.", "pool"),
 		dials: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "jujubescale_endpoint_connections_total", Help: "New connections to endpoints.",
 		}),
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -326,7 +326,7 @@
 // Start begins to follow the store and to work. Stop ends it.
 func (g *Gateway) Start(ctx context.Context) {
 	ctx, g.stop = context.WithCancel(ctx)
-	runs := []func(context.Context){g.host.Run, g.mesh.Run, g.sweep, g.enlist}
+	runs := []func(context.Context){g.host.Run, g.mesh.Run, g.sweep, g.enlist, g.gate.WatchCrashes}
 	for _, f := range g.feeds.all() {
 		runs = append(runs, f.Run)
 	}
