fix(crash,gate,router): a request that crashes endpoints is quarantined

Cause: nothing recognised a request that comes again. Its attempts have other ids, reach other processes, and end 502, while every bound on repeats counts the sends of one attempt or of a pool. The class of fault: a bound that holds for a part, an attempt or a process, where the promise is about the whole.

Change: flow/crash knows requests by organisation, method, host, path and body. Crashes that were found out travel once to all processes as events of the reports. Three crashed endpoints without an answer in between quarantine the request for 15 minutes: it is refused at once with 503 quarantined, not run, and the time that is left. An answer clears it everywhere. The owner of its key, or a deputy, writes the quarantine to the platform's store, where processes that start find it; the kind is followed with waits of ten seconds, so that it costs few calls. jujubectl quarantine list and lift are for operators.

Why it works: what is counted no longer depends on who sends it, under which id and to which process, nor on what a process remembers of before its start.

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -58,6 +58,7 @@
 	BackendRejected Reason = "backendRejected"
 	InputGone       Reason = "inputGone"
 	UnknownRoute    Reason = "unknownRoute"
+	Quarantined     Reason = "quarantined"
 )
 
 // Reasons returns every reason, for documentation and metrics.
@@ -67,7 +68,7 @@
 		Isolated, Leaving, ZoneLeft, Overloaded, QueueFull, ColdStart, WontMakeIt, DeadlinePassed,
 		NoEndpoint, EndpointFailed, AnswerBroken, KeyInUse, KeyDone, KeyUnavailable, OutcomeUnknown,
 		Cancelled, RetryBudget, WrongEndpoint, OldRelease, DoubledFrame, BackendRejected,
-		InputGone, UnknownRoute,
+		InputGone, UnknownRoute, Quarantined,
 	}
 }
 
--- a/internal/cli/oper/root.go
+++ b/internal/cli/oper/root.go
@@ -6,6 +6,7 @@
 
 	"github.com/jujubescale/jujubescale/internal/cli/exit"
 	"github.com/jujubescale/jujubescale/internal/cli/mancli"
+	"github.com/jujubescale/jujubescale/internal/cli/quar"
 	"github.com/jujubescale/jujubescale/internal/cli/reach"
 	"github.com/jujubescale/jujubescale/internal/cli/rolls"
 	"github.com/jujubescale/jujubescale/internal/cli/state"
@@ -30,6 +31,7 @@
 		state.NewRequest(options),
 		state.NewLosses(options),
 		rolls.New(options),
+		quar.New(options),
 	)
 	return root
 }
--- /dev/null
+++ b/internal/cli/quar/quar.go
@@ -0,0 +1,117 @@
+// Package quar holds the subcommands of `jujubectl quarantine`.
+package quar
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/jujubescale/jujubescale/internal/cli/exit"
+	"github.com/jujubescale/jujubescale/internal/cli/reach"
+	"github.com/jujubescale/jujubescale/internal/flow/crash"
+	"github.com/jujubescale/jujubescale/internal/plat/store"
+	"github.com/jujubescale/jujubescale/internal/serve/router"
+	"github.com/jujubescale/jujubescale/platform"
+)
+
+// New returns the command.
+func New(options *reach.Options) *cobra.Command {
+	cmd := exit.Group(&cobra.Command{
+		Use:   "quarantine",
+		Short: "Shows and lifts quarantines of requests that crash endpoints",
+	})
+	cmd.AddCommand(newList(options), newLift(options))
+	return cmd
+}
+
+// Quarantine is one request that reaches no endpoint.
+type Quarantine struct {
+	// Key is that of the log lines of the request.
+	Key string `json:"key"`
+	router.Quarantine
+	Unreadable string `json:"unreadable,omitempty"`
+}
+
+func quarantineOf(object store.Object) Quarantine {
+	q := Quarantine{Key: strings.TrimPrefix(object.Name, platform.KindQuarantines+"/")}
+	if err := json.Unmarshal(object.Value, &q.Quarantine); err != nil {
+		q.Unreadable = err.Error()
+	}
+	return q
+}
+
+func newList(options *reach.Options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "list",
+		Short: "Shows the requests that reach no endpoint, the newest first",
+		Args:  exit.Args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			from, err := options.Routed()
+			if err != nil {
+				return err
+			}
+			listing, err := from.Scan(cmd.Context(), platform.KindQuarantines)
+			if err != nil {
+				return err
+			}
+			all := make([]Quarantine, 0, len(listing.Objects))
+			for _, object := range listing.Objects {
+				all = append(all, quarantineOf(object))
+			}
+			slices.SortStableFunc(all, func(a, b Quarantine) int { return cmp.Compare(b.SinceMs, a.SinceMs) })
+			return options.Print(cmd.OutOrStdout(), all, func(out io.Writer) { write(out, all) })
+		},
+	}
+}
+
+func write(out io.Writer, all []Quarantine) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "KEY\tSINCE\tENDPOINTS")
+	for _, q := range all {
+		since := time.UnixMilli(q.SinceMs).UTC().Format(time.RFC3339)
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\n", q.Key, since, strings.Join(q.Endpoints, " ")+q.Unreadable)
+	}
+	_ = table.Flush() // a reader that left reads nothing
+}
+
+func newLift(options *reach.Options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "lift KEY",
+		Short: "Has a request reach endpoints again",
+		Long: "Has a request reach endpoints again, within half a minute. If it crashes three more,\n" +
+			"it is quarantined once more.",
+		Args: exit.Args(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error { return lift(cmd, options, args[0]) },
+	}
+}
+
+func lift(cmd *cobra.Command, options *reach.Options, text string) error {
+	key, err := crash.ParseKey(text)
+	if err != nil {
+		return exit.With(exit.Usage, err)
+	}
+	from, err := options.Routed()
+	if err != nil {
+		return err
+	}
+	name := platform.KindQuarantines + "/" + key.String()
+	object, err := from.Get(cmd.Context(), name)
+	if err != nil {
+		return err
+	}
+	if object.Version == 0 {
+		return exit.With(exit.NotFound, fmt.Errorf("request %s is not quarantined", key))
+	}
+	if err := from.Delete(cmd.Context(), name, object.Version); err != nil {
+		return err
+	}
+	lifted := []Quarantine{quarantineOf(object)}
+	return options.Print(cmd.OutOrStdout(), lifted, func(out io.Writer) { write(out, lifted) })
+}
--- a/internal/flow/crash/key.go
+++ b/internal/flow/crash/key.go
@@ -1,5 +1,3 @@
-// Package crash recognises requests under which endpoints crash, whatever their
-// ids are.
 package crash
 
 import (
--- a/internal/flow/sums/message.go
+++ b/internal/flow/sums/message.go
@@ -50,7 +50,7 @@
 		work.Endpoint = endpoint
 		return work
 	})
-	message.Prefixes, message.Refused = b.eventsFor(c, local, now)
+	b.addEvents(message, c, local, now)
 	if regular {
 		b.addLoads(message, local, now)
 		b.addTrials(message, c, local, now)
@@ -73,7 +73,7 @@
 		}
 	}
 	message := b.message(c, regular, now, interest, func(endpoint string, e *entry) wire.Work { return e.without(own, endpoint) })
-	message.Prefixes, message.Refused = b.eventsFor(c, others, now)
+	b.addEvents(message, c, others, now)
 	if regular {
 		b.addLoads(message, others, now)
 		b.addTrials(message, c, others, now)
@@ -82,7 +82,8 @@
 }
 
 func ifAny(message *wire.Sums) *wire.Sums {
-	if !message.Regular && !message.Whole && len(message.Work) == 0 && len(message.Prefixes) == 0 && len(message.Refused) == 0 {
+	events := len(message.Prefixes) + len(message.Refused) + len(message.Crashes)
+	if !message.Regular && !message.Whole && len(message.Work) == 0 && events == 0 {
 		return nil
 	}
 	return message
@@ -124,23 +125,24 @@
 	return message
 }
 
-// eventsFor returns the events that were not sent to a destination yet. The caller
+// addEvents adds the events that were not sent to a destination yet. The caller
 // holds the lock.
-func (b *Book) eventsFor(c *Cursor, take func(Source) bool, now clock.Millis) (prefixes []wire.PrefixUse, refused []wire.Refused) {
+func (b *Book) addEvents(message *wire.Sums, c *Cursor, take func(Source) bool, now clock.Millis) {
 	from := max(c.events, b.dropped) - b.dropped
 	for _, e := range b.events[min(from, uint64(len(b.events))):] {
 		switch {
 		case !take(e.from) || now-e.at > keepEvents:
 		case e.prefix != nil:
-			prefixes = append(prefixes, *e.prefix)
+			message.Prefixes = append(message.Prefixes, *e.prefix)
+		case e.crash != nil:
+			message.Crashes = append(message.Crashes, *e.crash)
 		default:
 			// Its spans are as of when it was received.
 			passed := now - e.at
-			refused = append(refused, wire.Refused{Key: e.refused.Key, Age: e.refused.Age + passed, Wait: e.refused.Wait - passed})
+			message.Refused = append(message.Refused, wire.Refused{Key: e.refused.Key, Age: e.refused.Age + passed, Wait: e.refused.Wait - passed})
 		}
 	}
 	c.events = b.dropped + uint64(len(b.events))
-	return prefixes, refused
 }
 
 // addLoads adds what only regular messages hold. The caller holds the lock.
--- a/internal/flow/sums/sums.go
+++ b/internal/flow/sums/sums.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	// maxEvents bounds the prefixes and refused callers that wait to be passed on.
+	// maxEvents bounds the prefixes, refused callers and crashes that wait to be passed
+	// on.
 	maxEvents = 4096
 	// keepEvents is how long they are sent to a new destination: a caller may be
 	// refused before the process that it returns to is reached.
@@ -87,6 +88,7 @@
 	at      clock.Millis
 	prefix  *wire.PrefixUse
 	refused *wire.Refused
+	crash   *wire.Crash
 }
 
 // Book adds up sums. It is safe for use by several goroutines.
@@ -289,6 +291,9 @@
 	for i := range sums.Refused {
 		b.events = append(b.events, event{from: from, at: now, refused: &sums.Refused[i]})
 	}
+	for i := range sums.Crashes {
+		b.events = append(b.events, event{from: from, at: now, crash: &sums.Crashes[i]})
+	}
 	if surplus := len(b.events) - maxEvents; surplus > 0 {
 		b.events = append([]event(nil), b.events[surplus:]...)
 		b.dropped += uint64(surplus)
--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -31,9 +31,10 @@
 	// the listed processes that are not to be used.
 	HasMembers bool       `cbor:"hasMembers,omitempty"`
 	Members    []Presence `cbor:"members,omitempty"`
-	// Prefixes and Refused are those since the message before.
+	// Prefixes, Refused and Crashes are those since the message before.
 	Prefixes []PrefixUse `cbor:"uses,omitempty"`
 	Refused  []Refused   `cbor:"refused,omitempty"`
+	Crashes  []Crash     `cbor:"crashes,omitempty"`
 	// Interest names the endpoints that the sender of a report uses normally, when
 	// HasInterest is set. It learns of work at others less often.
 	HasInterest bool     `cbor:"hasInterest,omitempty"`
@@ -138,6 +139,9 @@
 	Revision uint64       `cbor:"revision"`
 	Changed  uint64       `cbor:"changed"`
 	Age      clock.Millis `cbor:"age"`
+	// Rare says that the kind is read rarely, so that Age does not tell whether the
+	// store is in reach.
+	Rare bool `cbor:"rare,omitempty"`
 }
 
 // Follow asks a peer to pass on the changes of some kinds of objects, from the
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -320,6 +320,8 @@
 	Prefixes []PrefixUse `cbor:"uses,omitempty"`
 	// Refused are the callers told to come back since the message before.
 	Refused []Refused `cbor:"refused,omitempty"`
+	// Crashes are those learned of since the message before.
+	Crashes []Crash `cbor:"crashes,omitempty"`
 	// Interest names the endpoints that the sender uses normally.
 	Interest []string `cbor:"interest,omitempty"`
 	// Trials are what the sender has counted in rollouts that run.
@@ -335,6 +337,15 @@
 	Wait clock.Millis `cbor:"wait"`
 }
 
+// Crash says that an endpoint crashed while it worked on a request, or, if Cleared
+// is set, that the request was answered; see crash.Report.
+type Crash struct {
+	_        struct{} `cbor:",toarray"`
+	Key      []byte
+	Endpoint string
+	Cleared  bool
+}
+
 // Inflow is the pieces that will be asked for in one pool, by class of rank.
 type Inflow struct {
 	Pool   string `cbor:"pool"`
--- a/internal/link/wire/wire_test.go
+++ b/internal/link/wire/wire_test.go
@@ -38,6 +38,7 @@
 			Endpoints: []wire.EndpointLoad{{Endpoint: "e", Running: 2}}, Pools: []wire.PoolLoad{{Pool: "rerank", Waiting: []int{0, 4}}},
 			Seen: []wire.Revision{{Kind: "config", Revision: 9}}, Prefixes: []wire.PrefixUse{{Endpoint: "e", Parts: []uint32{7}}},
 			Refused: []wire.Refused{{Key: 1 << 63, Age: 900, Wait: 300}},
+			Crashes: []wire.Crash{{Key: []byte{1, 2}, Endpoint: "e/1", Cleared: true}},
 		}},
 	}
 }
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -49,6 +49,8 @@
 	maxAge    clock.Millis
 	grace     func() clock.Millis
 	firstWait func(kind string) clock.Millis
+	// rare says that the kind is read rarely.
+	rare bool
 
 	// listFunc takes the whole list, and whether the store had been lost;
 	// changeFunc takes changes in order, forwardFunc what peers are to know.
@@ -96,6 +98,10 @@
 // without a call.
 func WithMaxAge(span clock.Millis) Option { return func(f *Feed) { f.maxAge = span } }
 
+// WithRare says that the waits are long: how old the store's last word is does not
+// tell whether the store is in reach.
+func WithRare() Option { return func(f *Feed) { f.rare = true } }
+
 // WithPeers sets for how long a peer's word is awaited before the store is asked:
 // after the store's last word, and before the list is read for the first time.
 func WithPeers(grace func() clock.Millis, firstWait func(kind string) clock.Millis) Option {
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -135,7 +135,7 @@
 	defer f.mu.Unlock()
 	return wire.Seen{
 		Kind: f.kind, Revision: f.state.known, Changed: min(f.state.changed, f.state.known),
-		Age: max(f.clock.Now()-f.state.confirmed, 0),
+		Age: max(f.clock.Now()-f.state.confirmed, 0), Rare: f.rare,
 	}
 }
 
--- a/internal/serve/front/refuse.go
+++ b/internal/serve/front/refuse.go
@@ -64,6 +64,7 @@
 		{fault.BackendRejected, http.StatusBadGateway, 0},
 		{fault.InputGone, http.StatusServiceUnavailable, afterRoute},
 		{fault.UnknownRoute, http.StatusNotFound, 0},
+		{fault.Quarantined, http.StatusServiceUnavailable, afterChange},
 	}
 }
 
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -117,6 +117,9 @@
 	if refused := readBody(w, r, req); refused != nil {
 		return req, refused
 	}
+	if refused := g.quarantined(req); refused != nil {
+		return req, refused
+	}
 	return req, g.shape(req)
 }
 
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -18,6 +18,7 @@
 	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
+	"github.com/jujubescale/jujubescale/internal/flow/crash"
 	"github.com/jujubescale/jujubescale/internal/flow/extra"
 	"github.com/jujubescale/jujubescale/internal/flow/inflow"
 	"github.com/jujubescale/jujubescale/internal/flow/reach"
@@ -77,6 +78,7 @@
 	subsets     subsets
 	inflow      *inflow.Book
 	recall      *recall.Book
+	crashes     *crash.Book
 	suspects    chan suspect
 	routes      byName[routeRecord]
 	// rates holds how fast the engines of each pool read prompts.
@@ -95,7 +97,7 @@
 func New(settings Settings) *Gate {
 	g := &Gate{
 		Settings: settings, meter: NewMeter(settings.Registry), inflow: inflow.New(), recall: recall.New(),
-		suspects: make(chan suspect, maxSuspects),
+		crashes: crash.New(), suspects: make(chan suspect, maxSuspects),
 	}
 	g.bounds.Store(&Bounds{})
 	g.targets = target.NewSet(g.Clock, g.mostConns, g.meter.dialed)
--- a/internal/serve/gate/meter.go
+++ b/internal/serve/gate/meter.go
@@ -19,7 +19,8 @@
 	returns *prometheus.CounterVec
 	dials   prometheus.Counter
 
-	crashes *prometheus.CounterVec
+	crashes     *prometheus.CounterVec
+	quarantines prometheus.Counter
 }
 
 // spans are the bounds of latency histograms, in seconds: around the
@@ -47,11 +48,14 @@
 		first:   histogram("jujubescale_routed_first_event_seconds", "Time from a request's head to the first event of its answer, by route.", "route"),
 		stages:  histogram("jujubescale_routed_stages_seconds", "Time that the stages before a request took, by route.", "route"),
 		crashes: counter("jujubescale_routed_crashes_total", "Requests that broke off at an endpoint that crashed, by pool.", "pool"),
+		quarantines: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "jujubescale_routed_quarantines_total", Help: "Requests that reach no endpoint any more because several crashed under them.",
+		}),
 		dials: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "jujubescale_endpoint_connections_total", Help: "New connections to endpoints.",
 		}),
 	}
-	r.MustRegister(m.dials)
+	r.MustRegister(m.dials, m.quarantines)
 	return m
 }
 
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -98,7 +98,13 @@
 			g.extras.Earn(req.pool.Name)
 			req.held = g.Clock.Since(req.began)
 		}
+		if refused := g.quarantined(req); refused != nil {
+			return refused
+		}
 		result := g.attempt(ctx, w, req, chosen)
+		if result.end == answered && result.err == nil {
+			g.exonerate(req)
+		}
 		if result.end == answered || ctx.Err() != nil {
 			return result.err
 		}
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -99,6 +99,7 @@
 	workFunc    func(work []wire.Work, whole bool)
 	prefixFunc  func([]wire.PrefixUse)
 	refusedFunc func([]wire.Refused)
+	crashesFunc func([]wire.Crash)
 	lostFunc    func(peer string)
 	endedFunc   func(peer string)
 	ignoredFunc func(reason string)
@@ -185,6 +186,11 @@
 	return func(m *Mesh) { m.refusedFunc = take }
 }
 
+// WithCrashes sets who takes which requests crashed endpoints at peers.
+func WithCrashes(take func([]wire.Crash)) Option {
+	return func(m *Mesh) { m.crashesFunc = take }
+}
+
 // WithLost sets who is told that the session of a peer ended, whose requests are
 // answered by nobody here any more, and who is told that a peer was restarted:
 // the run of it before holds no request any more.
@@ -217,6 +223,7 @@
 		workFunc:    func([]wire.Work, bool) {},
 		prefixFunc:  func([]wire.PrefixUse) {},
 		refusedFunc: func([]wire.Refused) {},
+		crashesFunc: func([]wire.Crash) {},
 		lostFunc:    func(string) {},
 		endedFunc:   func(string) {},
 		ignoredFunc: func(string) {},
--- a/internal/serve/mesh/report.go
+++ b/internal/serve/mesh/report.go
@@ -153,7 +153,7 @@
 func sumsOf(loads *wire.Loads, urgent bool) *wire.Sums {
 	own := &wire.Sums{
 		Whole: true, Urgent: urgent, Regular: true, Pools: loads.Pools, Inflow: loads.Inflow,
-		Prefixes: loads.Prefixes, Refused: loads.Refused, Owns: !loads.Leaving, HasTrials: true, Trials: loads.Trials,
+		Prefixes: loads.Prefixes, Refused: loads.Refused, Crashes: loads.Crashes, Owns: !loads.Leaving, HasTrials: true, Trials: loads.Trials,
 	}
 	for _, load := range loads.Endpoints {
 		work := wire.Work{
--- a/internal/serve/mesh/take.go
+++ b/internal/serve/mesh/take.go
@@ -82,6 +82,9 @@
 	if len(taken.Refused) > 0 {
 		m.refusedFunc(taken.Refused)
 	}
+	if len(taken.Crashes) > 0 {
+		m.crashesFunc(taken.Crashes)
+	}
 }
 
 // pushTotal passes on the work that an aggregator tells, and reports whether it is
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -76,7 +76,7 @@
 
 // loads is what this process reports.
 func (g *Gateway) loads() *wire.Loads {
-	loads := &wire.Loads{Pools: g.host.Loads(g.owns), Prefixes: g.gate.Prefixes(), Refused: g.gate.Refused()}
+	loads := &wire.Loads{Pools: g.host.Loads(g.owns), Prefixes: g.gate.Prefixes(), Refused: g.gate.Refused(), Crashes: g.gate.Crashes()}
 	loads.Interest = g.gate.Interest()
 	if g.deploy != nil {
 		loads.Trials = g.deploy.Trials()
--- a/internal/serve/router/poison_test.go
+++ b/internal/serve/router/poison_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -12,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/jujubescale/jujubescale/platform"
 	"github.com/jujubescale/jujubescale/platform/stand"
 )
 
@@ -346,3 +348,67 @@
 		p.eventually(g, fromOther(p.request), func(got stand.Got) bool { return got.Whole })
 	}
 }
+
+// Guards against sound requests that are refused because they ran again and again at
+// the same engines as a request that crashes them.
+func TestRequestsBesideAPoisonRequestAreNotTakenForIt(t *testing.T) {
+	p := startPoisoning(t, draft, false)
+	others := make([]func() *stand.Sent, 40)
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	for i := range others {
+		others[i] = withBody(draft, fmt.Sprint("sound ", i))
+		group.Go(func() {
+			for round := i; ; round++ {
+				p.do(p.gateways[round%len(p.gateways)], others[i]())
+				select {
+				case <-done:
+					return
+				default:
+				}
+			}
+		})
+	}
+	stop := p.repeat()
+	defer stop()
+	p.third()
+	time.Sleep(poisonWindow)
+	close(done)
+	group.Wait()
+	stop()
+	assert.Assert(t, len(p.poison.Crashes()) >= 3)
+	p.backAgain()
+	for i, request := range others {
+		p.eventually(p.gateways[i%len(p.gateways)], request, func(got stand.Got) bool { return got.Whole })
+	}
+	assert.Equal(t, len(p.quarantined()), 1)
+}
+
+// quarantined returns the keys that stand in the store.
+func (p *poisoning) quarantined() []string { return p.Store.Names(platform.KindQuarantines) }
+
+// Guards against a quarantine that operators can't end.
+func TestQuarantineEndsWhenItsObjectIsDeleted(t *testing.T) {
+	p := startPoisoning(t, lookup, false)
+	stop := p.repeat()
+	defer stop()
+	p.third()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(p.quarantined()) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("%v", p.quarantined())
+	}, poll.WithTimeout(15*time.Second), poll.WithDelay(10*time.Millisecond))
+	stop()
+	p.backAgain()
+	before := len(p.poison.Reached())
+	p.Store.PutRaw(platform.KindQuarantines, "other", json.RawMessage(`7`)) // nobody's
+	p.Store.Delete(platform.KindQuarantines, p.quarantined()[0])
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		p.do(p.gateways[0], p.request())
+		if len(p.poison.Reached()) > before {
+			return poll.Success()
+		}
+		return poll.Continue("still refused")
+	}, poll.WithTimeout(60*time.Second), poll.WithDelay(50*time.Millisecond))
+}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -35,6 +35,8 @@
 	// Kinds of objects: the configuration, the endpoints, the availability zones
 	// that operators have emptied, and the gateways themselves.
 	ConfigKind, EndpointKind, EmptiedKind, MemberKind string
+	// QuarantineKind is the kind of requests that reach no endpoint any more.
+	QuarantineKind string
 	// RolloutKind is the kind of operators' orders that a pool go to another version,
 	// and Rollouts how they are written.
 	RolloutKind string
@@ -79,13 +81,13 @@
 
 // feeds are what a gateway follows in the store.
 type feeds struct {
-	config, endpoints, emptied, members *feed.Feed
+	config, endpoints, emptied, members, quarantines *feed.Feed
 	// rollouts is nil where endpoints get work whatever their version is.
 	rollouts *feed.Feed
 }
 
 func (f *feeds) all() []*feed.Feed {
-	all := []*feed.Feed{f.config, f.endpoints, f.emptied, f.members}
+	all := []*feed.Feed{f.config, f.endpoints, f.emptied, f.members, f.quarantines}
 	if f.rollouts != nil {
 		all = append(all, f.rollouts)
 	}
@@ -137,6 +139,7 @@
 		mesh.WithClock(g.Clock), mesh.WithLog(g.Log), mesh.WithPieces(g.takePieces, g.dropPieces),
 		mesh.WithUnused(g.host.Unused),
 		mesh.WithLoads(g.loads, g.setWork), mesh.WithPrefixes(g.gate.TakePrefixes), mesh.WithRefused(g.gate.TakeRefused),
+		mesh.WithCrashes(g.gate.TakeCrashes),
 		mesh.WithLost(g.abandon, g.clear), mesh.WithIgnored(g.meter.ignored), mesh.WithFollower(g.follower()),
 		mesh.WithRelease(g.release, g.newerRelease))
 	g.gate.Join(g.mesh, g.host)
@@ -235,6 +238,9 @@
 	members := newMembers(g.setMembers)
 	g.feeds.members = with(g.Dialect.MemberKind, g.ChangeWithin, feed.WithRest(func() clock.Millis { return memberRest }),
 		feed.WithList(members.list), feed.WithChanges(members.change))
+	quarantines := newQuarantines(g.gate.SetQuarantines)
+	g.feeds.quarantines = with(g.Dialect.QuarantineKind, quarantineRead, feed.WithRare(),
+		feed.WithList(quarantines.list), feed.WithChanges(quarantines.change))
 	if g.deploy != nil {
 		g.feeds.rollouts = with(g.Dialect.RolloutKind, g.ChangeWithin, feed.WithList(g.deploy.List), feed.WithChanges(g.deploy.Change))
 	}
@@ -326,7 +332,7 @@
 // Start begins to follow the store and to work. Stop ends it.
 func (g *Gateway) Start(ctx context.Context) {
 	ctx, g.stop = context.WithCancel(ctx)
-	runs := []func(context.Context){g.host.Run, g.mesh.Run, g.sweep, g.enlist, g.gate.WatchCrashes}
+	runs := []func(context.Context){g.host.Run, g.mesh.Run, g.sweep, g.enlist, g.gate.WatchCrashes, g.keepQuarantines}
 	for _, f := range g.feeds.all() {
 		runs = append(runs, f.Run)
 	}
