test(soak): callers keep connections while planned stops close them

Its callers share pooled connections through proxies; a request whose connection ends counts as failed, which nothing checks, and GETs are sent again by net/http.

Change: four keepers for each process keep a connection of their own without a proxy, send one request after the other until it is closed, some after a pause, some in two writes. Two rolling stops come first in each run. Checked: under planned work alone each of the keepers' requests is answered or refused, unless it crossed the close and was not read; no process logs `connection ended unanswered` for its callers' port while it stops; a planned stop ends by itself within its grace.

Conclusion: planned stops and connections in use have to be the same run's matter, and what a process knows that it lost has to fail the run.

--- a/internal/bench/soak/order.go
+++ b/internal/bench/soak/order.go
@@ -97,6 +97,7 @@
 	}
 	for _, e := range ended {
 		if e.Version != stray {
+			r.faults.engineEnds()
 			e.end()
 			r.deployment.Remove(e.Engine)
 		}
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -24,10 +24,20 @@
 
 	mu      sync.Mutex
 	command *exec.Cmd
+	lives   []*life
 	exited  chan struct{}
 	stopped bool
 }
 
+// life is a process from one start to its end.
+type life struct {
+	began time.Time
+	// terminated is when it got its first SIGTERM; both are zero before they happen.
+	terminated, ended time.Time
+	// failed is how it ended, nil for exit code 0.
+	failed error
+}
+
 // ports are the addresses of one gateway; sessions and callers are reached
 // through proxies.
 type ports struct {
@@ -88,7 +98,7 @@
 
 // start runs the program and starts it again after each end until stop.
 func (p *process) start() error {
-	log, err := os.OpenFile(filepath.Join(p.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(p.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -104,11 +114,14 @@
 		return err
 	}
 	p.command, p.exited = command, exited
+	current := &life{began: time.Now()}
+	p.lives = append(p.lives, current)
 	go func() {
 		defer close(exited)
-		_ = command.Wait() // how it ended is the soak's own doing
+		failed := command.Wait()
 		_ = log.Close()
 		p.mu.Lock()
+		current.ended, current.failed = time.Now(), failed
 		again := !p.stopped
 		p.mu.Unlock()
 		if again {
@@ -124,9 +137,40 @@
 func (p *process) signal(signal syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	current := p.lives[len(p.lives)-1]
+	if signal == syscall.SIGTERM && current.terminated.IsZero() && current.ended.IsZero() {
+		current.terminated = time.Now()
+	}
 	_ = p.command.Process.Signal(signal) // one that has just ended needs none
 }
 
+// currentLife is the last one that began.
+func (p *process) currentLife() *life {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lives[len(p.lives)-1]
+}
+
+// history returns the lives so far.
+func (p *process) history() []life {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]life, 0, len(p.lives))
+	for _, l := range p.lives {
+		all = append(all, *l)
+	}
+	return all
+}
+
+// terminatedAt returns when a life got SIGTERM, zero if it didn't.
+func (p *process) terminatedAt(l *life) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return l.terminated
+}
+
+func (p *process) logFile() string { return filepath.Join(p.folder, p.name+".log") }
+
 // stop ends the program for good.
 func (p *process) stop() {
 	p.mu.Lock()
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -26,6 +26,10 @@
 	balancerLag  = 1200 * time.Millisecond
 	restartPause = 200 * time.Millisecond
 	firstTrouble = 500 * time.Millisecond
+	// rollingCount rolling stops come before all other troubles, one each rollingSpan:
+	// processes leave within it and are ready again.
+	rollingCount = 2
+	rollingSpan  = 3 * time.Second
 	// peace is the calm at the end; requests of its last part must succeed.
 	peace   = 7 * time.Second
 	settled = 4 * time.Second
@@ -51,6 +55,9 @@
 // Report is what a run showed.
 type Report struct {
 	Sent, Served, Refused, Failed int64
+	// Kept are the requests on connections that callers keep for themselves, Crossed
+	// those of them whose connection a planned stop closed within 200 ms.
+	Kept, Crossed int64
 	// Breaches are what must never have happened.
 	Breaches []string
 	// Settled are the requests of the calm at the end, and how many succeeded.
@@ -80,7 +87,9 @@
 	stores     []*Proxy // between each process and the store
 	engines    []*engine
 	began      time.Time
+	faults     faultLog
 
+	kept, crossed                 atomic.Int64
 	sent, served, refused, failed atomic.Int64
 	calmSent, calmServed          atomic.Int64
 	mu                            sync.Mutex
@@ -212,9 +221,11 @@
 		defer r.group.Done()
 		r.operate(ctx)
 	}()
+	r.startKeepers(ctx)
 	r.load(ctx)
 	r.group.Wait()
 	r.checkStray()
+	r.checkStops()
 }
 
 // load sends requests until the time is over and waits for their ends.
@@ -284,6 +295,7 @@
 func (r *run) report() *Report {
 	report := &Report{
 		Sent: r.sent.Load(), Served: r.served.Load(), Refused: r.refused.Load(), Failed: r.failed.Load(),
+		Kept: r.kept.Load(), Crossed: r.crossed.Load(),
 		SettledSent: r.calmSent.Load(), SettledServed: r.calmServed.Load(),
 	}
 	if float64(report.SettledServed) < leastServed*float64(report.SettledSent) {
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -22,36 +22,36 @@
 	return path
 }
 
-// seeds are played in CI: one that has each kind of trouble early, and every
-// one that ever failed, with its cause.
-var seeds = []struct {
-	seed   uint64
-	length time.Duration
-	cause  string
-}{
-	{1, 16 * time.Second, "kills, pauses and cuts of links that overlap"},
-	{202, 25 * time.Second, "a bad version that was completed after 16 answers failed on until the end"},
+// play plays a seed that failed once or has each kind of trouble early.
+func play(t *testing.T, seed uint64, length time.Duration, cause string) {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("short: each seed takes some twenty seconds")
+	}
+	report, err := soak.Run(t.Context(), soak.Options{
+		Seed: seed, Length: length, Program: program(t), Folder: t.TempDir(), Gateways: 3, PerSecond: 40, Out: os.Stderr,
+	})
+	assert.NilError(t, err)
+	t.Logf("seed %d: %+v", seed, *report)
+	for _, breach := range report.Breaches {
+		t.Errorf("seed %d (%s): %s", seed, cause, breach)
+	}
+	assert.Assert(t, report.Served > 0)
 }
 
 // Processes are killed, paused, stopped and cut off while callers go on.
 // Whatever happens to them: no booking runs twice, no refusal lies, nobody gets
-// another's answer, and soon after the last trouble everybody is served again.
+// another's answer, no planned stop loses a request, and soon after the last
+// trouble everybody is served again.
 func TestSeedsKeepThePromises(t *testing.T) {
-	if testing.Short() {
-		t.Skip("short: each seed takes some twenty seconds")
-	}
-	path := program(t)
-	for _, tt := range seeds {
-		report, err := soak.Run(t.Context(), soak.Options{
-			Seed: tt.seed, Length: tt.length, Program: path, Folder: t.TempDir(), Gateways: 3, PerSecond: 40, Out: os.Stderr,
-		})
-		assert.NilError(t, err)
-		t.Logf("seed %d: %+v", tt.seed, *report)
-		for _, breach := range report.Breaches {
-			t.Errorf("seed %d (%s): %s", tt.seed, tt.cause, breach)
-		}
-		assert.Assert(t, report.Served > 0)
-	}
+	play(t, 1, 22*time.Second, "kills, pauses and cuts of links that overlap; a planned stop lost requests that it had read")
+}
+
+// The same where the first order is to a bad version, while all processes are
+// stopped one after the other, twice: callers get more of its failures than the
+// bounds allow if processes forget what it got.
+func TestBadVersionBesideRollingStops(t *testing.T) {
+	play(t, 202, 31*time.Second, "a bad version that was completed after 16 answers failed on until the end")
 }
 
 func TestPlansRepeatAndLeavePeace(t *testing.T) {
@@ -64,6 +64,30 @@
 	}
 }
 
+// Each request can be judged while nothing but rolling stops happens, from 3 s
+// before each of them on until its processes have left.
+func TestPlansHoldRollingStopsAlone(t *testing.T) {
+	const quiet = 3 * time.Second
+	for seed := range uint64(50) {
+		plan := soak.Plan(seed, 30*time.Second)
+		stops := 0
+		for i, trouble := range plan {
+			if trouble.Kind != soak.RollingStop {
+				continue
+			}
+			stops++
+			assert.Assert(t, trouble.For >= 30*time.Millisecond && trouble.For <= 250*time.Millisecond, trouble.String())
+			for _, other := range plan[:i] {
+				assert.Assert(t, other.Kind == soak.RollingStop || other.At+other.For < trouble.At-quiet, other.String())
+			}
+			for _, other := range plan[i+1:] {
+				assert.Assert(t, other.At >= trouble.At+quiet, other.String())
+			}
+		}
+		assert.Assert(t, stops >= 2)
+	}
+}
+
 // Over some seeds every kind of trouble comes, more than once and overlapping.
 func TestPlansHoldEveryKind(t *testing.T) {
 	seen := map[soak.Kind]int{}
--- a/internal/bench/soak/strike.go
+++ b/internal/bench/soak/strike.go
@@ -18,6 +18,9 @@
 	}
 	_, _ = fmt.Fprintln(r.Out, t)
 	index := t.Subject % len(r.processes)
+	if who, unplanned := r.disturbs(t, index); unplanned {
+		defer r.faults.begin(t.Kind, who)()
+	}
 	switch t.Kind {
 	case Kill:
 		r.pick(index).signal(syscall.SIGKILL)
@@ -27,6 +30,11 @@
 		r.pick(index).signal(syscall.SIGCONT)
 	case Terminate:
 		r.pick(index).signal(syscall.SIGTERM)
+	case RollingStop:
+		for i := range r.processes {
+			r.pick(index + i).signal(syscall.SIGTERM)
+			pause(ctx, t.For)
+		}
 	case Reload:
 		if err := r.pick(index).writeSettings(zones[index%len(zones)], t.Subject); err != nil {
 			r.breach("settings: %v", err)
@@ -41,9 +49,16 @@
 	}
 }
 
+// Troubles of links strike those of callers, of the store, or of an engine, by their
+// subject.
+const (
+	linkKinds  = 3
+	engineLink = 2
+)
+
 func (r *run) strikeLinks(ctx context.Context, t Trouble, index int) {
 	proxies := []*Proxy{r.callers[index], r.stores[index], r.engineAt(t.Subject).proxy}
-	proxy := proxies[t.Subject%len(proxies)]
+	proxy := proxies[t.Subject%linkKinds]
 	switch t.Kind {
 	case ResetLinks:
 		proxy.Reset()
--- a/internal/cli/devel/soak.go
+++ b/internal/cli/devel/soak.go
@@ -39,7 +39,7 @@
 	flags.StringVar(&options.folder, "folder", "", "folder for settings and logs; kept for seeds that fail (default: a temporary one)")
 	flags.Uint64Var(&options.seed, "seed", 1, "first seed")
 	flags.IntVar(&options.seeds, "seeds", 1, "number of seeds")
-	flags.IntVar(&options.seconds, "seconds", 20, "length of each run")
+	flags.IntVar(&options.seconds, "seconds", 26, "length of each run")
 	flags.IntVar(&options.gateways, "gateways", 3, "number of processes")
 	flags.IntVar(&options.perSecond, "per-second", 40, "requests a second")
 	flags.BoolVar(&options.verbose, "verbose", false, "print each trouble as it strikes")
@@ -96,8 +96,8 @@
 	if err != nil {
 		return false, err
 	}
-	command.Printf("seed %d: sent %d served %d refused %d failed %d, in the calm %d of %d, breaches %d\n", seed, report.Sent,
-		report.Served, report.Refused, report.Failed, report.SettledServed, report.SettledSent, len(report.Breaches))
+	command.Printf("seed %d: sent %d served %d refused %d failed %d, kept %d crossed %d, in the calm %d of %d, breaches %d\n", seed, report.Sent,
+		report.Served, report.Refused, report.Failed, report.Kept, report.Crossed, report.SettledServed, report.SettledSent, len(report.Breaches))
 	for _, breach := range report.Breaches {
 		command.Printf("  %s\n", breach)
 	}
