fix(conns): a body that is read after its answer is not an unanswered request

In trials of planned stops nearly all lines 'connection ended unanswered' without a stop followed a 401 of the same process: the server reads the rest of a body after the handler has answered, and these bytes counted as a request without an answer.

--- a/internal/link/conns/conn.go
+++ b/internal/link/conns/conn.go
@@ -39,10 +39,11 @@
 	// be ended, 0 for never.
 	deadline time.Time
 	draining clock.Millis
-	// unanswered are the bytes read since the last answer, at the time of the last
-	// of them.
+	// unanswered are the bytes read of a request to which nothing has been written,
+	// at the time of the last of them; answered says that something has been.
 	unanswered int
 	readAt     clock.Millis
+	answered   bool
 	// released connections are not followed: they ended, the caller left, or another
 	// protocol than HTTP/1 is spoken.
 	released bool
@@ -93,7 +94,7 @@
 	case t.IsZero():
 		c.waiting = false
 	case !c.waiting && t.After(time.Now()):
-		c.waiting, c.begun = true, false
+		c.waiting, c.begun, c.answered = true, false, false
 	}
 	c.deadline = t
 	c.applyDeadline()
@@ -114,7 +115,9 @@
 		n, err = c.readArrived(p, err)
 	}
 	if n > 0 {
-		c.unanswered += n
+		if !c.answered {
+			c.unanswered += n
+		}
 		c.readAt = c.listener.clock.Now()
 		if c.waiting && !c.begun {
 			c.begun, c.beganAt = true, c.readAt
@@ -156,7 +159,7 @@
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	c.unanswered = 0
+	c.unanswered, c.answered = 0, true
 	c.mu.Unlock()
 	return c.Conn.Write(p)
 }
--- a/internal/link/conns/conns_test.go
+++ b/internal/link/conns/conns_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,6 +66,10 @@
 				_ = c.Close()
 			}
 		},
+		"answered before the body": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusUnauthorized)
+		},
 		"caller left": func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done(); panic(http.ErrAbortHandler) },
 	}
 	for name, handler := range handlers {
@@ -75,7 +80,11 @@
 				handler(w, r)
 			})
 			c := dial(t, address)
-			_, err := io.WriteString(c, get)
+			request := get
+			if name == "answered before the body" {
+				request = "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("x", 20000)
+			}
+			_, err := io.WriteString(c, request)
 			assert.NilError(t, err)
 			if name == "caller left" {
 				assert.NilError(t, c.Close())
