fix(crash,gate,router,sums): crashes count whatever ends an attempt, and outlive processes

A review of the quarantine found ways around it and sound requests that it hit, each with a test that failed on it:

- crashes lost with a message, or pushed out by prefixes, and looks at endpoints that waited for hosts without power: a ring of their own, sent again after a lost message; 16 looks at a time;
- a quarter of an hour for a lookup that all callers send alike, after all its engines had stopped together: one trial, by the owner of its key, shows it after 4 s;
- engines that leave as planned counted as crashed, and so did each reset after one look had found nobody: leaving endpoints don't, and each break is looked at;
- a request that comes on after its quarantine crashed three more: one is enough;

--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -5,8 +5,9 @@
 // repeat them, with another id each time and at any process, so that limits on the
 // attempts of one request do not stop them. A request is known by what it asks for
 // and by its organisation. It is quarantined after three crashes, of three
-// endpoints, without a whole answer in between: others that were running at the
-// same endpoints are soon answered elsewhere.
+// endpoints, without an answer in between: others that were running at the same
+// endpoints are soon answered elsewhere. Where endpoints stopped for another reason
+// under requests that all callers send alike, one trial shows it.
 package crash
 
 import (
@@ -19,15 +20,22 @@
 )
 
 const (
-	// maxCrashes is the number of crashes after which a request is quarantined.
+	// maxCrashes is the number of crashed endpoints from which on a request is
+	// quarantined, writeFrom that from which on they are written to the store: a
+	// process that starts has to know of them.
 	maxCrashes = 3
-	// Keep is how long crashes count, and how long a quarantine lasts.
-	Keep = 15 * clock.Minute
-	// maxSuspects bounds the requests whose crashes are counted, maxQuarantines the
-	// quarantines, and maxUnsent the reports that wait to be sent to peers.
-	maxSuspects    = 4096
-	maxQuarantines = 1024
-	maxUnsent      = 1024
+	writeFrom  = maxCrashes - 1
+	// Keep is how long a quarantine lasts after the last crash, remember how long
+	// crashes count: one more after the quarantine begins it anew.
+	Keep     = 15 * clock.Minute
+	remember = 4 * Keep
+	// trialAfter is how long after the last crash one request is let through.
+	trialAfter = 4 * clock.Second
+	// maxRecords bounds the requests whose crashes are counted, maxEndpoints the
+	// endpoints of one, and maxUnsent the reports that wait to be sent to peers.
+	maxRecords   = 4096
+	maxEndpoints = maxCrashes + 1
+	maxUnsent    = 1024
 )
 
 // Report is what a process learned of a request: that it crashed an endpoint, or,
@@ -39,47 +47,53 @@
 	Cleared  bool
 }
 
-// Listed is a quarantine as it stands in the platform's store, Age milliseconds
-// after it began.
+// Listed is what the platform's store holds of a request.
 type Listed struct {
 	Key Key
-	Age clock.Millis
-	// Endpoints that crashed before it began.
+	// Endpoints that crashed, the last of them Age milliseconds ago.
 	Endpoints []string
+	Age       clock.Millis
 }
 
-// suspect is a request under which endpoints crashed.
-type suspect struct {
+// record is a request under which endpoints crashed.
+type record struct {
 	endpoints []string
 	last      clock.Millis
+	// written is how many of the endpoints were written to the store, and listed says
+	// that the store holds the request.
+	written int
+	listed  bool
+	// cleared says that the request was answered and is to be taken out of the store.
+	cleared bool
+	// witnessed says that this process has counted the crashes itself, and tried that
+	// it has let a trial through.
+	witnessed, tried bool
 }
 
-// quarantine is a request that reaches no endpoint.
-type quarantine struct {
-	began, until clock.Millis
-	endpoints    []string
-	// written says that it was written to the store, listed that it stands there.
-	written, listed bool
+// left returns how much longer the request is quarantined, 0 if it is not.
+func (r *record) left(now clock.Millis) clock.Millis {
+	if r.cleared || len(r.endpoints) < maxCrashes {
+		return 0
+	}
+	return max(r.last+Keep-now, 0)
 }
 
-// Book holds suspects and quarantines. It is safe for use by several goroutines.
+// Book holds what is known of requests. It is safe for use by several goroutines.
 type Book struct {
-	// size is the number of suspects and quarantines.
+	// size is the number of records.
 	size atomic.Int64
 
-	mu          sync.Mutex
-	suspects    map[Key]*suspect
-	quarantines map[Key]*quarantine
-	unsent      []Report
+	mu      sync.RWMutex
+	records map[Key]*record
+	unsent  []Report
+	dropped int
 }
 
 // New returns an empty book.
-func New() *Book {
-	return &Book{suspects: make(map[Key]*suspect), quarantines: make(map[Key]*quarantine)}
-}
+func New() *Book { return &Book{records: make(map[Key]*record)} }
 
-// Empty reports whether no request is suspected or quarantined, so that keys need
-// not be computed.
+// Empty reports whether nothing is known of any request, so that keys need not be
+// computed.
 func (b *Book) Empty() bool { return b.size.Load() == 0 }
 
 // Crashed notes that an endpoint crashed while it worked on a request of this
@@ -89,20 +103,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer b.count()
-	crashes, begins = b.add(key, endpoint, now)
 	b.send(Report{Key: key, Endpoint: endpoint})
-	return crashes, begins
+	return b.add(key, endpoint, now)
 }
 
 // Answered notes that a request of this process was answered: it is not the one
 // that crashes endpoints. It reports whether anything was known of it.
-func (b *Book) Answered(key Key, now clock.Millis) bool {
+func (b *Book) Answered(key Key) bool {
+	b.mu.RLock()
+	known := b.records[key]
+	b.mu.RUnlock()
+	if known == nil {
+		return false
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer b.count()
-	if !b.clear(key, now) {
-		return false
-	}
+	b.clear(key)
 	b.send(Report{Key: key, Cleared: true})
 	return true
 }
@@ -116,7 +133,7 @@
 	var began []Key
 	for _, report := range reports {
 		if report.Cleared {
-			b.clear(report.Key, now)
+			b.clear(report.Key)
 			continue
 		}
 		if _, begins := b.add(report.Key, report.Endpoint, now); begins {
@@ -126,70 +143,104 @@
 	return began
 }
 
-// Unsent returns the reports that peers have not been sent yet.
-func (b *Book) Unsent() []Report {
+// Unsent returns the reports that peers have not been sent yet, and how many were
+// dropped because too many waited.
+func (b *Book) Unsent() (reports []Report, dropped int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	unsent := b.unsent
-	b.unsent = nil
-	return unsent
+	reports, dropped = b.unsent, b.dropped
+	b.unsent, b.dropped = nil, 0
+	return reports, dropped
 }
 
 // Quarantined returns how much longer a request is quarantined; 0 if it is not.
 func (b *Book) Quarantined(key Key, now clock.Millis) clock.Millis {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	if r := b.records[key]; r != nil {
+		return r.left(now)
+	}
+	return 0
+}
+
+// TrialDue reports whether a quarantined request may be let through once, by the one
+// process that is to do so: endpoints may have stopped for another reason. A process
+// that knows the crashes from the store alone lets none through, so that restarts add
+// no trials.
+func (b *Book) TrialDue(key Key, now clock.Millis) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	r := b.records[key]
+	return r != nil && !r.tried && r.witnessed && r.left(now) > 0 && now-r.last >= trialAfter
+}
+
+// TakeTrial spends the trial that is due, and reports whether it was.
+func (b *Book) TakeTrial(key Key, now clock.Millis) bool {
+	if !b.TrialDue(key, now) {
+		return false
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if q := b.quarantines[key]; q != nil {
-		return max(q.until-now, 0)
+	r := b.records[key]
+	if r == nil || r.tried {
+		return false
 	}
-	return 0
+	r.tried = true
+	return true
 }
 
-// Unwritten returns the quarantines that are to be written to the store, with their
-// ages.
-func (b *Book) Unwritten(now clock.Millis) []Listed {
+// ReturnTrial takes back a trial that reached no endpoint.
+func (b *Book) ReturnTrial(key Key) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if r := b.records[key]; r != nil {
+		r.tried = false
+	}
+}
+
+// Unwritten returns what is to be written to the store.
+func (b *Book) Unwritten(now clock.Millis) []Listed {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
 	var unwritten []Listed
-	for key, q := range b.quarantines {
-		if !q.written && !q.listed && q.until > now {
-			unwritten = append(unwritten, Listed{Key: key, Age: now - q.began, Endpoints: q.endpoints})
+	for key, r := range b.records {
+		if !r.cleared && len(r.endpoints) >= writeFrom && len(r.endpoints) > r.written && now-r.last < remember {
+			unwritten = append(unwritten, Listed{Key: key, Age: now - r.last, Endpoints: slices.Clone(r.endpoints)})
 		}
 	}
 	return unwritten
 }
 
-// Written notes that a quarantine was written to the store.
-func (b *Book) Written(key Key) {
+// Written notes that so many endpoints of a request stand in the store.
+func (b *Book) Written(key Key, endpoints int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if q := b.quarantines[key]; q != nil {
-		q.written = true
+	if r := b.records[key]; r != nil {
+		r.written = max(r.written, endpoints)
 	}
 }
 
-// Expire forgets what is too old. It returns the quarantines that have ended and
-// still stand in the store.
+// Expire forgets what is too old. It returns the requests that are to be taken out of
+// the store: they are too old or were answered.
 func (b *Book) Expire(now clock.Millis) []Key {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer b.count()
-	maps.DeleteFunc(b.suspects, func(_ Key, s *suspect) bool { return now-s.last > Keep })
 	var over []Key
-	for key, q := range b.quarantines {
+	for key, r := range b.records {
+		old := now-r.last >= remember
 		switch {
-		case q.until > now:
-		case q.listed:
+		case r.listed && (r.cleared || old):
 			over = append(over, key)
-		default:
-			delete(b.quarantines, key)
+		case r.cleared || old:
+			delete(b.records, key)
 		}
 	}
 	return over
 }
 
-// SetListed takes all quarantines that stand in the store. Those that stood there
-// before and do no longer have been lifted.
+// SetListed takes all that the store holds. What stood there before and does no longer
+// was lifted.
 func (b *Book) SetListed(listed []Listed, now clock.Millis) (began, lifted []Key) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -197,96 +248,98 @@
 	stands := make(map[Key]bool, len(listed))
 	for _, entry := range listed {
 		stands[entry.Key] = true
-		age := min(max(entry.Age, 0), Keep)
-		q := b.quarantines[entry.Key]
-		if q == nil {
-			q = &quarantine{began: now - age, until: now - age + Keep, endpoints: entry.Endpoints}
-			if len(b.quarantines) >= maxQuarantines {
-				continue
-			}
-			b.quarantines[entry.Key] = q
+		if b.take(entry, now) {
 			began = append(began, entry.Key)
 		}
-		q.listed = true
-		delete(b.suspects, entry.Key)
 	}
-	for key, q := range b.quarantines {
-		if q.listed && !stands[key] {
-			delete(b.quarantines, key)
+	for key, r := range b.records {
+		if r.listed && !stands[key] {
+			delete(b.records, key)
 			lifted = append(lifted, key)
 		}
 	}
 	return began, lifted
 }
 
-// add counts a crash; the caller holds the lock.
-func (b *Book) add(key Key, endpoint string, now clock.Millis) (crashes int, begins bool) {
-	if q := b.quarantines[key]; q != nil && q.until > now {
-		return maxCrashes, false
-	}
-	s := b.suspects[key]
-	if s == nil {
-		b.makeRoom(now)
-		s = &suspect{}
-		b.suspects[key] = s
+// take merges what the store holds of a request, and reports whether it is quarantined
+// from now on; the caller holds the lock.
+func (b *Book) take(entry Listed, now clock.Millis) (begins bool) {
+	r := b.records[entry.Key]
+	if r == nil {
+		b.makeRoom()
+		r = &record{}
+		b.records[entry.Key] = r
 	}
-	s.last = now
-	if !slices.Contains(s.endpoints, endpoint) {
-		s.endpoints = append(s.endpoints, endpoint)
+	before := r.left(now)
+	for _, endpoint := range entry.Endpoints {
+		r.addEndpoint(endpoint)
 	}
-	if len(s.endpoints) < maxCrashes || !b.quarantine(key, now) {
-		return len(s.endpoints), false
-	}
-	return maxCrashes, true
+	r.last = max(r.last, now-max(entry.Age, 0))
+	r.listed, r.written = true, max(r.written, len(entry.Endpoints))
+	return before == 0 && r.left(now) > 0
 }
 
-// quarantine begins one, if there are not too many; the caller holds the lock.
-func (b *Book) quarantine(key Key, now clock.Millis) bool {
-	if len(b.quarantines) >= maxQuarantines {
+func (r *record) addEndpoint(endpoint string) bool {
+	if slices.Contains(r.endpoints, endpoint) {
 		return false
 	}
-	b.quarantines[key] = &quarantine{began: now, until: now + Keep, endpoints: b.suspects[key].endpoints}
-	delete(b.suspects, key)
+	if len(r.endpoints) < maxEndpoints {
+		r.endpoints = append(r.endpoints, endpoint)
+	}
 	return true
 }
 
-// clear forgets a request's crashes and ends its quarantine; the caller holds the
-// lock.
-func (b *Book) clear(key Key, now clock.Millis) (known bool) {
-	_, known = b.suspects[key]
-	delete(b.suspects, key)
-	q := b.quarantines[key]
+// add counts a crash; the caller holds the lock.
+func (b *Book) add(key Key, endpoint string, now clock.Millis) (crashes int, begins bool) {
+	r := b.records[key]
+	if r == nil || r.cleared {
+		listed := r != nil && r.listed
+		b.makeRoom()
+		r = &record{listed: listed}
+		b.records[key] = r
+	}
+	before := r.left(now)
+	if r.addEndpoint(endpoint) {
+		r.last, r.witnessed = now, true
+	}
+	return len(r.endpoints), before == 0 && r.left(now) > 0
+}
+
+// clear forgets the crashes of a request, at once or once the store has; the caller
+// holds the lock.
+func (b *Book) clear(key Key) {
+	r := b.records[key]
 	switch {
-	case q == nil:
-		return known
-	case q.listed:
-		q.until = min(q.until, now) // until it is taken out of the store
+	case r == nil:
+	case r.listed || r.written > 0:
+		r.cleared = true
 	default:
-		delete(b.quarantines, key)
+		delete(b.records, key)
 	}
-	return true
 }
 
-// makeRoom drops the suspects of which nothing was heard for longest, a quarter of
-// them at a time, when there are too many; the caller holds the lock.
-func (b *Book) makeRoom(now clock.Millis) {
-	if len(b.suspects) < maxSuspects {
+// makeRoom drops a quarter of the records, those of which nothing was heard for
+// longest, when there are too many; the caller holds the lock.
+func (b *Book) makeRoom() {
+	if len(b.records) < maxRecords {
 		return
 	}
-	ages := make([]clock.Millis, 0, len(b.suspects))
-	for _, s := range b.suspects {
-		ages = append(ages, now-s.last)
+	times := make([]clock.Millis, 0, len(b.records))
+	for _, r := range b.records {
+		times = append(times, r.last)
 	}
-	slices.Sort(ages)
-	oldest := ages[len(ages)*3/4]
-	maps.DeleteFunc(b.suspects, func(_ Key, s *suspect) bool { return now-s.last >= oldest })
+	slices.Sort(times)
+	oldest := times[len(times)/4]
+	maps.DeleteFunc(b.records, func(_ Key, r *record) bool { return r.last <= oldest })
 }
 
 func (b *Book) send(report Report) {
-	if len(b.unsent) < maxUnsent {
-		b.unsent = append(b.unsent, report)
+	if len(b.unsent) >= maxUnsent {
+		b.dropped++
+		return
 	}
+	b.unsent = append(b.unsent, report)
 }
 
 // count publishes the size; the caller holds the lock.
-func (b *Book) count() { b.size.Store(int64(len(b.suspects) + len(b.quarantines))) }
+func (b *Book) count() { b.size.Store(int64(len(b.records))) }
--- a/internal/flow/sums/message.go
+++ b/internal/flow/sums/message.go
@@ -1,6 +1,8 @@
 package sums
 
 import (
+	"slices"
+
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/flow/inflow"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
@@ -12,6 +14,7 @@
 	changed  uint64
 	urgentAt uint64
 	events   uint64
+	crashes  uint64
 	begun    bool
 	// far is changed for the endpoints that the destination does not use normally,
 	// farAt when they were last sent.
@@ -35,7 +38,8 @@
 // trialsEvery is the shortest pause between two messages with trials.
 const trialsEvery = 250 * clock.Millis(1)
 
-// Reset has the next message hold everything, because one was lost.
+// Reset has the next message hold everything, because one was lost: also the crashes
+// of the last seconds, which may be told twice.
 func (c *Cursor) Reset() { *c = Cursor{events: c.events} }
 
 // ForAggregator returns the sums of the group for another aggregator; nil when
@@ -69,7 +73,7 @@
 	if known := b.sources[Source{Process: process}]; known != nil {
 		if interest = known.interest; c.interestAt != known.interestAt {
 			// Work at endpoints outside the old interest may not have been sent yet.
-			*c = Cursor{events: c.events, interestAt: known.interestAt}
+			*c = Cursor{events: c.events, crashes: c.crashes, interestAt: known.interestAt}
 		}
 	}
 	message := b.message(c, regular, now, interest, func(endpoint string, e *entry) wire.Work { return e.without(own, endpoint) })
@@ -128,8 +132,9 @@
 // addEvents adds the events that were not sent to a destination yet. The caller
 // holds the lock.
 func (b *Book) addEvents(message *wire.Sums, c *Cursor, take func(Source) bool, now clock.Millis) {
-	from := max(c.events, b.dropped) - b.dropped
-	for _, e := range b.events[min(from, uint64(len(b.events))):] {
+	crashes, nextCrash := b.crashes.since(c.crashes)
+	others, next := b.events.since(c.events)
+	for _, e := range slices.Concat(crashes, others) {
 		switch {
 		case !take(e.from) || now-e.at > keepEvents:
 		case e.prefix != nil:
@@ -142,7 +147,7 @@
 			message.Refused = append(message.Refused, wire.Refused{Key: e.refused.Key, Age: e.refused.Age + passed, Wait: e.refused.Wait - passed})
 		}
 	}
-	c.events = b.dropped + uint64(len(b.events))
+	c.events, c.crashes = next, nextCrash
 }
 
 // addLoads adds what only regular messages hold. The caller holds the lock.
--- a/internal/flow/sums/sums.go
+++ b/internal/flow/sums/sums.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// maxEvents bounds the prefixes, refused callers and crashes that wait to be passed
-	// on.
+	// maxEvents bounds the prefixes and refused callers that wait to be passed on, and
+	// the crashes.
 	maxEvents = 4096
 	// keepEvents is how long they are sent to a new destination: a caller may be
 	// refused before the process that it returns to is reached.
@@ -91,15 +91,38 @@
 	crash   *wire.Crash
 }
 
+// events are the newest ones, in order.
+type events struct {
+	all []event
+	// dropped is how many were dropped from the front.
+	dropped uint64
+}
+
+func (e *events) add(one event) { e.all = append(e.all, one) }
+
+// bound drops the oldest where there are too many.
+func (e *events) bound(most int) {
+	if surplus := len(e.all) - most; surplus > 0 {
+		e.all = append([]event(nil), e.all[surplus:]...)
+		e.dropped += uint64(surplus)
+	}
+}
+
+// since returns the events from a number on, and the number of the next one.
+func (e *events) since(number uint64) (newer []event, next uint64) {
+	from := max(number, e.dropped) - e.dropped
+	return e.all[min(from, uint64(len(e.all))):], e.dropped + uint64(len(e.all))
+}
+
 // Book adds up sums. It is safe for use by several goroutines.
 type Book struct {
 	mu      sync.Mutex
 	step    uint64
 	entries map[string]*entry
 	sources map[Source]*reported
-	events  []event
-	// dropped is how many events were dropped from the front.
-	dropped uint64
+	events  events
+	// crashes are events of their own: a burst of others drops none of them.
+	crashes events
 }
 
 // New returns an empty book.
@@ -286,18 +309,16 @@
 // note enters what happened at a source. The caller holds the lock.
 func (b *Book) note(from Source, sums *wire.Sums, now clock.Millis) {
 	for i := range sums.Prefixes {
-		b.events = append(b.events, event{from: from, at: now, prefix: &sums.Prefixes[i]})
+		b.events.add(event{from: from, at: now, prefix: &sums.Prefixes[i]})
 	}
 	for i := range sums.Refused {
-		b.events = append(b.events, event{from: from, at: now, refused: &sums.Refused[i]})
+		b.events.add(event{from: from, at: now, refused: &sums.Refused[i]})
 	}
 	for i := range sums.Crashes {
-		b.events = append(b.events, event{from: from, at: now, crash: &sums.Crashes[i]})
-	}
-	if surplus := len(b.events) - maxEvents; surplus > 0 {
-		b.events = append([]event(nil), b.events[surplus:]...)
-		b.dropped += uint64(surplus)
+		b.crashes.add(event{from: from, at: now, crash: &sums.Crashes[i]})
 	}
+	b.events.bound(maxEvents)
+	b.crashes.bound(maxEvents)
 }
 
 // Drop forgets a source and returns the endpoints whose work changed.
--- a/internal/flow/sums/sums_test.go
+++ b/internal/flow/sums/sums_test.go
@@ -288,3 +288,25 @@
 	}
 	return root
 }
+
+// Guards against a crash that a process never hears of because many prefixes were used in
+// the 200 ms until its next message: they share one bounded list.
+func TestPrefixesDropNoCrash(t *testing.T) {
+	b, c := sums.New(), &sums.Cursor{}
+	put(t, b, process("b"), whole(), 1)
+	b.ForProcess("b", c, true, 1)
+	put(t, b, process("a"), &wire.Sums{Whole: true, Crashes: []wire.Crash{{Key: make([]byte, 16), Endpoint: "e/1"}}}, 2)
+	for i := range 50 { // processes with 100 prompts each
+		put(t, b, process(string(rune('A'+i))), &wire.Sums{Whole: true, Prefixes: make([]wire.PrefixUse, 100)}, 3)
+	}
+	assert.Equal(t, len(b.ForProcess("b", c, true, clock.Millis(100)).Crashes), 1)
+}
+
+// Guards against a crash that is lost with the message that held it.
+func TestMessageThatIsSentAgainHoldsTheCrash(t *testing.T) {
+	b, c := sums.New(), &sums.Cursor{}
+	put(t, b, process("a"), &wire.Sums{Whole: true, Crashes: []wire.Crash{{Key: make([]byte, 16), Endpoint: "e/1"}}}, 2)
+	assert.Equal(t, len(b.ForAggregator(c, true, 3).Crashes), 1)
+	c.Reset() // as mesh does when Send fails, or the peer asks for whole sums
+	assert.Equal(t, len(b.ForAggregator(c, true, 4).Crashes), 1)
+}
--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -139,9 +139,6 @@
 	Revision uint64       `cbor:"revision"`
 	Changed  uint64       `cbor:"changed"`
 	Age      clock.Millis `cbor:"age"`
-	// Rare says that the kind is read rarely, so that Age does not tell whether the
-	// store is in reach.
-	Rare bool `cbor:"rare,omitempty"`
 }
 
 // Follow asks a peer to pass on the changes of some kinds of objects, from the
--- a/internal/route/view/view.go
+++ b/internal/route/view/view.go
@@ -47,6 +47,7 @@
 
 	leaving   atomic.Bool
 	gone      atomic.Bool
+	restarted atomic.Bool
 	coldUntil atomic.Int64
 	barred    atomic.Int64
 	heard     atomic.Int64
@@ -135,6 +136,13 @@
 // Out reports whether the endpoint leaves or is gone.
 func (e *Endpoint) Out() bool { return e.leaving.Load() || e.gone.Load() }
 
+// Leaving reports whether the endpoint leaves as planned.
+func (e *Endpoint) Leaving() bool { return e.leaving.Load() }
+
+// Restarted reports whether another start of the endpoint was seen, or of another one
+// at its address.
+func (e *Endpoint) Restarted() bool { return e.restarted.Load() }
+
 // Gone reports whether the endpoint has ended as far as is known.
 func (e *Endpoint) Gone() bool { return e.gone.Load() }
 
@@ -195,7 +203,9 @@
 // Change is what a Book learned, for the log.
 type Change struct {
 	Endpoint *Endpoint
-	What     string
+	// Before is the start of the endpoint that this one replaces, nil for none.
+	Before *Endpoint
+	What   string
 }
 
 // What changed of an endpoint.
@@ -283,6 +293,7 @@
 func (b *Book) begin(known *Endpoint, entry Entry, now clock.Millis) []Change {
 	what := Joined
 	if known != nil {
+		known.restarted.Store(known.Born != entry.Born)
 		known.gone.Store(true)
 		what = Replaced
 	}
@@ -293,7 +304,7 @@
 	e.leaving.Store(entry.Leaving)
 	e.heard.Store(int64(now))
 	b.byID[entry.ID] = e
-	changes := append(b.supersede(e), Change{Endpoint: e, What: what})
+	changes := append(b.supersede(e), Change{Endpoint: e, Before: known, What: what})
 	return b.chill(e, entry.Cold, now, changes)
 }
 
@@ -303,6 +314,7 @@
 	var changes []Change
 	for id, other := range b.byID {
 		if other.Address == e.Address && other.Born < e.Born {
+			other.restarted.Store(true)
 			changes = append(changes, b.drop(id)...)
 		}
 	}
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -49,8 +49,8 @@
 	maxAge    clock.Millis
 	grace     func() clock.Millis
 	firstWait func(kind string) clock.Millis
-	// rare says that the kind is read rarely.
-	rare bool
+	// ageless says that the store is read rarely.
+	ageless bool
 
 	// listFunc takes the whole list, and whether the store had been lost;
 	// changeFunc takes changes in order, forwardFunc what peers are to know.
@@ -98,9 +98,9 @@
 // without a call.
 func WithMaxAge(span clock.Millis) Option { return func(f *Feed) { f.maxAge = span } }
 
-// WithRare says that the waits are long: how old the store's last word is does not
-// tell whether the store is in reach.
-func WithRare() Option { return func(f *Feed) { f.rare = true } }
+// WithoutAge is for feeds with long waits: how old the store's last word is does not tell
+// whether the store is in reach, and peers are told none.
+func WithoutAge() Option { return func(f *Feed) { f.ageless = true } }
 
 // WithPeers sets for how long a peer's word is awaited before the store is asked:
 // after the store's last word, and before the list is read for the first time.
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -133,10 +133,11 @@
 func (f *Feed) Seen() wire.Seen {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return wire.Seen{
-		Kind: f.kind, Revision: f.state.known, Changed: min(f.state.changed, f.state.known),
-		Age: max(f.clock.Now()-f.state.confirmed, 0), Rare: f.rare,
+	seen := wire.Seen{Kind: f.kind, Revision: f.state.known, Changed: min(f.state.changed, f.state.known)}
+	if !f.ageless {
+		seen.Age = max(f.clock.Now()-f.state.confirmed, 0)
 	}
+	return seen
 }
 
 // Whole returns all objects, nil before they were read.
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -33,8 +33,10 @@
 	host   string
 	header http.Header
 	body   []byte
-	// key is set by crashKey.
-	key crash.Key
+	// key is set by crashKey. trial says that the request is let through although it is
+	// quarantined.
+	key   crash.Key
+	trial bool
 
 	// tried at the candidate version, if the pool's rollout runs.
 	canary bool
@@ -117,7 +119,7 @@
 	if refused := readBody(w, r, req); refused != nil {
 		return req, refused
 	}
-	if refused := g.quarantined(req); refused != nil {
+	if refused := g.refuseQuarantined(req); refused != nil {
 		return req, refused
 	}
 	return req, g.shape(req)
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -60,9 +60,7 @@
 		g.spareInputs(req, t)
 	}
 	result := g.exchange(ctx, w, req, l, stall)
-	if result.end == broken && ctx.Err() == nil {
-		g.suspect(req, t)
-	}
+	g.noteAttempt(ctx, req, t, result)
 	return result
 }
 
@@ -248,7 +246,7 @@
 	var sent *conn.SentError
 	g.Log.Info("endpoint failed", "request", req.Request, "endpoint", t.ID, "sent", errors.As(err, &sent), logs.KeyError, err)
 	if !errors.As(err, &sent) {
-		return result{end: unsent, err: fault.Refuse(fault.NoEndpoint, err.Error())}
+		return result{end: unsent, cause: err, err: fault.Refuse(fault.NoEndpoint, err.Error())}
 	}
 	if req.pool.ColdTime > 0 {
 		// A reset may be all that shows of a restart, after which it is cold.
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -80,7 +80,7 @@
 	inflow      *inflow.Book
 	recall      *recall.Book
 	crashes     *crash.Book
-	suspects    chan suspect
+	watch       *crashWatch
 	routes      byName[routeRecord]
 	// rates holds how fast the engines of each pool read prompts.
 	rates byName[place.Rate]
@@ -99,7 +99,7 @@
 func New(settings Settings) *Gate {
 	g := &Gate{
 		Settings: settings, meter: NewMeter(settings.Registry), inflow: inflow.New(), recall: recall.New(),
-		crashes: crash.New(), suspects: make(chan suspect, maxSuspects),
+		crashes: crash.New(), watch: newCrashWatch(),
 	}
 	g.bounds.Store(&Bounds{})
 	g.targets = target.NewSet(g.Clock, g.mostConns, g.meter.dialed)
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -98,13 +98,10 @@
 			g.extras.Earn(req.pool.Name)
 			req.held = g.Clock.Since(req.began)
 		}
-		if refused := g.quarantined(req); refused != nil {
+		if refused := g.refuseAttempt(req); refused != nil {
 			return refused
 		}
 		result := g.attempt(ctx, w, req, chosen)
-		if result.end == answered && result.err == nil {
-			g.exonerate(req)
-		}
 		if result.end == answered || ctx.Err() != nil {
 			return result.err
 		}
@@ -189,6 +186,8 @@
 type result struct {
 	end end
 	err error
+	// cause is why nothing reached the endpoint.
+	cause error
 	// granted says that the budget for another attempt has been spent already.
 	granted bool
 }
--- a/internal/serve/mesh/follow.go
+++ b/internal/serve/mesh/follow.go
@@ -94,9 +94,9 @@
 }
 
 // isStale reports whether some kind of objects was last confirmed by the store
-// longer ago than a bound. Kinds that are read rarely don't tell.
+// longer ago than a bound.
 func isStale(seen []wire.Seen, bound clock.Millis) bool {
-	return slices.ContainsFunc(seen, func(s wire.Seen) bool { return s.Age > bound && !s.Rare })
+	return slices.ContainsFunc(seen, func(s wire.Seen) bool { return s.Age > bound })
 }
 
 func (m *Mesh) ifOpen(l *link) *link {
--- /dev/null
+++ b/internal/serve/router/export_test.go
@@ -0,0 +1,6 @@
+package router
+
+import "github.com/jujubescale/jujubescale/internal/serve/gate"
+
+// Gate returns the gate, so that tests can play reports that reach one process alone.
+func (g *Gateway) Gate() *gate.Gate { return g.gate }
--- a/internal/serve/router/follow.go
+++ b/internal/serve/router/follow.go
@@ -121,6 +121,12 @@
 func (g *Gateway) logChanges(changes []view.Change) {
 	for _, change := range changes {
 		e := change.Endpoint
+		switch {
+		case change.Before != nil:
+			g.gate.EndpointGone(change.Before)
+		case change.What == view.Lost:
+			g.gate.EndpointGone(e)
+		}
 		g.Log.Info("endpoint changed", "endpoint", e.ID, "what", change.What, "pool", e.Pool, "availabilityZone", e.Zone,
 			"address", e.Address, "born", e.Born, "version", e.Version)
 	}
--- /dev/null
+++ b/internal/serve/router/poison_edge_test.go
@@ -0,0 +1,364 @@
+package router_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/jujubescale/jujubescale/internal/flow/crash"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/serve/gate"
+	"github.com/jujubescale/jujubescale/platform/stand"
+)
+
+// stopAll ends engines at the same moment and starts others at their addresses.
+func (b *bench) stopAll(engines []*stand.Engine) {
+	b.t.Helper()
+	var group sync.WaitGroup
+	for _, e := range engines {
+		group.Go(func() { b.Remove(e) })
+	}
+	group.Wait()
+	time.Sleep(300 * time.Millisecond)
+	for _, e := range engines {
+		_, err := b.Add(&stand.Engine{Kind: e.Kind, Service: e.Service, Zone: e.Zone, Work: e.Work, Pause: e.Pause, Events: e.Events})
+		assert.NilError(b.t, err)
+	}
+}
+
+// Guards against a lookup that all callers send alike and that is refused for a quarter of
+// an hour because the engines that worked on it lost power together.
+func TestLookupAtEnginesThatStopTogetherIsServedAfterwards(t *testing.T) {
+	b := startTwo(t)
+	engines := b.Engines(orders)
+	for _, e := range engines {
+		e.SetFault(stand.Fault{Every: 1, Slow: 1500 * time.Millisecond})
+	}
+	var group sync.WaitGroup
+	for i := range 36 {
+		group.Go(func() { b.do(b.gateways[i%3], lookup()) })
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if slices.ContainsFunc(engines, func(e *stand.Engine) bool { return e.Running() == 0 }) {
+			return poll.Continue("some engines don't work on it")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	b.stopAll(engines)
+	group.Wait()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		var refused []int
+		for i, g := range b.gateways { // one of them lets a trial through
+			if !b.do(g, lookup()).Whole {
+				refused = append(refused, i+1)
+			}
+		}
+		if len(refused) > 0 {
+			return poll.Continue("refused by gateways %v", refused)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(50*time.Millisecond))
+}
+
+// Guards against a long stream that is refused because the engines that it ran at were
+// replaced one after the other as planned.
+func TestStreamAtEnginesThatAreReplacedOneByOneIsServedAfterwards(t *testing.T) {
+	b := startTwo(t)
+	for _, e := range b.Engines(models) {
+		e.SetFault(stand.Fault{Every: 1, Slow: 1500 * time.Millisecond})
+	}
+	for range 3 {
+		done := make(chan struct{})
+		go func() { defer close(done); b.do(b.gateways[0], summary()) }()
+		var busy *stand.Engine
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			for _, e := range b.Engines(models) {
+				if e.Running() > 0 {
+					busy = e
+					return poll.Success()
+				}
+			}
+			return poll.Continue("runs nowhere")
+		}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+		b.Drain(busy)
+		time.Sleep(400 * time.Millisecond) // until the gateways know
+		b.Remove(busy)
+		<-done
+	}
+	for _, e := range b.Engines(models) {
+		e.SetFault(stand.Fault{})
+	}
+	for _, g := range b.gateways {
+		b.eventually(g, fromOther(summary), func(got stand.Got) bool { return got.Whole })
+		got := b.do(g, summary())
+		assert.Check(t, got.Whole, "%+v", got)
+	}
+}
+
+// reportsOf are crashes under a summary.
+func reportsOf(body string, crashes int) (crash.Key, []wire.Crash) {
+	k := crash.KeyOf(org, http.MethodPost, "models.example", "/sum/log", []byte(body))
+	var reports []wire.Crash
+	for i := range crashes {
+		reports = append(reports, wire.Crash{Key: k[:], Endpoint: fmt.Sprint("e", i)})
+	}
+	return k, reports
+}
+
+// Guards against a quarantine that only one process knows, which neither owns its key nor is
+// a deputy: the reports to the others were lost.
+func TestQuarantineThatOneProcessKnowsReachesAll(t *testing.T) {
+	b := startTwo(t)
+	var body string
+	owned := func(k crash.Key) bool {
+		for rank := range 3 {
+			if b.gateways[0].Owner(gate.QuarantineSubject(k, rank)) == "gateway-1" {
+				return true
+			}
+		}
+		return false
+	}
+	for i := 0; ; i++ {
+		body = fmt.Sprint("crashes ", i)
+		if k, _ := reportsOf(body, 0); !owned(k) {
+			break
+		}
+	}
+	k, reports := reportsOf(body, 3)
+	b.gateways[0].Gate().TakeCrashes(reports)
+	// No request is sent meanwhile: it would be answered, and end the quarantine.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for i, g := range b.gateways {
+			if g.Gate().Quarantines().Quarantined(k, g.Clock.Now()) == 0 {
+				return poll.Continue("gateway %d does not know", i+1)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(15*time.Second), poll.WithDelay(10*time.Millisecond))
+	got := b.do(b.gateways[1], withBody(summary, body)())
+	assert.Assert(t, got.Status == http.StatusServiceUnavailable && got.RetryAfter > time.Minute, "%+v", got)
+}
+
+// Guards against a request that goes on crashing engines because its callers spell the name
+// of the host in several ways, all of which lead to the same route.
+func TestPoisonRequestIsKnownHoweverItsHostIsSpelled(t *testing.T) {
+	p := startPoisoning(t, summary, false)
+	hosts := []string{"models.example", "Models.example", "MODELS.EXAMPLE", "models.example:80", "models.example:8080", "modelS.example"}
+	for i := range 24 {
+		s := p.request()
+		s.Host = hosts[i%len(hosts)]
+		p.do(p.gateways[i%3], s)
+		time.Sleep(100 * time.Millisecond)
+	}
+	assert.Assert(t, len(p.poison.Reached()) <= 3+poisonMost, "%d", len(p.poison.Reached()))
+}
+
+// Guards against crashes that are forgotten because all processes are replaced between the
+// returns of a request.
+func TestCrashesBeforeAReleaseCountAfterIt(t *testing.T) {
+	p := startPoisoning(t, summary, false)
+	for i := 0; len(p.poison.Crashes()) < 2; i++ {
+		p.do(p.gateways[i%3], p.request())
+		time.Sleep(100 * time.Millisecond)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(p.quarantined()) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the store holds %v", p.quarantined())
+	}, poll.WithTimeout(15*time.Second), poll.WithDelay(10*time.Millisecond))
+	p.restart(0, 1, 2)
+	time.Sleep(poisonWindow)
+	for i := range 12 {
+		p.do(p.gateways[i%3], p.request())
+		time.Sleep(100 * time.Millisecond)
+	}
+	assert.Assert(t, len(p.poison.Reached()) <= 2+poisonMost, "%d", len(p.poison.Reached()))
+}
+
+// fragile is a service whose engines crash under every request of one body, a while after
+// they began to run it, whether or not somebody still waits.
+type fragile struct {
+	b     *bench
+	after time.Duration
+	// head is what an engine answers before it crashes.
+	head func(id, engine string) string
+
+	mu      sync.Mutex
+	reached []time.Time
+	crashes []time.Time
+	number  int
+	closed  bool
+	group   sync.WaitGroup
+}
+
+// engine starts one, at an address or anywhere.
+func (f *fragile) engine(address string) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		time.AfterFunc(20*time.Millisecond, func() { f.engine(address) })
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		_ = listener.Close()
+		return
+	}
+	f.number++
+	id := fmt.Sprint("i-fragile-", f.number)
+	address = listener.Addr().String()
+	f.b.Store.Put("servers", id, map[string]any{
+		"service": orders, "address": address, "zone": zoneA, "version": "v1", "slots": 8, "state": "ready",
+		"coldLeftMs": 0, "seq": 1, "born": time.Now().UnixMilli(),
+	})
+	f.group.Go(func() { f.serve(listener, id, address) })
+}
+
+func (f *fragile) serve(listener net.Listener, id, address string) {
+	var once sync.Once
+	var mu sync.Mutex
+	var opened []net.Conn
+	crash := func() {
+		once.Do(func() {
+			_ = listener.Close()
+			mu.Lock()
+			for _, c := range opened {
+				_ = c.Close()
+			}
+			mu.Unlock()
+			f.mu.Lock()
+			f.crashes = append(f.crashes, time.Now())
+			f.mu.Unlock()
+			time.AfterFunc(450*time.Millisecond, func() { f.b.Store.Delete("servers", id) })
+			time.AfterFunc(700*time.Millisecond, func() { f.engine(address) })
+		})
+	}
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		mu.Lock()
+		opened = append(opened, c)
+		mu.Unlock()
+		go func() {
+			reader := bufio.NewReader(c)
+			for {
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				attempt := r.Header.Get("X-Jujubescale-Attempt-Id")
+				if r.Header.Get("X-Jujubescale-Expect-Instance") != id {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Jujubescale-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", attempt)
+					continue
+				}
+				f.mu.Lock()
+				f.reached = append(f.reached, time.Now())
+				f.mu.Unlock()
+				time.Sleep(f.after)
+				if f.head != nil {
+					_, _ = io.WriteString(c, f.head(attempt, id))
+					time.Sleep(20 * time.Millisecond)
+				}
+				crash()
+				return
+			}
+		}()
+	}
+}
+
+// play has callers send a request to one gateway after the other, and checks how often it
+// reached engines later than the window after the third crash.
+func (f *fragile) play(t *testing.T, deadlineMs int) {
+	t.Helper()
+	b := start(t, 3)
+	f.b = b
+	for _, e := range b.Engines(orders) {
+		b.Remove(e)
+	}
+	for range 6 {
+		f.engine("127.0.0.1:0")
+	}
+	defer func() { f.mu.Lock(); f.closed = true; f.mu.Unlock() }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, g := range b.gateways {
+			if known := len(g.Gate().View().Pool(orders)); known != 6 {
+				return poll.Continue("%d endpoints are known", known)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(15*time.Second), poll.WithDelay(10*time.Millisecond))
+	began := time.Now()
+	for i := 0; time.Since(began) < 4*time.Second; i++ {
+		s := lookup()
+		s.DeadlineMs = deadlineMs
+		b.do(b.gateways[i%3], s)
+		time.Sleep(60 * time.Millisecond)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Assert(t, len(f.crashes) >= 3)
+	late := 0
+	for _, at := range f.reached {
+		if at.After(f.crashes[2].Add(poisonWindow)) {
+			late++
+		}
+	}
+	t.Logf("reached engines %d times, %d crashed, %d quarantined", len(f.reached), len(f.crashes), len(b.Store.Names("quarantines")))
+	assert.Assert(t, late <= poisonMost, "reached engines %d times more", late)
+}
+
+// Guards against a request whose callers give up before the engine crashes.
+func TestPoisonRequestWhoseCallersLeaveFirst(t *testing.T) {
+	(&fragile{after: 200 * time.Millisecond}).play(t, 120)
+}
+
+// Guards against a request whose engine answers a failure and crashes then.
+func TestPoisonRequestThatIsAnsweredAFailure(t *testing.T) {
+	(&fragile{after: 5 * time.Millisecond, head: func(id, engine string) string {
+		return fmt.Sprintf("HTTP/1.1 500 Internal Server Error\r\nX-Jujubescale-Attempt-Id: %s\r\nX-Jujubescale-Response-Seal: seal-%s-%s\r\nContent-Length: 0\r\n\r\n", id, engine, id)
+	}}).play(t, 2000)
+}
+
+// Guards against calls to the store that are made again and again while it is away.
+func TestQuarantinesCostFewCallsWhileTheStoreIsAway(t *testing.T) {
+	b := startTwo(t)
+	const span, many = 3 * time.Second, 20
+	calls := func() int {
+		before := b.Store.Calls()
+		time.Sleep(span)
+		return b.Store.Calls() - before
+	}
+	b.Store.SetTrouble(stand.Trouble{Status: http.StatusServiceUnavailable})
+	time.Sleep(time.Second)
+	without := calls()
+	for i := range many {
+		_, reports := reportsOf(fmt.Sprint("body ", i), 3)
+		for _, g := range b.gateways {
+			g.Gate().TakeCrashes(reports)
+		}
+	}
+	time.Sleep(2 * time.Second)
+	with := calls()
+	assert.Assert(t, with <= without+3*many*3, "%d calls without quarantines, %d with them", without, with)
+	b.Store.SetTrouble(stand.Trouble{})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if held := b.Store.Names("quarantines"); len(held) != many {
+			return poll.Continue("the store holds %s", strings.Join(held, " "))
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+}
--- a/internal/serve/router/quarantine.go
+++ b/internal/serve/router/quarantine.go
@@ -4,33 +4,37 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/flow/crash"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
+	"github.com/jujubescale/jujubescale/internal/serve/gate"
 )
 
 const (
-	// quarantineRead is the time within which a change of quarantines in the store
-	// has to be known where nothing tells of it. Processes learn of crashes from each
-	// other; the store serves those that start, and operators.
+	// quarantineRead is the time within which a change of what the store holds has to
+	// be known where nothing tells of it. Processes learn of crashes from each other;
+	// the store serves those that start or were cut off, and operators.
 	quarantineRead = 25 * clock.Second
-	// quarantineEvery is how often quarantines are written and removed, quarantineTurn
-	// the time for which a deputy leaves that to the process before it, and
-	// quarantineDeputies how many there are.
-	quarantineEvery    = 250 * clock.Millis(1)
+	// quarantineEvery is how often is looked what is to be written or removed.
+	quarantineEvery = 250 * clock.Millis(1)
+	// quarantineTurn is how long a process leaves that to the owner of a request's key,
+	// and anyTurn to the owner and the deputies: they may not know of the crashes.
 	quarantineTurn     = 500 * clock.Millis(1)
+	anyTurn            = 2 * clock.Second
 	quarantineDeputies = 2
+	// quarantineTimeout bounds a call to the store, maxQuarantinePause the growing
+	// pause after one that failed.
 	quarantineTimeout  = clock.Second
+	maxQuarantinePause = 8 * clock.Second
 )
 
-// Quarantine is a quarantined request as it is written to the platform's store,
-// under its key.
+// Quarantine is a request under which endpoints crashed, as it is written to the
+// platform's store under its key. It reaches no endpoint from three crashes on.
 type Quarantine struct {
-	// SinceMs is the wall clock's millisecond at which it began.
+	// SinceMs is the wall clock's millisecond of the last crash.
 	SinceMs int64 `json:"sinceMs"`
 	// Endpoints that crashed under the request.
 	Endpoints []string `json:"endpoints"`
@@ -83,38 +87,55 @@
 	q.setFunc(listed)
 }
 
-// keepQuarantines writes quarantines to the platform's store and removes those that
-// have ended, as far as that falls to this process, until the context ends.
+// keepQuarantines writes crashes to the platform's store, and removes what is over, as
+// far as that falls to this process, until the context ends.
 func (g *Gateway) keepQuarantines(ctx context.Context) {
-	due := make(map[crash.Key]clock.Millis)
+	due := make(map[crash.Key]*dueQuarantine)
 	for g.Clock.Sleep(ctx, quarantineEvery) == nil {
 		now, book := g.Clock.Now(), g.gate.Quarantines()
-		open := make(map[crash.Key]clock.Millis)
+		open := make(map[crash.Key]*dueQuarantine)
 		for _, entry := range book.Unwritten(now) {
-			if g.quarantineFalls(entry.Key, due, open, now) {
-				g.writeQuarantine(ctx, entry)
-			}
+			g.keep(entry.Key, due, open, func() error { return g.writeQuarantine(ctx, entry) })
 		}
 		for _, key := range book.Expire(now) {
-			if g.quarantineFalls(key, due, open, now) {
-				g.removeQuarantine(ctx, key)
-			}
+			g.keep(key, due, open, func() error { return g.removeQuarantine(ctx, key) })
 		}
 		due = open
 	}
 }
 
-// quarantineFalls reports whether this process writes or removes a quarantine now:
-// as the owner of its key, or as a deputy if that has been due for a while. It notes
-// in open since when it has been due.
-func (g *Gateway) quarantineFalls(key crash.Key, due, open map[crash.Key]clock.Millis, now clock.Millis) bool {
-	since, found := due[key]
-	if !found {
-		since = now
+// dueQuarantine is a change of one object that is to be made.
+type dueQuarantine struct {
+	// since when, and when the next try may come after a pause.
+	since, next, pause clock.Millis
+}
+
+// keep makes a change of one object if that falls to this process now.
+func (g *Gateway) keep(key crash.Key, due, open map[crash.Key]*dueQuarantine, change func() error) {
+	now := g.Clock.Now()
+	d := due[key]
+	if d == nil {
+		d = &dueQuarantine{since: now}
+	}
+	open[key] = d
+	if now < d.next || !g.isMine(key, now-d.since) {
+		return
+	}
+	if err := change(); err != nil {
+		d.pause = min(max(2*d.pause, quarantineEvery), maxQuarantinePause)
+		d.next = g.Clock.Now() + d.pause
+		g.Log.Info("quarantine not kept yet", "key", key, "dueMs", int64(now-d.since), logs.KeyError, err)
+	}
+}
+
+// isMine reports whether this process makes a change that has been due so long: as the
+// owner of the key, as a deputy, or as any process that knows of it.
+func (g *Gateway) isMine(key crash.Key, due clock.Millis) bool {
+	if due >= anyTurn {
+		return true
 	}
-	open[key] = since
 	for rank := range clock.Millis(quarantineDeputies + 1) {
-		if now-since >= rank*quarantineTurn && g.mesh.Owns(fmt.Sprintf("quarantine/%s/%d", key, rank)) {
+		if due >= rank*quarantineTurn && g.mesh.Owns(gate.QuarantineSubject(key, int(rank))) {
 			return true
 		}
 	}
@@ -125,29 +146,36 @@
 	return g.Dialect.QuarantineKind + "/" + key.String()
 }
 
-func (g *Gateway) writeQuarantine(ctx context.Context, entry crash.Listed) {
+// writeQuarantine writes a request's crashes beside those that the store holds.
+func (g *Gateway) writeQuarantine(ctx context.Context, entry crash.Listed) error {
+	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout.Duration())
+	defer cancel()
+	name := g.quarantineName(entry.Key)
 	value, err := json.Marshal(Quarantine{SinceMs: time.Now().UnixMilli() - int64(entry.Age), Endpoints: entry.Endpoints})
 	if err != nil {
-		g.Log.Error("quarantine not written", "key", entry.Key, logs.KeyError, err)
-		return
+		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout.Duration())
-	defer cancel()
-	_, err = g.Store.Put(ctx, g.quarantineName(entry.Key), 0, value)
+	_, err = g.Store.Put(ctx, name, g.feeds.quarantines.Version(name), value)
 	var conflict *store.ConflictError
-	if err != nil && !errors.As(err, &conflict) {
-		g.Log.Info("quarantine not written yet", "key", entry.Key, logs.KeyError, err)
-		return
+	if errors.As(err, &conflict) {
+		var stands Quarantine
+		if json.Unmarshal(conflict.Current.Value, &stands) == nil && len(stands.Endpoints) >= len(entry.Endpoints) {
+			err = nil // another process was first
+		} else {
+			_, err = g.Store.Put(ctx, name, conflict.Current.Version, value)
+		}
+	}
+	if err != nil {
+		return err
 	}
-	g.gate.Quarantines().Written(entry.Key)
-	g.Log.Info("quarantine written", "key", entry.Key, "ageMs", int64(entry.Age), "found", err != nil)
+	g.gate.Quarantines().Written(entry.Key, len(entry.Endpoints))
+	g.Log.Info("crashes under request written", "key", entry.Key, "crashes", len(entry.Endpoints), "ageMs", int64(entry.Age))
+	return nil
 }
 
-func (g *Gateway) removeQuarantine(ctx context.Context, key crash.Key) {
+func (g *Gateway) removeQuarantine(ctx context.Context, key crash.Key) error {
 	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout.Duration())
 	defer cancel()
 	name := g.quarantineName(key)
-	if err := g.Store.Delete(ctx, name, g.feeds.quarantines.Version(name)); err != nil {
-		g.Log.Info("quarantine not removed yet", "key", key, logs.KeyError, err)
-	}
+	return g.Store.Delete(ctx, name, g.feeds.quarantines.Version(name))
 }
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -239,7 +239,7 @@
 	g.feeds.members = with(g.Dialect.MemberKind, g.ChangeWithin, feed.WithRest(func() clock.Millis { return memberRest }),
 		feed.WithList(members.list), feed.WithChanges(members.change))
 	quarantines := newQuarantines(g.gate.SetQuarantines)
-	g.feeds.quarantines = with(g.Dialect.QuarantineKind, quarantineRead, feed.WithRare(),
+	g.feeds.quarantines = with(g.Dialect.QuarantineKind, quarantineRead, feed.WithoutAge(),
 		feed.WithList(quarantines.list), feed.WithChanges(quarantines.change))
 	if g.deploy != nil {
 		g.feeds.rollouts = with(g.Dialect.RolloutKind, g.ChangeWithin, feed.WithList(g.deploy.List), feed.WithChanges(g.deploy.Change))
