--- a/internal/serve/router/poison_edge_test.go
+++ b/internal/serve/router/poison_edge_test.go
@@ -1,10 +1,7 @@
 package router_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -186,151 +183,30 @@
 	assert.Assert(t, len(p.poison.Reached()) <= 2+poisonMost, "%d", len(p.poison.Reached()))
 }
 
-// fragile is a service whose engines crash under every request of one body, a while after
-// they began to run it, whether or not somebody still waits.
-type fragile struct {
-	b     *bench
-	after time.Duration
-	// head is what an engine answers before it crashes.
-	head func(id, engine string) string
-
-	mu      sync.Mutex
-	reached []time.Time
-	crashes []time.Time
-	number  int
-	closed  bool
-	group   sync.WaitGroup
-}
-
-// engine starts one, at an address or anywhere.
-func (f *fragile) engine(address string) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		time.AfterFunc(20*time.Millisecond, func() { f.engine(address) })
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.closed {
-		_ = listener.Close()
-		return
-	}
-	f.number++
-	id := fmt.Sprint("i-fragile-", f.number)
-	address = listener.Addr().String()
-	f.b.Store.Put("servers", id, map[string]any{
-		"service": orders, "address": address, "zone": zoneA, "version": "v1", "slots": 8, "state": "ready",
-		"coldLeftMs": 0, "seq": 1, "born": time.Now().UnixMilli(),
-	})
-	f.group.Go(func() { f.serve(listener, id, address) })
-}
-
-func (f *fragile) serve(listener net.Listener, id, address string) {
-	var once sync.Once
-	var mu sync.Mutex
-	var opened []net.Conn
-	crash := func() {
-		once.Do(func() {
-			_ = listener.Close()
-			mu.Lock()
-			for _, c := range opened {
-				_ = c.Close()
+// Guards against a request that is not recognised because its callers leave before the
+// engine crashes, or because the engine answers a failure first.
+func TestPoisonRequestIsKnownHoweverItsAttemptsEnd(t *testing.T) {
+	for name, tt := range map[string]struct {
+		after    time.Duration
+		fails    bool
+		deadline int
+	}{
+		"callers leave first":   {after: 200 * time.Millisecond, deadline: 120},
+		"a failure comes first": {fails: true, deadline: callersWait},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := startPoisoning(t, lookup, false)
+			p.poison.After, p.poison.Fails = tt.after, tt.fails
+			for i := range 50 {
+				s := p.request()
+				s.DeadlineMs = tt.deadline
+				p.do(p.gateways[i%3], s)
+				time.Sleep(60 * time.Millisecond)
 			}
-			mu.Unlock()
-			f.mu.Lock()
-			f.crashes = append(f.crashes, time.Now())
-			f.mu.Unlock()
-			time.AfterFunc(450*time.Millisecond, func() { f.b.Store.Delete("servers", id) })
-			time.AfterFunc(700*time.Millisecond, func() { f.engine(address) })
+			assert.Assert(t, len(p.poison.Crashes()) >= 3)
+			p.check()
 		})
 	}
-	for {
-		c, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		mu.Lock()
-		opened = append(opened, c)
-		mu.Unlock()
-		go func() {
-			reader := bufio.NewReader(c)
-			for {
-				r, err := http.ReadRequest(reader)
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				attempt := r.Header.Get("X-Jujubescale-Attempt-Id")
-				if r.Header.Get("X-Jujubescale-Expect-Instance") != id {
-					_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Jujubescale-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", attempt)
-					continue
-				}
-				f.mu.Lock()
-				f.reached = append(f.reached, time.Now())
-				f.mu.Unlock()
-				time.Sleep(f.after)
-				if f.head != nil {
-					_, _ = io.WriteString(c, f.head(attempt, id))
-					time.Sleep(20 * time.Millisecond)
-				}
-				crash()
-				return
-			}
-		}()
-	}
-}
-
-// play has callers send a request to one gateway after the other, and checks how often it
-// reached engines later than the window after the third crash.
-func (f *fragile) play(t *testing.T, deadlineMs int) {
-	t.Helper()
-	b := start(t, 3)
-	f.b = b
-	for _, e := range b.Engines(orders) {
-		b.Remove(e)
-	}
-	for range 6 {
-		f.engine("127.0.0.1:0")
-	}
-	defer func() { f.mu.Lock(); f.closed = true; f.mu.Unlock() }()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		for _, g := range b.gateways {
-			if known := len(g.Gate().View().Pool(orders)); known != 6 {
-				return poll.Continue("%d endpoints are known", known)
-			}
-		}
-		return poll.Success()
-	}, poll.WithTimeout(15*time.Second), poll.WithDelay(10*time.Millisecond))
-	began := time.Now()
-	for i := 0; time.Since(began) < 4*time.Second; i++ {
-		s := lookup()
-		s.DeadlineMs = deadlineMs
-		b.do(b.gateways[i%3], s)
-		time.Sleep(60 * time.Millisecond)
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	assert.Assert(t, len(f.crashes) >= 3)
-	late := 0
-	for _, at := range f.reached {
-		if at.After(f.crashes[2].Add(poisonWindow)) {
-			late++
-		}
-	}
-	t.Logf("reached engines %d times, %d crashed, %d quarantined", len(f.reached), len(f.crashes), len(b.Store.Names("quarantines")))
-	assert.Assert(t, late <= poisonMost, "reached engines %d times more", late)
-}
-
-// Guards against a request whose callers give up before the engine crashes.
-func TestPoisonRequestWhoseCallersLeaveFirst(t *testing.T) {
-	(&fragile{after: 200 * time.Millisecond}).play(t, 120)
-}
-
-// Guards against a request whose engine answers a failure and crashes then.
-func TestPoisonRequestThatIsAnsweredAFailure(t *testing.T) {
-	(&fragile{after: 5 * time.Millisecond, head: func(id, engine string) string {
-		return fmt.Sprintf("HTTP/1.1 500 Internal Server Error\r\nX-Jujubescale-Attempt-Id: %s\r\nX-Jujubescale-Response-Seal: seal-%s-%s\r\nContent-Length: 0\r\n\r\n", id, engine, id)
-	}}).play(t, 2000)
 }
 
 // Guards against calls to the store that are made again and again while it is away.
