fix(canary,deploy): counts that are lost with a process spend the spare

Each process counts by itself what a rollout's candidate gets. A process that starts during the order counts from 0, and the one before it takes its counts along: the sums shrink, and the promotion spends Bounds.Spare once more (rollout promoting with sent=0 candidate=0 in the logs).

A process that finds an order running when it starts now says so with its counts, and from then on all of them plan without the spare. An order whose counts are lost late may be rolled back for want of paid requests; it can be given again.

--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -71,6 +71,9 @@
 	Spread []int64 `cbor:"spread,omitempty"`
 	// Suspended says that some process has found the candidate bad.
 	Suspended bool `cbor:"suspended,omitempty"`
+	// Restarted says that some process has started during the rollout: what the one
+	// before it counted is lost.
+	Restarted bool `cbor:"restarted,omitempty"`
 }
 
 // Plus returns the sum of two trials of one key.
@@ -80,6 +83,7 @@
 	t.Failed += more.Failed
 	t.Took += more.Took
 	t.Suspended = t.Suspended || more.Suspended
+	t.Restarted = t.Restarted || more.Restarted
 	spread := make([]int64, max(len(t.Spread), len(more.Spread)))
 	copy(spread, t.Spread)
 	for class, count := range more.Spread {
--- a/internal/route/canary/canary.go
+++ b/internal/route/canary/canary.go
@@ -190,8 +190,9 @@
 	// the new one by route and endpoint.
 	Stable    map[string]*Counts
 	Candidate map[string]map[string]*Counts
-	// Suspended is set if a process has found the candidate bad.
-	Suspended bool
+	// Suspended is set if a process has found the candidate bad, Restarted if some
+	// counts are lost with the process that had them.
+	Suspended, Restarted bool
 }
 
 // NewEvidence adds up the trials of one rollout.
@@ -209,6 +210,7 @@
 
 func (e *Evidence) add(trial *wire.Trial) {
 	e.Suspended = e.Suspended || trial.Suspended
+	e.Restarted = e.Restarted || trial.Restarted
 	if trial.Sent == 0 && trial.Answers == 0 {
 		return
 	}
--- a/internal/route/canary/canary_test.go
+++ b/internal/route/canary/canary_test.go
@@ -240,3 +240,38 @@
 	assert.Equal(t, len(seen), 19)
 	assert.Equal(t, canary.First(9000, 2, 0), 0)
 }
+
+// Guards against a bad version that gets what it may once more after each restart of the
+// processes that counted.
+func TestRestartsKeepTheBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		duration := clock.Millis(rapid.IntRange(4000, 60_000).Draw(t, "duration"))
+		o := canary.Order{Pool: order.Pool, Version: order.Version, Duration: duration}
+		rate := rapid.Float64Range(5, 400).Draw(t, "requests a second")
+		const step, processes = 100, 4
+		restarts := rapid.SliceOfN(rapid.IntRange(0, int(duration)/step), 0, 8).Draw(t, "restarts")
+		got, all, restarted := 0.0, 0.0, false
+		var stable, candidate [processes]float64
+		for now := clock.Millis(step); now <= duration; now += step {
+			for i, at := range restarts {
+				if at == int(now)/step {
+					stable[i%processes], candidate[i%processes], restarted = 0, 0, true
+				}
+			}
+			trials := []wire.Trial{{TrialKey: wire.TrialKey{Pool: o.Pool, Version: o.Version}, Restarted: restarted}}
+			for i := range processes {
+				trials = append(trials, trial("calls", "", int64(stable[i]), 0), trial("calls", "a", int64(candidate[i]), 0))
+			}
+			share := canary.NewPlan(o, bounds(), canary.NewEvidence(o, trials), now, once).Share("calls")
+			count := rate * step / 1000
+			for i := range processes {
+				stable[i] += count * (1 - share) / processes
+				candidate[i] += count * share / processes
+			}
+			got, all = got+count*share, all+count
+		}
+		if most := bounds().Share*all + bounds().Spare; got > most {
+			t.Fatalf("%.0f of %.0f requests, at most %.0f", got, all, most)
+		}
+	})
+}
--- a/internal/route/canary/plan.go
+++ b/internal/route/canary/plan.go
@@ -78,8 +78,11 @@
 //
 // A candidate may turn bad just before it is promoted, and must not have got more
 // than the bounds allow by then: the promotion begins no earlier than they pay for
-// all requests until the deadline.
+// all requests until the deadline. Once counts are lost, Bounds.Spare counts as spent.
 func NewPlan(order Order, bounds Bounds, e *Evidence, elapsed clock.Millis, repeats func(route string) bool) *Plan {
+	if e.Restarted {
+		bounds.Spare = 0
+	}
 	sent, candidate, _ := e.Totals()
 	routes := trafficOf(e, elapsed, repeats)
 	all := 0.0
--- a/internal/serve/deploy/deploy.go
+++ b/internal/serve/deploy/deploy.go
@@ -193,6 +193,7 @@
 		if old && status.Order == order && status.State == canary.Running {
 			since := clock.Millis(c.wall() - status.Began)
 			known.began -= min(max(since, 0), order.Duration)
+			known.restarted = true
 		}
 		c.byName[object.Name] = known
 		c.log.Info("rollout ordered", "pool", order.Pool, "version", order.Version, "durationMs", int64(order.Duration),
--- a/internal/serve/deploy/rollout.go
+++ b/internal/serve/deploy/rollout.go
@@ -22,6 +22,8 @@
 	name  string
 	order canary.Order
 	began clock.Millis
+	// restarted says that the order was running when this process started.
+	restarted bool
 	// status and revision are as recorded last; the controller's lock guards them.
 	status   canary.Status
 	revision uint64
@@ -86,8 +88,10 @@
 	for _, trial := range byKey {
 		all = append(all, trial)
 	}
-	if r.suspended.Load() {
-		all = append(all, wire.Trial{TrialKey: wire.TrialKey{Pool: r.order.Pool, Version: r.order.Version}, Suspended: true})
+	if suspended := r.suspended.Load(); suspended || r.restarted {
+		all = append(all, wire.Trial{
+			TrialKey: wire.TrialKey{Pool: r.order.Pool, Version: r.order.Version}, Suspended: suspended, Restarted: r.restarted,
+		})
 	}
 	return all
 }
