--- a/internal/serve/gate/crash.go
+++ b/internal/serve/gate/crash.go
@@ -130,8 +130,8 @@
 		if req.trial {
 			g.crashes.ReturnTrial(req.crashKey())
 		}
-		if errors.Is(result.cause, syscall.ECONNREFUSED) {
-			g.look(b) // for the attempts that were left there
+		if errors.Is(result.cause, syscall.ECONNREFUSED) && g.watch.left(t.Endpoint) {
+			g.look(b)
 		}
 	case result.end == notRun || result.end == inputsGone:
 	default:
