fix(gate): a failure is not the rest of a stream

Callers saw: a stream of events ended in good order after a part of its events, with the body of another engine's failure behind them. A client that trusts the framing takes that for the whole answer.

Cause: a stream that breaks off goes on at another engine. When that one answered 500 and the route allowed no third attempt, passWhole passed its body on as it does for a request whose caller has nothing yet: a second WriteHeader, which net/http ignores, its bytes behind the events, and a normal return, which ends the chunked body as complete.

Change: an answer that is no stream never follows a part of one.

The same return was possible for any status from 300 up; nothing else writes to a caller behind a begun answer: refusals go through refuse, which breaks the connection, and long plain answers aren't repeated.

--- a/internal/serve/gate/pass.go
+++ b/internal/serve/gate/pass.go
@@ -44,6 +44,9 @@
 	wrong := reply.Status >= http.StatusInternalServerError
 	t.Answered(g.Clock.Since(began), wrong)
 	l.trial.Answered(wrong || (!marks.Sealed && len(body) <= maxPlainBytes))
+	if req.begun {
+		return g.notTheRest(req, t, reply.Status)
+	}
 	if wrong && g.another(req, result{end: failed}) {
 		return g.elsewhere(req, t, reply.Status)
 	}
@@ -67,6 +70,14 @@
 	return result{end: failed, granted: true, err: fault.Refuse(fault.EndpointFailed, "status "+strconv.Itoa(status))}
 }
 
+// notTheRest judges an answer that can't go on with a stream that the caller has a
+// part of: no byte of it may follow that part, nor may the stream end as if whole.
+func (g *Gate) notTheRest(req *request, t *target.Target, status int) result {
+	g.Log.Info("endpoint doesn't go on with the stream", "request", req.Request, "endpoint", t.ID, "status", status,
+		"events", req.events, "lastEvent", req.LastEvent)
+	return result{end: failed, err: fault.Refuse(fault.AnswerBroken, "status "+strconv.Itoa(status)+" instead of the rest")}
+}
+
 // passLong passes on an answer that is too long to be kept.
 func (g *Gate) passLong(w http.ResponseWriter, req *request, reply *conn.Reply, body []byte) result {
 	copyHead(w, reply)
--- a/internal/serve/router/fault_test.go
+++ b/internal/serve/router/fault_test.go
@@ -66,6 +66,22 @@
 	assert.Equal(t, len(b.Ledger.Runs(s.ID)), 2)
 }
 
+// The engine that goes on with a stream answers a failure. Its body is no part of
+// the stream, and the caller must see that the rest is missing.
+func TestFailureInsteadOfTheRestOfAStreamCutsIt(t *testing.T) {
+	b := start(t, 1)
+	first := draft()
+	assert.Assert(t, b.do(b.gateways[0], first).Whole)
+	home := b.Ledger.Runs(first.ID)[0]
+	for _, e := range b.Engines(models) {
+		e.SetFault(stand.Fault{Every: 1, Break: e.ID == home, Fail: e.ID != home})
+	}
+	s := draft()
+	got := b.do(b.gateways[0], s)
+	assert.Equal(t, len(b.Ledger.Runs(s.ID)), 2)
+	assert.Assert(t, got.Cut && !got.Whole, "%+v", got)
+}
+
 // An engine breaks off a stream that may not run again. The caller must see
 // that it is cut, and no other engine may run it.
 func TestStreamThatMayRunOnceIsCutVisibly(t *testing.T) {
