--- a/internal/serve/router/quarantine.go
+++ b/internal/serve/router/quarantine.go
@@ -18,7 +18,7 @@
 	// be known where nothing tells of it. Processes learn of crashes from each other;
 	// the store serves those that start or were cut off, and operators.
 	quarantineRead = 25 * clock.Second
-	// quarantineEvery is how often is looked what is to be written or removed.
+	// quarantineEvery is the pause between two looks for what is to be written or removed.
 	quarantineEvery = 250 * clock.Millis(1)
 	// quarantineTurn is how long a process leaves that to the owner of a request's key,
 	// and anyTurn to the owner and the deputies: they may not know of the crashes.
