fix(mesh): a watcher without the store stays with its peer

Cause: a watcher that the store refuses (429) follows a peer once its last word is too old. What the peer relays makes that word young again, so that the next round took the watcher for one that reaches the store, and it left the peer after 0.1 to 0.2 s. It and all processes of its zone, which hear of changes through it, knew of them at each round of 1.5 s only.

Change: a watcher that was cut off follows its peer for five seconds, then tries the store, and returns at the first call that fails.

A store that doesn't refuse but keeps silent still leaves such a watcher without changes for up to 1.8 s in each trial.

--- a/internal/serve/mesh/follow.go
+++ b/internal/serve/mesh/follow.go
@@ -16,6 +16,9 @@
 	defaultLost  = 1800 * clock.Millis(1)
 	// askPause is the shortest pause between two requests for missing changes.
 	askPause = 300 * clock.Millis(1)
+	// retryStore is how long a watcher that is cut off from the store follows a peer
+	// before it tries the store again.
+	retryStore = 5 * clock.Second
 )
 
 // chooseUpstream decides through whom the store is followed: a process through
@@ -53,7 +56,7 @@
 // none. A watcher that is cut off from the store follows another process, too.
 func (m *Mesh) freshest(current string, now clock.Millis) string {
 	plan := m.view.Load().plan
-	if slices.Contains(plan.Watchers, m.self.Name) && !isStale(m.follower.SeenFunc(), m.follower.Lost) {
+	if slices.Contains(plan.Watchers, m.self.Name) && !m.cutOff(now) {
 		return ""
 	}
 	candidates := slices.Concat(plan.Watchers, plan.Aggregators, m.reporters())
@@ -68,6 +71,22 @@
 	return ""
 }
 
+// cutOff reports whether this process, a watcher, can't reach the store. What a peer
+// relays doesn't tell that it can again: it tries, and returns to a peer at the first
+// call that fails.
+func (m *Mesh) cutOff(now clock.Millis) bool {
+	r := &m.reports
+	switch {
+	case now < r.followUntil:
+		return true
+	case isStale(m.follower.SeenFunc(), m.follower.Lost), now < r.trialUntil && m.follower.DownFunc():
+		r.followUntil = now + retryStore
+		r.trialUntil = r.followUntil + m.follower.Lost
+		return true
+	}
+	return false
+}
+
 // reporters returns the processes that report to this one. One of them may reach
 // the store when no aggregator does.
 func (m *Mesh) reporters() []string {
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -81,6 +81,8 @@
 	// Fresh bounds how long ago a peer that this process follows may have heard from
 	// the store, Lost how long ago a watcher; in milliseconds.
 	Fresh, Lost clock.Millis
+	// DownFunc reports whether the last call to the store for some kind failed.
+	DownFunc func() bool
 	// AloneFunc is called when this process is to follow the store by itself.
 	AloneFunc func()
 }
@@ -234,6 +236,7 @@
 			WholeFunc:   func(string) *wire.Update { return nil },
 			TakeFunc:    func(*wire.Update, clock.Millis) []string { return nil },
 			ConfirmFunc: func([]wire.Seen, clock.Millis) []string { return nil },
+			DownFunc:    func() bool { return false },
 			AloneFunc:   func() {},
 			Fresh:       defaultFresh,
 			Lost:        defaultLost,
--- a/internal/serve/mesh/report.go
+++ b/internal/serve/mesh/report.go
@@ -71,7 +71,10 @@
 	interest     []string
 	groupSince   clock.Millis
 	upstreamLink *link
-	destinations int
+	// followUntil is until when a watcher that is cut off from the store follows a
+	// peer, trialUntil until when it tries the store after that.
+	followUntil, trialUntil clock.Millis
+	destinations            int
 }
 
 func (r *reports) init() {
--- a/internal/serve/router/fleet_test.go
+++ b/internal/serve/router/fleet_test.go
@@ -1,7 +1,9 @@
 package router_test
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -60,6 +62,31 @@
 	assert.Assert(t, time.Since(changed) < 6*time.Second, "%v", time.Since(changed))
 }
 
+// Guards against a watcher that is cut off from the store and leaves the peer through
+// which it hears of changes, again and again, to wait for the store.
+func TestWatcherWithoutTheStoreStaysWithItsPeer(t *testing.T) {
+	b := start(t, 5)
+	i := slices.IndexFunc(b.gateways, func(g *gateway) bool { return g.Watches() })
+	assert.Assert(t, i >= 0, "nobody watches the store")
+	watcher := b.gateways[i]
+	watcher.cut.Store(true)
+	time.Sleep(2500 * time.Millisecond) // it follows a peer by then
+	for round := range 10 {
+		fresh := fmt.Sprintf("key-%d", round)
+		b.Config.Tenants[0].Keys = []string{fresh}
+		b.Publish()
+		changed := time.Now()
+		b.eventually(watcher, func() *stand.Sent {
+			s := lookup()
+			s.Key = fresh
+			return s
+		}, func(got stand.Got) bool { return got.Status != http.StatusUnauthorized })
+		took := time.Since(changed)
+		assert.Check(t, took < time.Second, "change %d in force after %v", round, took)
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
 // Guards against a rush when hosts are added to a busy system: no request may be
 // lost, and a booking runs at most once, which the ledger watches. The rate of drafts
 // stays below what engines that may turn cold bear.
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"slices"
+
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/route/view"
@@ -141,8 +143,9 @@
 			}
 			return missing
 		},
-		Fresh: clock.Millis(freshShare * float64(min(g.ChangeWithin, g.LeaveWithin))),
-		Lost:  clock.Millis(lostShare * float64(min(g.ChangeWithin, g.LeaveWithin))),
+		Fresh:    clock.Millis(freshShare * float64(min(g.ChangeWithin, g.LeaveWithin))),
+		Lost:     clock.Millis(lostShare * float64(min(g.ChangeWithin, g.LeaveWithin))),
+		DownFunc: func() bool { return slices.ContainsFunc(g.feeds.all(), (*feed.Feed).Down) },
 		AloneFunc: func() {
 			for _, f := range g.feeds.all() {
 				f.Alone()
