feat(gate): record the request rate that an endpoint states, and unknown fields of answers

Now each change of an endpoint's stated rate is one line (endpoint, value, before, source, age, request) and a counter, a gauge has the number of limited endpoints, and each field of an answer that no code reads is counted by name and logged once. Malformed rates are counted, logged once for each endpoint and change nothing. Nothing acts on a rate yet.

--- a/internal/engine/spell/spell.go
+++ b/internal/engine/spell/spell.go
@@ -78,6 +78,11 @@
 	Slots   int
 	// Cold is the time in ms for which the endpoint will still be cold.
 	Cold clock.Millis
+	// Rate is the number of requests per second that the endpoint accepts from all
+	// processes together; 0 if it states none. RateFault is the stated value if that is
+	// no positive decimal number; Rate is 0 then.
+	Rate      float64
+	RateFault string
 }
 
 // Piece is one item of a call to a stage engine.
@@ -147,6 +152,9 @@
 	InstanceFunc func(buf []byte, instance string) []byte
 	// ResponseInfoFunc decodes the metadata of an answer.
 	ResponseInfoFunc func(http.Header) ResponseInfo
+	// UnreadFunc returns the names of the fields of an answer that the product does not
+	// know.
+	UnreadFunc func(http.Header) []string
 	// PiecesFunc encodes a call of pieces. ResultsFunc decodes its answer and fails
 	// unless it has count results.
 	PiecesFunc  func(pieces []Piece) ([]byte, error)
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -25,11 +25,13 @@
 	"github.com/jujubescale/jujubescale/internal/flow/reach"
 	"github.com/jujubescale/jujubescale/internal/flow/recall"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/ops/unread"
 	"github.com/jujubescale/jujubescale/internal/route/place"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/deploy"
 	"github.com/jujubescale/jujubescale/internal/serve/host"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
+	"github.com/jujubescale/jujubescale/internal/serve/permit"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
 )
 
@@ -81,6 +83,8 @@
 	refusals         *recall.Refusals
 	crashes          *crash.Tracker
 	detector         *crashDetector
+	limits           *permit.Book
+	unread           *unread.Fields
 	routeStats       byName[routeStats]
 	// readRates holds the rate at which the engines of each pool read prompts.
 	readRates byName[place.Rate]
@@ -100,6 +104,8 @@
 	g := &Gate{
 		Settings: settings, meter: NewMeter(settings.Registry), arrivals: inflow.New(), refusals: recall.New(),
 		crashes: crash.New(), detector: newCrashDetector(),
+		limits: permit.New(permit.WithClock(settings.Clock), permit.WithLog(settings.Log), permit.WithRegistry(settings.Registry)),
+		unread: unread.New(unread.WithLog(settings.Log), unread.WithRegistry(settings.Registry)),
 	}
 	g.bounds.Store(&Bounds{})
 	g.targets = target.NewSet(g.Clock, g.maxConns, g.meter.dialed)
@@ -119,7 +125,21 @@
 func (g *Gate) NotDraining() bool { return !g.leaving.Load() }
 
 // Sweep drops the state of removed endpoints and closes unused connections.
-func (g *Gate) Sweep() { g.targets.Sweep() }
+func (g *Gate) Sweep() {
+	g.targets.Sweep()
+	g.limits.Sweep(func(endpoint string) bool { return g.View().Find(endpoint) != nil })
+}
+
+// ObserveAnswer records what the head of an endpoint's answer says about the endpoint, and
+// returns it. The request was sent at an instant.
+func (g *Gate) ObserveAnswer(e *view.Endpoint, header http.Header, request string, sentAt clock.Millis) spell.ResponseInfo {
+	info := g.Codec.ResponseInfoFunc(header)
+	g.limits.Observe(e, info, request, sentAt)
+	if names := g.Codec.UnreadFunc(header); len(names) > 0 {
+		g.unread.Record(e.ID, names)
+	}
+	return info
+}
 
 // EachUsedEndpoint calls visit for every endpoint that this process has used.
 func (g *Gate) EachUsedEndpoint(visit func(*view.Endpoint)) { g.targets.Each(visit) }
--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -213,16 +213,17 @@
 		head = append(head, "\r\nConnection: close"...)
 	}
 	head = append(head, "\r\n\r\n"...)
+	sentAt := h.Clock.Now()
 	reply, err := h.Conns(endpoint).Do(ctx, &conn.Request{Method: method, Head: head, Body: body, MaxIdle: maxIdle})
 	if err != nil {
 		return nil, err
 	}
 	defer reply.Finish()
+	info := h.ObserveFunc(endpoint, reply.Header, "", sentAt)
 	raw, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
 	if err != nil {
 		return nil, &conn.SentError{Address: endpoint.Address, Cause: err}
 	}
-	info := h.Codec.ResponseInfoFunc(reply.Header)
 	switch {
 	case info.NotRun || reply.Status == http.StatusMisdirectedRequest:
 		return nil, &RefusedError{Endpoint: endpoint.ID, Status: reply.Status}
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 
 	"github.com/charmbracelet/log"
@@ -100,6 +101,9 @@
 	// Earn adds the share of one ordinary request to the retry budget of a pool.
 	Earn  func(pool string)
 	Meter *Meter
+	// ObserveFunc decodes the head of an engine's answer to a request that was sent at an
+	// instant, and records what it says about the engine.
+	ObserveFunc func(e *view.Endpoint, header http.Header, request string, sentAt clock.Millis) spell.ResponseInfo
 	// Deploy controls the rollouts; nil if there are none.
 	Deploy *deploy.Controller
 }
--- a/internal/serve/host/host_test.go
+++ b/internal/serve/host/host_test.go
@@ -164,6 +164,9 @@
 		Conns: func(e *view.Endpoint) *conn.Group { return groups[e] },
 		Retry: func(string) bool { return h.retries.Add(-1) >= 0 }, Earn: func(string) {},
 		Meter: host.NewMeter(prometheus.NewRegistry()),
+		ObserveFunc: func(_ *view.Endpoint, header http.Header, _ string, _ clock.Millis) spell.ResponseInfo {
+			return codec().ResponseInfoFunc(header)
+		},
 	})
 	ended := make(chan struct{})
 	go func() { h.Run(t.Context()); close(ended) }()
