fix(host): a stage engine gets no more requests than the rate that it states

The owner of a shard is the only process that calls its engines, so it keeps their buckets by itself; an engine without a permit counts as occupied and its pieces go to others.

--- a/internal/flow/sums/limits.go
+++ b/internal/flow/sums/limits.go
@@ -1,6 +1,8 @@
 package sums
 
 import (
+	"fmt"
+
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 )
@@ -22,6 +24,15 @@
 	step  uint64
 }
 
+func checkLimits(from Source, limits []wire.EndpointLimit) error {
+	for _, limit := range limits {
+		if !limit.Plausible() {
+			return &ReportError{Process: from.Process, Cause: fmt.Sprintf("invalid limit %v of endpoint %q", limit.Limit, limit.Endpoint)}
+		}
+	}
+	return nil
+}
+
 // recordLimits stores the limits of a message that are newer than the stored ones. The
 // caller must hold t.mu.
 func (t *Totals) recordLimits(from Source, limits []wire.EndpointLimit, now clock.Millis) {
--- a/internal/flow/sums/sums.go
+++ b/internal/flow/sums/sums.go
@@ -152,10 +152,8 @@
 			return &ReportError{Process: from.Process, Cause: fmt.Sprintf("invalid revision of %q", progress.Kind)}
 		}
 	}
-	for _, limit := range sums.Limits {
-		if !limit.Plausible() {
-			return &ReportError{Process: from.Process, Cause: fmt.Sprintf("invalid limit %v of endpoint %q", limit.Limit, limit.Endpoint)}
-		}
+	if err := checkLimits(from, sums.Limits); err != nil {
+		return err
 	}
 	return checkTrials(from, sums.Trials)
 }
--- a/internal/serve/host/dispatch.go
+++ b/internal/serve/host/dispatch.go
@@ -24,22 +24,32 @@
 
 func (h *Host) usableAmong(q *queue, pool *table.Batching, endpoints []*view.Endpoint) (count int, free []*engine) {
 	now := h.Clock.Now()
+	callSeconds := batch.BoundsOf(pool).Duration(pool.Pieces) / float64(clock.Second)
+	limited := 0
 	for _, endpoint := range endpoints {
 		if endpoint.Unavailable() {
 			continue
 		}
-		count++ // includes blocked engines, which are usable again before a queue gets long
+		if limit := h.LimitFunc(endpoint); limit == 0 || limit*callSeconds >= minCallShare {
+			count++ // includes blocked engines, which are usable again before a queue gets long
+		} else {
+			limited = 1
+		}
 		if endpoint.Blocked(now) {
 			continue
 		}
 		e := q.engine(endpoint)
-		if e.calls < max(pool.Calls, 1) {
+		if e.calls < max(pool.Calls, 1) && h.limitWait(e, now) == 0 {
 			free = append(free, e)
 		}
 	}
-	return count, free
+	return max(count, limited), free
 }
 
+// minCallShare is the share of its time that an engine must be allowed to work by its limit
+// to count as an engine when waits are estimated.
+const minCallShare = 0.5
+
 // dispatch starts calls as long as there are queued pieces and free engines. The
 // caller holds the lock.
 func (h *Host) dispatch(q *queue) {
@@ -75,10 +85,14 @@
 			Zone: e.Zone, FreeBytes: e.memory.Available(limits, now), FreeEngines: len(free) - i,
 			AllowRetryFunc: func() bool { return h.Retry(h.poolOf(q.name)) },
 		}
+		if h.limitWait(e, now) > 0 {
+			continue // a report or a release of results was sent meanwhile
+		}
 		items := q.queued.NextBatch(bounds, slot, now)
 		if len(items) == 0 {
 			continue
 		}
+		h.takeLimit(e, now)
 		if q.queued.Pieces() > 0 {
 			q.batchSize = smooth(q.batchSize, float64(len(items)))
 		}
--- a/internal/serve/host/engines.go
+++ b/internal/serve/host/engines.go
@@ -6,6 +6,7 @@
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/guard/memory"
+	"github.com/jujubescale/jujubescale/internal/guard/rate"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 )
 
@@ -18,11 +19,28 @@
 	// slowdown is the moving average of the ratio of actual to expected duration of
 	// its calls, at least 1.
 	slowdown float64
+	// bucket grants the requests to an engine that states a limit. This process is the
+	// only one that sends it requests.
+	bucket rate.Bucket
 	// prompt is set if the last call started without waiting behind a call of
 	// another owner.
 	prompt bool
 }
 
+// limitWait returns the time until the limit of an engine allows another request, 0 for now.
+func (h *Host) limitWait(e *engine, now clock.Millis) clock.Millis {
+	if limit := h.LimitFunc(e.Endpoint); limit > 0 {
+		return e.bucket.Wait(limit, now)
+	}
+	return 0
+}
+
+// takeLimit counts a request to an engine and reports whether its limit allows the request.
+func (h *Host) takeLimit(e *engine, now clock.Millis) bool {
+	limit := h.LimitFunc(e.Endpoint)
+	return limit == 0 || e.bucket.Take(limit, now) == 0
+}
+
 // foreignHolder returns the engine that stores a result of a previous owner. It
 // returns nil if the endpoint is gone, or if this process has owned the pool for so
 // long that the result must have been freed already.
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -104,6 +104,9 @@
 	// ObserveFunc decodes the head of an engine's answer to a request that was sent at an
 	// instant, and records what it says about the engine.
 	ObserveFunc func(e *view.Endpoint, header http.Header, request string, sentAt clock.Millis) spell.ResponseInfo
+	// LimitFunc returns the number of requests per second that an engine accepts, 0 if it
+	// states no limit.
+	LimitFunc func(*view.Endpoint) float64
 	// Deploy controls the rollouts; nil if there are none.
 	Deploy *deploy.Controller
 }
--- a/internal/serve/host/host_test.go
+++ b/internal/serve/host/host_test.go
@@ -167,6 +167,7 @@
 		ObserveFunc: func(_ *view.Endpoint, header http.Header, _ string, _ clock.Millis) spell.ResponseInfo {
 			return codec().ResponseInfoFunc(header)
 		},
+		LimitFunc: func(*view.Endpoint) float64 { return 0 },
 	})
 	ended := make(chan struct{})
 	go func() { h.Run(t.Context()); close(ended) }()
--- a/internal/serve/host/room.go
+++ b/internal/serve/host/room.go
@@ -18,7 +18,8 @@
 // needsReport reports whether an engine can't get calls because its memory state is
 // unknown, and queries it if a query is due. The caller holds the lock.
 func (h *Host) needsReport(q *queue, e *engine, limits memory.Limits, now clock.Millis) bool {
-	if e.memory.BeginQuery(now) {
+	if h.limitWait(e, now) == 0 && e.memory.BeginQuery(now) {
+		h.takeLimit(e, now)
 		h.group.Add(1)
 		go func() {
 			defer h.group.Done()
@@ -89,13 +90,14 @@
 	now := h.Clock.Now()
 	needed := q.queued.ResultBytes(pool.Pieces)
 	for _, e := range q.engines {
-		if e.Gone() {
+		if e.Gone() || h.limitWait(e, now) > 0 {
 			continue
 		}
 		references := e.memory.BeginFree(limitsOf(pool), needed, now)
 		if len(references) == 0 {
 			continue
 		}
+		h.takeLimit(e, now)
 		h.group.Add(1)
 		go func() {
 			defer h.group.Done()
--- a/internal/serve/router/limit_test.go
+++ b/internal/serve/router/limit_test.go
@@ -93,3 +93,27 @@
 		assert.Assert(t, total > 0, "%s got no request", e.ID)
 	}
 }
+
+// Guards against calls of pieces, reports and releases of results that go around the rate
+// which a stage engine states.
+func TestStageEnginesGetNoMoreThanTheirStatedRate(t *testing.T) {
+	b := start(t, 3)
+	b.addModels(2)
+	limited := append(b.Engines(encode)[:1], b.Engines(retrieval)[:1]...)
+	for i, e := range limited {
+		e.SetRate([]float64{1, 2}[i])
+	}
+	outcomes := b.load(10*time.Second, []time.Duration{150 * time.Millisecond, 400 * time.Millisecond}, draft)
+	served := 0
+	for _, outcome := range outcomes {
+		if outcome.Status == http.StatusOK {
+			served++
+		}
+	}
+	assert.Assert(t, served*10 >= len(outcomes)*9, "%d of %d served", served, len(outcomes))
+	for _, e := range limited {
+		total, most := e.Arrivals()
+		t.Logf("%s: %d requests, at most %d in 4 s", e.ID, total, most)
+		assert.Assert(t, total > 0, "%s got no call", e.ID)
+	}
+}
