--- a/internal/flow/sums/sums.go
+++ b/internal/flow/sums/sums.go
@@ -8,6 +8,7 @@
 package sums
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sync"
@@ -152,10 +153,7 @@
 			return &ReportError{Process: from.Process, Cause: fmt.Sprintf("invalid revision of %q", progress.Kind)}
 		}
 	}
-	if err := checkLimits(from, sums.Limits); err != nil {
-		return err
-	}
-	return checkTrials(from, sums.Trials)
+	return cmp.Or(checkLimits(from, sums.Limits), checkTrials(from, sums.Trials))
 }
 
 func checkTrials(from Source, trials []wire.Trial) error {
