--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -32,10 +32,12 @@
 	Configure         Kind = "configure"
 	// RollingStop terminates all processes, one after the other.
 	RollingStop Kind = "rollingStop"
+	// LimitRate makes an engine state how many requests per second it accepts.
+	LimitRate Kind = "limitRate"
 )
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return append(overlappingKinds(), RollingStop) }
+func Kinds() []Kind { return append(overlappingKinds(), RollingStop, LimitRate) }
 
 // overlappingKinds returns the kinds that may overlap with other disturbances.
 func overlappingKinds() []Kind {
@@ -73,6 +75,23 @@
 	return plan
 }
 
+// limits returns the times at which engines state limits. They overlap all other
+// disturbances and last longer, because a limit binds only after some seconds.
+func limits(seed uint64, length time.Duration) []Disturbance {
+	random := rand.New(rand.NewPCG(seed, 23))
+	var plan []Disturbance
+	for at := firstDisturbance + rollingCount*rollingSpan; at < length-recoverySpan-minLimitTime; {
+		d := Disturbance{Kind: LimitRate, At: at, For: minLimitTime + time.Duration(random.IntN(4000))*time.Millisecond, Subject: random.IntN(64)}
+		d.For = min(d.For, length-recoverySpan-at)
+		plan = append(plan, d)
+		at += time.Duration(1000+random.IntN(3000)) * time.Millisecond
+	}
+	return plan
+}
+
+// minLimitTime is the shortest time for which an engine states a limit.
+const minLimitTime = 5 * time.Second
+
 // Plan returns the disturbances of a seed, by time. Rolling stops come first, then
 // overlapping series of other kinds. No disturbance extends into the recovery span at
 // the end of the run.
@@ -94,6 +113,7 @@
 		}
 		at += time.Duration(random.IntN(900)) * time.Millisecond
 	}
+	plan = append(plan, limits(seed, length)...)
 	slices.SortStableFunc(plan, func(a, b Disturbance) int { return int(a.At - b.At) })
 	return plan
 }
--- a/internal/bench/soak/strike.go
+++ b/internal/bench/soak/strike.go
@@ -102,6 +102,10 @@
 
 func (r *run) injectPlatformChange(ctx context.Context, d Disturbance) {
 	e := r.engineAt(d.Subject)
+	if d.Kind == LimitRate {
+		limitRate(ctx, e, d)
+		return
+	}
 	if e.ended.Load() || (d.Kind == EngineFaults && e.Version != "") {
 		return // issueOrders sets the faults of candidates
 	}
@@ -132,3 +136,14 @@
 		r.deployment.Publish()
 	}
 }
+
+// limitRate makes an engine state a malformed limit, then one for most of the time.
+func limitRate(ctx context.Context, e *engine, d Disturbance) {
+	rates := []float64{0.5, 1, 1.2, 5}
+	malformed := []string{"-1", "NaN", "1e308", "", "soon", "1, 2", "0"}
+	e.SetRateText(malformed[d.Subject%len(malformed)])
+	pause(ctx, d.For/10)
+	e.SetRate(rates[d.Subject%len(rates)])
+	pause(ctx, d.For*9/10)
+	e.SetRate(0)
+}
