fix(gate): endpoints to avoid serve what limited ones can't take

What callers saw: with one of two endpoints at its limit and the other one blocked for 80 ms after a refusal, requests were refused as rateLimited, though blocked endpoints are used when there is no other.

Cause: a time to wait from the limits ended the choice before the second pass. An endpoint that is held back by its own limit now leaves the second pass to the others.

Also: a limit that its owner announces again unchanged is kept by the aggregators; a request whose last endpoint gave no permit in time is refused as rateLimited, not as coldStart.

--- a/internal/flow/sums/limits.go
+++ b/internal/flow/sums/limits.go
@@ -45,12 +45,13 @@
 	}
 }
 
-// newer reports whether a limit received now was stated after the known one.
+// newer reports whether a limit received now was stated after the known one, or is the known
+// one, announced again.
 func newer(limit wire.EndpointLimit, known limitState, now clock.Millis) bool {
 	if limit.StartedAt != known.limit.StartedAt {
 		return limit.StartedAt > known.limit.StartedAt
 	}
-	return now-limit.Age > known.at-known.limit.Age
+	return now-limit.Age >= known.at-known.limit.Age
 }
 
 // addLimits adds the limits that were not sent to a destination yet. The caller must hold
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -42,11 +42,15 @@
 }
 
 // choose returns the endpoint that will probably answer first. Endpoints that failed
-// recently are used only if there is no other.
+// recently are used only if there is no other, or if the others have reached the limits that
+// they state.
 func (g *Gate) choose(req *request) choice {
 	chosen := g.chooseAmong(req, false)
-	if chosen.target == nil && chosen.wait == 0 {
-		chosen = g.chooseAmong(req, true)
+	if chosen.target != nil || (chosen.wait > 0 && !chosen.rateLimited) {
+		return chosen
+	}
+	if avoided := g.chooseAmong(req, true); avoided.target != nil || chosen.wait == 0 {
+		return avoided
 	}
 	return chosen
 }
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -164,8 +164,11 @@
 			if chosen.wait = g.take(ctx, req, chosen.target); chosen.wait == 0 {
 				return chosen, nil
 			}
-			if g.limits.Wait(chosen.target.Endpoint, now) > 0 && now < waitUntil {
-				continue // another endpoint may take the request now
+			if g.limits.Wait(chosen.target.Endpoint, now) > 0 {
+				if now < waitUntil {
+					continue // another endpoint may take the request now
+				}
+				chosen.rateLimited = true
 			}
 		}
 		switch {
--- a/internal/serve/router/limit_test.go
+++ b/internal/serve/router/limit_test.go
@@ -117,3 +117,116 @@
 		assert.Assert(t, total > 0, "%s got no call", e.ID)
 	}
 }
+
+// limitedAt returns how many endpoints have a limit in force at a gateway.
+func (g *gateway) limitedAt(t *testing.T) int {
+	t.Helper()
+	return int(g.Gate().Limits().Limited())
+}
+
+// awaitLimited waits until every gateway knows a number of limited endpoints, and returns
+// how long that took.
+func (b *bench) awaitLimited(count int) time.Duration {
+	b.t.Helper()
+	began := time.Now()
+	poll.WaitOn(b.t, func(poll.LogT) poll.Result {
+		for i, g := range b.gateways {
+			if known := g.limitedAt(b.t); known != count {
+				return poll.Continue("gateway %d knows %d limited endpoints, not %d", i+1, known, count)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(2*time.Millisecond))
+	return time.Since(began)
+}
+
+// Guards against gateways that learn a limit only from an answer of their own.
+func TestAllGatewaysLearnALimitFromOneAnswer(t *testing.T) {
+	b := start(t, 9)
+	engine := b.Engines(orders)[0]
+	engine.SetRate(2)
+	b.sendUntil(b.gateways[4], lookup, func(stand.Outcome) bool { return b.gateways[4].limitedAt(t) == 1 })
+	took := b.awaitLimited(1)
+	t.Logf("all gateways know the limit after %v", took)
+	engine.SetRate(0)
+	b.sendUntil(b.gateways[2], lookup, func(stand.Outcome) bool { return b.gateways[2].limitedAt(t) == 0 })
+	t.Logf("all gateways know its end after %v", b.awaitLimited(0))
+}
+
+// Guards against requests that wait for a permit, or are lost, while all endpoints of their
+// pool are limited, and against callers that are told to return together.
+func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
+	b := start(t, 3)
+	for _, e := range b.Engines(orders) {
+		e.SetRate(5)
+	}
+	b.load(time.Second, []time.Duration{50 * time.Millisecond}, lookup)
+	outcomes := b.load(6*time.Second, []time.Duration{50 * time.Millisecond, 150 * time.Millisecond, 70 * time.Millisecond}, lookup)
+	served, returns := 0, make(map[time.Duration]int)
+	for _, outcome := range outcomes {
+		switch outcome.Status {
+		case http.StatusOK:
+			served++
+		case http.StatusServiceUnavailable:
+			assert.Assert(t, outcome.Took < 500*time.Millisecond, "refused after %v", outcome.Took)
+			assert.Assert(t, outcome.RetryAfter > 0 && outcome.RetryAfter <= 10*time.Second, outcome.RetryAfter)
+			returns[outcome.RetryAfter.Round(100*time.Millisecond)]++
+		default:
+			t.Errorf("unexpected outcome %+v", outcome)
+		}
+	}
+	t.Logf("%d of %d served, %d different times to return", served, len(outcomes), len(returns))
+	// Two endpoints accept 60 requests in 6 s.
+	assert.Assert(t, served >= 54 && served <= 66+16, served)
+	assert.Assert(t, len(returns) >= 10, returns)
+}
+
+// Guards against a limit that is exceeded, or an endpoint that is left unused, after the
+// process that grants its permits was killed.
+func TestLimitHoldsWhenTheOwnerOfAnEndpointIsKilled(t *testing.T) {
+	b := start(t, 5)
+	b.addModels(6)
+	engine := b.Engines(models)[0]
+	engine.SetRate(5)
+	b.load(3500*time.Millisecond, []time.Duration{150 * time.Millisecond}, ownSummary)
+	killed := b.gateways[0].Owner(engine.ID)
+	for i, g := range b.gateways {
+		if g.Name == killed {
+			g.stop()
+			b.gateways = append(b.gateways[:i:i], b.gateways[i+1:]...)
+			break
+		}
+	}
+	before, _ := engine.Arrivals()
+	outcomes := b.load(8*time.Second, []time.Duration{150 * time.Millisecond}, ownSummary)
+	total, most := engine.Arrivals()
+	t.Logf("%d requests after the owner was killed, at most %d in 4 s", total-before, most)
+	assert.Assert(t, total-before >= 10, "%d requests in 8 s", total-before)
+	served := 0
+	for _, outcome := range outcomes {
+		if outcome.Status == http.StatusOK {
+			served++
+		}
+	}
+	assert.Assert(t, served*100 >= len(outcomes)*99, "%d of %d served", served, len(outcomes))
+}
+
+// Guards against requests that are refused because one endpoint has reached its limit and
+// the others have just refused a request. Endpoints to avoid are better than none.
+func TestLimitedEndpointDoesNotHideThoseToAvoid(t *testing.T) {
+	b := start(t, 2)
+	engines := b.Engines(orders)
+	engines[0].SetRate(0.5)
+	b.load(time.Second, []time.Duration{50 * time.Millisecond}, lookup)
+	engines[1].SetFault(stand.Fault{Every: 3, Refuse: true})
+	outcomes := b.load(4*time.Second, []time.Duration{25 * time.Millisecond}, lookup)
+	served := 0
+	for _, outcome := range outcomes {
+		if outcome.Status == http.StatusOK {
+			served++
+		}
+	}
+	t.Logf("%d of %d served", served, len(outcomes))
+	// The other endpoint refuses one request in three.
+	assert.Assert(t, served*10 >= len(outcomes)*6, "%d of %d served", served, len(outcomes))
+}
