--- a/internal/serve/router/rollout_test.go
+++ b/internal/serve/router/rollout_test.go
@@ -388,12 +388,17 @@
 				b.addVersion(k, "v2", fault)
 				const length = 7 * time.Second
 				r := b.orderRollout(k, length, bad)
-				time.AfterFunc(time.Duration(d.after*float64(length)), func() {
+				struck := make(chan struct{})
+				timer := time.AfterFunc(time.Duration(d.after*float64(length)), func() {
+					defer close(struck)
 					lock.Lock()
 					defer lock.Unlock()
 					d.do(b)
 				})
 				b.AwaitDecision(r, time.Second)
+				if !timer.Stop() {
+					<-struck
+				}
 				l.stop()
 				for _, breach := range b.CheckRollout(r) {
 					t.Error(breach)
