test(router): wait until all gateways know the engines that a test adds

The system does nothing wrong there; the test now waits for the member list of engines, with the same checks and limits after it.

--- a/internal/serve/router/limit_test.go
+++ b/internal/serve/router/limit_test.go
@@ -49,10 +49,16 @@
 		})
 		assert.NilError(b.t, err)
 	}
-	want := len(b.Engines(models))
+	b.awaitKnown(models)
+}
+
+// awaitKnown waits until all gateways know the engines of a service.
+func (b *bench) awaitKnown(service string) {
+	b.t.Helper()
+	want := len(b.Engines(service))
 	poll.WaitOn(b.t, func(poll.LogT) poll.Result {
 		for _, g := range b.gateways {
-			if known := g.KnownEndpoints(models); known < want {
+			if known := g.KnownEndpoints(service); known < want {
 				return poll.Continue("%d of %d engines known", known, want)
 			}
 		}
--- a/internal/serve/router/poison_edge_test.go
+++ b/internal/serve/router/poison_edge_test.go
@@ -37,6 +37,7 @@
 // refused for a quarter of an hour because all engines that ran it lost power together.
 func TestLookupIsServedAfterItsEnginesStopTogether(t *testing.T) {
 	b := startTwoTenants(t)
+	b.awaitKnown(orders)
 	engines := b.Engines(orders)
 	for _, e := range engines {
 		e.SetFault(stand.Fault{Every: 1, Delay: 1500 * time.Millisecond})
