fix(gate): a conflict answered to a request without stages is retried

What callers saw: the connection closed without an answer. An endpoint of a route without stages answers 409 and that it did not run the request; the gate then restarted the stages of a nil run and panicked.

--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -132,7 +132,7 @@
 		return result.err
 	}
 	g.meter.retries.WithLabelValues(req.pool.Name, result.label()).Inc()
-	if result.outcome != inputsGone && (req.run == nil || !req.run.ResultsMissing()) {
+	if req.run == nil || (result.outcome != inputsGone && !req.run.ResultsMissing()) {
 		return nil
 	}
 	req.stageRestarts++
--- a/internal/serve/router/path_test.go
+++ b/internal/serve/router/path_test.go
@@ -174,3 +174,21 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), stand.Answer(s.ID, []byte(s.Body)))
 }
+
+// Guards against a request without stages that breaks its connection because an endpoint
+// answers 409, as model engines do whose inputs are gone.
+func TestConflictWithoutStagesIsRetried(t *testing.T) {
+	b := start(t, 1)
+	b.Engines(orders)[0].SetFault(stand.Fault{Every: 1, Refuse: true, RefuseStatus: http.StatusConflict})
+	served := 0
+	for range 20 {
+		// The retry budget allows only some of the requests that get the conflict a retry.
+		got := b.send(b.gateways[0], lookup())
+		assert.Assert(t, got.Complete || (got.Status == http.StatusServiceUnavailable && got.RetryAfter > 0), "%+v", got)
+		if got.Complete {
+			served++
+		}
+	}
+	assert.Assert(t, served > 0)
+	assert.Assert(t, b.gateways[0].counterSum(t, "jujubescale_routed_retries_total") > 0)
+}
