fix(extra): idle time saves up no more repeats than the burst

A bound on the sum of all processes that each keeps for itself: after an idle hour one of two processes had 1800 repeats at once, 10 is its part, and in a fleet that grows from 1 to 20 processes each kept the part of one (3599). The quota now stops at its maximum and follows bounds and fleet at each use. TestIdleTimeSavesUpNoMoreThanTheBurst and TestPartOfTheBoundsFollowsTheFleet failed before with these figures.

--- a/internal/flow/extra/extra.go
+++ b/internal/flow/extra/extra.go
@@ -68,12 +68,13 @@
 	defer b.mu.Unlock()
 	bounds, now := b.bounds(), b.clock.Now()
 	base := bounds.Base / float64(max(b.processes(), 1))
+	share, maximum := int64(localShare*bounds.Share*thousandths), max(int64(burstShare*base), initialExtras)
 	p := b.byPool[pool]
 	if p == nil {
-		maximum := max(int64(burstShare*base), initialExtras)
-		p = &poolPart{quota: quota.New(int64(localShare*bounds.Share*thousandths), initialExtras, maximum), refilledAt: now}
+		p = &poolPart{quota: quota.New(share, initialExtras, maximum), refilledAt: now}
 		b.byPool[pool] = p
 	}
+	p.quota.SetBounds(share, maximum)
 	if bounds.Window <= 0 {
 		return p.quota
 	}
--- a/internal/flow/extra/extra_test.go
+++ b/internal/flow/extra/extra_test.go
@@ -58,3 +58,35 @@
 		}
 	}
 }
+
+// Guards against a process that saves up repeats while nothing is sent and then spends far
+// more than its part of the bounds in one window.
+func TestIdleTimeSavesUpNoMoreThanTheBurst(t *testing.T) {
+	fake := clock.NewFake(0)
+	bounds := extra.Bounds{Base: 40, Window: 10 * clock.Second}
+	b := extra.New(fake.Clock(), func() extra.Bounds { return bounds }, func() int { return 2 })
+	b.Take("encode")
+	fake.Advance(clock.Hour)
+	spent := 0
+	for b.Take("encode") {
+		spent++
+	}
+	assert.Assert(t, spent >= 5 && spent <= 10, spent)
+}
+
+// Guards against a process that keeps the part of the bounds that it had in a smaller
+// fleet.
+func TestPartOfTheBoundsFollowsTheFleet(t *testing.T) {
+	fake, processes := clock.NewFake(0), 1
+	bounds := extra.Bounds{Base: 40, Window: 10 * clock.Second}
+	b := extra.New(fake.Clock(), func() extra.Bounds { return bounds }, func() int { return processes })
+	b.Take("encode")
+	fake.Advance(clock.Hour)
+	assert.Assert(t, b.Take("encode"))
+	processes = 20
+	spent := 0
+	for b.Take("encode") {
+		spent++
+	}
+	assert.Assert(t, spent <= 1, spent)
+}
--- a/internal/flow/quota/quota.go
+++ b/internal/flow/quota/quota.go
@@ -11,27 +11,38 @@
 // takes no lock.
 type Quota struct {
 	available atomic.Int64
-	share     int64
-	maximum   int64
+	share     atomic.Int64
+	maximum   atomic.Int64
 }
 
 // New returns a quota that starts with the given number of extras and adds share
 // thousandths of an extra for each event. Nothing is added while the maximum is
 // available.
 func New(share, start, maximum int64) *Quota {
-	q := &Quota{share: share, maximum: maximum * unitsPerExtra}
+	q := &Quota{}
+	q.SetBounds(share, maximum)
 	q.available.Store(start * unitsPerExtra)
 	return q
 }
 
+// SetBounds replaces the share and the maximum. Extras above the new maximum are lost.
+func (q *Quota) SetBounds(share, maximum int64) {
+	q.share.Store(share)
+	q.maximum.Store(maximum * unitsPerExtra)
+	q.Add(0)
+}
+
 // Earn adds the share of one event.
-func (q *Quota) Earn() { q.Add(q.share) }
+func (q *Quota) Earn() { q.Add(q.share.Load()) }
 
-// Add adds thousandths of an extra without an event. The sum may exceed the maximum
-// if less than the maximum was available before.
+// Add adds thousandths of an extra without an event, up to the maximum.
 func (q *Quota) Add(thousandths int64) {
-	if q.available.Load() < q.maximum {
-		q.available.Add(thousandths)
+	for {
+		available := q.available.Load()
+		sum := min(available+thousandths, q.maximum.Load())
+		if sum == available || q.available.CompareAndSwap(available, sum) {
+			return
+		}
 	}
 }
 
