fix(recall): a second refusal of a known caller is stored while the set is full

A caller that was refused again while 8192 refusals are stored counted as returned once its first time to retry had come. TestSecondRefusalIsStoredWhileTheSetIsFull failed before.

--- a/internal/flow/recall/recall.go
+++ b/internal/flow/recall/recall.go
@@ -69,12 +69,13 @@
 	}
 }
 
-// put stores a refusal if there is room. The caller must hold r.mu.
+// put stores a refusal if there is room or the caller was refused before. The caller must
+// hold r.mu.
 func (r *Refusals) put(refusal Refusal, now clock.Millis) {
 	if len(r.byKey) >= maxRefusals && now-r.prunedAt >= pruneInterval {
 		r.prune(now)
 	}
-	if len(r.byKey) < maxRefusals {
+	if _, known := r.byKey[refusal.Key]; known || len(r.byKey) < maxRefusals {
 		r.byKey[refusal.Key] = refusal
 	}
 }
--- a/internal/flow/recall/recall_test.go
+++ b/internal/flow/recall/recall_test.go
@@ -69,3 +69,17 @@
 	_, returned = refusals.Lookup(19_999, 30_400)
 	assert.Assert(t, returned)
 }
+
+// Guards against a caller that is refused a second time while the set is full and then
+// counts as returned as soon as its first time to retry has come.
+func TestSecondRefusalIsStoredWhileTheSetIsFull(t *testing.T) {
+	refusals := recall.New()
+	for key := range uint64(8192) {
+		refusals.Add(recall.Refusal{Key: key, FirstArrival: 1000, RetryAt: 1400}, 1000)
+	}
+	refusals.Add(recall.Refusal{Key: 7, FirstArrival: 1000, RetryAt: 3000}, 1500)
+	_, returned := refusals.Lookup(7, 2000)
+	assert.Assert(t, !returned)
+	_, returned = refusals.Lookup(7, 3000)
+	assert.Assert(t, returned)
+}
