fix(fair): the finish times of queued work are bounded

Only work that ran without queueing removed old finish times: 3 x 4096 organisations that queue once left 6208 entries, 4096 is the bound. TestFinishTimesOfQueuedWorkAreBounded failed before.

--- a/internal/guard/fair/fair.go
+++ b/internal/guard/fair/fair.go
@@ -87,6 +87,7 @@
 		item.start = max(q.virtualTime, q.finish[item.Organisation])
 	}
 	q.finish[item.Organisation] = item.start + normalisedCost(&item)
+	q.pruneFinish()
 	q.cost += item.Cost
 	at := sort.Search(len(q.items), func(i int) bool { return compare(&item, &q.items[i]) > 0 })
 	q.items = slices.Insert(q.items, at, item)
--- a/internal/guard/fair/fair_test.go
+++ b/internal/guard/fair/fair_test.go
@@ -1,6 +1,7 @@
 package fair_test
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -119,3 +120,15 @@
 		q.Pop()
 	}
 }
+
+// Guards against memory that grows with each organisation that has queued work once.
+func TestFinishTimesOfQueuedWorkAreBounded(t *testing.T) {
+	q := fair.New[int](64)
+	for i := range 3 * 4096 {
+		q.Push(fair.Item[int]{Organisation: fmt.Sprint(i), Weight: 1, Cost: 1, Work: i})
+		if i%2 == 0 {
+			q.Pop()
+		}
+	}
+	assert.Assert(t, q.Organisations() <= 4096, q.Organisations())
+}
