fix(crash): an answer ends a quarantine whose entry was written but not listed yet

The record of a request that was answered after MarkWritten and before the next list was deleted, so that the list started the quarantine again for a quarter of an hour. The record stays until the list has the entry, which is then removed. TestAnswerBetweenWriteAndList- EndsQuarantine failed before.

--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -233,7 +233,9 @@
 
 // Expire deletes records that are too old or were answered. It returns the requests
 // whose entries the caller has to delete from the store; their records remain until
-// SetStored reports the entries as gone.
+// SetStored reports the entries as gone. The record of an answered request also remains
+// while SetStored has not reported an entry that was written; without it, the entry would
+// start another quarantine.
 func (t *Tracker) Expire(now clock.Millis) []Key {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -244,7 +246,7 @@
 		switch {
 		case r.stored && (r.cleared || tooOld):
 			expired = append(expired, key)
-		case r.cleared || tooOld:
+		case tooOld || (r.cleared && r.written == 0):
 			delete(t.records, key)
 		}
 	}
--- a/internal/flow/crash/crash_test.go
+++ b/internal/flow/crash/crash_test.go
@@ -189,6 +189,23 @@
 	assert.Assert(t, other.Empty())
 }
 
+// Guards against a quarantine that begins again for a request that was answered after its
+// crashes had been written and before the store's list had them.
+func TestAnswerBetweenWriteAndListEndsQuarantine(t *testing.T) {
+	tracker := crash.New()
+	assert.Assert(t, crashed(tracker, key("x"), 3, 10))
+	tracker.MarkWritten(key("x"), 3)
+	assert.Assert(t, tracker.RecordAnswer(key("x")))
+	assert.Equal(t, len(tracker.Expire(20)), 0)
+	stored := crash.Stored{Key: key("x"), Age: 20, Endpoints: []string{"e0", "e1", "e2"}}
+	began, _ := tracker.SetStored([]crash.Stored{stored}, 30)
+	assert.Equal(t, len(began), 0)
+	assert.Equal(t, tracker.QuarantineLeft(key("x"), 30), clock.Millis(0))
+	assert.DeepEqual(t, tracker.Expire(40), []crash.Key{key("x")})
+	tracker.SetStored(nil, 50)
+	assert.Assert(t, tracker.Empty())
+}
+
 func TestTrackerIsBounded(t *testing.T) {
 	tracker := crash.New()
 	for i := range 20_000 {
