--- a/internal/guard/rate/bucket.go
+++ b/internal/guard/rate/bucket.go
@@ -11,8 +11,8 @@
 	// maxBurst at most, an endpoint gets 1.1 times its limit at most over 30 s.
 	burstTime = 3.0
 	maxBurst  = 8.0
-	// asksPerPermit is the number of requests for permits that a bucket invites for each
-	// permit. It bounds their rate, however many processes compete for the endpoint.
+	// asksPerPermit is the number of refused processes that may ask again in the time of one
+	// permit. It bounds the rate of their requests, however many compete for the endpoint.
 	asksPerPermit = 4.0
 	// maxWait bounds how long a process waits before it asks again. Other processes may
 	// have no requests any more.
@@ -25,16 +25,17 @@
 	limit  float64
 	level  float64
 	filled clock.Millis
-	// nextAsk is when the next process that is turned away may ask again.
+	// nextAsk is when the next process that is refused may ask again.
 	nextAsk float64
-	used    bool
+	// started is set by the first call, from which on the bucket fills.
+	started bool
 }
 
 // burst returns the number of requests that may be sent at once after a pause.
 func burst(limit float64) float64 { return min(max(limit*burstTime, 1), maxBurst) }
 
 // Take grants one request at an instant and returns 0, or returns how long the asking
-// process has to wait before it asks again. Processes that are turned away together get
+// process has to wait before it asks again. Processes that are refused together get
 // different times.
 func (b *Bucket) Take(limit float64, now clock.Millis) clock.Millis {
 	b.fill(limit, now)
@@ -64,9 +65,9 @@
 	if limit != b.limit {
 		b.nextAsk = 0
 	}
-	if b.used {
+	if b.started {
 		b.level += b.limit * float64(max(now-b.filled, 0)) / float64(clock.Second)
 	}
-	b.limit, b.filled, b.used = limit, max(now, b.filled), true
+	b.limit, b.filled, b.started = limit, max(now, b.filled), true
 	b.level = min(b.level, burst(limit))
 }
--- a/internal/guard/rate/bucket_test.go
+++ b/internal/guard/rate/bucket_test.go
@@ -48,8 +48,8 @@
 	return most
 }
 
-// Guards against processes that are turned away together and all ask again together.
-func TestProcessesThatAreTurnedAwayAskAtDifferentTimes(t *testing.T) {
+// Guards against processes that are refused together and all ask again together.
+func TestRefusedProcessesAskAtDifferentTimes(t *testing.T) {
 	var bucket rate.Bucket
 	seen := make(map[clock.Millis]int)
 	for range 30 {
--- a/internal/guard/rate/rate.go
+++ b/internal/guard/rate/rate.go
@@ -47,7 +47,7 @@
 // knows nothing. It is not safe for concurrent use.
 type Known struct {
 	inForce Statement
-	heard   bool
+	stated  bool
 }
 
 // Apply adds a statement and reports whether the limit has changed. A statement with an
@@ -56,11 +56,11 @@
 	if s.Limit != 0 && !Valid(s.Limit) {
 		return false
 	}
-	if k.heard && !s.replaces(k.inForce) {
+	if k.stated && !s.replaces(k.inForce) {
 		return false
 	}
 	changed := s.Limit != k.inForce.Limit
-	k.inForce, k.heard = s, true
+	k.inForce, k.stated = s, true
 	return changed
 }
 
--- a/internal/serve/permit/book.go
+++ b/internal/serve/permit/book.go
@@ -66,7 +66,7 @@
 // entry is what is known of one start of an endpoint that has stated a limit.
 type entry struct {
 	startedAt int64
-	known     rate.Known
+	stated    rate.Known
 	// faulty is set once a malformed limit was logged.
 	faulty bool
 	// unsent is set until the peers are sent the statement in force; announcedAt is when
@@ -125,7 +125,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if known := b.limitedEntry(e); known != nil {
-		return known.known.Limit()
+		return known.stated.Limit()
 	}
 	return 0
 }
@@ -134,7 +134,7 @@
 // an earlier start of the endpoint would reach the present one. The caller holds the lock.
 func (b *Book) limitedEntry(e *view.Endpoint) *entry {
 	known := b.entries[e.ID]
-	if known == nil || known.startedAt < e.StartedAt || known.known.Limit() == 0 {
+	if known == nil || known.startedAt < e.StartedAt || known.stated.Limit() == 0 {
 		return nil
 	}
 	return known
@@ -203,7 +203,7 @@
 			// The bucket would fill meanwhile, and the owner's has been used.
 			known.bucket = rate.Bucket{}
 		}
-		due := owned && known.known.Limit() > 0 && now-known.announcedAt >= announceInterval
+		due := owned && known.stated.Limit() > 0 && now-known.announcedAt >= announceInterval
 		if !known.unsent && !due {
 			continue
 		}
@@ -215,7 +215,7 @@
 
 // message returns the statement in force for a message that is sent now.
 func (e *entry) message(endpoint string, now clock.Millis) wire.EndpointLimit {
-	s := e.known.InForce()
+	s := e.stated.InForce()
 	return wire.EndpointLimit{Endpoint: endpoint, StartedAt: e.startedAt, Limit: s.Limit, SentAge: now - s.SentAt, Age: now - s.At}
 }
 
@@ -245,13 +245,13 @@
 // apply adds a statement and reports whether the limit has changed. The caller holds the
 // lock.
 func (b *Book) apply(endpoint string, known *entry, s rate.Statement, source, request string) bool {
-	before := known.known.Limit()
-	if !known.known.Apply(s) {
+	before := known.stated.Limit()
+	if !known.stated.Apply(s) {
 		return false
 	}
 	known.heldUntil = 0
 	result := "changed"
-	switch limit := known.known.Limit(); {
+	switch limit := known.stated.Limit(); {
 	case before == 0:
 		result = "began"
 		b.limited.Add(1)
@@ -260,7 +260,7 @@
 		b.limited.Add(-1)
 	}
 	b.meter.statements.WithLabelValues(result).Inc()
-	b.log.Info("endpoint limit "+result, "endpoint", endpoint, "limit", known.known.Limit(), "before", before,
+	b.log.Info("endpoint limit "+result, "endpoint", endpoint, "limit", known.stated.Limit(), "before", before,
 		"source", source, "ageMs", int64(b.clock.Since(s.At)), "request", request)
 	return true
 }
@@ -273,12 +273,12 @@
 	}
 	known.faulty = true
 	b.log.Warn("endpoint limit malformed", "endpoint", e.ID, "value", info.RateFault, "rate", info.Rate,
-		"limit", known.known.Limit(), "request", request)
+		"limit", known.stated.Limit(), "request", request)
 }
 
 // remove drops an entry. The caller holds the lock.
 func (b *Book) remove(endpoint, cause string) {
-	if limit := b.entries[endpoint].known.Limit(); limit > 0 {
+	if limit := b.entries[endpoint].stated.Limit(); limit > 0 {
 		b.limited.Add(-1)
 		b.log.Info("endpoint limit ended", "endpoint", endpoint, "limit", 0, "before", limit, "source", cause)
 	}
@@ -295,7 +295,7 @@
 		switch {
 		case !live(endpoint):
 			b.remove(endpoint, "gone")
-		case known.known.Limit() == 0 && !known.faulty && now-known.known.InForce().At > endedRetention:
+		case known.stated.Limit() == 0 && !known.faulty && now-known.stated.InForce().At > endedRetention:
 			delete(b.entries, endpoint)
 		}
 	}
--- a/internal/serve/permit/meter.go
+++ b/internal/serve/permit/meter.go
@@ -53,7 +53,7 @@
 	c.book.mu.Lock()
 	defer c.book.mu.Unlock()
 	for endpoint, known := range c.book.entries {
-		if limit := known.known.Limit(); limit > 0 {
+		if limit := known.stated.Limit(); limit > 0 {
 			metrics <- prometheus.MustNewConstMetric(limitDesc, prometheus.GaugeValue, limit, endpoint)
 			metrics <- prometheus.MustNewConstMetric(grantedDesc, prometheus.CounterValue, float64(known.granted), endpoint)
 		}
--- a/internal/serve/permit/permit.go
+++ b/internal/serve/permit/permit.go
@@ -51,7 +51,7 @@
 	if e.heldUntil > now {
 		return e.heldUntil - now
 	}
-	if e.asking > int(asksPerLimit*e.known.Limit()) {
+	if e.asking > int(asksPerLimit*e.stated.Limit()) {
 		return askingWait
 	}
 	return 0
@@ -125,18 +125,18 @@
 		wait = min(firstSilence<<min(known.unanswered, 8), maxSilence)
 		known.unanswered++
 		known.heldUntil = max(known.heldUntil, now+wait)
-		return resultUnanswered, wait, known.known.Limit()
+		return resultUnanswered, wait, known.stated.Limit()
 	}
 	known.unanswered = 0
 	if permit.Known.Endpoint == asked.Endpoint {
 		b.applyWire(permit.Known, "owner", "")
 	}
 	if permit.Granted {
-		return resultGranted, 0, known.known.Limit()
+		return resultGranted, 0, known.stated.Limit()
 	}
 	wait = max(permit.Wait, 1)
 	known.heldUntil = max(known.heldUntil, now+wait)
-	return resultRefused, wait, known.known.Limit()
+	return resultRefused, wait, known.stated.Limit()
 }
 
 // Grant answers a request for a permit. Only the owner of an endpoint grants permits: for a
@@ -161,7 +161,7 @@
 
 // take grants a request from the bucket, or returns the time to wait.
 func (e *entry) take(now clock.Millis) clock.Millis {
-	limit := e.known.Limit()
+	limit := e.stated.Limit()
 	if limit == 0 {
 		return 0
 	}
