fix(host): reports of overdue calls keep the limit of their engine

A path around the limit, found by reading: while a call is overdue, its owner asks the engine for a report each 300 ms.

--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -148,7 +148,7 @@
 	limit := min(callLimitFactor*clock.Millis(expected)+callLimitMargin, until-now+callLimitMargin)
 	ctx, cancel := context.WithTimeout(h.base, limit.Duration())
 	defer cancel()
-	raw, err := h.exchangeWatched(ctx, e.Endpoint, body, expected)
+	raw, err := h.exchangeWatched(ctx, e, body, expected)
 	if err != nil {
 		return nil, err
 	}
@@ -157,14 +157,14 @@
 
 // exchangeWatched sends pieces to an engine and returns the body of its answer. It
 // returns a LostAnswerError if the engine has ended the call and no answer arrived.
-func (h *Host) exchangeWatched(ctx context.Context, endpoint *view.Endpoint, body []byte, expected float64) ([]byte, error) {
+func (h *Host) exchangeWatched(ctx context.Context, e *engine, body []byte, expected float64) ([]byte, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	watchEnded := make(chan struct{})
 	go func() {
 		defer close(watchEnded)
-		h.watchAnswer(ctx, cancel, endpoint, expected)
+		h.watchAnswer(ctx, cancel, e, expected)
 	}()
-	raw, err := h.exchange(ctx, endpoint, http.MethodPost, h.Codec.PiecesPath, body, 0)
+	raw, err := h.exchange(ctx, e.Endpoint, http.MethodPost, h.Codec.PiecesPath, body, 0)
 	cancel(nil)
 	<-watchEnded
 	var lost *LostAnswerError
--- a/internal/serve/host/lost.go
+++ b/internal/serve/host/lost.go
@@ -5,7 +5,6 @@
 	"fmt"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
-	"github.com/jujubescale/jujubescale/internal/route/view"
 )
 
 const (
@@ -33,14 +32,24 @@
 // watchAnswer cancels an overdue call once its engine reports that it is idle: the
 // answer was lost. Otherwise the engine would stay idle until the call times out,
 // which takes long because it allows for slow engines.
-func (h *Host) watchAnswer(ctx context.Context, cancel context.CancelCauseFunc, endpoint *view.Endpoint, expected float64) {
+func (h *Host) watchAnswer(ctx context.Context, cancel context.CancelCauseFunc, e *engine, expected float64) {
 	pause := clock.Millis(overdueFactor*expected) + overdueMargin
-	for h.Clock.Sleep(ctx, pause) == nil {
-		report, err := h.fetchReport(endpoint)
+	for ; h.Clock.Sleep(ctx, pause) == nil; pause = reportInterval {
+		if !h.mayReport(e) {
+			continue
+		}
+		report, err := h.fetchReport(e.Endpoint)
 		if err == nil && !report.Busy {
-			cancel(&LostAnswerError{Endpoint: endpoint.ID})
+			cancel(&LostAnswerError{Endpoint: e.ID})
 			return
 		}
-		pause = reportInterval
 	}
 }
+
+// mayReport counts a request for a report and reports whether the limit of the engine allows
+// it.
+func (h *Host) mayReport(e *engine) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.takeLimit(e, h.Clock.Now())
+}
--- a/internal/serve/router/limit_test.go
+++ b/internal/serve/router/limit_test.go
@@ -280,3 +280,27 @@
 		t.Logf("%s: %d requests, at most %d in 4 s", e.ID, total, most)
 	}
 }
+
+// Guards against the reports that the owner of an overdue call asks its engine for: they
+// reach the engine, too.
+func TestReportsOfOverdueCallsKeepTheLimit(t *testing.T) {
+	t.Parallel()
+	b := start(t, 2)
+	// An overdue call is not cancelled for some seconds.
+	b.Config.Services[2].CallMs, b.Config.Routes[2].SloMs = 1200, 6000
+	b.Publish()
+	engines := b.Engines(encode)
+	for _, e := range engines {
+		e.SetRate(0.5)
+	}
+	b.load(3500*time.Millisecond, []time.Duration{300 * time.Millisecond}, draft)
+	for _, e := range engines {
+		e.SetFault(stand.Fault{Every: 1, Delay: 6 * time.Second})
+	}
+	b.load(6*time.Second, []time.Duration{300 * time.Millisecond}, draft)
+	for _, e := range engines {
+		total, most := e.Arrivals()
+		t.Logf("%s: %d requests, at most %d in 4 s", e.ID, total, most)
+		assert.Assert(t, total > 0, "%s got no request", e.ID)
+	}
+}
