feat(record): the history of a request shows the limits that it was refused for

A request that is refused as rateLimited names an endpoint that is at its limit, and request trace adds the last change of that limit at each process, also if it is older than the five seconds for which other changes of endpoints are shown.

--- a/internal/ops/record/record.go
+++ b/internal/ops/record/record.go
@@ -77,7 +77,7 @@
 	scanner.Buffer(make([]byte, 0, bufio.MaxScanTokenSize), maxLine)
 	for scanner.Scan() {
 		hasRequest := bytes.Contains(scanner.Bytes(), []byte(request))
-		if !hasRequest && !bytes.Contains(scanner.Bytes(), []byte(endpointChanged)) {
+		if !hasRequest && !bytes.Contains(scanner.Bytes(), []byte(endpointChanged)) && !bytes.Contains(scanner.Bytes(), []byte(limitChanged)) {
 			continue
 		}
 		line, ok := Parse(scanner.Text())
@@ -86,7 +86,7 @@
 			history.Skipped++
 		case line.Value(logs.KeyRequest) == request:
 			history.Lines = append(history.Lines, line)
-		case line.Message == endpointChanged && len(changes) < maxEndpointLines:
+		case (line.Message == endpointChanged || isLimit(&line)) && len(changes) < maxEndpointLines:
 			changes = append(changes, line)
 		}
 	}
@@ -95,12 +95,20 @@
 	return history, scanner.Err()
 }
 
-// endpointChanged is the message of lines that report a change of an endpoint's
-// state as a process sees it.
-const endpointChanged = "endpoint changed"
+const (
+	// endpointChanged is the message of lines that report a change of an endpoint's
+	// state as a process sees it.
+	endpointChanged = "endpoint changed"
+	// limitChanged begins the messages of lines that report a change of an endpoint's
+	// limit.
+	limitChanged = "endpoint limit "
+)
+
+func isLimit(line *Line) bool { return strings.HasPrefix(line.Message, limitChanged) }
 
 // relatedChanges returns the changes of the endpoints that the lines of a request
-// name, from lookBack before its first line to its last line.
+// name, from lookBack before its first line to its last line, and the last change of
+// their limits at each process before that.
 func relatedChanges(own, changes []Line) []Line {
 	var found []Line
 	if len(own) == 0 {
@@ -108,14 +116,26 @@
 	}
 	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
 	first, last := slices.MinFunc(own, byTime).Time.Add(-lookBack), slices.MaxFunc(own, byTime).Time
+	limits := make(map[[2]string]Line)
 	for _, line := range changes {
 		used := slices.ContainsFunc(own, func(l Line) bool {
 			return l.Value(keyEndpoint) != "" && l.Value(keyEndpoint) == line.Value(keyEndpoint)
 		})
-		if used && !line.Time.Before(first) && !line.Time.After(last) {
-			line.Related = true
+		if !used || line.Time.After(last) {
+			continue
+		}
+		line.Related = true
+		if !line.Time.Before(first) {
 			found = append(found, line)
+			continue
 		}
+		key := [2]string{line.Process, line.Value(keyEndpoint)}
+		if known, exists := limits[key]; isLimit(&line) && (!exists || known.Time.Before(line.Time)) {
+			limits[key] = line
+		}
+	}
+	for _, line := range limits {
+		found = append(found, line)
 	}
 	return found
 }
--- a/internal/ops/record/record_test.go
+++ b/internal/ops/record/record_test.go
@@ -41,6 +41,23 @@
 	// 1 <nil>
 }
 
+// Guards against a refused request whose history doesn't show the limit that it was refused
+// for, because that had begun long before.
+func TestHistoryHasTheLimitInForce(t *testing.T) {
+	const text = `
+time=2026-03-01T10:00:00Z level=info msg="endpoint limit began" process=gw-1 endpoint=i-7 limit=5
+time=2026-03-01T10:01:00Z level=info msg="endpoint limit changed" process=gw-1 endpoint=i-7 limit=1
+time=2026-03-01T10:01:00Z level=info msg="endpoint limit began" process=gw-1 endpoint=i-8 limit=3
+time=2026-03-01T10:05:00Z level=info msg="request rate limited" process=gw-1 request=5f endpoint=i-7 waitMs=900
+time=2026-03-01T10:06:00Z level=info msg="endpoint limit ended" process=gw-1 endpoint=i-7 limit=0
+`
+	history, err := record.Read(strings.NewReader(text), "5f")
+	assert.NilError(t, err)
+	assert.Equal(t, len(history.Lines), 2)
+	assert.Equal(t, history.Lines[0].Message, "endpoint limit changed")
+	assert.Equal(t, history.Lines[0].Value("limit"), "1")
+}
+
 // Guards against lines of the product's own logger that can't be parsed, or are
 // parsed only in part, because values contain spaces and quotes.
 func TestLinesOfOwnLoggerAreParsed(t *testing.T) {
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -31,10 +31,10 @@
 type choice struct {
 	target *target.Target
 	// wait is the time until an endpoint may take the request. It is set if there is no
-	// target because the rate limits of the endpoints hold the request back. rateLimited is
-	// set if one of them is a limit that the endpoint states.
-	wait        clock.Millis
-	rateLimited bool
+	// target because the rate limits of the endpoints hold the request back. limitedBy
+	// is one of them that has reached the limit that it states, nil if none has.
+	wait      clock.Millis
+	limitedBy *view.Endpoint
 	// unread is the number of prompt tokens that the endpoint has to read, and delay the
 	// expected delay to its first token there, in ms.
 	unread int64
@@ -46,7 +46,7 @@
 // they state.
 func (g *Gate) choose(req *request) choice {
 	chosen := g.chooseAmong(req, false)
-	if chosen.target != nil || (chosen.wait > 0 && !chosen.rateLimited) {
+	if chosen.target != nil || (chosen.wait > 0 && chosen.limitedBy == nil) {
 		return chosen
 	}
 	if avoided := g.chooseAmong(req, true); avoided.target != nil || chosen.wait == 0 {
@@ -71,7 +71,9 @@
 		limitWait := g.limits.Wait(e, now)
 		if delay := max(t.StartDelay(g.startLimit(req, e, now), now), limitWait); delay > 0 {
 			excluded[i] = true
-			held.rateLimited = held.rateLimited || limitWait > 0
+			if limitWait > 0 {
+				held.limitedBy = e
+			}
 			if held.wait == 0 || delay < held.wait {
 				held.wait = delay
 			}
--- a/internal/serve/gate/limit.go
+++ b/internal/serve/gate/limit.go
@@ -6,6 +6,7 @@
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/fault"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/permit"
 )
 
@@ -33,6 +34,7 @@
 	}
 	now := g.Clock.Now()
 	var soonest clock.Millis
+	var limitedBy *view.Endpoint
 	for _, e := range g.View().Pool(req.pool.Name) {
 		if e.Unavailable() {
 			continue
@@ -42,24 +44,24 @@
 			return nil
 		}
 		if soonest == 0 || wait < soonest {
-			soonest = wait
+			soonest, limitedBy = wait, e
 		}
 	}
-	if now+soonest <= req.neededBy {
+	if limitedBy == nil || now+soonest <= req.neededBy {
 		return nil
 	}
-	return g.rateRefusal(req, soonest)
+	return g.rateRefusal(req, limitedBy, soonest)
 }
 
 // rateRefusal refuses a request that no endpoint can take because of the limits that they
-// state. An endpoint may take one after wait.
-func (g *Gate) rateRefusal(req *request, wait clock.Millis) error {
+// state, one of which is limitedBy. An endpoint may take one after wait.
+func (g *Gate) rateRefusal(req *request, limitedBy *view.Endpoint, wait clock.Millis) error {
 	limit := 0.0
 	for _, e := range g.View().Pool(req.pool.Name) {
 		limit += g.limits.Limit(e)
 	}
 	after := g.limits.ReturnAfter(req.pool.Name, wait, limit/float64(max(g.mesh.Count(), 1)))
-	g.Log.Info("request rate limited", "request", req.Request, "pool", req.pool.Name, "waitMs", int64(wait),
+	g.Log.Info("request rate limited", "request", req.Request, "pool", req.pool.Name, "endpoint", limitedBy.ID, "waitMs", int64(wait),
 		"limit", limit, "retryAfterMs", int64(after))
 	return &fault.RefusalError{Reason: fault.RateLimited, Ran: fault.NotRun, RetryAfter: after}
 }
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -168,14 +168,14 @@
 				if now < waitUntil {
 					continue // another endpoint may take the request now
 				}
-				chosen.rateLimited = true
+				chosen.limitedBy = chosen.target.Endpoint
 			}
 		}
 		switch {
 		case chosen.wait == 0:
 			return choice{}, &fault.RefusalError{Reason: fault.NoEndpoint, Ran: fault.NotRun, RetryAfter: jitter(retryAfterNoEndpoint)}
-		case now+chosen.wait > waitUntil && chosen.rateLimited:
-			return choice{}, g.rateRefusal(req, chosen.wait)
+		case now+chosen.wait > waitUntil && chosen.limitedBy != nil:
+			return choice{}, g.rateRefusal(req, chosen.limitedBy, chosen.wait)
 		case now+chosen.wait > waitUntil:
 			return choice{}, &fault.RefusalError{Reason: fault.ColdStart, Ran: fault.NotRun, RetryAfter: jitter(max(chosen.wait, retryAfterCold))}
 		}
