fix(permit): a caller that leaves doesn't hold an endpoint for others

Found by reading: a request that is cancelled while it waits for a permit counted as an owner that gives no answer, so that callers who leave kept the requests of all others away from the endpoint, for up to 2 s. TestCancelledRequestDoesNotHoldAnEndpoint fails without the change (100 ms) and passes with it.

--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -106,7 +106,7 @@
 	refusedFunc      func([]wire.Refused)
 	crashesFunc      func([]wire.Crash)
 	limitsFunc       func([]wire.EndpointLimit)
-	permitFunc       func(from string, request *wire.PermitRequest) *wire.Permit
+	permitFunc       func(*wire.PermitRequest) *wire.Permit
 	sessionLostFunc  func(peer string)
 	restartedFunc    func(peer string)
 	ignoredFunc      func(reason string)
@@ -206,7 +206,7 @@
 // WithLimits sets two handlers: limits takes the limits of endpoints that peers have
 // learned, and permit answers a peer's request for a permit. It must not block. A request
 // for which it returns nil gets no answer.
-func WithLimits(limits func([]wire.EndpointLimit), permit func(from string, request *wire.PermitRequest) *wire.Permit) Option {
+func WithLimits(limits func([]wire.EndpointLimit), permit func(*wire.PermitRequest) *wire.Permit) Option {
 	return func(m *Mesh) { m.limitsFunc, m.permitFunc = limits, permit }
 }
 
@@ -245,7 +245,7 @@
 		refusedFunc:      func([]wire.Refused) {},
 		crashesFunc:      func([]wire.Crash) {},
 		limitsFunc:       func([]wire.EndpointLimit) {},
-		permitFunc:       func(string, *wire.PermitRequest) *wire.Permit { return nil },
+		permitFunc:       func(*wire.PermitRequest) *wire.Permit { return nil },
 		sessionLostFunc:  func(string) {},
 		restartedFunc:    func(string) {},
 		ignoredFunc:      func(string) {},
--- a/internal/serve/mesh/permit.go
+++ b/internal/serve/mesh/permit.go
@@ -63,7 +63,7 @@
 // answerPermitRequest answers a peer. A send error is ignored: if the session has ended,
 // the peer has detected it too.
 func (m *Mesh) answerPermitRequest(s *sess.Session, request *wire.PermitRequest) {
-	if permit := m.permitFunc(s.Peer().Process, request); permit != nil {
+	if permit := m.permitFunc(request); permit != nil {
 		permit.CallID = request.CallID
 		_ = s.Send(&wire.Frame{Kind: wire.KindPermit, Permit: permit})
 	}
--- a/internal/serve/permit/load_test.go
+++ b/internal/serve/permit/load_test.go
@@ -39,7 +39,7 @@
 				if f.silent[owner] {
 					return nil, context.DeadlineExceeded
 				}
-				return byName[owner].Grant(nameOf(i), request), nil
+				return byName[owner].Grant(request), nil
 			},
 		}))
 		byName[nameOf(i)] = b
--- a/internal/serve/permit/permit.go
+++ b/internal/serve/permit/permit.go
@@ -31,6 +31,7 @@
 	resultGranted    = "granted"
 	resultRefused    = "refused"
 	resultUnanswered = "unanswered"
+	resultCancelled  = "cancelled"
 )
 
 // Wait returns how long this process has to wait before it may ask for a permit for an
@@ -70,7 +71,7 @@
 	}
 	owner := b.peers.OwnerFunc(e.ID)
 	permit := b.ask(ctx, owner, ask)
-	result, wait, limit := b.endAsk(ask.Known, permit)
+	result, wait, limit := b.endAsk(ask.Known, permit, ctx.Err() != nil)
 	b.meter.permits.WithLabelValues(result).Inc()
 	if result != resultGranted {
 		b.log.Info("no permit for endpoint", "request", request, "endpoint", e.ID, "result", result, "limit", limit,
@@ -99,7 +100,7 @@
 // ask returns the answer of the owner, nil if there is none in time.
 func (b *Book) ask(ctx context.Context, owner string, request *wire.PermitRequest) *wire.Permit {
 	if owner == b.peers.Self {
-		return b.Grant(b.peers.Self, request)
+		return b.Grant(request)
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
 	defer cancel()
@@ -110,9 +111,10 @@
 	return permit
 }
 
-// endAsk records the answer of an owner. It returns the result, the time until this process
-// may ask again, and the limit.
-func (b *Book) endAsk(asked wire.EndpointLimit, permit *wire.Permit) (result string, wait clock.Millis, limit float64) {
+// endAsk records the answer of an owner, nil for none. It returns the result, the time until
+// this process may ask again, and the limit. If the request was cancelled, the owner had no
+// time to answer.
+func (b *Book) endAsk(asked wire.EndpointLimit, permit *wire.Permit, cancelled bool) (result string, wait clock.Millis, limit float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known := b.entries[asked.Endpoint]
@@ -121,6 +123,9 @@
 	}
 	known.asking--
 	now := b.clock.Now()
+	if permit == nil && cancelled {
+		return resultCancelled, askingWait, known.stated.Limit()
+	}
 	if permit == nil {
 		wait = min(firstSilence<<min(known.unanswered, 8), maxSilence)
 		known.unanswered++
@@ -141,7 +146,7 @@
 
 // Grant answers a request for a permit. Only the owner of an endpoint grants permits: for a
 // moment, two processes may name different owners.
-func (b *Book) Grant(_ string, request *wire.PermitRequest) *wire.Permit {
+func (b *Book) Grant(request *wire.PermitRequest) *wire.Permit {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.owns(request.Known.Endpoint) {
--- a/internal/serve/permit/permit_test.go
+++ b/internal/serve/permit/permit_test.go
@@ -43,21 +43,34 @@
 		f.clock.Advance(wait)
 	}
 	delete(f.silent, nameOf(1))
-	f.books[1].Grant(nameOf(0), &wire.PermitRequest{Known: wire.EndpointLimit{Endpoint: "i-1", Limit: 40}})
+	f.books[1].Grant(&wire.PermitRequest{Known: wire.EndpointLimit{Endpoint: "i-1", Limit: 40}})
 	f.clock.Advance(100)
 	assert.Equal(t, f.books[0].Acquire(t.Context(), e, "r"), clock.Millis(0))
 }
 
+// Guards against callers that leave while their requests wait for a permit, and thereby keep
+// the requests of others away from the endpoint.
+func TestCancelledRequestDoesNotHoldAnEndpoint(t *testing.T) {
+	f := newFleet(2)
+	f.owner, f.silent[nameOf(1)] = 1, true
+	e := &view.Endpoint{ID: "i-1"}
+	f.observe(0, e, 40)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Assert(t, f.books[0].Acquire(ctx, e, "r") > 0)
+	assert.Equal(t, f.books[0].Wait(e, f.clock.Clock().Now()), clock.Millis(0))
+}
+
 // Guards against two processes that both grant permits because a third one asks the wrong
 // one of them.
 func TestOnlyTheOwnerGrantsPermits(t *testing.T) {
 	f := newFleet(3)
 	f.owner = 1
 	request := &wire.PermitRequest{Known: wire.EndpointLimit{Endpoint: "i-1", Limit: 40}}
-	f.books[1].Grant(nameOf(0), request)
+	f.books[1].Grant(request)
 	f.clock.Advance(clock.Second)
-	assert.Assert(t, f.books[1].Grant(nameOf(0), request).Granted)
-	refused := f.books[2].Grant(nameOf(0), request)
+	assert.Assert(t, f.books[1].Grant(request).Granted)
+	refused := f.books[2].Grant(request)
 	assert.Assert(t, !refused.Granted)
 	assert.Assert(t, refused.Wait > 0)
 }
@@ -174,6 +187,6 @@
 	f := newFleet(1)
 	request := &wire.PermitRequest{Known: wire.EndpointLimit{Endpoint: "i-1", Limit: 40}}
 	for b.Loop() {
-		f.books[0].Grant("g-1", request)
+		f.books[0].Grant(request)
 	}
 }
