--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -168,6 +168,15 @@
 	Objects []Stored     `cbor:"objects,omitempty"`
 }
 
+// Bytes returns the size of the values in the update.
+func (u *Update) Bytes() int {
+	bytes := 0
+	for i := range u.Objects {
+		bytes += len(u.Objects[i].Value) + len(u.Objects[i].Status)
+	}
+	return bytes
+}
+
 // Stored is an object of the store.
 type Stored struct {
 	Name    string `cbor:"name"`
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -242,10 +242,12 @@
 	defer cancel()
 	done := make(chan struct{})
 	cause := make(chan error, 1)
+	began := f.clock.Now()
 	go func() { cause <- f.awaitInterrupt(cancel, done) }()
 	changes, err := f.store.Follow(call, f.kind, since, f.wait())
 	close(done)
 	if interrupt := <-cause; interrupt != nil {
+		f.log.Info("call to the store abandoned", "kind", f.kind, "since", since, "reason", interrupt, "tookMs", int64(f.clock.Since(began)))
 		return store.Changes{}, interrupt
 	}
 	return changes, err
--- a/internal/serve/mesh/follow.go
+++ b/internal/serve/mesh/follow.go
@@ -153,6 +153,7 @@
 	for _, kind := range follow.Kinds {
 		snapshot := m.follower.SnapshotFunc(kind.Kind)
 		if snapshot != nil && snapshot.Changed > kind.Revision {
+			m.log.Info("snapshot sent", "peer", s.Peer().Process, "kind", kind.Kind, "revision", snapshot.Revision, "peerRevision", kind.Revision, "bytes", snapshot.Bytes())
 			_ = s.Send(&wire.Frame{Kind: wire.KindUpdate, Update: snapshot}) // a session that can't send is ending
 		}
 	}
@@ -175,9 +176,12 @@
 		m.log.Warn("update ignored", "peer", from, "kind", update.Kind, "revision", update.Revision)
 		return
 	}
-	if m.uplink.Load().upstream == from {
-		m.requestMissing(from, m.follower.ApplyFunc(update, m.clock.Now()))
+	if m.uplink.Load().upstream != from {
+		m.ignoredFunc("notUpstream")
+		m.log.Info("update dropped", "peer", from, "kind", update.Kind, "revision", update.Revision, "bytes", update.Bytes(), "reason", "notUpstream")
+		return
 	}
+	m.requestMissing(from, m.follower.ApplyFunc(update, m.clock.Now()))
 }
 
 // confirmProgress applies the progress of the upstream and requests missing
