--- a/internal/serve/router/harness_test.go
+++ b/internal/serve/router/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -23,6 +24,7 @@
 	"github.com/jujubescale/jujubescale/internal/route/canary"
 	"github.com/jujubescale/jujubescale/internal/serve/gate"
 	"github.com/jujubescale/jujubescale/internal/serve/router"
+	"github.com/jujubescale/jujubescale/internal/stand/netw"
 	"github.com/jujubescale/jujubescale/platform"
 	"github.com/jujubescale/jujubescale/platform/stand"
 )
@@ -50,6 +52,16 @@
 	gateways []*gateway
 	// rollouts enables rollouts at the gateways.
 	rollouts bool
+	// changeWithin is the time within which a change must be in force, 2 s if it is 0.
+	changeWithin clock.Millis
+	// hostFunc returns the host of a gateway by its index, nil for hosts without limits.
+	hostFunc func(index int) benchHost
+}
+
+// benchHost is the host of a gateway. A nil link has no limit.
+type benchHost struct {
+	capacity float64
+	link     *netw.Link
 }
 
 // gateway is a router.Gateway with the listeners that a daemon opens for it.
@@ -61,6 +73,8 @@
 	stop     func()
 	// cutOff makes all calls to the store fail.
 	cutOff atomic.Bool
+	// storeCalls counts its calls to the store.
+	storeCalls atomic.Int64
 	// upstreamEvents counts how often it changed its upstream or logged that no peer
 	// relays changes.
 	upstreamEvents atomic.Int64
@@ -191,19 +205,38 @@
 func (b *bench) startNamedGateway(name string) *gateway {
 	b.t.Helper()
 	sessions, callers, ready := listen(b.t), listen(b.t), listen(b.t)
+	var host benchHost
+	if b.hostFunc != nil {
+		host = b.hostFunc(len(b.gateways))
+	}
+	storeDial := conn.Dial
+	var peerDial func(context.Context, string, string) (net.Conn, error)
+	if host.link != nil {
+		sessions = host.link.Listen(sessions)
+		storeDial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := conn.Dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return host.link.Attach(c), nil
+		}
+		peerDial = storeDial
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &gateway{address: callers.Addr().String(), ready: ready.Addr().String(), registry: prometheus.NewRegistry()}
 	log, err := logs.New(g, "debug")
 	assert.NilError(b.t, err)
-	transport := &http.Transport{DialContext: conn.Dial}
+	transport := &http.Transport{DialContext: storeDial}
 	storeTransport := roundTripFunc(func(r *http.Request) (*http.Response, error) {
+		g.storeCalls.Add(1)
 		if g.cutOff.Load() {
 			return nil, errors.New("cut off from the store")
 		}
 		return transport.RoundTrip(r)
 	})
 	g.Gateway = router.New(ctx, router.Settings{
-		Name: name, Zone: []string{zoneA, zoneB}[len(b.gateways)%2], Address: sessions.Addr().String(), ChangeWithin: 2 * clock.Second, LeaveWithin: 2 * clock.Second, Clock: clock.New(), Log: log,
+		Name: name, Zone: []string{zoneA, zoneB}[len(b.gateways)%2], Address: sessions.Addr().String(), ChangeWithin: cmp.Or(b.changeWithin, 2*clock.Second), LeaveWithin: 2 * clock.Second, Clock: clock.New(), Log: log,
+		Capacity: host.capacity, DialFunc: peerDial,
 		Registry: g.registry, Dialect: platform.Dialect(),
 		Store:    platform.NewStore("http://"+b.Address, &http.Client{Transport: storeTransport}, clock.Second, 300),
 		Bounds:   gate.Bounds{ExtraShare: 0.2, ExtraSpare: 50, ExtraWindow: 10 * clock.Second, ColdShare: 1.5, ColdSpare: 5},
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -18,6 +19,7 @@
 	"github.com/jujubescale/jujubescale/internal/base/token"
 	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
+	"github.com/jujubescale/jujubescale/internal/link/sess"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/route/canary"
@@ -62,12 +64,14 @@
 	// requests.
 	ChangeWithin clock.Millis
 	LeaveWithin  clock.Millis
-	Clock        *clock.Clock
-	Log          *log.Logger
-	Registry     prometheus.Registerer
-	Store        *store.Store
-	Dialect      Dialect
-	Bounds       gate.Bounds
+	// DialFunc opens the connections of sessions with peers; nil for a plain dialer.
+	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+	Clock    *clock.Clock
+	Log      *log.Logger
+	Registry prometheus.Registerer
+	Store    *store.Store
+	Dialect  Dialect
+	Bounds   gate.Bounds
 	// Rollouts enables rollouts: endpoints then get requests by their version. A
 	// candidate gets at most RolloutBounds before the rollout is decided.
 	Rollouts      bool
@@ -144,12 +148,19 @@
 		mesh.WithLoads(g.collectLoads, g.setPeerWork), mesh.WithPrefixes(g.gate.AddPeerPrefixes), mesh.WithRefused(g.gate.AddPeerRefusals),
 		mesh.WithCrashes(g.gate.AddPeerCrashes), mesh.WithLimits(g.gate.Limits().ApplyPeer, g.gate.Limits().Grant),
 		mesh.WithLost(g.abandonRequests, g.reclaimResults), mesh.WithIgnored(g.meter.countIgnored), mesh.WithFollower(g.follower()),
-		mesh.WithRelease(g.configVersion, g.refreshConfig))
+		mesh.WithRelease(g.configVersion, g.refreshConfig), mesh.WithSession(g.sessionOptions()...))
 	g.gate.Attach(g.mesh, g.host)
 	g.makeFeeds()
 	return g
 }
 
+func (g *Gateway) sessionOptions() []sess.Option {
+	if g.DialFunc == nil {
+		return nil
+	}
+	return []sess.Option{sess.WithDial(g.DialFunc)}
+}
+
 // makeEndpoints creates the registry of endpoints and, if rollouts are enabled, the
 // controller that carries them out.
 func (g *Gateway) makeEndpoints() {
