fix(mesh): large versions are transferred in chunks and not begun again

What callers saw: a route that a version had added got 404 for 3.3 s and more after its acknowledgement; five of 29 gateways did not have the version 7 s after it.

Cause: a copy of a version of 0.75 MB was one message. On a link of 10 Mbit/s it takes 0.6 s, reports wait behind it, the aggregator counts as silent after 0.7 s, the next one is asked for another copy, and what arrives from the one before is dropped. The same copies were sent again while one was on its way. The class: a transfer that is longer than the time after which it is given up, and begins at its first byte each time.

Change: updates above 8 KB are announced by digest; the receiver requests compressed chunks of 32 KB, one at a time, continues with any peer that has the same content, and completes a download before the next of its kind. While chunks arrive, the feed doesn't read the same objects from the store. Peers of the version before get whole messages.

--- /dev/null
+++ b/internal/link/pack/pack_test.go
@@ -0,0 +1,131 @@
+package pack_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/link/pack"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+)
+
+func ExampleEncode() {
+	content, err := pack.Encode([]wire.Stored{{Name: "config/main", Version: 7, Value: []byte("routes")}})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	transfer, err := pack.NewTransfer(&wire.Packed{Digest: content.Digest, Bytes: len(content.Data)})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	for !transfer.Done() {
+		transfer.Add(&wire.Chunk{Digest: content.Digest, Offset: transfer.Offset(), Data: content.Chunk(transfer.Offset())})
+	}
+	objects, err := transfer.Objects()
+	fmt.Println(objects[0].Name, string(objects[0].Value), err)
+	// Output: config/main routes <nil>
+}
+
+// incompressible returns an object whose content has several chunks.
+func incompressible(t *testing.T) *pack.Content {
+	t.Helper()
+	random := rand.New(rand.NewPCG(1, 2))
+	value := make([]byte, 3*pack.ChunkBytes)
+	for i := range value {
+		value[i] = byte(random.Uint32())
+	}
+	content, err := pack.Encode([]wire.Stored{{Name: "config/main", Version: 7, Value: value}})
+	assert.NilError(t, err)
+	return content
+}
+
+func newTransfer(t *testing.T, content *pack.Content) *pack.Transfer {
+	t.Helper()
+	transfer, err := pack.NewTransfer(&wire.Packed{Digest: content.Digest, Bytes: len(content.Data)})
+	assert.NilError(t, err)
+	return transfer
+}
+
+func chunkOf(content *pack.Content, offset int) *wire.Chunk {
+	return &wire.Chunk{Digest: content.Digest, Offset: offset, Data: content.Chunk(offset)}
+}
+
+// Guards against content that is put together wrongly from repeated, missing or foreign
+// chunks.
+func TestOnlyExpectedChunksAreAdded(t *testing.T) {
+	content := incompressible(t)
+	transfer := newTransfer(t, content)
+	foreign := chunkOf(content, 0)
+	foreign.Digest = "other"
+	tooLong := chunkOf(content, 0)
+	tooLong.Data = bytes.Repeat([]byte{1}, len(content.Data)+1)
+	for name, chunk := range map[string]*wire.Chunk{
+		"foreign": foreign, "after a gap": chunkOf(content, pack.ChunkBytes), "empty": {Digest: content.Digest}, "too long": tooLong,
+	} {
+		assert.Assert(t, !transfer.Add(chunk), name)
+	}
+	for !transfer.Done() {
+		chunk := chunkOf(content, transfer.Offset())
+		assert.Assert(t, transfer.Add(chunk))
+		assert.Assert(t, !transfer.Add(chunk), "the same chunk again")
+	}
+	objects, err := transfer.Objects()
+	assert.NilError(t, err)
+	assert.Equal(t, objects[0].Version, uint64(7))
+}
+
+// Guards against damaged content that is put in force.
+func TestDamagedContentIsRejected(t *testing.T) {
+	content := incompressible(t)
+	transfer := newTransfer(t, content)
+	for !transfer.Done() {
+		chunk := chunkOf(content, transfer.Offset())
+		chunk.Data = bytes.Clone(chunk.Data)
+		chunk.Data[3] ^= 1
+		assert.Assert(t, transfer.Add(chunk))
+	}
+	_, err := transfer.Objects()
+	var damaged *pack.DigestError
+	assert.Assert(t, errors.As(err, &damaged), "%v", err)
+	assert.Assert(t, strings.Contains(err.Error(), content.Digest))
+}
+
+// Guards against a peer that makes a process reserve memory without a limit.
+func TestContentSizeIsLimited(t *testing.T) {
+	for _, bytes := range []int{-1, 0, 17 << 20} {
+		_, err := pack.NewTransfer(&wire.Packed{Digest: "d", Bytes: bytes})
+		var size *pack.SizeError
+		assert.Assert(t, errors.As(err, &size), "%d bytes", bytes)
+	}
+}
+
+func TestChunksOutsideTheContentAreEmpty(t *testing.T) {
+	content := incompressible(t)
+	for _, offset := range []int{-1, len(content.Data), len(content.Data) + 1} {
+		assert.Equal(t, len(content.Chunk(offset)), 0)
+	}
+}
+
+// FuzzObjects guards against content of a faulty peer that ends the process.
+func FuzzObjects(f *testing.F) {
+	f.Add([]byte{1, 2, 3})
+	content, err := pack.Encode([]wire.Stored{{Name: "config/main", Version: 7, Value: []byte("routes")}})
+	assert.NilError(f, err)
+	f.Add(content.Data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if len(data) == 0 {
+			return
+		}
+		transfer, err := pack.NewTransfer(&wire.Packed{Digest: pack.Digest(data), Bytes: len(data)})
+		assert.NilError(t, err)
+		assert.Assert(t, transfer.Add(&wire.Chunk{Digest: pack.Digest(data), Data: data}))
+		_, _ = transfer.Objects() // any error is fine, a panic is not
+	})
+}
--- a/internal/link/wire/codec.go
+++ b/internal/link/wire/codec.go
@@ -145,6 +145,10 @@
 		return f.PermitRequest != nil
 	case KindPermit:
 		return f.Permit != nil
+	case KindChunkRequest:
+		return f.ChunkRequest != nil
+	case KindChunk:
+		return f.Chunk != nil
 	default:
 		return f.Kind != 0
 	}
--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -166,6 +166,29 @@
 	// Outage is how long the store was unreachable before.
 	Outage  clock.Millis `cbor:"away,omitempty"`
 	Objects []Stored     `cbor:"objects,omitempty"`
+	// Packed replaces Objects in a large update.
+	Packed *Packed `cbor:"packed,omitempty"`
+}
+
+// Packed names the objects of an update, which the receiver requests in chunks. Bytes
+// is the size of all chunks.
+type Packed struct {
+	Digest string `cbor:"digest"`
+	Bytes  int    `cbor:"bytes"`
+}
+
+// ChunkRequest requests the chunk of packed objects at an offset in bytes.
+type ChunkRequest struct {
+	Digest string `cbor:"digest"`
+	Offset int    `cbor:"offset,omitempty"`
+}
+
+// Chunk answers a ChunkRequest. Data is empty if the sender doesn't have the packed
+// objects any more.
+type Chunk struct {
+	Digest string `cbor:"digest"`
+	Offset int    `cbor:"offset,omitempty"`
+	Data   []byte `cbor:"data,omitempty"`
 }
 
 // Bytes returns the size of the values in the update.
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -48,6 +48,8 @@
 	KindRenew         Kind = 25
 	KindPermitRequest Kind = 26
 	KindPermit        Kind = 27
+	KindChunkRequest  Kind = 28
+	KindChunk         Kind = 29
 )
 
 // Frame is one message. Only the field that Kind names is set. Release is the
@@ -82,6 +84,9 @@
 	// PermitRequest and Permit are sent on the session that the requester opened.
 	PermitRequest *PermitRequest `cbor:"permitRequest,omitempty"`
 	Permit        *Permit        `cbor:"permit,omitempty"`
+	// ChunkRequest and Chunk are sent on the session that the requester opened.
+	ChunkRequest *ChunkRequest `cbor:"chunkRequest,omitempty"`
+	Chunk        *Chunk        `cbor:"chunk,omitempty"`
 }
 
 // Hello opens a session in both directions.
@@ -101,6 +106,8 @@
 	// Relays is set by a gateway that accepts reports and forwards sums. A gateway
 	// of the previous version exchanges its loads with each peer instead.
 	Relays bool `cbor:"relays,omitempty"`
+	// Chunks is set by a gateway that requests the objects of large updates in chunks.
+	Chunks bool `cbor:"chunks,omitempty"`
 }
 
 // Call requests that an agent run one attempt of one stage. TimeLeft is a duration and
--- a/internal/link/wire/wire_test.go
+++ b/internal/link/wire/wire_test.go
@@ -42,6 +42,9 @@
 			Limits:  []wire.EndpointLimit{{Endpoint: "e", StartedAt: 5, Limit: 1.5, SentAge: 30, Age: 10}},
 		}},
 		{Kind: wire.KindPermitRequest, PermitRequest: &wire.PermitRequest{CallID: 3, Known: wire.EndpointLimit{Endpoint: "e", Limit: 0.5}}},
+		{Kind: wire.KindUpdate, Update: &wire.Update{Kind: "config", Revision: 9, Changed: 9, Packed: &wire.Packed{Digest: "5f", Bytes: 100}}},
+		{Kind: wire.KindChunkRequest, ChunkRequest: &wire.ChunkRequest{Digest: "5f", Offset: 32}},
+		{Kind: wire.KindChunk, Chunk: &wire.Chunk{Digest: "5f", Offset: 32, Data: []byte("packed")}},
 		{Kind: wire.KindPermit, Permit: &wire.Permit{CallID: 3, Wait: 400, Known: wire.EndpointLimit{Endpoint: "e", Limit: 0.5}}},
 	}
 }
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -29,6 +29,9 @@
 	// a peer that relayed it; relayedAt counts only the answers that a peer relayed.
 	confirmedAt clock.Millis
 	relayedAt   clock.Millis
+	// expectedUntil is set while a peer transfers objects: the feed waits for them
+	// and doesn't request the same objects from the store.
+	expectedUntil clock.Millis
 }
 
 // Kind returns the kind of objects that the feed follows.
@@ -78,7 +81,8 @@
 	if !f.state.listed || f.state.listDue || grace == 0 {
 		return 0
 	}
-	return f.state.confirmedAt + grace - f.clock.Now()
+	expected := min(f.state.expectedUntil, f.state.confirmedAt+f.maxAge)
+	return max(f.state.confirmedAt+grace, expected) - f.clock.Now()
 }
 
 // followRelay waits while a peer relays changes. It returns when the list is
@@ -270,6 +274,18 @@
 	return false
 }
 
+// expectFor is how long the feed waits for the next part of objects that a peer
+// transfers.
+const expectFor = 600 * clock.Millis(1)
+
+// Expect records that a peer is transferring objects. The feed then waits up to
+// expectFor before it calls the store, but not longer than the maximum age.
+func (f *Feed) Expect() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.expectedUntil = f.clock.Now() + expectFor
+}
+
 // EndRelay makes Run call the store at once, because no peer relays changes any
 // more.
 func (f *Feed) EndRelay() {
--- a/internal/serve/mesh/ask.go
+++ b/internal/serve/mesh/ask.go
@@ -122,6 +122,8 @@
 		m.recordSums(s, true, frame.Sums)
 	case wire.KindUpdate:
 		m.handleUpdate(from, frame.Update)
+	case wire.KindChunk:
+		m.handleChunk(from, frame.Chunk)
 	case wire.KindLeave:
 		m.setLeaving(s.Peer(), !frame.Leave.Resumed)
 	case wire.KindRenew:
@@ -165,6 +167,8 @@
 		m.handleLoads(s, frame.Loads)
 	case wire.KindFollow:
 		m.handleFollow(s, frame.Follow)
+	case wire.KindChunkRequest:
+		m.answerChunkRequest(s, frame.ChunkRequest)
 	case wire.KindLeave:
 		m.setLeaving(s.Peer(), !frame.Leave.Resumed)
 	case wire.KindRenew:
--- /dev/null
+++ b/internal/serve/mesh/content.go
@@ -0,0 +1,327 @@
+package mesh
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/link/pack"
+	"github.com/jujubescale/jujubescale/internal/link/sess"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/ops/logs"
+)
+
+const (
+	// maxInlineBytes is the largest size of the values of an update that is sent in one
+	// message. On a slow link, a larger message delays reports, and the peer then
+	// counts as silent.
+	maxInlineBytes = 8 << 10
+	// keptContents is the number of contents of each kind that a process keeps for
+	// peers: a peer may still request the chunks of an older one.
+	keptContents = 4
+)
+
+// contents holds the packed objects of recent updates, from which peers request chunks.
+type contents struct {
+	mu     sync.Mutex
+	byKind map[string][]*keptContent
+}
+
+// keptContent is the content of an update. Updates of one kind with the same range of
+// revisions have the same objects.
+type keptContent struct {
+	*pack.Content
+	since, changed uint64
+	whole          bool
+}
+
+// packUpdate returns an update that names its objects instead of holding them. It
+// returns the update itself if that is small or can't be packed.
+func (c *contents) packUpdate(update *wire.Update) (*wire.Update, error) {
+	if update.Bytes() <= maxInlineBytes {
+		return update, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept, err := c.contentOf(update)
+	if err != nil {
+		return update, err
+	}
+	packed := *update
+	packed.Objects, packed.Packed = nil, &wire.Packed{Digest: kept.Digest, Bytes: len(kept.Data)}
+	return &packed, nil
+}
+
+// contentOf returns the content of an update and keeps it; the caller holds the lock.
+func (c *contents) contentOf(update *wire.Update) (*keptContent, error) {
+	all := c.byKind[update.Kind]
+	for _, kept := range all {
+		if kept.since == update.Since && kept.changed == update.Changed && kept.whole == update.Whole {
+			return kept, nil
+		}
+	}
+	content, err := pack.Encode(update.Objects)
+	if err != nil {
+		return nil, err
+	}
+	kept := &keptContent{Content: content, since: update.Since, changed: update.Changed, whole: update.Whole}
+	if len(all) >= keptContents {
+		all = slices.Delete(all, 0, len(all)-keptContents+1)
+	}
+	if c.byKind == nil {
+		c.byKind = make(map[string][]*keptContent)
+	}
+	c.byKind[update.Kind] = append(all, kept)
+	return kept, nil
+}
+
+// chunk returns the answer to a request for a chunk.
+func (c *contents) chunk(request *wire.ChunkRequest) *wire.Chunk {
+	answer := &wire.Chunk{Digest: request.Digest, Offset: request.Offset}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, all := range c.byKind {
+		for _, kept := range all {
+			if kept.Digest == request.Digest {
+				answer.Data = kept.Chunk(request.Offset)
+				return answer
+			}
+		}
+	}
+	return answer
+}
+
+// sendUpdate sends an update on a session. Peers of the previous version get the
+// objects in the message itself.
+func (m *Mesh) sendUpdate(s *sess.Session, update *wire.Update) {
+	if s.Peer().Chunks {
+		packed, err := m.contents.packUpdate(update)
+		if err != nil {
+			m.log.Error("update is not packed", "kind", update.Kind, "revision", update.Revision, logs.KeyError, err)
+		}
+		update = packed
+	}
+	_ = s.Send(&wire.Frame{Kind: wire.KindUpdate, Update: update}) // a peer requests missing changes again
+}
+
+func (m *Mesh) answerChunkRequest(s *sess.Session, request *wire.ChunkRequest) {
+	_ = s.Send(&wire.Frame{Kind: wire.KindChunk, Chunk: m.contents.chunk(request)}) // a peer requests it again
+}
+
+const (
+	// chunkTimeout is the time after which a chunk is requested again, from the
+	// upstream of that time.
+	chunkTimeout = 500 * clock.Millis(1)
+	// downloadTimeout is the time without a chunk after which a download is given up.
+	downloadTimeout = 5 * clock.Second
+	// maxLaterUpdates limits the updates that are kept until a download is complete.
+	maxLaterUpdates = 64
+)
+
+// download is the transfer of the objects of one update. It continues with another
+// peer that has the same content. A download is completed before a newer one of its
+// kind starts: otherwise, frequent changes would end each before its last chunk.
+type download struct {
+	transfer *pack.Transfer
+	// update is the update without its objects, and arrivedAt when it arrived.
+	update    *wire.Update
+	arrivedAt clock.Millis
+	// from is the peer that is asked for chunks, requestedAt when it was last asked, and
+	// receivedAt when the last chunk arrived.
+	from                    string
+	requestedAt, receivedAt clock.Millis
+	// later holds the updates that arrived meanwhile, and next the newest packed one.
+	later []*wire.Update
+	next  *announced
+}
+
+// announced is a packed update that is not transferred yet.
+type announced struct {
+	update *wire.Update
+	from   string
+	at     clock.Millis
+}
+
+// downloads holds the download of each kind of objects.
+type downloads struct {
+	mu     sync.Mutex
+	byKind map[string]*download
+	// last holds the last complete transfer of each kind. Another peer may announce the
+	// same content again.
+	last map[string]*pack.Transfer
+}
+
+func (d *downloads) init() {
+	d.byKind, d.last = make(map[string]*download), make(map[string]*pack.Transfer)
+}
+
+// receiveUpdate applies an update of the upstream, after its objects have been
+// transferred if it is packed.
+func (m *Mesh) receiveUpdate(from string, update *wire.Update, now clock.Millis) {
+	d := &m.downloads
+	d.mu.Lock()
+	current := d.byKind[update.Kind]
+	if update.Packed == nil {
+		if current != nil && !update.Whole {
+			if len(current.later) < maxLaterUpdates {
+				current.later = append(current.later, update)
+			}
+			d.mu.Unlock()
+			return
+		}
+		d.mu.Unlock()
+		m.applyUpdate(from, update, now)
+		return
+	}
+	if last := d.last[update.Kind]; last != nil && last.Digest() == update.Packed.Digest {
+		d.mu.Unlock()
+		m.applyContent(from, update, last, now)
+		return
+	}
+	announcement := &announced{update: update, from: from, at: now}
+	switch {
+	case current == nil:
+		m.startDownload(announcement)
+	case current.transfer.Digest() == update.Packed.Digest:
+		if update.Revision >= current.update.Revision {
+			current.update, current.arrivedAt = update, now
+		}
+		if current.from != from {
+			current.from = from
+			m.requestChunk(current, now)
+		}
+	case current.next == nil || update.Revision >= current.next.update.Revision:
+		current.next = announcement
+	}
+	d.mu.Unlock()
+}
+
+// startDownload starts the transfer of an announced update; the caller holds the lock of
+// the downloads.
+func (m *Mesh) startDownload(announcement *announced) {
+	update := announcement.update
+	transfer, err := pack.NewTransfer(update.Packed)
+	if err != nil {
+		m.ignoredFunc("contradictory")
+		m.log.Warn("update ignored", "peer", announcement.from, "kind", update.Kind, "revision", update.Revision, logs.KeyError, err)
+		return
+	}
+	now := m.clock.Now()
+	started := &download{transfer: transfer, update: update, arrivedAt: announcement.at, from: announcement.from, receivedAt: now}
+	m.downloads.byKind[update.Kind] = started
+	m.requestChunk(started, now)
+}
+
+// requestChunk requests the next chunk; the caller holds the lock of the downloads.
+func (m *Mesh) requestChunk(d *download, now clock.Millis) {
+	d.requestedAt = now
+	m.mu.Lock()
+	l := m.links[d.from]
+	m.mu.Unlock()
+	if l == nil {
+		return
+	}
+	if l = m.ifOpen(l); l != nil {
+		m.sendOn(l, &wire.Frame{Kind: wire.KindChunkRequest, ChunkRequest: &wire.ChunkRequest{Digest: d.transfer.Digest(), Offset: d.transfer.Offset()}})
+	}
+}
+
+// handleChunk adds a chunk to its download and requests the next one. After the last
+// one it applies the update.
+func (m *Mesh) handleChunk(from string, chunk *wire.Chunk) {
+	now := m.clock.Now()
+	m.downloads.mu.Lock()
+	d := m.downloads.find(chunk.Digest)
+	switch {
+	case d == nil:
+		m.downloads.mu.Unlock()
+		return
+	case len(chunk.Data) == 0:
+		if from == d.from {
+			m.endDownload(d, "notKept", now)
+		}
+		m.downloads.mu.Unlock()
+		return
+	case !d.transfer.Add(chunk):
+		m.downloads.mu.Unlock()
+		return
+	}
+	d.receivedAt = now
+	if !d.transfer.Done() {
+		m.requestChunk(d, now)
+		m.downloads.mu.Unlock()
+		m.follower.ExpectFunc(d.update.Kind)
+		return
+	}
+	m.downloads.last[d.update.Kind] = d.transfer
+	m.endDownload(d, "complete", now)
+	m.downloads.mu.Unlock()
+	m.applyContent(from, d.update, d.transfer, d.arrivedAt)
+	for _, update := range d.later {
+		m.applyUpdate(from, update, d.arrivedAt)
+	}
+}
+
+// find returns the download of a content; the caller holds the lock.
+func (d *downloads) find(digest string) *download {
+	for _, current := range d.byKind {
+		if current.transfer.Digest() == digest {
+			return current
+		}
+	}
+	return nil
+}
+
+// endDownload removes a download and starts the next one of its kind; the caller holds
+// the lock of the downloads.
+func (m *Mesh) endDownload(d *download, outcome string, now clock.Millis) {
+	kind := d.update.Kind
+	delete(m.downloads.byKind, kind)
+	m.log.Info("objects transferred", "peer", d.from, "kind", kind, "revision", d.update.Revision, "outcome", outcome,
+		"bytes", d.transfer.Offset(), "of", d.update.Packed.Bytes, "tookMs", int64(now-d.arrivedAt))
+	if d.next != nil {
+		m.startDownload(d.next)
+	}
+}
+
+// applyContent applies an update whose objects were transferred.
+func (m *Mesh) applyContent(from string, update *wire.Update, transfer *pack.Transfer, arrivedAt clock.Millis) {
+	objects, err := transfer.Objects()
+	if err != nil {
+		m.ignoredFunc("contradictory")
+		m.log.Warn("update ignored", "peer", from, "kind", update.Kind, "revision", update.Revision, logs.KeyError, err)
+		return
+	}
+	complete := *update
+	complete.Objects, complete.Packed = objects, nil
+	m.applyUpdate(from, &complete, arrivedAt)
+}
+
+// applyUpdate applies an update that arrived at an instant.
+func (m *Mesh) applyUpdate(from string, update *wire.Update, arrivedAt clock.Millis) {
+	m.requestMissing(from, m.follower.ApplyFunc(update, arrivedAt))
+}
+
+// resumeDownloads requests chunks that did not arrive in time from the upstream of this
+// time, and gives up downloads without progress.
+func (m *Mesh) resumeDownloads(now clock.Millis) {
+	upstream := m.uplink.Load().upstream
+	m.downloads.mu.Lock()
+	defer m.downloads.mu.Unlock()
+	for _, d := range m.downloads.byKind {
+		switch {
+		case now-d.receivedAt > downloadTimeout:
+			m.endDownload(d, "timeout", now)
+		case now-d.requestedAt > chunkTimeout && upstream != "":
+			d.from = upstream
+			m.requestChunk(d, now)
+		}
+	}
+}
+
+// isDownloading reports whether objects of a kind are being transferred.
+func (m *Mesh) isDownloading(kind string) bool {
+	m.downloads.mu.Lock()
+	defer m.downloads.mu.Unlock()
+	return m.downloads.byKind[kind] != nil
+}
--- /dev/null
+++ b/internal/serve/mesh/content_test.go
@@ -0,0 +1,132 @@
+package mesh_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/serve/mesh"
+)
+
+// receiver is a process that records the revisions of the updates it applies.
+type receiver struct {
+	*mesh.Mesh
+	applied []uint64
+	sizes   []int
+}
+
+func newReceiver(t *testing.T) *receiver {
+	r := &receiver{}
+	r.Mesh = mesh.New(t.Context(), mesh.Member{Name: "receiver"}, mesh.WithFollower(mesh.Follower{
+		ApplyFunc: func(update *wire.Update, _ clock.Millis) []string {
+			r.applied, r.sizes = append(r.applied, update.Revision), append(r.sizes, update.Bytes())
+			return nil
+		},
+		ExpectFunc: func(string) {},
+	}))
+	return r
+}
+
+func newSender(t *testing.T) *mesh.Mesh { return mesh.New(t.Context(), mesh.Member{Name: "sender"}) }
+
+// largeUpdate returns an update whose content has several chunks.
+func largeUpdate(revision uint64) *wire.Update {
+	random := rand.New(rand.NewPCG(revision, 1))
+	value := make([]byte, 100_000)
+	for i := range value {
+		value[i] = byte(random.Uint32())
+	}
+	return &wire.Update{Kind: "config", Revision: revision, Changed: revision, Whole: true, Objects: []wire.Stored{{Name: "config/main", Version: revision, Value: value}}}
+}
+
+func pack(t *testing.T, sender *mesh.Mesh, update *wire.Update) *wire.Update {
+	t.Helper()
+	packed, err := sender.Pack(update)
+	assert.NilError(t, err)
+	assert.Assert(t, packed.Packed != nil && packed.Objects == nil)
+	return packed
+}
+
+// transfer transfers up to count chunks from a sender.
+func (r *receiver) transfer(sender *mesh.Mesh, from, digest string, count int) {
+	for range count {
+		offset, downloading := r.Downloading("config")
+		if !downloading {
+			return
+		}
+		r.HandleChunk(from, sender.Chunk(&wire.ChunkRequest{Digest: digest, Offset: offset}))
+	}
+}
+
+// Guards against a transfer that begins again at its first byte whenever the upstream
+// changes.
+func TestTransferContinuesWithAnotherPeer(t *testing.T) {
+	r, first, second := newReceiver(t), newSender(t), newSender(t)
+	packed := pack(t, first, largeUpdate(7))
+	r.ReceiveUpdate("first", packed)
+	r.transfer(first, "first", packed.Packed.Digest, 2)
+	again := pack(t, second, largeUpdate(7))
+	r.ReceiveUpdate("second", again)
+	offset, downloading := r.Downloading("config")
+	assert.Assert(t, downloading && offset > 0, "offset %d", offset)
+	r.transfer(second, "second", again.Packed.Digest, 10)
+	assert.DeepEqual(t, r.applied, []uint64{7})
+	assert.DeepEqual(t, r.sizes, []int{100_000})
+	r.ReceiveUpdate("first", packed)
+	assert.DeepEqual(t, r.applied, []uint64{7, 7})
+}
+
+// Guards against changes in quick succession that end each transfer before its last
+// chunk, so that none is ever applied.
+func TestFrequentChangesEndNoTransfer(t *testing.T) {
+	r, sender := newReceiver(t), newSender(t)
+	packed := pack(t, sender, largeUpdate(7))
+	r.ReceiveUpdate("sender", packed)
+	for revision := uint64(8); revision < 10; revision++ {
+		r.transfer(sender, "sender", packed.Packed.Digest, 1)
+		r.ReceiveUpdate("sender", pack(t, sender, largeUpdate(revision)))
+	}
+	r.transfer(sender, "sender", packed.Packed.Digest, 10)
+	assert.DeepEqual(t, r.applied, []uint64{7})
+	r.transfer(sender, "sender", pack(t, sender, largeUpdate(9)).Packed.Digest, 10)
+	assert.DeepEqual(t, r.applied, []uint64{7, 9})
+}
+
+// Guards against changes that are lost because they arrive while the list before them is
+// still being transferred.
+func TestChangesDuringATransferAreAppliedAfterIt(t *testing.T) {
+	r, sender := newReceiver(t), newSender(t)
+	packed := pack(t, sender, largeUpdate(7))
+	r.ReceiveUpdate("sender", packed)
+	r.ReceiveUpdate("sender", &wire.Update{Kind: "config", Since: 7, Revision: 8, Changed: 8})
+	assert.Equal(t, len(r.applied), 0)
+	r.transfer(sender, "sender", packed.Packed.Digest, 10)
+	assert.DeepEqual(t, r.applied, []uint64{7, 8})
+}
+
+// Guards against a transfer that waits forever for a peer that doesn't have the content
+// any more.
+func TestTransferEndsWhenThePeerHasNoContent(t *testing.T) {
+	r, sender := newReceiver(t), newSender(t)
+	r.ReceiveUpdate("sender", pack(t, sender, largeUpdate(7)))
+	r.ReceiveUpdate("sender", pack(t, sender, largeUpdate(8)))
+	for range 2 {
+		_, downloading := r.Downloading("config")
+		assert.Assert(t, downloading)
+		r.HandleChunk("sender", &wire.Chunk{Digest: r.Digest("config")})
+	}
+	_, downloading := r.Downloading("config")
+	assert.Assert(t, !downloading)
+	assert.Equal(t, len(r.applied), 0)
+}
+
+// Guards against small changes that need one more message to arrive.
+func TestSmallUpdatesAreSentWhole(t *testing.T) {
+	update := &wire.Update{Kind: "config", Revision: 7, Objects: []wire.Stored{{Name: "config/main", Value: make([]byte, 1000)}}}
+	sent, err := newSender(t).Pack(update)
+	assert.NilError(t, err)
+	assert.Equal(t, sent, update)
+}
--- a/internal/serve/mesh/follow.go
+++ b/internal/serve/mesh/follow.go
@@ -154,7 +154,7 @@
 		snapshot := m.follower.SnapshotFunc(kind.Kind)
 		if snapshot != nil && snapshot.Changed > kind.Revision {
 			m.log.Info("snapshot sent", "peer", s.Peer().Process, "kind", kind.Kind, "revision", snapshot.Revision, "peerRevision", kind.Revision, "bytes", snapshot.Bytes())
-			_ = s.Send(&wire.Frame{Kind: wire.KindUpdate, Update: snapshot}) // a session that can't send is ending
+			m.sendUpdate(s, snapshot)
 		}
 	}
 }
@@ -165,7 +165,7 @@
 	defer m.mu.Unlock()
 	for _, in := range m.inbound {
 		if in.follows {
-			_ = in.session.Send(&wire.Frame{Kind: wire.KindUpdate, Update: update}) // a peer requests missing changes again
+			m.sendUpdate(in.session, update)
 		}
 	}
 }
@@ -181,7 +181,7 @@
 		m.log.Info("update dropped", "peer", from, "kind", update.Kind, "revision", update.Revision, "bytes", update.Bytes(), "reason", "notUpstream")
 		return
 	}
-	m.requestMissing(from, m.follower.ApplyFunc(update, m.clock.Now()))
+	m.receiveUpdate(from, update, m.clock.Now())
 }
 
 // confirmProgress applies the progress of the upstream and requests missing
@@ -191,8 +191,9 @@
 }
 
 // requestMissing requests changes of the given kinds from the upstream, at most
-// once per minRequestPause.
+// once per minRequestPause. It requests none that are being transferred.
 func (m *Mesh) requestMissing(from string, missing []string) {
+	missing = slices.DeleteFunc(missing, m.isDownloading)
 	if len(missing) == 0 {
 		return
 	}
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -80,6 +80,8 @@
 	// of that peer as of an instant. Both return the kinds that lack changes.
 	ApplyFunc   func(update *wire.Update, now clock.Millis) []string
 	ConfirmFunc func(progress []wire.Progress, now clock.Millis) []string
+	// ExpectFunc is called while objects of a kind are being transferred from a peer.
+	ExpectFunc func(kind string)
 	// MaxPeerAge bounds the age of the last store answer at a peer that this
 	// process follows; MaxWatcherAge bounds it at this process while it is a
 	// watcher. Both are in milliseconds.
@@ -114,6 +116,10 @@
 	newerReleaseFunc func()
 	follower         Follower
 
+	// contents holds what peers request in chunks, downloads what this process does.
+	contents  contents
+	downloads downloads
+
 	totals *sums.Totals
 	view   atomic.Pointer[view]
 	// pools, pendingArrivals and trials hold the sums of the reports of all peers.
@@ -256,6 +262,7 @@
 			SnapshotFunc:   func(string) *wire.Update { return nil },
 			ApplyFunc:      func(*wire.Update, clock.Millis) []string { return nil },
 			ConfirmFunc:    func([]wire.Progress, clock.Millis) []string { return nil },
+			ExpectFunc:     func(string) {},
 			DownFunc:       func() bool { return false },
 			NoUpstreamFunc: func() {},
 			MaxPeerAge:     defaultMaxPeerAge,
@@ -268,6 +275,7 @@
 		leaving: make(map[string]token.Incarnation), absent: make(map[string]token.Incarnation),
 	}
 	m.reports.init()
+	m.downloads.init()
 	m.uplink.Store(&uplink{})
 	for _, opt := range opts {
 		opt(m)
@@ -332,7 +340,7 @@
 func (m *Mesh) hello() wire.Hello {
 	return wire.Hello{
 		Process: m.self.Name, Incarnation: m.self.Incarnation, Role: "gateway", AvailabilityZone: m.self.Zone,
-		Leaving: !m.mayOwn(), Capacity: m.self.Capacity, Relays: true,
+		Leaving: !m.mayOwn(), Capacity: m.self.Capacity, Relays: true, Chunks: true,
 	}
 }
 
--- a/internal/serve/mesh/report.go
+++ b/internal/serve/mesh/report.go
@@ -142,6 +142,7 @@
 	m.chooseRole(now)
 	if regular {
 		m.chooseUpstream(now)
+		m.resumeDownloads(now)
 		m.updateTotals()
 	}
 	r.destinations = m.send(regular, now)
