fix(feed): a list that is being read is not requested again

Cause: each frame of a peer with a newer version requests the list. A request that came while the list was arriving was kept, ended the next watch and read the list a second time.

TestListRequestedDuringAReadIsReadOnce failed before: two lists for one request.

--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -61,6 +61,8 @@
 	changeFunc    func(changes []store.Change)
 	forwardFunc   func(*wire.Update)
 	listRequested chan struct{}
+	// reading is set while the list is being read.
+	reading atomic.Bool
 	// relayChanged wakes Run when a peer has started or stopped relaying changes.
 	relayChanged chan struct{}
 	// lostAt is when the store stopped answering, 0 while it answers. lostFor is the
@@ -144,8 +146,12 @@
 }
 
 // RequestList makes Run read the complete list again soon, because another process
-// has a newer state.
+// has a newer state. It has no effect while the list is being read: reading it twice
+// would take the bandwidth that the first answer needs.
 func (f *Feed) RequestList() {
+	if f.reading.Load() {
+		return
+	}
 	select {
 	case f.listRequested <- struct{}{}:
 	default:
@@ -178,7 +184,13 @@
 
 // readList reads the complete list.
 func (f *Feed) readList(ctx context.Context) {
+	f.reading.Store(true)
+	select {
+	case <-f.listRequested:
+	default:
+	}
 	listing, err := f.store.Scan(ctx, f.kind)
+	f.reading.Store(false)
 	if err != nil {
 		f.handleFailure(ctx, err)
 		return
--- a/internal/serve/feed/feed_test.go
+++ b/internal/serve/feed/feed_test.go
@@ -215,3 +215,28 @@
 		<-done
 	}
 }
+
+// Guards against a large list that is read twice because peers with a newer state request
+// it again while its answer is arriving.
+func TestListRequestedDuringAReadIsReadOnce(t *testing.T) {
+	began, answer := make(chan struct{}), make(chan struct{})
+	var reads atomic.Int64
+	f, h := run(t, &script{
+		scans: []func() (store.Listing, error){func() (store.Listing, error) {
+			if reads.Add(1) == 1 {
+				close(began)
+				<-answer
+			}
+			return listed(5, "k/a")()
+		}},
+		follows: []func(context.Context) (store.Changes, error){blockUntilDone},
+	})
+	<-began
+	for range 3 {
+		f.RequestList()
+	}
+	close(answer)
+	h.waitFor(t, func(h *received) bool { return len(h.lists) == 1 })
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, reads.Load(), int64(1))
+}
