fix(feed): a peer with a newer state shortens the pause after failed calls

What callers saw: a version late at processes that had just failed to reach the store. Not shown that this pause alone was the cause.

Cause: after a failed call a feed slept up to 6 s in large fleets, or waited for the prober of its process, although a peer showed that the store answers.

TestNewerStateAtAPeerShortensThePauseAfterAFailure failed before: no call within 10 s after the peer's newer state, the pause was 30 to 90 s.

--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -305,14 +305,24 @@
 }
 
 // pauseUnlessRelayed waits for a pause, or until a peer relays changes if that is
-// earlier.
+// earlier. A requested list shortens the pause to maxBackoff: a peer with a newer state
+// shows that the store answers again.
 func (f *Feed) pauseUnlessRelayed(ctx context.Context, pause clock.Millis) {
+	began := f.clock.Now()
 	expired, stopTimer := f.clock.After(pause)
-	defer stopTimer()
-	select {
-	case <-expired:
-	case <-f.relayChanged:
-	case <-ctx.Done():
+	defer func() { stopTimer() }()
+	for {
+		select {
+		case <-f.listRequested:
+			stopTimer()
+			pause = min(pause, maxBackoff)
+			expired, stopTimer = f.clock.After(max(began+pause-f.clock.Now(), 0))
+			continue
+		case <-expired:
+		case <-f.relayChanged:
+		case <-ctx.Done():
+		}
+		return
 	}
 }
 
--- a/internal/serve/feed/feed_test.go
+++ b/internal/serve/feed/feed_test.go
@@ -240,3 +240,41 @@
 	time.Sleep(50 * time.Millisecond)
 	assert.Equal(t, reads.Load(), int64(1))
 }
+
+// Guards against a version that comes late because a process sleeps after failed calls,
+// up to 6 s in large fleets, although a peer shows that the store answers again.
+func TestNewerStateAtAPeerShortensThePauseAfterAFailure(t *testing.T) {
+	const longBackoff = clock.Minute
+	fake := clock.NewFake(1)
+	var calls atomic.Int64
+	s := &store.Store{ScanFunc: func(context.Context, string) (store.Listing, error) {
+		calls.Add(1)
+		return failedScan()
+	}}
+	f := feed.New("k", s, feed.WithClock(fake.Clock()), feed.WithBackoff(func() clock.Millis { return longBackoff }))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	waitFor := func(condition func() bool) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if condition() {
+				return poll.Success()
+			}
+			return poll.Continue("%d calls", calls.Load())
+		}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	}
+	for failures := int64(1); failures < 14; failures++ {
+		waitFor(func() bool { return calls.Load() == failures && fake.Pending() == 1 })
+		if failures < 13 {
+			fake.Advance(3 * longBackoff / 2)
+		}
+	}
+	f.RequestList()
+	failedAt := fake.Clock().Now()
+	waitFor(func() bool {
+		fake.Advance(10)
+		return calls.Load() == 14 || fake.Clock().Since(failedAt) > 10*clock.Second
+	})
+	assert.Assert(t, fake.Clock().Since(failedAt) < 3*clock.Second, "called after %d ms", fake.Clock().Since(failedAt))
+}
--- a/internal/serve/feed/outage.go
+++ b/internal/serve/feed/outage.go
@@ -52,12 +52,14 @@
 // refuse only one type of call, and the call of the prober may take long.
 const maxProberWait = 1500 * clock.Millis(1)
 
-// waitForProber waits until the prober gets an answer, but at most maxProberWait.
+// waitForProber waits until the prober gets an answer or a peer relays changes, but at
+// most maxProberWait.
 func (f *Feed) waitForProber(ctx context.Context, answered <-chan struct{}) {
 	expired, stopTimer := f.clock.After(maxProberWait)
 	defer stopTimer()
 	select {
 	case <-answered:
+	case <-f.relayChanged:
 	case <-expired:
 	case <-ctx.Done():
 	}
