fix(feed): the age of a copy counts from the call to the store

Cause: an answer of the store was recorded as of its arrival. A slow store, or a process that was paused, delays it by seconds; the copy and those of all followers then counted as new. Older answers and confirmations of peers with an older state renewed the age.

Change: a list, and changes, show the state at the time of the call; an answer without changes that of the end of the wait. Older states renew nothing. After an answer that was long on its way the next wait is shorter, so that followers don't ask the store.

TestAgeCountsFromTheCall failed before (age 0 instead of 400 and 900 ms), and so did TestOlderStateDoesNotRenewTheAge (0 instead of 800 ms).

--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -32,7 +32,11 @@
 	// minBackoff and maxBackoff bound the pause after a failed call. maxBackoff
 	// bounds the time until the end of an outage is detected.
 	minBackoff = 100 * clock.Millis(1)
-	maxBackoff = 800 * clock.Millis(1)
+	// minWait is the shortest wait of a call for changes. confirmShare is the part of the
+	// maximum age within which the next confirmation is due.
+	minWait      = 50 * clock.Millis(1)
+	confirmShare = 0.8
+	maxBackoff   = 800 * clock.Millis(1)
 )
 
 // Feed follows one kind of objects.
@@ -189,6 +193,7 @@
 	case <-f.listRequested:
 	default:
 	}
+	sentAt := f.clock.Now()
 	listing, err := f.store.Scan(ctx, f.kind)
 	f.reading.Store(false)
 	if err != nil {
@@ -196,14 +201,15 @@
 		return
 	}
 	f.recordAnswer()
-	f.applyList(listing.Objects, listing.Revision, listing.Revision, f.lostFor, f.clock.Now())
+	f.applyList(listing.Objects, listing.Revision, listing.Revision, f.lostFor, sentAt)
 	f.lostFor = 0
 }
 
 // watch reads changes until the list has to be read again or a peer relays them.
 func (f *Feed) watch(ctx context.Context, since uint64) {
 	for ctx.Err() == nil {
-		changes, err := f.waitForChanges(ctx, since)
+		wait, sentAt := f.nextWait(), f.clock.Now()
+		changes, err := f.waitForChanges(ctx, since, wait)
 		var dropped *store.HistoryError
 		switch {
 		case errors.Is(err, errRelayed):
@@ -233,7 +239,7 @@
 			f.requireList()
 			return
 		}
-		since = f.applyChanges(changes.Changes, since, max(since, changes.Revision), f.clock.Now())
+		since = f.applyChanges(changes.Changes, since, max(since, changes.Revision), f.confirmedBy(changes, sentAt, wait))
 		if f.graceTimeLeft() > 0 {
 			return
 		}
@@ -249,14 +255,34 @@
 	errRelayed       = errors.New("a peer relays changes")
 )
 
-func (f *Feed) waitForChanges(ctx context.Context, since uint64) (store.Changes, error) {
+// nextWait returns how long the next call waits for changes. The wait is shorter after an
+// answer that had been on its way for long, so that peers get the next confirmation
+// before the last one exceeds the maximum age.
+func (f *Feed) nextWait() clock.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	left := f.state.confirmedAt + clock.Millis(confirmShare*float64(f.maxAge)) - f.clock.Now()
+	return min(f.wait(), max(left, minWait))
+}
+
+// confirmedBy returns the instant of which an answer to a call that waited for changes
+// shows the state. Without changes the store answers when the wait is over, otherwise at
+// any time after the call was sent.
+func (f *Feed) confirmedBy(changes store.Changes, sentAt, wait clock.Millis) clock.Millis {
+	if len(changes.Changes) == 0 && f.clock.Since(sentAt) >= wait {
+		return sentAt + wait
+	}
+	return sentAt
+}
+
+func (f *Feed) waitForChanges(ctx context.Context, since uint64, wait clock.Millis) (store.Changes, error) {
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
 	cause := make(chan error, 1)
 	began := f.clock.Now()
 	go func() { cause <- f.awaitInterrupt(cancel, done) }()
-	changes, err := f.store.Follow(call, f.kind, since, f.wait())
+	changes, err := f.store.Follow(call, f.kind, since, wait)
 	close(done)
 	if interrupt := <-cause; interrupt != nil {
 		f.log.Info("call to the store abandoned", "kind", f.kind, "since", since, "reason", interrupt, "tookMs", int64(f.clock.Since(began)))
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -175,8 +175,11 @@
 	s := &f.state
 	required := s.listDue || !s.listed
 	s.listDue = false
+	if s.listed && revision < s.revision {
+		return // an older answer shows nothing about the known revision
+	}
 	s.confirmedAt = max(s.confirmedAt, at)
-	if s.listed && (revision < s.revision || (revision == s.revision && !required)) {
+	if s.listed && revision == s.revision && !required {
 		return // already known through a relay or a call
 	}
 	s.listed, s.revision, s.lastChange = true, revision, changed
@@ -194,8 +197,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := &f.state
+	if revision < s.revision {
+		return s.revision
+	}
 	s.confirmedAt = max(s.confirmedAt, at)
-	if revision <= s.revision {
+	if revision == s.revision {
 		return s.revision
 	}
 	unseen := slices.DeleteFunc(slices.Clone(changes), func(change store.Change) bool { return f.isOld(change, since) })
@@ -248,6 +254,9 @@
 // earlier changes are missing; then it applies nothing.
 func (f *Feed) Apply(update *wire.Update, now clock.Millis) (missing bool) {
 	at := now - update.Age
+	if known, listed := f.knownRevision(); listed && update.Revision < known {
+		return false
+	}
 	if update.Whole {
 		f.applyList(objectsOf(update), update.Revision, update.Changed, update.Outage, at)
 	} else {
@@ -268,7 +277,11 @@
 		f.mu.Unlock()
 		return true
 	}
-	f.state.revision, f.state.listDue = max(f.state.revision, progress.Revision), false
+	if progress.Revision < f.state.revision {
+		f.mu.Unlock()
+		return false // an older answer shows nothing about the known revision
+	}
+	f.state.revision, f.state.listDue = progress.Revision, false
 	f.mu.Unlock()
 	f.recordRelay(now - progress.Age)
 	return false
--- a/internal/serve/feed/peer_test.go
+++ b/internal/serve/feed/peer_test.go
@@ -192,3 +192,81 @@
 	}
 	assert.Assert(t, f.Relayed())
 }
+
+// Guards against a copy that seems fresh because its age counts from the arrival of an
+// answer: a slow store, or a paused process, delays answers by seconds.
+func TestAgeCountsFromTheCall(t *testing.T) {
+	const wait, delay = 500 * clock.Millis(1), 900 * clock.Millis(1)
+	for name, answer := range map[string]struct {
+		changes store.Changes
+		age     clock.Millis
+	}{
+		"changes":    {changes: store.Changes{Revision: 6, Changes: []store.Change{{Object: store.Object{Name: "k/b", Version: 6}}}}, age: delay},
+		"no changes": {changes: store.Changes{Revision: 6}, age: delay - wait},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fake := clock.NewFake(1)
+			answered := make(chan struct{})
+			first := true
+			s := &store.Store{
+				ScanFunc: func(context.Context, string) (store.Listing, error) { return listed(5, "k/a")() },
+				FollowFunc: func(ctx context.Context, _ string, _ uint64, _ clock.Millis) (store.Changes, error) {
+					if !first {
+						close(answered)
+						return blockUntilDone(ctx)
+					}
+					first = false
+					fake.Advance(delay)
+					return answer.changes, nil
+				},
+			}
+			f := feed.New("k", s, feed.WithClock(fake.Clock()), feed.WithWait(func() clock.Millis { return wait }))
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { f.Run(ctx); close(done) }()
+			t.Cleanup(func() { cancel(); <-done })
+			<-answered
+			assert.Equal(t, f.Progress().Revision, uint64(6))
+			assert.Equal(t, f.Progress().Age, answer.age)
+		})
+	}
+	t.Run("list", func(t *testing.T) {
+		fake := clock.NewFake(1)
+		s := &store.Store{
+			ScanFunc: func(context.Context, string) (store.Listing, error) {
+				fake.Advance(delay)
+				return listed(5, "k/a")()
+			},
+			FollowFunc: func(ctx context.Context, _ string, _ uint64, _ clock.Millis) (store.Changes, error) {
+				return blockUntilDone(ctx)
+			},
+		}
+		read := make(chan struct{})
+		f := feed.New("k", s, feed.WithClock(fake.Clock()), feed.WithList(func([]store.Object, clock.Millis) { close(read) }))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { f.Run(ctx); close(done) }()
+		t.Cleanup(func() { cancel(); <-done })
+		<-read
+		assert.Equal(t, f.Progress().Age, delay)
+	})
+}
+
+// Guards against a peer with an older state that makes this process's newer copy seem
+// fresh.
+func TestOlderStateDoesNotRenewTheAge(t *testing.T) {
+	p := newRelayedFeed(t)
+	p.confirm(t)
+	assert.Assert(t, !p.Apply(update(5, 9, wire.Stored{Name: "k/b", Version: 9}), p.now()))
+	p.fake.Advance(800)
+	whole := update(0, 7)
+	whole.Whole = true
+	for name, relay := range map[string]func(){
+		"list":         func() { p.Apply(whole, p.now()) },
+		"changes":      func() { p.Apply(update(5, 7), p.now()) },
+		"confirmation": func() { p.Confirm(wire.Progress{Kind: "k", Revision: 7, Changed: 5}, p.now()) },
+	} {
+		relay()
+		assert.Equal(t, p.Progress().Age, 800*clock.Millis(1), name)
+	}
+}
