feat(router): the age of the configuration is a metric, and logged when it is too old

jujubescale_config_age_seconds; a line at three quarters of the time within which a change must be in force, where the process begins to ask the store itself. Half of that time is passed in normal operation between two watches, so that a line there would be written all the time.

--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -284,6 +284,10 @@
 	return m
 }
 
+// Upstream returns the peer that relays changes of the store to this process, "" for
+// none.
+func (m *Mesh) Upstream() string { return m.uplink.Load().upstream }
+
 // Self returns the name of this process.
 func (m *Mesh) Self() string { return m.self.Name }
 
--- a/internal/serve/router/meter.go
+++ b/internal/serve/router/meter.go
@@ -1,17 +1,27 @@
 package router
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
 
-// meter counts the reports of peers that were ignored.
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+)
+
+// meter counts the reports of peers that were ignored and shows the age of the
+// configuration.
 type meter struct {
 	reports *prometheus.CounterVec
 }
 
-func newMeter(r prometheus.Registerer) *meter {
+// newMeter returns a meter. The function configAge returns the age of the configuration
+// in milliseconds.
+func newMeter(r prometheus.Registerer, configAge func() clock.Millis) *meter {
 	m := &meter{reports: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "jujubescale_peer_reports_ignored_total", Help: "Reports of peers that were ignored, by reason.",
 	}, []string{"reason"})}
-	r.MustRegister(m.reports)
+	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "jujubescale_config_age_seconds", Help: "Time since the store confirmed the configuration in force, to this process or to the peer that relays it.",
+	}, func() float64 { return configAge().Duration().Seconds() })
+	r.MustRegister(m.reports, age)
 	return m
 }
 
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -109,6 +109,7 @@
 	endpoints   *view.Registry
 	endpointsMu sync.Mutex
 	storeBackAt clock.Millis // when the store was reachable again after its last outage
+	configOld   bool         // whether checkConfigAge found the configuration too old
 	listed      atomic.Bool  // whether the store's member list holds this process
 
 	gate  *gate.Gate
@@ -130,7 +131,8 @@
 // New returns a gateway that is not running yet. Its calls to endpoints and peers end
 // with the context.
 func New(ctx context.Context, settings Settings) *Gateway {
-	g := &Gateway{Settings: settings, incarnation: token.NewIncarnation(), startedAt: settings.Clock.Now(), baseCtx: ctx, meter: newMeter(settings.Registry)}
+	g := &Gateway{Settings: settings, incarnation: token.NewIncarnation(), startedAt: settings.Clock.Now(), baseCtx: ctx}
+	g.meter = newMeter(settings.Registry, g.configAge)
 	g.makeEndpoints()
 	g.gate = gate.New(gate.Settings{
 		Clock: g.Clock, Log: g.Log, Codec: g.Dialect.Codec, Registry: g.Registry, Name: g.Name, Zone: g.Zone,
@@ -411,5 +413,32 @@
 		g.endpointsMu.Unlock()
 		g.handleChanges(changes)
 		g.gate.Sweep()
+		g.checkConfigAge()
 	}
 }
+
+// configAge returns the time since the store confirmed the configuration in force, in
+// milliseconds. It is 0 before the first read.
+func (g *Gateway) configAge() clock.Millis {
+	if g.feeds.config == nil || !g.feeds.config.Listed() {
+		return 0
+	}
+	return g.feeds.config.Progress().Age
+}
+
+// checkConfigAge logs when the age of the configuration exceeds the age at which this
+// process asks the store itself, and when it doesn't any more.
+func (g *Gateway) checkConfigAge() {
+	age := g.configAge()
+	old := age > clock.Millis(maxAgeShare*float64(g.ChangeWithin))
+	if old == g.configOld {
+		return
+	}
+	g.configOld = old
+	event := "configuration confirmed"
+	if old {
+		event = "configuration not confirmed"
+	}
+	g.Log.Info(event, "configuration", g.configVersion(), "ageMs", int64(age), "withinMs", int64(g.ChangeWithin), "storeDown", g.feeds.config.Down(),
+		"relayed", g.feeds.config.Relayed(), "upstream", g.mesh.Upstream())
+}
