--- /dev/null
+++ b/internal/serve/router/state_test.go
@@ -0,0 +1,103 @@
+package router_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/platform/stand"
+)
+
+// stateCase is a kind of engine that states its condition, and requests that use it.
+type stateCase struct {
+	service string
+	request func() *stand.Request
+}
+
+func stateCases() map[string]stateCase {
+	return map[string]stateCase{
+		"plain":  {service: orders, request: lookup},
+		"model":  {service: models, request: ownSummary},
+		"stages": {service: encode, request: draft},
+	}
+}
+
+// startForState starts one gateway, so that engines count its requests, and three engines
+// of each service.
+func startForState(t *testing.T) *bench {
+	t.Helper()
+	b := start(t, 1)
+	b.Config.Services[1].ColdPerS = 200
+	b.Publish()
+	for _, e := range []*stand.Engine{
+		{Service: orders, Kind: stand.Plain, WorkTime: 5 * time.Millisecond},
+		{Service: models, Kind: stand.Model, WorkTime: 5 * time.Millisecond, EventInterval: 5 * time.Millisecond, Events: 8},
+		{Service: encode, Kind: stand.Stage, WorkTime: 20 * time.Millisecond},
+		{Service: retrieval, Kind: stand.Stage, WorkTime: 20 * time.Millisecond},
+	} {
+		e.Zone = zoneA
+		_, err := b.Add(e)
+		assert.NilError(t, err)
+	}
+	for _, service := range []string{orders, models, encode, retrieval} {
+		b.awaitKnown(service)
+	}
+	return b
+}
+
+// Guards against requests to an engine whose answers state that it leaves, while its entry
+// in the store says that it is ready.
+func TestEngineThatStatesThatItLeavesGetsNoRequests(t *testing.T) {
+	for name, test := range stateCases() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := startForState(t)
+			leaving := b.Engines(test.service)[0]
+			leaving.SetLeaving("1")
+			outcomes := b.load(5*time.Second, []time.Duration{50 * time.Millisecond}, test.request)
+			assert.Assert(t, countServed(outcomes)*20 >= len(outcomes)*19, "%d of %d served", countServed(outcomes), len(outcomes))
+			count, told := leaving.ArrivalsAfterLeaving(2 * time.Second)
+			assert.Assert(t, told, "the engine got no request")
+			assert.Equal(t, count, 0)
+		})
+	}
+}
+
+// Guards against requests to an engine that has asked for rest.
+func TestEngineThatAsksForRestGetsNoRequests(t *testing.T) {
+	const rest = 3 * time.Second
+	for name, test := range stateCases() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := startForState(t)
+			resting := b.Engines(test.service)[0]
+			resting.SetRest(stand.RestText(rest))
+			outcomes := b.load(4*time.Second, []time.Duration{50 * time.Millisecond}, test.request)
+			assert.Assert(t, countServed(outcomes)*20 >= len(outcomes)*19, "%d of %d served", countServed(outcomes), len(outcomes))
+			count, told := resting.ArrivalsDuringRest(rest)
+			assert.Assert(t, told, "the engine got no request")
+			assert.Assert(t, count <= 2, "%d requests", count)
+		})
+	}
+}
+
+// Guards against requests that wait for their deadline although all engines of their pool
+// have asked for a rest that is longer.
+func TestRequestIsRefusedAtOnceWhileAllEnginesRest(t *testing.T) {
+	for name, test := range stateCases() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := startForState(t)
+			for _, e := range b.Engines(test.service) {
+				e.SetRest("20")
+			}
+			b.load(time.Second, []time.Duration{50 * time.Millisecond}, test.request)
+			got := b.send(b.gateways[0], test.request())
+			assert.Equal(t, got.Status, http.StatusServiceUnavailable)
+			assert.Assert(t, got.Took < time.Second, "refused after %v", got.Took)
+			assert.Assert(t, got.RetryAfter >= 10*time.Second && got.RetryAfter <= 25*time.Second, "Retry-After %v", got.RetryAfter)
+		})
+	}
+}
