fix(gate,host): an endpoint that states that it leaves gets no more requests

What callers saw: requests reached engines up to 6.3 s after an answer had told the gateway that they leave (2 s allowed); they were served, as the engines still ran.

Cause: nothing read the header. The class: a condition that endpoints state in their answers and that reaches no decision.

Change: permit.Book keeps the statement of each start of an endpoint until the endpoint has gone. The gate and the owners of stage engines don't choose such endpoints, and target.Send, now the only way to a connection, refuses what was chosen before.

--- a/internal/engine/spell/spell.go
+++ b/internal/engine/spell/spell.go
@@ -83,6 +83,10 @@
 	// no positive decimal number; Rate is 0 then.
 	Rate      float64
 	RateFault string
+	// Leaving is set if the endpoint states that it leaves and wants no new requests.
+	// LeavingFault is the stated value if that is malformed.
+	Leaving      bool
+	LeavingFault string
 }
 
 // Piece is one item of a call to a stage engine.
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/serve/deploy"
+	"github.com/jujubescale/jujubescale/internal/serve/permit"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
 )
 
@@ -67,7 +68,7 @@
 // exchange sends the request to the endpoint of l and passes the answer on.
 func (g *Gate) exchange(ctx context.Context, w http.ResponseWriter, req *request, l *attemptLoad, timer *stallTimer) attemptResult {
 	t, now := l.target, g.Clock.Now()
-	reply, err := t.Conns.Do(ctx, g.buildRequest(req, t, now))
+	reply, err := t.Send(ctx, g.buildRequest(req, t, now))
 	if err != nil {
 		return g.handleNoReply(ctx, req, t, l, err)
 	}
@@ -238,6 +239,11 @@
 // handleNoReply returns the result of an attempt that got no head of an answer.
 func (g *Gate) handleNoReply(ctx context.Context, req *request, t *target.Target, l *attemptLoad, err error) attemptResult {
 	now := g.Clock.Now()
+	var held *permit.HeldError
+	if errors.As(err, &held) {
+		g.Log.Info("endpoint held", "request", req.Request, "endpoint", t.ID, logs.KeyError, err)
+		return attemptResult{outcome: unsent, err: temporaryRefusal(fault.NoEndpoint, retryAfterNoEndpoint)}
+	}
 	var full *conn.FullError
 	if errors.As(err, &full) {
 		t.Block(now + fullBackoff)
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -64,7 +64,7 @@
 	for i, e := range endpoints {
 		t := g.targets.Get(e)
 		targets[i] = t
-		if e.Unavailable() || slices.Contains(req.tried, e) || (!useBlocked && e.Blocked(now)) {
+		if g.limits.Unavailable(e) || slices.Contains(req.tried, e) || (!useBlocked && e.Blocked(now)) {
 			excluded[i] = true
 			continue
 		}
@@ -113,7 +113,7 @@
 		}
 		if inSubset || (grouped && g.targets.Get(e).HasCached(group, now)) || (e.Cold(now) && g.mesh.Owns(e.ID)) {
 			preferred = append(preferred, e)
-			usable = usable || (!e.Blocked(now) && !e.Unavailable() && !slices.Contains(req.tried, e) && g.limits.Wait(e, now) == 0)
+			usable = usable || (!e.Blocked(now) && !g.limits.Unavailable(e) && !slices.Contains(req.tried, e) && g.limits.Wait(e, now) == 0)
 		}
 	}
 	if !usable {
@@ -137,7 +137,7 @@
 		return nil
 	}
 	usable := func(e *view.Endpoint) bool {
-		return !e.Unavailable() && !e.Blocked(now) && !slices.Contains(req.tried, e) && (!e.Cold(now) || g.mesh.Owns(e.ID)) &&
+		return !g.limits.Unavailable(e) && !e.Blocked(now) && !slices.Contains(req.tried, e) && (!e.Cold(now) || g.mesh.Owns(e.ID)) &&
 			g.limits.Wait(e, now) == 0
 	}
 	if !slices.ContainsFunc(next, usable) {
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -108,7 +108,7 @@
 	}
 	g.bounds.Store(&Bounds{})
 	g.limits = g.newLimits()
-	g.targets = target.NewSet(g.Clock, g.maxConns, g.meter.dialed)
+	g.targets = target.NewSet(g.Clock, g.maxConns, g.meter.dialed, g.limits.Check)
 	g.prefixes = target.NewPrefixes(g.targets)
 	g.retryBudget = extra.New(g.Clock, g.budgetBounds, func() int { return g.mesh.Count() })
 	g.pieceRetryBudget = extra.New(g.Clock, g.budgetBounds, func() int { return g.View().MaxShards() + 1 })
@@ -148,8 +148,10 @@
 // it uses every pool as a whole.
 func (g *Gate) SubsetEndpoints() []string { return g.subsets.endpointIDs(g.View(), g.Table()) }
 
-// Conns returns the group of connections to an endpoint.
-func (g *Gate) Conns(e *view.Endpoint) *conn.Group { return g.targets.Get(e).Conns }
+// Send sends a request to an endpoint.
+func (g *Gate) Send(ctx context.Context, e *view.Endpoint, request *conn.Request) (*conn.Reply, error) {
+	return g.targets.Get(e).Send(ctx, request)
+}
 
 func (g *Gate) budgetBounds() extra.Bounds {
 	bounds := g.bounds.Load()
--- a/internal/serve/gate/limit.go
+++ b/internal/serve/gate/limit.go
@@ -36,7 +36,7 @@
 	var soonest clock.Millis
 	var limitedBy *view.Endpoint
 	for _, e := range g.View().Pool(req.pool.Name) {
-		if e.Unavailable() {
+		if g.limits.Unavailable(e) {
 			continue
 		}
 		wait := g.limits.Wait(e, now)
--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -19,6 +19,7 @@
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/deploy"
+	"github.com/jujubescale/jujubescale/internal/serve/permit"
 )
 
 const (
@@ -214,7 +215,11 @@
 	}
 	head = append(head, "\r\n\r\n"...)
 	sentAt := h.Clock.Now()
-	reply, err := h.Conns(endpoint).Do(ctx, &conn.Request{Method: method, Head: head, Body: body, MaxIdle: maxIdle})
+	reply, err := h.SendFunc(ctx, endpoint, &conn.Request{Method: method, Head: head, Body: body, MaxIdle: maxIdle})
+	var held *permit.HeldError
+	if errors.As(err, &held) {
+		return nil, &RefusedError{Endpoint: endpoint.ID, Status: http.StatusServiceUnavailable}
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/serve/host/dispatch.go
+++ b/internal/serve/host/dispatch.go
@@ -27,7 +27,7 @@
 	callSeconds := batch.BoundsOf(pool).Duration(pool.Pieces) / float64(clock.Second)
 	limited := 0
 	for _, endpoint := range endpoints {
-		if endpoint.Unavailable() {
+		if h.UnavailableFunc(endpoint) {
 			continue
 		}
 		if limit := h.LimitFunc(endpoint); limit == 0 || limit*callSeconds >= minCallShare {
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -93,8 +93,9 @@
 	// Table and View return the current routes and endpoints.
 	Table func() *table.Table
 	View  func() *view.Snapshot
-	// Conns returns the connections to an endpoint.
-	Conns func(*view.Endpoint) *conn.Group
+	// SendFunc sends a request to an endpoint. It returns a permit.HeldError if the endpoint
+	// has stated that it wants none.
+	SendFunc func(ctx context.Context, e *view.Endpoint, request *conn.Request) (*conn.Reply, error)
 	// Retry reports whether the retry budget of a pool allows one more retry, and
 	// takes it from the budget.
 	Retry func(pool string) bool
@@ -107,6 +108,8 @@
 	// LimitFunc returns the number of requests per second that an engine accepts, 0 if it
 	// states no limit.
 	LimitFunc func(*view.Endpoint) float64
+	// UnavailableFunc reports whether an engine gets no new requests because it leaves.
+	UnavailableFunc func(*view.Endpoint) bool
 	// Deploy controls the rollouts; nil if there are none.
 	Deploy *deploy.Controller
 }
--- a/internal/serve/host/host_test.go
+++ b/internal/serve/host/host_test.go
@@ -1,6 +1,7 @@
 package host_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -161,8 +162,11 @@
 	h.Host = host.New(t.Context(), host.Settings{
 		Clock: clock.New(), Log: log.New(io.Discard), Codec: codec(),
 		Table: func() *table.Table { return routes }, View: endpoints.Snapshot,
-		Conns: func(e *view.Endpoint) *conn.Group { return groups[e] },
-		Retry: func(string) bool { return h.retries.Add(-1) >= 0 }, Earn: func(string) {},
+		SendFunc: func(ctx context.Context, e *view.Endpoint, request *conn.Request) (*conn.Reply, error) {
+			return groups[e].Do(ctx, request)
+		},
+		UnavailableFunc: (*view.Endpoint).Unavailable,
+		Retry:           func(string) bool { return h.retries.Add(-1) >= 0 }, Earn: func(string) {},
 		Meter: host.NewMeter(prometheus.NewRegistry()),
 		ObserveFunc: func(_ *view.Endpoint, header http.Header, _ string, _ clock.Millis) spell.ResponseInfo {
 			return codec().ResponseInfoFunc(header)
--- a/internal/serve/host/room.go
+++ b/internal/serve/host/room.go
@@ -90,7 +90,7 @@
 	now := h.Clock.Now()
 	needed := q.queued.ResultBytes(pool.Pieces)
 	for _, e := range q.engines {
-		if e.Gone() || h.limitWait(e, now) > 0 {
+		if e.Gone() || h.UnavailableFunc(e.Endpoint) || h.limitWait(e, now) > 0 {
 			continue
 		}
 		references := e.memory.BeginFree(limitsOf(pool), needed, now)
--- a/internal/serve/permit/book.go
+++ b/internal/serve/permit/book.go
@@ -57,6 +57,8 @@
 	// limited is the number of endpoints with a limit in force.
 	limited atomic.Int64
 
+	states states
+
 	mu      sync.Mutex
 	entries map[string]*entry // by endpoint ID
 	// returns holds for each pool when the next refused caller may return.
@@ -107,6 +109,7 @@
 		clock: clock.New(), log: log.New(io.Discard), entries: make(map[string]*entry), returns: make(map[string]clock.Millis),
 		peers: Peers{OwnerFunc: func(string) string { return "" }, ReportFunc: func() {}},
 	}
+	b.states.byID = make(map[string]*state)
 	b.meter = newMeter(b)
 	for _, opt := range opts {
 		opt(b)
@@ -140,9 +143,10 @@
 	return known
 }
 
-// Observe records what the head of an answer says about the limit of its endpoint. The
-// request of the answer was sent at an instant.
+// Observe records what the head of an answer says about the limit and the state of its
+// endpoint. The request of the answer was sent at an instant.
 func (b *Book) Observe(e *view.Endpoint, info spell.ResponseInfo, request string, sentAt clock.Millis) {
+	b.observeState(e, info, request)
 	stated := info.Rate > 0 || info.RateFault != ""
 	if !stated && b.limited.Load() == 0 {
 		return
@@ -285,12 +289,13 @@
 	delete(b.entries, endpoint)
 }
 
-// Sweep drops the limits of endpoints that live does not report, and those that ended long
+// Sweep drops the limits and states of endpoints that live does not report, and those that ended long
 // ago. It bounds the number of entries by that of the endpoints.
 func (b *Book) Sweep(live func(endpoint string) bool) {
+	now := b.clock.Now()
+	b.sweepStates(live, now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.clock.Now()
 	for endpoint, known := range b.entries {
 		switch {
 		case !live(endpoint):
--- a/internal/serve/permit/meter.go
+++ b/internal/serve/permit/meter.go
@@ -8,6 +8,9 @@
 	statements *prometheus.CounterVec
 	permits    *prometheus.CounterVec
 	endpoints  *endpointCollector
+	// states counts what endpoints state of themselves.
+	states  *prometheus.CounterVec
+	leaving prometheus.GaugeFunc
 }
 
 func newMeter(b *Book) *meter {
@@ -22,11 +25,17 @@
 			Name: "jujubescale_endpoint_permits_total", Help: "Requests for permits to send to endpoints with a limit, by result.",
 		}, []string{"result"}),
 		endpoints: &endpointCollector{book: b},
+		states: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "jujubescale_endpoint_statements_total", Help: "Statements of endpoints that they want no requests, by kind and result.",
+		}, []string{"kind", "result"}),
+		leaving: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "jujubescale_leaving_endpoints", Help: "Endpoints that have stated in an answer that they leave.",
+		}, func() float64 { return float64(b.countLeaving()) }),
 	}
 }
 
 func (m *meter) register(r prometheus.Registerer) {
-	r.MustRegister(m.limited, m.statements, m.permits, m.endpoints)
+	r.MustRegister(m.limited, m.statements, m.permits, m.endpoints, m.states, m.leaving)
 }
 
 var (
--- /dev/null
+++ b/internal/serve/permit/state_test.go
@@ -0,0 +1,53 @@
+package permit_test
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/engine/spell"
+	"github.com/jujubescale/jujubescale/internal/route/view"
+	"github.com/jujubescale/jujubescale/internal/serve/permit"
+)
+
+// Guards against a statement that an answer without it, sent before, or a lost entry in the
+// store takes back.
+func TestLeavingHoldsUntilTheEndpointEnds(t *testing.T) {
+	fake := clock.NewFake(1)
+	b := permit.New(permit.WithClock(fake.Clock()))
+	e := &view.Endpoint{ID: "i-1", StartedAt: 5}
+	b.Observe(e, spell.ResponseInfo{Leaving: true}, "r", 0)
+	b.Observe(e, spell.ResponseInfo{}, "r", 0)
+	var held *permit.HeldError
+	assert.Assert(t, errors.As(b.Check(e), &held) && held.Leaving)
+	absent := func(string) bool { return false }
+	b.Sweep(absent)
+	fake.Advance(10 * clock.Second)
+	b.Sweep(absent)
+	assert.Assert(t, b.Unavailable(&view.Endpoint{ID: "i-1", StartedAt: 5}), "its entry is back")
+	fake.Advance(clock.Minute)
+	b.Sweep(absent)
+	assert.Assert(t, !b.Leaving(e), "the number of states is bounded")
+}
+
+// Guards against a statement that outlives the start of the endpoint that made it.
+func TestNextStartOfAnEndpointDoesNotLeave(t *testing.T) {
+	b := permit.New()
+	first, next := &view.Endpoint{ID: "i-1", StartedAt: 5}, &view.Endpoint{ID: "i-1", StartedAt: 6}
+	b.Observe(first, spell.ResponseInfo{Leaving: true}, "r", 0)
+	assert.Assert(t, !b.Leaving(next))
+	assert.NilError(t, b.Check(next))
+	b.Observe(next, spell.ResponseInfo{LeavingFault: `"soon"`}, "r", 0)
+	b.Observe(first, spell.ResponseInfo{Leaving: true}, "r", 0)
+	assert.Assert(t, !b.Leaving(next), "a late answer of the start before")
+}
+
+// Guards against malformed statements that keep requests from an endpoint.
+func TestMalformedStatementChangesNothing(t *testing.T) {
+	b := permit.New()
+	e := &view.Endpoint{ID: "i-1"}
+	b.Observe(e, spell.ResponseInfo{LeavingFault: `"0"`}, "r", 0)
+	assert.NilError(t, b.Check(e))
+}
--- a/internal/serve/target/target.go
+++ b/internal/serve/target/target.go
@@ -5,6 +5,7 @@
 package target
 
 import (
+	"context"
 	"sync"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
@@ -35,7 +36,8 @@
 // Target is the state that this process keeps for one endpoint.
 type Target struct {
 	*view.Endpoint
-	Conns *conn.Group
+	conns *conn.Group
+	check func(*view.Endpoint) error
 
 	mu            sync.Mutex
 	pace          pace.Limiter
@@ -52,13 +54,24 @@
 	clock    *clock.Clock
 	maxConns func(pool string) int
 	onDial   func()
+	check    func(*view.Endpoint) error
 	byID     sync.Map // *view.Endpoint to *Target
 }
 
 // NewSet returns an empty Set. The function maxConns returns the largest number of
-// connections to an endpoint of a pool, and onDial is called for each new one.
-func NewSet(c *clock.Clock, maxConns func(pool string) int, onDial func()) *Set {
-	return &Set{clock: c, maxConns: maxConns, onDial: onDial}
+// connections to an endpoint of a pool, onDial is called for each new one, and check
+// returns an error for an endpoint that wants no requests.
+func NewSet(c *clock.Clock, maxConns func(pool string) int, onDial func(), check func(*view.Endpoint) error) *Set {
+	return &Set{clock: c, maxConns: maxConns, onDial: onDial, check: check}
+}
+
+// Send sends a request to the endpoint. It is the only way to an endpoint, so that no
+// request passes by the check of what the endpoint has stated.
+func (t *Target) Send(ctx context.Context, request *conn.Request) (*conn.Reply, error) {
+	if err := t.check(t.Endpoint); err != nil {
+		return nil, err
+	}
+	return t.conns.Do(ctx, request)
 }
 
 // Get returns the target of an endpoint, which it creates if necessary.
@@ -66,8 +79,8 @@
 	if known, found := s.byID.Load(e); found {
 		return known.(*Target)
 	}
-	created := &Target{Endpoint: e, parts: make(map[Key]clock.Millis)}
-	created.Conns = conn.New(e.Address, conn.WithClock(s.clock), conn.WithDialed(s.onDial),
+	created := &Target{Endpoint: e, check: s.check, parts: make(map[Key]clock.Millis)}
+	created.conns = conn.New(e.Address, conn.WithClock(s.clock), conn.WithDialed(s.onDial),
 		conn.WithMaxOpen(func() int { return s.maxConns(e.Pool) }))
 	known, _ := s.byID.LoadOrStore(e, created)
 	return known.(*Target)
@@ -78,11 +91,11 @@
 	s.byID.Range(func(key, value any) bool {
 		known := value.(*Target)
 		if known.Gone() {
-			known.Conns.Close()
+			known.conns.Close()
 			s.byID.Delete(key)
 			return true
 		}
-		known.Conns.Sweep()
+		known.conns.Sweep()
 		return true
 	})
 }
