fix(gate,host): an endpoint that asks for rest gets no requests until it is over

What callers saw: many refusals; engines that had asked for 3 s of rest got 5 requests from one gateway in that time (2 allowed), each refused.

Cause: Retry-After of engines stood in the list of known headers and nothing read it; a full engine was left alone for 80 ms. Same class as leaving engines: a condition that endpoints state and that reaches no decision.

Change: permit.Book keeps the longest rest of each start of an endpoint; it counts as the wait of a limit wherever an endpoint is chosen, for pieces, reports and releases of results as well, and target.Send refuses what was chosen before. If all endpoints rest, requests and pieces that can't wait are refused at once with a time to come back.

--- a/internal/engine/spell/spell.go
+++ b/internal/engine/spell/spell.go
@@ -87,6 +87,11 @@
 	// LeavingFault is the stated value if that is malformed.
 	Leaving      bool
 	LeavingFault string
+	// Rest is the time in ms in which an endpoint that refuses a request wants no others
+	// from this process; 0 if it states none. RestFault is the stated value if that is
+	// malformed.
+	Rest      clock.Millis
+	RestFault string
 }
 
 // Piece is one item of a call to a stage engine.
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -269,7 +269,7 @@
 
 // handleReply decides by the head of an answer whether to pass it on.
 func (g *Gate) handleReply(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, l *attemptLoad, timer *stallTimer, began clock.Millis) attemptResult {
-	info := g.ObserveAnswer(t.Endpoint, reply.Header, req.Request, began)
+	info := g.ObserveAnswer(t.Endpoint, reply, req.Request, began)
 	if info.Cold > 0 {
 		t.SetCold(g.Clock.Now() + info.Cold)
 	}
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -132,10 +132,10 @@
 
 // ObserveAnswer records what the head of an endpoint's answer says about the endpoint, and
 // returns it. The request was sent at an instant.
-func (g *Gate) ObserveAnswer(e *view.Endpoint, header http.Header, request string, sentAt clock.Millis) spell.ResponseInfo {
-	info := g.Codec.ResponseInfoFunc(header)
-	g.limits.Observe(e, info, request, sentAt)
-	if names := g.Codec.UnreadFunc(header); len(names) > 0 {
+func (g *Gate) ObserveAnswer(e *view.Endpoint, reply *conn.Reply, request string, sentAt clock.Millis) spell.ResponseInfo {
+	info := g.Codec.ResponseInfoFunc(reply.Header)
+	g.limits.Observe(e, reply.Status, info, request, sentAt)
+	if names := g.Codec.UnreadFunc(reply.Header); len(names) > 0 {
 		g.unread.Record(e.ID, names)
 	}
 	return info
--- a/internal/serve/gate/limit.go
+++ b/internal/serve/gate/limit.go
@@ -29,7 +29,7 @@
 // them are held back by the limits that they state, for longer than the request can wait.
 // The work of its stages would be lost.
 func (g *Gate) refuseRateLimited(req *request) error {
-	if req.run == nil || g.limits.Limited() == 0 {
+	if req.run == nil || !g.limits.Holding() {
 		return nil
 	}
 	now := g.Clock.Now()
@@ -54,8 +54,14 @@
 }
 
 // rateRefusal refuses a request that no endpoint can take because of the limits that they
-// state, one of which is limitedBy. An endpoint may take one after wait.
+// state, one of which is limitedBy, or because they rest. An endpoint may take one after
+// wait.
 func (g *Gate) rateRefusal(req *request, limitedBy *view.Endpoint, wait clock.Millis) error {
+	if g.limits.Rest(limitedBy, g.Clock.Now()) > 0 {
+		after := permit.ReturnAfterRest(wait)
+		g.Log.Info("all endpoints rest", "request", req.Request, "pool", req.pool.Name, "endpoint", limitedBy.ID, "waitMs", int64(wait), "retryAfterMs", int64(after))
+		return &fault.RefusalError{Reason: fault.Overloaded, Ran: fault.NotRun, RetryAfter: after}
+	}
 	limit := 0.0
 	for _, e := range g.View().Pool(req.pool.Name) {
 		limit += g.limits.Limit(e)
--- a/internal/serve/host/call.go
+++ b/internal/serve/host/call.go
@@ -224,7 +224,7 @@
 		return nil, err
 	}
 	defer reply.Finish()
-	info := h.ObserveFunc(endpoint, reply.Header, "", sentAt)
+	info := h.ObserveFunc(endpoint, reply, "", sentAt)
 	raw, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
 	if err != nil {
 		return nil, &conn.SentError{Address: endpoint.Address, Cause: err}
@@ -379,5 +379,5 @@
 	q.queued.Drop(job.group)
 	h.markResultsUnused(q, job)
 	h.Meter.refused(h.poolOf(job.queueName), reason)
-	job.done(Outcome{Reason: reason})
+	job.done(Outcome{Reason: reason, RetryAfter: job.result.RetryAfter})
 }
--- a/internal/serve/host/dispatch.go
+++ b/internal/serve/host/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/jujubescale/jujubescale/internal/guard/memory"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/route/view"
+	"github.com/jujubescale/jujubescale/internal/serve/permit"
 )
 
 // usableEngines returns the number of available engines of a pool, and those of them
@@ -30,6 +31,10 @@
 		if h.UnavailableFunc(endpoint) {
 			continue
 		}
+		if h.RestFunc(endpoint, now) > 0 {
+			limited = 1
+			continue
+		}
 		if limit := h.LimitFunc(endpoint); limit == 0 || limit*callSeconds >= minCallShare {
 			count++ // includes blocked engines, which are usable again before a queue gets long
 		} else {
@@ -64,6 +69,11 @@
 	for _, group := range q.queued.DropStuck(now) {
 		h.failJob(group.Owner.(*Job), group.Owner.(*Job).lastFailure)
 	}
+	if rest := h.restOfAll(q, now); rest > 0 {
+		for _, group := range q.queued.DropTooLate(bounds, now+rest) {
+			h.refuseResting(group.Owner.(*Job), rest)
+		}
+	}
 	for _, g := range q.queued.DeferLate(bounds, now) {
 		h.Log.Info("late work yields", "pool", q.name, logs.KeyRequest, g.Request, "stage", g.Stage,
 			"lateMs", int64(now-g.NeededBy), "pieces", g.Queued(), "waiting", q.queued.Pieces())
@@ -100,6 +110,34 @@
 	}
 }
 
+// restOfAll returns the time in ms until the first engine of a pool takes calls again if all
+// of them rest, and 0 otherwise.
+func (h *Host) restOfAll(q *queue, now clock.Millis) clock.Millis {
+	soonest := clock.Millis(0)
+	for _, endpoint := range h.endpoints(q.name) {
+		if h.UnavailableFunc(endpoint) {
+			continue
+		}
+		rest := h.RestFunc(endpoint, now)
+		if rest == 0 {
+			return 0
+		}
+		if soonest == 0 || rest < soonest {
+			soonest = rest
+		}
+	}
+	return soonest
+}
+
+// refuseResting fails a job because all engines of its pool rest for too long. The caller
+// holds the lock.
+func (h *Host) refuseResting(job *Job, rest clock.Millis) {
+	job.result.RetryAfter = permit.ReturnAfterRest(rest)
+	h.Log.Info("all endpoints rest", "pool", job.queueName, logs.KeyRequest, job.group.Request, "waitMs", int64(rest),
+		"retryAfterMs", int64(job.result.RetryAfter))
+	h.failJob(job, fault.Overloaded)
+}
+
 // readyEngines returns the engines of free whose memory state is known and that
 // aren't freeing results now.
 func (h *Host) readyEngines(q *queue, free []*engine, limits memory.Limits, now clock.Millis) []*engine {
--- a/internal/serve/host/engines.go
+++ b/internal/serve/host/engines.go
@@ -27,16 +27,22 @@
 	prompt bool
 }
 
-// limitWait returns the time until the limit of an engine allows another request, 0 for now.
+// limitWait returns the time until the rest of an engine is over and its limit allows another
+// request, 0 for now.
 func (h *Host) limitWait(e *engine, now clock.Millis) clock.Millis {
+	rest := h.RestFunc(e.Endpoint, now)
 	if limit := h.LimitFunc(e.Endpoint); limit > 0 {
-		return e.bucket.Wait(limit, now)
+		return max(e.bucket.Wait(limit, now), rest)
 	}
-	return 0
+	return rest
 }
 
-// takeLimit counts a request to an engine and reports whether its limit allows the request.
+// takeLimit counts a request to an engine and reports whether its limit allows the request
+// and it doesn't rest.
 func (h *Host) takeLimit(e *engine, now clock.Millis) bool {
+	if h.RestFunc(e.Endpoint, now) > 0 {
+		return false
+	}
 	limit := h.LimitFunc(e.Endpoint)
 	return limit == 0 || e.bucket.Take(limit, now) == 0
 }
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 
 	"github.com/charmbracelet/log"
@@ -104,12 +103,14 @@
 	Meter *Meter
 	// ObserveFunc decodes the head of an engine's answer to a request that was sent at an
 	// instant, and records what it says about the engine.
-	ObserveFunc func(e *view.Endpoint, header http.Header, request string, sentAt clock.Millis) spell.ResponseInfo
+	ObserveFunc func(e *view.Endpoint, reply *conn.Reply, request string, sentAt clock.Millis) spell.ResponseInfo
 	// LimitFunc returns the number of requests per second that an engine accepts, 0 if it
 	// states no limit.
 	LimitFunc func(*view.Endpoint) float64
 	// UnavailableFunc reports whether an engine gets no new requests because it leaves.
 	UnavailableFunc func(*view.Endpoint) bool
+	// RestFunc returns the time in ms in which an engine wants no requests, 0 for none.
+	RestFunc func(e *view.Endpoint, now clock.Millis) clock.Millis
 	// Deploy controls the rollouts; nil if there are none.
 	Deploy *deploy.Controller
 }
--- a/internal/serve/host/host_test.go
+++ b/internal/serve/host/host_test.go
@@ -166,10 +166,11 @@
 			return groups[e].Do(ctx, request)
 		},
 		UnavailableFunc: (*view.Endpoint).Unavailable,
+		RestFunc:        func(*view.Endpoint, clock.Millis) clock.Millis { return 0 },
 		Retry:           func(string) bool { return h.retries.Add(-1) >= 0 }, Earn: func(string) {},
 		Meter: host.NewMeter(prometheus.NewRegistry()),
-		ObserveFunc: func(_ *view.Endpoint, header http.Header, _ string, _ clock.Millis) spell.ResponseInfo {
-			return codec().ResponseInfoFunc(header)
+		ObserveFunc: func(_ *view.Endpoint, reply *conn.Reply, _ string, _ clock.Millis) spell.ResponseInfo {
+			return codec().ResponseInfoFunc(reply.Header)
 		},
 		LimitFunc: func(*view.Endpoint) float64 { return 0 },
 	})
--- a/internal/serve/permit/book.go
+++ b/internal/serve/permit/book.go
@@ -144,9 +144,9 @@
 }
 
 // Observe records what the head of an answer says about the limit and the state of its
-// endpoint. The request of the answer was sent at an instant.
-func (b *Book) Observe(e *view.Endpoint, info spell.ResponseInfo, request string, sentAt clock.Millis) {
-	b.observeState(e, info, request)
+// endpoint. The request of the answer was sent at an instant; status is its HTTP status.
+func (b *Book) Observe(e *view.Endpoint, status int, info spell.ResponseInfo, request string, sentAt clock.Millis) {
+	b.observeState(e, status, info, request)
 	stated := info.Rate > 0 || info.RateFault != ""
 	if !stated && b.limited.Load() == 0 {
 		return
--- a/internal/serve/permit/load_test.go
+++ b/internal/serve/permit/load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -51,7 +52,7 @@
 // observe makes a process see an answer of the endpoint.
 func (f *fleet) observe(process int, e *view.Endpoint, limit float64) {
 	now := f.clock.Clock().Now()
-	f.books[process].Observe(e, spell.ResponseInfo{Rate: limit}, "r", now-20)
+	f.books[process].Observe(e, http.StatusOK, spell.ResponseInfo{Rate: limit}, "r", now-20)
 }
 
 // tries reports whether a request of a process gets a permit at once.
--- a/internal/serve/permit/meter.go
+++ b/internal/serve/permit/meter.go
@@ -11,6 +11,7 @@
 	// states counts what endpoints state of themselves.
 	states  *prometheus.CounterVec
 	leaving prometheus.GaugeFunc
+	resting prometheus.GaugeFunc
 }
 
 func newMeter(b *Book) *meter {
@@ -30,12 +31,15 @@
 		}, []string{"kind", "result"}),
 		leaving: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "jujubescale_leaving_endpoints", Help: "Endpoints that have stated in an answer that they leave.",
-		}, func() float64 { return float64(b.countLeaving()) }),
+		}, func() float64 { leaving, _ := b.countStates(); return float64(leaving) }),
+		resting: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "jujubescale_resting_endpoints", Help: "Endpoints that have asked this process for a rest that is not over.",
+		}, func() float64 { _, resting := b.countStates(); return float64(resting) }),
 	}
 }
 
 func (m *meter) register(r prometheus.Registerer) {
-	r.MustRegister(m.limited, m.statements, m.permits, m.endpoints, m.states, m.leaving)
+	r.MustRegister(m.limited, m.statements, m.permits, m.endpoints, m.states, m.leaving, m.resting)
 }
 
 var (
--- a/internal/serve/permit/permit.go
+++ b/internal/serve/permit/permit.go
@@ -34,18 +34,20 @@
 	resultCancelled  = "cancelled"
 )
 
-// Wait returns how long this process has to wait before it may ask for a permit for an
-// endpoint. It is 0 for an endpoint without a limit.
+// Wait returns how long this process has to wait before it may send a request to an
+// endpoint, or ask for a permit to do so. It is 0 for an endpoint without a limit that
+// doesn't rest.
 func (b *Book) Wait(e *view.Endpoint, now clock.Millis) clock.Millis {
+	rest := b.Rest(e, now)
 	if b.limited.Load() == 0 {
-		return 0
+		return rest
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if known := b.limitedEntry(e); known != nil {
-		return known.wait(now)
+		return max(known.wait(now), rest)
 	}
-	return 0
+	return rest
 }
 
 func (e *entry) wait(now clock.Millis) clock.Millis {
@@ -62,6 +64,9 @@
 // sent now, and otherwise the time until this process may ask again. It waits for the owner
 // of the endpoint, up to askTimeout.
 func (b *Book) Acquire(ctx context.Context, e *view.Endpoint, request string) clock.Millis {
+	if rest := b.Rest(e, b.clock.Now()); rest > 0 {
+		return rest
+	}
 	if b.limited.Load() == 0 {
 		return 0
 	}
--- a/internal/serve/permit/permit_test.go
+++ b/internal/serve/permit/permit_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -20,7 +21,7 @@
 func ExampleBook() {
 	b := permit.New()
 	e := &view.Endpoint{ID: "i-1"}
-	b.Observe(e, spell.ResponseInfo{Rate: 0.5}, "request-1", 0)
+	b.Observe(e, http.StatusOK, spell.ResponseInfo{Rate: 0.5}, "request-1", 0)
 	fmt.Println(b.Limit(e), b.Acquire(context.Background(), e, "request-2"))
 	// Output: 0.5 2001
 }
@@ -110,7 +111,7 @@
 	f.observe(0, first, 1)
 	assert.Equal(t, b.Limit(first), 1.0)
 	assert.Equal(t, b.Limit(next), 0.0)
-	b.Observe(next, spell.ResponseInfo{}, "r", f.clock.Clock().Now())
+	b.Observe(next, http.StatusOK, spell.ResponseInfo{}, "r", f.clock.Clock().Now())
 	assert.Equal(t, b.Limited(), int64(0))
 	f.observe(0, next, 3)
 	b.ApplyPeer([]wire.EndpointLimit{{Endpoint: "i-1", StartedAt: 10, Limit: 1, SentAge: 30, Age: 10}})
@@ -149,12 +150,12 @@
 	b := permit.New(permit.WithLog(log.New(&out)))
 	e := &view.Endpoint{ID: "i-1"}
 	for _, fault := range []spell.ResponseInfo{{RateFault: `"-1"`}, {RateFault: `""`}, {Rate: 1e9}, {RateFault: `"1, 2"`}} {
-		b.Observe(e, fault, "r", 0)
+		b.Observe(e, http.StatusOK, fault, "r", 0)
 	}
 	assert.Equal(t, b.Limited(), int64(0))
 	assert.Equal(t, strings.Count(out.String(), "endpoint limit malformed"), 1)
-	b.Observe(e, spell.ResponseInfo{Rate: 2}, "r", 0)
-	b.Observe(e, spell.ResponseInfo{RateFault: `"x"`}, "r", 100)
+	b.Observe(e, http.StatusOK, spell.ResponseInfo{Rate: 2}, "r", 0)
+	b.Observe(e, http.StatusOK, spell.ResponseInfo{RateFault: `"x"`}, "r", 100)
 	assert.Equal(t, b.Limit(e), 2.0)
 	b.ApplyPeer([]wire.EndpointLimit{{Endpoint: "i-1", Limit: -1}, {Endpoint: "i-2", Limit: 1, Age: 5}, {}})
 	assert.Equal(t, b.Limited(), int64(1))
@@ -179,7 +180,7 @@
 	e := &view.Endpoint{ID: "i-1"}
 	for b.Loop() {
 		book.Wait(e, 1)
-		book.Observe(e, spell.ResponseInfo{}, "r", 1)
+		book.Observe(e, http.StatusOK, spell.ResponseInfo{}, "r", 1)
 	}
 }
 
--- a/internal/serve/permit/state.go
+++ b/internal/serve/permit/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 
@@ -17,19 +19,34 @@
 // HeldError is returned for a request to an endpoint that has stated that it wants none.
 type HeldError struct {
 	Endpoint string
-	// Leaving is set if the endpoint leaves.
+	// Leaving is set if the endpoint leaves. Otherwise Rest is the time in ms in which it
+	// wants no requests from this process.
 	Leaving bool
+	Rest    clock.Millis
 }
 
 // Error implements error.
 func (e *HeldError) Error() string {
-	return fmt.Sprintf("endpoint %s has stated that it leaves", e.Endpoint)
+	if e.Leaving {
+		return fmt.Sprintf("endpoint %s has stated that it leaves", e.Endpoint)
+	}
+	return fmt.Sprintf("endpoint %s has asked for a rest of %d ms more", e.Endpoint, e.Rest)
+}
+
+// ReturnAfterRest returns the time after which a caller should return that is refused
+// because all endpoints rest, the first of them for the given time. Callers that are refused
+// together get different times.
+func ReturnAfterRest(rest clock.Millis) clock.Millis {
+	return rest + rand.N(rest/4+minReturnSpread)
 }
 
+// minReturnSpread is the shortest span over which refused callers return.
+const minReturnSpread = 250 * clock.Millis(1)
+
 // states holds what endpoints have stated of themselves to this process, besides their
 // limits. The statements concern one start of an endpoint.
 type states struct {
-	// held is the number of endpoints that want no requests.
+	// held is the number of entries of byID.
 	held atomic.Int64
 
 	mu   sync.Mutex
@@ -40,6 +57,10 @@
 type state struct {
 	startedAt int64
 	leaving   bool
+	// restUntil is the end of the longest rest that the endpoint has asked for. resting is
+	// set until that end was recorded.
+	restUntil clock.Millis
+	resting   bool
 	// seenAt is when the endpoint was last in the view.
 	seenAt clock.Millis
 	// faulty is set once a malformed statement was logged.
@@ -62,11 +83,31 @@
 // according to its entry in the store, or has stated that it leaves.
 func (b *Book) Unavailable(e *view.Endpoint) bool { return e.Unavailable() || b.Leaving(e) }
 
+// Rest returns the time in ms in which an endpoint wants no requests from this process, 0
+// for none.
+func (b *Book) Rest(e *view.Endpoint, now clock.Millis) clock.Millis {
+	if b.states.held.Load() == 0 {
+		return 0
+	}
+	b.states.mu.Lock()
+	defer b.states.mu.Unlock()
+	if known := b.states.of(e); known != nil {
+		return max(known.restUntil-now, 0)
+	}
+	return 0
+}
+
+// Holding reports whether any endpoint has a limit, leaves or rests.
+func (b *Book) Holding() bool { return b.limited.Load() > 0 || b.states.held.Load() > 0 }
+
 // Check returns a HeldError for an endpoint that has stated that it wants no requests.
 func (b *Book) Check(e *view.Endpoint) error {
 	if b.Leaving(e) {
 		return &HeldError{Endpoint: e.ID, Leaving: true}
 	}
+	if rest := b.Rest(e, b.clock.Now()); rest > 0 {
+		return &HeldError{Endpoint: e.ID, Rest: rest}
+	}
 	return nil
 }
 
@@ -81,8 +122,11 @@
 }
 
 // observeState records what the head of an answer says about the state of its endpoint.
-func (b *Book) observeState(e *view.Endpoint, info spell.ResponseInfo, request string) {
-	if !info.Leaving && info.LeavingFault == "" {
+func (b *Book) observeState(e *view.Endpoint, status int, info spell.ResponseInfo, request string) {
+	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+		info.Rest, info.RestFault = 0, ""
+	}
+	if !info.Leaving && info.LeavingFault == "" && info.Rest == 0 && info.RestFault == "" {
 		return
 	}
 	b.states.mu.Lock()
@@ -95,18 +139,48 @@
 		b.endState(e.ID, "restarted")
 		known = &state{startedAt: e.StartedAt, seenAt: b.clock.Now()}
 		b.states.byID[e.ID] = known
+		b.states.held.Add(1)
 	}
+	if info.RestFault != "" {
+		b.recordStateFault(e, known, "rest", info.RestFault, request)
+	}
+	b.extendRest(e, known, info.Rest, request)
 	if info.LeavingFault != "" {
 		b.recordStateFault(e, known, "leaving", info.LeavingFault, request)
 	}
 	if info.Leaving && !known.leaving {
 		known.leaving = true
-		b.states.held.Add(1)
 		b.meter.states.WithLabelValues("leaving", "began").Inc()
 		b.log.Info("endpoint leaves", "endpoint", e.ID, "source", "answer", "request", request)
 	}
 }
 
+// extendRest records that an endpoint asks for a rest from now on. A shorter one doesn't end
+// the rest before. The caller holds the lock of the states.
+func (b *Book) extendRest(e *view.Endpoint, known *state, rest clock.Millis, request string) {
+	now := b.clock.Now()
+	if now+rest <= known.restUntil || rest == 0 {
+		return
+	}
+	known.restUntil = now + rest
+	result := "changed"
+	if !known.resting {
+		known.resting, result = true, "began"
+	}
+	b.meter.states.WithLabelValues("rest", result).Inc()
+	b.log.Info("endpoint rests", "endpoint", e.ID, "restMs", int64(rest), "source", "answer", "request", request)
+}
+
+// endRest records the end of a rest. The caller holds the lock of the states.
+func (b *Book) endRest(endpoint string, known *state, cause string) {
+	if !known.resting {
+		return
+	}
+	known.resting = false
+	b.meter.states.WithLabelValues("rest", "ended").Inc()
+	b.log.Info("endpoint statement ended", "endpoint", endpoint, "kind", "rest", "source", cause)
+}
+
 // recordStateFault counts a malformed statement, which changes nothing. The caller holds
 // the lock of the states.
 func (b *Book) recordStateFault(e *view.Endpoint, known *state, kind, value, request string) {
@@ -125,36 +199,48 @@
 		return
 	}
 	delete(b.states.byID, endpoint)
+	b.states.held.Add(-1)
+	b.endRest(endpoint, known, cause)
 	if known.leaving {
-		b.states.held.Add(-1)
 		b.meter.states.WithLabelValues("leaving", "ended").Inc()
 		b.log.Info("endpoint statement ended", "endpoint", endpoint, "kind", "leaving", "source", cause)
 	}
 }
 
 // sweepStates drops the states of endpoints that have not been in the view for
-// stateRetention. It bounds their number by that of the endpoints.
+// stateRetention, and rests that are over. It bounds their number by that of the endpoints.
 func (b *Book) sweepStates(live func(endpoint string) bool, now clock.Millis) {
 	b.states.mu.Lock()
 	defer b.states.mu.Unlock()
 	for endpoint, known := range b.states.byID {
-		if live(endpoint) {
+		if known.restUntil <= now {
+			b.endRest(endpoint, known, "over")
+		}
+		switch {
+		case live(endpoint):
 			known.seenAt = now
-		} else if now-known.seenAt > stateRetention {
+		case now-known.seenAt > stateRetention:
 			b.endState(endpoint, "gone")
+			continue
+		}
+		if !known.leaving && !known.resting && !known.faulty {
+			b.endState(endpoint, "over")
 		}
 	}
 }
 
-// countLeaving returns the number of endpoints that have stated that they leave.
-func (b *Book) countLeaving() int {
+// countStates returns the numbers of endpoints that have stated that they leave, and that
+// rest.
+func (b *Book) countStates() (leaving, resting int) {
 	b.states.mu.Lock()
 	defer b.states.mu.Unlock()
-	count := 0
 	for _, known := range b.states.byID {
 		if known.leaving {
-			count++
+			leaving++
+		}
+		if known.resting {
+			resting++
 		}
 	}
-	return count
+	return leaving, resting
 }
--- a/internal/serve/permit/state_test.go
+++ b/internal/serve/permit/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -18,8 +19,8 @@
 	fake := clock.NewFake(1)
 	b := permit.New(permit.WithClock(fake.Clock()))
 	e := &view.Endpoint{ID: "i-1", StartedAt: 5}
-	b.Observe(e, spell.ResponseInfo{Leaving: true}, "r", 0)
-	b.Observe(e, spell.ResponseInfo{}, "r", 0)
+	b.Observe(e, http.StatusOK, spell.ResponseInfo{Leaving: true}, "r", 0)
+	b.Observe(e, http.StatusOK, spell.ResponseInfo{}, "r", 0)
 	var held *permit.HeldError
 	assert.Assert(t, errors.As(b.Check(e), &held) && held.Leaving)
 	absent := func(string) bool { return false }
@@ -36,11 +37,11 @@
 func TestNextStartOfAnEndpointDoesNotLeave(t *testing.T) {
 	b := permit.New()
 	first, next := &view.Endpoint{ID: "i-1", StartedAt: 5}, &view.Endpoint{ID: "i-1", StartedAt: 6}
-	b.Observe(first, spell.ResponseInfo{Leaving: true}, "r", 0)
+	b.Observe(first, http.StatusOK, spell.ResponseInfo{Leaving: true}, "r", 0)
 	assert.Assert(t, !b.Leaving(next))
 	assert.NilError(t, b.Check(next))
-	b.Observe(next, spell.ResponseInfo{LeavingFault: `"soon"`}, "r", 0)
-	b.Observe(first, spell.ResponseInfo{Leaving: true}, "r", 0)
+	b.Observe(next, http.StatusOK, spell.ResponseInfo{LeavingFault: `"soon"`}, "r", 0)
+	b.Observe(first, http.StatusOK, spell.ResponseInfo{Leaving: true}, "r", 0)
 	assert.Assert(t, !b.Leaving(next), "a late answer of the start before")
 }
 
@@ -48,6 +49,43 @@
 func TestMalformedStatementChangesNothing(t *testing.T) {
 	b := permit.New()
 	e := &view.Endpoint{ID: "i-1"}
-	b.Observe(e, spell.ResponseInfo{LeavingFault: `"0"`}, "r", 0)
+	b.Observe(e, http.StatusOK, spell.ResponseInfo{LeavingFault: `"0"`}, "r", 0)
 	assert.NilError(t, b.Check(e))
 }
+
+// Guards against a rest that ends early: by an answer that was on its way, or by a shorter
+// rest that the endpoint asks for meanwhile.
+func TestLongestRestHolds(t *testing.T) {
+	fake := clock.NewFake(1)
+	now := fake.Clock().Now
+	b := permit.New(permit.WithClock(fake.Clock()))
+	e := &view.Endpoint{ID: "i-1", StartedAt: 5}
+	b.Observe(e, http.StatusServiceUnavailable, spell.ResponseInfo{Rest: 3000}, "r", 0)
+	fake.Advance(1000)
+	b.Observe(e, http.StatusOK, spell.ResponseInfo{}, "r", 0)
+	b.Observe(e, http.StatusServiceUnavailable, spell.ResponseInfo{}, "r", 0)
+	b.Observe(e, http.StatusTooManyRequests, spell.ResponseInfo{Rest: 500}, "r", 0)
+	assert.Equal(t, b.Rest(e, now()), 2000*clock.Millis(1))
+	assert.Equal(t, b.Wait(e, now()), 2000*clock.Millis(1))
+	assert.Equal(t, b.Acquire(t.Context(), e, "r"), 2000*clock.Millis(1))
+	var held *permit.HeldError
+	assert.Assert(t, errors.As(b.Check(e), &held) && !held.Leaving)
+	assert.Equal(t, held.Rest, 2000*clock.Millis(1))
+	b.Observe(e, http.StatusServiceUnavailable, spell.ResponseInfo{Rest: 4000}, "r", 0)
+	fake.Advance(4000)
+	assert.NilError(t, b.Check(e))
+	b.Sweep(func(string) bool { return true })
+	assert.Assert(t, !b.Holding())
+}
+
+// Guards against a rest that keeps requests from the next start of the endpoint, or that an
+// answer states which is no refusal.
+func TestRestBelongsToRefusalsOfOneStart(t *testing.T) {
+	b := permit.New()
+	first, next := &view.Endpoint{ID: "i-1", StartedAt: 5}, &view.Endpoint{ID: "i-1", StartedAt: 6}
+	b.Observe(first, http.StatusOK, spell.ResponseInfo{Rest: 3000}, "r", 0)
+	assert.NilError(t, b.Check(first))
+	b.Observe(first, http.StatusServiceUnavailable, spell.ResponseInfo{Rest: 3000}, "r", 0)
+	assert.NilError(t, b.Check(next))
+	assert.Assert(t, b.Check(first) != nil)
+}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -142,7 +142,7 @@
 	g.host = host.New(ctx, host.Settings{
 		Clock: g.Clock, Log: g.Log, Codec: g.Dialect.Codec, Table: g.table.Load, View: g.endpoints.Snapshot,
 		SendFunc: g.gate.Send, Retry: g.gate.PieceRetryBudget().Take, Earn: g.gate.PieceRetryBudget().Earn, Meter: host.NewMeter(g.Registry),
-		Deploy: g.deploy, ObserveFunc: g.gate.ObserveAnswer, LimitFunc: g.gate.Limits().Limit, UnavailableFunc: g.gate.Limits().Unavailable,
+		Deploy: g.deploy, ObserveFunc: g.gate.ObserveAnswer, LimitFunc: g.gate.Limits().Limit, UnavailableFunc: g.gate.Limits().Unavailable, RestFunc: g.gate.Limits().Rest,
 	})
 	g.mesh = mesh.New(ctx, mesh.Member{Name: g.Name, Address: g.Address, Incarnation: g.incarnation, Zone: g.Zone, Capacity: g.Capacity},
 		mesh.WithClock(g.Clock), mesh.WithLog(g.Log), mesh.WithPieces(g.acceptPieces, g.cancelPieces),
