fix(mesh): a whole list replaces a transfer that it overtakes

Found by reading: after a change of the upstream to a peer of the version before, changes waited up to 5 s for a transfer that nobody continued. TestWholeListReplacesATransfer fails without the change (only 8 is applied).

--- a/internal/serve/mesh/content.go
+++ b/internal/serve/mesh/content.go
@@ -169,6 +169,9 @@
 			d.mu.Unlock()
 			return
 		}
+		if current != nil && update.Revision >= current.update.Revision {
+			m.endDownload(current, "replaced", now)
+		}
 		d.mu.Unlock()
 		m.applyUpdate(from, update, now)
 		return
--- a/internal/serve/mesh/content_test.go
+++ b/internal/serve/mesh/content_test.go
@@ -123,6 +123,16 @@
 	assert.Equal(t, len(r.applied), 0)
 }
 
+// Guards against changes that wait for a transfer from a peer that has left, although a peer
+// of the version before sent the whole list.
+func TestWholeListReplacesATransfer(t *testing.T) {
+	r, sender := newReceiver(t), newSender(t)
+	r.ReceiveUpdate("sender", pack(t, sender, largeUpdate(7)))
+	r.ReceiveUpdate("legacy", largeUpdate(8))
+	r.ReceiveUpdate("legacy", &wire.Update{Kind: "config", Since: 8, Revision: 9, Changed: 9})
+	assert.DeepEqual(t, r.applied, []uint64{8, 9})
+}
+
 // Guards against small changes that need one more message to arrive.
 func TestSmallUpdatesAreSentWhole(t *testing.T) {
 	update := &wire.Update{Kind: "config", Revision: 7, Objects: []wire.Stored{{Name: "config/main", Value: make([]byte, 1000)}}}
