--- a/internal/bench/soak/order.go
+++ b/internal/bench/soak/order.go
@@ -40,7 +40,8 @@
 func (r *run) addUnorderedVersion() error {
 	e := engines(zones[0])[0]
 	e.Version = unorderedVersion
-	return r.addEngine(e)
+	_, err := r.addEngine(e)
+	return err
 }
 
 // issueOrders issues rollout orders, as an operator does: one at a time, for a service and
@@ -79,7 +80,7 @@
 	for _, zone := range zones {
 		e := engines(zone)[kind]
 		e.Version = order.Version
-		if err := r.addEngine(e); err != nil {
+		if _, err := r.addEngine(e); err != nil {
 			r.addViolation("engine of %s: %v", order.Version, err)
 			return ""
 		}
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -34,10 +34,14 @@
 	RollingStop Kind = "rollingStop"
 	// LimitRate makes an engine state how many requests per second it accepts.
 	LimitRate Kind = "limitRate"
+	// AskRest makes an engine refuse requests and ask for a rest, StateLeaving starts an
+	// engine that states later that it leaves, and then ends.
+	AskRest      Kind = "askRest"
+	StateLeaving Kind = "stateLeaving"
 )
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return append(overlappingKinds(), RollingStop, LimitRate) }
+func Kinds() []Kind { return append(overlappingKinds(), RollingStop, LimitRate, AskRest, StateLeaving) }
 
 // overlappingKinds returns the kinds that may overlap with other disturbances.
 func overlappingKinds() []Kind {
@@ -89,6 +93,18 @@
 	return plan
 }
 
+// statements returns the times at which engines state that they rest or leave.
+func statements(seed uint64, length time.Duration) []Disturbance {
+	random := rand.New(rand.NewPCG(seed, 29))
+	var plan []Disturbance
+	for at := firstDisturbance + rollingCount*rollingSpan; at < length-recoverySpan-minLimitTime; {
+		kind := []Kind{AskRest, StateLeaving}[random.IntN(2)]
+		plan = append(plan, Disturbance{Kind: kind, At: at, For: minLimitTime, Subject: random.IntN(64)})
+		at += time.Duration(1000+random.IntN(3000)) * time.Millisecond
+	}
+	return plan
+}
+
 // minLimitTime is the shortest time for which an engine states a limit.
 const minLimitTime = 5 * time.Second
 
@@ -114,6 +130,7 @@
 		at += time.Duration(random.IntN(900)) * time.Millisecond
 	}
 	plan = append(plan, limits(seed, length)...)
+	plan = append(plan, statements(seed, length)...)
 	slices.SortStableFunc(plan, func(a, b Disturbance) int { return int(a.At - b.At) })
 	return plan
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -108,7 +108,7 @@
 	r := &run{Options: options, deployment: d, client: stand.NewClient(d.Ledger)}
 	for _, zone := range zones {
 		for _, e := range engines(zone) {
-			if err := r.addEngine(e); err != nil {
+			if _, err := r.addEngine(e); err != nil {
 				r.close()
 				return nil, err
 			}
@@ -127,21 +127,22 @@
 	return r, nil
 }
 
-func (r *run) addEngine(e *stand.Engine) error {
+func (r *run) addEngine(e *stand.Engine) (*engine, error) {
 	started, err := r.deployment.Add(e)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	proxy, err := NewProxy(started.Address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	started.AdvertisedAddress = proxy.Address()
 	r.deployment.Register(started, true, 0)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.engines = append(r.engines, &engine{Engine: started, proxy: proxy})
-	return nil
+	added := &engine{Engine: started, proxy: proxy}
+	r.engines = append(r.engines, added)
+	return added, nil
 }
 
 func (r *run) addGateway(number int) error {
@@ -231,6 +232,7 @@
 	r.group.Wait()
 	r.checkUnorderedVersion()
 	r.checkStops()
+	r.checkStatements()
 }
 
 // load sends requests until ctx ends. It does not wait for their answers.
--- a/internal/bench/soak/strike.go
+++ b/internal/bench/soak/strike.go
@@ -102,9 +102,16 @@
 
 func (r *run) injectPlatformChange(ctx context.Context, d Disturbance) {
 	e := r.engineAt(d.Subject)
-	if d.Kind == LimitRate {
+	switch d.Kind {
+	case LimitRate:
 		limitRate(ctx, e, d)
 		return
+	case AskRest:
+		askRest(ctx, e, d)
+		return
+	case StateLeaving:
+		r.stateLeaving(ctx, d)
+		return
 	}
 	if e.ended.Load() || (d.Kind == EngineFaults && e.Version != "") {
 		return // issueOrders sets the faults of candidates
