--- a/internal/bench/soak/strike.go
+++ b/internal/bench/soak/strike.go
@@ -112,6 +112,7 @@
 	case StateLeaving:
 		r.stateLeaving(ctx, d)
 		return
+	default: // the other kinds follow
 	}
 	if e.ended.Load() || (d.Kind == EngineFaults && e.Version != "") {
 		return // issueOrders sets the faults of candidates
