--- a/internal/serve/mesh/content.go
+++ b/internal/serve/mesh/content.go
@@ -158,45 +158,72 @@
 // receiveUpdate applies an update of the upstream, after its objects have been
 // transferred if it is packed.
 func (m *Mesh) receiveUpdate(from string, update *wire.Update, now clock.Millis) {
-	d := &m.downloads
-	d.mu.Lock()
-	current := d.byKind[update.Kind]
-	if update.Packed == nil {
-		if current != nil && !update.Whole {
-			if len(current.later) < maxLaterUpdates {
-				current.later = append(current.later, update)
-			}
-			d.mu.Unlock()
-			return
-		}
-		if current != nil && update.Revision >= current.update.Revision {
-			m.endDownload(current, "replaced", now)
-		}
-		d.mu.Unlock()
-		m.applyUpdate(from, update, now)
+	if update.Packed != nil {
+		m.receivePacked(&announced{update: update, from: from, at: now})
 		return
 	}
-	if last := d.last[update.Kind]; last != nil && last.Digest() == update.Packed.Digest {
-		d.mu.Unlock()
-		m.applyContent(from, update, last, now)
+	if !m.deferUpdate(update, now) {
+		m.applyUpdate(from, update, now)
+	}
+}
+
+// deferUpdate keeps changes that arrive during a download of their kind until that is
+// complete, and reports whether it does. A whole list ends the download instead, unless it
+// is older.
+func (m *Mesh) deferUpdate(update *wire.Update, now clock.Millis) bool {
+	m.downloads.mu.Lock()
+	defer m.downloads.mu.Unlock()
+	current := m.downloads.byKind[update.Kind]
+	switch {
+	case current == nil:
+		return false
+	case !update.Whole:
+		if len(current.later) < maxLaterUpdates {
+			current.later = append(current.later, update)
+		}
+		return true
+	case update.Revision >= current.update.Revision:
+		m.endDownload(current, "replaced", now)
+	}
+	return false
+}
+
+// receivePacked starts or continues the download of an announced update, or applies it at
+// once if its content was transferred before.
+func (m *Mesh) receivePacked(announcement *announced) {
+	update := announcement.update
+	if last := m.lastTransfer(update); last != nil {
+		m.applyContent(announcement.from, update, last, announcement.at)
 		return
 	}
-	announcement := &announced{update: update, from: from, at: now}
+	m.downloads.mu.Lock()
+	defer m.downloads.mu.Unlock()
+	current := m.downloads.byKind[update.Kind]
 	switch {
 	case current == nil:
 		m.startDownload(announcement)
 	case current.transfer.Digest() == update.Packed.Digest:
 		if update.Revision >= current.update.Revision {
-			current.update, current.arrivedAt = update, now
+			current.update, current.arrivedAt = update, announcement.at
 		}
-		if current.from != from {
-			current.from = from
-			m.requestChunk(current, now)
+		if current.from != announcement.from {
+			current.from = announcement.from
+			m.requestChunk(current, announcement.at)
 		}
 	case current.next == nil || update.Revision >= current.next.update.Revision:
 		current.next = announcement
 	}
-	d.mu.Unlock()
+}
+
+// lastTransfer returns the last transfer of a kind if it has the content of an update, and
+// nil otherwise.
+func (m *Mesh) lastTransfer(update *wire.Update) *pack.Transfer {
+	m.downloads.mu.Lock()
+	defer m.downloads.mu.Unlock()
+	if last := m.downloads.last[update.Kind]; last != nil && last.Digest() == update.Packed.Digest {
+		return last
+	}
+	return nil
 }
 
 // startDownload starts the transfer of an announced update; the caller holds the lock of
@@ -232,37 +259,46 @@
 // handleChunk adds a chunk to its download and requests the next one. After the last
 // one it applies the update.
 func (m *Mesh) handleChunk(from string, chunk *wire.Chunk) {
+	d, complete := m.addChunk(from, chunk)
+	switch {
+	case d == nil:
+	case !complete:
+		m.follower.ExpectFunc(d.update.Kind)
+	default:
+		m.applyContent(from, d.update, d.transfer, d.arrivedAt)
+		for _, update := range d.later {
+			m.applyUpdate(from, update, d.arrivedAt)
+		}
+	}
+}
+
+// addChunk adds a chunk to its download, which it returns, and reports whether that was the
+// last one. It returns nil for a chunk that is not expected, and for an answer of a peer
+// that doesn't have the content any more, which ends the download.
+func (m *Mesh) addChunk(from string, chunk *wire.Chunk) (d *download, complete bool) {
 	now := m.clock.Now()
 	m.downloads.mu.Lock()
-	d := m.downloads.find(chunk.Digest)
+	defer m.downloads.mu.Unlock()
+	d = m.downloads.find(chunk.Digest)
 	switch {
 	case d == nil:
-		m.downloads.mu.Unlock()
-		return
+		return nil, false
 	case len(chunk.Data) == 0:
 		if from == d.from {
 			m.endDownload(d, "notKept", now)
 		}
-		m.downloads.mu.Unlock()
-		return
+		return nil, false
 	case !d.transfer.Add(chunk):
-		m.downloads.mu.Unlock()
-		return
+		return nil, false
 	}
 	d.receivedAt = now
 	if !d.transfer.Done() {
 		m.requestChunk(d, now)
-		m.downloads.mu.Unlock()
-		m.follower.ExpectFunc(d.update.Kind)
-		return
+		return d, false
 	}
 	m.downloads.last[d.update.Kind] = d.transfer
 	m.endDownload(d, "complete", now)
-	m.downloads.mu.Unlock()
-	m.applyContent(from, d.update, d.transfer, d.arrivedAt)
-	for _, update := range d.later {
-		m.applyUpdate(from, update, d.arrivedAt)
-	}
+	return d, true
 }
 
 // find returns the download of a content; the caller holds the lock.
