--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -32,11 +32,11 @@
 	// minBackoff and maxBackoff bound the pause after a failed call. maxBackoff
 	// bounds the time until the end of an outage is detected.
 	minBackoff = 100 * clock.Millis(1)
+	maxBackoff = 800 * clock.Millis(1)
 	// minWait is the shortest wait of a call for changes. confirmShare is the part of the
 	// maximum age within which the next confirmation is due.
 	minWait      = 50 * clock.Millis(1)
 	confirmShare = 0.8
-	maxBackoff   = 800 * clock.Millis(1)
 )
 
 // Feed follows one kind of objects.
