fix(mesh): changes during a transfer keep the instant of their arrival

Found by reading. Changes that arrived during a download were applied as of the last announcement of its content, so that the copy, and those of its followers, claimed a younger age than they have.

TestChangesDuringATransferKeepTheirArrival failed before: 901 instead of 1 ms.

--- a/internal/serve/mesh/content.go
+++ b/internal/serve/mesh/content.go
@@ -131,12 +131,12 @@
 	from                    string
 	requestedAt, receivedAt clock.Millis
 	// later holds the updates that arrived meanwhile, and next the newest packed one.
-	later []*wire.Update
-	next  *announced
+	later []received
+	next  *received
 }
 
-// announced is a packed update that is not transferred yet.
-type announced struct {
+// received is an update with its sender and the instant of its arrival.
+type received struct {
 	update *wire.Update
 	from   string
 	at     clock.Millis
@@ -158,11 +158,12 @@
 // receiveUpdate applies an update of the upstream, after its objects have been
 // transferred if it is packed.
 func (m *Mesh) receiveUpdate(from string, update *wire.Update, now clock.Millis) {
+	arrived := received{update: update, from: from, at: now}
 	if update.Packed != nil {
-		m.receivePacked(&announced{update: update, from: from, at: now})
+		m.receivePacked(&arrived)
 		return
 	}
-	if !m.deferUpdate(update, now) {
+	if !m.deferUpdate(arrived) {
 		m.applyUpdate(from, update, now)
 	}
 }
@@ -170,27 +171,27 @@
 // deferUpdate keeps changes that arrive during a download of their kind until that is
 // complete, and reports whether it does. A whole list ends the download instead, unless it
 // is older.
-func (m *Mesh) deferUpdate(update *wire.Update, now clock.Millis) bool {
+func (m *Mesh) deferUpdate(arrived received) bool {
 	m.downloads.mu.Lock()
 	defer m.downloads.mu.Unlock()
-	current := m.downloads.byKind[update.Kind]
+	current := m.downloads.byKind[arrived.update.Kind]
 	switch {
 	case current == nil:
 		return false
-	case !update.Whole:
+	case !arrived.update.Whole:
 		if len(current.later) < maxLaterUpdates {
-			current.later = append(current.later, update)
+			current.later = append(current.later, arrived)
 		}
 		return true
-	case update.Revision >= current.update.Revision:
-		m.endDownload(current, "replaced", now)
+	case arrived.update.Revision >= current.update.Revision:
+		m.endDownload(current, "replaced", arrived.at)
 	}
 	return false
 }
 
 // receivePacked starts or continues the download of an announced update, or applies it at
 // once if its content was transferred before.
-func (m *Mesh) receivePacked(announcement *announced) {
+func (m *Mesh) receivePacked(announcement *received) {
 	update := announcement.update
 	if last := m.lastTransfer(update); last != nil {
 		m.applyContent(announcement.from, update, last, announcement.at)
@@ -228,7 +229,7 @@
 
 // startDownload starts the transfer of an announced update; the caller holds the lock of
 // the downloads.
-func (m *Mesh) startDownload(announcement *announced) {
+func (m *Mesh) startDownload(announcement *received) {
 	update := announcement.update
 	transfer, err := pack.NewTransfer(update.Packed)
 	if err != nil {
@@ -266,8 +267,8 @@
 		m.follower.ExpectFunc(d.update.Kind)
 	default:
 		m.applyContent(from, d.update, d.transfer, d.arrivedAt)
-		for _, update := range d.later {
-			m.applyUpdate(from, update, d.arrivedAt)
+		for _, later := range d.later {
+			m.applyUpdate(later.from, later.update, later.at)
 		}
 	}
 }
--- a/internal/serve/mesh/content_test.go
+++ b/internal/serve/mesh/content_test.go
@@ -11,18 +11,22 @@
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
 )
 
-// receiver is a process that records the revisions of the updates it applies.
+// receiver is a process on a fake clock that follows the kind config and records the
+// updates that it applies.
 type receiver struct {
 	*mesh.Mesh
-	applied []uint64
-	sizes   []int
+	fake     *clock.Fake
+	applied  []uint64
+	sizes    []int
+	arrivals []clock.Millis
 }
 
 func newReceiver(t *testing.T) *receiver {
-	r := &receiver{}
-	r.Mesh = mesh.New(t.Context(), mesh.Member{Name: "receiver"}, mesh.WithFollower(mesh.Follower{
-		ApplyFunc: func(update *wire.Update, _ clock.Millis) []string {
-			r.applied, r.sizes = append(r.applied, update.Revision), append(r.sizes, update.Bytes())
+	r := &receiver{fake: clock.NewFake(1)}
+	r.Mesh = mesh.New(t.Context(), mesh.Member{Name: "receiver"}, mesh.WithClock(r.fake.Clock()), mesh.WithFollower(mesh.Follower{
+		ProgressFunc: func() []wire.Progress { return []wire.Progress{{Kind: "config"}} },
+		ApplyFunc: func(update *wire.Update, now clock.Millis) []string {
+			r.applied, r.sizes, r.arrivals = append(r.applied, update.Revision), append(r.sizes, update.Bytes()), append(r.arrivals, now)
 			return nil
 		},
 		ExpectFunc: func(string) {},
@@ -140,3 +144,18 @@
 	assert.NilError(t, err)
 	assert.Equal(t, sent, update)
 }
+
+// Guards against an age that counts from a later announcement: changes that arrived during a
+// transfer were applied as of the last announcement of its content.
+func TestChangesDuringATransferKeepTheirArrival(t *testing.T) {
+	r, sender := newReceiver(t), newSender(t)
+	packed := pack(t, sender, largeUpdate(7))
+	r.ReceiveUpdate("sender", packed)
+	r.ReceiveUpdate("sender", &wire.Update{Kind: "config", Since: 7, Revision: 8, Changed: 8})
+	arrived := r.fake.Clock().Now()
+	r.fake.Advance(900)
+	r.ReceiveUpdate("sender", packed)
+	r.transfer(sender, "sender", packed.Packed.Digest, 10)
+	assert.DeepEqual(t, r.applied, []uint64{7, 8})
+	assert.Equal(t, r.arrivals[1], arrived)
+}
