fix(mesh): a stalled transfer delays no changes

Found by reading. While a download got no chunks, changes of its kind were kept back and missing ones not requested for up to 5 s, more than the time within which a change must be in force: after a change of the upstream to a peer of the version before, or while the peer is paused or cut off in one direction. Now for one second at most; the bytes that arrived are kept for 5 s.

TestStalledTransferDelaysNoChanges failed before: nothing was applied.

--- a/internal/serve/mesh/content.go
+++ b/internal/serve/mesh/content.go
@@ -112,7 +112,9 @@
 	// chunkTimeout is the time after which a chunk is requested again, from the
 	// upstream of that time.
 	chunkTimeout = 500 * clock.Millis(1)
-	// downloadTimeout is the time without a chunk after which a download is given up.
+	// stallTime is the time without a chunk after which a download delays no changes and
+	// no requests for missing ones. downloadTimeout is that after which it is given up.
+	stallTime       = clock.Second
 	downloadTimeout = 5 * clock.Second
 	// maxLaterUpdates limits the updates that are kept until a download is complete.
 	maxLaterUpdates = 64
@@ -169,8 +171,8 @@
 }
 
 // deferUpdate keeps changes that arrive during a download of their kind until that is
-// complete, and reports whether it does. A whole list ends the download instead, unless it
-// is older.
+// complete, and reports whether it does. It keeps none while the download is stalled. A whole
+// list ends the download instead, unless it is older.
 func (m *Mesh) deferUpdate(arrived received) bool {
 	m.downloads.mu.Lock()
 	defer m.downloads.mu.Unlock()
@@ -178,6 +180,8 @@
 	switch {
 	case current == nil:
 		return false
+	case !arrived.update.Whole && current.isStalled(arrived.at):
+		return false
 	case !arrived.update.Whole:
 		if len(current.later) < maxLaterUpdates {
 			current.later = append(current.later, arrived)
@@ -363,5 +367,10 @@
 func (m *Mesh) isDownloading(kind string) bool {
 	m.downloads.mu.Lock()
 	defer m.downloads.mu.Unlock()
-	return m.downloads.byKind[kind] != nil
+	current := m.downloads.byKind[kind]
+	return current != nil && !current.isStalled(m.clock.Now())
 }
+
+// isStalled reports whether no chunk has arrived for stallTime: the peer is paused, can't be
+// reached, or has the previous version.
+func (d *download) isStalled(now clock.Millis) bool { return now-d.receivedAt > stallTime }
--- a/internal/serve/mesh/content_test.go
+++ b/internal/serve/mesh/content_test.go
@@ -159,3 +159,15 @@
 	assert.DeepEqual(t, r.applied, []uint64{7, 8})
 	assert.Equal(t, r.arrivals[1], arrived)
 }
+
+// Guards against changes that wait for a transfer that nobody continues, up to 5 s: the
+// upstream was replaced by a peer of the version before, paused, or can't be reached.
+func TestStalledTransferDelaysNoChanges(t *testing.T) {
+	r, sender := newReceiver(t), newSender(t)
+	r.ReceiveUpdate("sender", pack(t, sender, largeUpdate(7)))
+	r.fake.Advance(1100)
+	r.ReceiveUpdate("legacy", &wire.Update{Kind: "config", Since: 5, Revision: 8, Changed: 8})
+	assert.DeepEqual(t, r.applied, []uint64{8})
+	offset, downloading := r.Downloading("config")
+	assert.Assert(t, downloading && offset == 0, "the transfer may still continue")
+}
