fix(mesh): objects of other kinds are not transferred

Found by reading. A peer forwards all kinds that it follows; one of another version may follow more. Their objects would have been transferred and kept.

TestObjectsOfOtherKindsAreNotTransferred failed before.

--- a/internal/serve/mesh/content.go
+++ b/internal/serve/mesh/content.go
@@ -162,7 +162,9 @@
 func (m *Mesh) receiveUpdate(from string, update *wire.Update, now clock.Millis) {
 	arrived := received{update: update, from: from, at: now}
 	if update.Packed != nil {
-		m.receivePacked(&arrived)
+		if m.follows(update.Kind) {
+			m.receivePacked(&arrived)
+		}
 		return
 	}
 	if !m.deferUpdate(arrived) {
@@ -170,6 +172,12 @@
 	}
 }
 
+// follows reports whether this process follows a kind of objects. A peer forwards all kinds
+// that it follows itself.
+func (m *Mesh) follows(kind string) bool {
+	return slices.ContainsFunc(m.follower.ProgressFunc(), func(p wire.Progress) bool { return p.Kind == kind })
+}
+
 // deferUpdate keeps changes that arrive during a download of their kind until that is
 // complete, and reports whether it does. It keeps none while the download is stalled. A whole
 // list ends the download instead, unless it is older.
--- a/internal/serve/mesh/content_test.go
+++ b/internal/serve/mesh/content_test.go
@@ -171,3 +171,14 @@
 	offset, downloading := r.Downloading("config")
 	assert.Assert(t, downloading && offset == 0, "the transfer may still continue")
 }
+
+// Guards against memory that grows by kinds of objects which this process doesn't follow: a
+// peer forwards all kinds that it follows itself.
+func TestObjectsOfOtherKindsAreNotTransferred(t *testing.T) {
+	r, sender := newReceiver(t), newSender(t)
+	other := largeUpdate(7)
+	other.Kind = "other"
+	r.ReceiveUpdate("sender", pack(t, sender, other))
+	_, downloading := r.Downloading("other")
+	assert.Assert(t, !downloading)
+}
