--- a/internal/serve/mesh/follow.go
+++ b/internal/serve/mesh/follow.go
@@ -161,13 +161,22 @@
 
 // Forward sends changes to all peers that follow the store through this process.
 func (m *Mesh) Forward(update *wire.Update) {
+	for _, s := range m.followers() {
+		m.sendUpdate(s, update)
+	}
+}
+
+// followers returns the sessions of the peers that follow the store through this process.
+func (m *Mesh) followers() []*sess.Session {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	var all []*sess.Session
 	for _, in := range m.inbound {
 		if in.follows {
-			m.sendUpdate(in.session, update)
+			all = append(all, in.session)
 		}
 	}
+	return all
 }
 
 func (m *Mesh) handleUpdate(from string, update *wire.Update) {
