fix(feed): a list requested during the grace is read after it

Found by reading: consumed the request in every pause, also in the wait for a peer, after which a watch followed and no list. The next frame of a peer with a newer version requested it again, 0.1 s later.

TestListRequestedDuringTheGraceIsRead failed before: no second list.

--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -259,10 +259,11 @@
 // answer that had been on its way for long, so that peers get the next confirmation
 // before the last one exceeds the maximum age.
 func (f *Feed) nextWait() clock.Millis {
+	wait := f.wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	left := f.state.confirmedAt + clock.Millis(confirmShare*float64(f.maxAge)) - f.clock.Now()
-	return min(f.wait(), max(left, minWait))
+	return min(wait, max(left, minWait))
 }
 
 // confirmedBy returns the instant of which an answer to a call that waited for changes
@@ -327,13 +328,24 @@
 		f.waitForProber(ctx, answered)
 		pause = clock.Millis(rand.Int64N(int64(minBackoff)))
 	}
-	f.pauseUnlessRelayed(ctx, pause)
+	f.pauseAfterFailure(ctx, pause)
 }
 
 // pauseUnlessRelayed waits for a pause, or until a peer relays changes if that is
-// earlier. A requested list shortens the pause to maxBackoff: a peer with a newer state
-// shows that the store answers again.
+// earlier.
 func (f *Feed) pauseUnlessRelayed(ctx context.Context, pause clock.Millis) {
+	expired, stopTimer := f.clock.After(pause)
+	defer stopTimer()
+	select {
+	case <-expired:
+	case <-f.relayChanged:
+	case <-ctx.Done():
+	}
+}
+
+// pauseAfterFailure is pauseUnlessRelayed, but a requested list shortens the pause to
+// maxBackoff: a peer with a newer state shows that the store answers again.
+func (f *Feed) pauseAfterFailure(ctx context.Context, pause clock.Millis) {
 	began := f.clock.Now()
 	expired, stopTimer := f.clock.After(pause)
 	defer func() { stopTimer() }()
--- a/internal/serve/feed/feed_test.go
+++ b/internal/serve/feed/feed_test.go
@@ -278,3 +278,36 @@
 	})
 	assert.Assert(t, fake.Clock().Since(failedAt) < 3*clock.Second, "called after %d ms", fake.Clock().Since(failedAt))
 }
+
+// Guards against a requested list that is forgotten while the feed waits for a peer to relay
+// changes.
+func TestListRequestedDuringTheGraceIsRead(t *testing.T) {
+	const grace = 600 * clock.Millis(1)
+	fake := clock.NewFake(1)
+	var lists, watches atomic.Int64
+	s := &store.Store{
+		ScanFunc: func(context.Context, string) (store.Listing, error) { lists.Add(1); return listed(5, "k/a")() },
+		FollowFunc: func(ctx context.Context, _ string, _ uint64, _ clock.Millis) (store.Changes, error) {
+			watches.Add(1)
+			return blockUntilDone(ctx)
+		},
+	}
+	f := feed.New("k", s, feed.WithClock(fake.Clock()), feed.WithPeerWait(func() clock.Millis { return grace }, func(string) clock.Millis { return 0 }))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	waitFor := func(condition func() bool) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if condition() {
+				return poll.Success()
+			}
+			return poll.Continue("%d lists, %d watches, %d timers", lists.Load(), watches.Load(), fake.Pending())
+		}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	}
+	waitFor(func() bool { return lists.Load() == 1 && fake.Pending() == 1 })
+	f.RequestList()
+	time.Sleep(20 * time.Millisecond)
+	fake.Advance(2 * grace)
+	waitFor(func() bool { return lists.Load() == 2 })
+}
