--- a/internal/link/pack/pack_test.go
+++ b/internal/link/pack/pack_test.go
@@ -129,3 +129,36 @@
 		_, _ = transfer.Objects() // any error is fine, a panic is not
 	})
 }
+
+// routes returns an object of about 0.75 MB that compresses as a configuration does.
+func routes() []wire.Stored {
+	random := rand.New(rand.NewPCG(1, 2))
+	var value bytes.Buffer
+	for value.Len() < 750_000 {
+		fmt.Fprintf(&value, `{"name":"r-%07x","host":"orders.example","pathPrefix":"/%07x/","kind":"safe","timeoutMs":3000,"sloMs":300,"attempts":1,"service":"orders"},`, random.Uint32(), random.Uint32())
+	}
+	return []wire.Stored{{Name: "config/main", Version: 7, Value: value.Bytes()}}
+}
+
+func BenchmarkEncode(b *testing.B) {
+	objects := routes()
+	for b.Loop() {
+		content, err := pack.Encode(objects)
+		assert.NilError(b, err)
+		b.ReportMetric(float64(len(content.Data)), "bytes")
+	}
+}
+
+func BenchmarkObjects(b *testing.B) {
+	content, err := pack.Encode(routes())
+	assert.NilError(b, err)
+	for b.Loop() {
+		transfer, err := pack.NewTransfer(&wire.Packed{Digest: content.Digest, Bytes: len(content.Data)})
+		assert.NilError(b, err)
+		for !transfer.Done() {
+			transfer.Add(chunkOf(content, transfer.Offset()))
+		}
+		_, err = transfer.Objects()
+		assert.NilError(b, err)
+	}
+}
