fix(host): queued pieces are refused at once when all engines of their pool leave

Found by reading. Requests that were queued when the last engine of a stage pool stated that it leaves waited for their deadline: 504 after 7.9 s. Now they are refused with a time to come back, like those that come later. The rests have the same check of all requests, and had no such case.

TestRequestIsRefusedAtOnceWhileAllEnginesLeave/stages failed before; the other three cases passed.

--- a/internal/serve/host/dispatch.go
+++ b/internal/serve/host/dispatch.go
@@ -69,6 +69,10 @@
 	for _, group := range q.queued.DropStuck(now) {
 		h.failJob(group.Owner.(*Job), group.Owner.(*Job).lastFailure)
 	}
+	if h.allLeave(q) {
+		h.refuseLeaving(q)
+		return
+	}
 	if rest := h.restOfAll(q, now); rest > 0 {
 		for _, group := range q.queued.DropTooLate(bounds, now+rest) {
 			h.refuseResting(group.Owner.(*Job), rest)
@@ -110,6 +114,31 @@
 	}
 }
 
+// allLeave reports whether all engines of a pool that the view lists have stated that they
+// leave.
+func (h *Host) allLeave(q *queue) bool {
+	endpoints := h.endpoints(q.name)
+	return len(endpoints) > 0 && !slices.ContainsFunc(endpoints, func(e *view.Endpoint) bool { return !h.UnavailableFunc(e) })
+}
+
+// retryAfterLeaving is when a caller may return whose pieces no engine takes, because all
+// leave: others are listed within about a second of their start.
+const retryAfterLeaving = 600 * clock.Millis(1)
+
+// refuseLeaving fails the queued jobs of a pool whose engines all leave. The caller holds the
+// lock.
+func (h *Host) refuseLeaving(q *queue) {
+	var queued []*Job
+	q.queued.Each(func(g *batch.Group) { queued = append(queued, g.Owner.(*Job)) })
+	for _, job := range queued {
+		job.result.RetryAfter = retryAfterLeaving
+		h.failJob(job, fault.NoEndpoint)
+	}
+	if len(queued) > 0 {
+		h.Log.Info("all endpoints leave", "pool", q.name, "jobs", len(queued), logs.KeyRequest, queued[0].group.Request)
+	}
+}
+
 // restOfAll returns the time in ms until the first engine of a pool takes calls again if all
 // of them rest, and 0 otherwise.
 func (h *Host) restOfAll(q *queue, now clock.Millis) clock.Millis {
--- a/internal/serve/router/state_test.go
+++ b/internal/serve/router/state_test.go
@@ -93,11 +93,45 @@
 			for _, e := range b.Engines(test.service) {
 				e.SetRest("20")
 			}
-			b.load(time.Second, []time.Duration{50 * time.Millisecond}, test.request)
+			for _, outcome := range b.load(time.Second, []time.Duration{50 * time.Millisecond}, test.request) {
+				assert.Check(t, outcome.Complete || outcome.Took < time.Second, "not served after %v: %+v", outcome.Took, outcome)
+			}
 			got := b.send(b.gateways[0], test.request())
 			assert.Equal(t, got.Status, http.StatusServiceUnavailable)
 			assert.Assert(t, got.Took < time.Second, "refused after %v", got.Took)
+			t.Logf("Retry-After %v", got.RetryAfter)
 			assert.Assert(t, got.RetryAfter >= 10*time.Second && got.RetryAfter <= 25*time.Second, "Retry-After %v", got.RetryAfter)
 		})
 	}
 }
+
+// Guards against requests that wait for their deadline, or whose stages run for nothing,
+// because all engines of a pool have stated that they leave while their entries say that they
+// are ready.
+func TestRequestIsRefusedAtOnceWhileAllEnginesLeave(t *testing.T) {
+	for name, test := range map[string]stateCase{
+		"plain":           {service: orders, request: lookup},
+		"model":           {service: models, request: ownSummary},
+		"model of stages": {service: models, request: draft},
+		"stages":          {service: encode, request: draft},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := startForState(t)
+			for _, e := range b.Engines(test.service) {
+				e.SetLeaving("1")
+			}
+			for _, outcome := range b.load(time.Second, []time.Duration{50 * time.Millisecond}, test.request) {
+				assert.Check(t, outcome.Complete || outcome.Took < time.Second, "not served after %v: %+v", outcome.Took, outcome)
+			}
+			for _, e := range b.Engines(test.service) {
+				_, told := e.ArrivalsAfterLeaving(0)
+				assert.Assert(t, told, "%s got no request", e.ID)
+			}
+			got := b.send(b.gateways[0], test.request())
+			assert.Equal(t, got.Status, http.StatusServiceUnavailable)
+			assert.Assert(t, got.Took < 500*time.Millisecond, "refused after %v", got.Took)
+			assert.Assert(t, got.RetryAfter > 0)
+		})
+	}
+}
