fix(gate): pieces go to another shard when the engines of one leave or rest

Found by reading. When all engines of a shard had stated that they leave, or asked for a rest, requests of its zone were refused, although another shard's engines were free.

--- a/internal/serve/gate/stages.go
+++ b/internal/serve/gate/stages.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/fault"
 	"github.com/jujubescale/jujubescale/internal/flow/spill"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/host"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
@@ -160,6 +162,9 @@
 		case results.Reason == fault.ZoneEvacuated:
 			tried[pieces.Pool] = true
 			g.Log.Info("shard dissolved", "request", req.Request, "pool", pieces.Pool, "try", attempt)
+		case g.hasOtherShard(pool, pieces.Pool, results, tried):
+			tried[pieces.Pool] = true
+			g.Log.Info("shard held", "request", req.Request, "pool", pieces.Pool, "try", attempt, "reason", results.Reason, "retryAfterMs", int64(results.RetryAfter))
 		case results.Reason != "":
 			return nil, g.stageRefusal(req, pieces, results)
 		default:
@@ -169,6 +174,15 @@
 	return nil, fault.Refuse(fault.NoEndpoint, "no owner of pool "+pool+" is available")
 }
 
+// hasOtherShard reports whether a shard has refused pieces because all of its engines leave
+// or rest, and another shard of the pool was not tried yet.
+func (g *Gate) hasOtherShard(pool, refusing string, results *wire.Results, tried map[string]bool) bool {
+	if results.RetryAfter == 0 || (results.Reason != fault.NoEndpoint && results.Reason != fault.Overloaded) {
+		return false
+	}
+	return slices.ContainsFunc(g.View().Shards(pool), func(s view.Shard) bool { return s.Name != refusing && !tried[s.Name] })
+}
+
 // chooseShard sets the shard of the pool that computes the pieces. A shard outside the
 // requested zone places them at any of its engines.
 func (g *Gate) chooseShard(pieces *wire.Pieces, pool string, tried map[string]bool) {
--- a/internal/serve/router/state_test.go
+++ b/internal/serve/router/state_test.go
@@ -135,3 +135,30 @@
 		})
 	}
 }
+
+// Guards against requests that are refused because the engines of one shard leave or rest,
+// although those of another shard are free.
+func TestPiecesMoveToAnotherShardWhileOneIsHeld(t *testing.T) {
+	for name, hold := range map[string]func(*stand.Engine){
+		"leaving": func(e *stand.Engine) { e.SetLeaving("1") },
+		"rest":    func(e *stand.Engine) { e.SetRest("20") },
+		"none":    func(*stand.Engine) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := startForState(t)
+			for i := range 16 {
+				_, err := b.Add(&stand.Engine{Service: encode, Kind: stand.Stage, Zone: []string{zoneA, zoneB}[i%2], WorkTime: 20 * time.Millisecond})
+				assert.NilError(t, err)
+			}
+			b.awaitKnown(encode)
+			for _, e := range b.Engines(encode) {
+				if e.Zone == zoneA {
+					hold(e)
+				}
+			}
+			outcomes := b.load(2*time.Second, []time.Duration{25 * time.Millisecond}, draft)
+			assert.Assert(t, countServed(outcomes)*20 >= len(outcomes)*19, "%d of %d served", countServed(outcomes), len(outcomes))
+		})
+	}
+}
