fix(permit): limits and statements end with the start of the endpoint that made them

Found by reading. They had no effect on the next start with the same ID, but were kept, counted in the gauges and, for limits, announced for as long as it ran.

--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -127,7 +127,7 @@
 // Sweep drops the state of removed endpoints and closes unused connections.
 func (g *Gate) Sweep() {
 	g.targets.Sweep()
-	g.limits.Sweep(func(endpoint string) bool { return g.View().Find(endpoint) != nil })
+	g.limits.Sweep(g.View().Find)
 }
 
 // ObserveAnswer records what the head of an endpoint's answer says about the endpoint, and
--- a/internal/serve/permit/book.go
+++ b/internal/serve/permit/book.go
@@ -289,17 +289,21 @@
 	delete(b.entries, endpoint)
 }
 
-// Sweep drops the limits and states of endpoints that live does not report, and those that ended long
-// ago. It bounds the number of entries by that of the endpoints.
-func (b *Book) Sweep(live func(endpoint string) bool) {
+// Sweep drops the limits and states of endpoints that find does not return or whose start
+// has ended, and those that ended long ago. It bounds the number of entries by that of the
+// endpoints.
+func (b *Book) Sweep(find func(endpoint string) *view.Endpoint) {
 	now := b.clock.Now()
-	b.sweepStates(live, now)
+	b.sweepStates(find, now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for endpoint, known := range b.entries {
+		present := find(endpoint)
 		switch {
-		case !live(endpoint):
+		case present == nil:
 			b.remove(endpoint, "gone")
+		case present.StartedAt > known.startedAt:
+			b.remove(endpoint, "restarted")
 		case known.stated.Limit() == 0 && !known.faulty && now-known.stated.InForce().At > endedRetention:
 			delete(b.entries, endpoint)
 		}
--- a/internal/serve/permit/permit_test.go
+++ b/internal/serve/permit/permit_test.go
@@ -117,7 +117,7 @@
 	b.ApplyPeer([]wire.EndpointLimit{{Endpoint: "i-1", StartedAt: 10, Limit: 1, SentAge: 30, Age: 10}})
 	assert.Equal(t, b.Limit(next), 3.0)
 	assert.Equal(t, b.Limit(first), 3.0, "a request to the earlier start reaches the present one")
-	b.Sweep(func(string) bool { return false })
+	b.Sweep(func(string) *view.Endpoint { return nil })
 	assert.Equal(t, b.Limited(), int64(0))
 }
 
--- a/internal/serve/permit/state.go
+++ b/internal/serve/permit/state.go
@@ -207,17 +207,21 @@
 	}
 }
 
-// sweepStates drops the states of endpoints that have not been in the view for
-// stateRetention, and rests that are over. It bounds their number by that of the endpoints.
-func (b *Book) sweepStates(live func(endpoint string) bool, now clock.Millis) {
+// sweepStates drops the states of endpoints that have started again or have not been in the
+// view for stateRetention, and rests that are over. It bounds their number by that of the endpoints.
+func (b *Book) sweepStates(find func(endpoint string) *view.Endpoint, now clock.Millis) {
 	b.states.mu.Lock()
 	defer b.states.mu.Unlock()
 	for endpoint, known := range b.states.byID {
 		if known.restUntil <= now {
 			b.endRest(endpoint, known, "over")
 		}
+		present := find(endpoint)
 		switch {
-		case live(endpoint):
+		case present != nil && present.StartedAt > known.startedAt:
+			b.endState(endpoint, "restarted")
+			continue
+		case present != nil:
 			known.seenAt = now
 		case now-known.seenAt > stateRetention:
 			b.endState(endpoint, "gone")
--- a/internal/serve/permit/state_test.go
+++ b/internal/serve/permit/state_test.go
@@ -23,7 +23,7 @@
 	b.Observe(e, http.StatusOK, spell.ResponseInfo{}, "r", 0)
 	var held *permit.HeldError
 	assert.Assert(t, errors.As(b.Check(e), &held) && held.Leaving)
-	absent := func(string) bool { return false }
+	absent := func(string) *view.Endpoint { return nil }
 	b.Sweep(absent)
 	fake.Advance(10 * clock.Second)
 	b.Sweep(absent)
@@ -74,7 +74,7 @@
 	b.Observe(e, http.StatusServiceUnavailable, spell.ResponseInfo{Rest: 4000}, "r", 0)
 	fake.Advance(4000)
 	assert.NilError(t, b.Check(e))
-	b.Sweep(func(string) bool { return true })
+	b.Sweep(func(string) *view.Endpoint { return e })
 	assert.Assert(t, !b.Holding())
 }
 
@@ -89,3 +89,13 @@
 	assert.NilError(t, b.Check(next))
 	assert.Assert(t, b.Check(first) != nil)
 }
+
+// Guards against a statement that is kept and shown for as long as an endpoint with the same
+// ID runs, although the start that made it has ended.
+func TestStatementEndsWithTheNextStart(t *testing.T) {
+	b := permit.New()
+	e := &view.Endpoint{ID: "i-1", StartedAt: 5}
+	b.Observe(e, http.StatusOK, spell.ResponseInfo{Leaving: true}, "r", 0)
+	b.Sweep(func(string) *view.Endpoint { return &view.Endpoint{ID: "i-1", StartedAt: 6} })
+	assert.Assert(t, !b.Holding())
+}
