fix(permit): answers of another endpoint at the address state nothing

Found by reading. An address is used again by other endpoints; one that is not the expected one answers 421. What it stated, also a limit, was recorded for the expected endpoint.

TestStatementOfAnotherEndpointAtTheAddressIsIgnored failed before.

--- a/internal/serve/permit/book.go
+++ b/internal/serve/permit/book.go
@@ -12,6 +12,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 
@@ -144,8 +145,12 @@
 }
 
 // Observe records what the head of an answer says about the limit and the state of its
-// endpoint. The request of the answer was sent at an instant; status is its HTTP status.
+// endpoint. The request of the answer was sent at an instant; status is its HTTP status. It
+// ignores answers of another endpoint that uses the address now.
 func (b *Book) Observe(e *view.Endpoint, status int, info spell.ResponseInfo, request string, sentAt clock.Millis) {
+	if status == http.StatusMisdirectedRequest || (info.Instance != "" && info.Instance != e.ID) {
+		return
+	}
 	b.observeState(e, status, info, request)
 	stated := info.Rate > 0 || info.RateFault != ""
 	if !stated && b.limited.Load() == 0 {
--- a/internal/serve/permit/state_test.go
+++ b/internal/serve/permit/state_test.go
@@ -99,3 +99,13 @@
 	b.Sweep(func(string) *view.Endpoint { return &view.Endpoint{ID: "i-1", StartedAt: 6} })
 	assert.Assert(t, !b.Holding())
 }
+
+// Guards against a statement that is taken for one of the expected endpoint, although another
+// one that uses its address now has answered.
+func TestStatementOfAnotherEndpointAtTheAddressIsIgnored(t *testing.T) {
+	b := permit.New()
+	e := &view.Endpoint{ID: "i-1"}
+	b.Observe(e, http.StatusMisdirectedRequest, spell.ResponseInfo{Leaving: true, Rate: 0.5}, "r", 0)
+	b.Observe(e, http.StatusOK, spell.ResponseInfo{Leaving: true, Instance: "i-2"}, "r", 0)
+	assert.Assert(t, !b.Holding())
+}
