--- a/internal/serve/gate/limit.go
+++ b/internal/serve/gate/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/fault"
@@ -25,10 +26,10 @@
 // Limits returns the limits that endpoints state.
 func (g *Gate) Limits() *permit.Book { return g.limits }
 
-// refuseRateLimited refuses a request with stages if all endpoints that could run it after
-// them are held back by the limits that they state, for longer than the request can wait.
-// The work of its stages would be lost.
-func (g *Gate) refuseRateLimited(req *request) error {
+// refuseBeforeStages refuses a request with stages if all endpoints that could run it after
+// them have stated that they leave, or are held back by their limits or rests for longer than
+// the request can wait. The work of its stages would be lost.
+func (g *Gate) refuseBeforeStages(req *request) error {
 	if req.run == nil || !g.limits.Holding() {
 		return nil
 	}
@@ -47,12 +48,23 @@
 			soonest, limitedBy = wait, e
 		}
 	}
-	if limitedBy == nil || now+soonest <= req.neededBy {
+	switch {
+	case limitedBy == nil && g.allLeave(req.pool.Name):
+		g.Log.Info("all endpoints leave", "request", req.Request, "pool", req.pool.Name)
+		return &fault.RefusalError{Reason: fault.NoEndpoint, Ran: fault.NotRun, RetryAfter: jitter(retryAfterNoEndpoint)}
+	case limitedBy == nil || now+soonest <= req.neededBy:
 		return nil
 	}
 	return g.rateRefusal(req, limitedBy, soonest)
 }
 
+// allLeave reports whether all endpoints of a pool that the view lists have stated that they
+// leave. It is false for a pool without endpoints: others may be listed before the stages end.
+func (g *Gate) allLeave(pool string) bool {
+	endpoints := slices.Concat(g.View().Pool(pool), g.View().Candidates(pool))
+	return len(endpoints) > 0 && !slices.ContainsFunc(endpoints, func(e *view.Endpoint) bool { return !g.limits.Unavailable(e) })
+}
+
 // rateRefusal refuses a request that no endpoint can take because of the limits that they
 // state, one of which is limitedBy, or because they rest. An endpoint may take one after
 // wait.
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -42,7 +42,7 @@
 
 // run runs the stages and the attempts of a request and ends it.
 func (g *Gate) run(ctx context.Context, w http.ResponseWriter, req *request) {
-	err := g.refuseRateLimited(req)
+	err := g.refuseBeforeStages(req)
 	if err == nil {
 		err = g.runStages(ctx, req)
 	}
--- a/internal/serve/router/state_test.go
+++ b/internal/serve/router/state_test.go
@@ -86,7 +86,9 @@
 // Guards against requests that wait for their deadline although all engines of their pool
 // have asked for a rest that is longer.
 func TestRequestIsRefusedAtOnceWhileAllEnginesRest(t *testing.T) {
-	for name, test := range stateCases() {
+	cases := stateCases()
+	cases["model of stages"] = stateCase{service: models, request: draft}
+	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			b := startForState(t)
@@ -96,8 +98,10 @@
 			for _, outcome := range b.load(time.Second, []time.Duration{50 * time.Millisecond}, test.request) {
 				assert.Check(t, outcome.Complete || outcome.Took < time.Second, "not served after %v: %+v", outcome.Took, outcome)
 			}
+			sent := time.Now()
 			got := b.send(b.gateways[0], test.request())
 			assert.Equal(t, got.Status, http.StatusServiceUnavailable)
+			assert.Equal(t, b.Ledger.CountArrivals(encode, "v1", sent), 0, "stages run for nothing")
 			assert.Assert(t, got.Took < time.Second, "refused after %v", got.Took)
 			t.Logf("Retry-After %v", got.RetryAfter)
 			assert.Assert(t, got.RetryAfter >= 10*time.Second && got.RetryAfter <= 25*time.Second, "Retry-After %v", got.RetryAfter)
@@ -128,8 +132,10 @@
 				_, told := e.ArrivalsAfterLeaving(0)
 				assert.Assert(t, told, "%s got no request", e.ID)
 			}
+			sent := time.Now()
 			got := b.send(b.gateways[0], test.request())
 			assert.Equal(t, got.Status, http.StatusServiceUnavailable)
+			assert.Equal(t, b.Ledger.CountArrivals(encode, "v1", sent), 0, "stages run for nothing")
 			assert.Assert(t, got.Took < 500*time.Millisecond, "refused after %v", got.Took)
 			assert.Assert(t, got.RetryAfter > 0)
 		})
