fix(feed): a feed that lacks changes of its peer asks the store earlier

Found by reading. A process that was shown newer changes, but whose requests don't reach the peer (cut off in one direction, or the peer is stuck), waited until the last confirmation was three quarters of the bound old, and then had to read a large version in the rest. It knows from the first report on that it is behind; now it waits half of that, or for as long as chunks arrive.

TestStoreIsReadWhenThePeerDeliversNoChanges failed before: no call to the store within 800 ms (maximum age 1,400 ms). TestStoreIsNotReadWhileAPeerDelivers passes before and after.

--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -32,6 +32,9 @@
 	// expectedUntil is set while a peer transfers objects: the feed waits for them
 	// and doesn't request the same objects from the store.
 	expectedUntil clock.Millis
+	// missingSince is when the peer first showed changes that this feed lacks, 0 if it
+	// lacks none.
+	missingSince clock.Millis
 }
 
 // Kind returns the kind of objects that the feed follows.
@@ -69,9 +72,17 @@
 	if !f.state.listed || f.state.listDue || f.state.relayedAt == 0 {
 		return 0
 	}
-	return f.state.relayedAt + f.maxAge - f.clock.Now()
+	until := f.state.relayedAt + f.maxAge
+	if f.state.missingSince > 0 {
+		until = min(until, max(f.state.missingSince+f.maxAge/missingDivisor, f.state.expectedUntil))
+	}
+	return until - f.clock.Now()
 }
 
+// missingDivisor divides the maximum age: for that part of it the feed waits for changes that
+// it lacks before it calls the store. Peers normally deliver them within 0.3 s.
+const missingDivisor = 2
+
 // graceTimeLeft returns how long the feed still waits for a peer before it calls
 // the store, in milliseconds; it is not positive if it has to call now.
 func (f *Feed) graceTimeLeft() clock.Millis {
@@ -183,6 +194,7 @@
 		return // already known through a relay or a call
 	}
 	s.listed, s.revision, s.lastChange = true, revision, changed
+	s.missingSince = 0
 	s.objects = make(map[string]store.Object, len(objects))
 	for _, object := range objects {
 		s.objects[object.Name] = object
@@ -206,6 +218,7 @@
 	}
 	unseen := slices.DeleteFunc(slices.Clone(changes), func(change store.Change) bool { return f.isOld(change, since) })
 	s.revision = revision
+	s.missingSince = 0
 	if len(unseen) == 0 {
 		return s.revision
 	}
@@ -274,9 +287,14 @@
 func (f *Feed) Confirm(progress wire.Progress, now clock.Millis) (missing bool) {
 	f.mu.Lock()
 	if f.state.revision < progress.Changed || !f.state.listed {
+		if f.state.missingSince == 0 {
+			f.state.missingSince = f.clock.Now()
+			f.wakeRun()
+		}
 		f.mu.Unlock()
 		return true
 	}
+	f.state.missingSince = 0
 	if progress.Revision < f.state.revision {
 		f.mu.Unlock()
 		return false // an older answer shows nothing about the known revision
--- a/internal/serve/feed/peer_test.go
+++ b/internal/serve/feed/peer_test.go
@@ -270,3 +270,34 @@
 		assert.Equal(t, p.Progress().Age, 800*clock.Millis(1), name)
 	}
 }
+
+// Guards against a version that comes late because a feed waits for a peer that shows newer
+// changes and doesn't deliver them: the requests of this process don't reach the peer.
+func TestStoreIsReadWhenThePeerDeliversNoChanges(t *testing.T) {
+	p := newRelayedFeed(t)
+	p.waitUntil(t, func() bool { return p.follows.Load() == 1 })
+	p.confirm(t)
+	p.waitUntil(t, func() bool { return p.Relayed() && p.fake.Pending() == 1 })
+	for range 8 {
+		p.fake.Advance(100)
+		assert.Assert(t, p.Confirm(wire.Progress{Kind: "k", Revision: 9, Changed: 9}, p.now()), "changes are missing")
+	}
+	p.waitUntil(t, func() bool { return p.follows.Load() == 2 })
+	assert.Assert(t, p.Progress().Age < 1400, "long before the maximum age")
+}
+
+// Guards against a second copy of a large list that is read from the store while a peer
+// transfers the first one.
+func TestStoreIsNotReadWhileAPeerDelivers(t *testing.T) {
+	p := newRelayedFeed(t)
+	p.waitUntil(t, func() bool { return p.follows.Load() == 1 })
+	p.confirm(t)
+	p.waitUntil(t, func() bool { return p.Relayed() && p.fake.Pending() == 1 })
+	for range 12 {
+		p.fake.Advance(100)
+		p.Expect()
+		assert.Assert(t, p.Confirm(wire.Progress{Kind: "k", Revision: 9, Changed: 9}, p.now()), "changes are missing")
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, p.follows.Load(), int64(1))
+}
