--- a/internal/serve/permit/book.go
+++ b/internal/serve/permit/book.go
@@ -1,5 +1,6 @@
-// Package permit keeps the request rates that endpoints state, so that all processes
-// together send no endpoint more than it accepts.
+// Package permit keeps what endpoints state in their answers: the request rates that they
+// accept, so that all processes together send no endpoint more, that they leave, and the rests
+// that they ask this process for.
 //
 // An endpoint with a limit has an owner, one of the processes, which grants a permit for
 // each request. A process that sends a request asks the owner first. Without an answer it
@@ -47,8 +48,8 @@
 	ReportFunc func()
 }
 
-// Book holds what this process knows of the limits of endpoints, and grants the permits of
-// the endpoints that it owns. It is safe for concurrent use.
+// Book holds what this process knows of the statements of endpoints, and grants the permits
+// of the endpoints that it owns. It is safe for concurrent use.
 type Book struct {
 	clock *clock.Clock
 	log   *log.Logger
