--- a/internal/link/pack/pack_test.go
+++ b/internal/link/pack/pack_test.go
@@ -135,7 +135,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	var value bytes.Buffer
 	for value.Len() < 750_000 {
-		fmt.Fprintf(&value, `{"name":"r-%07x","host":"orders.example","pathPrefix":"/%07x/","kind":"safe","timeoutMs":3000,"sloMs":300,"attempts":1,"service":"orders"},`, random.Uint32(), random.Uint32())
+		fmt.Fprintf(&value, `{"name":"r-%07x","host":"orders.example","path":"/%07x/","kind":"safe","timeoutMs":3000,"objectiveMs":300,"attempts":1,"service":"orders"},`, random.Uint32(), random.Uint32())
 	}
 	return []wire.Stored{{Name: "config/main", Version: 7, Value: value.Bytes()}}
 }
