--- a/internal/serve/gate/limit.go
+++ b/internal/serve/gate/limit.go
@@ -70,7 +70,7 @@
 // wait.
 func (g *Gate) rateRefusal(req *request, limitedBy *view.Endpoint, wait clock.Millis) error {
 	if g.limits.Rest(limitedBy, g.Clock.Now()) > 0 {
-		after := permit.ReturnAfterRest(wait)
+		after := permit.ReturnAfter(wait)
 		g.Log.Info("all endpoints rest", "request", req.Request, "pool", req.pool.Name, "endpoint", limitedBy.ID, "waitMs", int64(wait), "retryAfterMs", int64(after))
 		return &fault.RefusalError{Reason: fault.Overloaded, Ran: fault.NotRun, RetryAfter: after}
 	}
--- a/internal/serve/host/dispatch.go
+++ b/internal/serve/host/dispatch.go
@@ -161,7 +161,7 @@
 // refuseResting fails a job because all engines of its pool rest for too long. The caller
 // holds the lock.
 func (h *Host) refuseResting(job *Job, rest clock.Millis) {
-	job.result.RetryAfter = permit.ReturnAfterRest(rest)
+	job.result.RetryAfter = permit.ReturnAfter(rest)
 	h.Log.Info("all endpoints rest", "pool", job.queueName, logs.KeyRequest, job.group.Request, "waitMs", int64(rest),
 		"retryAfterMs", int64(job.result.RetryAfter))
 	h.failJob(job, fault.Overloaded)
--- a/internal/serve/permit/state.go
+++ b/internal/serve/permit/state.go
@@ -33,11 +33,11 @@
 	return fmt.Sprintf("endpoint %s has asked for a rest of %d ms more", e.Endpoint, e.Rest)
 }
 
-// ReturnAfterRest returns the time after which a caller should return that is refused
-// because all endpoints rest, the first of them for the given time. Callers that are refused
-// together get different times.
-func ReturnAfterRest(rest clock.Millis) clock.Millis {
-	return rest + rand.N(rest/4+minReturnSpread)
+// ReturnAfter returns the time after which a caller should return that is refused because
+// no endpoint takes its request for the given time. Callers that are refused together get
+// different times.
+func ReturnAfter(wait clock.Millis) clock.Millis {
+	return wait + rand.N(wait/4+minReturnSpread)
 }
 
 // minReturnSpread is the shortest span over which refused callers return.
