fix(host): callers refused because all engines leave return apart

Found by reading. Requests that were queued when the last engine of a pool stated that it leaves were refused together and told to return after 600 ms each, at the same moment. Now the time is spread, as it is for engines that rest.

TestCallersRefusedByLeavingEnginesReturnApart failed before: 600 ms for 20 of 20.

--- a/internal/serve/host/dispatch.go
+++ b/internal/serve/host/dispatch.go
@@ -121,8 +121,8 @@
 	return len(endpoints) > 0 && !slices.ContainsFunc(endpoints, func(e *view.Endpoint) bool { return !h.UnavailableFunc(e) })
 }
 
-// retryAfterLeaving is when a caller may return whose pieces no engine takes, because all
-// leave: others are listed within about a second of their start.
+// retryAfterLeaving is the earliest time after which a caller may return whose pieces no
+// engine takes, because all leave: others are listed within about a second of their start.
 const retryAfterLeaving = 600 * clock.Millis(1)
 
 // refuseLeaving fails the queued jobs of a pool whose engines all leave. The caller holds the
@@ -131,7 +131,7 @@
 	var queued []*Job
 	q.queued.Each(func(g *batch.Group) { queued = append(queued, g.Owner.(*Job)) })
 	for _, job := range queued {
-		job.result.RetryAfter = retryAfterLeaving
+		job.result.RetryAfter = permit.ReturnAfter(retryAfterLeaving)
 		h.failJob(job, fault.NoEndpoint)
 	}
 	if len(queued) > 0 {
--- a/internal/serve/host/host_test.go
+++ b/internal/serve/host/host_test.go
@@ -135,6 +135,8 @@
 	*host.Host
 	t       *testing.T
 	retries atomic.Int64
+	// leaving is set if all engines have stated that they leave.
+	leaving atomic.Bool
 }
 
 func startHost(t *testing.T, engines ...*engine) *testHost {
@@ -165,7 +167,7 @@
 		SendFunc: func(ctx context.Context, e *view.Endpoint, request *conn.Request) (*conn.Reply, error) {
 			return groups[e].Do(ctx, request)
 		},
-		UnavailableFunc: (*view.Endpoint).Unavailable,
+		UnavailableFunc: func(e *view.Endpoint) bool { return e.Unavailable() || h.leaving.Load() },
 		RestFunc:        func(*view.Endpoint, clock.Millis) clock.Millis { return 0 },
 		Retry:           func(string) bool { return h.retries.Add(-1) >= 0 }, Earn: func(string) {},
 		Meter: host.NewMeter(prometheus.NewRegistry()),
@@ -469,3 +471,29 @@
 	assert.DeepEqual(t, h.wait(outcome).References, []string{"e1/r/0"})
 	assert.Equal(t, len(e.computed), 1)
 }
+
+// Guards against callers that are refused together, because all engines leave, and return
+// together.
+func TestCallersRefusedByLeavingEnginesReturnApart(t *testing.T) {
+	e := newEngine(t, "e1")
+	e.hold = make(chan struct{})
+	h := startHost(t, e)
+	_, running := h.submit("running", 4, 5000)
+	h.awaitBusy()
+	var outcomes []<-chan host.Outcome
+	for range 20 {
+		_, outcome := h.submit("waiting", 4, 5000)
+		outcomes = append(outcomes, outcome)
+	}
+	h.leaving.Store(true)
+	defer h.wait(running)
+	defer close(e.hold)
+	returns := make(map[clock.Millis]bool)
+	for _, outcome := range outcomes {
+		refused := h.wait(outcome)
+		assert.Equal(t, refused.Reason, fault.NoEndpoint)
+		assert.Assert(t, refused.RetryAfter > 0)
+		returns[refused.RetryAfter] = true
+	}
+	assert.Assert(t, len(returns) > 3, "%v", returns)
+}
