fix(sess,mesh): the age of a relayed answer includes its time on the way

Frames that state an age carry a stamp of 10 to 12 bytes, from which the receiver bounds the time on the way without a common clock. The ages of updates and of progress grow by it.

--- a/internal/link/sess/sess.go
+++ b/internal/link/sess/sess.go
@@ -39,6 +39,7 @@
 	cause        error
 	lastReceived atomic.Int64
 	inFlight     atomic.Int64
+	transit      transitMeter
 	batch        []*wire.Frame // used only by the writer
 	firstCall    chan struct{} // wakes the writer when a call is sent and none was in flight
 	probedAt     clock.Millis  // when the writer last sent a heartbeat
@@ -78,6 +79,9 @@
 func (s *Session) Send(frame *wire.Frame) error {
 	frame.Session = s.number
 	frame.Release = s.opts.release()
+	if frame.StatesAge() {
+		frame.Stamp = s.transit.stamp(s.opts.clock.Now())
+	}
 	select {
 	case <-s.closing:
 		return &ClosedError{Process: s.peer.Process, Cause: s.cause}
@@ -137,6 +141,9 @@
 		s.opts.dropped("session")
 		return
 	}
+	if frame.Stamp != nil {
+		frame.Transit = s.transit.observe(frame.Stamp, s.opts.clock.Now())
+	}
 	if frame.Kind == wire.KindBeat && !frame.Beat.Reply {
 		_ = s.Send(&wire.Frame{Kind: wire.KindBeat, Beat: &wire.Beat{Reply: true, Mark: frame.Beat.Mark, Load: s.opts.load(), Outside: s.opts.outside()}})
 	}
--- /dev/null
+++ b/internal/link/sess/transit.go
@@ -0,0 +1,53 @@
+package sess
+
+import (
+	"sync"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+)
+
+// transitMeter bounds the time that frames of a session are on their way: in the queues of
+// both processes, on the connection, and while one of them is paused. The difference between
+// the clocks at arrival and at sending is the time on the way plus the clocks' offset; the
+// shortest difference in the other direction bounds that offset.
+type transitMeter struct {
+	mu sync.Mutex
+	// shortest is the shortest difference of the frames received, measuredAt when it was
+	// measured. It is valid if measured is set.
+	shortest   clock.Millis
+	measuredAt clock.Millis
+	measured   bool
+}
+
+// driftInterval is the time in which two clocks may drift apart by one millisecond.
+const driftInterval = 10 * clock.Second
+
+// stamp returns the stamp of a frame that is sent now.
+func (m *transitMeter) stamp(now clock.Millis) *wire.Stamp {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &wire.Stamp{SentAt: now, Shortest: m.shortestAt(now), Measured: m.measured}
+}
+
+// observe returns an upper bound of the time that a frame was on its way, in milliseconds.
+// Before the peer has received a stamped frame, it returns how much longer than the fastest
+// frame of the session the frame took.
+func (m *transitMeter) observe(stamp *wire.Stamp, now clock.Millis) clock.Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	difference := now - stamp.SentAt
+	if !m.measured || difference <= m.shortestAt(now) {
+		m.shortest, m.measuredAt, m.measured = difference, now, true
+	}
+	if stamp.Measured {
+		return max(difference+stamp.Shortest, 0)
+	}
+	return difference - m.shortestAt(now)
+}
+
+// shortestAt returns the shortest difference, raised by what the clocks may have drifted since
+// it was measured. The caller holds the lock.
+func (m *transitMeter) shortestAt(now clock.Millis) clock.Millis {
+	return m.shortest + (now-m.measuredAt)/driftInterval
+}
--- /dev/null
+++ b/internal/link/wire/transit.go
@@ -0,0 +1,33 @@
+package wire
+
+import "github.com/jujubescale/jujubescale/internal/base/clock"
+
+// Stamp lets the receiver of a frame bound the time that the frame was on its way. The clocks
+// of two processes have an unknown offset, so that it takes measurements of both directions.
+type Stamp struct {
+	_ struct{} `cbor:",toarray"`
+	// SentAt is when the sender queued the frame, on the sender's clock.
+	SentAt clock.Millis
+	// Shortest is the shortest difference between the sender's clock at the arrival of a
+	// frame and that frame's SentAt. It is valid if Measured is set.
+	Shortest clock.Millis
+	Measured bool
+}
+
+// StatesAge reports whether the frame states how old something is.
+func (f *Frame) StatesAge() bool { return f.Sums != nil || f.Update != nil }
+
+// AddTransit adds the time that the frame was on its way, in milliseconds, to the ages of the
+// store's answers that it relays. Ages below 0 are invalid and stay.
+func (f *Frame) AddTransit(transit clock.Millis) {
+	if f.Update != nil && f.Update.Age >= 0 {
+		f.Update.Age += transit
+	}
+	if f.Sums != nil {
+		for i := range f.Sums.Progress {
+			if progress := &f.Sums.Progress[i]; progress.Age >= 0 {
+				progress.Age += transit
+			}
+		}
+	}
+}
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -87,6 +87,10 @@
 	// ChunkRequest and Chunk are sent on the session that the requester opened.
 	ChunkRequest *ChunkRequest `cbor:"chunkRequest,omitempty"`
 	Chunk        *Chunk        `cbor:"chunk,omitempty"`
+	// Stamp is set in frames that state an age. Transit is the time in milliseconds that
+	// such a frame was on its way; the session that receives it sets it.
+	Stamp   *Stamp       `cbor:"stamp,omitempty"`
+	Transit clock.Millis `cbor:"-"`
 }
 
 // Hello opens a session in both directions.
--- a/internal/serve/feed/model_test.go
+++ b/internal/serve/feed/model_test.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// transit lets a message be on its way and returns the time that the receiving session
+// reports, which is never shorter.
+func (s *modelStore) transit() clock.Millis {
+	sentAt := s.fake.Clock().Now()
+	s.pass("while the message is on its way")
+	return s.fake.Clock().Since(sentAt) + clock.Millis(rapid.IntRange(0, 50).Draw(s.t, "overestimated by"))
+}
+
 func (s *modelStore) objects(upTo uint64) []store.Object {
 	var all []store.Object
 	for _, w := range s.writes {
@@ -120,8 +128,16 @@
 				draw("watcher").Watch(ctx)
 				cancel()
 			},
-			"snapshot relayed": func(*rapid.T) { draw("to").Apply(draw("from").Snapshot(), fake.Clock().Now()) },
-			"confirmation":     func(*rapid.T) { draw("to").Confirm(draw("from").Progress(), fake.Clock().Now()) },
+			"snapshot relayed": func(*rapid.T) {
+				snapshot := draw("from").Snapshot()
+				snapshot.Age += s.transit()
+				draw("to").Apply(snapshot, fake.Clock().Now())
+			},
+			"confirmation": func(*rapid.T) {
+				progress := draw("from").Progress()
+				progress.Age += s.transit()
+				draw("to").Confirm(progress, fake.Clock().Now())
+			},
 			"": func(t *rapid.T) {
 				for i, process := range processes {
 					progress := process.Progress()
--- a/internal/serve/mesh/ask.go
+++ b/internal/serve/mesh/ask.go
@@ -108,6 +108,7 @@
 // handleLinkFrame handles one frame on a session that this process opened.
 func (m *Mesh) handleLinkFrame(s *sess.Session, frame *wire.Frame) {
 	m.checkRelease(frame)
+	frame.AddTransit(frame.Transit)
 	from := s.Peer().Process
 	switch frame.Kind {
 	case wire.KindInputsRead:
@@ -149,6 +150,7 @@
 // handleInboundFrame handles one frame on a session that a peer opened.
 func (m *Mesh) handleInboundFrame(s *sess.Session, frame *wire.Frame) {
 	m.checkRelease(frame)
+	frame.AddTransit(frame.Transit)
 	from := s.Peer().Process
 	switch frame.Kind {
 	case wire.KindPieces:
--- a/internal/serve/mesh/export_test.go
+++ b/internal/serve/mesh/export_test.go
@@ -56,3 +56,6 @@
 
 // Chunk returns the answer to a request for a chunk.
 func (m *Mesh) Chunk(request *wire.ChunkRequest) *wire.Chunk { return m.contents.chunk(request) }
+
+// SetUpstream sets the peer through which the process follows the store.
+func (m *Mesh) SetUpstream(name string) { m.uplink.Store(&uplink{upstream: name}) }
