feat(gate,router): a denial waits while the configuration is too old

All waiting denials share one wait; at most 200 wait, and none calls the store: the feed calls it at that age already. None waits once the store has been away for longer than that.

TestPartsOfTheTimeForChangesSumToLessThanIt adds up the parts of T. It guards the constants, which were not changed, and passed before.

Moved without a change: configAge and checkConfigAge.

--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -146,18 +146,14 @@
 
 // storeTimeout bounds one call to the platform's store. A call normally takes
 // milliseconds, and up to sixty times as long when the store is slow.
-// watchMargin is the time that a watch call may take in addition to its wait.
-const (
-	storeTimeout = 1500 * clock.Millis(1)
-	watchMargin  = 450 * clock.Millis(1)
-)
+const storeTimeout = 1500 * clock.Millis(1)
 
 func (r *gatewayRun) startGateway(ctx context.Context) error {
 	transport := &http.Transport{DialContext: conn.Dial, MaxIdleConnsPerHost: 4, DisableCompression: true}
 	r.gateway = router.New(ctx, router.Settings{
 		Name: r.settings.Process.Process, Zone: r.settings.AvailabilityZone, Address: r.settings.Sessions, Capacity: r.settings.ProcessorShare, ChangeWithin: r.settings.ChangeMs, LeaveWithin: r.settings.LeaveMs,
 		Clock: r.Clock, Log: r.Log, Registry: r.Registry,
-		Store:   platform.NewStore(r.settings.PlatformURL, &http.Client{Transport: transport}, storeTimeout, watchMargin),
+		Store:   platform.NewStore(r.settings.PlatformURL, &http.Client{Transport: transport}, storeTimeout, router.WatchMargin),
 		Dialect: platform.Dialect(), Bounds: bounds(r.settings),
 		Rollouts: r.settings.Rollouts, RolloutBounds: canary.Bounds{Share: r.settings.RolloutShare, Base: r.settings.RolloutSpare},
 	})
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -29,16 +29,18 @@
 	// changes any more, or a broken connection, is detected only when the wait is
 	// over.
 	defaultWait = clock.Second
-	// minBackoff and maxBackoff bound the pause after a failed call. maxBackoff
-	// bounds the time until the end of an outage is detected.
+	// minBackoff is the first pause after a failed call.
 	minBackoff = 100 * clock.Millis(1)
-	maxBackoff = 800 * clock.Millis(1)
 	// minWait is the shortest wait of a call for changes. confirmShare is the part of the
 	// maximum age within which the next confirmation is due.
 	minWait      = 50 * clock.Millis(1)
 	confirmShare = 0.8
 )
 
+// MaxBackoff is the default of the longest pause after a failed call, and the longest pause
+// while a peer shows a newer state. It bounds the time until the end of an outage is detected.
+const MaxBackoff = 800 * clock.Millis(1)
+
 // Feed follows one kind of objects.
 type Feed struct {
 	kind  string
@@ -69,9 +71,9 @@
 	reading atomic.Bool
 	// relayChanged wakes Run when a peer has started or stopped relaying changes.
 	relayChanged chan struct{}
-	// lostAt is when the store stopped answering, 0 while it answers. lostFor is the
-	// duration of the last outage, 0 once the list was read after it.
-	lostAt  clock.Millis
+	// lostAt is the instant in ms at which the store stopped answering, 0 while it answers.
+	// lostFor is the duration of the last outage, 0 once the list was read after it.
+	lostAt  atomic.Int64
 	lostFor clock.Millis
 	backoff clock.Millis
 	outage  *Outage
@@ -139,7 +141,7 @@
 		kind: kind, store: from, clock: clock.New(), log: log.New(io.Discard), listRequested: make(chan struct{}, 1), relayChanged: make(chan struct{}, 1), outage: NewOutage(),
 		wait:         func() clock.Millis { return defaultWait },
 		pause:        func() clock.Millis { return 0 },
-		backoffLimit: func() clock.Millis { return maxBackoff },
+		backoffLimit: func() clock.Millis { return MaxBackoff },
 		maxAge:       defaultMaxAge, relayGrace: func() clock.Millis { return 0 }, firstWait: func(string) clock.Millis { return 0 },
 		listFunc: func([]store.Object, clock.Millis) {}, changeFunc: func([]store.Change) {}, forwardFunc: func(*wire.Update) {},
 	}
@@ -165,6 +167,16 @@
 // Down reports whether the last call to the store failed.
 func (f *Feed) Down() bool { return f.down.Load() }
 
+// AwayFor returns how long calls to the store have failed, in milliseconds, 0 if the last one
+// did not or a peer relays changes.
+func (f *Feed) AwayFor() clock.Millis {
+	lostAt := clock.Millis(f.lostAt.Load())
+	if lostAt == 0 {
+		return 0
+	}
+	return max(f.clock.Since(lostAt), 1)
+}
+
 // Run follows the kind until the context ends: through a peer while one relays
 // changes, otherwise by calls to the store.
 func (f *Feed) Run(ctx context.Context) {
@@ -316,8 +328,7 @@
 		return
 	}
 	f.down.Store(true)
-	if f.lostAt == 0 {
-		f.lostAt = f.clock.Now()
+	if f.lostAt.CompareAndSwap(0, int64(f.clock.Now())) {
 		f.log.Info("platform lost", "kind", f.kind, logs.KeyError, err)
 	}
 	f.backoff = min(max(2*f.backoff, minBackoff), max(f.backoffLimit(), minBackoff))
@@ -344,7 +355,7 @@
 }
 
 // pauseAfterFailure is pauseUnlessRelayed, but a requested list shortens the pause to
-// maxBackoff: a peer with a newer state shows that the store answers again.
+// MaxBackoff: a peer with a newer state shows that the store answers again.
 func (f *Feed) pauseAfterFailure(ctx context.Context, pause clock.Millis) {
 	began := f.clock.Now()
 	expired, stopTimer := f.clock.After(pause)
@@ -353,7 +364,7 @@
 		select {
 		case <-f.listRequested:
 			stopTimer()
-			pause = min(pause, maxBackoff)
+			pause = min(pause, MaxBackoff)
 			expired, stopTimer = f.clock.After(max(began+pause-f.clock.Now(), 0))
 			continue
 		case <-expired:
@@ -370,10 +381,10 @@
 	f.backoff = 0
 	f.down.Store(false)
 	f.outage.recordAnswer(f)
-	if f.lostAt == 0 {
+	lostAt := clock.Millis(f.lostAt.Swap(0))
+	if lostAt == 0 {
 		return
 	}
-	f.lostFor = max(f.clock.Since(f.lostAt), 1)
-	f.lostAt = 0
+	f.lostFor = max(f.clock.Since(lostAt), 1)
 	f.log.Info("platform found again", "kind", f.kind, "awayMs", int64(f.lostFor))
 }
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -61,6 +61,13 @@
 	return f.state.lastChange
 }
 
+// Behind reports whether a peer has shown changes that this feed lacks.
+func (f *Feed) Behind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.missingSince > 0
+}
+
 // Relayed reports whether a peer relays changes.
 func (f *Feed) Relayed() bool { return f.relayTimeLeft() > 0 }
 
@@ -74,14 +81,14 @@
 	}
 	until := f.state.relayedAt + f.maxAge
 	if f.state.missingSince > 0 {
-		until = min(until, max(f.state.missingSince+f.maxAge/missingDivisor, f.state.expectedUntil))
+		until = min(until, max(f.state.missingSince+f.maxAge/MissingDivisor, f.state.expectedUntil))
 	}
 	return until - f.clock.Now()
 }
 
-// missingDivisor divides the maximum age: for that part of it the feed waits for changes that
+// MissingDivisor divides the maximum age: for that part of it the feed waits for changes that
 // it lacks before it calls the store. Peers normally deliver them within 0.3 s.
-const missingDivisor = 2
+const MissingDivisor = 2
 
 // graceTimeLeft returns how long the feed still waits for a peer before it calls
 // the store, in milliseconds; it is not positive if it has to call now.
@@ -138,9 +145,8 @@
 	f.backoff, f.lostFor = 0, 0
 	f.outage.recordAnswer(f)
 	f.down.Store(false)
-	if f.lostAt > 0 {
-		f.log.Info("platform found again through a peer", "kind", f.kind, "awayMs", int64(f.clock.Since(f.lostAt)))
-		f.lostAt = 0
+	if lostAt := clock.Millis(f.lostAt.Swap(0)); lostAt > 0 {
+		f.log.Info("platform found again through a peer", "kind", f.kind, "awayMs", int64(f.clock.Since(lostAt)))
 	}
 }
 
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -50,6 +50,9 @@
 	View  func() *view.Snapshot
 	// Starting reports whether the first read of the routes and endpoints is under way.
 	Starting func() bool
+	// AwaitConfig waits for a confirmation of the routes if they may be too old to deny a
+	// request by them. It reports whether it waited, so that the routes have to be read again.
+	AwaitConfig func(ctx context.Context, request string) bool
 	// Deploy runs the rollouts; nil without rollouts.
 	Deploy *deploy.Controller
 }
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -110,7 +110,8 @@
 	endpointsMu sync.Mutex
 	storeBackAt clock.Millis // when the store was reachable again after its last outage
 	configOld   bool         // whether checkConfigAge found the configuration too old
-	listed      atomic.Bool  // whether the store's member list holds this process
+	configWait  configWait
+	listed      atomic.Bool // whether the store's member list holds this process
 
 	gate  *gate.Gate
 	mesh  *mesh.Mesh
@@ -136,7 +137,7 @@
 	g.makeEndpoints()
 	g.gate = gate.New(gate.Settings{
 		Clock: g.Clock, Log: g.Log, Codec: g.Dialect.Codec, Registry: g.Registry, Name: g.Name, Zone: g.Zone,
-		Table: g.table.Load, View: g.endpoints.Snapshot, Starting: g.starting, Deploy: g.deploy,
+		Table: g.table.Load, View: g.endpoints.Snapshot, Starting: g.starting, AwaitConfig: g.awaitConfig, Deploy: g.deploy,
 	})
 	g.SetBounds(settings.Bounds)
 	g.host = host.New(ctx, host.Settings{
@@ -284,6 +285,10 @@
 	watcherAgeShare  = 0.9
 )
 
+// WatchMargin is the time that a watch call may take in addition to its wait. A watch without
+// a reply is given up after it.
+const WatchMargin = 450 * clock.Millis(1)
+
 const (
 	// backoffPerProcess is the time that each process of the fleet adds to the longest
 	// pause after a failed call, within minLongestBackoff and maxLongestBackoff. It
@@ -416,29 +421,3 @@
 		g.checkConfigAge()
 	}
 }
-
-// configAge returns the time since the store confirmed the configuration in force, in
-// milliseconds. It is 0 before the first read.
-func (g *Gateway) configAge() clock.Millis {
-	if g.feeds.config == nil || !g.feeds.config.Listed() {
-		return 0
-	}
-	return g.feeds.config.Progress().Age
-}
-
-// checkConfigAge logs when the age of the configuration exceeds the age at which this
-// process asks the store itself, and when it doesn't any more.
-func (g *Gateway) checkConfigAge() {
-	age := g.configAge()
-	old := age > clock.Millis(maxAgeShare*float64(g.ChangeWithin))
-	if old == g.configOld {
-		return
-	}
-	g.configOld = old
-	event := "configuration confirmed"
-	if old {
-		event = "configuration not confirmed"
-	}
-	g.Log.Info(event, "configuration", g.configVersion(), "ageMs", int64(age), "withinMs", int64(g.ChangeWithin), "storeDown", g.feeds.config.Down(),
-		"relayed", g.feeds.config.Relayed(), "upstream", g.mesh.Upstream())
-}
--- a/internal/serve/router/watch_test.go
+++ b/internal/serve/router/watch_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/route/relay"
+	"github.com/jujubescale/jujubescale/internal/serve/feed"
 )
 
 // Guards against a revoked key that works for seconds. A change of the configuration
@@ -30,3 +31,35 @@
 	mean := float64(sum) / float64(rounds*relay.Watchers)
 	assert.Assert(t, mean > 0.9*float64(meanWatchWait) && mean < 1.1*float64(meanWatchWait), "%f", mean)
 }
+
+// progressInterval is the longest time between two messages in which a peer shows its
+// progress.
+const progressInterval = 100 * clock.Millis(1)
+
+// Guards against waits that are short each and outlast, one after another, the time within
+// which a change must be in force. A call to the store that takes longer than callShare is not
+// covered.
+func TestPartsOfTheTimeForChangesSumToLessThanIt(t *testing.T) {
+	for _, within := range []clock.Millis{2 * clock.Second, 3 * clock.Second} {
+		share := func(of float64) clock.Millis { return clock.Millis(of * float64(within)) }
+		longestWatch := randomWatchWait(share(watchWaitShare), 1)
+		longestPause := minLongestBackoff + minLongestBackoff/2 // with jitter
+		for name, parts := range map[string][]clock.Millis{
+			"the upstream is silent":              {share(maxAgeShare), share(callShare)},
+			"the upstream is replaced":            {share(upstreamAgeShare), progressInterval, share(callShare)},
+			"a watch gets no reply":               {longestWatch, WatchMargin, share(callShare)},
+			"changes that a peer shows are lost":  {progressInterval, share(maxAgeShare) / feed.MissingDivisor, share(callShare)},
+			"a watcher pauses after a failure":    {longestPause, share(callShare)},
+			"the others see that it is back":      {progressInterval, feed.MaxBackoff, share(callShare)},
+			"a watcher that is cut off follows":   {share(watcherAgeShare), progressInterval},
+			"a process waits for its peers first": {share(watchWaitShare), share(callShare)},
+		} {
+			sum := clock.Millis(0)
+			for _, part := range parts {
+				sum += part
+			}
+			assert.Check(t, sum <= within, "%s: %v is %d ms, more than %d ms", name, parts, sum, within)
+		}
+		assert.Check(t, longestWatch < share(upstreamAgeShare), "an upstream is left although its watch is in time")
+	}
+}
