--- a/internal/serve/router/rollout_test.go
+++ b/internal/serve/router/rollout_test.go
@@ -210,6 +210,33 @@
 	}
 }
 
+// Guards against a version that is never judged, or is promoted, because its engines ask for
+// rest all the time and so answer nothing.
+func TestVersionThatAlwaysRestsIsRolledBack(t *testing.T) {
+	for name, k := range serviceKinds() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := startWith(t, 2, true)
+			l := b.startLoad(k, runningGateways(b))
+			time.Sleep(settleTime)
+			for _, e := range b.addVersion(k, "v2", stand.Fault{}) {
+				e.SetRest("2")
+			}
+			r := b.orderRollout(k, rolloutTime, true)
+			b.AwaitDecision(r, time.Second)
+			l.stop()
+			for _, breach := range b.CheckRollout(r) {
+				t.Error(breach)
+			}
+			for _, e := range b.Engines(k.service) {
+				broken := e.CheckStatements(func(stand.Statement, time.Time) bool { return false })
+				assert.Assert(t, len(broken) == 0, "%s: %v", e.ID, broken)
+			}
+			assert.Assert(t, l.whole.Load()*20 >= l.sent.Load()*19, "%d of %d answered", l.whole.Load(), l.sent.Load())
+		})
+	}
+}
+
 // Guards against a version that gets requests although no order names it.
 func TestVersionWithoutOrderGetsNoRequest(t *testing.T) {
 	t.Parallel()
