fix(mesh): a chunk and an announcement of the same content don't race

Found by reading. The update of a transfer was read for its kind without the lock, while another peer's announcement of the same content may replace it. The kind is a field of the download now.

--- a/internal/serve/mesh/content.go
+++ b/internal/serve/mesh/content.go
@@ -124,6 +124,7 @@
 // peer that has the same content. A download is completed before a newer one of its
 // kind starts: otherwise, frequent changes would end each before its last chunk.
 type download struct {
+	kind     string
 	transfer *pack.Transfer
 	// update is the update without its objects, and arrivedAt when it arrived.
 	update    *wire.Update
@@ -250,7 +251,7 @@
 		return
 	}
 	now := m.clock.Now()
-	started := &download{transfer: transfer, update: update, arrivedAt: announcement.at, from: announcement.from, receivedAt: now}
+	started := &download{kind: update.Kind, transfer: transfer, update: update, arrivedAt: announcement.at, from: announcement.from, receivedAt: now}
 	m.downloads.byKind[update.Kind] = started
 	m.requestChunk(started, now)
 }
@@ -276,7 +277,7 @@
 	switch {
 	case d == nil:
 	case !complete:
-		m.follower.ExpectFunc(d.update.Kind)
+		m.follower.ExpectFunc(d.kind)
 	default:
 		m.applyContent(from, d.update, d.transfer, d.arrivedAt)
 		for _, later := range d.later {
@@ -309,7 +310,7 @@
 		m.requestChunk(d, now)
 		return d, false
 	}
-	m.downloads.last[d.update.Kind] = d.transfer
+	m.downloads.last[d.kind] = d.transfer
 	m.endDownload(d, "complete", now)
 	return d, true
 }
@@ -327,9 +328,8 @@
 // endDownload removes a download and starts the next one of its kind; the caller holds
 // the lock of the downloads.
 func (m *Mesh) endDownload(d *download, outcome string, now clock.Millis) {
-	kind := d.update.Kind
-	delete(m.downloads.byKind, kind)
-	m.log.Info("objects transferred", "peer", d.from, "kind", kind, "revision", d.update.Revision, "outcome", outcome,
+	delete(m.downloads.byKind, d.kind)
+	m.log.Info("objects transferred", "peer", d.from, "kind", d.kind, "revision", d.update.Revision, "outcome", outcome,
 		"bytes", d.transfer.Offset(), "of", d.update.Packed.Bytes, "tookMs", int64(now-d.arrivedAt))
 	if d.next != nil {
 		m.startDownload(d.next)
--- a/internal/serve/mesh/content_test.go
+++ b/internal/serve/mesh/content_test.go
@@ -182,3 +182,24 @@
 	_, downloading := r.Downloading("other")
 	assert.Assert(t, !downloading)
 }
+
+// Guards against a data race between the chunks of one peer and the announcement of the same
+// content by another.
+func TestAnnouncementDuringATransferIsNoRace(t *testing.T) {
+	sender := newSender(t)
+	packed := pack(t, sender, largeUpdate(7))
+	for range 50 {
+		r := newReceiver(t)
+		r.ReceiveUpdate("first", packed)
+		announced := make(chan struct{})
+		go func() {
+			defer close(announced)
+			for range 100 {
+				again := *packed
+				r.ReceiveUpdate("second", &again)
+			}
+		}()
+		r.transfer(sender, "first", packed.Packed.Digest, 2)
+		<-announced
+	}
+}
