fix(gate): silent owners hide no endpoint without a limit

While owners are silent, a request that had waited for one past an eighth of its objective, and then met another endpoint with a limit, was refused as rate limited with a time to come back of 2 s, although a third endpoint stated no limit. Past that time it asks no more owners and chooses among the endpoints without a limit.

--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -73,6 +73,8 @@
 	// how often the stages were run again because a result was lost.
 	unreachable   int
 	stageRestarts int
+	// unlimitedOnly is set once the request has waited for permits as long as it may.
+	unlimitedOnly bool
 	// mayHaveRun is set if an endpoint may have run the request.
 	mayHaveRun bool
 	// estimate is the expected time of the stages and the first event. stagesTime is how
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -69,6 +69,9 @@
 			continue
 		}
 		limitWait := g.limits.Wait(e, now)
+		if req.unlimitedOnly && g.limits.Limit(e) > 0 {
+			limitWait = max(limitWait, 1)
+		}
 		if delay := max(t.StartDelay(g.startLimit(req, e, now), now), limitWait); delay > 0 {
 			excluded[i] = true
 			if limitWait > 0 {
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -154,9 +154,11 @@
 }
 
 // awaitEndpoint chooses an endpoint. If the rate limits of all endpoints hold the request
-// back, it waits for one, up to paceWaitShare of the objective.
+// back, it waits for one, up to paceWaitShare of the objective. After that it asks no more
+// owners for permits and chooses among the endpoints that have stated no limit.
 func (g *Gate) awaitEndpoint(ctx context.Context, req *request) (choice, error) {
 	waitUntil := g.Clock.Now() + clock.Millis(paceWaitShare*float64(req.route.Objective))
+	req.unlimitedOnly = false
 	for {
 		chosen := g.choose(req)
 		now := g.Clock.Now()
@@ -165,7 +167,8 @@
 				return chosen, nil
 			}
 			if g.limits.Wait(chosen.target.Endpoint, now) > 0 {
-				if now < waitUntil {
+				if !req.unlimitedOnly {
+					req.unlimitedOnly = g.Clock.Now() >= waitUntil
 					continue // another endpoint may take the request now
 				}
 				chosen.limitedBy = chosen.target.Endpoint
--- a/internal/serve/router/export_test.go
+++ b/internal/serve/router/export_test.go
@@ -13,3 +13,6 @@
 
 // ConfigOutdated reports whether the configuration may be too old to deny a request by it.
 func (g *Gateway) ConfigOutdated() bool { return g.configOutdated() }
+
+// OwnerOf returns the process that this one asks for permits of an endpoint.
+func (g *Gateway) OwnerOf(endpoint string) string { return g.mesh.Owner(endpoint) }
--- a/internal/serve/router/harness_test.go
+++ b/internal/serve/router/harness_test.go
@@ -181,6 +181,30 @@
 	return b
 }
 
+// startOnHosts is start with a host for each gateway, and with the time within which a change
+// must be in force; 0 is the default.
+func startOnHosts(t *testing.T, gateways int, changeWithin clock.Millis, hostFunc func(index int) benchHost) *bench {
+	t.Helper()
+	d, err := stand.New(testConfig())
+	assert.NilError(t, err)
+	b := &bench{Deployment: d, t: t, client: stand.NewClient(d.Ledger), changeWithin: changeWithin, hostFunc: hostFunc}
+	t.Cleanup(func() {
+		b.client.Close()
+		for _, g := range b.gateways {
+			g.stop()
+		}
+		d.Close()
+	})
+	b.addEngines()
+	for range gateways {
+		b.startGateway()
+	}
+	for _, g := range b.gateways {
+		b.awaitPeers(g, gateways)
+	}
+	return b
+}
+
 // startGateway starts another gateway and waits until it is ready.
 func (b *bench) startGateway() *gateway {
 	b.t.Helper()
--- a/internal/serve/router/large_test.go
+++ b/internal/serve/router/large_test.go
@@ -25,30 +25,12 @@
 // whose links have the bandwidth slowLink.
 func startOnSlowLinks(t *testing.T, changeWithin clock.Millis) *bench {
 	t.Helper()
-	d, err := stand.New(testConfig())
-	assert.NilError(t, err)
-	b := &bench{Deployment: d, t: t, client: stand.NewClient(d.Ledger), changeWithin: changeWithin}
-	b.hostFunc = func(index int) benchHost {
+	return startOnHosts(t, largeHosts+smallHosts, changeWithin, func(index int) benchHost {
 		if index < largeHosts {
 			return benchHost{capacity: 0.8}
 		}
 		return benchHost{capacity: 0.144, link: netw.NewLink(slowLink)}
-	}
-	t.Cleanup(func() {
-		b.client.Close()
-		for _, g := range b.gateways {
-			g.stop()
-		}
-		d.Close()
 	})
-	b.addEngines()
-	for range largeHosts + smallHosts {
-		b.startGateway()
-	}
-	for _, g := range b.gateways {
-		b.awaitPeers(g, largeHosts+smallHosts)
-	}
-	return b
 }
 
 // addRoutes adds public routes with random paths of a length to the configuration, and
--- a/internal/serve/router/limit_test.go
+++ b/internal/serve/router/limit_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/jujubescale/jujubescale/internal/stand/netw"
 	"github.com/jujubescale/jujubescale/platform/stand"
 )
 
@@ -307,3 +308,54 @@
 		assert.Assert(t, total > 0, "%s got no request", e.ID)
 	}
 }
+
+// Guards against requests that are refused because the owners of two endpoints with a limit
+// are silent, although a third endpoint has no limit.
+func TestSilentOwnersHideNoEndpointWithoutALimit(t *testing.T) {
+	const requests = 10 // fewer than the connections of a gateway to one endpoint
+	var links []*netw.Link
+	b := startOnHosts(t, 5, 0, func(index int) benchHost {
+		if index == 0 {
+			return benchHost{}
+		}
+		links = append(links, netw.NewLink(100_000_000))
+		return benchHost{link: links[len(links)-1]}
+	})
+	sender := b.gateways[0]
+	for range 8 {
+		_, err := b.Add(&stand.Engine{Service: orders, Kind: stand.Plain, Zone: zoneA, WorkTime: 5 * time.Millisecond})
+		assert.NilError(t, err)
+	}
+	b.awaitKnown(orders)
+	limited, kept := 0, false
+	for _, e := range b.Engines(orders) {
+		switch {
+		case sender.OwnerOf(e.ID) != "gateway-1" && limited < 3:
+			e.SetRate(40)
+			limited++
+		case !kept:
+			kept = true
+		default:
+			b.Remove(e)
+		}
+	}
+	assert.Equal(t, limited, 3)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		b.send(sender, lookup())
+		if sender.limitedAt(t) == 3 && sender.KnownEndpoints(orders) == 4 {
+			return poll.Success()
+		}
+		return poll.Continue("limits not known yet")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(20*time.Millisecond))
+	for _, link := range links {
+		link.Pause(600 * time.Millisecond)
+	}
+	outcomes := make(chan stand.Outcome)
+	for range requests {
+		go func() { outcomes <- b.send(sender, lookup()) }()
+	}
+	for range requests {
+		got := <-outcomes
+		assert.Check(t, got.Complete, "%+v", got)
+	}
+}
--- a/internal/stand/netw/link.go
+++ b/internal/stand/netw/link.go
@@ -34,6 +34,16 @@
 	return &linkListener{Listener: listener, link: l}
 }
 
+// Pause lets no data pass the link for a time, as if the host were frozen.
+func (l *Link) Pause(duration time.Duration) {
+	until := time.Now().Add(duration)
+	for _, d := range []*direction{&l.in, &l.out} {
+		d.mu.Lock()
+		d.busy = later(d.busy, until)
+		d.mu.Unlock()
+	}
+}
+
 // transfer waits until a number of bytes has passed one direction.
 func (l *Link) transfer(d *direction, bytes int) {
 	d.mu.Lock()
