--- a/internal/serve/permit/book.go
+++ b/internal/serve/permit/book.go
@@ -71,6 +71,8 @@
 type entry struct {
 	startedAt int64
 	stated    rate.Known
+	// seenAt is when the endpoint was last in the view.
+	seenAt clock.Millis
 	// faulty is set once a malformed limit was logged.
 	faulty bool
 	// unsent is set until the peers are sent the statement in force; announcedAt is when
@@ -247,7 +249,7 @@
 	if !create {
 		return nil
 	}
-	known = &entry{startedAt: startedAt}
+	known = &entry{startedAt: startedAt, seenAt: b.clock.Now()}
 	b.entries[endpoint] = known
 	return known
 }
@@ -295,9 +297,9 @@
 	delete(b.entries, endpoint)
 }
 
-// Sweep drops the limits and states of endpoints that find does not return or whose start
-// has ended, and those that ended long ago. It bounds the number of entries by that of the
-// endpoints.
+// Sweep drops the limits and states of endpoints that find has not returned for
+// stateRetention or whose start has ended, and those that ended long ago. It bounds the number
+// of entries by that of the endpoints.
 func (b *Book) Sweep(find func(endpoint string) *view.Endpoint) {
 	now := b.clock.Now()
 	b.sweepStates(find, now)
@@ -305,10 +307,13 @@
 	defer b.mu.Unlock()
 	for endpoint, known := range b.entries {
 		present := find(endpoint)
+		if present != nil {
+			known.seenAt = now
+		}
 		switch {
-		case present == nil:
+		case now-known.seenAt > stateRetention:
 			b.remove(endpoint, "gone")
-		case present.StartedAt > known.startedAt:
+		case present != nil && present.StartedAt > known.startedAt:
 			b.remove(endpoint, "restarted")
 		case known.stated.Limit() == 0 && !known.faulty && now-known.stated.InForce().At > endedRetention:
 			delete(b.entries, endpoint)
--- a/internal/serve/permit/permit_test.go
+++ b/internal/serve/permit/permit_test.go
@@ -117,7 +117,25 @@
 	b.ApplyPeer([]wire.EndpointLimit{{Endpoint: "i-1", StartedAt: 10, Limit: 1, SentAge: 30, Age: 10}})
 	assert.Equal(t, b.Limit(next), 3.0)
 	assert.Equal(t, b.Limit(first), 3.0, "a request to the earlier start reaches the present one")
+	f.clock.Advance(clock.Minute)
 	b.Sweep(func(string) *view.Endpoint { return nil })
+	assert.Equal(t, b.Limited(), int64(0), "the number of limits is bounded")
+}
+
+// Guards against a limit that a peer reports and that is dropped, again and again, because this
+// process has not read the entry of the endpoint yet or an outage of the store hides it.
+func TestLimitOfAnEndpointOutsideTheViewHolds(t *testing.T) {
+	f := newFleet(1)
+	b := f.books[0]
+	absent := func(string) *view.Endpoint { return nil }
+	b.ApplyPeer([]wire.EndpointLimit{{Endpoint: "i-1", StartedAt: 10, Limit: 2, SentAge: 30, Age: 10}})
+	for range 20 {
+		b.Sweep(absent)
+		f.clock.Advance(clock.Second)
+	}
+	assert.Equal(t, b.Limit(&view.Endpoint{ID: "i-1", StartedAt: 10}), 2.0, "its entry is read")
+	f.clock.Advance(clock.Minute)
+	b.Sweep(absent)
 	assert.Equal(t, b.Limited(), int64(0))
 }
 
--- a/internal/serve/permit/state.go
+++ b/internal/serve/permit/state.go
@@ -12,8 +12,8 @@
 	"github.com/jujubescale/jujubescale/internal/route/view"
 )
 
-// stateRetention is how long the statement of an endpoint is kept after the endpoint has
-// left the view: its entry may return after an outage of the store.
+// stateRetention is how long the limit and the statements of an endpoint are kept while it is
+// not in the view: its entry may return after an outage of the store, or not be read yet.
 const stateRetention = 30 * clock.Second
 
 // HeldError is returned for a request to an endpoint that has stated that it wants none.
@@ -208,7 +208,7 @@
 }
 
 // sweepStates drops the states of endpoints that have started again or have not been in the
-// view for stateRetention, and rests that are over. It bounds their number by that of the endpoints.
+// view for stateRetention, and rests that are over.
 func (b *Book) sweepStates(find func(endpoint string) *view.Endpoint, now clock.Millis) {
 	b.states.mu.Lock()
 	defer b.states.mu.Unlock()
