test(feed): the clock of a test isn't moved while the feed starts its timer

Cause, in the test: it moved the fake clock on while the feed was between reading the time and starting its timer, so that the timer was due after the last step. The test now waits until the timer of the feed is due 700 ms after the first confirmation, which it did not check before, and moves on then; steps and bounds are as they were.

--- a/internal/base/clock/fake.go
+++ b/internal/base/clock/fake.go
@@ -44,6 +44,19 @@
 	return len(f.timers)
 }
 
+// Next returns the instant at which the first timer is due, 0 without timers.
+func (f *Fake) Next() Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := Millis(0)
+	for _, timer := range f.timers {
+		if next == 0 || timer.at < next {
+			next = timer.at
+		}
+	}
+	return next
+}
+
 func (f *Fake) read() Millis {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/serve/feed/peer_test.go
+++ b/internal/serve/feed/peer_test.go
@@ -278,9 +278,13 @@
 	p.waitUntil(t, func() bool { return p.follows.Load() == 1 })
 	p.confirm(t)
 	p.waitUntil(t, func() bool { return p.Relayed() && p.fake.Pending() == 1 })
-	for range 8 {
+	for i := range 8 {
 		p.fake.Advance(100)
-		assert.Assert(t, p.Confirm(wire.Progress{Kind: "k", Revision: 9, Changed: 9}, p.now()), "changes are missing")
+		shownAt := p.now()
+		assert.Assert(t, p.Confirm(wire.Progress{Kind: "k", Revision: 9, Changed: 9}, shownAt), "changes are missing")
+		if i == 0 {
+			p.waitUntil(t, func() bool { return p.fake.Next() == shownAt+700 })
+		}
 	}
 	p.waitUntil(t, func() bool { return p.follows.Load() == 2 })
 	assert.Assert(t, p.Progress().Age < 1400, "long before the maximum age")
