--- a/internal/engine/spell/spell.go
+++ b/internal/engine/spell/spell.go
@@ -27,6 +27,9 @@
 	Key string
 	// LastEvent is the id of the last event that the caller has received.
 	LastEvent string
+	// Resumes is the id of the attempt that brought the first event of the stream with which
+	// the caller goes on; empty if it states none.
+	Resumes string
 	// PromptTokens is the size of the prompt of a generation, OutputTokens the
 	// maximum size of its output.
 	PromptTokens int64
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -96,6 +96,8 @@
 	headSent   bool
 	status     int
 	eventCount int
+	// firstEndpoint is the endpoint that sent the first event of the answer.
+	firstEndpoint *view.Endpoint
 	// gaps holds the times between events, also of different endpoints.
 	gaps         gaps.Longest
 	lastEndpoint *view.Endpoint
