fix(gate): callers that name no attempt can resume their streams

Change: a stream is recorded under the content of its request, too. Without Resumes all processes that should know streams of that content are asked, and it goes on only if all of these began at one version.

--- a/internal/flow/origin/origin.go
+++ b/internal/flow/origin/origin.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// maxOrigins bounds the origins of a Book, about 2 MB. Further streams can't be resumed
+	// maxOrigins bounds the origins of a Book, about 5 MB. Further streams can't be resumed
 	// through this process.
-	maxOrigins = 16384
+	maxOrigins = 32768
 	// pruneInterval is the shortest time between two scans for expired origins.
 	pruneInterval = clock.Second
 )
@@ -27,8 +27,18 @@
 
 // KeyOf returns the key of the stream that a request began.
 func KeyOf(organisation, route, pool, request string) Key {
+	return keyOf(organisation, route, pool, request)
+}
+
+// ContentKeyOf returns the key of all streams that requests of the same content began. It finds
+// the origin for callers that don't name the attempt that began their stream.
+func ContentKeyOf(organisation, route, pool, content string) Key {
+	return keyOf(organisation, route, pool, "", content)
+}
+
+func keyOf(parts ...string) Key {
 	hash := sha256.New()
-	for _, part := range []string{organisation, route, pool, request} {
+	for _, part := range parts {
 		_, _ = hash.Write([]byte(part)) // a hash never returns an error
 		_, _ = hash.Write([]byte{0})
 	}
--- a/internal/serve/gate/pass.go
+++ b/internal/serve/gate/pass.go
@@ -117,7 +117,6 @@
 		timer.Reset()
 		g.recordEvent(req, l, stream)
 		if req.eventCount == 0 {
-			g.recordOrigin(req, t.Endpoint)
 			req.firstEventTime = g.Clock.Since(req.began)
 			g.learnReadRate(l)
 			g.meter.firstEvent.WithLabelValues(req.route.Name).Observe(seconds(req.firstEventTime))
@@ -138,7 +137,9 @@
 		if err != nil {
 			return attemptResult{outcome: answered, err: fault.Refuse(fault.Cancelled, "the caller closed the connection")}
 		}
-		req.eventCount++
+		if req.eventCount++; req.eventCount == 1 {
+			g.recordOrigin(req, t.Endpoint)
+		}
 		if next.ID != "" {
 			req.LastEvent = next.ID
 		}
--- a/internal/serve/gate/resume.go
+++ b/internal/serve/gate/resume.go
@@ -43,24 +43,23 @@
 	return origin.KeyOf(r.organisation, r.route.Name, r.pool.Name, id)
 }
 
+// contentKey returns the key of the streams that the same request began.
+func (r *request) contentKey() origin.Key {
+	return origin.ContentKeyOf(r.organisation, r.route.Name, r.pool.Name, r.crashKey().String())
+}
+
 // findOrigin finds the origin of the stream that the caller resumes. It returns a refusal if the
 // origin is unknown or no endpoint may resume the stream.
 func (g *Gate) findOrigin(ctx context.Context, req *request) error {
 	if !req.resumesStream {
 		return nil
 	}
-	var found resume.Found
-	if req.Resumes != "" {
-		found = g.Origins.Find(ctx, req.originKey(req.Resumes))
-	}
-	now := g.Clock.Now()
+	found, now := g.lookUpOrigin(ctx, req), g.Clock.Now()
 	doubtful := found.Verdict == origin.Known && found.Origin.Doubtful(g.View())
 	g.Log.Info("stream origin", "request", req.Request, "resumes", req.Resumes, "lastEvent", req.LastEvent, "pool", req.pool.Name,
 		"result", found.Verdict.String(), "firstVersion", found.Origin.Version, "firstEndpoint", found.Origin.Endpoint, "doubtful", doubtful,
 		"source", found.Source, "ageMs", int64(found.Age(now)), "asked", found.Asked, "answered", found.Answered, "tookMs", int64(found.Took))
 	switch {
-	case req.Resumes == "":
-		return g.resumeRefusal(req, fault.StreamUnknown, "the caller names no attempt that began the stream")
 	case found.Verdict != origin.Known:
 		return g.resumeRefusal(req, fault.StreamUnknown, "the version that began stream "+strconv.Quote(req.Resumes)+" is "+found.Verdict.String())
 	case doubtful:
@@ -73,7 +72,16 @@
 	return nil
 }
 
-// recordOrigin records the endpoint that sends the first event of an answer.
+// lookUpOrigin looks up the stream that the caller names. If it names none, it looks up the
+// streams that the same request began.
+func (g *Gate) lookUpOrigin(ctx context.Context, req *request) resume.Found {
+	if req.Resumes != "" {
+		return g.Origins.Find(ctx, req.originKey(req.Resumes))
+	}
+	return g.Origins.FindCommon(ctx, req.contentKey())
+}
+
+// recordOrigin records the endpoint that has sent the first event of an answer.
 func (g *Gate) recordOrigin(req *request, e *view.Endpoint) {
 	if !req.route.Resumable {
 		return
@@ -88,7 +96,7 @@
 	if req.origin.Doubtful(g.View()) {
 		return
 	}
-	req.originKeys = append(req.originKeys, req.originKey(req.Request))
+	req.originKeys = append(req.originKeys, req.originKey(req.Request), req.contentKey())
 	if req.Resumes != "" {
 		req.originKeys = append(req.originKeys, req.originKey(req.Resumes))
 	}
--- a/internal/serve/resume/find.go
+++ b/internal/serve/resume/find.go
@@ -54,6 +54,66 @@
 	return found
 }
 
+// FindCommon returns the origin of the streams that share a key, if all that began agree. Several
+// processes may have begun them, so it takes the answers of all processes that should know one
+// of them, within findTimeout.
+func (t *Tracker) FindCommon(ctx context.Context, key origin.Key) Found {
+	began := t.clock.Now()
+	found := Found{}
+	if found.Origin, found.Verdict = t.book.Find(key, began); found.Verdict != origin.Unknown {
+		found.Source = t.peers.Self
+	}
+	if found.Verdict != origin.Contradictory {
+		t.askAll(ctx, key, &found)
+	}
+	found.Took = t.clock.Since(began)
+	t.meter.found.WithLabelValues(found.Verdict.String(), source(&found, t.peers.Self)).Inc()
+	return found
+}
+
+// askAll asks the peers that should know the origin until all have answered or they contradict
+// each other.
+func (t *Tracker) askAll(ctx context.Context, key origin.Key, found *Found) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	keepers := t.otherKeepers(key)
+	replies := make(chan reply, len(keepers))
+	for _, name := range keepers {
+		found.Asked++
+		go t.askPeer(ctx, key, name, false, replies)
+	}
+	timeout, stop := t.clock.After(findTimeout)
+	defer stop()
+	for range keepers {
+		select {
+		case r := <-replies:
+			known := *found
+			if t.apply(key, r, found) && known.Verdict == origin.Known && found.Verdict == origin.Known && !known.Origin.Agrees(&found.Origin) {
+				found.Verdict = origin.Contradictory
+			}
+		case <-timeout:
+			return
+		}
+		if found.Verdict == origin.Contradictory {
+			return
+		}
+	}
+}
+
+// otherKeepers returns the peers that should know the origin of a stream.
+func (t *Tracker) otherKeepers(key origin.Key) []string {
+	return slices.DeleteFunc(origin.Asked(key, t.peers.KeepersFunc()), func(name string) bool { return name == t.peers.Self })
+}
+
+// askPeer asks one peer and sends its reply on a channel with room for it.
+func (t *Tracker) askPeer(ctx context.Context, key origin.Key, name string, search bool, replies chan<- reply) {
+	answer, err := t.peers.AskFunc(ctx, name, &wire.OriginRequest{Stream: key[:], Search: search})
+	if err != nil {
+		answer = nil
+	}
+	replies <- reply{peer: name, searched: search, answer: answer}
+}
+
 // source returns the label for the process that knew an origin.
 func source(found *Found, self string) string {
 	switch found.Source {
@@ -87,17 +147,11 @@
 func (t *Tracker) ask(ctx context.Context, key origin.Key, aggregator string, limit clock.Millis, found *Found) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	keepers := slices.DeleteFunc(origin.Asked(key, t.peers.KeepersFunc()), func(name string) bool { return name == t.peers.Self })
+	keepers := t.otherKeepers(key)
 	replies := make(chan reply, len(keepers)+1)
 	start := func(name string, search bool) {
 		found.Asked++
-		go func() {
-			answer, err := t.peers.AskFunc(ctx, name, &wire.OriginRequest{Stream: key[:], Search: search})
-			if err != nil {
-				answer = nil
-			}
-			replies <- reply{peer: name, searched: search, answer: answer}
-		}()
+		go t.askPeer(ctx, key, name, search, replies)
 	}
 	startAll := func() {
 		for _, name := range keepers {
--- a/internal/serve/resume/resume_test.go
+++ b/internal/serve/resume/resume_test.go
@@ -359,6 +359,28 @@
 	}, poll.WithTimeout(10*time.Second))
 }
 
+// Guards against a stream that goes on at the version of another one of the same content, because
+// the gateways that began them named different keepers.
+func TestStreamsOfOneContentMustAgree(t *testing.T) {
+	f := newFleet(t, 5)
+	now := f.clock.Now()
+	first, second, asker := f.find(f.names[0]), f.find(f.names[1]), f.find(f.names[4])
+	kept := func(version string) *wire.Origins {
+		key := keyOf(1)
+		return &wire.Origins{Forwarded: true, Origins: []wire.Origin{{Stream: key[:], Endpoint: "e" + version, Version: version, Left: clock.Minute}}}
+	}
+	first.Take(kept("v1"))
+	found := asker.FindCommon(t.Context(), keyOf(1))
+	assert.Equal(t, found.Verdict, origin.Known)
+	assert.Equal(t, found.Origin.Version, "v1")
+	second.Take(kept("v2"))
+	found = asker.FindCommon(t.Context(), keyOf(1))
+	assert.Equal(t, found.Verdict, origin.Contradictory)
+	assert.Assert(t, found.Answered >= 2)
+	asker.Begin(keyOf(2), &origin.Origin{Endpoint: "e", Version: "v1", BeganAt: now, Until: now + clock.Minute})
+	assert.Equal(t, asker.FindCommon(t.Context(), keyOf(2)).Verdict, origin.Known)
+}
+
 // Guards against origins that cost a gateway more in a larger fleet: for each stream that it
 // begins, a gateway sends one origin and its aggregator three, and four are kept.
 func TestCostOfAStreamDoesNotGrowWithTheFleet(t *testing.T) {
