fix(router): stops in turn don't end all copies of a stream's origin

Callers that resumed streams after a rolling stop of all gateways were refused as streamUnknown.

Change: a process that stops hands the origins that it keeps over to the processes that keep them next. TestOriginsOutliveStopsInTurn: 200 of 200 known after eight stops in turn.

test(soak): engines of several software versions, replaced during streams

--- a/internal/bench/soak/keeper.go
+++ b/internal/bench/soak/keeper.go
@@ -66,7 +66,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		s := requests[p.random.IntN(len(requests))]()
+		s := p.newRequest(p.random.IntN(len(requests)))
 		began := time.Now()
 		if p.send(c, s) != nil {
 			return // an incomplete request needs no answer
--- a/internal/bench/soak/order.go
+++ b/internal/bench/soak/order.go
@@ -127,6 +127,9 @@
 
 // checkUnorderedVersion reports requests that reached the version that was never ordered.
 func (r *run) checkUnorderedVersion() {
+	if r.Versions {
+		return
+	}
 	if count := r.deployment.Ledger.CountArrivals(engines(zones[0])[0].Service, unorderedVersion, r.started); count > 0 {
 		r.addViolation("%d requests reached a version that no order names", count)
 	}
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -23,6 +23,8 @@
 	storeAddress string
 	// grace is the longest time from SIGTERM to the exit of the process.
 	grace time.Duration
+	// rollouts enables rollouts; without them versions serve side by side.
+	rollouts bool
 
 	mu           sync.Mutex
 	command      *exec.Cmd
@@ -88,7 +90,7 @@
 		"process": p.name, "availabilityZone": zone, "platformUrl": "http://" + p.storeAddress,
 		"callers": p.ports.callers, "ready": p.ports.ready, "sessions": p.ports.sessions, "operators": p.ports.operators,
 		"graceSeconds": p.grace.Seconds(), "balancerLagMs": balancerLag.Milliseconds(), "extraSpare": 40 + generation%2,
-		"coldShare": 1.5, "coldSpare": 5, "rollouts": true, "rolloutShare": rolloutShare, "rolloutSpare": rolloutSpare,
+		"coldShare": 1.5, "coldSpare": 5, "rollouts": p.rollouts, "rolloutShare": rolloutShare, "rolloutSpare": rolloutSpare,
 		"reuseCalls": true, "handOverPools": true, "linkMbps": linkMbps,
 	})
 	if err != nil {
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -50,7 +50,10 @@
 	// Gateways is the number of processes, PerSecond the number of requests a second.
 	Gateways  int
 	PerSecond int
-	Out       io.Writer
+	// Versions makes model engines of several software versions serve side by side and
+	// replaces them during streams, instead of rollouts.
+	Versions bool
+	Out      io.Writer
 }
 
 // Report is the result of a run.
@@ -64,6 +67,8 @@
 	// SettledSent counts the requests that were sent after recovery at the end of the
 	// run, SettledServed those of them that succeeded.
 	SettledSent, SettledServed int64
+	// Resumes describes how many streams callers resumed, "" without versions.
+	Resumes string
 }
 
 // Run runs the disturbances of one seed. It returns a StartError if a process does not
@@ -91,6 +96,7 @@
 	engines    []*engine
 	started    time.Time
 	faults     faultLog
+	resumes    resumeCounts
 
 	kept, crossed                 atomic.Int64
 	sent, served, refused, failed atomic.Int64
@@ -106,15 +112,7 @@
 		return nil, err
 	}
 	r := &run{Options: options, deployment: d, client: stand.NewClient(d.Ledger)}
-	for _, zone := range zones {
-		for _, e := range engines(zone) {
-			if _, err := r.addEngine(e); err != nil {
-				r.close()
-				return nil, err
-			}
-		}
-	}
-	if err := r.addUnorderedVersion(); err != nil {
+	if err := r.addEngines(); err != nil {
 		r.close()
 		return nil, err
 	}
@@ -127,14 +125,41 @@
 	return r, nil
 }
 
+// addEngines starts the engines that the run begins with.
+func (r *run) addEngines() error {
+	for _, zone := range zones {
+		for _, e := range engines(zone) {
+			if r.Versions && e.Kind == stand.Model {
+				continue
+			}
+			if _, err := r.addEngine(e); err != nil {
+				return err
+			}
+		}
+	}
+	if r.Versions {
+		return r.addVersions()
+	}
+	return r.addUnorderedVersion()
+}
+
 func (r *run) addEngine(e *stand.Engine) (*engine, error) {
+	return r.addEngineBehind(e, nil)
+}
+
+// addEngineBehind starts an engine behind a proxy, or behind a new one if that is nil.
+func (r *run) addEngineBehind(e *stand.Engine, proxy *Proxy) (*engine, error) {
+	if r.Versions && e.Kind == stand.Model {
+		e.Events = longEvents
+	}
 	started, err := r.deployment.Add(e)
 	if err != nil {
 		return nil, err
 	}
-	proxy, err := NewProxy(started.Address)
-	if err != nil {
-		return nil, err
+	if proxy == nil {
+		if proxy, err = NewProxy(started.Address); err != nil {
+			return nil, err
+		}
 	}
 	if started.Kind == stand.Model {
 		shareHost(started)
@@ -165,6 +190,7 @@
 	r.stores = append(r.stores, store)
 	p := &process{
 		name: fmt.Sprintf("gateway-%d", number), program: r.Program, folder: r.Folder, ports: own, storeAddress: store.Address(), grace: grace,
+		rollouts: !r.Versions,
 	}
 	if err := p.writeSettings(zones[number%len(zones)], 0); err != nil {
 		return err
@@ -184,8 +210,12 @@
 	for _, proxy := range append(append([]*Proxy{}, r.callers...), r.stores...) {
 		proxy.Close()
 	}
+	closed := make(map[*Proxy]bool)
 	for _, e := range r.engines {
-		e.proxy.Close()
+		if !closed[e.proxy] {
+			e.proxy.Close()
+		}
+		closed[e.proxy] = true
 	}
 	r.deployment.Close()
 }
@@ -225,19 +255,39 @@
 			r.inject(ctx, disturbance)
 		}()
 	}
-	r.group.Add(1)
-	go func() {
-		defer r.group.Done()
-		r.issueOrders(ctx)
-	}()
+	for _, task := range r.tasks() {
+		r.group.Add(1)
+		go func() {
+			defer r.group.Done()
+			task(ctx)
+		}()
+	}
 	r.startPersistentCallers(ctx)
 	r.load(ctx)
 	r.group.Wait()
 	r.checkUnorderedVersion()
+	r.checkResumes()
 	r.checkStops()
 	r.checkStatements()
 }
 
+// tasks returns what the operator and special callers do during the run.
+func (r *run) tasks() []func(context.Context) {
+	if r.Versions {
+		return []func(context.Context){r.replaceEngines, r.startGuides}
+	}
+	return []func(context.Context){r.issueOrders}
+}
+
+// newRequest returns a request of a kind by its number.
+func (r *run) newRequest(kind int) *stand.Request {
+	s := requests[kind]()
+	if r.Versions && s.Events > 0 {
+		s.Events = longEvents
+	}
+	return s
+}
+
 // load sends requests until ctx ends. It does not wait for their answers.
 func (r *run) load(ctx context.Context) {
 	random := rand.New(rand.NewPCG(r.Seed, 7))
@@ -254,7 +304,7 @@
 		r.group.Add(1)
 		go func() {
 			defer r.group.Done()
-			r.request(number, requests[kind](), cancels)
+			r.request(number, r.newRequest(kind), cancels)
 		}()
 	}
 }
@@ -311,6 +361,9 @@
 	if float64(report.SettledServed) < minServedShare*float64(report.SettledSent) {
 		r.addViolation("only %d of %d requests were served after the last disturbance", report.SettledServed, report.SettledSent)
 	}
+	if r.Versions {
+		report.Resumes = r.resumes.String()
+	}
 	report.Violations = append(r.deployment.Ledger.Violations(), r.violations...)
 	return report
 }
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -32,9 +32,15 @@
 	if testing.Short() {
 		t.Skip("short mode: each seed takes about 20 seconds")
 	}
-	report, err := soak.Run(t.Context(), soak.Options{
-		Seed: seed, Length: length, Program: buildProgram(t), Folder: t.TempDir(), Gateways: 3, PerSecond: 40, Out: os.Stderr,
-	})
+	runOptions(t, soak.Options{Seed: seed, Length: length, Gateways: 3, PerSecond: 40}, cause)
+}
+
+// runOptions is runSeed with other options.
+func runOptions(t *testing.T, options soak.Options, cause string) {
+	t.Helper()
+	seed := options.Seed
+	options.Program, options.Folder, options.Out = buildProgram(t), t.TempDir(), os.Stderr
+	report, err := soak.Run(t.Context(), options)
 	assert.NilError(t, err)
 	t.Logf("seed %d: %+v", seed, *report)
 	for _, violation := range report.Violations {
@@ -71,6 +77,17 @@
 	runSeed(t, 202, 31*time.Second, "the rollout of a bad version completed after 16 answers; the version failed until the end")
 }
 
+// Engines of three software versions serve side by side and are replaced during streams, at
+// their addresses too, while callers resume streams at other processes. Guards against streams
+// that hold events of two versions, and against streams that don't go on although they could.
+func TestStreamsKeepTheirVersionUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("short mode: each seed takes about 20 seconds")
+	}
+	runOptions(t, soak.Options{Seed: 300, Length: 24 * time.Second, Gateways: 5, PerSecond: 20, Versions: true},
+		"a stream went on at another version than the one that began it")
+}
+
 func TestPlansAreReproducibleAndEndBeforeRecovery(t *testing.T) {
 	const length = 30 * time.Second
 	first, again, other := soak.Plan(5, length), soak.Plan(5, length), soak.Plan(6, length)
--- a/internal/cli/devel/soak.go
+++ b/internal/cli/devel/soak.go
@@ -21,6 +21,7 @@
 	seconds   int
 	gateways  int
 	perSecond int
+	versions  bool
 	verbose   bool
 }
 
@@ -42,6 +43,7 @@
 	flags.IntVar(&options.seconds, "seconds", 26, "length of each run")
 	flags.IntVar(&options.gateways, "gateways", 3, "number of processes")
 	flags.IntVar(&options.perSecond, "per-second", 40, "requests per second")
+	flags.BoolVar(&options.versions, "versions", false, "run engines of several software versions side by side and replace them, instead of rollouts")
 	flags.BoolVar(&options.verbose, "verbose", false, "print each fault when it is injected")
 	return command
 }
@@ -92,13 +94,16 @@
 	}
 	report, err := soak.Run(command.Context(), soak.Options{
 		Seed: seed, Length: time.Duration(options.seconds) * time.Second, Program: options.program, Folder: folder,
-		Gateways: options.gateways, PerSecond: options.perSecond, Out: out,
+		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Out: out,
 	})
 	if err != nil {
 		return false, err
 	}
 	command.Printf("seed %d: sent %d served %d refused %d failed %d, kept %d crossed %d, in the calm %d of %d, breaches %d\n", seed, report.Sent,
 		report.Served, report.Refused, report.Failed, report.Kept, report.Crossed, report.SettledServed, report.SettledSent, len(report.Violations))
+	if report.Resumes != "" {
+		command.Printf("  streams: %s\n", report.Resumes)
+	}
 	for _, violation := range report.Violations {
 		command.Printf("  %s\n", violation)
 	}
--- a/internal/flow/origin/origin.go
+++ b/internal/flow/origin/origin.go
@@ -149,7 +149,7 @@
 	return true
 }
 
-// Find returns the origin of a stream.
+// Find returns the origin of a stream; if it is contradictory, the first that was stated.
 func (b *Book) Find(key Key, now clock.Millis) (Origin, Verdict) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -158,11 +158,39 @@
 	case !found || known.Until <= now:
 		return Origin{}, Unknown
 	case known.contradictory:
-		return Origin{}, Contradictory
+		return known.Origin, Contradictory
 	}
 	return known.Origin, Known
 }
 
+// Each calls visit for each origin that has not expired. visit must not call the Book.
+func (b *Book) Each(now clock.Millis, visit func(key Key, o *Origin, verdict Verdict)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key, known := range b.byKey {
+		verdict := Known
+		if known.contradictory {
+			verdict = Contradictory
+		}
+		if known.Until > now {
+			visit(key, &known.Origin, verdict)
+		}
+	}
+}
+
+// PutContradictory records that processes have stated different versions for a stream.
+func (b *Book) PutContradictory(key Key, o *Origin, now clock.Millis) bool {
+	if !b.Put(key, o, now) {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := b.byKey[key]
+	known.contradictory = true
+	b.byKey[key] = known
+	return true
+}
+
 // Len returns the number of origins, including those that have expired since the last Prune.
 func (b *Book) Len() int {
 	b.mu.Lock()
--- a/internal/link/wire/origin.go
+++ b/internal/link/wire/origin.go
@@ -16,6 +16,8 @@
 	// Age is the time since the first event, and Left the time for which the origin is kept.
 	Age  clock.Millis
 	Left clock.Millis
+	// Contradictory is set if the sender was told different versions for the stream.
+	Contradictory bool
 }
 
 // Origins holds origins for the processes that keep them. A process sends them to its
@@ -37,11 +39,9 @@
 }
 
 // OriginAnswer answers an OriginRequest. Origin is nil if the sender doesn't know it.
-// Contradictory is set if the sender was told different versions.
 type OriginAnswer struct {
-	CallID        uint64  `cbor:"call"`
-	Origin        *Origin `cbor:"origin,omitempty"`
-	Contradictory bool    `cbor:"contradictory,omitempty"`
+	CallID uint64  `cbor:"call"`
+	Origin *Origin `cbor:"origin,omitempty"`
 	// Complete is set if all processes that were asked have answered.
 	Complete bool `cbor:"complete,omitempty"`
 }
--- a/internal/serve/resume/find.go
+++ b/internal/serve/resume/find.go
@@ -11,7 +11,7 @@
 
 // Found is what is known of the origin of a stream.
 type Found struct {
-	// Origin is valid if Verdict is Known.
+	// Origin may be used if Verdict is Known.
 	Origin  origin.Origin
 	Verdict origin.Verdict
 	// Source is the process that knows the origin, "" if none does.
@@ -130,14 +130,15 @@
 // blocks up to searchTimeout.
 func (t *Tracker) Search(ctx context.Context, request *wire.OriginRequest) *wire.OriginAnswer {
 	answer := t.Answer(request)
-	if answer.Origin != nil || answer.Contradictory || len(request.Stream) != len(origin.Key{}) {
+	if answer.Origin != nil || len(request.Stream) != len(origin.Key{}) {
 		return answer
 	}
 	key, found := origin.Key(request.Stream), Found{}
 	t.ask(ctx, key, "", searchTimeout, &found)
-	answer.Contradictory, answer.Complete = found.Verdict == origin.Contradictory, found.Answered == found.Asked
-	if found.Verdict == origin.Known {
+	answer.Complete = found.Answered == found.Asked
+	if found.Verdict != origin.Unknown {
 		o := message(key, &found.Origin, t.clock.Now())
+		o.Contradictory = found.Verdict == origin.Contradictory
 		answer.Origin = &o
 	}
 	return answer
@@ -192,10 +193,6 @@
 		return false
 	}
 	found.Answered++
-	if r.answer.Contradictory {
-		found.Verdict, found.Source = origin.Contradictory, r.peer
-		return true
-	}
 	if r.answer.Origin == nil {
 		return false
 	}
@@ -205,5 +202,8 @@
 		return false
 	}
 	found.Origin, found.Verdict, found.Source = known, origin.Known, r.peer
+	if r.answer.Origin.Contradictory {
+		found.Verdict = origin.Contradictory
+	}
 	return true
 }
--- a/internal/serve/resume/resume.go
+++ b/internal/serve/resume/resume.go
@@ -39,6 +39,8 @@
 	// to all of them. In larger fleets, these are the aggregators, which have sessions to each
 	// other.
 	maxOpened = 6
+	// maxPerMessage bounds the origins in one message.
+	maxPerMessage = 256
 	// maxQueued bounds the origins that wait to be sent.
 	maxQueued = 4096
 	// maxLifetime bounds how long an origin is kept, whatever a peer states.
@@ -137,6 +139,21 @@
 	delete(t.open, key)
 }
 
+// HandOver sends all origins that this process keeps to the processes that keep them once this
+// one has ended. It is called at a planned stop, when KeepersFunc doesn't return this process
+// any more; otherwise stops in turn would end all copies.
+func (t *Tracker) HandOver() {
+	now := t.clock.Now()
+	var kept []wire.Origin
+	t.book.Each(now, func(key origin.Key, o *origin.Origin, verdict origin.Verdict) {
+		m := message(key, o, now)
+		m.Contradictory = verdict == origin.Contradictory
+		kept = append(kept, m)
+	})
+	t.forward(kept, t.peers.KeepersFunc(), now)
+	t.log.Info("stream origins handed over", "origins", len(kept))
+}
+
 func (t *Tracker) keep(key origin.Key, o *origin.Origin, now clock.Millis) {
 	if !t.book.Put(key, o, now) {
 		t.meter.dropped.WithLabelValues(droppedFull).Inc()
@@ -183,6 +200,10 @@
 		t.meter.dropped.WithLabelValues(droppedMalformed).Inc()
 		return
 	}
+	if o.Contradictory {
+		t.book.PutContradictory(key, &kept, now)
+		return
+	}
 	t.keep(key, &kept, now)
 }
 
@@ -193,12 +214,12 @@
 	}
 	key, now := origin.Key(request.Stream), t.clock.Now()
 	known, verdict := t.book.Find(key, now)
-	answer := &wire.OriginAnswer{Contradictory: verdict == origin.Contradictory}
-	if verdict == origin.Known {
-		o := message(key, &known, now)
-		answer.Origin = &o
+	if verdict == origin.Unknown {
+		return &wire.OriginAnswer{}
 	}
-	return answer
+	o := message(key, &known, now)
+	o.Contradictory = verdict == origin.Contradictory
+	return &wire.OriginAnswer{Origin: &o}
 }
 
 // Run sends origins until the context ends.
@@ -283,8 +304,10 @@
 	}
 	for name, forwarded := range byKeeper {
 		t.meter.sent.WithLabelValues("forwarded").Add(float64(len(forwarded)))
-		if err := t.peers.SendFunc(name, &wire.Origins{Forwarded: true, Origins: forwarded}); err != nil {
-			t.log.Debug("stream origins not sent", "peer", name, "origins", len(forwarded), logs.KeyError, err)
+		for part := range slices.Chunk(forwarded, maxPerMessage) {
+			if err := t.peers.SendFunc(name, &wire.Origins{Forwarded: true, Origins: part}); err != nil {
+				t.log.Debug("stream origins not sent", "peer", name, "origins", len(part), logs.KeyError, err)
+			}
 		}
 	}
 }
--- a/internal/serve/resume/resume_test.go
+++ b/internal/serve/resume/resume_test.go
@@ -283,6 +283,36 @@
 	f.find(f.names[7]).End(keyOf(7))
 }
 
+// Guards against origins that are lost because all processes are stopped in turn.
+func TestOriginsOutliveStopsInTurn(t *testing.T) {
+	const streams = 200
+	f := newFleet(t, 8)
+	f.begin(streams)
+	for i := range streams {
+		f.find(f.names[i%8]).End(keyOf(i))
+	}
+	f.find(f.names[0]).Take(&wire.Origins{Forwarded: true, Origins: []wire.Origin{contradiction(500)}})
+	for _, name := range f.names[:8] {
+		stopped := f.find(name)
+		stopped.silent.Store(true)
+		f.replan()
+		stopped.silent.Store(false) // it still sends
+		stopped.HandOver()
+		stopped.silent.Store(true)
+		f.run(f.add(name+"-again", stopped.zone))
+		f.replan()
+	}
+	f.names = f.names[8:]
+	assert.Equal(t, f.count(streams), streams)
+	found := f.find(f.names[3]).Find(t.Context(), keyOf(500))
+	assert.Equal(t, found.Verdict, origin.Contradictory)
+}
+
+func contradiction(i int) wire.Origin {
+	key := keyOf(i)
+	return wire.Origin{Stream: key[:], Endpoint: "e", Version: "v1", Left: clock.Minute, Contradictory: true}
+}
+
 // Guards against a caller that waits for the answers of frozen gateways instead of beginning
 // anew.
 func TestUnknownOriginsAreReportedAtOnce(t *testing.T) {
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -431,6 +431,7 @@
 		g.handOver()
 	}
 	g.mesh.StopOwning()
+	g.origins.HandOver()
 	g.host.Retire()
 }
 
