--- a/internal/bench/soak/load.go
+++ b/internal/bench/soak/load.go
@@ -12,6 +12,9 @@
 // With 4,000 tokens the engines of one version could not serve all requests in the calm.
 const modelMemory = 8000
 
+// longStreamMemory replaces modelMemory in runs with long streams, so that memory refuses none.
+const longStreamMemory = 100_000
+
 // Interference takes 15 % of the time, in periods that are too short to place requests by.
 const (
 	interferenceFactor = 2.5
@@ -24,11 +27,19 @@
 
 // shareHost makes a model engine state its load, and crash once its requests exceed its
 // memory. The ledger records that as a violation.
-func shareHost(e *stand.Engine) {
-	e.SetMemory(modelMemory, true)
+func shareHost(e *stand.Engine, memory int64) {
+	e.SetMemory(memory, true)
 	e.SetInterference(1)
 }
 
+// modelMemory returns the memory of a model engine in tokens.
+func (o *Options) modelMemory() int64 {
+	if o.Versions {
+		return longStreamMemory
+	}
+	return modelMemory
+}
+
 // interfere makes a model engine state a malformed load for a tenth of the time, and then
 // work more slowly in short periods.
 func (r *run) interfere(ctx context.Context, d Disturbance) {
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -107,7 +107,7 @@
 }
 
 func newRun(options Options) (*run, error) {
-	d, err := stand.New(config())
+	d, err := stand.New(config(options.modelMemory()))
 	if err != nil {
 		return nil, err
 	}
@@ -162,7 +162,7 @@
 		}
 	}
 	if started.Kind == stand.Model {
-		shareHost(started)
+		shareHost(started, r.modelMemory())
 	}
 	started.AdvertisedAddress = proxy.Address()
 	r.deployment.Register(started, true, 0)
--- a/internal/bench/soak/world.go
+++ b/internal/bench/soak/world.go
@@ -16,11 +16,11 @@
 )
 
 // config returns the operator's configuration of a run.
-func config() stand.Config {
+func config(memory int64) stand.Config {
 	return stand.Config{
 		Services: []stand.Service{
 			{Name: "orders", Kind: stand.Plain, MaxConns: 200},
-			{Name: "models", Kind: stand.Model, MaxConns: 200, Memory: modelMemory},
+			{Name: "models", Kind: stand.Model, MaxConns: 200, Memory: int(memory)},
 			{Name: "encode", Kind: stand.Stage, MaxConns: 100, Batch: 8, CallMs: 30, ItemMs: 1},
 			{Name: "rerank", Kind: stand.Stage, MaxConns: 100, Batch: 16, CallMs: 30, ItemMs: 1},
 		},
--- a/internal/ops/record/record.go
+++ b/internal/ops/record/record.go
@@ -29,6 +29,8 @@
 	maxEndpointLines = 1 << 16
 	// keyEndpoint is the log key of an endpoint.
 	keyEndpoint = "endpoint"
+	// keyResumes is the log key of the attempt whose stream a request resumes.
+	keyResumes = "resumes"
 )
 
 // Pair is one key with its value.
@@ -67,7 +69,8 @@
 	Skipped int `json:"skipped"`
 }
 
-// Read reads log lines in any order and returns the history of a request. It
+// Read reads log lines in any order and returns the history of a request, with what was
+// decided of the later requests that resume its stream. It
 // ignores text before the time of a line, such as the prefix that some log
 // collectors add.
 func Read(from io.Reader, request string) (History, error) {
@@ -84,7 +87,7 @@
 		switch {
 		case !ok:
 			history.Skipped++
-		case line.Value(logs.KeyRequest) == request:
+		case line.Value(logs.KeyRequest) == request || line.Value(keyResumes) == request:
 			history.Lines = append(history.Lines, line)
 		case (line.Message == endpointChanged || isLimit(&line)) && len(changes) < maxEndpointLines:
 			changes = append(changes, line)
--- a/internal/ops/record/record_test.go
+++ b/internal/ops/record/record_test.go
@@ -41,6 +41,23 @@
 	// 1 <nil>
 }
 
+// Guards against an attempt whose history doesn't show where its stream went on.
+func TestHistoryHasTheResumptionsOfAStream(t *testing.T) {
+	const text = `
+time=2026-03-01T10:00:00Z level=info msg="request sent" process=gw-1 request=5f endpoint=i-7 version=v1
+time=2026-03-01T10:00:02Z level=info msg="stream origin" process=gw-2 request=60 resumes=5f result=known firstVersion=v1 source=gw-3 ageMs=1900
+time=2026-03-01T10:00:02Z level=info msg="request sent" process=gw-2 request=60 endpoint=i-8 version=v1
+time=2026-03-01T10:00:03Z level=info msg="stream resumed" process=gw-2 request=60 resumes=5f version=v1 compared=same
+`
+	first, err := record.Read(strings.NewReader(text), "5f")
+	assert.NilError(t, err)
+	assert.Equal(t, len(first.Lines), 3)
+	assert.Equal(t, first.Lines[1].Value("source"), "gw-3")
+	second, err := record.Read(strings.NewReader(text), "60")
+	assert.NilError(t, err)
+	assert.Equal(t, len(second.Lines), 3)
+}
+
 // Guards against a refused request whose history doesn't show the limit that it was refused
 // for, because that had begun long before.
 func TestHistoryHasTheLimitInForce(t *testing.T) {
