--- a/internal/serve/resume/resume_test.go
+++ b/internal/serve/resume/resume_test.go
@@ -446,3 +446,14 @@
 	}
 	return float64(sum) / float64(len(values))
 }
+
+// BenchmarkBegin measures what a process does for each stream after its first event.
+func BenchmarkBegin(b *testing.B) {
+	t := resume.New()
+	now := clock.Millis(1)
+	for i := 0; b.Loop(); i++ {
+		key := origin.KeyOf("one", "draft", "models", fmt.Sprint(i%10_000))
+		t.Begin(key, &origin.Origin{Endpoint: "i-603dca88d0", StartedAt: 5, Version: "v1.2", BeganAt: now, Until: now + clock.Minute})
+		t.End(key)
+	}
+}
