--- a/internal/serve/router/resume_test.go
+++ b/internal/serve/router/resume_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -192,6 +193,44 @@
 	}
 }
 
+// Guards against a stream that goes on in another pool, because its route divides requests among
+// pools by their ids and each try of a caller has another id.
+func TestStreamGoesOnInItsPool(t *testing.T) {
+	c := testConfig()
+	c.Services[1].ColdPerS = 200 // the bound of cold engines would limit the load
+	other := c.Services[1]
+	other.Name = "others"
+	c.Services = append(c.Services, other)
+	c.Routes[2].Backends = []string{models, other.Name}
+	b := startBench(t, 4, c, &bench{})
+	for _, e := range b.Engines(models) {
+		b.Remove(e)
+	}
+	for _, service := range []string{models, models, other.Name, other.Name} {
+		e := steadyEngine()
+		e.Service, e.Kind, e.Zone = service, stand.Model, zoneA
+		_, err := b.Add(e)
+		assert.NilError(t, err)
+	}
+	time.Sleep(500 * time.Millisecond) // the gateways have read the entries by then
+	var broken []*stand.Request
+	for range 12 {
+		s := guide(40)
+		s.AnyService = true
+		ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
+		got := b.client.Do(ctx, b.gateways[0].address, s)
+		cancel()
+		assert.Assert(t, got.LastEvent > 0, "%+v", got)
+		next := s.Resume(got.LastEvent)
+		next.AnyService, next.Service = false, models
+		if strings.HasPrefix(b.Ledger.Runs(s.ID)[0], "i-others") {
+			next.Service = other.Name
+		}
+		broken = append(broken, next)
+	}
+	assert.Equal(t, b.countEvents(broken), int64(len(broken)))
+}
+
 // countEvents sends requests at the same moment to the third gateway and those after it, and
 // returns how many get an event.
 func (b *bench) countEvents(requests []*stand.Request) int64 {
