fix(gate): a resumed stream waits for limits of its own version's endpoints only

Before its stages run, a request is refused if all endpoints of its pool are held back by limits for longer than it can wait. A resumed stream can use only those of its version, so the stages ran for nothing where these were held back and others were not.

--- a/internal/serve/gate/limit.go
+++ b/internal/serve/gate/limit.go
@@ -22,7 +22,11 @@
 	now := g.Clock.Now()
 	var soonest clock.Millis
 	var limitedBy *view.Endpoint
-	for _, e := range g.View().Pool(req.pool.Name) {
+	endpoints := g.View().Pool(req.pool.Name)
+	if req.origin != nil {
+		endpoints = g.resumeEndpoints(req)
+	}
+	for _, e := range endpoints {
 		if g.limits.Unavailable(e) {
 			continue
 		}
--- a/internal/serve/gate/resume.go
+++ b/internal/serve/gate/resume.go
@@ -48,6 +48,14 @@
 	return origin.ContentKeyOf(r.organisation, r.route.Name, r.pool.Name, r.crashKey().String())
 }
 
+// streamName describes the stream that the caller resumes.
+func (r *request) streamName() string {
+	if r.Resumes == "" {
+		return "a stream of this request"
+	}
+	return "stream " + strconv.Quote(r.Resumes)
+}
+
 // findOrigin finds the origin of the stream that the caller resumes. It returns a refusal if the
 // origin is unknown or no endpoint may resume the stream.
 func (g *Gate) findOrigin(ctx context.Context, req *request) error {
@@ -61,7 +69,7 @@
 		"source", found.Source, "ageMs", int64(found.Age(now)), "asked", found.Asked, "answered", found.Answered, "tookMs", int64(found.Took))
 	switch {
 	case found.Verdict != origin.Known:
-		return g.resumeRefusal(req, fault.StreamUnknown, "the version that began stream "+strconv.Quote(req.Resumes)+" is "+found.Verdict.String())
+		return g.resumeRefusal(req, fault.StreamUnknown, "the version that began "+req.streamName()+" is "+found.Verdict.String())
 	case doubtful:
 		return g.resumeRefusal(req, fault.StreamUnknown, "endpoint "+found.Origin.Endpoint+" has changed its version since it began the stream")
 	}
