--- a/internal/serve/resume/resume_test.go
+++ b/internal/serve/resume/resume_test.go
@@ -214,6 +214,7 @@
 		{"5, two frozen", 5, func(f *fleet) { f.freeze(2) }},
 		{"24, two killed", 24, func(f *fleet) { f.silence(2) }},
 		{"24, four killed", 24, func(f *fleet) { f.silence(4) }},
+		{"300, twelve killed", 300, func(f *fleet) { f.silence(12) }},
 		{"24, two aggregators frozen", 24, func(f *fleet) {
 			for _, name := range f.currentPlan().Aggregators[:2] {
 				f.find(name).silent.Store(true)
@@ -231,6 +232,19 @@
 	}
 }
 
+// Guards against a version that is made up after all processes have started again.
+func TestOriginsAreUnknownAfterAllWereRestarted(t *testing.T) {
+	f := newFleet(t, 5)
+	f.begin(100)
+	f.freeze(5)
+	for i := range 5 {
+		f.run(f.add(fmt.Sprintf("again-%d", i), fmt.Sprintf("zone-%d", i%4)))
+	}
+	f.names = f.names[5:]
+	f.replan()
+	assert.Equal(t, f.count(100), 0)
+}
+
 // Guards against origins that are lost because the aggregator that should forward them is cut off
 // in one direction: the gateways of its group leave it and send those of open streams again.
 func TestOriginsAreKnownBesideAnAggregatorCutOneWay(t *testing.T) {
