--- a/internal/serve/router/resume_test.go
+++ b/internal/serve/router/resume_test.go
@@ -382,3 +382,34 @@
 		assert.Assert(t, got.Complete, "%+v", got)
 	}
 }
+
+// Guards against a stream that goes on at an engine that has started again under its id with
+// another software version, before its entry tells so.
+func TestStreamDoesNotGoOnAtARestartedEngine(t *testing.T) {
+	b := startVersions(t, 2, steadyEngine)
+	var first, second *stand.Engine
+	for _, e := range b.Engines(models) {
+		switch {
+		case e.Version != "v1":
+			b.Remove(e)
+		case first == nil:
+			first = e
+		default:
+			second = e
+		}
+	}
+	time.Sleep(500 * time.Millisecond) // the gateways have read the entries by then
+	broken := b.begunStreams(24, 2, func() {
+		second.Stop()
+		again := steadyEngine()
+		again.ID, again.Service, again.Kind, again.Version, again.Address = second.ID, models, stand.Model, "v2", second.Address
+		assert.NilError(t, again.Start(b.Ledger))
+		t.Cleanup(again.Stop)
+		time.Sleep(50 * time.Millisecond)
+		first.Stop()
+	})
+	assert.Assert(t, len(broken) > 0)
+	for i, s := range broken {
+		b.send(b.gateways[i%2], s)
+	}
+}
