--- a/internal/serve/mesh/view.go
+++ b/internal/serve/mesh/view.go
@@ -29,9 +29,9 @@
 // are in several zones.
 type zonedSubject struct{ subject, zone string }
 
-// minKeepers is the number of keepers of origins below which processes that are absent or
+// minLiveKeepers is the number of keepers of origins below which processes that are absent or
 // leaving keep them, too: while all processes are being stopped, these still serve.
-const minKeepers = 3
+const minLiveKeepers = 3
 
 // updateView recomputes the view. The caller holds the lock, except in New.
 func (m *Mesh) updateView() {
@@ -64,7 +64,7 @@
 		v.reachable = relay.New(slices.Concat(reachable, v.processes))
 	}
 	v.keepers = v.plan.Keepers
-	if len(v.keepers) < minKeepers {
+	if len(v.keepers) < minLiveKeepers {
 		v.keepers = relay.New(slices.Concat(reachable, leaving, v.processes)).Keepers
 	}
 	m.view.Store(v)
--- a/internal/serve/resume/find.go
+++ b/internal/serve/resume/find.go
@@ -144,7 +144,8 @@
 	return answer
 }
 
-// ask asks an aggregator, if one is given, and the peers that should know the origin.
+// ask asks an aggregator, if one is given, and the peers that should know the origin: at once
+// without an aggregator, otherwise after its answer or searchHead.
 func (t *Tracker) ask(ctx context.Context, key origin.Key, aggregator string, limit clock.Millis, found *Found) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -169,14 +170,14 @@
 	} else {
 		startAll()
 	}
-	for pending := found.Asked; pending > 0; pending-- {
+	for pending := found.Asked; pending > 0; {
 		select {
 		case r := <-replies:
+			pending--
 			if t.apply(key, r, found) || (r.searched && r.answer != nil && r.answer.Complete) {
 				return
 			}
 		case <-head:
-			pending++ // no reply was taken
 			head = nil
 		case <-timeout:
 			return
