fix(platform): the header of a resumed stream is judged on streams only

A request to a plain service with an empty, doubled or long Resumes got 400, although nothing reads it there. Found by reading the change again; TestOnlyKnownStreamsAreResumed has the case.

--- a/internal/engine/spell/spell.go
+++ b/internal/engine/spell/spell.go
@@ -28,8 +28,10 @@
 	// LastEvent is the id of the last event that the caller has received.
 	LastEvent string
 	// Resumes is the id of the attempt that brought the first event of the stream with which
-	// the caller goes on; empty if it states none.
-	Resumes string
+	// the caller goes on; empty if it states none. ResumesFault is the stated value if that is
+	// malformed; other services than streams may use the header for something else.
+	Resumes      string
+	ResumesFault string
 	// PromptTokens is the size of the prompt of a generation, OutputTokens the
 	// maximum size of its output.
 	PromptTokens int64
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -176,6 +176,9 @@
 		req.organisation = organisation.Name
 	}
 	req.priority = table.Priority(req.route, organisation)
+	if req.route.Kind == table.Stream && req.ResumesFault != "" {
+		return fault.Refuse(fault.BadRequest, "the attempt whose stream is resumed: bad value "+req.ResumesFault)
+	}
 	req.resumesStream = req.route.Kind == table.Stream && (req.LastEvent != "" || req.Resumes != "")
 	poolKey := req.Request
 	if req.resumesStream {
--- a/internal/serve/router/resume_test.go
+++ b/internal/serve/router/resume_test.go
@@ -113,10 +113,8 @@
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	var broken []*stand.Request
-	var open atomic.Int64
 	for i := range count {
 		group.Add(1)
-		open.Add(1)
 		go func() {
 			defer group.Done()
 			s := guide(40)
@@ -357,6 +355,9 @@
 	head := fmt.Sprintf("POST /draft/guide HTTP/1.1\r\nHost: models.example\r\n%sLast-Event-Id: 3\r\nResumes: %s\r\nResumes: %s\r\nContent-Length: 0\r\n\r\n",
 		stand.HeaderLines("doubled", key, 2000), s.Resumes, s.Resumes)
 	assert.Assert(t, strings.HasPrefix(b.rawAt(b.gateways[1].address, head), "HTTP/1.1 400"))
+	plain := lookup()
+	plain.Resumes = strings.Repeat("f", 300)
+	assert.Assert(t, b.send(b.gateways[1], plain).Complete, "a service that is no stream may use the header")
 }
 
 // Guards against a caller that names its first attempt again after a try that broke off, and
