test(resume): the tests of moved origins fail without what they guard

TestOriginsOfOpenStreamsMoveToNewKeepers asked only that half of the streams are known, which copies at other keepers can give. It now replaces all keepers and asks for each stream of a live process; without the sending again it fails, as TestOriginsAreKnownBesideAnAggregatorCutOneWay does, and without the hand-over TestOriginsOutliveStopsInTurn. A stream of another organisation is refused.

--- a/internal/serve/resume/resume_test.go
+++ b/internal/serve/resume/resume_test.go
@@ -281,20 +281,30 @@
 
 // Guards against origins that are lost because the processes that keep them were replaced.
 func TestOriginsOfOpenStreamsMoveToNewKeepers(t *testing.T) {
-	f := newFleet(t, 8)
-	f.begin(200)
-	for _, name := range f.currentPlan().Aggregators {
+	const streams = 200
+	f := newFleet(t, 12)
+	f.begin(streams)
+	for _, name := range f.currentPlan().Keepers {
 		f.find(name).silent.Store(true)
 	}
 	f.replan()
-	known := 0
+	unknown := 0
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if known = f.count(200); known >= 100 { // half of the gateways were aggregators
+		unknown = 0
+		for i := range streams {
+			first, asker := f.find(f.names[i%12]), f.find(f.names[(i+1)%12])
+			for shift := 2; asker.silent.Load(); shift++ {
+				asker = f.find(f.names[(i+shift)%12])
+			}
+			if !first.silent.Load() && asker.Find(t.Context(), keyOf(i)).Verdict != origin.Known {
+				unknown++
+			}
+		}
+		if unknown == 0 {
 			return poll.Success()
 		}
-		return poll.Continue("%d of 200 known", known)
+		return poll.Continue("%d streams of live processes are unknown", unknown)
 	}, poll.WithTimeout(10*time.Second))
-	f.find(f.names[7]).End(keyOf(7))
 }
 
 // Guards against origins that are lost because all processes are stopped in turn.
--- a/internal/serve/router/resume_test.go
+++ b/internal/serve/router/resume_test.go
@@ -337,7 +337,10 @@
 // Guards against a stream that goes on by an attempt that the caller didn't make, or that no
 // gateway knows.
 func TestOnlyKnownStreamsAreResumed(t *testing.T) {
+	const otherKey = "secret-of-two"
 	b := startVersions(t, 3, steadyEngine)
+	b.Config.Tenants = append(b.Config.Tenants, stand.Tenant{Name: "two", Keys: []string{otherKey}})
+	b.Publish()
 	broken := b.begunStreams(12, 3, longGuide, func() {
 		for _, e := range b.Engines(models) {
 			e.SetFault(stand.Fault{Every: 1, Refuse: true})
@@ -356,6 +359,7 @@
 		status int
 	}{
 		{"never seen", func(s *stand.Request) { s.Resumes = stand.NewID() }, http.StatusServiceUnavailable},
+		{"of another organisation", func(s *stand.Request) { s.Key = otherKey }, http.StatusServiceUnavailable},
 		{"not named, nothing of its own", func(s *stand.Request) { s.Resumes, s.PromptPrefix = "", "" }, http.StatusServiceUnavailable},
 		{"not named, another text", func(s *stand.Request) { s.Resumes, s.Body = "", "other" }, http.StatusServiceUnavailable},
 		{"of another route", func(s *stand.Request) { s.Path = "/sum/log" }, http.StatusServiceUnavailable},
