--- a/internal/serve/router/resume_test.go
+++ b/internal/serve/router/resume_test.go
@@ -259,25 +259,33 @@
 	assert.Assert(t, float64(continued) >= 0.9*float64(len(broken)))
 }
 
-// countEvents sends requests at the same moment to the third gateway and those after it, and
-// returns how many get an event.
-func (b *bench) countEvents(requests []*stand.Request) int64 {
+// sendAll sends requests at the same moment, to the gateways in turn, and returns the answers.
+func (b *bench) sendAll(requests []*stand.Request, gateways []*gateway) []stand.Outcome {
+	answers := make([]stand.Outcome, len(requests))
 	var group sync.WaitGroup
-	var count atomic.Int64
 	for i, s := range requests {
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			got := b.send(b.gateways[2+i%(len(b.gateways)-2)], s)
-			if got.LastEvent > s.LastEvent {
-				count.Add(1)
-			} else {
-				b.t.Logf("%s gets nothing after event %d: %+v", s.ID, s.LastEvent, got)
-			}
+			answers[i] = b.send(gateways[i%len(gateways)], s)
 		}()
 	}
 	group.Wait()
-	return count.Load()
+	return answers
+}
+
+// countEvents sends requests at the same moment to the third gateway and those after it, and
+// returns how many get an event.
+func (b *bench) countEvents(requests []*stand.Request) int64 {
+	count := int64(0)
+	for i, got := range b.sendAll(requests, b.gateways[2:]) {
+		if s := requests[i]; got.LastEvent > s.LastEvent {
+			count++
+		} else {
+			b.t.Logf("%s gets nothing after event %d: %+v", s.ID, s.LastEvent, got)
+		}
+	}
+	return count
 }
 
 // Guards against a stream that goes on at another version, or a caller that waits for an engine
@@ -388,17 +396,19 @@
 	for _, e := range b.Engines(models) {
 		e.SetFault(stand.Fault{Every: 1, Truncate: true})
 	}
-	for _, s := range broken {
-		got := b.send(b.gateways[1], s)
+	for _, got := range b.sendAll(broken, b.gateways[1:2]) {
 		assert.Assert(t, !got.Complete)
 	}
 	for _, e := range b.Engines(models) {
 		e.SetFault(stand.Fault{})
 	}
-	for i, s := range broken {
-		again := s.Resume(s.LastEvent)
-		assert.Equal(t, again.Resumes, s.Resumes)
-		got := b.send(b.gateways[2+i%2], again)
+	var again []*stand.Request
+	for _, s := range broken {
+		next := s.Resume(s.LastEvent)
+		assert.Equal(t, next.Resumes, s.Resumes)
+		again = append(again, next)
+	}
+	for _, got := range b.sendAll(again, b.gateways[2:]) {
 		assert.Assert(t, got.Complete, "%+v", got)
 	}
 }
@@ -429,7 +439,5 @@
 		first.Stop()
 	})
 	assert.Assert(t, len(broken) > 0)
-	for i, s := range broken {
-		b.send(b.gateways[i%2], s)
-	}
+	b.sendAll(broken, b.gateways)
 }
