fix(gate): a stream goes on only at the engine start that the entry names

Callers would get events of two versions from an engine that starts again under its id with other software: its entry still has the old version, and X-Jujubescale-Expect-Instance holds.

Change: before a stream is resumed, the endpoint's report has to state the start in the entry. An endpoint that states another one or none is not used.

--- a/internal/engine/spell/spell.go
+++ b/internal/engine/spell/spell.go
@@ -159,7 +159,8 @@
 	// for references to results that are no longer needed.
 	PiecesPath string
 	FreePath   string
-	// ReportPath is the path at which a stage engine serves its StageReport.
+	// ReportPath is the path at which an engine serves its report; that of a stage engine holds
+	// a StageReport.
 	ReportPath string
 	// RequestInfoFunc decodes the metadata of a caller's request.
 	RequestInfoFunc func(http.Header) (RequestInfo, error)
@@ -179,6 +180,9 @@
 	// unless it has count results.
 	PiecesFunc  func(pieces []Piece) ([]byte, error)
 	ResultsFunc func(raw []byte, count int) ([]Result, error)
+	// StartFunc decodes when an endpoint started from its report, in milliseconds of the wall
+	// clock. It returns false if the report doesn't state it.
+	StartFunc func(raw []byte) (startedAt int64, stated bool)
 	// ReportFunc decodes the report of a stage engine.
 	ReportFunc func(raw []byte) (StageReport, error)
 	// FreeFunc encodes references to results that are no longer needed.
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -74,7 +74,13 @@
 
 // exchange sends the request to the endpoint of l and passes the answer on.
 func (g *Gate) exchange(ctx context.Context, w http.ResponseWriter, req *request, l *attemptLoad, timer *stall.Timer) attemptResult {
-	t, now := l.target, g.Clock.Now()
+	t := l.target
+	if req.origin != nil {
+		if err := g.confirmStart(ctx, req, t); err != nil {
+			return attemptResult{outcome: unsent, cause: err, err: temporaryRefusal(fault.VersionGone, retryAfterResume)}
+		}
+	}
+	now := g.Clock.Now()
 	reply, err := t.Send(ctx, g.buildRequest(req, t, now))
 	if err != nil {
 		return g.handleNoReply(ctx, req, t, l, err)
