--- a/internal/serve/router/resume_test.go
+++ b/internal/serve/router/resume_test.go
@@ -441,3 +441,31 @@
 	assert.Assert(t, len(broken) > 0)
 	b.sendAll(broken, b.gateways)
 }
+
+// Guards against a stream that an engine begins after it has started again under its id with
+// another software version, before its entry tells so, and that goes on at the version in the
+// entry.
+func TestStreamOfARestartedEngineGoesOnAtItsVersion(t *testing.T) {
+	b := startVersions(t, 2, steadyEngine)
+	var again *stand.Engine
+	for _, e := range b.Engines(models) {
+		switch {
+		case e.Version != "v1":
+			b.Remove(e)
+		case again == nil:
+			again = steadyEngine()
+			again.ID, again.Service, again.Kind, again.Version, again.Address = e.ID, models, stand.Model, "v2", e.Address
+			e.Stop()
+			assert.NilError(t, again.Start(b.Ledger))
+			t.Cleanup(again.Stop)
+		}
+	}
+	time.Sleep(500 * time.Millisecond) // the gateways have read the entries by then
+	var requests []*stand.Request
+	for range 12 {
+		requests = append(requests, longGuide())
+	}
+	timer := time.AfterFunc(200*time.Millisecond, again.Stop)
+	defer timer.Stop()
+	b.sendAll(requests, b.gateways)
+}
