--- a/internal/serve/gate/confirm.go
+++ b/internal/serve/gate/confirm.go
@@ -39,7 +39,11 @@
 func (g *Gate) confirmStart(ctx context.Context, req *request, t *target.Target) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout.Duration())
 	defer cancel()
-	got, err := g.askStart(ctx, t)
+	var got int64
+	err := g.takeStart(ctx, req, t)
+	if err == nil {
+		got, err = g.askStart(ctx, t)
+	}
 	if err == nil && got != t.StartedAt {
 		err = &StartError{Endpoint: t.ID, Want: t.StartedAt, Got: got}
 		t.BlockReplaced(g.Clock.Now())
@@ -50,6 +54,30 @@
 	return err
 }
 
+// HeldBackError is returned if the rate limits of an endpoint leave no room for a call now.
+type HeldBackError struct {
+	Endpoint string
+	Wait     clock.Millis
+}
+
+// Error implements error.
+func (e *HeldBackError) Error() string {
+	return fmt.Sprintf("endpoint %s takes no call for %d ms", e.Endpoint, e.Wait)
+}
+
+// takeStart counts a call that confirms the start of an endpoint: like any request, it needs a
+// permit where the endpoint limits its rate, and counts at a cold endpoint.
+func (g *Gate) takeStart(ctx context.Context, req *request, t *target.Target) error {
+	wait, now := g.limits.Acquire(ctx, t.Endpoint, req.Request), g.Clock.Now()
+	if wait == 0 && t.Cold(now) {
+		wait = t.TryStart(g.startLimit(req, t.Endpoint, now), now)
+	}
+	if wait > 0 {
+		return &HeldBackError{Endpoint: t.ID, Wait: wait}
+	}
+	return nil
+}
+
 // askStart returns when the process at an endpoint's address started, 0 if it doesn't state it.
 func (g *Gate) askStart(ctx context.Context, t *target.Target) (int64, error) {
 	head := append(make([]byte, 0, headCapacity), "GET "+g.Codec.ReportPath+" HTTP/1.1\r\nHost: "+t.Address+"\r\n"...)
