--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -57,7 +57,6 @@
 		"endpoint", t.ID, "version", t.Version, "running", t.Load.Running.Load(), "peerRunning", t.Load.PeerRunning.Load(),
 		"prefill", t.Load.Prefill.Load()+t.Load.PeerPrefill.Load(), "unread", chosen.unread, "delayMs", int64(chosen.delay), "slowdown", t.Load.Slowdown(now),
 		"zone", t.Zone, "wish", req.preferredZone, "farBytes", req.remoteBytes(t.Zone), "cold", t.Cold(now), "heardMs", int64(now-t.UpdatedAt()), "sent", req.sentCount, "timeLeftMs", int64(req.deadline-now))
-	g.recordResume(req, t.Endpoint)
 	l := g.addLoad(t, req, chosen)
 	defer l.release()
 	ctx, cancel := context.WithCancel(ctx)
@@ -79,6 +78,7 @@
 		if err := g.confirmStart(ctx, req, t); err != nil {
 			return attemptResult{outcome: unsent, cause: err, err: temporaryRefusal(fault.VersionGone, retryAfterResume)}
 		}
+		g.recordResume(req, t.Endpoint)
 	}
 	now := g.Clock.Now()
 	reply, err := t.Send(ctx, g.buildRequest(req, t, now))
--- a/internal/serve/gate/resume.go
+++ b/internal/serve/gate/resume.go
@@ -184,13 +184,7 @@
 // recordResume logs and counts an attempt that resumes a stream at an endpoint: after a break
 // within one answer, or because the caller asks for the rest of an earlier answer.
 func (g *Gate) recordResume(req *request, e *view.Endpoint) {
-	if req.LastEvent == "" {
-		return
-	}
-	by, first, compared := req.resumer(), "", versionUnknown
-	if req.origin != nil {
-		first = req.origin.Version
-	}
+	by, first, compared := req.resumer(), req.origin.Version, versionUnknown
 	switch {
 	case first == "" || e.Version == "":
 	case first == e.Version:
