feat(gate): log the parts and events of attempts at crashed endpoints

The logs couldn't tell whether a crash belongs to a part of a prompt or to a whole request, and whether the engine had begun the answer: 'endpoint crashed under request' gets parts and events, 'stream broke off' whether the answer had a length or chunks, and 'stream ended without an event' is new. Nothing else changes.

--- a/internal/engine/conn/reply.go
+++ b/internal/engine/conn/reply.go
@@ -18,6 +18,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, -1 if unknown.
 	Length int64
+	// Framed is set if a length or chunks state where the body ends. Otherwise the end of the
+	// connection ends it, also where the endpoint broke off.
+	Framed bool
 	Body   io.Reader
 
 	group    *Group
@@ -129,8 +132,8 @@
 	r.Body = r.eof
 	chunked := len(response.TransferEncoding) > 0
 	noBody := response.ContentLength == 0 || response.Body == http.NoBody
-	framed := response.ContentLength >= 0 || chunked || noBody
-	r.reusable = framed && !response.Close && !r.conn.sawStray
+	r.Framed = response.ContentLength >= 0 || chunked || noBody
+	r.reusable = r.Framed && !response.Close && !r.conn.sawStray
 	if noBody {
 		r.eof.sawEOF = true
 	}
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -98,6 +98,8 @@
 	headSent   bool
 	status     int
 	eventCount int
+	// attemptEvents is the number of events of the current attempt.
+	attemptEvents int
 	// resumesStream is set if the caller asks for the rest of a stream. origin is where the
 	// stream began, nil before the first event; only endpoints that it allows may go on.
 	resumesStream bool
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -51,7 +51,7 @@
 func (g *Gate) attempt(ctx context.Context, w http.ResponseWriter, req *request, chosen choice) attemptResult {
 	t := chosen.target
 	req.tried = append(req.tried, t.Endpoint)
-	req.lastEndpoint = t.Endpoint
+	req.lastEndpoint, req.attemptEvents = t.Endpoint, 0
 	now := g.Clock.Now()
 	g.Log.Info("request sent", "request", req.Request, "route", req.route.Name, "pool", req.pool.Name,
 		"endpoint", t.ID, "version", t.Version, "running", t.Load.Running.Load(), "peerRunning", t.Load.PeerRunning.Load(),
--- a/internal/serve/gate/crash.go
+++ b/internal/serve/gate/crash.go
@@ -41,6 +41,9 @@
 	key     crash.Key
 	target  *target.Target
 	at      clock.Millis
+	// parts are the keys of the prompt's shared parts, events the events of the attempt.
+	parts  []target.Key
+	events int
 }
 
 // crashDetector holds the probes to run and the attempts that a crash would be counted for.
@@ -118,7 +121,10 @@
 
 // recordAttempt updates the crash detection with the result of an attempt.
 func (g *Gate) recordAttempt(ctx context.Context, req *request, t *target.Target, result attemptResult) {
-	attempt := unfinishedAttempt{request: req.Request, target: t, at: g.Clock.Now()}
+	attempt := unfinishedAttempt{
+		request: req.Request, target: t, at: g.Clock.Now(), events: req.attemptEvents,
+		parts: req.partKeys[:max(len(req.partKeys)-1, 0)],
+	}
 	switch {
 	case result.outcome == answered && result.err == nil && req.status < http.StatusInternalServerError:
 		if !g.crashes.Empty() && g.crashes.RecordAnswer(req.crashKey()) {
@@ -241,7 +247,7 @@
 		crashes, quarantined := g.crashes.RecordCrash(attempt.key, endpoint, g.Clock.Now())
 		g.meter.crashes.WithLabelValues(failed.target.Pool).Inc()
 		g.Log.Info("endpoint crashed under request", "request", attempt.request, "key", attempt.key, "pool", failed.target.Pool,
-			"endpoint", failed.target.ID, "born", failed.target.StartedAt, "endedMs", int64(g.Clock.Since(attempt.at)), "crashes", crashes)
+			"endpoint", failed.target.ID, "born", failed.target.StartedAt, "endedMs", int64(g.Clock.Since(attempt.at)), "crashes", crashes, "parts", attempt.parts, "events", attempt.events)
 		if quarantined {
 			g.recordQuarantine(attempt.key, "crashes seen by this process")
 		}
--- a/internal/serve/gate/pass.go
+++ b/internal/serve/gate/pass.go
@@ -137,6 +137,7 @@
 		if err != nil {
 			return attemptResult{outcome: answered, err: fault.Refuse(fault.Cancelled, "the caller closed the connection")}
 		}
+		req.attemptEvents++
 		if req.eventCount++; req.eventCount == 1 {
 			g.recordOrigin(req, t.Endpoint)
 		}
@@ -182,11 +183,14 @@
 			req.status = reply.Status
 			w.WriteHeader(reply.Status)
 		}
+		if req.attemptEvents == 0 {
+			g.Log.Info("stream ended without an event", "request", req.Request, "endpoint", t.ID, "framed", reply.Framed, "lastEvent", req.LastEvent)
+		}
 		return attemptResult{outcome: answered}
 	}
 	t.RecordFailure(g.Clock.Now())
 	l.rolloutAttempt.RecordBreak()
-	g.Log.Info("stream broke off", "request", req.Request, "endpoint", t.ID, "events", req.eventCount,
+	g.Log.Info("stream broke off", "request", req.Request, "endpoint", t.ID, "framed", reply.Framed, "attemptEvents", req.attemptEvents, "events", req.eventCount,
 		"lastEvent", req.LastEvent, logs.KeyError, err)
 	return attemptResult{outcome: broken, err: fault.Refuse(fault.AnswerBroken, err.Error())}
 }
