--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -25,6 +25,7 @@
 	grace time.Duration
 	// rollouts enables rollouts; without them versions serve side by side.
 	rollouts bool
+	host     hostSettings
 
 	mu           sync.Mutex
 	command      *exec.Cmd
@@ -33,6 +34,13 @@
 	stopped      bool
 }
 
+// hostSettings describe the host of a process; no maxFds is the default of the program.
+type hostSettings struct {
+	linkMbps float64
+	maxFds   int
+	env      []string
+}
+
 // incarnation is one run of a process.
 type incarnation struct {
 	began time.Time
@@ -86,13 +94,17 @@
 
 // writeSettings writes the settings file; the content depends on generation.
 func (p *process) writeSettings(zone string, generation int) error {
-	raw, err := json.Marshal(map[string]any{
+	settings := map[string]any{
 		"process": p.name, "availabilityZone": zone, "platformUrl": "http://" + p.storeAddress,
 		"callers": p.ports.callers, "ready": p.ports.ready, "sessions": p.ports.sessions, "operators": p.ports.operators,
 		"graceSeconds": p.grace.Seconds(), "balancerLagMs": balancerLag.Milliseconds(), "extraSpare": 40 + generation%2,
 		"coldShare": 1.5, "coldSpare": 5, "rollouts": p.rollouts, "rolloutShare": rolloutShare, "rolloutSpare": rolloutSpare,
-		"reuseCalls": true, "handOverPools": true, "linkMbps": linkMbps,
-	})
+		"reuseCalls": true, "handOverPools": true, "linkMbps": p.host.linkMbps,
+	}
+	if p.host.maxFds > 0 {
+		settings["maxFds"] = p.host.maxFds
+	}
+	raw, err := json.Marshal(settings)
 	if err != nil {
 		return err
 	}
@@ -106,6 +118,7 @@
 		return err
 	}
 	command := exec.Command(p.program, "gateway", "--config", p.settingsFile())
+	command.Env = append(os.Environ(), p.host.env...)
 	command.Stdout, command.Stderr = log, log
 	exited := make(chan struct{})
 	p.mu.Lock()
--- a/internal/bench/soak/proxy.go
+++ b/internal/bench/soak/proxy.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/jujubescale/jujubescale/internal/stand/netw"
 )
 
 // LinkFault is the fault that a proxy applies to its connections.
@@ -25,6 +27,7 @@
 	target   string
 	listener net.Listener
 	fault    atomic.Pointer[LinkFault]
+	link     *netw.Link
 
 	mu          sync.Mutex
 	connections map[*connection]bool
@@ -60,6 +63,10 @@
 // SetFault replaces the fault that applies from now on.
 func (p *Proxy) SetFault(fault LinkFault) { p.fault.Store(&fault) }
 
+// SetLink makes all connections share a link towards their clients. It is called before the
+// first connection.
+func (p *Proxy) SetLink(link *netw.Link) { p.link = link }
+
 // Reset closes all open connections; clients receive a TCP reset.
 func (p *Proxy) Reset() {
 	p.each(func(c *connection) {
@@ -108,6 +115,9 @@
 			_ = client.Close()
 			continue
 		}
+		if p.link != nil {
+			client = p.link.Attach(client)
+		}
 		p.relay(&connection{client: client, server: server})
 	}
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jujubescale/jujubescale/internal/stand/netw"
 	"github.com/jujubescale/jujubescale/platform"
 	"github.com/jujubescale/jujubescale/platform/stand"
 )
@@ -97,6 +98,12 @@
 	started    time.Time
 	faults     faultLog
 	resumes    resumeCounts
+	// The host of the first gateway has a link, a number of file descriptors and an environment
+	// of its own, nil and 0 for those of all.
+	firstLink     *netw.Link
+	firstLinkMbps float64
+	firstFds      int
+	firstEnv      []string
 
 	kept, crossed                 atomic.Int64
 	sent, served, refused, failed atomic.Int64
@@ -107,22 +114,28 @@
 }
 
 func newRun(options Options) (*run, error) {
-	d, err := stand.New(config(options.modelMemory()))
+	r := &run{Options: options}
+	return r, r.start()
+}
+
+// start starts the platform, the engines and the gateways. After an error nothing runs.
+func (r *run) start() error {
+	d, err := stand.New(config(r.modelMemory()))
 	if err != nil {
-		return nil, err
+		return err
 	}
-	r := &run{Options: options, deployment: d, client: stand.NewClient(d.Ledger)}
+	r.deployment, r.client = d, stand.NewClient(d.Ledger)
 	if err := r.addEngines(); err != nil {
 		r.close()
-		return nil, err
+		return err
 	}
-	for i := range options.Gateways {
+	for i := range r.Gateways {
 		if err := r.addGateway(i); err != nil {
 			r.close()
-			return nil, err
+			return err
 		}
 	}
-	return r, nil
+	return nil
 }
 
 // addEngines starts the engines that the run begins with.
@@ -182,6 +195,14 @@
 	if err != nil {
 		return err
 	}
+	settings := hostSettings{linkMbps: linkMbps}
+	if number == 0 && r.firstLink != nil {
+		callers.SetLink(r.firstLink)
+		settings.linkMbps = r.firstLinkMbps
+	}
+	if number == 0 {
+		settings.maxFds, settings.env = r.firstFds, r.firstEnv
+	}
 	r.callers = append(r.callers, callers)
 	store, err := NewProxy(r.deployment.Address)
 	if err != nil {
@@ -190,7 +211,7 @@
 	r.stores = append(r.stores, store)
 	p := &process{
 		name: fmt.Sprintf("gateway-%d", number), program: r.Program, folder: r.Folder, ports: own, storeAddress: store.Address(), grace: grace,
-		rollouts: !r.Versions,
+		rollouts: !r.Versions, host: settings,
 	}
 	if err := p.writeSettings(zones[number%len(zones)], 0); err != nil {
 		return err
--- a/internal/serve/router/export_test.go
+++ b/internal/serve/router/export_test.go
@@ -8,9 +8,6 @@
 // Watches reports whether this process reads the store for the others.
 func (g *Gateway) Watches() bool { return g.mesh.IsWatcher() }
 
-// KnownEndpoints returns the number of endpoints of a pool that this process knows.
-func (g *Gateway) KnownEndpoints(pool string) int { return len(g.endpoints.Snapshot().Pool(pool)) }
-
 // ConfigOutdated reports whether the configuration may be too old to deny a request by it.
 func (g *Gateway) ConfigOutdated() bool { return g.configOutdated() }
 
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -244,6 +244,9 @@
 // Sessions returns the number of open sessions with other processes.
 func (g *Gateway) Sessions() int { return g.mesh.Sessions() }
 
+// KnownEndpoints returns the number of endpoints of a pool that this process knows.
+func (g *Gateway) KnownEndpoints(pool string) int { return len(g.endpoints.Snapshot().Pool(pool)) }
+
 // OpenRequests returns the number of requests that are not finished.
 func (g *Gateway) OpenRequests() int64 { return g.gate.OpenRequests() }
 
