--- a/internal/serve/gate/crash_test.go
+++ b/internal/serve/detect/detect_test.go
@@ -1,4 +1,4 @@
-package gate
+package detect
 
 import (
 	"context"
@@ -10,22 +10,20 @@
 	"testing"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/flow/crash"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
 )
 
-func newTestGate(t *testing.T) *Gate {
+func newTestDetector(t *testing.T) *Detector {
 	t.Helper()
 	log, err := logs.New(io.Discard, "info")
 	assert.NilError(t, err)
-	return New(Settings{Clock: clock.New(), Log: log, Registry: prometheus.NewRegistry()})
+	return New(WithLog(log))
 }
 
 func targetAt(id, address string) *target.Target {
@@ -56,22 +54,22 @@
 // back. This happens if hosts of a zone lose power: connections to all of them break, and
 // each probe of one takes a quarter of a second.
 func TestUnresponsiveEndpointsDoNotDelayCrashProbe(t *testing.T) {
-	g := newTestGate(t)
+	d := newTestDetector(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
-	go func() { defer close(done); g.WatchCrashes(ctx) }()
+	go func() { defer close(done); d.Run(ctx) }()
 	defer func() { cancel(); <-done }()
-	now := g.Clock.Now()
+	now := d.clock.Now()
 	for i := range 24 {
-		g.queueProbe(unfinishedAttempt{request: fmt.Sprint(i), key: crash.Key{1, byte(i)}, target: targetAt(fmt.Sprint("dark", i), unresponsiveAddress(t)), at: now})
+		d.Probe(Attempt{Request: fmt.Sprint(i), Key: crash.Key{1, byte(i)}, Target: targetAt(fmt.Sprint("dark", i), unresponsiveAddress(t)), At: now})
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	assert.NilError(t, listener.Close())
 	began := time.Now()
-	g.queueProbe(unfinishedAttempt{request: "x", key: crash.Key{2}, target: targetAt("crashed", listener.Addr().String()), at: now})
+	d.Probe(Attempt{Request: "x", Key: crash.Key{2}, Target: targetAt("crashed", listener.Addr().String()), At: now})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		reports, _ := g.crashes.TakeUnsent()
+		reports, _ := d.requests.TakeUnsent()
 		if slices.ContainsFunc(reports, func(r crash.Report) bool { return r.Key == (crash.Key{2}) }) {
 			return poll.Success()
 		}
@@ -80,27 +78,27 @@
 }
 
 // unsentCrashCount returns the number of crashes that are to be reported to peers.
-func (g *Gate) unsentCrashCount() int {
-	reports, _ := g.crashes.TakeUnsent()
+func (d *Detector) unsentCrashCount() int {
+	reports, _ := d.requests.TakeUnsent()
 	return len(reports)
 }
 
 // Guards against connection resets that are counted as crashes because an earlier probe
 // found nothing listening at the endpoint, while its entry stayed unchanged.
 func TestEndpointIsProbedAgainAfterItListensAgain(t *testing.T) {
-	g := newTestGate(t)
+	d := newTestDetector(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	address := listener.Addr().String()
 	assert.NilError(t, listener.Close())
 	e := targetAt("e", address)
-	g.countCrashes(t.Context(), unfinishedAttempt{key: crash.Key{1}, target: e, at: g.Clock.Now()})
-	assert.Equal(t, g.unsentCrashCount(), 1)
+	d.countCrashes(t.Context(), Attempt{Key: crash.Key{1}, Target: e, At: d.clock.Now()})
+	assert.Equal(t, d.unsentCrashCount(), 1)
 	listener, err = net.Listen("tcp", address)
 	assert.NilError(t, err)
 	defer func() { _ = listener.Close() }()
-	g.countCrashes(t.Context(), unfinishedAttempt{key: crash.Key{2}, target: e, at: g.Clock.Now()})
-	assert.Equal(t, g.unsentCrashCount(), 0, "the endpoint listens; the connection was only reset")
+	d.countCrashes(t.Context(), Attempt{Key: crash.Key{2}, Target: e, At: d.clock.Now()})
+	assert.Equal(t, d.unsentCrashCount(), 0, "the endpoint listens; the connection was only reset")
 }
 
 // Guards against a planned stop of an engine that is counted as a crash: its entry is
@@ -122,31 +120,31 @@
 			}
 			b.Remove("e", 3, 0)
 			assert.Assert(t, e.Gone())
-			assert.Assert(t, !crashed(t.Context(), e))
+			assert.Assert(t, !Crashed(t.Context(), e))
 		})
 	}
 }
 
 // Guards against crashes that are not counted because the callers had disconnected before.
 func TestCrashCountsForUnfinishedAttempts(t *testing.T) {
-	g := newTestGate(t)
+	d := newTestDetector(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	assert.NilError(t, listener.Close())
-	e, now := targetAt("e", listener.Addr().String()), g.Clock.Now()
-	g.detector.add(unfinishedAttempt{key: crash.Key{1}, target: e, at: now})
-	g.detector.add(unfinishedAttempt{key: crash.Key{2}, target: e, at: now - keepUnfinished - 1})
-	g.detector.add(unfinishedAttempt{key: crash.Key{3}, target: targetAt("other", e.Address), at: now})
-	g.countCrashes(t.Context(), unfinishedAttempt{target: e, at: now})
-	reports, _ := g.crashes.TakeUnsent()
+	e, now := targetAt("e", listener.Addr().String()), d.clock.Now()
+	d.Keep(Attempt{Key: crash.Key{1}, Target: e, At: now})
+	d.Keep(Attempt{Key: crash.Key{2}, Target: e, At: now - keepUnfinished - 1})
+	d.Keep(Attempt{Key: crash.Key{3}, Target: targetAt("other", e.Address), At: now})
+	d.countCrashes(t.Context(), Attempt{Target: e, At: now})
+	reports, _ := d.requests.TakeUnsent()
 	assert.Equal(t, len(reports), 1)
 	assert.Equal(t, reports[0].Key, crash.Key{1})
-	g.countCrashes(t.Context(), unfinishedAttempt{target: e, at: now})
-	assert.Equal(t, g.unsentCrashCount(), 0, "each attempt counts once")
+	d.countCrashes(t.Context(), Attempt{Target: e, At: now})
+	assert.Equal(t, d.unsentCrashCount(), 0, "each attempt counts once")
 	for range 3 * maxUnfinished {
-		g.detector.add(unfinishedAttempt{key: crash.Key{4}, target: e, at: now})
+		d.Keep(Attempt{Key: crash.Key{4}, Target: e, At: now})
 	}
-	assert.Assert(t, g.detector.count <= maxUnfinished)
+	assert.Assert(t, d.count <= maxUnfinished)
 }
 
 // Guards against broken connections that are counted as crashes, and the other way round.
@@ -154,7 +152,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	e := targetAt("e", listener.Addr().String())
-	assert.Assert(t, !crashed(t.Context(), e))
+	assert.Assert(t, !Crashed(t.Context(), e))
 	assert.NilError(t, listener.Close())
-	assert.Assert(t, crashed(t.Context(), e))
+	assert.Assert(t, Crashed(t.Context(), e))
 }
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -21,7 +21,6 @@
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
 	"github.com/jujubescale/jujubescale/internal/engine/push"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
-	"github.com/jujubescale/jujubescale/internal/flow/crash"
 	"github.com/jujubescale/jujubescale/internal/flow/extra"
 	"github.com/jujubescale/jujubescale/internal/flow/inflow"
 	"github.com/jujubescale/jujubescale/internal/flow/reach"
@@ -31,6 +30,7 @@
 	"github.com/jujubescale/jujubescale/internal/ops/unread"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/deploy"
+	"github.com/jujubescale/jujubescale/internal/serve/detect"
 	"github.com/jujubescale/jujubescale/internal/serve/host"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
 	"github.com/jujubescale/jujubescale/internal/serve/permit"
@@ -62,6 +62,8 @@
 	AwaitConfig func(ctx context.Context, request string) bool
 	// Origins finds the version that began a stream.
 	Origins *resume.Tracker
+	// Detector finds out which endpoints crashed.
+	Detector *detect.Detector
 	// Deploy runs the rollouts; nil without rollouts.
 	Deploy *deploy.Controller
 	// ReuseFunc is host.Settings.ReuseFunc. It also shortens the unused part of idle
@@ -101,8 +103,6 @@
 	subsets          subsets
 	arrivals         *inflow.Tracker
 	refusals         *recall.Refusals
-	crashes          *crash.Tracker
-	detector         *crashDetector
 	limits           *permit.Book
 	unread           *unread.Fields
 	routeStats       byName[routeStats]
@@ -122,12 +122,12 @@
 func New(settings Settings) *Gate {
 	g := &Gate{
 		Settings: settings, meter: NewMeter(settings.Registry), arrivals: inflow.New(), refusals: recall.New(),
-		crashes: crash.New(), detector: newCrashDetector(),
 		speeds: speeds.New(speeds.WithClock(settings.Clock), speeds.WithLog(settings.Log), speeds.WithRegistry(settings.Registry), speeds.WithView(settings.View)),
 		unread: unread.New(unread.WithLog(settings.Log), unread.WithRegistry(settings.Registry)),
 	}
 	g.bounds.Store(&Bounds{})
 	g.limits = cmp.Or(settings.Permits, permit.New())
+	g.Detector = cmp.Or(settings.Detector, detect.New(detect.WithClock(settings.Clock), detect.WithLog(settings.Log)))
 	g.Origins = cmp.Or(settings.Origins, resume.New(resume.WithClock(settings.Clock)))
 	g.targets = target.NewSet(target.Settings{
 		Clock: g.Clock, Log: g.Log, Registry: g.Registry, Table: g.Table, Check: g.limits.Check, ByUse: g.reuses, Push: g.Push,
--- a/internal/serve/gate/meter.go
+++ b/internal/serve/gate/meter.go
@@ -20,9 +20,6 @@
 	lacking    *prometheus.CounterVec
 	resumes    *prometheus.CounterVec
 	notResumed *prometheus.CounterVec
-
-	crashes     *prometheus.CounterVec
-	quarantines prometheus.Counter
 }
 
 // latencyBuckets are the upper bounds of latency histograms, in seconds, around the
@@ -52,12 +49,7 @@
 		duration:   histogram("jujubescale_routed_request_seconds", "Time from a request's head to the end of its answer, by route.", "route"),
 		firstEvent: histogram("jujubescale_routed_first_event_seconds", "Time from a request's head to the first event of its answer, by route.", "route"),
 		stages:     histogram("jujubescale_routed_stages_seconds", "Time of the stages that precede a request, by route.", "route"),
-		crashes:    counter("jujubescale_routed_crashes_total", "Requests that an endpoint was running when it crashed, by pool.", "pool"),
-		quarantines: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "jujubescale_routed_quarantines_total", Help: "Requests quarantined because several endpoints crashed while running them.",
-		}),
 	}
-	r.MustRegister(m.quarantines)
 	return m
 }
 
--- a/internal/serve/router/export_test.go
+++ b/internal/serve/router/export_test.go
@@ -1,10 +1,16 @@
 package router
 
-import "github.com/jujubescale/jujubescale/internal/serve/gate"
+import (
+	"github.com/jujubescale/jujubescale/internal/serve/detect"
+	"github.com/jujubescale/jujubescale/internal/serve/gate"
+)
 
 // Gate returns the gate, so that a test can pass a report to a single process.
 func (g *Gateway) Gate() *gate.Gate { return g.gate }
 
+// Detector returns the detector, so that a test can pass a report to a single process.
+func (g *Gateway) Detector() *detect.Detector { return g.detector }
+
 // Watches reports whether this process reads the store for the others.
 func (g *Gateway) Watches() bool { return g.mesh.IsWatcher() }
 
--- a/internal/serve/router/poison_edge_test.go
+++ b/internal/serve/router/poison_edge_test.go
@@ -133,12 +133,12 @@
 		}
 	}
 	k, reports := crashReports(body, 3)
-	b.gateways[0].Gate().AddPeerCrashes(reports)
+	b.gateways[0].Detector().AddPeers(reports)
 	// The test sends no request meanwhile, because a complete answer would end the
 	// quarantine.
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		for i, g := range b.gateways {
-			if g.Gate().Quarantines().QuarantineLeft(k, g.Clock.Now()) == 0 {
+			if g.Detector().Requests().QuarantineLeft(k, g.Clock.Now()) == 0 {
 				return poll.Continue("the quarantine is unknown to gateway %d", i+1)
 			}
 		}
@@ -226,7 +226,7 @@
 	for i := range keys {
 		_, reports := crashReports(fmt.Sprint("body ", i), 3)
 		for _, g := range b.gateways {
-			g.Gate().AddPeerCrashes(reports)
+			g.Detector().AddPeers(reports)
 		}
 	}
 	time.Sleep(2 * time.Second)
--- a/internal/serve/router/quarantine.go
+++ b/internal/serve/router/quarantine.go
@@ -96,7 +96,7 @@
 func (g *Gateway) syncQuarantines(ctx context.Context) {
 	previous := make(map[crash.Key]*pendingChange)
 	for g.Clock.Sleep(ctx, quarantineInterval) == nil {
-		now, tracker := g.Clock.Now(), g.gate.Quarantines()
+		now, tracker := g.Clock.Now(), g.detector.Requests()
 		pending := make(map[crash.Key]*pendingChange)
 		for _, entry := range tracker.Unwritten(now) {
 			g.applyWhenDue(entry.Key, previous, pending, func() error { return g.writeQuarantine(ctx, entry) })
@@ -175,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	g.gate.Quarantines().MarkWritten(entry.Key, len(entry.Endpoints))
+	g.detector.Requests().MarkWritten(entry.Key, len(entry.Endpoints))
 	g.Log.Info("crashes under request written", "key", entry.Key, "crashes", len(entry.Endpoints), "ageMs", int64(entry.Age))
 	return nil
 }
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -25,6 +25,7 @@
 	"github.com/jujubescale/jujubescale/internal/route/canary"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/deploy"
+	"github.com/jujubescale/jujubescale/internal/serve/detect"
 	"github.com/jujubescale/jujubescale/internal/serve/feed"
 	"github.com/jujubescale/jujubescale/internal/serve/gate"
 	"github.com/jujubescale/jujubescale/internal/serve/host"
@@ -134,9 +135,11 @@
 	gate *gate.Gate
 	// origins holds at which software versions streams began.
 	origins *resume.Tracker
-	mesh    *mesh.Mesh
-	host    *host.Host
-	meter   *meter
+	// detector holds which endpoints crashed under which requests.
+	detector *detect.Detector
+	mesh     *mesh.Mesh
+	host     *host.Host
+	meter    *meter
 	// deploy carries out rollouts; nil if they are disabled.
 	deploy *deploy.Controller
 	limits hostLimits
@@ -159,12 +162,14 @@
 	g.makeEndpoints()
 	g.limits = g.newHostLimits(ctx)
 	g.origins = g.newOrigins()
+	g.detector = detect.New(detect.WithClock(g.Clock), detect.WithLog(g.Log), detect.WithRegistry(g.Registry))
 	g.gate = gate.New(gate.Settings{
 		Clock: g.Clock, Log: g.Log, Codec: g.Dialect.Codec, Registry: g.Registry, Name: g.Name, Zone: g.Zone,
 		Table: g.table.Load, View: g.endpoints.Snapshot, Starting: g.starting, AwaitConfig: g.awaitConfig, Deploy: g.deploy,
 		ReuseFunc: g.reuses,
 		Permits:   g.newPermits(),
 		Origins:   g.origins,
+		Detector:  g.detector,
 		Spool:     g.limits.spool, Push: g.limits.push, Spare: g.limits.spare,
 	})
 	g.SetBounds(settings.Bounds)
@@ -179,7 +184,7 @@
 		mesh.WithClock(g.Clock), mesh.WithLog(g.Log), mesh.WithPieces(g.acceptPieces, g.cancelPieces),
 		mesh.WithUnused(g.host.MarkUnused), mesh.WithHandovers(g.takeHandover),
 		mesh.WithLoads(g.collectLoads, g.setPeerWork), mesh.WithPrefixes(g.gate.AddPeerPrefixes), mesh.WithRefused(g.gate.AddPeerRefusals),
-		mesh.WithCrashes(g.gate.AddPeerCrashes), mesh.WithLimits(g.gate.Limits().ApplyPeer, g.gate.Limits().Grant),
+		mesh.WithCrashes(g.detector.AddPeers), mesh.WithLimits(g.gate.Limits().ApplyPeer, g.gate.Limits().Grant),
 		mesh.WithSpeeds(g.gate.Speeds().ApplyPeers), mesh.WithOrigins(g.origins.Take, g.origins.Answer, g.origins.Search), mesh.WithLost(g.abandonRequests, g.reclaimResults), mesh.WithIgnored(g.meter.countIgnored), mesh.WithFollower(g.follower()),
 		mesh.WithRelease(g.configVersion, g.refreshConfig), mesh.WithBulk(g.limits.bulk), mesh.WithSession(g.sessionOptions()...))
 	g.gate.Attach(g.mesh, g.host)
@@ -292,7 +297,7 @@
 	members := newMembers(g.setMembers)
 	g.feeds.members = newFeed(g.Dialect.MemberKind, g.ChangeWithin, feed.WithPause(func() clock.Millis { return memberReadPause }),
 		feed.WithList(members.onList), feed.WithChanges(members.onChanges))
-	quarantines := newQuarantines(g.gate.SetQuarantines)
+	quarantines := newQuarantines(g.detector.SetStored)
 	g.feeds.quarantines = newFeed(g.Dialect.QuarantineKind, quarantineChangeWithin, feed.WithoutAge(),
 		feed.WithList(quarantines.onList), feed.WithChanges(quarantines.onChanges))
 	if g.deploy != nil {
@@ -397,7 +402,7 @@
 // or the context ends.
 func (g *Gateway) Start(ctx context.Context) {
 	ctx, g.stop = context.WithCancel(ctx)
-	runs := []func(context.Context){g.host.Run, g.mesh.Run, g.sweep, g.register, g.gate.WatchCrashes, g.gate.Limits().Run, g.origins.Run, g.syncQuarantines}
+	runs := []func(context.Context){g.host.Run, g.mesh.Run, g.sweep, g.register, g.detector.Run, g.gate.Limits().Run, g.origins.Run, g.syncQuarantines}
 	for _, f := range g.feeds.all() {
 		runs = append(runs, f.Run)
 	}
