fix(gate): an answer without length or chunks isn't whole because its connection ends

Callers saw 200 and nothing: an engine that answers with neither a length nor chunks and crashes closes its connection in order, as it does after a whole answer. The end of such a body is the end of the connection, so that both looked the same, and the crash was cleared, too.

A new stream without an event has broken off; one that is resumed after its last event has none and is whole. After an event, and for plain answers, the endpoint is probed: if it has crashed, the answer has broken off. An endpoint that a probe still reaches is looked at again when it refuses a connection or its entry goes.

--- a/internal/serve/detect/detect.go
+++ b/internal/serve/detect/detect.go
@@ -183,6 +183,9 @@
 // counts a crash for each request that the endpoint was running.
 func (d *Detector) countCrashes(ctx context.Context, failed Attempt) {
 	if !Crashed(ctx, failed.Target) {
+		if failed.Key != (crash.Key{}) {
+			d.Keep(failed) // the endpoint may still be about to end
+		}
 		return
 	}
 	all := d.takeRecent(failed.Target.Endpoint, d.clock.Now())
--- a/internal/serve/gate/pass.go
+++ b/internal/serve/gate/pass.go
@@ -15,6 +15,7 @@
 	"github.com/jujubescale/jujubescale/internal/flow/stall"
 	"github.com/jujubescale/jujubescale/internal/guard/hold"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
+	"github.com/jujubescale/jujubescale/internal/serve/detect"
 	"github.com/jujubescale/jujubescale/internal/serve/speeds"
 	"github.com/jujubescale/jujubescale/internal/serve/spool"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
@@ -26,6 +27,9 @@
 func (g *Gate) passComplete(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, l *attemptLoad, info spell.ResponseInfo, began clock.Millis) attemptResult {
 	limit := g.maxPlain()
 	body, err := io.ReadAll(io.LimitReader(reply.Body, limit+1))
+	if err == nil && reply.Complete() && g.endedByCrash(t, reply) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		t.RecordFailure(g.Clock.Now())
 		l.rolloutAttempt.RecordBreak()
@@ -45,7 +49,7 @@
 		return attemptResult{outcome: broken, err: fault.Refuse(fault.AnswerBroken, "the answer has no seal")}
 	}
 	if int64(len(body)) > limit {
-		return g.passLong(w, req, reply, body)
+		return g.passLong(w, req, t, reply, body)
 	}
 	hop.Copy(w.Header(), reply.Header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -82,7 +86,7 @@
 
 // passLong passes on an answer that is too long to be buffered; body is the part read so
 // far.
-func (g *Gate) passLong(w http.ResponseWriter, req *request, reply *conn.Reply, body []byte) attemptResult {
+func (g *Gate) passLong(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, body []byte) attemptResult {
 	hop.Copy(w.Header(), reply.Header)
 	if reply.Length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(reply.Length, 10))
@@ -93,7 +97,7 @@
 	if err == nil {
 		_, err = io.Copy(w, reply.Body)
 	}
-	if err != nil || !reply.Complete() {
+	if err != nil || !reply.Complete() || g.endedByCrash(t, reply) {
 		return attemptResult{outcome: broken, err: fault.Refuse(fault.AnswerBroken, "the connection failed before the end of a long answer")}
 	}
 	return attemptResult{outcome: answered}
@@ -173,9 +177,25 @@
 	}
 }
 
+// endedByCrash reports whether a crash ended an answer whose length nothing states. The
+// connection of a crashed endpoint may be closed in order, like that of a whole answer.
+func (g *Gate) endedByCrash(t *target.Target, reply *conn.Reply) bool {
+	return !reply.Framed && detect.Crashed(g.requestsContext, t)
+}
+
+// isWholeStream reports whether a stream that ended between two events is whole. One that is
+// resumed after its last event has none; a new one without an event has broken off, unless a
+// length or chunks state that it is empty.
+func (g *Gate) isWholeStream(req *request, t *target.Target, reply *conn.Reply) bool {
+	if !reply.Framed && req.attemptEvents == 0 && req.LastEvent == "" {
+		return false
+	}
+	return reply.Complete() && !g.endedByCrash(t, reply)
+}
+
 // handleStreamEnd returns the result of a stream that has ended or broken off.
 func (g *Gate) handleStreamEnd(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, l *attemptLoad, err error) attemptResult {
-	if errors.Is(err, io.EOF) && reply.Complete() {
+	if errors.Is(err, io.EOF) && g.isWholeStream(req, t, reply) {
 		t.RecordAnswer(0, false)
 		l.rolloutAttempt.RecordAnswer(false)
 		if !req.headSent {
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -220,3 +220,14 @@
 		Body: "draft " + stand.NewID(), DeadlineMs: 4000, Events: 8, PromptTokens: 200, PromptPrefix: prefix,
 	}
 }
+
+// AwaitServed sends requests to the first gateway until one is served.
+func (f *Fleet) AwaitServed(t *testing.T, request func() *stand.Request) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := f.Client.Do(t.Context(), f.Gateways[0].Address, request()); !got.Complete {
+			return poll.Continue("%+v", got)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(readyTimeout), poll.WithDelay(20*time.Millisecond))
+}
