fix(blame): crashes are counted for parts of prompts, not only for whole requests

Cause: a crash was filed under the request as a whole, so that each request with the part, no two alike, started at nothing.

Change: flow/blame keeps the evidence of parts. A crash names the parts of the requests that waited there for their first event, the first event of an answer acquits all parts of its prompt. A part that was never answered is held back at the first crash, one that was needs three separate ones; a part that is held back explains a crash and no other is charged. One request in the fleet is the trial, after 0.3, 1.5 and 30 s and on; its owner grants it by a permit. Peers that had answers say so when a crash names the part. Records are kept by version of the engines, repeated by their owner for processes that start, and written to the store. A request repeated as it was counts once.

--- a/internal/bench/soak/press.go
+++ b/internal/bench/soak/press.go
@@ -26,8 +26,8 @@
 	Processor   Scarce = "processor"
 	Descriptors Scarce = "descriptors"
 	// Places are the connections that endpoints accept from a gateway.
-	Places Scarce = "places"
-	Nothing     Scarce = "nothing"
+	Places  Scarce = "places"
+	Nothing Scarce = "nothing"
 )
 
 // PressOptions configure a run in which the balancer hands nine of ten new connections to one
--- a/internal/cli/quar/quar.go
+++ b/internal/cli/quar/quar.go
@@ -25,15 +25,15 @@
 func New(options *reach.Options) *cobra.Command {
 	cmd := exit.Group(&cobra.Command{
 		Use:   "quarantine",
-		Short: "Lists requests during which endpoints crashed, and lifts their quarantine",
+		Short: "Lists requests and parts of prompts under which endpoints crashed, and lifts their quarantine",
 	})
 	cmd.AddCommand(newList(options), newLift(options))
 	return cmd
 }
 
-// Quarantine is one request during which several endpoints crashed.
+// Quarantine is one request, or one part of prompts, under which several endpoints crashed.
 type Quarantine struct {
-	// Key identifies the request, also in log lines.
+	// Key identifies the request or the part, also in log lines.
 	Key string `json:"key"`
 	router.Quarantine
 	Unreadable string `json:"unreadable,omitempty"`
@@ -50,9 +50,10 @@
 func newList(options *reach.Options) *cobra.Command {
 	return &cobra.Command{
 		Use:   "list",
-		Short: "Lists requests during which endpoints crashed, newest first",
-		Long: "Lists requests during which two endpoints or more crashed, newest first. A request with\n" +
-			"three crashes or more is sent to no endpoint for a quarter of an hour.",
+		Short: "Lists requests and parts of prompts under which endpoints crashed, newest first",
+		Long: "Lists requests and parts of prompts under which two endpoints or more crashed, newest\n" +
+			"first. A request with three crashes or more is sent to no endpoint for a quarter of an hour.\n" +
+			"Requests with a part are held back but for trials, until an endpoint answers one.",
 		Args: exit.Args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			objects, err := options.RoutedStore()
@@ -75,10 +76,14 @@
 
 func write(out io.Writer, all []Quarantine) {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "KEY\tLAST\tCRASHES\tENDPOINTS")
+	_, _ = fmt.Fprintln(table, "KEY\tLAST\tCRASHES\tENDPOINTS\tPART\tANSWERED BY")
 	for _, q := range all {
 		since := time.UnixMilli(q.SinceMs).UTC().Format(time.RFC3339)
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%s\n", q.Key, since, len(q.Endpoints), strings.Join(q.Endpoints, " ")+q.Unreadable)
+		part, answeredBy := "", ""
+		if q.Part != nil {
+			part, answeredBy = q.Part.ID, q.Part.AnsweredBy
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\t%s\n", q.Key, since, len(q.Endpoints), strings.Join(q.Endpoints, " ")+q.Unreadable, part, answeredBy)
 	}
 	_ = table.Flush() // fails only if the output is closed
 }
@@ -86,9 +91,10 @@
 func newLift(options *reach.Options) *cobra.Command {
 	return &cobra.Command{
 		Use:   "lift KEY",
-		Short: "Ends the quarantine of a request",
-		Long: "Deletes the recorded crashes of a request, which is sent to endpoints again within half\n" +
-			"a minute. After three more crashes it is quarantined again.",
+		Short: "Ends the quarantine of a request or a part",
+		Long: "Deletes the recorded crashes of a request or of a part of prompts, which is sent to\n" +
+			"endpoints again within half a minute. After three more crashes a request is quarantined\n" +
+			"again, after the next one a part that no endpoint has answered.",
 		Args: exit.Args(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error { return lift(cmd, options, args[0]) },
 	}
@@ -109,7 +115,7 @@
 		return err
 	}
 	if object.Version == 0 {
-		return exit.With(exit.NotFound, fmt.Errorf("no crashes are recorded for request %s", key))
+		return exit.With(exit.NotFound, fmt.Errorf("no crashes are recorded for %s", key))
 	}
 	if err := objects.Delete(cmd.Context(), name, object.Version); err != nil {
 		return err
--- a/internal/cli/quar/quar_test.go
+++ b/internal/cli/quar/quar_test.go
@@ -59,3 +59,21 @@
 	assert.Equal(t, code, exit.Usage)
 	assert.Assert(t, strings.Contains(errs, `"other"`), errs)
 }
+
+// Guards against a part of prompts whose crashes or answer operators can't see or lift.
+func TestPartsAreListedAndLifted(t *testing.T) {
+	d, err := stand.New(stand.Config{})
+	assert.NilError(t, err)
+	t.Cleanup(d.Close)
+	key := crash.PartKeyOf("models", "m", "5c1e").String()
+	d.Store.Put(platform.KindQuarantines, key, map[string]any{
+		"sinceMs": 1765000000000, "endpoints": []string{"i-1/7", "i-2/8"},
+		"part": map[string]any{"id": "5c1e", "answeredBy": "i-3/9", "answeredMs": 1765000001000},
+	})
+	code, out, errs := run(t, d, "list")
+	assert.Equal(t, code, exit.OK, errs)
+	assert.Assert(t, strings.Contains(out, key+"  2025-12-06T05:46:40Z  2        i-1/7 i-2/8  5c1e  i-3/9"), out)
+	code, _, errs = run(t, d, "lift", key)
+	assert.Equal(t, code, exit.OK, errs)
+	assert.Equal(t, len(d.Store.Names(platform.KindQuarantines)), 0)
+}
--- a/internal/engine/spell/spell.go
+++ b/internal/engine/spell/spell.go
@@ -39,6 +39,8 @@
 	// LikelyTokens is the caller's estimate of the size of the output; 0 if it gives
 	// none.
 	LikelyTokens int64
+	// Model names the weights of the generation; engines keep parts of prompts for each.
+	Model string
 	// Parts are the parts of the prompt in order. The last one is not shared with
 	// other requests.
 	Parts []Part
--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -171,6 +171,17 @@
 	return 0
 }
 
+// Crashes returns the number of endpoints that crashed under a request without an answer in
+// between.
+func (t *Tracker) Crashes(key Key) int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if r := t.records[key]; r != nil && !r.cleared {
+		return len(r.endpoints)
+	}
+	return 0
+}
+
 // TrialDue reports whether a quarantined request may be sent to an endpoint once as
 // a trial, since the endpoints may have stopped for another reason. It is false in
 // a process that has read the crashes only from the store, so that restarts do not
--- a/internal/flow/crash/key.go
+++ b/internal/flow/crash/key.go
@@ -7,15 +7,26 @@
 	"fmt"
 )
 
-// Key identifies requests of one organisation with the same content. It is a hash
-// that does not depend on the sender or the request ID.
+// Key identifies requests of one organisation with the same content, or a part of prompts. It
+// is a hash that does not depend on the sender or the request ID.
 type Key [16]byte
 
 // KeyOf returns the key of a request.
 func KeyOf(organisation, method, host, target string, body []byte) Key {
+	return hash([]byte(organisation), []byte(method), []byte(host), []byte(target), body)
+}
+
+// PartKeyOf returns the key of a part of a prompt. Engines keep a part by its ID for each model, for
+// all organisations alike, so that its place and size don't matter.
+func PartKeyOf(pool, model, id string) Key {
+	return hash([]byte("part"), []byte(pool), []byte(model), []byte(id))
+}
+
+// hash returns the key of a list of values.
+func hash(values ...[]byte) Key {
 	digest := sha256.New()
 	var length [8]byte
-	for _, part := range [][]byte{[]byte(organisation), []byte(method), []byte(host), []byte(target), body} {
+	for _, part := range values {
 		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
 		_, _ = digest.Write(length[:]) // never fails
 		_, _ = digest.Write(part)
--- a/internal/flow/sums/loads.go
+++ b/internal/flow/sums/loads.go
@@ -6,7 +6,7 @@
 func Of(loads *wire.Loads, urgent bool) *wire.Sums {
 	own := &wire.Sums{
 		Whole: true, Urgent: urgent, Regular: true, Pools: loads.Pools, PendingArrivals: loads.PendingArrivals,
-		Prefixes: loads.Prefixes, Refused: loads.Refused, Crashes: loads.Crashes, Limits: loads.Limits, Owns: !loads.Leaving, HasTrials: true, Trials: loads.Trials, Speeds: loads.Speeds,
+		Prefixes: loads.Prefixes, Refused: loads.Refused, Crashes: loads.Crashes, Parts: loads.Parts, Limits: loads.Limits, Owns: !loads.Leaving, HasTrials: true, Trials: loads.Trials, Speeds: loads.Speeds,
 	}
 	for _, load := range loads.Endpoints {
 		work := wire.Work{
--- a/internal/flow/sums/message.go
+++ b/internal/flow/sums/message.go
@@ -104,7 +104,7 @@
 
 // nilIfEmpty returns nil for a message that contains nothing and need not be sent.
 func nilIfEmpty(message *wire.Sums) *wire.Sums {
-	events := len(message.Prefixes) + len(message.Refused) + len(message.Crashes) + len(message.Limits)
+	events := len(message.Prefixes) + len(message.Refused) + len(message.Crashes) + len(message.Parts) + len(message.Limits)
 	if !message.Regular && !message.Whole && len(message.Work) == 0 && events == 0 {
 		return nil
 	}
@@ -159,6 +159,8 @@
 			message.Prefixes = append(message.Prefixes, *e.prefix)
 		case e.crash != nil:
 			message.Crashes = append(message.Crashes, *e.crash)
+		case e.part != nil:
+			message.Parts = append(message.Parts, *e.part)
 		default:
 			// The age and the wait were valid when the event was received.
 			passed := now - e.at
--- a/internal/flow/sums/sums.go
+++ b/internal/flow/sums/sums.go
@@ -91,6 +91,7 @@
 	prefix  *wire.PrefixUse
 	refused *wire.Refused
 	crash   *wire.Crash
+	part    *wire.PartReport
 }
 
 // events are the newest events in order.
@@ -125,7 +126,8 @@
 	entries    map[string]*entry
 	sources    map[Source]*sourceState
 	events     events
-	// crashes are kept separately, so that a burst of other events does not remove any.
+	// crashes, of requests and of parts of prompts, are kept separately, so that a burst of other
+	// events does not remove any.
 	crashes events
 	// limits holds the newest limit of each endpoint.
 	limits map[string]limitState
@@ -336,6 +338,9 @@
 	for i := range sums.Crashes {
 		t.crashes.add(event{from: from, at: now, crash: &sums.Crashes[i]})
 	}
+	for i := range sums.Parts {
+		t.crashes.add(event{from: from, at: now, part: &sums.Parts[i]})
+	}
 	t.events.trim(maxEvents)
 	t.crashes.trim(maxEvents)
 }
--- a/internal/link/wire/limit.go
+++ b/internal/link/wire/limit.go
@@ -37,6 +37,9 @@
 	CallID uint64        `cbor:"call"`
 	Known  EndpointLimit `cbor:"known"`
 	Room   *RoomRequest  `cbor:"room,omitempty"`
+	// Trial is set if it asks for the trial of parts of a prompt instead. The answer of an older
+	// process, which ignores it, has no Trial and counts for nothing.
+	Trial *PartTrial `cbor:"trial,omitempty"`
 }
 
 // RoomRequest tells the owner of an engine what capacity the sender uses beyond its share, and
@@ -76,4 +79,6 @@
 	Known   EndpointLimit `cbor:"known"`
 	// Room is set if the request asked for a lease and the sender is the owner.
 	Room *Room `cbor:"room,omitempty"`
+	// Trial is set in the answer to a request for a trial.
+	Trial bool `cbor:"trial,omitempty"`
 }
--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -32,10 +32,11 @@
 	// lists the registered processes that must not be used.
 	HasMembers bool       `cbor:"hasMembers,omitempty"`
 	Members    []Presence `cbor:"members,omitempty"`
-	// Prefixes, Refused and Crashes hold the events since the previous message.
-	Prefixes []PrefixUse `cbor:"uses,omitempty"`
-	Refused  []Refused   `cbor:"refused,omitempty"`
-	Crashes  []Crash     `cbor:"crashes,omitempty"`
+	// Prefixes, Refused, Crashes and Parts hold the events since the previous message.
+	Prefixes []PrefixUse  `cbor:"uses,omitempty"`
+	Refused  []Refused    `cbor:"refused,omitempty"`
+	Crashes  []Crash      `cbor:"crashes,omitempty"`
+	Parts    []PartReport `cbor:"parts,omitempty"`
 	// Limits holds the limits of endpoints that the receiver was not sent yet.
 	Limits []EndpointLimit `cbor:"limits,omitempty"`
 	// Interest lists the endpoints that the sender of a report normally uses, if
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -370,6 +370,9 @@
 	Refused []Refused `cbor:"refused,omitempty"`
 	// Crashes holds the crashes detected or received since the previous message.
 	Crashes []Crash `cbor:"crashes,omitempty"`
+	// Parts holds what was learned of parts of prompts since the previous message; older
+	// processes ignore it.
+	Parts []PartReport `cbor:"parts,omitempty"`
 	// Limits holds the limits of endpoints that changed, or are announced again, since
 	// the previous message.
 	Limits []EndpointLimit `cbor:"limits,omitempty"`
--- a/internal/serve/detect/detect.go
+++ b/internal/serve/detect/detect.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"sync"
 	"syscall"
 
@@ -14,6 +13,7 @@
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
+	"github.com/jujubescale/jujubescale/internal/flow/blame"
 	"github.com/jujubescale/jujubescale/internal/flow/crash"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/route/view"
@@ -44,19 +44,23 @@
 	Target *target.Target
 	// At is when the attempt ended.
 	At clock.Millis
-	// Parts are the keys of the prompt's shared parts, Events the events of the attempt.
-	Parts  []target.Key
+	// Parts are the prompt's shared parts, Events the events of the attempt.
+	Parts  []blame.Part
 	Events int
+
+	done chan struct{}
 }
 
 // Detector holds the probes to run, the attempts that a crash would be counted for, and the
-// requests under which endpoints crashed.
+// requests and parts of prompts under which endpoints crashed.
 type Detector struct {
 	clock    *clock.Clock
 	log      *log.Logger
 	registry prometheus.Registerer
 	meter    *meter
+	peers    Peers
 	requests *crash.Tracker
+	parts    *blame.Tracker
 	probes   chan Attempt
 
 	mu sync.Mutex
@@ -81,7 +85,8 @@
 // New returns a Detector without records. Run executes its probes.
 func New(opts ...Option) *Detector {
 	d := &Detector{
-		clock: clock.New(), log: log.Default(), registry: prometheus.NewRegistry(), requests: crash.New(),
+		clock: clock.New(), log: log.Default(), registry: prometheus.NewRegistry(), requests: crash.New(), parts: blame.New(),
+		peers:  Peers{OwnerFunc: func(string) string { return "" }, ReportFunc: func() {}},
 		probes: make(chan Attempt, maxQueuedProbes), byEndpoint: make(map[*view.Endpoint][]Attempt),
 	}
 	for _, opt := range opts {
@@ -94,14 +99,17 @@
 // Requests returns the record of requests that crashed endpoints.
 func (d *Detector) Requests() *crash.Tracker { return d.requests }
 
-// Probe queues a probe of the attempt's endpoint; if the queue is full, the probe is
-// dropped and logged.
-func (d *Detector) Probe(attempt Attempt) {
+// Probe queues a probe of the attempt's endpoint and returns a channel that is closed when the
+// crashes are counted that it finds. If the queue is full, the probe is dropped and logged.
+func (d *Detector) Probe(attempt Attempt) <-chan struct{} {
+	attempt.done = make(chan struct{})
 	select {
 	case d.probes <- attempt:
 	default:
+		close(attempt.done)
 		d.log.Info("endpoint not looked at", "request", attempt.Request, "endpoint", attempt.Target.ID)
 	}
+	return attempt.done
 }
 
 // ProbeAgain queues a probe of an endpoint that refused a connection or whose entry was
@@ -164,6 +172,7 @@
 func (d *Detector) Run(ctx context.Context) {
 	var probes sync.WaitGroup
 	defer probes.Wait()
+	probes.Go(func() { d.restate(ctx) })
 	slots := make(chan struct{}, maxProbes)
 	for {
 		select {
@@ -171,6 +180,7 @@
 			slots <- struct{}{}
 			probes.Go(func() {
 				defer func() { <-slots }()
+				defer close(attempt.done)
 				d.countCrashes(ctx, attempt)
 			})
 		case <-ctx.Done():
@@ -188,20 +198,27 @@
 		}
 		return
 	}
-	all := d.takeRecent(failed.Target.Endpoint, d.clock.Now())
 	if failed.Key != (crash.Key{}) {
-		all = append(all, failed)
+		d.Keep(failed)
 	}
-	endpoint := failed.Target.ID + "/" + strconv.FormatInt(failed.Target.StartedAt, 10)
+	_ = d.clock.Sleep(ctx, groupDelay) // without it, fewer are known that ran together
+	all := d.takeRecent(failed.Target.Endpoint, d.clock.Now())
+	endpoint := runOf(failed.Target)
+	var suspects [][]blame.Part
 	for _, attempt := range all {
 		crashes, quarantined := d.requests.RecordCrash(attempt.Key, endpoint, d.clock.Now())
 		d.meter.crashes.WithLabelValues(failed.Target.Pool).Inc()
 		d.log.Info("endpoint crashed under request", "request", attempt.Request, "key", attempt.Key, "pool", failed.Target.Pool,
-			"endpoint", failed.Target.ID, "born", failed.Target.StartedAt, "endedMs", int64(d.clock.Since(attempt.At)), "crashes", crashes, "parts", attempt.Parts, "events", attempt.Events)
+			"endpoint", failed.Target.ID, "born", failed.Target.StartedAt, "endedMs", int64(d.clock.Since(attempt.At)), "crashes", crashes, "parts", ids(attempt.Parts), "events", attempt.Events)
 		if quarantined {
 			d.recordQuarantine(attempt.Key, "crashes seen by this process")
 		}
+		// A request that is repeated as it was tells nothing new of its parts.
+		if crashes == 1 && attempt.Events == 0 && len(attempt.Parts) > 0 {
+			suspects = append(suspects, attempt.Parts)
+		}
 	}
+	d.recordParts(failed.Target, suspects)
 }
 
 // Crashed reports whether an endpoint ended without a planned stop: it has restarted, or
@@ -242,7 +259,8 @@
 }
 
 // AddPeers records the crash reports of a peer.
-func (d *Detector) AddPeers(crashes []wire.Crash) {
+func (d *Detector) AddPeers(crashes []wire.Crash, parts []wire.PartReport) {
+	d.addPeerParts(parts)
 	reports := make([]crash.Report, 0, len(crashes))
 	for _, c := range crashes {
 		if len(c.Key) == len(crash.Key{}) {
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -11,6 +11,7 @@
 	"github.com/jujubescale/jujubescale/internal/base/fault"
 	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
+	"github.com/jujubescale/jujubescale/internal/flow/blame"
 	"github.com/jujubescale/jujubescale/internal/flow/crash"
 	"github.com/jujubescale/jujubescale/internal/flow/gaps"
 	"github.com/jujubescale/jujubescale/internal/flow/graph"
@@ -41,6 +42,13 @@
 	// request that may run once to check whether it still crashes endpoints.
 	crashID         crash.Key
 	quarantineTrial bool
+	// shared is computed by promptParts on first use. Engines of the versions in barred may not
+	// get the request because of a part of its prompt. isTrial marks the trial of a part at
+	// engines of the version trial.
+	shared  []blame.Part
+	barred  []string
+	isTrial bool
+	trial   string
 
 	// canary marks a request that goes to the candidate version of the pool's rollout, if
 	// one runs.
@@ -151,6 +159,9 @@
 	if refused := g.refuseQuarantined(req); refused != nil {
 		return req, refused
 	}
+	if refused := g.refuseParts(r.Context(), req); refused != nil {
+		return req, refused
+	}
 	return req, g.prepareStages(req)
 }
 
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -67,7 +67,7 @@
 		g.releaseInputsEarly(req, t)
 	}
 	result := g.exchange(ctx, w, req, l, timer)
-	g.recordAttempt(ctx, req, t, result)
+	result.verdict = g.recordAttempt(ctx, req, t, result)
 	return result
 }
 
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -68,7 +68,7 @@
 	for i, e := range endpoints {
 		t := g.targets.Get(e)
 		targets[i] = t
-		if g.limits.Unavailable(e) || slices.Contains(req.tried, e) || (!useBlocked && e.Blocked(now)) {
+		if g.limits.Unavailable(e) || slices.Contains(req.barred, e.Version) || slices.Contains(req.tried, e) || (!useBlocked && e.Blocked(now)) {
 			excluded[i] = true
 			continue
 		}
--- a/internal/serve/gate/pass.go
+++ b/internal/serve/gate/pass.go
@@ -141,7 +141,9 @@
 		if err != nil {
 			return attemptResult{outcome: answered, err: fault.Refuse(fault.Cancelled, "the caller closed the connection")}
 		}
-		req.attemptEvents++
+		if req.attemptEvents++; req.attemptEvents == 1 {
+			g.Detector.RecordAnswer(req.Request, t, req.promptParts())
+		}
 		if req.eventCount++; req.eventCount == 1 {
 			g.recordOrigin(req, t.Endpoint)
 		}
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -125,7 +125,14 @@
 			g.retryBudget.Earn(req.pool.Name)
 			req.timeToSend = g.Clock.Since(req.began)
 		}
-		if refused := g.refuseQuarantinedAttempt(req); refused != nil {
+		refused := g.refuseQuarantinedAttempt(req)
+		if refused == nil {
+			if refused = g.refuseVersion(ctx, req, chosen.target.Version); refused != nil && g.otherVersion(req) {
+				chosen.room.Release()
+				continue
+			}
+		}
+		if refused != nil {
 			chosen.room.Release()
 			return refused
 		}
@@ -133,6 +140,7 @@
 		if result.outcome == answered || ctx.Err() != nil {
 			return result.err
 		}
+		g.awaitVerdict(ctx, result.verdict)
 		if err := g.prepareRetry(ctx, req, result); err != nil {
 			return err
 		}
@@ -275,6 +283,8 @@
 	cause error
 	// retryGranted is set if the retry budget for another attempt has already been taken.
 	retryGranted bool
+	// verdict is closed once the crash that broke off the attempt is counted; it may be nil.
+	verdict <-chan struct{}
 }
 
 // label returns the outcome as a metric label.
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -110,7 +110,7 @@
 	workFunc         func(work []wire.Work, whole bool)
 	prefixFunc       func([]wire.PrefixUse)
 	refusedFunc      func([]wire.Refused)
-	crashesFunc      func([]wire.Crash)
+	crashesFunc      func([]wire.Crash, []wire.PartReport)
 	limitsFunc       func([]wire.EndpointLimit)
 	speedsFunc       func([]wire.Speed)
 	permitFunc       func(*wire.PermitRequest) *wire.Permit
@@ -218,9 +218,9 @@
 	return func(m *Mesh) { m.refusedFunc = take }
 }
 
-// WithCrashes sets the handler for the requests under which endpoints crashed at
-// peers.
-func WithCrashes(take func([]wire.Crash)) Option {
+// WithCrashes sets the handler for the requests and the parts of prompts under which
+// endpoints crashed at peers.
+func WithCrashes(take func([]wire.Crash, []wire.PartReport)) Option {
 	return func(m *Mesh) { m.crashesFunc = take }
 }
 
@@ -271,7 +271,7 @@
 		workFunc:         func([]wire.Work, bool) {},
 		prefixFunc:       func([]wire.PrefixUse) {},
 		refusedFunc:      func([]wire.Refused) {},
-		crashesFunc:      func([]wire.Crash) {},
+		crashesFunc:      func([]wire.Crash, []wire.PartReport) {},
 		limitsFunc:       func([]wire.EndpointLimit) {},
 		speedsFunc:       func([]wire.Speed) {},
 		permitFunc:       func(*wire.PermitRequest) *wire.Permit { return nil },
--- a/internal/serve/mesh/take.go
+++ b/internal/serve/mesh/take.go
@@ -87,8 +87,8 @@
 	if len(message.Refused) > 0 {
 		m.refusedFunc(message.Refused)
 	}
-	if len(message.Crashes) > 0 {
-		m.crashesFunc(message.Crashes)
+	if len(message.Crashes)+len(message.Parts) > 0 {
+		m.crashesFunc(message.Crashes, message.Parts)
 	}
 	if len(message.Limits) > 0 {
 		m.limitsFunc(message.Limits)
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -81,7 +81,7 @@
 
 // collectLoads returns the load that this process reports to its peers.
 func (g *Gateway) collectLoads() *wire.Loads {
-	loads := &wire.Loads{Pools: g.host.Loads(g.owns), Prefixes: g.gate.UnsentPrefixes(), Refused: g.gate.UnsentRefusals(), Crashes: g.detector.TakeUnsent(), Limits: g.gate.Limits().TakeUnsent()}
+	loads := &wire.Loads{Pools: g.host.Loads(g.owns), Prefixes: g.gate.UnsentPrefixes(), Refused: g.gate.UnsentRefusals(), Crashes: g.detector.TakeUnsent(), Parts: g.detector.TakeUnsentParts(), Limits: g.gate.Limits().TakeUnsent()}
 	loads.Interest, loads.Speeds = g.gate.SubsetEndpoints(), g.gate.Speeds().TakeUnsent()
 	if g.deploy != nil {
 		loads.Trials = g.deploy.Trials()
--- a/internal/serve/router/poison_edge_test.go
+++ b/internal/serve/router/poison_edge_test.go
@@ -133,7 +133,7 @@
 		}
 	}
 	k, reports := crashReports(body, 3)
-	b.gateways[0].Detector().AddPeers(reports)
+	b.gateways[0].Detector().AddPeers(reports, nil)
 	// The test sends no request meanwhile, because a complete answer would end the
 	// quarantine.
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -226,7 +226,7 @@
 	for i := range keys {
 		_, reports := crashReports(fmt.Sprint("body ", i), 3)
 		for _, g := range b.gateways {
-			g.Detector().AddPeers(reports)
+			g.Detector().AddPeers(reports, nil)
 		}
 	}
 	time.Sleep(2 * time.Second)
--- a/internal/serve/router/quarantine.go
+++ b/internal/serve/router/quarantine.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/flow/blame"
 	"github.com/jujubescale/jujubescale/internal/flow/crash"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
+	"github.com/jujubescale/jujubescale/internal/serve/detect"
 	"github.com/jujubescale/jujubescale/internal/serve/gate"
 )
 
@@ -35,25 +38,79 @@
 )
 
 // Quarantine is the object in the platform's store that records which endpoints
-// crashed under a request. Its name is the request's key. From three crashes on, the
-// request is sent to no endpoint.
+// crashed under a request or a part of prompts. Its name is the key of that. From three
+// crashes on, the request is sent to no endpoint.
 type Quarantine struct {
 	// SinceMs is the time of the last crash in milliseconds since the Unix epoch.
 	SinceMs int64 `json:"sinceMs"`
 	// Endpoints are the IDs of the endpoints that crashed under the request.
 	Endpoints []string `json:"endpoints"`
+	// Part is set for a part of prompts.
+	Part *QuarantinedPart `json:"part,omitempty"`
+}
+
+// QuarantinedPart is the record of a part of prompts; see blame.Stored.
+type QuarantinedPart struct {
+	// ID is the part's ID in prompts.
+	ID string `json:"id"`
+	// Versions is the evidence by the software version of the endpoints.
+	Versions map[string]PartEvidence `json:"versions,omitempty"`
+	// AnsweredBy is the endpoint whose answer acquitted the part at AnsweredMs, in milliseconds
+	// since the Unix epoch.
+	AnsweredBy string `json:"answeredBy,omitempty"`
+	AnsweredMs int64  `json:"answeredMs,omitempty"`
+}
+
+// PartEvidence is the evidence against a part; see blame.State.
+type PartEvidence struct {
+	SinceMs   int64    `json:"sinceMs"`
+	Endpoints []string `json:"endpoints"`
+	Separate  int      `json:"separate"`
+	Episodes  int      `json:"episodes"`
+	Alone     int      `json:"alone"`
+}
+
+// newQuarantine returns the object for a part.
+func newQuarantine(entry *blame.Stored, nowMs int64) Quarantine {
+	q := Quarantine{SinceMs: nowMs - int64(entry.LastCrash()), Endpoints: []string{}, Part: &QuarantinedPart{
+		ID: entry.Part.ID, Versions: make(map[string]PartEvidence), AnsweredBy: entry.AnsweredBy,
+	}}
+	if entry.AnsweredBy != "" {
+		q.Part.AnsweredMs = nowMs - int64(entry.AnswerAge)
+	}
+	for version, state := range entry.Versions {
+		q.Endpoints = append(q.Endpoints, state.Engines...)
+		q.Part.Versions[version] = PartEvidence{
+			SinceMs: nowMs - int64(state.Age), Endpoints: state.Engines, Separate: state.Separate, Episodes: state.Episodes, Alone: state.Alone,
+		}
+	}
+	slices.Sort(q.Endpoints)
+	return q
+}
+
+// stored returns the entry of a part.
+func (q *Quarantine) stored(key crash.Key, nowMs int64) blame.Stored {
+	entry := blame.Stored{Part: blame.Part{Key: key, ID: q.Part.ID}, Versions: make(map[string]blame.State), AnsweredBy: q.Part.AnsweredBy}
+	entry.AnswerAge = clock.Millis(nowMs - q.Part.AnsweredMs)
+	for version, e := range q.Part.Versions {
+		entry.Versions[version] = blame.State{
+			Engines: e.Endpoints, Separate: e.Separate, Episodes: e.Episodes, Alone: e.Alone, Age: clock.Millis(nowMs - e.SinceMs),
+		}
+	}
+	return entry
 }
 
 // quarantines follows the quarantines in the platform's store.
 type quarantines struct {
-	known   map[string]crash.Stored
-	setFunc func([]crash.Stored)
+	known    map[string]crash.Stored
+	parts    map[string]blame.Stored
+	detector *detect.Detector
 }
 
-func newQuarantines(set func([]crash.Stored)) *quarantines { return &quarantines{setFunc: set} }
+func newQuarantines(detector *detect.Detector) *quarantines { return &quarantines{detector: detector} }
 
 func (q *quarantines) onList(objects []store.Object, _ clock.Millis) {
-	q.known = make(map[string]crash.Stored, len(objects))
+	q.known, q.parts = make(map[string]crash.Stored, len(objects)), make(map[string]blame.Stored)
 	for _, object := range objects {
 		q.put(object)
 	}
@@ -64,6 +121,7 @@
 	for _, change := range changes {
 		if change.Deleted {
 			delete(q.known, change.Object.Name)
+			delete(q.parts, change.Object.Name)
 			continue
 		}
 		q.put(change.Object)
@@ -77,6 +135,11 @@
 	var entry Quarantine
 	if err != nil || json.Unmarshal(object.Value, &entry) != nil {
 		delete(q.known, object.Name)
+		delete(q.parts, object.Name)
+		return
+	}
+	if entry.Part != nil {
+		q.parts[object.Name] = entry.stored(key, time.Now().UnixMilli())
 		return
 	}
 	age := clock.Millis(time.Now().UnixMilli() - entry.SinceMs)
@@ -88,7 +151,12 @@
 	for _, entry := range q.known {
 		all = append(all, entry)
 	}
-	q.setFunc(all)
+	q.detector.SetStored(all)
+	parts := make([]blame.Stored, 0, len(q.parts))
+	for _, entry := range q.parts {
+		parts = append(parts, entry)
+	}
+	q.detector.SetStoredParts(parts)
 }
 
 // syncQuarantines writes crashes to the platform's store and removes expired
@@ -101,7 +169,10 @@
 		for _, entry := range tracker.Unwritten(now) {
 			g.applyWhenDue(entry.Key, previous, pending, func() error { return g.writeQuarantine(ctx, entry) })
 		}
-		for _, key := range tracker.Expire(now) {
+		for _, entry := range g.detector.Parts().Unwritten(now) {
+			g.applyWhenDue(entry.Part.Key, previous, pending, func() error { return g.writePart(ctx, &entry) })
+		}
+		for _, key := range append(tracker.Expire(now), g.detector.Parts().Expire(now)...) {
 			g.applyWhenDue(key, previous, pending, func() error { return g.removeQuarantine(ctx, key) })
 		}
 		previous = pending
@@ -155,10 +226,36 @@
 // writeQuarantine writes a request's crashes to the store, unless the store already
 // holds as many.
 func (g *Gateway) writeQuarantine(ctx context.Context, entry crash.Stored) error {
+	q := Quarantine{SinceMs: time.Now().UnixMilli() - int64(entry.Age), Endpoints: entry.Endpoints}
+	if err := g.putQuarantine(ctx, entry.Key, &q, func(stored *Quarantine) bool { return len(stored.Endpoints) >= len(q.Endpoints) }); err != nil {
+		return err
+	}
+	g.detector.Requests().MarkWritten(entry.Key, len(entry.Endpoints))
+	g.Log.Info("crashes under request written", "key", entry.Key, "crashes", len(entry.Endpoints), "ageMs", int64(entry.Age))
+	return nil
+}
+
+// writePart writes the record of a part to the store, unless the store already holds as much.
+func (g *Gateway) writePart(ctx context.Context, entry *blame.Unwritten) error {
+	q := newQuarantine(&entry.Stored, time.Now().UnixMilli())
+	holds := func(stored *Quarantine) bool {
+		return stored.Part != nil && stored.Part.AnsweredBy == q.Part.AnsweredBy && len(q.Endpoints) > 0 && len(stored.Endpoints) >= len(q.Endpoints)
+	}
+	if err := g.putQuarantine(ctx, entry.Part.Key, &q, holds); err != nil {
+		return err
+	}
+	g.detector.Parts().MarkWritten(entry.Part.Key, entry.Revision)
+	g.Log.Info("crashes under part written", "key", entry.Part.Key, "part", entry.Part.ID, "crashes", len(q.Endpoints), "answeredBy", q.Part.AnsweredBy)
+	return nil
+}
+
+// putQuarantine writes an object. If another process has written it meanwhile, it is replaced
+// unless the function holds reports that this one adds nothing.
+func (g *Gateway) putQuarantine(ctx context.Context, key crash.Key, q *Quarantine, holds func(*Quarantine) bool) error {
 	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout.Duration())
 	defer cancel()
-	name := g.quarantineName(entry.Key)
-	value, err := json.Marshal(Quarantine{SinceMs: time.Now().UnixMilli() - int64(entry.Age), Endpoints: entry.Endpoints})
+	name := g.quarantineName(key)
+	value, err := json.Marshal(q)
 	if err != nil {
 		return err
 	}
@@ -166,18 +263,12 @@
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		var stored Quarantine
-		if json.Unmarshal(conflict.Current.Value, &stored) == nil && len(stored.Endpoints) >= len(entry.Endpoints) {
-			err = nil // another process has written these crashes
-		} else {
-			_, err = g.Store.Put(ctx, name, conflict.Current.Version, value)
+		if json.Unmarshal(conflict.Current.Value, &stored) == nil && holds(&stored) {
+			return nil
 		}
+		_, err = g.Store.Put(ctx, name, conflict.Current.Version, value)
 	}
-	if err != nil {
-		return err
-	}
-	g.detector.Requests().MarkWritten(entry.Key, len(entry.Endpoints))
-	g.Log.Info("crashes under request written", "key", entry.Key, "crashes", len(entry.Endpoints), "ageMs", int64(entry.Age))
-	return nil
+	return err
 }
 
 func (g *Gateway) removeQuarantine(ctx context.Context, key crash.Key) error {
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -162,7 +162,13 @@
 	g.makeEndpoints()
 	g.limits = g.newHostLimits(ctx)
 	g.origins = g.newOrigins()
-	g.detector = detect.New(detect.WithClock(g.Clock), detect.WithLog(g.Log), detect.WithRegistry(g.Registry))
+	g.detector = detect.New(detect.WithClock(g.Clock), detect.WithLog(g.Log), detect.WithRegistry(g.Registry),
+		detect.WithPeers(detect.Peers{
+			Self: g.Name, OwnerFunc: func(subject string) string { return g.mesh.Owner(subject) }, ReportFunc: func() { g.mesh.ReportNow() },
+			AskFunc: func(ctx context.Context, to string, request *wire.PermitRequest) (*wire.Permit, error) {
+				return g.mesh.RequestPermit(ctx, to, request)
+			},
+		}))
 	g.gate = gate.New(gate.Settings{
 		Clock: g.Clock, Log: g.Log, Codec: g.Dialect.Codec, Registry: g.Registry, Name: g.Name, Zone: g.Zone,
 		Table: g.table.Load, View: g.endpoints.Snapshot, Starting: g.starting, AwaitConfig: g.awaitConfig, Deploy: g.deploy,
@@ -184,7 +190,7 @@
 		mesh.WithClock(g.Clock), mesh.WithLog(g.Log), mesh.WithPieces(g.acceptPieces, g.cancelPieces),
 		mesh.WithUnused(g.host.MarkUnused), mesh.WithHandovers(g.takeHandover),
 		mesh.WithLoads(g.collectLoads, g.setPeerWork), mesh.WithPrefixes(g.gate.AddPeerPrefixes), mesh.WithRefused(g.gate.AddPeerRefusals),
-		mesh.WithCrashes(g.detector.AddPeers), mesh.WithLimits(g.gate.Limits().ApplyPeer, g.gate.Limits().Grant),
+		mesh.WithCrashes(g.detector.AddPeers), mesh.WithLimits(g.gate.Limits().ApplyPeer, g.answerPermitRequest),
 		mesh.WithSpeeds(g.gate.Speeds().ApplyPeers), mesh.WithOrigins(g.origins.Take, g.origins.Answer, g.origins.Search), mesh.WithLost(g.abandonRequests, g.reclaimResults), mesh.WithIgnored(g.meter.countIgnored), mesh.WithFollower(g.follower()),
 		mesh.WithRelease(g.configVersion, g.refreshConfig), mesh.WithBulk(g.limits.bulk), mesh.WithSession(g.sessionOptions()...))
 	g.gate.Attach(g.mesh, g.host)
@@ -199,6 +205,15 @@
 	return []sess.Option{sess.WithDial(g.DialFunc)}
 }
 
+// answerPermitRequest answers a peer that asks for a permit of an endpoint or for the trial of
+// parts of a prompt.
+func (g *Gateway) answerPermitRequest(request *wire.PermitRequest) *wire.Permit {
+	if request.Trial != nil {
+		return g.detector.AnswerTrial(request.Trial)
+	}
+	return g.gate.Limits().Grant(request)
+}
+
 // makeEndpoints creates the registry of endpoints and, if rollouts are enabled, the
 // controller that carries them out.
 func (g *Gateway) makeEndpoints() {
@@ -297,7 +312,7 @@
 	members := newMembers(g.setMembers)
 	g.feeds.members = newFeed(g.Dialect.MemberKind, g.ChangeWithin, feed.WithPause(func() clock.Millis { return memberReadPause }),
 		feed.WithList(members.onList), feed.WithChanges(members.onChanges))
-	quarantines := newQuarantines(g.detector.SetStored)
+	quarantines := newQuarantines(g.detector)
 	g.feeds.quarantines = newFeed(g.Dialect.QuarantineKind, quarantineChangeWithin, feed.WithoutAge(),
 		feed.WithList(quarantines.onList), feed.WithChanges(quarantines.onChanges))
 	if g.deploy != nil {
