fix(detect): a crash under a part isn't held against the requests beside it

Callers saw 503 for sound requests: they had run beside requests with a part that crashes engines, were quarantined as wholes after three crashes without an answer, and their single trial failed at an engine that crashed under the part.

Now a crash that is counted for a part which was never answered isn't held against requests without it; those whose answer had begun wait 0.3 s for the report of a peer.

--- a/internal/flow/blame/blame.go
+++ b/internal/flow/blame/blame.go
@@ -375,6 +375,29 @@
 	return r.crashed() > 0
 }
 
+// Explains reports whether the crash of an engine is counted for a part that was never answered
+// at its version, and that a request with these parts doesn't hold.
+func (t *Tracker) Explains(engine string, parts []Part) bool {
+	if t.Empty() {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	explained := false
+	for _, r := range t.records {
+		for version, e := range r.versions {
+			if !slices.Contains(e.engines, engine) || e.answeredAt > 0 || t.sound.has(r.part.Key, version) {
+				continue
+			}
+			if slices.ContainsFunc(parts, func(p Part) bool { return p.Key == r.part.Key }) {
+				return false
+			}
+			explained = true
+		}
+	}
+	return explained
+}
+
 // Verdict is the decision on a prompt.
 type Verdict struct {
 	// Held are the parts that are held back, none if the request may be sent.
--- a/internal/flow/blame/blame_test.go
+++ b/internal/flow/blame/blame_test.go
@@ -49,6 +49,18 @@
 	assert.Assert(t, !isHeld(tracker, 50, "new", "newer", "other") && isHeld(tracker, 50, "x"))
 }
 
+// Guards against sound requests that are suspected of a crash under a part of another request.
+func TestCrashUnderAPartIsExplainedForOtherRequests(t *testing.T) {
+	tracker := blame.New()
+	tracker.RecordAnswer("e0", v1, parts("a"), 1)
+	assert.Assert(t, !tracker.Explains("e1", parts("a")))
+	crashed(tracker, "e1", 10, parts("a", "x"))
+	assert.Assert(t, tracker.Explains("e1", parts("a")) && tracker.Explains("e1", nil))
+	assert.Assert(t, !tracker.Explains("e1", parts("a", "x")) && !tracker.Explains("e2", parts("a")))
+	tracker.RecordAnswer("e3", v1, parts("x"), 20)
+	assert.Assert(t, !tracker.Explains("e1", parts("a")), "x was answered")
+}
+
 // Guards against a part of all requests that is held back because engines stop for another reason.
 func TestPartThatWasAnsweredNeedsSeparateCrashes(t *testing.T) {
 	tracker := blame.New()
--- a/internal/serve/detect/detect.go
+++ b/internal/serve/detect/detect.go
@@ -179,9 +179,10 @@
 		case attempt := <-d.probes:
 			slots <- struct{}{}
 			probes.Go(func() {
-				defer func() { <-slots }()
-				defer close(attempt.done)
-				d.countCrashes(ctx, attempt)
+				begun := d.countCrashes(ctx, attempt)
+				close(attempt.done)
+				<-slots
+				d.chargeBegun(ctx, begun)
 			})
 		case <-ctx.Done():
 			return
@@ -190,35 +191,60 @@
 }
 
 // countCrashes probes the endpoint of a failed attempt. If the endpoint has crashed, it
-// counts a crash for each request that the endpoint was running.
-func (d *Detector) countCrashes(ctx context.Context, failed Attempt) {
+// counts a crash for each request that the endpoint was running. It returns the attempts whose
+// answer the endpoint had begun, which chargeBegun counts.
+func (d *Detector) countCrashes(ctx context.Context, failed Attempt) (begun []Attempt) {
 	if !Crashed(ctx, failed.Target) {
 		if failed.Key != (crash.Key{}) {
 			d.Keep(failed) // the endpoint may still be about to end
 		}
-		return
+		return nil
 	}
 	if failed.Key != (crash.Key{}) {
 		d.Keep(failed)
 	}
 	_ = d.clock.Sleep(ctx, groupDelay) // without it, fewer are known that ran together
 	all := d.takeRecent(failed.Target.Endpoint, d.clock.Now())
-	endpoint := runOf(failed.Target)
-	var suspects [][]blame.Part
+	d.recordParts(failed.Target, all)
 	for _, attempt := range all {
-		crashes, quarantined := d.requests.RecordCrash(attempt.Key, endpoint, d.clock.Now())
-		d.meter.crashes.WithLabelValues(failed.Target.Pool).Inc()
-		d.log.Info("endpoint crashed under request", "request", attempt.Request, "key", attempt.Key, "pool", failed.Target.Pool,
-			"endpoint", failed.Target.ID, "born", failed.Target.StartedAt, "endedMs", int64(d.clock.Since(attempt.At)), "crashes", crashes, "parts", ids(attempt.Parts), "events", attempt.Events)
-		if quarantined {
-			d.recordQuarantine(attempt.Key, "crashes seen by this process")
-		}
-		// A request that is repeated as it was tells nothing new of its parts.
-		if crashes == 1 && attempt.Events == 0 && len(attempt.Parts) > 0 {
-			suspects = append(suspects, attempt.Parts)
+		if attempt.Events > 0 {
+			begun = append(begun, attempt)
+			continue
 		}
+		d.chargeRequest(&attempt)
+	}
+	return begun
+}
+
+// chargeBegun counts a crash for requests whose answer the endpoint had begun. Their culprit may
+// have come from a peer, which reports it meanwhile.
+func (d *Detector) chargeBegun(ctx context.Context, begun []Attempt) {
+	if len(begun) == 0 || d.clock.Sleep(ctx, peerReportTime) != nil {
+		return
+	}
+	for _, attempt := range begun {
+		d.chargeRequest(&attempt)
+	}
+}
+
+// peerReportTime is the time within which peers report a crash under a part.
+const peerReportTime = 300 * clock.Millis(1)
+
+// chargeRequest counts a crash for the request of an attempt, unless a part of another request
+// explains the crash.
+func (d *Detector) chargeRequest(attempt *Attempt) {
+	run := runOf(attempt.Target)
+	if d.parts.Explains(run, attempt.Parts) {
+		d.log.Info("request at a crashed endpoint not suspected", "request", attempt.Request, "endpoint", attempt.Target.ID, "events", attempt.Events)
+		return
+	}
+	crashes, quarantined := d.requests.RecordCrash(attempt.Key, run, d.clock.Now())
+	d.meter.crashes.WithLabelValues(attempt.Target.Pool).Inc()
+	d.log.Info("endpoint crashed under request", "request", attempt.Request, "key", attempt.Key, "pool", attempt.Target.Pool,
+		"endpoint", attempt.Target.ID, "born", attempt.Target.StartedAt, "endedMs", int64(d.clock.Since(attempt.At)), "crashes", crashes, "parts", ids(attempt.Parts), "events", attempt.Events)
+	if quarantined {
+		d.recordQuarantine(attempt.Key, "crashes seen by this process")
 	}
-	d.recordParts(failed.Target, suspects)
 }
 
 // Crashed reports whether an endpoint ended without a planned stop: it has restarted, or
--- a/internal/serve/detect/detect_test.go
+++ b/internal/serve/detect/detect_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/jujubescale/jujubescale/internal/flow/blame"
 	"github.com/jujubescale/jujubescale/internal/flow/crash"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/route/view"
@@ -156,3 +157,24 @@
 	assert.NilError(t, listener.Close())
 	assert.Assert(t, Crashed(t.Context(), e))
 }
+
+// Guards against sound requests that are quarantined because they repeatedly ran beside requests
+// with a part that crashes engines.
+func TestRequestsBesideACrashingPartAreNotSuspected(t *testing.T) {
+	d := newTestDetector(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	part := func(id string) []blame.Part { return []blame.Part{{Key: crash.PartKeyOf("p", "m", id), ID: id}} }
+	d.RecordAnswer("before", targetAt("e0", listener.Addr().String()), part("sound"))
+	for i := range 3 {
+		e, now := targetAt(fmt.Sprint("e", i+1), listener.Addr().String()), d.clock.Now()
+		d.Keep(Attempt{Request: "begun", Key: crash.Key{1}, Target: e, At: now, Parts: part("sound"), Events: 4})
+		d.Keep(Attempt{Request: "waiting", Key: crash.Key{2}, Target: e, At: now, Parts: part("sound")})
+		d.chargeBegun(t.Context(), d.countCrashes(t.Context(), Attempt{Request: "bad", Key: crash.Key{3, byte(i)}, Target: e, At: now, Parts: part("bad")}))
+	}
+	assert.Equal(t, d.Requests().Crashes(crash.Key{1})+d.Requests().Crashes(crash.Key{2}), 0)
+	for i := range 3 {
+		assert.Equal(t, d.Requests().Crashes(crash.Key{3, byte(i)}), 1)
+	}
+}
--- a/internal/serve/detect/parts.go
+++ b/internal/serve/detect/parts.go
@@ -145,8 +145,15 @@
 // runOf names the run of an endpoint from its start to its end.
 func runOf(t *target.Target) string { return t.ID + "/" + strconv.FormatInt(t.StartedAt, 10) }
 
-// recordParts counts a crash for the parts of the requests that waited for their first event.
-func (d *Detector) recordParts(t *target.Target, suspects [][]blame.Part) {
+// recordParts counts a crash for the parts of the requests that waited for their first event. A
+// request that is repeated as it was tells nothing new of its parts.
+func (d *Detector) recordParts(t *target.Target, attempts []Attempt) {
+	var suspects [][]blame.Part
+	for i := range attempts {
+		if a := &attempts[i]; a.Events == 0 && len(a.Parts) > 0 && d.requests.Crashes(a.Key) == 0 {
+			suspects = append(suspects, a.Parts)
+		}
+	}
 	if len(suspects) == 0 {
 		return
 	}
