fix(blame): trials and log lines don't grow with repeated reports

A gateway that was denied trials kept an instant for each part for ever, and logged a held part again with each repeat of its owner. Expire drops the instants; only parts that were not held are logged. Connections that end without a request no longer prepay later ones.

--- a/internal/flow/blame/blame.go
+++ b/internal/flow/blame/blame.go
@@ -265,7 +265,7 @@
 	return true
 }
 
-// AddReports records the reports of peers and returns the parts that they hold back.
+// AddReports records the reports of peers and returns the parts that are held back from now on.
 func (t *Tracker) AddReports(reports []Report, now clock.Millis) []Part {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -274,6 +274,7 @@
 	for i := range reports {
 		report := &reports[i]
 		r := t.records[report.Part.Key]
+		held := r != nil && t.holds(r, report.Version)
 		switch {
 		case report.Answer != NoAnswer:
 			t.sound.add(report.Part.Key, report.Version)
@@ -287,7 +288,7 @@
 			r = t.add(report, now)
 			t.rebut(r, report)
 		}
-		if t.holds(r, report.Version) {
+		if !held && t.holds(r, report.Version) {
 			began = append(began, report.Part)
 		}
 	}
@@ -478,11 +479,6 @@
 	if wait > 0 {
 		return false, wait
 	}
-	for key, until := range t.trials {
-		if until < now {
-			delete(t.trials, key)
-		}
-	}
 	t.postpone(parts, now+trialTime)
 	return true, 0
 }
--- a/internal/flow/blame/store.go
+++ b/internal/flow/blame/store.go
@@ -81,6 +81,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.publish()
+	for key, until := range t.trials {
+		if until < now {
+			delete(t.trials, key)
+		}
+	}
 	var inStore []crash.Key
 	for key, r := range t.records {
 		switch {
--- a/internal/guard/door/door.go
+++ b/internal/guard/door/door.go
@@ -228,6 +228,7 @@
 		b.offered += sampleWeight * (rate - b.offered)
 	}
 	b.arrived, b.sampled, b.sampledAt = 0, true, now
+	b.prepaid /= 2 // connections that end without a request
 	b.peersOffered = b.usage.PeersOffered / float64(max(b.usage.Peers, 1))
 }
 
