--- a/internal/ops/record/record.go
+++ b/internal/ops/record/record.go
@@ -87,7 +87,7 @@
 		switch {
 		case !ok:
 			history.Skipped++
-		case line.Value(logs.KeyRequest) == request || line.Value(keyResumes) == request:
+		case line.Value(logs.KeyRequest) == request || (request != "" && line.Value(keyResumes) == request):
 			history.Lines = append(history.Lines, line)
 		case (line.Message == endpointChanged || isLimit(&line)) && len(changes) < maxEndpointLines:
 			changes = append(changes, line)
