--- a/internal/flow/blame/trial.go
+++ b/internal/flow/blame/trial.go
@@ -114,4 +114,3 @@
 		t.trials[part.Key] = max(t.trials[part.Key], until)
 	}
 }
-
