fix(gate): an engine's first event counts although its caller has gone

A request whose caller left just as its first event arrived was kept as one that had waited for it: a crash of the engine within five seconds was charged to the parts of a sound prompt, and the event acquitted none. Found by reading; no test of its own yet, the write to the caller can't be made to fail at that moment by the stand-ins.

--- a/internal/serve/gate/pass.go
+++ b/internal/serve/gate/pass.go
@@ -119,6 +119,9 @@
 			return g.handleStreamEnd(w, req, t, reply, l, err)
 		}
 		timer.Reset()
+		if req.attemptEvents++; req.attemptEvents == 1 { // also if the caller has gone
+			g.Detector.RecordAnswer(req.Request, t, req.promptParts())
+		}
 		g.recordEvent(req, l, stream)
 		if req.eventCount == 0 {
 			req.firstEventTime = g.Clock.Since(req.began)
@@ -141,9 +144,6 @@
 		if err != nil {
 			return attemptResult{outcome: answered, err: fault.Refuse(fault.Cancelled, "the caller closed the connection")}
 		}
-		if req.attemptEvents++; req.attemptEvents == 1 {
-			g.Detector.RecordAnswer(req.Request, t, req.promptParts())
-		}
 		if req.eventCount++; req.eventCount == 1 {
 			g.recordOrigin(req, t.Endpoint)
 		}
