fix(blame): a doubled report of a crash counts once, also behind the eighth engine

Of more than eight engines the later ones were not kept, so that each of their reports by other gateways counted as a new crash and moved the next trial. The newest eight are kept now. TestDoubledReportsCountOnce fails on the code before.

--- a/internal/flow/blame/blame.go
+++ b/internal/flow/blame/blame.go
@@ -301,9 +301,10 @@
 	r := t.record(report.Part)
 	e := r.at(report.Version)
 	if !slices.Contains(e.engines, report.Engine) {
-		if len(e.engines) < maxEngines {
-			e.engines = append(e.engines, report.Engine)
+		if len(e.engines) >= maxEngines {
+			e.engines = slices.Delete(e.engines, 0, 1)
 		}
+		e.engines = append(e.engines, report.Engine)
 		if e.separate == 0 || now-e.lastCrash >= togetherSpan {
 			e.separate++
 		}
--- a/internal/flow/blame/blame_test.go
+++ b/internal/flow/blame/blame_test.go
@@ -200,6 +200,20 @@
 	assert.Assert(t, !isHeld(tracker, 601, "x"), "lifted by an operator")
 }
 
+// Guards against a crash that each late or doubled report counts again once many engines have crashed.
+func TestDoubledReportsCountOnce(t *testing.T) {
+	tracker := blame.New()
+	report := func(engine int) []blame.Report {
+		return []blame.Report{{Part: parts("x")[0], Version: v1, Engine: fmt.Sprint("e", engine), Alone: true}}
+	}
+	for engine := range 12 {
+		tracker.AddReports(report(engine), 10)
+	}
+	wait := tracker.Check(parts("x"), v1, 1000).Wait
+	tracker.AddReports(report(11), 1000)
+	assert.Equal(t, tracker.Check(parts("x"), v1, 1000).Wait, wait)
+}
+
 // Guards against memory that grows with the parts that callers name.
 func TestTrackerIsBounded(t *testing.T) {
 	tracker := blame.New()
