fix(gate): a part that is held back doesn't use up the trial of a request

The trial of a quarantined request was taken before the parts of its prompt were looked at. If one was held back, no endpoint got the request, and it stayed refused for a quarter of an hour. Found by reading.

--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -125,12 +125,13 @@
 			g.retryBudget.Earn(req.pool.Name)
 			req.timeToSend = g.Clock.Since(req.began)
 		}
-		refused := g.refuseQuarantinedAttempt(req)
+		refused := g.refuseVersion(ctx, req, chosen.target.Version)
+		if refused != nil && g.otherVersion(req) {
+			chosen.room.Release()
+			continue
+		}
 		if refused == nil {
-			if refused = g.refuseVersion(ctx, req, chosen.target.Version); refused != nil && g.otherVersion(req) {
-				chosen.room.Release()
-				continue
-			}
+			refused = g.refuseQuarantinedAttempt(req) // takes the only trial of the request
 		}
 		if refused != nil {
 			chosen.room.Release()
