fix(gate): the time to return of a part that is held back holds

It was spread by a quarter in both directions, so that half of the callers came back before the next trial was due, and were refused again. Now it is spread behind that instant.

--- a/internal/serve/gate/crash.go
+++ b/internal/serve/gate/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -119,12 +120,19 @@
 	var held *detect.HeldError
 	if errors.As(err, &held) {
 		req.barred = append(req.barred, version)
-		return &fault.RefusalError{Reason: fault.Quarantined, Ran: fault.NotRun, RetryAfter: jitter(max(held.Wait, minPartRetry)), Detail: held.Error()}
+		return &fault.RefusalError{Reason: fault.Quarantined, Ran: fault.NotRun, RetryAfter: partRetry(held.Wait), Detail: held.Error()}
 	}
 	req.isTrial, req.trial = trial, version
 	return nil
 }
 
+// partRetry returns the time after which a caller returns: not before the trial of its part is due,
+// and apart from others.
+func partRetry(wait clock.Millis) clock.Millis {
+	wait = max(wait, minPartRetry)
+	return wait + rand.N(wait/4+1)
+}
+
 // otherVersion reports whether the pool has engines of a version that the request may go to.
 func (g *Gate) otherVersion(req *request) bool {
 	return slices.ContainsFunc(g.View().Pool(req.pool.Name), func(e *view.Endpoint) bool { return !slices.Contains(req.barred, e.Version) })
