fix(door): processes that state no rate of requests don't count as idle

While processes of the version before are replaced, each new one took the others for idle, and itself for pressed: it would have closed connections under a load that is the same everywhere. The reports state how many processes their sum is of. Found by reading.

--- a/internal/guard/door/door.go
+++ b/internal/guard/door/door.go
@@ -71,7 +71,7 @@
 	// Link is the share of the link's bandwidth that answers use.
 	Link float64
 	// PeersOffered is the number of requests that callers brought to all other processes in the
-	// last second, and Peers the number of these processes.
+	// last second, and Peers the number of those that state it.
 	PeersOffered float64
 	Peers        int
 }
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -404,7 +404,8 @@
 }
 
 // RequestRate is the name under which PendingArrivals holds the requests that callers brought to
-// the sender in the last second, instead of the pieces for a pool.
+// the sender in the last second, and the number of processes that state them, instead of the
+// pieces for a pool.
 const RequestRate = "\x00requests"
 
 // PendingArrivals counts the pieces that will be sent to one pool, by class of rank.
--- a/internal/serve/router/door.go
+++ b/internal/serve/router/door.go
@@ -12,9 +12,9 @@
 // newDoor returns the book that decides on new connections of callers.
 func (g *Gateway) newDoor(limits door.Limits, files func() int64) *door.Book {
 	return door.New(limits, func() door.Usage {
-		usage := door.Usage{Link: g.limits.pacer.Used(g.Clock.Now()), Peers: g.mesh.Count() - 1}
-		for _, requests := range g.mesh.PendingArrivals(wire.RequestRate) {
-			usage.PeersOffered += float64(requests)
+		usage := door.Usage{Link: g.limits.pacer.Used(g.Clock.Now())}
+		if sums := g.mesh.PendingArrivals(wire.RequestRate); len(sums) > 1 {
+			usage.PeersOffered, usage.Peers = float64(sums[0]), sums[1]
 		}
 		if limits.Memory > 0 {
 			usage.Memory = usedMemory()
