fix(door): a gateway that is ready takes a connection each second

Memory above its share for long, or requests that always wait, closed every new connection, while the gateway said that it is ready. TestPressedGatewayTakesSomeConnections fails on the code before: 200 of 200 closed.

--- a/internal/guard/door/door.go
+++ b/internal/guard/door/door.go
@@ -41,6 +41,9 @@
 	// maxWait is how long the first request of a connection may have waited until it is read.
 	// Callers wait a second or less for that.
 	maxWait = 200 * clock.Millis(1)
+	// maxClosed is how long no connection may be accepted at most: the balancer counts on a process
+	// that is ready.
+	maxClosed = clock.Second
 	// fullSpan is how long endpoints without a free connection count.
 	fullSpan = 200 * clock.Millis(1)
 	// sampleSpan is the time between two samples, sampleWeight the weight of the newest in the
@@ -103,6 +106,8 @@
 	budget   float64
 	budgetAt clock.Millis
 	prepaid  int
+	// acceptedAt is when a connection was accepted last.
+	acceptedAt clock.Millis
 	// openCounted is the number of open requests when the file descriptors were counted last.
 	openCounted int64
 }
@@ -167,9 +172,12 @@
 	b.sample(now)
 	b.refill(now)
 	reason := Accepted
-	if b.uneven() {
+	if b.uneven() && now-b.acceptedAt < maxClosed {
 		reason = b.lacking(wait, connections, now)
 	}
+	if reason == Accepted {
+		b.acceptedAt = now
+	}
 	switch {
 	case reason != Accepted:
 		b.arrived++
--- a/internal/guard/door/door_test.go
+++ b/internal/guard/door/door_test.go
@@ -84,3 +84,10 @@
 	assert.Equal(t, b.Admit(0, 1, 1100), door.Endpoints)
 	assert.Equal(t, b.Admit(0, 1, 1300), door.Accepted)
 }
+
+// Guards against a process that is ready and takes no connection, because what it lacks stays away.
+func TestPressedGatewayTakesSomeConnections(t *testing.T) {
+	usage := door.Usage{Peers: 5, PeersOffered: 10, Memory: 99, Files: 999}
+	closed, _ := play(door.Limits{Memory: 100, Files: 1000}, usage, 50, clock.Second)
+	assert.Assert(t, closed < 4*50, "%d of %d closed", closed, 4*50)
+}
