--- a/internal/serve/detect/parts.go
+++ b/internal/serve/detect/parts.go
@@ -60,7 +60,8 @@
 
 // AdmitParts decides whether a request whose prompt has these shared parts may be sent to an
 // engine of a version. It reports whether the request is the trial of parts that are held back; one
-// under which an engine has crashed before is only if no other was for a while. If it may not be sent, the error is a *HeldError.
+// under which an engine has crashed before is only if no other was for a while. If it may not be
+// sent, the error is a *HeldError.
 func (d *Detector) AdmitParts(ctx context.Context, request string, key crash.Key, parts []blame.Part, version string) (trial bool, err error) {
 	verdict := d.parts.Check(parts, version, d.clock.Now())
 	if len(verdict.Held) == 0 {
--- a/internal/serve/gate/crash.go
+++ b/internal/serve/gate/crash.go
@@ -163,8 +163,7 @@
 // CheckRemovedEndpoint looks whether an endpoint whose entry was removed has crashed.
 func (g *Gate) CheckRemovedEndpoint(e *view.Endpoint) { g.Detector.ProbeAgain(g.targets.Get(e)) }
 
-// recordAttempt updates the crash detection with the result of an attempt.
-// It returns a channel that is closed once the crash that broke off the attempt is counted, nil if
+// recordAttempt updates the crash detection with the result of an attempt. It returns a channel that is closed once the crash that broke off the attempt is counted, nil if
 // there is nothing to wait for.
 func (g *Gate) recordAttempt(ctx context.Context, req *request, t *target.Target, result attemptResult) <-chan struct{} {
 	attempt := detect.Attempt{
