feat(feed): log ignored older states of the store, and its era

The records of CONFIG and DRAIN don't show which revision a list, update or confirmation had that was ignored, nor Store-Era. Both tell a store that came back from a copy from a replica that answers old states. No decision reads the era.

--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -99,6 +99,9 @@
 type Listing struct {
 	Objects  []Object
 	Revision uint64
+	// Era is the era that the store states, 0 if it states none. It rises when the store comes
+	// back from a copy, after which revisions may be lower than before.
+	Era uint64
 }
 
 // Change is one object that was written or deleted.
@@ -107,10 +110,11 @@
 	Deleted bool
 }
 
-// Changes holds changes in order, up to a revision.
+// Changes holds changes in order, up to a revision of an era; see Listing.
 type Changes struct {
 	Changes  []Change
 	Revision uint64
+	Era      uint64
 }
 
 // HistoryError is returned when the store has dropped some of the requested
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -79,8 +79,13 @@
 	outage  *Outage
 	down    atomic.Bool
 
+	// era is the store's era in its last answer.
+	era atomic.Uint64
+
 	mu    sync.Mutex
 	state state
+	// olderLogged holds by source the known revision at which an older state was last logged.
+	olderLogged map[string]uint64
 }
 
 // Option configures a Feed.
@@ -139,6 +144,7 @@
 func New(kind string, from *store.Store, opts ...Option) *Feed {
 	f := &Feed{
 		kind: kind, store: from, clock: clock.New(), log: log.New(io.Discard), listRequested: make(chan struct{}, 1), relayChanged: make(chan struct{}, 1), outage: NewOutage(),
+		olderLogged:  make(map[string]uint64),
 		wait:         func() clock.Millis { return defaultWait },
 		pause:        func() clock.Millis { return 0 },
 		backoffLimit: func() clock.Millis { return MaxBackoff },
@@ -213,6 +219,7 @@
 		return
 	}
 	f.recordAnswer()
+	f.recordEra(listing.Era)
 	f.applyList(listing.Objects, listing.Revision, listing.Revision, f.lostFor, sentAt)
 	f.lostFor = 0
 }
@@ -245,6 +252,7 @@
 			f.handleFailure(ctx, err)
 			return
 		}
+		f.recordEra(changes.Era)
 		if f.recordAnswer(); f.lostFor > 0 {
 			// Entries may have expired during the outage. The list holds the
 			// remaining ones, and its handler gets the duration of the outage.
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -193,6 +193,7 @@
 	required := s.listDue || !s.listed
 	s.listDue = false
 	if s.listed && revision < s.revision {
+		f.logOlder("list", revision)
 		return // an older answer shows nothing about the known revision
 	}
 	s.confirmedAt = max(s.confirmedAt, at)
@@ -216,6 +217,7 @@
 	defer f.mu.Unlock()
 	s := &f.state
 	if revision < s.revision {
+		f.logOlder("changes", revision)
 		return s.revision
 	}
 	s.confirmedAt = max(s.confirmedAt, at)
@@ -241,6 +243,23 @@
 	return s.revision
 }
 
+// logOlder logs an answer or a message that is ignored because its revision is lower than the
+// known one, once for each known revision and source. The caller holds the lock.
+func (f *Feed) logOlder(source string, revision uint64) {
+	if f.olderLogged[source] == f.state.revision {
+		return
+	}
+	f.olderLogged[source] = f.state.revision
+	f.log.Info("older state ignored", "kind", f.kind, "source", source, "revision", revision, "known", f.state.revision, "era", f.era.Load())
+}
+
+// recordEra records the era that an answer of the store states and logs a change.
+func (f *Feed) recordEra(era uint64) {
+	if before := f.era.Swap(era); before != era {
+		f.log.Info("store era changed", "kind", f.kind, "before", before, "era", era)
+	}
+}
+
 // isOld reports whether a change was applied before. That happens when changes
 // from a peer and from the store overlap. The caller holds the lock.
 func (f *Feed) isOld(change store.Change, since uint64) bool {
@@ -274,6 +293,9 @@
 func (f *Feed) Apply(update *wire.Update, now clock.Millis) (missing bool) {
 	at := now - update.Age
 	if known, listed := f.knownRevision(); listed && update.Revision < known {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.logOlder("update of a peer", update.Revision)
 		return false
 	}
 	if update.Whole {
@@ -302,6 +324,7 @@
 	}
 	f.state.missingSince = 0
 	if progress.Revision < f.state.revision {
+		f.logOlder("confirmation of a peer", progress.Revision)
 		f.mu.Unlock()
 		return false // an older answer shows nothing about the known revision
 	}
