--- /dev/null
+++ b/internal/serve/router/restore_test.go
@@ -0,0 +1,174 @@
+package router_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/platform/stand"
+)
+
+// drill is a return of the store from a copy.
+type drill struct {
+	// lost is the number of acknowledged writes that the copy lacks, besides those of the test.
+	// away is how long the store doesn't answer before it returns.
+	lost int
+	away time.Duration
+}
+
+func (d drill) String() string { return fmt.Sprintf("%d lost, away %v", d.lost, d.away) }
+
+// drills are the returns that tests play; the writes that follow one bring the revision past
+// that of before only with few lost ones.
+func drills() []drill {
+	return []drill{{0, 0}, {3, 0}, {20, 300 * time.Millisecond}, {200, 0}, {200, 3 * time.Second}, {1000, 300 * time.Millisecond}}
+}
+
+// lose makes a number of writes that nothing depends on.
+func (b *bench) lose(writes int) {
+	for i := range writes {
+		b.Store.Put("notes", fmt.Sprint(i), map[string]any{})
+	}
+}
+
+// restore plays the return from a copy.
+func (b *bench) restore(d drill, from *stand.StoreCopy) {
+	if d.away > 0 {
+		b.Store.SetFault(stand.StoreFault{Status: http.StatusServiceUnavailable})
+		time.Sleep(d.away)
+	}
+	b.Store.Restore(from)
+	b.Store.SetFault(stand.StoreFault{})
+}
+
+// rewrite writes again what the operator and the engines have written.
+func (b *bench) rewrite() {
+	b.WriteConfig(&b.Config)
+	for _, e := range b.Engines("") {
+		b.RegisterAgain(e)
+	}
+}
+
+// addRoute publishes a version with one more route and returns a request of it.
+func (b *bench) addRoute(name string) func() *stand.Request {
+	b.Config.Routes = append(b.Config.Routes, stand.Route{
+		Name: name, Host: "orders.example", Prefix: "/" + name + "/", Kind: "safe", Service: orders, TimeoutMs: 3000, SloMs: 300, Attempts: 2, Priority: 1,
+	})
+	b.Publish()
+	return func() *stand.Request {
+		s := lookup()
+		s.Path = "/" + name + "/x"
+		return s
+	}
+}
+
+// Guards against versions that no gateway takes because the revisions of a store that came back
+// from a copy are lower than those that it knows.
+func TestVersionsAreInForceInTimeAfterTheStoreWasRestored(t *testing.T) {
+	for _, d := range drills() {
+		t.Run(d.String(), func(t *testing.T) {
+			t.Parallel()
+			b := start(t, 3)
+			from := b.Store.Copy()
+			b.lose(d.lost)
+			time.Sleep(time.Second)
+			b.restore(d, from)
+			b.rewrite()
+			for i := range 3 {
+				request := b.addRoute(fmt.Sprintf("after-%d", i))
+				time.Sleep(2 * time.Second)
+				for _, g := range b.gateways {
+					assert.Equal(t, b.send(g, request()).Status, http.StatusOK, "version %d at %s", i, g.address)
+				}
+			}
+		})
+	}
+}
+
+// Guards against requests and pieces for an engine whose leaving the store acknowledged with a
+// revision that it had given out before it came back from a copy.
+func TestEngineDrainedAfterTheStoreWasRestoredGetsNoRequests(t *testing.T) {
+	for name, test := range stateCases() {
+		for _, d := range drills() {
+			t.Run(name+", "+d.String(), func(t *testing.T) {
+				t.Parallel()
+				b := start(t, 3)
+				from := b.Store.Copy()
+				b.lose(d.lost)
+				time.Sleep(time.Second)
+				b.restore(d, from)
+				b.rewrite()
+				leaving := b.Engines(test.service)[0]
+				b.Drain(leaving)
+				told := time.Now()
+				b.loadAll(4*time.Second, test.request)
+				assert.Equal(t, b.Ledger.CountArrivalsAt(leaving, told.Add(2*time.Second)), 0)
+			})
+		}
+	}
+}
+
+// loadAll sends requests to all gateways, one every 20 ms, and waits for their answers.
+func (b *bench) loadAll(span time.Duration, request func() *stand.Request) []stand.Outcome {
+	var mu sync.Mutex
+	var outcomes []stand.Outcome
+	var group sync.WaitGroup
+	for end, i := time.Now().Add(span), 0; time.Now().Before(end); i++ {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			got := b.send(b.gateways[i%len(b.gateways)], request())
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes = append(outcomes, got)
+		}()
+		time.Sleep(20 * time.Millisecond)
+	}
+	group.Wait()
+	return outcomes
+}
+
+// Guards against an older state that comes back into force with the copy: a revoked key, a drained
+// engine, an evacuated zone and a new route, until they are written again.
+func TestAcknowledgedStateHoldsUntilItIsWrittenAgain(t *testing.T) {
+	for _, d := range []drill{{0, 0}, {200, 0}, {200, time.Second}} {
+		t.Run(d.String(), func(t *testing.T) {
+			t.Parallel()
+			b := start(t, 3)
+			from := b.Store.Copy()
+			b.lose(d.lost)
+			leaving := b.Engines(orders)[0]
+			b.Config.Tenants[0].Keys = []string{"new-key"}
+			request := b.addRoute("lost")
+			b.Drain(leaving)
+			b.Evacuate(zoneB)
+			time.Sleep(2 * time.Second)
+			told := time.Now()
+			b.restore(d, from)
+			for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				for _, g := range b.gateways {
+					assert.Equal(t, b.send(g, lookup()).Status, http.StatusUnauthorized)
+					s := request()
+					s.Key = "new-key"
+					assert.Equal(t, b.send(g, s).Status, http.StatusServiceUnavailable)
+				}
+			}
+			for _, e := range b.Engines(orders) {
+				assert.Equal(t, b.Ledger.CountArrivalsAt(e, told), 0)
+			}
+			b.Register(leaving, false, 0)
+			b.Evacuate(zoneB)
+			b.rewrite()
+			b.EndEvacuation(zoneB)
+			b.sendUntil(b.gateways[0], func() *stand.Request {
+				s := request()
+				s.Key = "new-key"
+				return s
+			}, func(got stand.Outcome) bool { return got.Complete })
+		})
+	}
+}
