--- a/internal/cli/quar/quar.go
+++ b/internal/cli/quar/quar.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	if object.Version == 0 {
+	if object.Version.IsZero() {
 		return exit.With(exit.NotFound, fmt.Errorf("no crashes are recorded for %s", key))
 	}
 	if err := objects.Delete(cmd.Context(), name, object.Version); err != nil {
--- a/internal/cli/rolls/rolls.go
+++ b/internal/cli/rolls/rolls.go
@@ -92,7 +92,7 @@
 // pool has none.
 func read(ctx context.Context, objects *store.Store, pool string) (store.Object, error) {
 	object, err := objects.Get(ctx, nameOf(pool))
-	if err == nil && object.Version == 0 {
+	if err == nil && object.Version.IsZero() {
 		err = exit.With(exit.NotFound, fmt.Errorf("pool %q has no rollout", pool))
 	}
 	return object, err
@@ -141,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	if r := rolloutOf(previous); previous.Version > 0 && (r.State == stateOrdered || r.State == string(canary.Running)) {
+	if r := rolloutOf(previous); !previous.Version.IsZero() && (r.State == stateOrdered || r.State == string(canary.Running)) {
 		return exit.With(exit.Conflict, fmt.Errorf("pool %q already has a rollout to version %q", r.Pool, r.Version))
 	}
 	raw, err := platform.EncodeOrder(order)
@@ -232,13 +232,17 @@
 // await waits for the next change of a pool's order after a revision. It returns the
 // changed object and the revision up to which the changes were read, or an error with
 // the code NotFound if the order was deleted.
-func await(ctx context.Context, objects *store.Store, pool string, revision uint64) (store.Object, uint64, error) {
+func await(ctx context.Context, objects *store.Store, pool string, revision store.Revision) (store.Object, store.Revision, error) {
 	for {
 		changes, err := objects.Follow(ctx, platform.KindRollouts, revision, watchWait)
 		if err != nil {
 			return store.Object{}, revision, err
 		}
-		revision = max(revision, changes.Revision)
+		if changes.Revision.Era != revision.Era {
+			object, err := read(ctx, objects, pool)
+			return object, changes.Revision, err
+		}
+		revision = store.Latest(revision, changes.Revision)
 		for _, change := range changes.Changes {
 			switch {
 			case change.Object.Name != nameOf(pool):
--- a/internal/engine/order/model_test.go
+++ b/internal/engine/order/model_test.go
@@ -49,7 +49,7 @@
 }
 
 type write struct {
-	want  uint64
+	want  store.Revision
 	value []byte
 }
 
@@ -61,7 +61,7 @@
 }
 
 func (s *simulation) String() string {
-	text := fmt.Sprintf("%d %d %s %d %v %d", s.now, s.leaseObject.Version, s.leaseObject.Value, s.faults, s.applied, s.highest)
+	text := fmt.Sprintf("%d %v %s %d %v %d", s.now, s.leaseObject.Version, s.leaseObject.Value, s.faults, s.applied, s.highest)
 	for _, m := range s.messages {
 		text += fmt.Sprintf(" %d@%d:%v", m.order.Fence, m.sent, m.arrived)
 	}
@@ -73,7 +73,7 @@
 	if s.leaseObject.Version != w.want {
 		return false
 	}
-	s.leaseObject = store.Object{Name: "l", Version: w.want + 1, Value: w.value}
+	s.leaseObject = store.Object{Name: "l", Version: store.At(w.want.Number + 1), Value: w.value}
 	return true
 }
 
@@ -86,7 +86,7 @@
 			a.Note(fmt.Sprint("got", s.leaseObject.Version))
 			return s.leaseObject, nil
 		},
-		PutFunc: func(_ context.Context, _ string, want uint64, value []byte) (store.Object, error) {
+		PutFunc: func(_ context.Context, _ string, want store.Revision, value []byte) (store.Object, error) {
 			a.Step("put")
 			w := write{want: want, value: value}
 			kinds := 1
--- a/internal/flow/claim/book.go
+++ b/internal/flow/claim/book.go
@@ -54,7 +54,7 @@
 // Hold is a claim that this process created and has to finish.
 type Hold struct {
 	name    string
-	version uint64
+	version store.Revision
 	record  Record
 }
 
@@ -181,17 +181,17 @@
 }
 
 // execute runs one step against the platform's store.
-func (r *Registry) execute(ctx context.Context, name string, step Step, record Record) (Event, uint64, Record) {
+func (r *Registry) execute(ctx context.Context, name string, step Step, record Record) (Event, store.Revision, Record) {
 	if step.Action == Lookup {
 		object, err := r.store.Get(ctx, name)
 		if err != nil {
-			return Unavailable, 0, Record{}
+			return Unavailable, store.Revision{}, Record{}
 		}
 		return eventOf(Read, object)
 	}
 	value, err := json.Marshal(record)
 	if err != nil {
-		return Unavailable, 0, Record{}
+		return Unavailable, store.Revision{}, Record{}
 	}
 	object, err := r.store.Put(ctx, name, step.Version, value)
 	var conflict *store.ConflictError
@@ -202,17 +202,17 @@
 	case errors.As(err, &conflict):
 		return eventOf(Conflict, conflict.Current)
 	case errors.As(err, &unavailable):
-		return Unavailable, 0, Record{}
+		return Unavailable, store.Revision{}, Record{}
 	default:
 		// After any other error the write may have taken effect.
-		return Indeterminate, 0, Record{}
+		return Indeterminate, store.Revision{}, Record{}
 	}
 }
 
 // eventOf returns the arguments of Claimer.Next for an object that was read.
-func eventOf(event Event, object store.Object) (Event, uint64, Record) {
-	if object.Version == 0 {
-		return event, 0, Record{}
+func eventOf(event Event, object store.Object) (Event, store.Revision, Record) {
+	if object.Version.IsZero() {
+		return event, store.Revision{}, Record{}
 	}
 	record, err := Decode(object.Value)
 	if err != nil {
@@ -274,7 +274,7 @@
 // writeUntilKnown repeats a conditional write until it is known whether it took
 // effect, at most writeAttempts times. The condition ensures that at most one of
 // the writes takes effect.
-func (r *Registry) writeUntilKnown(ctx context.Context, name string, version uint64, record Record) error {
+func (r *Registry) writeUntilKnown(ctx context.Context, name string, version store.Revision, record Record) error {
 	backoff := writeBackoff
 	var err error
 	for range writeAttempts {
@@ -302,7 +302,7 @@
 		object, err := r.store.Get(ctx, name)
 		if err == nil {
 			_, version, current := eventOf(Read, object)
-			if version != 0 && current.Nonce == record.Nonce {
+			if !version.IsZero() && current.Nonce == record.Nonce {
 				record.State = NotRun
 				_ = r.writeUntilKnown(ctx, name, version, record)
 			}
--- a/internal/flow/claim/book_test.go
+++ b/internal/flow/claim/book_test.go
@@ -33,14 +33,14 @@
 	return m.objects[name], nil
 }
 
-func (m *fakeStore) put(_ context.Context, name string, want uint64, value []byte) (store.Object, error) {
+func (m *fakeStore) put(_ context.Context, name string, want store.Revision, value []byte) (store.Object, error) {
 	if m.down {
 		return store.Object{}, &store.UnavailableError{Name: name}
 	}
 	if m.objects[name].Version != want {
 		return store.Object{}, &store.ConflictError{Name: name, Want: want, Current: m.objects[name]}
 	}
-	m.objects[name] = store.Object{Name: name, Version: want + 1, Value: value}
+	m.objects[name] = store.Object{Name: name, Version: store.At(want.Number + 1), Value: value}
 	if m.loseAnswers > 0 {
 		m.loseAnswers--
 		return store.Object{}, &store.UnknownError{Name: name, Cause: errors.New("connection reset")}
@@ -48,7 +48,7 @@
 	return m.objects[name], nil
 }
 
-func (m *fakeStore) remove(_ context.Context, name string, want uint64) error {
+func (m *fakeStore) remove(_ context.Context, name string, want store.Revision) error {
 	if m.objects[name].Version != want {
 		return &store.ConflictError{Name: name, Want: want}
 	}
--- a/internal/flow/claim/claim.go
+++ b/internal/flow/claim/claim.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 
 	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/plat/store"
 )
 
 // State is what is known about the call of a claim.
@@ -99,7 +100,7 @@
 // Step is what the caller of a Claimer has to do next.
 type Step struct {
 	Action  Action
-	Version uint64
+	Version store.Revision
 	Current Record
 	Reason  fault.Reason
 	Ran     fault.Ran
@@ -116,7 +117,7 @@
 type Claimer struct {
 	record        Record
 	nowMs         int64
-	expected      uint64
+	expected      store.Revision
 	indeterminate bool
 	steps         int
 }
@@ -126,7 +127,7 @@
 func NewClaimer(record Record, nowMs int64) Claimer { return Claimer{record: record, nowMs: nowMs} }
 
 // Begin returns the first step: create the object if it does not exist.
-func (c *Claimer) Begin() Step { return Step{Action: Write, Version: 0} }
+func (c *Claimer) Begin() Step { return Step{Action: Write, Version: store.Revision{}} }
 
 // Next returns the step after an event.
 //
@@ -134,7 +135,7 @@
 // nonce of this attempt. If the object has not changed, the same write is sent
 // again. Both writes have the same condition and nonce, so that at most one of
 // them takes effect.
-func (c *Claimer) Next(event Event, version uint64, current Record) Step {
+func (c *Claimer) Next(event Event, version store.Revision, current Record) Step {
 	c.steps++
 	if c.steps >= maxSteps && event != Wrote {
 		return c.refuseUnavailable()
@@ -158,11 +159,11 @@
 }
 
 // decide returns the step for the stored claim.
-func (c *Claimer) decide(version uint64, current Record) Step {
+func (c *Claimer) decide(version store.Revision, current Record) Step {
 	switch {
-	case version == 0:
+	case version.IsZero():
 		// The object existed and was deleted by a sweep since.
-		return c.write(0)
+		return c.write(store.Revision{})
 	case current.Nonce == c.record.Nonce:
 		return Step{Action: Run, Version: version}
 	case current.Fingerprint != c.record.Fingerprint:
@@ -182,7 +183,7 @@
 	}
 }
 
-func (c *Claimer) write(version uint64) Step {
+func (c *Claimer) write(version store.Revision) Step {
 	c.expected = version
 	return Step{Action: Write, Version: version}
 }
--- a/internal/flow/claim/model_test.go
+++ b/internal/flow/claim/model_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/plat/store"
 )
 
 // The model explores every interleaving of two attempts to claim one key, with
@@ -30,13 +31,13 @@
 )
 
 type object struct {
-	version uint64
+	version store.Revision
 	nonce   string
 	state   State
 }
 
 type pendingWrite struct {
-	want uint64
+	want store.Revision
 	object
 }
 
@@ -94,7 +95,7 @@
 	}
 	w.history = append(append([]object{}, w.history...), w.stored)
 	w.stored = p.object
-	w.stored.version = p.want + 1
+	w.stored.version = store.At(p.want.Number + 1)
 	return true
 }
 
--- a/internal/flow/claim/sweep.go
+++ b/internal/flow/claim/sweep.go
@@ -55,7 +55,7 @@
 // it did.
 func (r *Registry) deleteExpired(ctx context.Context, name string) bool {
 	object, err := r.store.Get(ctx, name)
-	if err != nil || object.Version == 0 {
+	if err != nil || object.Version.IsZero() {
 		return false
 	}
 	record, err := Decode(object.Value)
--- a/internal/flow/sums/sums.go
+++ b/internal/flow/sums/sums.go
@@ -161,7 +161,7 @@
 		}
 	}
 	for _, progress := range sums.Progress {
-		if progress.Age < 0 || progress.Changed > progress.Revision {
+		if !progress.Valid() {
 			return &ReportError{Process: from.Process, Cause: fmt.Sprintf("invalid revision of %q", progress.Kind)}
 		}
 	}
--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -1,7 +1,10 @@
 package wire
 
 import (
+	"slices"
+
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/epoch"
 	"github.com/jujubescale/jujubescale/internal/base/token"
 )
 
@@ -46,6 +49,9 @@
 	// Trials replaces the trials sent before, if HasTrials is set.
 	HasTrials bool    `cbor:"hasTrials,omitempty"`
 	Trials    []Trial `cbor:"trials,omitempty"`
+	// Holds lists the objects that the sender keeps although the store has lost them, a message
+	// for each kind. It is sent once on a session.
+	Holds []*Update `cbor:"lost,omitempty"`
 	// Speeds holds the endpoints whose speeds changed. Each replaces the one that the sender
 	// sent before.
 	Speeds []Speed `cbor:"speeds,omitempty"`
@@ -147,11 +153,26 @@
 // milliseconds ago.
 type Progress struct {
 	Kind     string       `cbor:"kind"`
+	Era      uint64       `cbor:"era,omitempty"`
 	Revision uint64       `cbor:"revision"`
 	Changed  uint64       `cbor:"changed"`
 	Age      clock.Millis `cbor:"age"`
 }
 
+// At returns the revision up to which the sender has read.
+func (p *Progress) At() epoch.Revision { return epoch.Revision{Era: p.Era, Number: p.Revision} }
+
+// ChangedAt returns the revision of the last change that the sender has read.
+func (p *Progress) ChangedAt() epoch.Revision { return epoch.Revision{Era: p.Era, Number: p.Changed} }
+
+// Valid reports whether the last change is within the revision that was read.
+func (p *Progress) Valid() bool { return p.Age >= 0 && !p.At().Before(p.ChangedAt()) }
+
+// AnyOlder reports whether the store last confirmed some kind of objects longer ago than bound.
+func AnyOlder(progress []Progress, bound clock.Millis) bool {
+	return slices.ContainsFunc(progress, func(p Progress) bool { return p.Age > bound })
+}
+
 // Follow requests that a peer forward the changes of some kinds of objects that are
 // newer than the given revisions.
 type Follow struct {
@@ -162,11 +183,14 @@
 // Revision or, if Whole is set, all objects as of Revision.
 type Update struct {
 	Kind     string       `cbor:"kind"`
+	Era      uint64       `cbor:"era,omitempty"`
 	Since    uint64       `cbor:"since,omitempty"`
 	Revision uint64       `cbor:"revision"`
 	Changed  uint64       `cbor:"changed"`
 	Whole    bool         `cbor:"whole,omitempty"`
 	Age      clock.Millis `cbor:"age,omitempty"`
+	// Lost is set if Objects are not changes, but objects that the store has lost.
+	Lost bool `cbor:"lost,omitempty"`
 	// Outage is how long the store was unreachable before.
 	Outage  clock.Millis `cbor:"away,omitempty"`
 	Objects []Stored     `cbor:"objects,omitempty"`
@@ -174,6 +198,18 @@
 	Packed *Packed `cbor:"packed,omitempty"`
 }
 
+// At returns the revision up to which the update goes.
+func (u *Update) At() epoch.Revision { return epoch.Revision{Era: u.Era, Number: u.Revision} }
+
+// SinceAt returns the revision after which the changes of the update begin.
+func (u *Update) SinceAt() epoch.Revision { return epoch.Revision{Era: u.Era, Number: u.Since} }
+
+// ChangedAt returns the revision of the last change in the update.
+func (u *Update) ChangedAt() epoch.Revision { return epoch.Revision{Era: u.Era, Number: u.Changed} }
+
+// Valid reports whether the last change is within the revision of the update.
+func (u *Update) Valid() bool { return u.Kind != "" && u.Age >= 0 && !u.At().Before(u.ChangedAt()) }
+
 // Packed names the objects of an update, which the receiver requests in chunks. Bytes
 // is the size of all chunks.
 type Packed struct {
@@ -211,4 +247,16 @@
 	Value   []byte `cbor:"value,omitempty"`
 	Status  []byte `cbor:"status,omitempty"`
 	Deleted bool   `cbor:"deleted,omitempty"`
+	// Hold is set for an object that the store acknowledged in an earlier era and has lost.
+	Hold *Hold `cbor:"hold,omitempty"`
+}
+
+// Hold explains why a process keeps an object that the store doesn't have.
+type Hold struct {
+	// Era is the era of the object's version, and Over the number of the version that the store
+	// has of it in the era of the update, 0 for none.
+	Era  uint64 `cbor:"era,omitempty"`
+	Over uint64 `cbor:"over,omitempty"`
+	// Left is how much longer the object is kept, 0 until it is written again.
+	Left clock.Millis `cbor:"left,omitempty"`
 }
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -6,6 +6,7 @@
 
 import (
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/epoch"
 	"github.com/jujubescale/jujubescale/internal/base/fault"
 	"github.com/jujubescale/jujubescale/internal/base/token"
 )
@@ -417,9 +418,13 @@
 // Revision is the revision up to which changes of one kind of object have been read.
 type Revision struct {
 	Kind     string `cbor:"kind"`
+	Era      uint64 `cbor:"era,omitempty"`
 	Revision uint64 `cbor:"revision"`
 }
 
+// At returns the revision.
+func (r *Revision) At() epoch.Revision { return epoch.Revision{Era: r.Era, Number: r.Revision} }
+
 // EndpointLoad is the sender's work at one endpoint.
 type EndpointLoad struct {
 	Endpoint string `cbor:"endpoint"`
--- a/internal/plat/accept/accept.go
+++ b/internal/plat/accept/accept.go
@@ -71,11 +71,11 @@
 func absent(ctx context.Context, t *testing.T, s Subject) {
 	got, err := s.Store.Get(ctx, s.Prefix+"none")
 	assert.NilError(t, err)
-	assert.Equal(t, got.Version, uint64(0))
+	assert.Equal(t, got.Version, store.Revision{})
 	assert.Equal(t, len(got.Value), 0)
 }
 
-func mustPut(ctx context.Context, t *testing.T, s Subject, name string, want uint64, value string) store.Object {
+func mustPut(ctx context.Context, t *testing.T, s Subject, name string, want store.Revision, value string) store.Object {
 	t.Helper()
 	object, err := s.Store.Put(ctx, s.Prefix+name, want, []byte(value))
 	assert.NilError(t, err)
@@ -90,7 +90,7 @@
 }
 
 func readBack(ctx context.Context, t *testing.T, s Subject) {
-	put := mustPut(ctx, t, s, "a", 0, "one")
+	put := mustPut(ctx, t, s, "a", store.Revision{}, "one")
 	got, err := s.Store.Get(ctx, s.Prefix+"a")
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, put)
@@ -98,24 +98,24 @@
 }
 
 func versionsGrow(ctx context.Context, t *testing.T, s Subject) {
-	version := uint64(0)
+	var version store.Revision
 	for i := range 5 {
 		object := mustPut(ctx, t, s, "a", version, fmt.Sprint(i))
-		assert.Assert(t, object.Version > version)
+		assert.Assert(t, version.Before(object.Version))
 		version = object.Version
 	}
 }
 
 func createTwice(ctx context.Context, t *testing.T, s Subject) {
-	first := mustPut(ctx, t, s, "a", 0, "one")
-	_, err := s.Store.Put(ctx, s.Prefix+"a", 0, []byte("two"))
+	first := mustPut(ctx, t, s, "a", store.Revision{}, "one")
+	_, err := s.Store.Put(ctx, s.Prefix+"a", store.Revision{}, []byte("two"))
 	current := mustConflict(t, err)
 	assert.Equal(t, current.Version, first.Version)
 	assert.Equal(t, string(current.Value), "one")
 }
 
 func oldVersion(ctx context.Context, t *testing.T, s Subject) {
-	first := mustPut(ctx, t, s, "a", 0, "one")
+	first := mustPut(ctx, t, s, "a", store.Revision{}, "one")
 	second := mustPut(ctx, t, s, "a", first.Version, "two")
 	_, err := s.Store.Put(ctx, s.Prefix+"a", first.Version, []byte("three"))
 	assert.Equal(t, mustConflict(t, err).Version, second.Version)
@@ -125,26 +125,26 @@
 }
 
 func deleteOld(ctx context.Context, t *testing.T, s Subject) {
-	first := mustPut(ctx, t, s, "a", 0, "one")
+	first := mustPut(ctx, t, s, "a", store.Revision{}, "one")
 	mustPut(ctx, t, s, "a", first.Version, "two")
 	current := mustConflict(t, s.Store.Delete(ctx, s.Prefix+"a", first.Version))
 	assert.Equal(t, string(current.Value), "two")
 }
 
 func deleteAndCreate(ctx context.Context, t *testing.T, s Subject) {
-	first := mustPut(ctx, t, s, "a", 0, "one")
+	first := mustPut(ctx, t, s, "a", store.Revision{}, "one")
 	assert.NilError(t, s.Store.Delete(ctx, s.Prefix+"a", first.Version))
 	deleted, err := s.Store.Get(ctx, s.Prefix+"a")
 	assert.NilError(t, err)
-	assert.Equal(t, deleted.Version, uint64(0))
-	recreated := mustPut(ctx, t, s, "a", 0, "two")
+	assert.Equal(t, deleted.Version, store.Revision{})
+	recreated := mustPut(ctx, t, s, "a", store.Revision{}, "two")
 	// A writer with the version of the deleted object must not overwrite the new
 	// one.
 	assert.Assert(t, recreated.Version != first.Version)
 }
 
 func raceWrites(ctx context.Context, t *testing.T, s Subject) {
-	first := mustPut(ctx, t, s, "a", 0, "start")
+	first := mustPut(ctx, t, s, "a", store.Revision{}, "start")
 	var wins atomic.Int64
 	var group sync.WaitGroup
 	for i := range racers {
@@ -163,7 +163,7 @@
 }
 
 func watchDiffers(ctx context.Context, t *testing.T, s Subject) {
-	first := mustPut(ctx, t, s, "a", 0, "one")
+	first := mustPut(ctx, t, s, "a", store.Revision{}, "one")
 	second := mustPut(ctx, t, s, "a", first.Version, "two")
 	got, err := s.Store.Watch(ctx, s.Prefix+"a", first.Version, longWatch)
 	assert.NilError(t, err)
@@ -171,7 +171,7 @@
 }
 
 func watchChange(ctx context.Context, t *testing.T, s Subject) {
-	first := mustPut(ctx, t, s, "a", 0, "one")
+	first := mustPut(ctx, t, s, "a", store.Revision{}, "one")
 	written := make(chan error, 1)
 	go func() {
 		_, err := s.Store.Put(ctx, s.Prefix+"a", first.Version, []byte("two"))
@@ -184,7 +184,7 @@
 }
 
 func watchUnchanged(ctx context.Context, t *testing.T, s Subject) {
-	first := mustPut(ctx, t, s, "a", 0, "one")
+	first := mustPut(ctx, t, s, "a", store.Revision{}, "one")
 	got, err := s.Store.Watch(ctx, s.Prefix+"a", first.Version, shortWatch)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, first)
@@ -193,10 +193,10 @@
 func watchCreate(ctx context.Context, t *testing.T, s Subject) {
 	written := make(chan error, 1)
 	go func() {
-		_, err := s.Store.Put(ctx, s.Prefix+"a", 0, []byte("one"))
+		_, err := s.Store.Put(ctx, s.Prefix+"a", store.Revision{}, []byte("one"))
 		written <- err
 	}()
-	got, err := s.Store.Watch(ctx, s.Prefix+"a", 0, longWatch)
+	got, err := s.Store.Watch(ctx, s.Prefix+"a", store.Revision{}, longWatch)
 	assert.NilError(t, err)
 	assert.Equal(t, string(got.Value), "one")
 	assert.NilError(t, <-written)
@@ -204,21 +204,21 @@
 
 func list(ctx context.Context, t *testing.T, s Subject) {
 	for _, name := range []string{"p/b", "p/a", "q/a"} {
-		mustPut(ctx, t, s, name, 0, "x")
+		mustPut(ctx, t, s, name, store.Revision{}, "x")
 	}
 	objects, err := s.Store.List(ctx, s.Prefix+"p/")
 	assert.NilError(t, err)
 	names := []string{}
 	for _, object := range objects {
 		names = append(names, object.Name)
-		assert.Assert(t, object.Version > 0)
+		assert.Assert(t, !object.Version.IsZero())
 	}
 	assert.DeepEqual(t, names, []string{s.Prefix + "p/a", s.Prefix + "p/b"})
 }
 
 func largest(ctx context.Context, t *testing.T, s Subject) {
 	value := bytes.Repeat([]byte{7}, store.MaxValue)
-	_, err := s.Store.Put(ctx, s.Prefix+"a", 0, value)
+	_, err := s.Store.Put(ctx, s.Prefix+"a", store.Revision{}, value)
 	assert.NilError(t, err)
 	got, err := s.Store.Get(ctx, s.Prefix+"a")
 	assert.NilError(t, err)
@@ -226,16 +226,16 @@
 }
 
 func tooLarge(ctx context.Context, t *testing.T, s Subject) {
-	_, err := s.Store.Put(ctx, s.Prefix+"a", 0, make([]byte, store.MaxValue+1))
+	_, err := s.Store.Put(ctx, s.Prefix+"a", store.Revision{}, make([]byte, store.MaxValue+1))
 	assert.Assert(t, err != nil)
 	got, err := s.Store.Get(ctx, s.Prefix+"a")
 	assert.NilError(t, err)
-	assert.Equal(t, got.Version, uint64(0))
+	assert.Equal(t, got.Version, store.Revision{})
 }
 
 func specialCharacters(ctx context.Context, t *testing.T, s Subject) {
 	for _, name := range []string{"a b", "ž/č", "x%2Fy", "q?r=1&s#t", "plus+"} {
-		mustPut(ctx, t, s, name, 0, name)
+		mustPut(ctx, t, s, name, store.Revision{}, name)
 		got, err := s.Store.Get(ctx, s.Prefix+name)
 		assert.NilError(t, err)
 		assert.Equal(t, string(got.Value), name)
--- a/internal/plat/call/call.go
+++ b/internal/plat/call/call.go
@@ -179,17 +179,17 @@
 		GetFunc: func(ctx context.Context, name string) (store.Object, error) {
 			return run(k, "get", reason, name, func() (store.Object, error) { return k.inner.Get(ctx, name) })
 		},
-		PutFunc: func(ctx context.Context, name string, want uint64, value []byte) (store.Object, error) {
+		PutFunc: func(ctx context.Context, name string, want store.Revision, value []byte) (store.Object, error) {
 			k.bytes.WithLabelValues(reason.String(), "written").Add(float64(len(value)))
 			return run(k, "put", reason, name, func() (store.Object, error) { return k.inner.Put(ctx, name, want, value) })
 		},
-		DeleteFunc: func(ctx context.Context, name string, want uint64) error {
+		DeleteFunc: func(ctx context.Context, name string, want store.Revision) error {
 			_, err := run(k, "delete", reason, name, func() (store.Object, error) {
 				return store.Object{}, k.inner.Delete(ctx, name, want)
 			})
 			return err
 		},
-		WatchFunc: func(ctx context.Context, name string, seen uint64, wait clock.Millis) (store.Object, error) {
+		WatchFunc: func(ctx context.Context, name string, seen store.Revision, wait clock.Millis) (store.Object, error) {
 			return run(k, "watch", reason, name, func() (store.Object, error) { return k.inner.Watch(ctx, name, seen, wait) })
 		},
 		ListFunc: func(ctx context.Context, prefix string) ([]store.Object, error) {
--- a/internal/plat/client/client.go
+++ b/internal/plat/client/client.go
@@ -95,8 +95,8 @@
 	return c.read(ctx, name, objectPath(name), c.timeout)
 }
 
-func (c *Client) watch(ctx context.Context, name string, seen uint64, wait clock.Millis) (store.Object, error) {
-	query := fmt.Sprintf("?watch=%d&waitMs=%d", seen, wait)
+func (c *Client) watch(ctx context.Context, name string, seen store.Revision, wait clock.Millis) (store.Object, error) {
+	query := fmt.Sprintf("?watch=%d&waitMs=%d", seen.Number, wait)
 	return c.read(ctx, name, objectPath(name)+query, c.timeout+wait)
 }
 
@@ -115,7 +115,7 @@
 	}
 }
 
-func (c *Client) put(ctx context.Context, name string, want uint64, value []byte) (store.Object, error) {
+func (c *Client) put(ctx context.Context, name string, want store.Revision, value []byte) (store.Object, error) {
 	answer, err := c.write(ctx, http.MethodPut, name, want, value)
 	if err != nil {
 		return store.Object{}, err
@@ -128,7 +128,7 @@
 	return object, nil
 }
 
-func (c *Client) remove(ctx context.Context, name string, want uint64) error {
+func (c *Client) remove(ctx context.Context, name string, want store.Revision) error {
 	_, err := c.write(ctx, http.MethodDelete, name, want, nil)
 	return err
 }
@@ -136,11 +136,11 @@
 // write sends a conditional write once. Unless it is certain that the write had no
 // effect, it fails with an UnknownError, because the answer to a successful write
 // may have been lost.
-func (c *Client) write(ctx context.Context, method, name string, want uint64, value []byte) (*answer, error) {
+func (c *Client) write(ctx context.Context, method, name string, want store.Revision, value []byte) (*answer, error) {
 	if len(value) > store.MaxValue {
 		return nil, &AnswerError{Status: http.StatusRequestEntityTooLarge, Detail: "value is larger than the platform allows"}
 	}
-	header := http.Header{"If-Match": {strconv.FormatUint(want, 10)}}
+	header := http.Header{"If-Match": {strconv.FormatUint(want.Number, 10)}}
 	answer, err := c.do(ctx, method, objectPath(name), header, value, c.timeout)
 	if err != nil {
 		if notSent(err) {
@@ -186,7 +186,7 @@
 	}
 	objects := make([]store.Object, 0, len(lines))
 	for _, line := range lines {
-		objects = append(objects, store.Object{Name: line.Name, Version: line.Version})
+		objects = append(objects, store.Object{Name: line.Name, Version: store.At(line.Version)})
 	}
 	return objects, nil
 }
@@ -230,7 +230,7 @@
 	if err != nil {
 		return store.Object{}, &AnswerError{Status: a.status, Detail: "no version in " + versionHeader}
 	}
-	return store.Object{Name: name, Version: version, Value: a.body}, nil
+	return store.Object{Name: name, Version: store.At(version), Value: a.body}, nil
 }
 
 func (a *answer) refused() bool {
--- a/internal/plat/client/client_test.go
+++ b/internal/plat/client/client_test.go
@@ -56,7 +56,7 @@
 				c.handler(w, r)
 			}))
 			defer server.Close()
-			_, err := client.New(server.URL).Store().Put(t.Context(), "a", 1, []byte("x"))
+			_, err := client.New(server.URL).Store().Put(t.Context(), "a", store.At(1), []byte("x"))
 			var unknown *store.UnknownError
 			var unavailable *store.UnavailableError
 			assert.Equal(t, errors.As(err, &unknown), c.unknown, "got %v", err)
@@ -73,7 +73,7 @@
 func TestNoConnectionMeansNoEffect(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
 	server.Close()
-	_, err := client.New(server.URL).Store().Put(t.Context(), "a", 0, []byte("x"))
+	_, err := client.New(server.URL).Store().Put(t.Context(), "a", store.Revision{}, []byte("x"))
 	var unavailable *store.UnavailableError
 	assert.Assert(t, errors.As(err, &unavailable), "got %v", err)
 }
--- a/internal/plat/lease/lease.go
+++ b/internal/plat/lease/lease.go
@@ -59,13 +59,13 @@
 
 	mu        sync.Mutex
 	fence     uint64
-	version   uint64
+	version   store.Revision
 	expiresAt clock.Millis
 	// quietUntil is the end of the quiet period; see QuietPeriod.
 	quietUntil clock.Millis
 	// seenVersion is the last version that was read while another process held the
 	// lease, and unchangedSince the instant at which it was first read.
-	seenVersion    uint64
+	seenVersion    store.Revision
 	unchangedSince clock.Millis
 }
 
@@ -183,7 +183,7 @@
 // checkFree returns a HeldError unless the lease can be acquired. The object's
 // version changes with each renewal, so the lease has expired if the version has
 // not changed for a term.
-func (l *Lease) checkFree(current record, version uint64) error {
+func (l *Lease) checkFree(current record, version store.Revision) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if current.Holder == "" || current.Holder == l.holder {
@@ -254,17 +254,17 @@
 
 func decode(object store.Object) (record, error) {
 	var current record
-	if object.Version == 0 {
+	if object.Version.IsZero() {
 		return current, nil
 	}
 	err := json.Unmarshal(object.Value, &current)
 	return current, err
 }
 
-func (l *Lease) read(ctx context.Context) (record, uint64, error) {
+func (l *Lease) read(ctx context.Context) (record, store.Revision, error) {
 	object, err := l.store.Get(ctx, l.name)
 	if err != nil {
-		return record{}, 0, err
+		return record{}, store.Revision{}, err
 	}
 	current, err := decode(object)
 	return current, object.Version, err
@@ -274,10 +274,10 @@
 // version. If the answer is lost, it reads the object back and compares the nonce.
 // A write that may still be in transit counts as failed. It does no harm later,
 // because it no longer takes effect once the object has another version.
-func (l *Lease) write(ctx context.Context, version uint64, next record) (uint64, error) {
+func (l *Lease) write(ctx context.Context, version store.Revision, next record) (store.Revision, error) {
 	raw, err := json.Marshal(next)
 	if err != nil {
-		return 0, err
+		return store.Revision{}, err
 	}
 	object, err := l.store.Put(ctx, l.name, version, raw)
 	var unknown *store.UnknownError
@@ -290,11 +290,11 @@
 			return currentVersion, nil
 		}
 		if readErr == nil && currentVersion != version {
-			return 0, &store.ConflictError{Name: l.name, Want: version, Current: store.Object{Name: l.name, Version: currentVersion}}
+			return store.Revision{}, &store.ConflictError{Name: l.name, Want: version, Current: store.Object{Name: l.name, Version: currentVersion}}
 		}
 		if l.clock.Sleep(ctx, readBackPause) != nil {
 			break
 		}
 	}
-	return 0, err
+	return store.Revision{}, err
 }
--- a/internal/plat/lease/lease_test.go
+++ b/internal/plat/lease/lease_test.go
@@ -25,7 +25,7 @@
 func (p *platform) store() *store.Store {
 	return &store.Store{
 		GetFunc: func(context.Context, string) (store.Object, error) { return p.object, nil },
-		PutFunc: func(_ context.Context, name string, want uint64, value []byte) (store.Object, error) {
+		PutFunc: func(_ context.Context, name string, want store.Revision, value []byte) (store.Object, error) {
 			lose := p.lose
 			p.lose = 0
 			if lose == 2 {
@@ -34,7 +34,7 @@
 			if p.object.Version != want {
 				return store.Object{}, &store.ConflictError{Name: name, Want: want, Current: p.object}
 			}
-			p.object = store.Object{Name: name, Version: want + 1, Value: value}
+			p.object = store.Object{Name: name, Version: store.At(want.Number + 1), Value: value}
 			if lose == 1 {
 				return store.Object{}, &store.UnknownError{Name: name}
 			}
--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -14,10 +14,10 @@
 const MaxValue = 1 << 20
 
 // Object is one object at one version. Versions of a name grow with each
-// write; version 0 means that the object does not exist.
+// write; the zero version means that the object does not exist.
 type Object struct {
 	Name    string
-	Version uint64
+	Version Revision
 	Value   []byte
 	// Status is the status that is stored with the object, nil if there is none.
 	Status []byte
@@ -74,16 +74,16 @@
 type Store struct {
 	// GetFunc reads an object. The version is 0 if it does not exist.
 	GetFunc func(ctx context.Context, name string) (Object, error)
-	// PutFunc writes an object if it is at version want; 0 means that it must not
+	// PutFunc writes an object if it is at version want; zero means that it must not
 	// exist.
-	PutFunc func(ctx context.Context, name string, want uint64, value []byte) (Object, error)
+	PutFunc func(ctx context.Context, name string, want Revision, value []byte) (Object, error)
 	// StatusFunc writes an object's status if the object is at version want.
-	StatusFunc func(ctx context.Context, name string, want uint64, status []byte) (Object, error)
+	StatusFunc func(ctx context.Context, name string, want Revision, status []byte) (Object, error)
 	// DeleteFunc deletes an object if it is at version want.
-	DeleteFunc func(ctx context.Context, name string, want uint64) error
+	DeleteFunc func(ctx context.Context, name string, want Revision) error
 	// WatchFunc waits at most wait ms for a version other than seen and returns the
 	// object, changed or not.
-	WatchFunc func(ctx context.Context, name string, seen uint64, wait clock.Millis) (Object, error)
+	WatchFunc func(ctx context.Context, name string, seen Revision, wait clock.Millis) (Object, error)
 	// ListFunc lists the objects whose names begin with a prefix, without values.
 	ListFunc func(ctx context.Context, prefix string) ([]Object, error)
 	// HostsFunc reads one page of the list of hosts.
@@ -92,16 +92,15 @@
 	ScanFunc func(ctx context.Context, kind string) (Listing, error)
 	// FollowFunc waits at most wait ms for changes of a kind after a revision. It
 	// fails with a HistoryError if the store no longer has all of these changes.
-	FollowFunc func(ctx context.Context, kind string, since uint64, wait clock.Millis) (Changes, error)
+	FollowFunc func(ctx context.Context, kind string, since Revision, wait clock.Millis) (Changes, error)
+	// EraFunc returns the latest era that the store has stated, 0 if it has stated none.
+	EraFunc func() uint64
 }
 
 // Listing holds all objects of a kind as of a revision of the whole store.
 type Listing struct {
 	Objects  []Object
-	Revision uint64
-	// Era is the era that the store states, 0 if it states none. It rises when the store comes
-	// back from a copy, after which revisions may be lower than before.
-	Era uint64
+	Revision Revision
 }
 
 // Change is one object that was written or deleted.
@@ -110,36 +109,36 @@
 	Deleted bool
 }
 
-// Changes holds changes in order, up to a revision of an era; see Listing.
+// Changes holds changes in order, up to a revision. If that has another era than the revision
+// after which changes were asked for, the changes in between are not known.
 type Changes struct {
 	Changes  []Change
-	Revision uint64
-	Era      uint64
+	Revision Revision
 }
 
 // HistoryError is returned when the store has dropped some of the requested
 // changes. The current state must then be read with Scan.
 type HistoryError struct {
 	Kind  string
-	Since uint64
+	Since Revision
 }
 
 // Error implements error.
 func (e *HistoryError) Error() string {
-	return fmt.Sprintf("changes of %q after revision %d are no longer available", e.Kind, e.Since)
+	return fmt.Sprintf("changes of %q after revision %s are no longer available", e.Kind, e.Since)
 }
 
 // ConflictError is returned when a conditional update had no effect because the
 // object is not at version Want but at that of Current.
 type ConflictError struct {
 	Name    string
-	Want    uint64
+	Want    Revision
 	Current Object
 }
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("object %q is at version %d, not %d", e.Name, e.Current.Version, e.Want)
+	return fmt.Sprintf("object %q is at version %s, not %s", e.Name, e.Current.Version, e.Want)
 }
 
 // UnknownError is returned when it is unknown whether a write took effect. Callers
@@ -178,22 +177,22 @@
 func (s *Store) Get(ctx context.Context, name string) (Object, error) { return s.GetFunc(ctx, name) }
 
 // Put writes an object if it is at version want.
-func (s *Store) Put(ctx context.Context, name string, want uint64, value []byte) (Object, error) {
+func (s *Store) Put(ctx context.Context, name string, want Revision, value []byte) (Object, error) {
 	return s.PutFunc(ctx, name, want, value)
 }
 
 // PutStatus writes an object's status if the object is at version want.
-func (s *Store) PutStatus(ctx context.Context, name string, want uint64, status []byte) (Object, error) {
+func (s *Store) PutStatus(ctx context.Context, name string, want Revision, status []byte) (Object, error) {
 	return s.StatusFunc(ctx, name, want, status)
 }
 
 // Delete deletes an object if it is at version want.
-func (s *Store) Delete(ctx context.Context, name string, want uint64) error {
+func (s *Store) Delete(ctx context.Context, name string, want Revision) error {
 	return s.DeleteFunc(ctx, name, want)
 }
 
 // Watch waits for a version other than seen.
-func (s *Store) Watch(ctx context.Context, name string, seen uint64, wait clock.Millis) (Object, error) {
+func (s *Store) Watch(ctx context.Context, name string, seen Revision, wait clock.Millis) (Object, error) {
 	return s.WatchFunc(ctx, name, seen, wait)
 }
 
@@ -212,7 +211,15 @@
 	return s.ScanFunc(ctx, kind)
 }
 
+// Era returns the latest era that the store has stated, 0 if it has stated none.
+func (s *Store) Era() uint64 {
+	if s.EraFunc == nil {
+		return 0
+	}
+	return s.EraFunc()
+}
+
 // Follow waits for changes of a kind after a revision.
-func (s *Store) Follow(ctx context.Context, kind string, since uint64, wait clock.Millis) (Changes, error) {
+func (s *Store) Follow(ctx context.Context, kind string, since Revision, wait clock.Millis) (Changes, error) {
 	return s.FollowFunc(ctx, kind, since, wait)
 }
--- a/internal/serve/deploy/deploy.go
+++ b/internal/serve/deploy/deploy.go
@@ -179,7 +179,7 @@
 // than this process. The caller holds the lock.
 func (c *Controller) putOrder(object store.Object, mayPredate bool) {
 	known := c.byName[object.Name]
-	if known != nil && known.revision >= object.Version {
+	if known != nil && !known.revision.Before(object.Version) {
 		return
 	}
 	name := object.Name[strings.LastIndex(object.Name, "/")+1:]
--- a/internal/serve/deploy/record.go
+++ b/internal/serve/deploy/record.go
@@ -163,7 +163,7 @@
 
 // record writes a status. If a write got no answer, the next write shows whether it
 // took effect: it then meets a newer revision.
-func (c *Controller) record(ctx context.Context, r *rollout, status canary.Status, revision uint64) {
+func (c *Controller) record(ctx context.Context, r *rollout, status canary.Status, revision store.Revision) {
 	value, err := c.codec.EncodeFunc(status)
 	if err != nil {
 		c.log.Error("rollout state not encoded", "pool", r.order.Pool, logs.KeyError, err)
@@ -174,7 +174,7 @@
 	defer cancel()
 	object, err := c.store.PutStatus(ctx, r.name, revision, value)
 	var conflict *store.ConflictError
-	if errors.As(err, &conflict) && conflict.Current.Version > revision {
+	if errors.As(err, &conflict) && revision.Before(conflict.Current.Version) {
 		object = conflict.Current
 	} else if err != nil {
 		r.writeBackoff = min(max(2*r.writeBackoff, minWriteBackoff), maxWriteBackoff)
@@ -183,7 +183,7 @@
 		return
 	}
 	r.writeBackoff, r.nextWrite = 0, c.clock.Now()+minWriteBackoff
-	if object.Version > revision && len(object.Value) > 0 {
+	if revision.Before(object.Version) && len(object.Value) > 0 {
 		c.Change([]store.Change{{Object: object}})
 	}
 }
--- a/internal/serve/deploy/rollout.go
+++ b/internal/serve/deploy/rollout.go
@@ -6,6 +6,7 @@
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/route/canary"
 )
 
@@ -28,7 +29,7 @@
 	// status and revision are as last recorded. The lock of the controller guards
 	// them.
 	status   canary.Status
-	revision uint64
+	revision store.Revision
 
 	// Only Run uses the fields from here to decided. writeBackoff and nextWrite
 	// delay the next write after a failure.
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -79,13 +79,14 @@
 	outage  *Outage
 	down    atomic.Bool
 
-	// era is the store's era in its last answer.
-	era atomic.Uint64
+	restore Restore
+	// olderPause is the pause after a list that was older than the known state.
+	olderPause clock.Millis
 
 	mu    sync.Mutex
 	state state
 	// olderLogged holds by source the known revision at which an older state was last logged.
-	olderLogged map[string]uint64
+	olderLogged map[string]store.Revision
 }
 
 // Option configures a Feed.
@@ -144,7 +145,7 @@
 func New(kind string, from *store.Store, opts ...Option) *Feed {
 	f := &Feed{
 		kind: kind, store: from, clock: clock.New(), log: log.New(io.Discard), listRequested: make(chan struct{}, 1), relayChanged: make(chan struct{}, 1), outage: NewOutage(),
-		olderLogged:  make(map[string]uint64),
+		olderLogged: make(map[string]store.Revision), state: state{restored: newRestored()},
 		wait:         func() clock.Millis { return defaultWait },
 		pause:        func() clock.Millis { return 0 },
 		backoffLimit: func() clock.Millis { return MaxBackoff },
@@ -154,6 +155,7 @@
 	for _, opt := range opts {
 		opt(f)
 	}
+	f.outage.add(f)
 	return f
 }
 
@@ -219,13 +221,19 @@
 		return
 	}
 	f.recordAnswer()
-	f.recordEra(listing.Era)
-	f.applyList(listing.Objects, listing.Revision, listing.Revision, f.lostFor, sentAt)
-	f.lostFor = 0
+	f.outage.recordEra(f, listing.Revision.Era)
+	if !f.applyList(&listed{objects: listing.Objects, revision: listing.Revision, changed: listing.Revision, outage: f.lostFor, at: sentAt}) {
+		// Without a pause, the next calls would be a watch that the store can't serve and the
+		// same list again.
+		f.olderPause = min(max(2*f.olderPause, minBackoff), MaxBackoff)
+		f.pauseUnlessRelayed(ctx, f.olderPause)
+		return
+	}
+	f.lostFor, f.olderPause = 0, 0
 }
 
 // watch reads changes until the list has to be read again or a peer relays them.
-func (f *Feed) watch(ctx context.Context, since uint64) {
+func (f *Feed) watch(ctx context.Context, since store.Revision) {
 	for ctx.Err() == nil {
 		wait, sentAt := f.nextWait(), f.clock.Now()
 		changes, err := f.waitForChanges(ctx, since, wait)
@@ -252,14 +260,14 @@
 			f.handleFailure(ctx, err)
 			return
 		}
-		f.recordEra(changes.Era)
-		if f.recordAnswer(); f.lostFor > 0 {
-			// Entries may have expired during the outage. The list holds the
-			// remaining ones, and its handler gets the duration of the outage.
+		f.outage.recordEra(f, changes.Revision.Era)
+		if f.recordAnswer(); f.lostFor > 0 || changes.Revision.Era != since.Era {
+			// Entries may have expired during the outage, or were lost before the era rose. The
+			// list holds the remaining ones, and its handler gets the duration of the outage.
 			f.requireList()
 			return
 		}
-		since = f.applyChanges(changes.Changes, since, max(since, changes.Revision), f.confirmedBy(changes, sentAt, wait))
+		since = f.applyChanges(changes.Changes, since, store.Latest(since, changes.Revision), f.confirmedBy(changes, sentAt, wait))
 		if f.graceTimeLeft() > 0 {
 			return
 		}
@@ -296,7 +304,7 @@
 	return sentAt
 }
 
-func (f *Feed) waitForChanges(ctx context.Context, since uint64, wait clock.Millis) (store.Changes, error) {
+func (f *Feed) waitForChanges(ctx context.Context, since store.Revision, wait clock.Millis) (store.Changes, error) {
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
--- a/internal/serve/feed/feed_test.go
+++ b/internal/serve/feed/feed_test.go
@@ -38,7 +38,7 @@
 func (s *script) store() *store.Store {
 	return &store.Store{
 		ScanFunc: func(context.Context, string) (store.Listing, error) { return next(s, &s.scans)() },
-		FollowFunc: func(ctx context.Context, _ string, _ uint64, _ clock.Millis) (store.Changes, error) {
+		FollowFunc: func(ctx context.Context, _ string, _ store.Revision, _ clock.Millis) (store.Changes, error) {
 			return next(s, &s.follows)(ctx)
 		},
 	}
@@ -46,9 +46,9 @@
 
 func listed(revision uint64, names ...string) func() (store.Listing, error) {
 	return func() (store.Listing, error) {
-		l := store.Listing{Revision: revision}
+		l := store.Listing{Revision: store.At(revision)}
 		for _, name := range names {
-			l.Objects = append(l.Objects, store.Object{Name: name, Version: revision})
+			l.Objects = append(l.Objects, store.Object{Name: name, Version: store.At(revision)})
 		}
 		return l, nil
 	}
@@ -111,11 +111,11 @@
 
 func TestListThenChanges(t *testing.T) {
 	one := func(context.Context) (store.Changes, error) {
-		return store.Changes{Revision: 9, Changes: []store.Change{{Object: store.Object{Name: "k/b"}}}}, nil
+		return store.Changes{Revision: store.At(9), Changes: []store.Change{{Object: store.Object{Name: "k/b"}}}}, nil
 	}
 	f, h := run(t, &script{scans: []func() (store.Listing, error){listed(5, "k/a")}, follows: []func(context.Context) (store.Changes, error){one, blockUntilDone}})
 	h.waitFor(t, func(h *received) bool { return len(h.lists) == 1 && h.changes == 1 })
-	assert.Equal(t, f.LastChange(), uint64(9))
+	assert.Equal(t, f.LastChange(), store.At(9))
 }
 
 // Guards against a list after an outage that comes without the duration of the
@@ -178,9 +178,9 @@
 					calls.Add(1)
 					return store.Listing{}, unavailable()
 				}
-				return store.Listing{Revision: 1}, nil
+				return store.Listing{Revision: store.At(1)}, nil
 			},
-			FollowFunc: func(ctx context.Context, _ string, _ uint64, _ clock.Millis) (store.Changes, error) {
+			FollowFunc: func(ctx context.Context, _ string, _ store.Revision, _ clock.Millis) (store.Changes, error) {
 				return blockUntilDone(ctx)
 			},
 		}
@@ -287,7 +287,7 @@
 	var lists, watches atomic.Int64
 	s := &store.Store{
 		ScanFunc: func(context.Context, string) (store.Listing, error) { lists.Add(1); return listed(5, "k/a")() },
-		FollowFunc: func(ctx context.Context, _ string, _ uint64, _ clock.Millis) (store.Changes, error) {
+		FollowFunc: func(ctx context.Context, _ string, _ store.Revision, _ clock.Millis) (store.Changes, error) {
 			watches.Add(1)
 			return blockUntilDone(ctx)
 		},
--- a/internal/serve/feed/outage.go
+++ b/internal/serve/feed/outage.go
@@ -18,6 +18,38 @@
 	// closed when it gets an answer.
 	prober   *Feed
 	answered chan struct{}
+	// feeds are the feeds of the process, and era the latest era of the store that one of them
+	// has read.
+	feeds []*Feed
+	era   uint64
+}
+
+func (o *Outage) add(f *Feed) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.feeds = append(o.feeds, f)
+}
+
+// recordEra records the era of an answer that a feed got. If the era has risen, the other feeds
+// that read the store themselves read their lists again: their watches may wait for long.
+func (o *Outage) recordEra(from *Feed, era uint64) {
+	o.mu.Lock()
+	before := o.era
+	o.era = max(o.era, era)
+	feeds := o.feeds
+	o.mu.Unlock()
+	if era <= before {
+		return
+	}
+	from.log.Info("store era risen", "kind", from.kind, "before", before, "era", era)
+	if before == 0 {
+		return
+	}
+	for _, f := range feeds {
+		if f != from && !f.Relayed() {
+			f.RequestList()
+		}
+	}
 }
 
 // NewOutage returns the outage state for the feeds of one process.
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -22,9 +22,10 @@
 	listDue bool
 	// revision is the revision up to which all changes were read, lastChange the
 	// revision of the last change.
-	revision   uint64
-	lastChange uint64
+	revision   store.Revision
+	lastChange store.Revision
 	objects    map[string]store.Object
+	restored
 	// confirmedAt is when the store last confirmed this state, to this process or to
 	// a peer that relayed it; relayedAt counts only the answers that a peer relayed.
 	confirmedAt clock.Millis
@@ -47,15 +48,18 @@
 	return f.state.listed
 }
 
-// Version returns the version of an object, 0 if it is not known.
-func (f *Feed) Version(name string) uint64 {
+// Version returns the version of an object in the store, zero if none is known.
+func (f *Feed) Version(name string) store.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if h, held := f.state.held[name]; held {
+		return h.over
+	}
 	return f.state.objects[name].Version
 }
 
 // LastChange returns the revision of the last change that was read.
-func (f *Feed) LastChange() uint64 {
+func (f *Feed) LastChange() store.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.state.lastChange
@@ -126,7 +130,7 @@
 
 // knownRevision returns the revision up to which all changes were read, and whether
 // the feed can read changes from there without the list.
-func (f *Feed) knownRevision() (since uint64, listed bool) {
+func (f *Feed) knownRevision() (since store.Revision, listed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.state.revision, f.state.listed && !f.state.listDue
@@ -154,13 +158,22 @@
 func (f *Feed) Progress() wire.Progress {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	progress := wire.Progress{Kind: f.kind, Revision: f.state.revision, Changed: min(f.state.lastChange, f.state.revision)}
+	progress := wire.Progress{Kind: f.kind, Era: f.state.revision.Era, Revision: f.state.revision.Number, Changed: f.lastChange()}
 	if !f.hideAge {
 		progress.Age = max(f.clock.Now()-f.state.confirmedAt, 0)
 	}
 	return progress
 }
 
+// lastChange returns the number of the last change within the era of the known revision. The
+// caller holds the lock.
+func (f *Feed) lastChange() uint64 {
+	if f.state.revision.Before(f.state.lastChange) {
+		return f.state.revision.Number
+	}
+	return f.state.lastChange.Number
+}
+
 // Snapshot returns all objects, nil before the first read.
 func (f *Feed) Snapshot() *wire.Update {
 	f.mu.Lock()
@@ -174,49 +187,69 @@
 // buildSnapshot returns all objects; the caller holds the lock.
 func (f *Feed) buildSnapshot(outage clock.Millis) *wire.Update {
 	update := &wire.Update{
-		Kind: f.kind, Revision: f.state.revision, Changed: f.state.lastChange, Whole: true, Outage: outage,
+		Kind: f.kind, Era: f.state.revision.Era, Revision: f.state.revision.Number, Changed: f.lastChange(), Whole: true, Outage: outage,
 		Age: max(f.clock.Now()-f.state.confirmedAt, 0),
 	}
 	for _, name := range slices.Sorted(maps.Keys(f.state.objects)) {
 		object := f.state.objects[name]
-		update.Objects = append(update.Objects, storedOf(object, false))
+		update.Objects = append(update.Objects, f.storedOf(object, false))
 	}
 	return update
 }
 
-// applyList replaces all objects by the list of a revision. It ignores an older
-// list, and one of the current revision unless a list is required.
-func (f *Feed) applyList(objects []store.Object, revision, changed uint64, outage, at clock.Millis) {
+// listed is a complete list as of a revision.
+type listed struct {
+	objects []store.Object
+	// held explains the objects that the sender of the list keeps although the store lacks them.
+	held              map[string]hold
+	revision, changed store.Revision
+	outage, at        clock.Millis
+}
+
+// applyList replaces all objects by a list. It ignores an older list, for which it returns false,
+// and one of the current revision unless a list is required.
+func (f *Feed) applyList(list *listed) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := &f.state
 	required := s.listDue || !s.listed
 	s.listDue = false
-	if s.listed && revision < s.revision {
-		f.logOlder("list", revision)
-		return // an older answer shows nothing about the known revision
+	if s.listed && list.revision.Before(s.revision) {
+		f.logOlder("list", list.revision)
+		return false // an older answer shows nothing about the known revision
 	}
-	s.confirmedAt = max(s.confirmedAt, at)
-	if s.listed && revision == s.revision && !required {
-		return // already known through a relay or a call
+	s.confirmedAt = max(s.confirmedAt, list.at)
+	if s.listed && list.revision == s.revision && !required {
+		return true // already known through a relay or a call
 	}
-	s.listed, s.revision, s.lastChange = true, revision, changed
+	objects := make(map[string]store.Object, len(list.objects))
+	for _, object := range list.objects {
+		objects[object.Name] = object
+	}
+	f.reconcile(objects, list.held, s.listed && s.revision.Era != list.revision.Era)
+	for name := range s.objects {
+		if _, found := objects[name]; !found {
+			f.recordDeleted(name)
+		}
+	}
+	s.listed, s.revision, s.lastChange, s.objects = true, list.revision, list.changed, objects
 	s.missingSince = 0
-	s.objects = make(map[string]store.Object, len(objects))
-	for _, object := range objects {
-		s.objects[object.Name] = object
+	all := make([]store.Object, 0, len(objects))
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
+		all = append(all, objects[name])
 	}
-	f.listFunc(objects, outage)
-	f.forwardFunc(f.buildSnapshot(outage))
+	f.listFunc(all, list.outage)
+	f.forwardFunc(f.buildSnapshot(list.outage))
+	return true
 }
 
 // applyChanges applies the changes between two revisions and returns the revision
 // of the state after that. It skips changes that were applied before.
-func (f *Feed) applyChanges(changes []store.Change, since, revision uint64, at clock.Millis) uint64 {
+func (f *Feed) applyChanges(changes []store.Change, since, revision store.Revision, at clock.Millis) store.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := &f.state
-	if revision < s.revision {
+	if revision.Before(s.revision) {
 		f.logOlder("changes", revision)
 		return s.revision
 	}
@@ -224,7 +257,7 @@
 	if revision == s.revision {
 		return s.revision
 	}
-	unseen := slices.DeleteFunc(slices.Clone(changes), func(change store.Change) bool { return f.isOld(change, since) })
+	unseen := slices.DeleteFunc(slices.Clone(changes), func(change store.Change) bool { return f.isOld(change, since) || !f.release(change) })
 	s.revision = revision
 	s.missingSince = 0
 	if len(unseen) == 0 {
@@ -233,6 +266,7 @@
 	s.lastChange = revision
 	for _, change := range unseen {
 		if change.Deleted {
+			f.recordDeleted(change.Object.Name)
 			delete(s.objects, change.Object.Name)
 			continue
 		}
@@ -243,68 +277,75 @@
 	return s.revision
 }
 
+// isOlder reports whether an update of a peer is older than the known state, which it logs.
+func (f *Feed) isOlder(revision store.Revision) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.state.listed || !revision.Before(f.state.revision) {
+		return false
+	}
+	f.logOlder("update of a peer", revision)
+	return true
+}
+
 // logOlder logs an answer or a message that is ignored because its revision is lower than the
 // known one, once for each known revision and source. The caller holds the lock.
-func (f *Feed) logOlder(source string, revision uint64) {
+func (f *Feed) logOlder(source string, revision store.Revision) {
 	if f.olderLogged[source] == f.state.revision {
 		return
 	}
 	f.olderLogged[source] = f.state.revision
-	f.log.Info("older state ignored", "kind", f.kind, "source", source, "revision", revision, "known", f.state.revision, "era", f.era.Load())
-}
-
-// recordEra records the era that an answer of the store states and logs a change.
-func (f *Feed) recordEra(era uint64) {
-	if before := f.era.Swap(era); before != era {
-		f.log.Info("store era changed", "kind", f.kind, "before", before, "era", era)
-	}
+	f.log.Info("older state ignored", "kind", f.kind, "source", source, "revision", revision, "known", f.state.revision)
 }
 
 // isOld reports whether a change was applied before. That happens when changes
 // from a peer and from the store overlap. The caller holds the lock.
-func (f *Feed) isOld(change store.Change, since uint64) bool {
+func (f *Feed) isOld(change store.Change, since store.Revision) bool {
 	if since == f.state.revision {
 		return false
 	}
 	current, found := f.state.objects[change.Object.Name]
 	if change.Deleted {
-		return !found || current.Version > change.Object.Version
+		return !found || change.Object.Version.Before(current.Version)
 	}
 	if found {
-		return current.Version >= change.Object.Version
+		return !current.Version.Before(change.Object.Version)
 	}
-	return change.Object.Version <= f.state.revision
+	return !f.state.revision.Before(change.Object.Version)
 }
 
 // buildUpdate returns a message of changes; the caller holds the lock.
-func (f *Feed) buildUpdate(changes []store.Change, since uint64) *wire.Update {
+func (f *Feed) buildUpdate(changes []store.Change, since store.Revision) *wire.Update {
 	update := &wire.Update{
-		Kind: f.kind, Since: since, Revision: f.state.revision, Changed: f.state.lastChange,
+		Kind: f.kind, Era: f.state.revision.Era, Since: since.Number, Revision: f.state.revision.Number, Changed: f.lastChange(),
 		Age: max(f.clock.Now()-f.state.confirmedAt, 0),
 	}
 	for _, change := range changes {
-		update.Objects = append(update.Objects, storedOf(change.Object, change.Deleted))
+		update.Objects = append(update.Objects, f.storedOf(change.Object, change.Deleted))
 	}
 	return update
 }
 
-// Apply applies a snapshot or changes that a peer relays. It reports whether
+// Apply applies a snapshot or changes that a peer relays, or the objects of its Holds. It reports whether
 // earlier changes are missing; then it applies nothing.
 func (f *Feed) Apply(update *wire.Update, now clock.Millis) (missing bool) {
+	if update.Lost {
+		f.applyHolds(update)
+		return false
+	}
 	at := now - update.Age
-	if known, listed := f.knownRevision(); listed && update.Revision < known {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.logOlder("update of a peer", update.Revision)
+	if f.isOlder(update.At()) {
 		return false
 	}
 	if update.Whole {
-		f.applyList(objectsOf(update), update.Revision, update.Changed, update.Outage, at)
+		if !f.applyList(f.listOf(update, at)) {
+			return false
+		}
 	} else {
-		if known, listed := f.knownRevision(); !listed || update.Since > known {
+		if known, listed := f.knownRevision(); !listed || update.Era != known.Era || known.Before(update.SinceAt()) {
 			return true
 		}
-		f.applyChanges(changesOf(update), update.Since, update.Revision, at)
+		f.applyChanges(changesOf(update), update.SinceAt(), update.At(), at)
 	}
 	f.recordRelay(at)
 	return false
@@ -314,7 +355,7 @@
 // feed lacks changes that the peer has; then the progress is ignored.
 func (f *Feed) Confirm(progress wire.Progress, now clock.Millis) (missing bool) {
 	f.mu.Lock()
-	if f.state.revision < progress.Changed || !f.state.listed {
+	if !f.state.listed || f.state.revision.Before(progress.ChangedAt()) {
 		if f.state.missingSince == 0 {
 			f.state.missingSince = f.clock.Now()
 			f.wakeRun()
@@ -323,12 +364,12 @@
 		return true
 	}
 	f.state.missingSince = 0
-	if progress.Revision < f.state.revision {
-		f.logOlder("confirmation of a peer", progress.Revision)
+	if progress.At().Before(f.state.revision) {
+		f.logOlder("confirmation of a peer", progress.At())
 		f.mu.Unlock()
 		return false // an older answer shows nothing about the known revision
 	}
-	f.state.revision, f.state.listDue = progress.Revision, false
+	f.state.revision, f.state.listDue = progress.At(), false
 	f.mu.Unlock()
 	f.recordRelay(now - progress.Age)
 	return false
@@ -376,26 +417,25 @@
 	}
 }
 
-func storedOf(object store.Object, deleted bool) wire.Stored {
-	return wire.Stored{Name: object.Name, Version: object.Version, Value: object.Value, Status: object.Status, Deleted: deleted}
-}
-
-func objectOf(o wire.Stored) store.Object {
-	return store.Object{Name: o.Name, Version: o.Version, Value: o.Value, Status: o.Status}
-}
-
-func objectsOf(update *wire.Update) []store.Object {
-	objects := make([]store.Object, 0, len(update.Objects))
+// listOf returns the list of an update that holds all objects.
+func (f *Feed) listOf(update *wire.Update, at clock.Millis) *listed {
+	list := &listed{
+		objects: make([]store.Object, 0, len(update.Objects)), held: make(map[string]hold),
+		revision: update.At(), changed: update.ChangedAt(), outage: update.Outage, at: at,
+	}
 	for _, o := range update.Objects {
-		objects = append(objects, objectOf(o))
+		list.objects = append(list.objects, objectOf(o, update.Era))
+		if o.Hold != nil {
+			list.held[o.Name] = f.holdOf(o, update.Era)
+		}
 	}
-	return objects
+	return list
 }
 
 func changesOf(update *wire.Update) []store.Change {
 	changes := make([]store.Change, 0, len(update.Objects))
 	for _, o := range update.Objects {
-		changes = append(changes, store.Change{Object: objectOf(o), Deleted: o.Deleted})
+		changes = append(changes, store.Change{Object: objectOf(o, update.Era), Deleted: o.Deleted})
 	}
 	return changes
 }
--- a/internal/serve/feed/peer_test.go
+++ b/internal/serve/feed/peer_test.go
@@ -34,7 +34,7 @@
 			p.scans.Add(1)
 			return listed(5, "k/a")()
 		},
-		FollowFunc: func(ctx context.Context, _ string, _ uint64, _ clock.Millis) (store.Changes, error) {
+		FollowFunc: func(ctx context.Context, _ string, _ store.Revision, _ clock.Millis) (store.Changes, error) {
 			p.follows.Add(1)
 			return blockUntilDone(ctx)
 		},
@@ -98,7 +98,7 @@
 	}
 	assert.Assert(t, !p.Apply(update(5, 7, wire.Stored{Name: "k/b", Version: 7}), p.now()))
 	p.waitFor(t, func(h *received) bool { return h.changes == 1 })
-	assert.Equal(t, p.LastChange(), uint64(7))
+	assert.Equal(t, p.LastChange(), store.At(7))
 	assert.Equal(t, p.scans.Load(), int64(1))
 	assert.Assert(t, p.follows.Load() <= 1, "%d", p.follows.Load())
 	assert.Equal(t, p.forwarded.Load(), int64(2), "the list and the change are relayed")
@@ -201,8 +201,8 @@
 		changes store.Changes
 		age     clock.Millis
 	}{
-		"changes":    {changes: store.Changes{Revision: 6, Changes: []store.Change{{Object: store.Object{Name: "k/b", Version: 6}}}}, age: delay},
-		"no changes": {changes: store.Changes{Revision: 6}, age: delay - wait},
+		"changes":    {changes: store.Changes{Revision: store.At(6), Changes: []store.Change{{Object: store.Object{Name: "k/b", Version: store.At(6)}}}}, age: delay},
+		"no changes": {changes: store.Changes{Revision: store.At(6)}, age: delay - wait},
 	} {
 		t.Run(name, func(t *testing.T) {
 			fake := clock.NewFake(1)
@@ -210,7 +210,7 @@
 			first := true
 			s := &store.Store{
 				ScanFunc: func(context.Context, string) (store.Listing, error) { return listed(5, "k/a")() },
-				FollowFunc: func(ctx context.Context, _ string, _ uint64, _ clock.Millis) (store.Changes, error) {
+				FollowFunc: func(ctx context.Context, _ string, _ store.Revision, _ clock.Millis) (store.Changes, error) {
 					if !first {
 						close(answered)
 						return blockUntilDone(ctx)
@@ -237,7 +237,7 @@
 				fake.Advance(delay)
 				return listed(5, "k/a")()
 			},
-			FollowFunc: func(ctx context.Context, _ string, _ uint64, _ clock.Millis) (store.Changes, error) {
+			FollowFunc: func(ctx context.Context, _ string, _ store.Revision, _ clock.Millis) (store.Changes, error) {
 				return blockUntilDone(ctx)
 			},
 		}
--- /dev/null
+++ b/internal/serve/feed/restore_test.go
@@ -0,0 +1,314 @@
+package feed_test
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/plat/store"
+	"github.com/jujubescale/jujubescale/internal/serve/feed"
+)
+
+// copyStore is a store whose objects have a version of their writer's as their value. Lists and
+// changes are read from it as they are.
+type copyStore struct {
+	at      store.Revision
+	objects map[string]string
+	// numbers holds the revision of each object's last change.
+	numbers map[string]uint64
+	changes []store.Change
+}
+
+func newCopyStore() *copyStore {
+	return &copyStore{at: store.Revision{Era: 1, Number: 10}, objects: make(map[string]string), numbers: make(map[string]uint64)}
+}
+
+func (s *copyStore) put(name, value string) {
+	s.at.Number++
+	s.objects[name], s.numbers[name] = value, s.at.Number
+	s.changes = append(s.changes, store.Change{Object: s.object(name)})
+}
+
+func (s *copyStore) remove(name string) {
+	s.at.Number++
+	s.changes = append(s.changes, store.Change{Object: s.object(name), Deleted: true})
+	delete(s.objects, name)
+}
+
+func (s *copyStore) object(name string) store.Object {
+	return store.Object{Name: name, Version: store.Revision{Era: s.at.Era, Number: s.numbers[name]}, Value: []byte(s.objects[name])}
+}
+
+func (s *copyStore) copy() *copyStore {
+	return &copyStore{at: s.at, objects: maps.Clone(s.objects), numbers: maps.Clone(s.numbers)}
+}
+
+// restore replaces the contents by a copy.
+func (s *copyStore) restore(from *copyStore) {
+	era := s.at.Era + 1
+	*s = *from.copy()
+	s.at.Era = era
+}
+
+// follower is a feed with the objects that its handlers were given.
+type follower struct {
+	*feed.Feed
+	fake  *clock.Fake
+	from  *copyStore
+	shown map[string]string
+	ended context.CancelFunc
+}
+
+// newFollower returns a feed whose objects are ordered by their values.
+func newFollower(from *copyStore, fake *clock.Fake, restore feed.Restore) *follower {
+	f := &follower{from: from, shown: make(map[string]string), fake: fake}
+	if restore.NewerFunc == nil {
+		restore.NewerFunc = func(known, listed store.Object) bool { return string(known.Value) > string(listed.Value) }
+	}
+	f.Feed = feed.New("k", &store.Store{
+		ScanFunc: func(context.Context, string) (store.Listing, error) {
+			listing := store.Listing{Revision: from.at}
+			for _, name := range slices.Sorted(maps.Keys(from.objects)) {
+				listing.Objects = append(listing.Objects, from.object(name))
+			}
+			return listing, nil
+		},
+		FollowFunc: func(ctx context.Context, _ string, since store.Revision, _ clock.Millis) (store.Changes, error) {
+			if ctx.Err() != nil {
+				return store.Changes{}, ctx.Err()
+			}
+			f.ended()
+			changes := store.Changes{Revision: from.at}
+			for _, change := range from.changes {
+				if since.Era == from.at.Era && since.Before(change.Object.Version) || change.Deleted {
+					changes.Changes = append(changes.Changes, change)
+				}
+			}
+			return changes, nil
+		},
+	}, feed.WithClock(withoutPauses(fake)), feed.WithRestore(restore),
+		feed.WithList(func(objects []store.Object, _ clock.Millis) {
+			f.shown = make(map[string]string)
+			for _, object := range objects {
+				f.shown[object.Name] = string(object.Value)
+			}
+		}),
+		feed.WithChanges(func(changes []store.Change) {
+			for _, change := range changes {
+				if f.shown[change.Object.Name] = string(change.Object.Value); change.Deleted {
+					delete(f.shown, change.Object.Name)
+				}
+			}
+		}))
+	return f
+}
+
+// watchOnce reads the changes once.
+func (f *follower) watchOnce(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	f.ended = cancel
+	f.Watch(ctx)
+	cancel()
+}
+
+func (f *follower) String() string {
+	var all []string
+	for _, name := range slices.Sorted(maps.Keys(f.shown)) {
+		all = append(all, name+"="+f.shown[name])
+	}
+	return strings.Join(all, " ")
+}
+
+// Guards against older objects that come back into force with the copy, and newer ones that don't
+// come into force once they are written again.
+func TestNewestObjectsStayInForceAfterARestore(t *testing.T) {
+	for name, test := range map[string]struct {
+		lost    func(s *copyStore)
+		restore feed.Restore
+		// after is what happens after the restore, shown the state right after it and then.
+		after       func(s *copyStore)
+		shown, then string
+	}{
+		"newer version": {
+			lost: func(s *copyStore) { s.put("a", "3") }, after: func(s *copyStore) { s.put("a", "3") },
+			shown: "a=3 b=1", then: "a=3 b=1",
+		},
+		"newer order of the writer": {
+			lost: func(s *copyStore) { s.put("a", "3") }, after: func(s *copyStore) { s.put("a", "4") },
+			shown: "a=3 b=1", then: "a=4 b=1",
+		},
+		"older version written again": {
+			lost: func(s *copyStore) { s.put("a", "3") }, after: func(s *copyStore) { s.put("a", "1") },
+			restore: feed.Restore{AlwaysNewer: true}, shown: "a=3 b=1", then: "a=3 b=1",
+		},
+		"created": {
+			lost: func(s *copyStore) { s.put("c", "1") }, after: func(s *copyStore) { s.put("c", "1") },
+			restore: feed.Restore{KeepMissing: 1000}, shown: "a=2 b=1 c=1", then: "a=2 b=1 c=1",
+		},
+		"created and deleted after the return": {
+			lost: func(s *copyStore) { s.put("c", "1") }, after: func(s *copyStore) { s.put("c", "1"); s.remove("c") },
+			restore: feed.Restore{KeepMissing: feed.KeepUntilWritten}, shown: "a=2 b=1 c=1", then: "a=2 b=1",
+		},
+		"deleted": {
+			lost: func(s *copyStore) { s.remove("b") }, after: func(s *copyStore) { s.remove("b") },
+			restore: feed.Restore{HideDeleted: true}, shown: "a=2", then: "a=2",
+		},
+		"deleted and written again": {
+			lost: func(s *copyStore) { s.remove("b") }, after: func(s *copyStore) { s.put("b", "1") },
+			restore: feed.Restore{HideDeleted: true}, shown: "a=2", then: "a=2 b=1",
+		},
+		"nothing lost": {
+			lost: func(*copyStore) {}, after: func(s *copyStore) { s.put("b", "2") },
+			restore: feed.Restore{KeepMissing: 1000, HideDeleted: true}, shown: "a=2 b=1", then: "a=2 b=2",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newCopyStore()
+			s.put("a", "2")
+			s.put("b", "1")
+			f := newFollower(s, clock.NewFake(1), test.restore)
+			f.ReadList(t.Context())
+			from := s.copy()
+			test.lost(s)
+			f.watchOnce(t)
+			s.restore(from)
+			f.ReadList(t.Context())
+			assert.Equal(t, f.String(), test.shown)
+			f.ReadList(t.Context())
+			assert.Equal(t, f.String(), test.shown, "read again")
+			test.after(s)
+			f.watchOnce(t)
+			assert.Equal(t, f.String(), test.then)
+		})
+	}
+}
+
+// Guards against an object that the store has lost for good and that stays in force, and against
+// one that it restored and that stays hidden.
+func TestLostAndHiddenObjectsExpire(t *testing.T) {
+	s, fake := newCopyStore(), clock.NewFake(1)
+	s.put("gone", "1")
+	f := newFollower(s, fake, feed.Restore{KeepMissing: 1000, HideDeleted: true})
+	f.ReadList(t.Context())
+	from := s.copy()
+	s.remove("gone")
+	s.put("lost", "1")
+	f.watchOnce(t)
+	s.restore(from)
+	f.ReadList(t.Context())
+	f.Expire()
+	assert.Equal(t, f.String(), "lost=1")
+	assert.Assert(t, f.IsLost("lost"))
+	fake.Advance(1000)
+	f.Expire()
+	assert.Equal(t, f.String(), "")
+	fake.Advance(5 * clock.Second)
+	f.Expire()
+	assert.Equal(t, f.String(), "gone=1")
+}
+
+// Guards against a process that starts after the store was restored and takes the copy although
+// another process knows what was lost, and against one that takes an older object from it.
+func TestProcessThatStartsAfterARestoreTakesLostObjectsFromPeers(t *testing.T) {
+	s, fake := newCopyStore(), clock.NewFake(1)
+	s.put("a", "1")
+	s.put("b", "1")
+	policy := feed.Restore{KeepMissing: 1000}
+	known := newFollower(s, fake, policy)
+	known.ReadList(t.Context())
+	from := s.copy()
+	s.put("a", "3")
+	s.put("b", "3")
+	s.put("c", "3")
+	known.watchOnce(t)
+	s.restore(from)
+	known.ReadList(t.Context())
+	started := newFollower(s, fake, policy)
+	started.ReadList(t.Context())
+	assert.Equal(t, started.String(), "a=1 b=1")
+	lost := known.Holds()
+	s.put("b", "4")
+	started.watchOnce(t)
+	assert.Assert(t, !started.Apply(lost, 1))
+	assert.Equal(t, started.String(), "a=3 b=4 c=3")
+	assert.Equal(t, len(started.Holds().Objects), 2)
+	other := newFollower(s, fake, policy)
+	assert.Assert(t, !other.Apply(started.Snapshot(), 1))
+	assert.Equal(t, other.String(), "a=3 b=4 c=3")
+	fake.Advance(1000)
+	other.Expire()
+	assert.Equal(t, other.String(), "a=3 b=4")
+}
+
+// Guards against a copy that a process takes from a peer of an earlier era, or of the version
+// before, which knows no eras.
+func TestMessagesOfAnEarlierEraChangeNothing(t *testing.T) {
+	s, fake := newCopyStore(), clock.NewFake(1)
+	s.put("a", "1")
+	behind, ahead := newFollower(s, fake, feed.Restore{}), newFollower(s, fake, feed.Restore{})
+	behind.ReadList(t.Context())
+	from := s.copy()
+	for range 100 {
+		s.put("a", "2")
+	}
+	behind.ReadList(t.Context())
+	s.restore(from)
+	s.put("a", "5")
+	ahead.ReadList(t.Context())
+	before := ahead.Progress()
+	older := behind.Snapshot()
+	old := *older
+	old.Era = 0
+	for _, update := range []*wire.Update{older, &old} {
+		ahead.Apply(update, 1000)
+		assert.Assert(t, !ahead.Confirm(wire.Progress{Kind: "k", Era: update.Era, Revision: update.Revision, Changed: update.Changed}, 1000))
+	}
+	assert.Equal(t, ahead.String(), "a=5")
+	assert.DeepEqual(t, ahead.Progress(), before)
+	progress := ahead.Progress()
+	assert.Assert(t, behind.Confirm(progress, 1), "changes of the new era are missing")
+	behind.Apply(ahead.Snapshot(), 1)
+	assert.Equal(t, behind.String(), "a=5")
+	assert.Equal(t, behind.Progress().Era, uint64(2))
+}
+
+// Guards against calls without end to a store whose revisions went back without a new era: each
+// watch is refused, and each list is older than the known state.
+func TestOlderListsAreNotReadWithoutPauses(t *testing.T) {
+	calls, fake := 0, clock.NewFake(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &store.Store{
+		ScanFunc: func(context.Context, string) (store.Listing, error) {
+			switch calls++; {
+			case calls == 1:
+				return store.Listing{Revision: store.At(50)}, nil
+			case calls > 1000:
+				cancel()
+			}
+			return store.Listing{Revision: store.At(20)}, nil
+		},
+		FollowFunc: func(context.Context, string, store.Revision, clock.Millis) (store.Changes, error) {
+			calls++
+			return store.Changes{}, &store.HistoryError{Kind: "k"}
+		},
+	}
+	c := fake.Clock()
+	c.AfterFunc = func(span clock.Millis) (<-chan struct{}, func()) {
+		fake.Advance(span)
+		if fake.Clock().Now() > 10*clock.Second {
+			cancel()
+		}
+		done := make(chan struct{})
+		close(done)
+		return done, func() {}
+	}
+	feed.New("k", s, feed.WithClock(c)).Run(ctx)
+	assert.Assert(t, calls < 50, "%d calls in 10 s", calls)
+}
--- a/internal/serve/mesh/content.go
+++ b/internal/serve/mesh/content.go
@@ -18,7 +18,7 @@
 	if s.Peer().Chunks {
 		packed, err := m.contents.Pack(update)
 		if err != nil {
-			m.log.Error("update is not packed", "kind", update.Kind, "revision", update.Revision, logs.KeyError, err)
+			m.log.Error("update is not packed", "kind", update.Kind, "revision", update.At(), logs.KeyError, err)
 		}
 		update = packed
 	}
@@ -120,7 +120,7 @@
 			current.later = append(current.later, arrived)
 		}
 		return true
-	case arrived.update.Revision >= current.update.Revision:
+	case !arrived.update.At().Before(current.update.At()):
 		m.endDownload(current, "replaced", arrived.at)
 	}
 	return false
@@ -141,14 +141,14 @@
 	case current == nil:
 		m.startDownload(announcement)
 	case current.transfer.Digest() == update.Packed.Digest:
-		if update.Revision >= current.update.Revision {
+		if !update.At().Before(current.update.At()) {
 			current.update, current.arrivedAt = update, announcement.at
 		}
 		if current.from != announcement.from {
 			current.from = announcement.from
 			m.requestChunk(current, announcement.at)
 		}
-	case current.next == nil || update.Revision >= current.next.update.Revision:
+	case current.next == nil || !update.At().Before(current.next.update.At()):
 		current.next = announcement
 	}
 }
@@ -171,7 +171,7 @@
 	transfer, err := pack.NewTransfer(update.Packed)
 	if err != nil {
 		m.ignoredFunc("contradictory")
-		m.log.Warn("update ignored", "peer", announcement.from, "kind", update.Kind, "revision", update.Revision, logs.KeyError, err)
+		m.log.Warn("update ignored", "peer", announcement.from, "kind", update.Kind, "revision", update.At(), logs.KeyError, err)
 		return
 	}
 	now := m.clock.Now()
@@ -257,7 +257,7 @@
 // the lock of the downloads.
 func (m *Mesh) endDownload(d *download, outcome string, now clock.Millis) {
 	delete(m.downloads.byKind, d.kind)
-	m.log.Info("objects transferred", "peer", d.from, "kind", d.kind, "revision", d.update.Revision, "outcome", outcome,
+	m.log.Info("objects transferred", "peer", d.from, "kind", d.kind, "revision", d.update.At(), "outcome", outcome,
 		"bytes", d.transfer.Offset(), "of", d.update.Packed.Bytes, "tookMs", int64(now-d.arrivedAt))
 	if d.next != nil {
 		m.startDownload(d.next)
@@ -269,7 +269,7 @@
 	objects, err := transfer.Objects()
 	if err != nil {
 		m.ignoredFunc("contradictory")
-		m.log.Warn("update ignored", "peer", from, "kind", update.Kind, "revision", update.Revision, logs.KeyError, err)
+		m.log.Warn("update ignored", "peer", from, "kind", update.Kind, "revision", update.At(), logs.KeyError, err)
 		return
 	}
 	complete := *update
--- a/internal/serve/mesh/follow.go
+++ b/internal/serve/mesh/follow.go
@@ -60,11 +60,7 @@
 	if slices.Contains(plan.Watchers, m.self.Name) && !m.isCutOff(now) {
 		return ""
 	}
-	candidates := slices.Concat(plan.Watchers, plan.Aggregators, m.reporters())
-	if current != "" {
-		candidates = append([]string{current}, candidates...)
-	}
-	for _, name := range candidates {
+	for _, name := range slices.Concat([]string{current}, plan.Watchers, plan.Aggregators, m.reporters()) {
 		if name != m.self.Name && m.isFresh(name, now) {
 			return name
 		}
@@ -81,7 +77,7 @@
 	switch {
 	case now < r.followUntil:
 		return true
-	case isStale(m.follower.ProgressFunc(), m.follower.MaxWatcherAge), now < r.retryUntil && m.follower.DownFunc():
+	case wire.AnyOlder(m.follower.ProgressFunc(), m.follower.MaxWatcherAge), now < r.retryUntil && m.follower.DownFunc():
 		r.followUntil = now + storeRetryPause
 		r.retryUntil = r.followUntil + m.follower.MaxWatcherAge
 		return true
@@ -108,19 +104,13 @@
 // Follower.MaxPeerAge.
 func (m *Mesh) isFresh(name string, now clock.Millis) bool {
 	for _, source := range []sums.Source{{Process: name, OtherGroup: true}, {Process: name}} {
-		if progress, at := m.totals.StoreRevisions(source); len(progress) > 0 && !isStale(progress, m.follower.MaxPeerAge-(now-at)) {
+		if progress, at := m.totals.StoreRevisions(source); len(progress) > 0 && !wire.AnyOlder(progress, m.follower.MaxPeerAge-(now-at)) {
 			return true
 		}
 	}
 	return false
 }
 
-// isStale reports whether the store last confirmed some kind of objects longer ago
-// than bound.
-func isStale(progress []wire.Progress, bound clock.Millis) bool {
-	return slices.ContainsFunc(progress, func(s wire.Progress) bool { return s.Age > bound })
-}
-
 func (m *Mesh) ifOpen(l *link) *link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -136,7 +126,7 @@
 	follow := &wire.Follow{}
 	for _, progress := range m.follower.ProgressFunc() {
 		if kinds == nil || slices.Contains(kinds, progress.Kind) {
-			follow.Kinds = append(follow.Kinds, wire.Revision{Kind: progress.Kind, Revision: progress.Revision})
+			follow.Kinds = append(follow.Kinds, wire.Revision{Kind: progress.Kind, Era: progress.Era, Revision: progress.Revision})
 		}
 	}
 	m.sendOn(l, &wire.Frame{Kind: wire.KindFollow, Follow: follow})
@@ -152,8 +142,8 @@
 	m.mu.Unlock()
 	for _, kind := range follow.Kinds {
 		snapshot := m.follower.SnapshotFunc(kind.Kind)
-		if snapshot != nil && snapshot.Changed > kind.Revision {
-			m.log.Info("snapshot sent", "peer", s.Peer().Process, "kind", kind.Kind, "revision", snapshot.Revision, "peerRevision", kind.Revision, "bytes", snapshot.Bytes())
+		if snapshot != nil && kind.At().Before(snapshot.ChangedAt()) {
+			m.log.Info("snapshot sent", "peer", s.Peer().Process, "kind", kind.Kind, "revision", snapshot.At(), "peerRevision", kind.At(), "bytes", snapshot.Bytes())
 			m.sendUpdate(s, snapshot)
 		}
 	}
@@ -180,14 +170,14 @@
 }
 
 func (m *Mesh) handleUpdate(from string, update *wire.Update) {
-	if update.Kind == "" || update.Age < 0 || update.Changed > update.Revision {
+	if !update.Valid() {
 		m.ignoredFunc("contradictory")
-		m.log.Warn("update ignored", "peer", from, "kind", update.Kind, "revision", update.Revision)
+		m.log.Warn("update ignored", "peer", from, "kind", update.Kind, "revision", update.At())
 		return
 	}
 	if m.uplink.Load().upstream != from {
 		m.ignoredFunc("notUpstream")
-		m.log.Info("update dropped", "peer", from, "kind", update.Kind, "revision", update.Revision, "bytes", update.Bytes(), "reason", "notUpstream")
+		m.log.Info("update dropped", "peer", from, "kind", update.Kind, "revision", update.At(), "bytes", update.Bytes(), "reason", "notUpstream")
 		return
 	}
 	m.receiveUpdate(from, update, m.clock.Now())
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -86,6 +86,8 @@
 	ConfirmFunc func(progress []wire.Progress, now clock.Millis) []string
 	// ExpectFunc is called while objects of a kind are being transferred from a peer.
 	ExpectFunc func(kind string)
+	// HoldsFunc returns what this process knows and the store has lost.
+	HoldsFunc func() []*wire.Update
 	// MaxPeerAge bounds the age of the last store answer at a peer that this
 	// process follows; MaxWatcherAge bounds it at this process while it is a
 	// watcher. Both are in milliseconds.
--- a/internal/serve/mesh/send.go
+++ b/internal/serve/mesh/send.go
@@ -111,6 +111,7 @@
 	if to.kind == wire.KindGroup && now-to.target.lastRegular < groupInterval {
 		regular = false
 	}
+	first := to.target.lastRegular == 0
 	if regular {
 		to.target.lastRegular = now
 	}
@@ -124,6 +125,9 @@
 		return
 	}
 	if regular {
+		if first && m.follower.HoldsFunc != nil {
+			message.Holds = m.follower.HoldsFunc()
+		}
 		message.Progress = progress
 		m.addMembers(message, to, now)
 	}
--- a/internal/serve/mesh/take.go
+++ b/internal/serve/mesh/take.go
@@ -93,6 +93,9 @@
 	if len(message.Limits) > 0 {
 		m.limitsFunc(message.Limits)
 	}
+	for _, lost := range message.Holds {
+		m.follower.ApplyFunc(lost, m.clock.Now())
+	}
 }
 
 // forwardTotal passes the work of a total to workFunc, and reports whether its
--- a/internal/serve/mesh/view.go
+++ b/internal/serve/mesh/view.go
@@ -101,17 +101,15 @@
 	for _, member := range m.members {
 		processes = append(processes, processOf(member))
 	}
-	return len(processes) < smallFleet || len(owner.Eligible(processes)) == len(processes) || isEligible(m.self, processes)
+	eligible := owner.Eligible(processes)
+	return len(processes) < smallFleet || len(eligible) == len(processes) ||
+		slices.ContainsFunc(eligible, func(p owner.Process) bool { return p.Name == m.self.Name })
 }
 
 // smallFleet is the number of processes below which each process reads the lists
 // itself when it starts.
 const smallFleet = 8
 
-func isEligible(self Member, processes []owner.Process) bool {
-	return slices.ContainsFunc(owner.Eligible(processes), func(p owner.Process) bool { return p.Name == self.Name })
-}
-
 // IsWatcher reports whether this process reads the store for others.
 func (m *Mesh) IsWatcher() bool { return slices.Contains(m.view.Load().plan.Watchers, m.self.Name) }
 
--- /dev/null
+++ b/internal/serve/router/lost_test.go
@@ -0,0 +1,109 @@
+package router_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/jujubescale/jujubescale/platform/stand"
+)
+
+// Guards against a process that starts after the store came back from a copy and serves by the
+// older configuration of the copy, although its peers know the newer one.
+func TestProcessThatStartsAfterARestoreServesByWhatPeersKnow(t *testing.T) {
+	for name, gateways := range map[string]int{"first peer": 1, "more peers": 3} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := start(t, gateways)
+			from := b.Store.Copy()
+			b.Config.Tenants[0].Keys = []string{"new-key"}
+			request := b.addRoute("lost")
+			leaving := b.Engines(orders)[0]
+			b.Drain(leaving)
+			b.lose(100)
+			time.Sleep(time.Second)
+			b.restore(drill{}, from)
+			started := b.startUnreadyGateway()
+			newest := func() *stand.Request {
+				s := request()
+				s.Key = "new-key"
+				return s
+			}
+			b.sendUntil(started, newest, func(got stand.Outcome) bool { return got.Status == http.StatusOK })
+			told := time.Now()
+			for end := told.Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				assert.Equal(t, b.send(started, newest()).Status, http.StatusOK)
+				assert.Equal(t, b.send(started, lookup()).Status, http.StatusUnauthorized)
+			}
+			assert.Equal(t, b.Ledger.CountArrivalsAt(leaving, told), 0)
+		})
+	}
+}
+
+// Guards against members that stay out of the list after the store has lost their entries, and
+// against entries that are written without end.
+func TestMembersThatTheStoreLostRegisterAgain(t *testing.T) {
+	b := start(t, 2)
+	from := b.Store.Copy()
+	late := b.startGateway()
+	b.awaitPeers(late, 3)
+	b.lose(50)
+	time.Sleep(500 * time.Millisecond)
+	b.restore(drill{}, from)
+	restored := time.Now()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if members := b.Members(); len(members) != 3 {
+			return poll.Continue("members %v", members)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(2*time.Second), poll.WithDelay(10*time.Millisecond))
+	t.Logf("listed again after %v", time.Since(restored))
+	for _, g := range b.gateways {
+		assert.Equal(t, len(g.Alive()), 3, g.address)
+	}
+	time.Sleep(time.Second)
+	_, before := b.Store.Era()
+	time.Sleep(2 * time.Second)
+	_, after := b.Store.Era()
+	assert.Equal(t, after, before, "entries are written again and again")
+}
+
+// Guards against a fleet of which some processes miss a version or a drain after a restore, and
+// against one that calls the store without end.
+func TestFleetFollowsARestoredStore(t *testing.T) {
+	for name, gateways := range map[string]int{"1 gateway": 1, "24 gateways": 24} {
+		t.Run(name, func(t *testing.T) {
+			b := start(t, gateways)
+			time.Sleep(2 * time.Second)
+			calm := b.Store.Calls()
+			time.Sleep(2 * time.Second)
+			calm = b.Store.Calls() - calm
+			from := b.Store.Copy()
+			b.lose(200)
+			time.Sleep(time.Second)
+			b.restore(drill{away: 300 * time.Millisecond}, from)
+			b.WriteAgain()
+			calls := b.Store.Calls()
+			request := b.addRoute("after")
+			leaving := b.Engines(orders)[0]
+			b.Drain(leaving)
+			told := time.Now()
+			time.Sleep(2 * time.Second)
+			for _, g := range b.gateways {
+				assert.Equal(t, b.send(g, request()).Status, http.StatusOK, g.address)
+			}
+			calls = b.Store.Calls() - calls
+			t.Logf("%d calls in the 2 s after the return, %d in calm 2 s", calls, calm)
+			assert.Assert(t, calls <= 5*calm+40*gateways, "%d calls", calls)
+			for range 3 {
+				for _, g := range b.gateways {
+					b.send(g, lookup())
+				}
+			}
+			assert.Equal(t, b.Ledger.CountArrivalsAt(leaving, told.Add(2*time.Second)), 0)
+		})
+	}
+}
--- a/internal/serve/router/members.go
+++ b/internal/serve/router/members.go
@@ -121,7 +121,7 @@
 		switch {
 		case !g.gate.Ready():
 			pause = readyPollInterval
-		case !g.listed.Load():
+		case !g.listed.Load() || g.isMemberLost():
 			g.registerOnce(ctx)
 		}
 		_ = g.Clock.Sleep(ctx, pause) // the loop checks the context
@@ -155,7 +155,7 @@
 func (g *Gateway) Deregister(ctx context.Context) {
 	name := g.Dialect.MemberKind + "/" + g.Name
 	object, err := g.Store.Get(ctx, name)
-	if err == nil && object.Version > 0 {
+	if err == nil && !object.Version.IsZero() {
 		err = g.Store.Delete(ctx, name, object.Version)
 	}
 	if err != nil {
--- a/internal/serve/router/meter.go
+++ b/internal/serve/router/meter.go
@@ -15,9 +15,10 @@
 	unread *prometheus.CounterVec
 }
 
-// newMeter returns a meter. The function configAge returns the age of the configuration
-// in milliseconds.
-func newMeter(r prometheus.Registerer, configAge func() clock.Millis) *meter {
+// newMeter returns a meter. The function configAge returns the age of the configuration in
+// milliseconds, storeEra the store's era, and lostObjects the number of objects that are used
+// although the store has lost them.
+func newMeter(r prometheus.Registerer, configAge func() clock.Millis, storeEra func() uint64, lostObjects func() int) *meter {
 	m := &meter{reports: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "jujubescale_peer_reports_ignored_total", Help: "Reports of peers that were ignored, by reason.",
 	}, []string{"reason"})}
@@ -30,7 +31,13 @@
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "jujubescale_config_age_seconds", Help: "Time since the store confirmed the configuration in force, to this process or to the peer that relays it.",
 	}, func() float64 { return configAge().Duration().Seconds() })
-	r.MustRegister(m.reports, m.handovers, m.unread, age)
+	era := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "jujubescale_store_era", Help: "Latest era that the store has stated; it rises when the store comes back from a copy. 0 if it has stated none.",
+	}, func() float64 { return float64(storeEra()) })
+	lost := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "jujubescale_store_lost_objects", Help: "Objects that are used although the store has lost them since it came back from a copy.",
+	}, func() float64 { return float64(lostObjects()) })
+	r.MustRegister(m.reports, m.handovers, m.unread, age, era, lost)
 	return m
 }
 
--- /dev/null
+++ b/internal/serve/router/restore.go
@@ -0,0 +1,84 @@
+package router
+
+import (
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/plat/store"
+	"github.com/jujubescale/jujubescale/internal/route/view"
+	"github.com/jujubescale/jujubescale/internal/serve/feed"
+)
+
+// How long objects are kept that a store that came back from a copy has lost. Operators and
+// running endpoints write theirs again; an entry of an endpoint that stays away is gone.
+const (
+	keepLostEvacuation = 10 * clock.Second
+	keepLostMember     = 3 * clock.Second
+)
+
+// restoreConfig keeps the configuration with the highest version of its own.
+func (g *Gateway) restoreConfig() feed.Restore {
+	return feed.Restore{NewerFunc: g.isNewerConfig, AlwaysNewer: true, KeepMissing: feed.KeepUntilWritten}
+}
+
+func (g *Gateway) isNewerConfig(known, listed store.Object) bool {
+	knownTable, err := g.Dialect.TableFunc(known.Value)
+	if err != nil {
+		return false
+	}
+	listedTable, err := g.Dialect.TableFunc(listed.Value)
+	return err != nil || knownTable.Version > listedTable.Version
+}
+
+// restoreEndpoints keeps what endpoints last wrote: an endpoint that has drained or ended before
+// doesn't come back with the copy.
+func (g *Gateway) restoreEndpoints() feed.Restore {
+	return feed.Restore{NewerFunc: g.isNewerEntry, KeepMissing: entryReturnTime, HideDeleted: true}
+}
+
+func (g *Gateway) isNewerEntry(known, listed store.Object) bool {
+	before, ok := g.decodeEntry(known)
+	if !ok {
+		return false
+	}
+	now, ok := g.decodeEntry(listed)
+	return ok && supersedes(&before, &now)
+}
+
+// supersedes reports whether an entry is newer than another one that the store lists. Of entries
+// that can't be ordered, one that leaves is the newer one.
+func supersedes(known, listed *view.Entry) bool {
+	switch {
+	case known.StartedAt != listed.StartedAt:
+		return known.StartedAt > listed.StartedAt
+	case known.Count != listed.Count:
+		return known.Count > listed.Count
+	}
+	return known.Leaving && !listed.Leaving
+}
+
+// holds returns what this process knows and the store has lost, for processes that start meanwhile.
+func (g *Gateway) holds() []*wire.Update {
+	var all []*wire.Update
+	for _, f := range g.feeds.all() {
+		if update := f.Holds(); update != nil {
+			all = append(all, update)
+		}
+	}
+	return all
+}
+
+// lostObjects returns the number of objects that are used although the store has lost them.
+func (g *Gateway) lostObjects() int {
+	lost := 0
+	for _, f := range g.feeds.all() {
+		if f != nil {
+			lost += len(f.Lost())
+		}
+	}
+	return lost
+}
+
+// isMemberLost reports whether the store has lost the member entry of this process.
+func (g *Gateway) isMemberLost() bool {
+	return g.feeds.members.IsLost(g.Dialect.MemberKind + "/" + g.Name)
+}
--- a/internal/serve/router/restore_test.go
+++ b/internal/serve/router/restore_test.go
@@ -45,14 +45,6 @@
 	b.Store.SetFault(stand.StoreFault{})
 }
 
-// rewrite writes again what the operator and the engines have written.
-func (b *bench) rewrite() {
-	b.WriteConfig(&b.Config)
-	for _, e := range b.Engines("") {
-		b.RegisterAgain(e)
-	}
-}
-
 // addRoute publishes a version with one more route and returns a request of it.
 func (b *bench) addRoute(name string) func() *stand.Request {
 	b.Config.Routes = append(b.Config.Routes, stand.Route{
@@ -77,7 +69,7 @@
 			b.lose(d.lost)
 			time.Sleep(time.Second)
 			b.restore(d, from)
-			b.rewrite()
+			b.WriteAgain()
 			for i := range 3 {
 				request := b.addRoute(fmt.Sprintf("after-%d", i))
 				time.Sleep(2 * time.Second)
@@ -101,7 +93,7 @@
 				b.lose(d.lost)
 				time.Sleep(time.Second)
 				b.restore(d, from)
-				b.rewrite()
+				b.WriteAgain()
 				leaving := b.Engines(test.service)[0]
 				b.Drain(leaving)
 				told := time.Now()
@@ -160,9 +152,7 @@
 			for _, e := range b.Engines(orders) {
 				assert.Equal(t, b.Ledger.CountArrivalsAt(e, told), 0)
 			}
-			b.Register(leaving, false, 0)
-			b.Evacuate(zoneB)
-			b.rewrite()
+			b.WriteAgain()
 			b.EndEvacuation(zoneB)
 			b.sendUntil(b.gateways[0], func() *stand.Request {
 				s := request()
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -133,7 +133,8 @@
 	storeBackAt clock.Millis // when the store was reachable again after its last outage
 	configOld   bool         // whether checkConfigAge found the configuration too old
 	configWait  configWait
-	listed      atomic.Bool // whether the store's member list holds this process
+	listed      atomic.Bool  // whether the store's member list holds this process
+	refreshedAt atomic.Int64 // when refreshConfig last requested the configuration
 
 	gate *gate.Gate
 	// origins holds at which software versions streams began.
@@ -164,7 +165,7 @@
 // with the context.
 func New(ctx context.Context, settings Settings) *Gateway {
 	g := &Gateway{Settings: settings, incarnation: token.NewIncarnation(), startedAt: settings.Clock.Now(), baseCtx: ctx}
-	g.meter = newMeter(settings.Registry, g.configAge)
+	g.meter = newMeter(settings.Registry, g.configAge, g.Store.Era, g.lostObjects)
 	g.makeEndpoints()
 	g.limits = g.newHostLimits(ctx)
 	g.origins = g.newOrigins()
@@ -290,11 +291,17 @@
 // configuration from the store unless a peer relays changes, because then the newer
 // one usually arrives without a call.
 func (g *Gateway) refreshConfig() {
-	if !g.feeds.config.Relayed() {
-		g.feeds.config.RequestList()
+	now, last := g.Clock.Now(), g.refreshedAt.Load()
+	if g.feeds.config.Relayed() || now-clock.Millis(last) < minRefreshPause || !g.refreshedAt.CompareAndSwap(last, int64(now)) {
+		return
 	}
+	g.feeds.config.RequestList()
 }
 
+// minRefreshPause is the shortest pause between two reads because a peer has a newer configuration.
+// The store may not have it: after it came back from a copy, only processes know it.
+const minRefreshPause = 300 * clock.Millis(1)
+
 func (g *Gateway) makeFeeds() {
 	common := []feed.Option{
 		feed.WithClock(g.Clock), feed.WithLog(g.Log), feed.WithOutage(feed.NewOutage()), feed.WithBackoff(g.longestStoreBackoff),
@@ -310,14 +317,16 @@
 		return feed.New(kind, g.Store, slices.Concat(common, own, more)...)
 	}
 	pause := clock.Millis(readPauseShare * float64(g.LeaveWithin))
-	g.feeds.config = newFeed(g.Dialect.ConfigKind, g.ChangeWithin, feed.WithList(g.onConfigList), feed.WithChanges(g.onConfigChanges))
+	g.feeds.config = newFeed(g.Dialect.ConfigKind, g.ChangeWithin, feed.WithList(g.onConfigList), feed.WithChanges(g.onConfigChanges),
+		feed.WithRestore(g.restoreConfig()))
 	g.feeds.endpoints = newFeed(g.Dialect.EndpointKind, g.LeaveWithin, feed.WithPause(func() clock.Millis { return pause }),
-		feed.WithList(g.onEndpointList), feed.WithChanges(g.onEndpointChanges))
+		feed.WithList(g.onEndpointList), feed.WithChanges(g.onEndpointChanges), feed.WithRestore(g.restoreEndpoints()))
 	zones := newNames(func(names []string) { g.setEvacuated(names) })
-	g.feeds.evacuated = newFeed(g.Dialect.EvacuatedKind, g.ChangeWithin, feed.WithList(zones.onList), feed.WithChanges(zones.onChanges))
+	g.feeds.evacuated = newFeed(g.Dialect.EvacuatedKind, g.ChangeWithin, feed.WithList(zones.onList), feed.WithChanges(zones.onChanges),
+		feed.WithRestore(feed.Restore{KeepMissing: keepLostEvacuation}))
 	members := newMembers(g.setMembers)
 	g.feeds.members = newFeed(g.Dialect.MemberKind, g.ChangeWithin, feed.WithPause(func() clock.Millis { return memberReadPause }),
-		feed.WithList(members.onList), feed.WithChanges(members.onChanges))
+		feed.WithList(members.onList), feed.WithChanges(members.onChanges), feed.WithRestore(feed.Restore{KeepMissing: keepLostMember}))
 	quarantines := newQuarantines(g.detector)
 	g.feeds.quarantines = newFeed(g.Dialect.QuarantineKind, quarantineChangeWithin, feed.WithoutAge(),
 		feed.WithList(quarantines.onList), feed.WithChanges(quarantines.onChanges))
@@ -484,5 +493,8 @@
 		g.handleChanges(changes)
 		g.gate.Sweep()
 		g.checkConfigAge()
+		for _, f := range g.feeds.all() {
+			f.Expire()
+		}
 	}
 }
--- a/internal/share/apply/write.go
+++ b/internal/share/apply/write.go
@@ -173,10 +173,10 @@
 }
 
 // read returns the head and its version. The head is nil if there is none.
-func (o *Operator) read(ctx context.Context) (*head.Head, uint64, error) {
+func (o *Operator) read(ctx context.Context) (*head.Head, store.Revision, error) {
 	object, err := o.store.Get(ctx, head.Object)
-	if err != nil || object.Version == 0 {
-		return nil, 0, err
+	if err != nil || object.Version.IsZero() {
+		return nil, store.Revision{}, err
 	}
 	current, err := head.Decode(object.Value)
 	return current, object.Version, err
@@ -194,7 +194,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if object.Version == 0 {
+	if object.Version.IsZero() {
 		return nil, &NotFoundError{Kind: "release", Name: fmt.Sprint(release)}
 	}
 	return head.Decode(object.Value)
@@ -218,7 +218,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if object.Version == 0 {
+		if object.Version.IsZero() {
 			continue
 		}
 		if h, err := head.Decode(object.Value); err == nil && h.Nonce == nonce {
@@ -266,7 +266,7 @@
 func (o *Operator) create(ctx context.Context, name string, value []byte) error {
 	pause := minPause
 	for try := 1; ; try++ {
-		_, err := o.store.Put(ctx, name, 0, value)
+		_, err := o.store.Put(ctx, name, store.Revision{}, value)
 		if err == nil {
 			return nil
 		}
@@ -287,7 +287,7 @@
 	}
 }
 
-func (o *Operator) writeHead(ctx context.Context, version uint64, next *head.Head) error {
+func (o *Operator) writeHead(ctx context.Context, version store.Revision, next *head.Head) error {
 	raw, err := next.Encode()
 	if err != nil {
 		return err
--- a/internal/share/spread/follow.go
+++ b/internal/share/spread/follow.go
@@ -97,7 +97,7 @@
 
 // Run reads new releases until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	lastVersion := uint64(0)
+	var lastVersion store.Revision
 	pause := retryPause
 	for ctx.Err() == nil {
 		object, source, err := f.next(ctx, lastVersion)
@@ -116,12 +116,12 @@
 	}
 }
 
-func (f *Follower) next(ctx context.Context, lastVersion uint64) (store.Object, Source, error) {
+func (f *Follower) next(ctx context.Context, lastVersion store.Revision) (store.Object, Source, error) {
 	if f.watchFunc() {
 		object, err := f.heads.Watch(ctx, head.Object, lastVersion, watchTimeout)
 		return object, FromWatch, err
 	}
-	if lastVersion != 0 {
+	if !lastVersion.IsZero() {
 		due, stop := f.clock.After(pollInterval/2 + rand.N(pollInterval))
 		defer stop()
 		select {
@@ -138,7 +138,7 @@
 // offer offers an object to the learner. It returns false if the object must be
 // read again, for instance because a section could not be fetched.
 func (f *Follower) offer(ctx context.Context, source Source, object store.Object) bool {
-	if object.Version == 0 {
+	if object.Version.IsZero() {
 		return f.repair(ctx)
 	}
 	verdict, err := f.learner.Offer(ctx, source, object.Value, f.section)
@@ -165,7 +165,7 @@
 
 func (f *Follower) section(ctx context.Context, ref head.Ref) ([]byte, error) {
 	object, err := f.sections.Get(ctx, ref.Object())
-	if err == nil && object.Version == 0 {
+	if err == nil && object.Version.IsZero() {
 		// A stale read can miss a section that was just written, so the head
 		// need not be invalid.
 		err = &MissingError{Name: ref.Object()}
@@ -215,7 +215,7 @@
 }
 
 func (f *Follower) restore(ctx context.Context, section head.Section) error {
-	_, err := f.sections.Put(ctx, section.Ref.Object(), 0, section.Raw)
+	_, err := f.sections.Put(ctx, section.Ref.Object(), store.Revision{}, section.Raw)
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) && bytes.Equal(conflict.Current.Value, section.Raw) {
 		return nil
--- a/internal/stand/plat/faults_test.go
+++ b/internal/stand/plat/faults_test.go
@@ -29,8 +29,8 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			p := plat.New()
-			p.Put("a", 0, []byte("old"))
-			p.Put("a", 1, []byte("new"))
+			p.Put("a", store.At(0), []byte("old"))
+			p.Put("a", store.At(1), []byte("new"))
 			p.SetFaults(c.faults)
 			server := httptest.NewServer(p.Handler())
 			defer server.Close()
@@ -54,17 +54,17 @@
 		assert.NilError(t, response.Body.Close())
 	}
 	assert.Assert(t, err != nil)
-	assert.Equal(t, p.Get("a").Version, uint64(1))
+	assert.Equal(t, p.Get("a").Version, store.At(1))
 }
 
 func TestRestoreResetsVersions(t *testing.T) {
 	p := plat.New()
-	p.Put("a", 0, []byte("old"))
+	p.Put("a", store.At(0), []byte("old"))
 	backup := p.Snapshot()
-	p.Put("a", 1, []byte("new"))
+	p.Put("a", store.At(1), []byte("new"))
 	p.Restore(backup)
 	got := p.Get("a")
-	assert.Equal(t, got.Version, uint64(1))
+	assert.Equal(t, got.Version, store.At(1))
 	assert.Equal(t, string(got.Value), "old")
 }
 
--- a/internal/stand/plat/plat.go
+++ b/internal/stand/plat/plat.go
@@ -42,7 +42,7 @@
 type record struct {
 	// previous is the object before the last write, for stale reads.
 	previous store.Object
-	version  uint64
+	version  store.Revision
 	present  bool
 	value    []byte
 	changed  chan struct{}
@@ -98,7 +98,7 @@
 
 // bumpVersion raises the version and wakes the watches.
 func (e *record) bumpVersion() {
-	e.version++
+	e.version.Number++
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
@@ -112,7 +112,7 @@
 
 // Put writes the object if its version is want. It returns the current object
 // and whether it was written.
-func (p *Plat) Put(name string, want uint64, value []byte) (store.Object, bool) {
+func (p *Plat) Put(name string, want store.Revision, value []byte) (store.Object, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.record(name)
@@ -128,11 +128,11 @@
 
 // Delete removes the object if its version is want and not 0. It returns the
 // current object and whether it was removed.
-func (p *Plat) Delete(name string, want uint64) (store.Object, bool) {
+func (p *Plat) Delete(name string, want store.Revision) (store.Object, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.record(name)
-	if current := e.object(name); current.Version != want || want == 0 {
+	if current := e.object(name); current.Version != want || want.IsZero() {
 		return current, false
 	}
 	e.previous = e.object(name)
--- a/internal/stand/plat/plat_test.go
+++ b/internal/stand/plat/plat_test.go
@@ -53,11 +53,11 @@
 	p := plat.New()
 	server := httptest.NewServer(p.Handler())
 	defer server.Close()
-	_, done := p.Put("a", 0, []byte("x"))
+	_, done := p.Put("a", store.At(0), []byte("x"))
 	assert.Assert(t, done)
 	got := make(chan reply, 1)
 	go func() { got <- call(t, "GET", server.URL+"/v1/objects/a?watch=1&waitMs=60000", "", "") }()
-	_, done = p.Put("a", 1, []byte("y"))
+	_, done = p.Put("a", store.At(1), []byte("y"))
 	assert.Assert(t, done)
 	assert.DeepEqual(t, <-got, reply{200, "2", "y"}, sameReply)
 }
--- a/internal/stand/plat/serve.go
+++ b/internal/stand/plat/serve.go
@@ -56,12 +56,12 @@
 	}
 	timer := time.NewTimer(time.Duration(waitMs) * time.Millisecond)
 	defer timer.Stop()
-	p.awaitChange(w, r, knownVersion, timer.C)
+	p.awaitChange(w, r, store.At(knownVersion), timer.C)
 }
 
 // awaitChange answers a watch when the version differs from knownVersion or
 // the wait ends, and aborts the connection when the platform becomes unavailable.
-func (p *Plat) awaitChange(w http.ResponseWriter, r *http.Request, knownVersion uint64, end <-chan time.Time) {
+func (p *Plat) awaitChange(w http.ResponseWriter, r *http.Request, knownVersion store.Revision, end <-chan time.Time) {
 	name := chi.URLParam(r, "*")
 	for {
 		p.mu.Lock()
@@ -100,7 +100,7 @@
 		http.Error(w, "value is too large", http.StatusRequestEntityTooLarge)
 		return
 	}
-	object, done := p.Put(chi.URLParam(r, "*"), want, value)
+	object, done := p.Put(chi.URLParam(r, "*"), store.At(want), value)
 	p.answerWrite(w, object, done)
 }
 
@@ -110,7 +110,7 @@
 		http.Error(w, "If-Match must be a version", http.StatusBadRequest)
 		return
 	}
-	object, done := p.Delete(chi.URLParam(r, "*"), want)
+	object, done := p.Delete(chi.URLParam(r, "*"), store.At(want))
 	p.answerWrite(w, object, done)
 }
 
@@ -121,7 +121,7 @@
 	if p.chance(faults.LoseAnswer) {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("X-Version", strconv.FormatUint(object.Version, 10))
+	w.Header().Set("X-Version", strconv.FormatUint(object.Version.Number, 10))
 	if done {
 		w.WriteHeader(http.StatusOK)
 		return
@@ -131,8 +131,8 @@
 }
 
 func writeObject(w http.ResponseWriter, object store.Object) {
-	w.Header().Set("X-Version", strconv.FormatUint(object.Version, 10))
-	if object.Version == 0 {
+	w.Header().Set("X-Version", strconv.FormatUint(object.Version.Number, 10))
+	if object.Version.IsZero() {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
@@ -154,7 +154,7 @@
 func (p *Plat) serveList(w http.ResponseWriter, r *http.Request) {
 	objects := []listedObject{}
 	for _, object := range p.List(r.URL.Query().Get("prefix")) {
-		objects = append(objects, listedObject{Name: object.Name, Version: object.Version})
+		objects = append(objects, listedObject{Name: object.Name, Version: object.Version.Number})
 	}
 	writeJSON(w, objects)
 }
