fix(router): write decisions of rollouts and quarantines again that the store has lost

What callers would see: after the store came back from a copy, a condemned version gets requests again (6 in 2 s, TestDecisionsOfRolloutsOutlastARestore/rolled_back), and a quarantine that an operator had lifted is back while another one is gone (TestQuarantinesAreAsBeforeAfterARestore).

Processes took the store's older status and its list of quarantines for newer ones, though nobody but they can write them again.

Change: a process keeps the furthest status of an order that it knows, and the owner or a deputy records it again. Quarantines with more evidence stay, their owner writes them, and deletes those that were deleted before.

--- a/internal/serve/deploy/deploy.go
+++ b/internal/serve/deploy/deploy.go
@@ -182,9 +182,9 @@
 	if known != nil && !known.revision.Before(object.Version) {
 		return
 	}
-	name := object.Name[strings.LastIndex(object.Name, "/")+1:]
-	order, status, err := c.codec.DecodeFunc(name, object.Value, object.Status)
+	order, status, err := c.decode(object)
 	if err != nil {
+		name := object.Name[strings.LastIndex(object.Name, "/")+1:]
 		c.meter.event(name, "unreadable")
 		c.log.Warn("rollout ignored", "pool", name, "revision", object.Version, logs.KeyError, err)
 		c.removeOrder(object.Name)
@@ -209,6 +209,10 @@
 		}
 		status = canary.Status{Order: order, Previous: previous, Earlier: status.History()}
 	}
+	if known.statusLost = known.keepsStatus(object.Version, status); known.statusLost {
+		known.revision = object.Version
+		return
+	}
 	if known.status.State != status.State {
 		c.meter.event(order.Pool, string(status.State))
 		c.log.Info("rollout recorded", "pool", order.Pool, "version", order.Version, "previous", status.Previous,
--- a/internal/serve/deploy/record.go
+++ b/internal/serve/deploy/record.go
@@ -15,8 +15,13 @@
 // do so.
 func (c *Controller) tick(ctx context.Context, r *rollout) {
 	c.mu.Lock()
-	status, revision := r.status, r.revision
+	status, revision, lost := r.status, r.revision, r.statusLost
 	c.mu.Unlock()
+	if lost {
+		c.rewriteStatus(ctx, r, status, revision)
+	} else {
+		r.lostSince = 0
+	}
 	switch status.State {
 	case canary.Running:
 		c.judge(r)
--- a/internal/serve/deploy/rollout.go
+++ b/internal/serve/deploy/rollout.go
@@ -30,6 +30,8 @@
 	// them.
 	status   canary.Status
 	revision store.Revision
+	// statusLost is set while the store has an older status, because it came back from a copy.
+	statusLost bool
 
 	// Only Run uses the fields from here to decided. writeBackoff and nextWrite
 	// delay the next write after a failure.
@@ -39,6 +41,8 @@
 	// dueState is the state that is to be recorded, dueSince the instant since when.
 	dueState canary.State
 	dueSince clock.Millis
+	// lostSince is when this process first found the status lost, 0 while it isn't.
+	lostSince clock.Millis
 	// refused is set once the log contains the reason why the order isn't started,
 	// and promoting once it contains the start of the promotion. decided is set once
 	// the order is due and the bounds allow the requests of the promotion.
--- a/internal/serve/router/lost_test.go
+++ b/internal/serve/router/lost_test.go
@@ -1,13 +1,17 @@
 package router_test
 
 import (
+	"encoding/json"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/jujubescale/jujubescale/internal/serve/router"
+	"github.com/jujubescale/jujubescale/platform"
 	"github.com/jujubescale/jujubescale/platform/stand"
 )
 
@@ -71,6 +75,90 @@
 	assert.Equal(t, after, before, "entries are written again and again")
 }
 
+// Guards against requests that crash engines again because the store has lost their quarantine,
+// and against one that comes back with the copy after an operator has lifted it.
+func TestQuarantinesAreAsBeforeAfterARestore(t *testing.T) {
+	b := start(t, 3)
+	kept, lifted := strings.Repeat("ab", 16), strings.Repeat("cd", 16)
+	quarantine := router.Quarantine{SinceMs: time.Now().UnixMilli(), Endpoints: []string{"e1", "e2", "e3"}}
+	b.Store.Put(platform.KindQuarantines, lifted, quarantine)
+	time.Sleep(time.Second)
+	from := b.Store.Copy()
+	b.Store.Put(platform.KindQuarantines, kept, quarantine)
+	b.Store.Delete(platform.KindQuarantines, lifted)
+	b.lose(50)
+	time.Sleep(time.Second)
+	b.restore(drill{}, from)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		names := b.Store.Names(platform.KindQuarantines)
+		if len(names) != 1 || names[0] != kept {
+			return poll.Continue("quarantines %v", names)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
+	object, _ := b.Store.Get(platform.KindQuarantines, kept)
+	var stored router.Quarantine
+	assert.NilError(t, json.Unmarshal(object.Spec, &stored))
+	assert.Equal(t, len(stored.Endpoints), 3)
+	_, before := b.Store.Era()
+	time.Sleep(2 * time.Second)
+	_, after := b.Store.Era()
+	assert.Equal(t, after, before, "the quarantine is written again and again")
+}
+
+// Guards against a rollout that is judged again, or a condemned version that gets requests again,
+// because the store has lost the decision.
+func TestDecisionsOfRolloutsOutlastARestore(t *testing.T) {
+	for name, bad := range map[string]bool{"completed": false, "rolled_back": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			k := serviceKinds()["plain"]
+			b := startWith(t, 3, true)
+			l := b.startLoad(k, runningGateways(b))
+			time.Sleep(settleTime)
+			fault := stand.Fault{}
+			if bad {
+				fault = stand.Fault{Every: 1, Fail: true}
+			}
+			b.addVersion(k, "v2", fault)
+			r := b.orderRollout(k, 3*time.Second, bad)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if state, _ := b.RolloutState(k.service); state != "running" {
+					return poll.Continue("state %q", state)
+				}
+				return poll.Success()
+			}, poll.WithTimeout(3*time.Second), poll.WithDelay(10*time.Millisecond))
+			from := b.Store.Copy()
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if state, _ := b.RolloutState(k.service); state != name {
+					return poll.Continue("state %q", state)
+				}
+				return poll.Success()
+			}, poll.WithTimeout(8*time.Second), poll.WithDelay(10*time.Millisecond))
+			b.lose(50)
+			time.Sleep(time.Second)
+			b.restore(drill{}, from)
+			restored := time.Now()
+			b.WriteAgain()
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if state, _ := b.RolloutState(k.service); state != name {
+					return poll.Continue("state %q", state)
+				}
+				return poll.Success()
+			}, poll.WithTimeout(2*time.Second), poll.WithDelay(10*time.Millisecond))
+			time.Sleep(2 * time.Second)
+			l.stop()
+			out := "v1"
+			if bad {
+				out = "v2"
+			}
+			assert.Equal(t, b.Ledger.CountArrivals(r.Service, out, restored), 0)
+			state, _ := b.RolloutState(k.service)
+			assert.Equal(t, state, name)
+		})
+	}
+}
+
 // Guards against a fleet of which some processes miss a version or a drain after a restore, and
 // against one that calls the store without end.
 func TestFleetFollowsARestoredStore(t *testing.T) {
--- a/internal/serve/router/quarantine.go
+++ b/internal/serve/router/quarantine.go
@@ -175,6 +175,7 @@
 		for _, key := range append(tracker.Expire(now), g.detector.Parts().Expire(now)...) {
 			g.applyWhenDue(key, previous, pending, func() error { return g.removeQuarantine(ctx, key) })
 		}
+		g.rewriteQuarantines(ctx, previous, pending)
 		previous = pending
 	}
 }
--- a/internal/serve/router/restore.go
+++ b/internal/serve/router/restore.go
@@ -1,10 +1,16 @@
 package router
 
 import (
+	"context"
+	"encoding/json"
+	"errors"
+
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/flow/crash"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/route/view"
+	"github.com/jujubescale/jujubescale/internal/serve/deploy"
 	"github.com/jujubescale/jujubescale/internal/serve/feed"
 )
 
@@ -56,6 +62,26 @@
 	return known.Leaving && !listed.Leaving
 }
 
+// restoreQuarantines keeps the quarantines with more evidence, which their owners write again.
+func restoreQuarantines() feed.Restore {
+	return feed.Restore{NewerFunc: hasMoreEvidence, KeepMissing: recordQuarantineFor, HideDeleted: true}
+}
+
+// recordQuarantineFor is how long a lost quarantine is kept while it can't be written again.
+const recordQuarantineFor = clock.Minute
+
+func hasMoreEvidence(known, listed store.Object) bool {
+	var before, now Quarantine
+	if json.Unmarshal(known.Value, &before) != nil {
+		return false
+	}
+	return json.Unmarshal(listed.Value, &now) != nil || len(before.Endpoints) > len(now.Endpoints)
+}
+
+func (g *Gateway) restoreRollouts() feed.Restore {
+	return feed.Restore{NewerFunc: g.deploy.IsNewer, KeepMissing: deploy.KeepLost}
+}
+
 // holds returns what this process knows and the store has lost, for processes that start meanwhile.
 func (g *Gateway) holds() []*wire.Update {
 	var all []*wire.Update
@@ -78,6 +104,42 @@
 	return lost
 }
 
+// rewriteQuarantines writes the quarantines again that the store has lost, and deletes those that
+// it restored, as far as this process is responsible for them.
+func (g *Gateway) rewriteQuarantines(ctx context.Context, previous, pending map[crash.Key]*pendingChange) {
+	for _, object := range g.feeds.quarantines.Lost() {
+		if key, err := crash.ParseKey(nameOf(object.Name)); err == nil {
+			g.applyWhenDue(key, previous, pending, func() error { return g.rewriteQuarantine(ctx, object) })
+		}
+	}
+	for name, version := range g.feeds.quarantines.Hidden() {
+		if key, err := crash.ParseKey(nameOf(name)); err == nil {
+			g.applyWhenDue(key, previous, pending, func() error { return g.deleteHidden(ctx, name, version) })
+		}
+	}
+}
+
+func (g *Gateway) rewriteQuarantine(ctx context.Context, object store.Object) error {
+	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout.Duration())
+	defer cancel()
+	_, err := g.Store.Put(ctx, object.Name, g.feeds.quarantines.Version(object.Name), object.Value)
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		return nil // another process has written it, which the feed reads soon
+	}
+	if err == nil {
+		g.Log.Info("quarantine written again", "key", nameOf(object.Name))
+	}
+	return err
+}
+
+func (g *Gateway) deleteHidden(ctx context.Context, name string, version store.Revision) error {
+	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout.Duration())
+	defer cancel()
+	g.Log.Info("restored quarantine deleted again", "key", nameOf(name))
+	return g.Store.Delete(ctx, name, version)
+}
+
 // isMemberLost reports whether the store has lost the member entry of this process.
 func (g *Gateway) isMemberLost() bool {
 	return g.feeds.members.IsLost(g.Dialect.MemberKind + "/" + g.Name)
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -329,9 +329,10 @@
 		feed.WithList(members.onList), feed.WithChanges(members.onChanges), feed.WithRestore(feed.Restore{KeepMissing: keepLostMember}))
 	quarantines := newQuarantines(g.detector)
 	g.feeds.quarantines = newFeed(g.Dialect.QuarantineKind, quarantineChangeWithin, feed.WithoutAge(),
-		feed.WithList(quarantines.onList), feed.WithChanges(quarantines.onChanges))
+		feed.WithList(quarantines.onList), feed.WithChanges(quarantines.onChanges), feed.WithRestore(restoreQuarantines()))
 	if g.deploy != nil {
-		g.feeds.rollouts = newFeed(g.Dialect.RolloutKind, g.ChangeWithin, feed.WithList(g.deploy.List), feed.WithChanges(g.deploy.Change))
+		g.feeds.rollouts = newFeed(g.Dialect.RolloutKind, g.ChangeWithin, feed.WithList(g.deploy.List), feed.WithChanges(g.deploy.Change),
+			feed.WithRestore(g.restoreRollouts()))
 	}
 }
 
