fix(lease): fencing numbers of one era of the store are not given out in the next

A store that comes back from a copy shows an earlier holder or none, with a lower number: another process is given a number that was given out before, while the first one's term still runs.

Change: numbers begin above those of all earlier eras, and after an era has risen a lease counts as held for a term. An object that doesn't exist has the era in which it was looked for, so that its creation is conditional, too. Agents' own platform states no era, nothing changes there.

--- a/internal/base/epoch/epoch.go
+++ b/internal/base/epoch/epoch.go
@@ -8,8 +8,8 @@
 
 // Revision orders the states of a store and the versions of its objects. Numbers grow with each
 // change, but only within one era: when the store comes back from a copy, its era rises, and the
-// numbers after that of the copy are given out again. Era 0 is that of a store without eras. The
-// zero Revision is that of an object that does not exist.
+// numbers after that of the copy are given out again. Era 0 is that of a store without eras.
+// Number 0 is that of an object that does not exist.
 type Revision struct {
 	Era    uint64 `cbor:"era,omitempty" json:"era,omitempty"`
 	Number uint64 `cbor:"revision" json:"revision"`
@@ -28,7 +28,7 @@
 func (r Revision) Before(other Revision) bool { return r.Compare(other) < 0 }
 
 // IsZero reports whether r is the revision of an object that does not exist.
-func (r Revision) IsZero() bool { return r == Revision{} }
+func (r Revision) IsZero() bool { return r.Number == 0 }
 
 // String returns the number, with the era before it if there is one.
 func (r Revision) String() string {
--- a/internal/plat/lease/lease.go
+++ b/internal/plat/lease/lease.go
@@ -35,7 +35,8 @@
 type record struct {
 	// Holder is empty if the lease was released.
 	Holder string `json:"holder,omitempty"`
-	// Fence is the fencing number, which grows with each new holder.
+	// Fence is the fencing number, which grows with each new holder. Its upper half is at least the
+	// era in which it was given out.
 	Fence uint64 `json:"fence"`
 	// Nonce is a random value for each write, by which a process recognises its own
 	// write.
@@ -67,6 +68,9 @@
 	// lease, and unchangedSince the instant at which it was first read.
 	seenVersion    store.Revision
 	unchangedSince clock.Millis
+	// era is the latest era of the store that was read, eraSince when it was first read.
+	era      uint64
+	eraSince clock.Millis
 }
 
 // Option configures a Lease.
@@ -166,7 +170,7 @@
 			return err
 		}
 	}
-	next := record{Holder: l.holder, Fence: max(current.Fence+1, floor), Nonce: l.nonce()}
+	next := record{Holder: l.holder, Fence: max(current.Fence+1, floor, firstFence(version.Era)), Nonce: l.nonce()}
 	version, err = l.write(ctx, version, next)
 	if err != nil {
 		return err
@@ -180,16 +184,36 @@
 	return nil
 }
 
+// firstFence returns the lowest fencing number of an era. A store that came back from a copy has
+// lost the numbers that it held since, so those of one era are never given out in the next.
+func firstFence(era uint64) uint64 { return era<<fenceBits + 1 }
+
+// fenceBits is the number of bits of a fencing number that count the holders within an era.
+const fenceBits = 32
+
+// recordEra records the era of the store, and when it was first read.
+func (l *Lease) recordEra(era uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if era != l.era {
+		l.era, l.eraSince = era, l.clock.Now()
+	}
+}
+
 // checkFree returns a HeldError unless the lease can be acquired. The object's
 // version changes with each renewal, so the lease has expired if the version has
-// not changed for a term.
+// not changed for a term. After the store came back from a copy, the object may show an
+// earlier holder or none, so the lease counts as held for a term.
 func (l *Lease) checkFree(current record, version store.Revision) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.clock.Now()
+	if left := l.eraSince + l.term - now; version.Era != 0 && version.Era != firstEra && left > 0 {
+		return &HeldError{Name: l.name, Holder: current.Holder, Fence: current.Fence, Left: left}
+	}
 	if current.Holder == "" || current.Holder == l.holder {
 		return nil
 	}
-	now := l.clock.Now()
 	if version != l.seenVersion {
 		l.seenVersion, l.unchangedSince = version, now
 	}
@@ -266,10 +290,14 @@
 	if err != nil {
 		return record{}, store.Revision{}, err
 	}
+	l.recordEra(object.Version.Era)
 	current, err := decode(object)
 	return current, object.Version, err
 }
 
+// firstEra is the era of a store that never came back from a copy.
+const firstEra = 1
+
 // write writes a record if the object is at the given version, and returns the new
 // version. If the answer is lost, it reads the object back and compares the nonce.
 // A write that may still be in transit counts as failed. It does no harm later,
--- a/internal/plat/store/revision.go
+++ b/internal/plat/store/revision.go
@@ -2,8 +2,7 @@
 
 import "github.com/jujubescale/jujubescale/internal/base/epoch"
 
-// Revision orders the states of the store and the versions of its objects. The zero Revision is
-// that of an object that does not exist.
+// Revision orders the states of the store and the versions of its objects.
 type Revision = epoch.Revision
 
 // At returns a revision of a store without eras.
--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -14,7 +14,7 @@
 const MaxValue = 1 << 20
 
 // Object is one object at one version. Versions of a name grow with each
-// write; the zero version means that the object does not exist.
+// write; that with number 0 means that the object does not exist.
 type Object struct {
 	Name    string
 	Version Revision
@@ -74,8 +74,8 @@
 type Store struct {
 	// GetFunc reads an object. The version is 0 if it does not exist.
 	GetFunc func(ctx context.Context, name string) (Object, error)
-	// PutFunc writes an object if it is at version want; zero means that it must not
-	// exist.
+	// PutFunc writes an object if it is at version want; number 0 means that it must not
+	// exist. A version with an era holds in that era only.
 	PutFunc func(ctx context.Context, name string, want Revision, value []byte) (Object, error)
 	// StatusFunc writes an object's status if the object is at version want.
 	StatusFunc func(ctx context.Context, name string, want Revision, status []byte) (Object, error)
