fix(feed): an older version that is written again doesn't come back by a list

After the store came back from a copy, a process that reads lists (it followed no watch when an older version of the configuration was written) took that into its copy and relayed it to processes that start. TestNewestObjectsStayInForceAfterARestore/older_version_written_again, read from lists only: a=1 before, a=3 now.

--- a/internal/serve/feed/restore.go
+++ b/internal/serve/feed/restore.go
@@ -115,7 +115,13 @@
 		return f.newHold(inStore, now), f.isKept(known, current, found)
 	}
 	before, isHeld := f.state.held[known.Name]
-	return before, isHeld && before.over == inStore && (!isHeldThere || f.isKept(known, current, found))
+	switch {
+	case !isHeld:
+		return hold{}, false
+	case before.over == inStore:
+		return before, !isHeldThere || f.isKept(known, current, found)
+	}
+	return hold{over: inStore}, f.restore.AlwaysNewer && f.isKept(known, current, found)
 }
 
 // isKept reports whether a known object is used instead of the listed one, if that was found.
--- a/internal/serve/feed/restore_test.go
+++ b/internal/serve/feed/restore_test.go
@@ -1,6 +1,7 @@
 package feed_test
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -135,6 +136,8 @@
 		// after is what happens after the restore, shown the state right after it and then.
 		after       func(s *copyStore)
 		shown, then string
+		// fromLists is the state then of a feed that reads only lists, if it differs.
+		fromLists string
 	}{
 		"newer version": {
 			lost: func(s *copyStore) { s.put("a", "3") }, after: func(s *copyStore) { s.put("a", "3") },
@@ -154,7 +157,7 @@
 		},
 		"created and deleted after the return": {
 			lost: func(s *copyStore) { s.put("c", "1") }, after: func(s *copyStore) { s.put("c", "1"); s.remove("c") },
-			restore: feed.Restore{KeepMissing: feed.KeepUntilWritten}, shown: "a=2 b=1 c=1", then: "a=2 b=1",
+			restore: feed.Restore{KeepMissing: 1000}, shown: "a=2 b=1 c=1", then: "a=2 b=1", fromLists: "a=2 b=1 c=1",
 		},
 		"deleted": {
 			lost: func(s *copyStore) { s.remove("b") }, after: func(s *copyStore) { s.remove("b") },
@@ -175,10 +178,14 @@
 			s.put("b", "1")
 			f := newFollower(s, clock.NewFake(1), test.restore)
 			f.ReadList(t.Context())
+			lister := newFollower(s, clock.NewFake(1), test.restore)
+			lister.ReadList(t.Context())
 			from := s.copy()
 			test.lost(s)
 			f.watchOnce(t)
+			lister.ReadList(t.Context())
 			s.restore(from)
+			lister.ReadList(t.Context())
 			f.ReadList(t.Context())
 			assert.Equal(t, f.String(), test.shown)
 			f.ReadList(t.Context())
@@ -186,6 +193,11 @@
 			test.after(s)
 			f.watchOnce(t)
 			assert.Equal(t, f.String(), test.then)
+			f.RequireList()
+			f.ReadList(t.Context())
+			assert.Equal(t, f.String(), test.then, "read again after the change")
+			lister.ReadList(t.Context())
+			assert.Equal(t, lister.String(), cmp.Or(test.fromLists, test.then), "read from lists only")
 		})
 	}
 }
