fix(deploy): the next order replaces the version whose completion the store has lost

Change: a process that has read a completed rollout uses it in place of an earlier era's status, and corrects the status of the next order.

TestNextOrderReplacesTheCompletedVersionThatTheStoreLost fails in 3 of 4 cases without it.

--- a/internal/serve/deploy/deploy.go
+++ b/internal/serve/deploy/deploy.go
@@ -85,6 +85,8 @@
 	// byName holds the readable orders by the name of their object.
 	byName map[string]*rollout
 	listed bool
+	// completed holds the last completed rollout by the name of its object.
+	completed map[string]completion
 }
 
 // Option configures a Controller.
@@ -126,7 +128,7 @@
 // kind. The caller must call Run.
 func New(kind string, s *store.Store, codec Codec, opts ...Option) *Controller {
 	c := &Controller{
-		kind: kind, store: s, codec: codec, clock: clock.New(), log: log.New(io.Discard), byName: make(map[string]*rollout),
+		kind: kind, store: s, codec: codec, clock: clock.New(), log: log.New(io.Discard), byName: make(map[string]*rollout), completed: make(map[string]completion),
 		wallClock: func() int64 { return time.Now().UnixMilli() },
 		meter:     newMeter(prometheus.NewRegistry()),
 		viewFunc:  func() *view.Snapshot { return nil }, applyFunc: func([]view.Rollout) {},
@@ -201,6 +203,7 @@
 		c.log.Info("rollout ordered", "pool", order.Pool, "version", order.Version, "durationMs", int64(order.Duration),
 			"revision", object.Version, "state", string(status.State))
 	}
+	status, corrected := c.restoreCompleted(object, order, status)
 	if status.Order != order {
 		// The status belongs to an earlier order, whose result is in force.
 		previous := status.Previous
@@ -213,12 +216,14 @@
 		known.revision = object.Version
 		return
 	}
+	known.statusLost = corrected && status.State != ""
 	if known.status.State != status.State {
 		c.meter.event(order.Pool, string(status.State))
 		c.log.Info("rollout recorded", "pool", order.Pool, "version", order.Version, "previous", status.Previous,
 			"state", string(status.State), "reason", status.Reason, "revision", object.Version, "elapsedMs", int64(c.clock.Now()-known.began))
 	}
 	known.status, known.revision = status, object.Version
+	c.recordCompleted(known)
 }
 
 // removeOrder removes an order. The caller holds the lock.
--- a/internal/serve/deploy/restore.go
+++ b/internal/serve/deploy/restore.go
@@ -65,6 +65,46 @@
 	return c.codec.DecodeFunc(object.Name[strings.LastIndex(object.Name, "/")+1:], object.Value, object.Status)
 }
 
+// completion is a completed rollout, and the revision at which it was read.
+type completion struct {
+	canary.Decision
+	at store.Revision
+}
+
+// recordCompleted remembers a completed rollout: the next order replaces its version. The caller
+// holds the lock.
+func (c *Controller) recordCompleted(r *rollout) {
+	if r.status.State == canary.Completed {
+		c.completed[r.name] = completion{Decision: r.status.History()[0], at: r.revision}
+	}
+}
+
+// restoreCompleted returns the status of an object, and whether it was corrected because the store
+// has lost that the rollout before it was completed. The caller holds the lock.
+func (c *Controller) restoreCompleted(object store.Object, order canary.Order, status canary.Status) (canary.Status, bool) {
+	known, found := c.completed[object.Name]
+	if !found || known.at.Era == object.Version.Era || status.StartedAt < known.StartedAt {
+		return status, false
+	}
+	if status.Order != order && status.StartedAt == known.StartedAt && status.Version == known.Version {
+		// The status of the new order, which isn't recorded yet, follows from this one.
+		status.State, status.Reason = known.State, known.Reason
+		return status, false
+	}
+	for i, earlier := range status.Earlier {
+		if earlier.StartedAt != known.StartedAt || earlier.Version != known.Version || earlier.State == known.State {
+			continue
+		}
+		status.Earlier = slices.Clone(status.Earlier)
+		status.Earlier[i] = known.Decision
+		if i == 0 {
+			status.Previous = known.Version
+		}
+		return status, true
+	}
+	return status, false
+}
+
 // KeepLost is how long an order stays in force that the store has lost, unless it is written
 // again.
 const KeepLost = 10 * clock.Second
