fix(feed): an object that was created again is not hidden as a deleted one

After a return from a copy, an object that had been deleted and created again with the same content was hidden for 5 s, as if the copy had brought it back. Found by reading; TestNewestObjectsStayInForceAfterARestore/deleted_and_created_as_before fails without the change.

--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -232,6 +232,9 @@
 			f.recordDeleted(name)
 		}
 	}
+	for name := range objects {
+		delete(s.deleted, name)
+	}
 	s.listed, s.revision, s.lastChange, s.objects = true, list.revision, list.changed, objects
 	s.missingSince = 0
 	all := make([]store.Object, 0, len(objects))
@@ -270,6 +273,7 @@
 			delete(s.objects, change.Object.Name)
 			continue
 		}
+		delete(s.deleted, change.Object.Name)
 		s.objects[change.Object.Name] = change.Object
 	}
 	f.changeFunc(unseen)
--- a/internal/serve/feed/restore.go
+++ b/internal/serve/feed/restore.go
@@ -218,6 +218,7 @@
 	for name, h := range s.hidden {
 		if h.until <= now {
 			delete(s.hidden, name)
+			delete(s.deleted, name)
 			s.objects[name] = h.object
 			changes = append(changes, store.Change{Object: h.object})
 		}
--- a/internal/serve/feed/restore_test.go
+++ b/internal/serve/feed/restore_test.go
@@ -167,6 +167,10 @@
 			lost: func(s *copyStore) { s.remove("b") }, after: func(s *copyStore) { s.put("b", "1") },
 			restore: feed.Restore{HideDeleted: true}, shown: "a=2", then: "a=2 b=1",
 		},
+		"deleted and created as before": {
+			lost: func(s *copyStore) { s.remove("b"); s.put("b", "1") }, after: func(*copyStore) {},
+			restore: feed.Restore{HideDeleted: true}, shown: "a=2 b=1", then: "a=2 b=1",
+		},
 		"nothing lost": {
 			lost: func(*copyStore) {}, after: func(s *copyStore) { s.put("b", "2") },
 			restore: feed.Restore{KeepMissing: 1000, HideDeleted: true}, shown: "a=2 b=1", then: "a=2 b=2",
