--- a/internal/serve/router/harness_test.go
+++ b/internal/serve/router/harness_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
+	"github.com/jujubescale/jujubescale/internal/link/conns"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/route/canary"
 	"github.com/jujubescale/jujubescale/internal/serve/gate"
@@ -52,6 +53,8 @@
 	gateways []*gateway
 	// rollouts enables rollouts at the gateways.
 	rollouts bool
+	// admit lets gateways close new connections unread, as the daemon does.
+	admit bool
 	// reuseCalls lets connections to stage engines carry several calls. Engines close idle
 	// connections after idleTimeout, 0 for never.
 	reuseCalls  bool
@@ -290,8 +293,13 @@
 		ReuseCalls: b.reuseCalls, HandOver: true,
 	})
 	callersServer := &http.Server{Handler: g.Handler(), ReadHeaderTimeout: time.Minute, ConnContext: g.ConnContext}
-	go func() { _ = callersServer.Serve(callers) }() // ends with Close
 	servers := []*http.Server{serve(sessions, g.SessionHandler()), callersServer, serve(ready, g.ReadyHandler())}
+	if b.admit {
+		callersServer.IdleTimeout = time.Minute
+		conns.Serve(callersServer, callers, conns.WithAdmit(g.AdmitConnection))
+	} else {
+		go func() { _ = callersServer.Serve(callers) }() // ends with Close
+	}
 	g.Start(ctx)
 	g.stop = func() {
 		cancel()
