fix(door): requests that were closed unread are charged to the link

Cause: callers send a request at once, so that the bytes of a closed one have crossed the link as well. The door charged only what it accepted; what it accepted then waited 2 to 3 s in front of the link and was refused or late. In tests in one process the door was not asked at all.

Change: where requests are larger than answers, a closed one takes the same budget as one that was read.

--- a/internal/guard/door/door.go
+++ b/internal/guard/door/door.go
@@ -181,6 +181,9 @@
 	switch {
 	case reason != Accepted:
 		b.arrived++
+		if b.limits.Link > 0 && b.requestBytes >= b.answerBytes {
+			b.budget -= b.requestBytes // callers send requests at once, so that they have crossed the link
+		}
 	case b.limits.Link > 0:
 		b.budget -= b.bytes()
 		b.prepaid++
--- a/internal/guard/door/door_test.go
+++ b/internal/guard/door/door_test.go
@@ -14,6 +14,11 @@
 // play brings a number of requests a second to a gateway, each on a new connection, and returns
 // how many connections were closed in the last four of five seconds, and for what.
 func play(limits door.Limits, usage door.Usage, perSecond int, wait clock.Millis) (closed int, reasons map[door.Reason]int) {
+	return playSizes(limits, usage, perSecond, wait, 10, requestBytes)
+}
+
+// playSizes is play with the sizes of requests and answers in bytes.
+func playSizes(limits door.Limits, usage door.Usage, perSecond int, wait clock.Millis, request, answer int) (closed int, reasons map[door.Reason]int) {
 	b := door.New(limits, func() door.Usage { return usage })
 	reasons = make(map[door.Reason]int)
 	pause := clock.Second / clock.Millis(perSecond)
@@ -27,8 +32,8 @@
 			continue
 		}
 		b.Begin(now)
-		b.Forwarded(requestBytes)
-		b.End(10)
+		b.Forwarded(answer)
+		b.End(request)
 	}
 	return closed, reasons
 }
@@ -58,6 +63,18 @@
 	}
 }
 
+// Guards against a gateway that reads what doesn't fit its link beside the requests that it closed
+// unread: callers send them at once, so that they have crossed the link.
+func TestRequestsClosedUnreadTakeTheLink(t *testing.T) {
+	const perSecond, whole = 50, 4 * 50
+	limits := door.Limits{Link: perSecond * requestBytes * 2 / 3}
+	usage := door.Usage{Peers: 5, PeersOffered: 10}
+	closed, _ := playSizes(limits, usage, perSecond, 0, requestBytes, 10)
+	assert.Assert(t, closed >= whole*9/10, "%d of %d closed, requests are larger", closed, whole)
+	closed, _ = playSizes(limits, usage, perSecond, 0, requestBytes/2, requestBytes)
+	assert.Assert(t, closed <= whole*6/10, "%d of %d closed, answers are larger", closed, whole)
+}
+
 // Guards against callers who find no gateway: the pressed one is the only one left, or the load is
 // the same everywhere.
 func TestConnectionsAreReadWhereOthersCannotServeThem(t *testing.T) {
