--- a/internal/serve/router/lost_test.go
+++ b/internal/serve/router/lost_test.go
@@ -52,6 +52,7 @@
 // Guards against members that stay out of the list after the store has lost their entries, and
 // against entries that are written without end.
 func TestMembersThatTheStoreLostRegisterAgain(t *testing.T) {
+	t.Parallel()
 	b := start(t, 2)
 	from := b.Store.Copy()
 	late := b.startGateway()
@@ -80,6 +81,7 @@
 // Guards against requests that crash engines again because the store has lost their quarantine,
 // and against one that comes back with the copy after an operator has lifted it.
 func TestQuarantinesAreAsBeforeAfterARestore(t *testing.T) {
+	t.Parallel()
 	b := start(t, 3)
 	kept, lifted := strings.Repeat("ab", 16), strings.Repeat("cd", 16)
 	quarantine := router.Quarantine{SinceMs: time.Now().UnixMilli(), Endpoints: []string{"e1", "e2", "e3"}}
@@ -166,6 +168,7 @@
 func TestFleetFollowsARestoredStore(t *testing.T) {
 	for name, gateways := range map[string]int{"1 gateway": 1, "24 gateways": 24} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			b := start(t, gateways)
 			time.Sleep(2 * time.Second)
 			calm := b.Store.Calls()
@@ -201,6 +204,7 @@
 // Guards against a return from a copy that takes engines or callers' requests with it: engines that
 // registered after the copy was made write their entries again a second later.
 func TestRestoreTakesNoEngineOutOfUse(t *testing.T) {
+	t.Parallel()
 	b := startWith(t, 3, true) // its engines are not cold
 	from := b.Store.Copy()
 	for _, e := range b.Engines("") {
--- a/internal/serve/router/restore_test.go
+++ b/internal/serve/router/restore_test.go
@@ -84,23 +84,30 @@
 // Guards against requests and pieces for an engine whose leaving the store acknowledged with a
 // revision that it had given out before it came back from a copy.
 func TestEngineDrainedAfterTheStoreWasRestoredGetsNoRequests(t *testing.T) {
-	for name, test := range stateCases() {
-		for _, d := range drills() {
-			t.Run(name+", "+d.String(), func(t *testing.T) {
-				t.Parallel()
-				b := start(t, 3)
-				from := b.Store.Copy()
-				b.lose(d.lost)
-				time.Sleep(time.Second)
-				b.restore(d, from)
-				b.WriteAgain()
-				leaving := b.Engines(test.service)[0]
-				b.Drain(leaving)
-				told := time.Now()
-				b.loadAll(4*time.Second, test.request)
-				assert.Equal(t, b.Ledger.CountArrivalsAt(leaving, told.Add(2*time.Second)), 0)
-			})
-		}
+	for _, d := range drills() {
+		t.Run(d.String(), func(t *testing.T) {
+			t.Parallel()
+			b := start(t, 3)
+			from := b.Store.Copy()
+			b.lose(d.lost)
+			time.Sleep(time.Second)
+			b.restore(d, from)
+			b.WriteAgain()
+			leaving := make(map[string]*stand.Engine)
+			for name, test := range stateCases() {
+				leaving[name] = b.Engines(test.service)[0]
+				b.Drain(leaving[name])
+			}
+			told := time.Now()
+			var group sync.WaitGroup
+			for _, test := range stateCases() {
+				group.Go(func() { b.loadAll(4*time.Second, test.request) })
+			}
+			group.Wait()
+			for name, e := range leaving {
+				assert.Check(t, b.Ledger.CountArrivalsAt(e, told.Add(2*time.Second)) == 0, "%s: %s got requests", name, e.ID)
+			}
+		})
 	}
 }
 
