--- a/internal/serve/router/poison_test.go
+++ b/internal/serve/router/poison_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/jujubescale/jujubescale/internal/serve/router"
 	"github.com/jujubescale/jujubescale/platform"
 	"github.com/jujubescale/jujubescale/platform/stand"
 )
@@ -25,6 +26,10 @@
 	// engines, and maxReached how often it may after that.
 	recognitionTime = time.Second
 	maxReached      = 3
+	// quarantineCrashes is the number of crashed engines from which a request is quarantined, and
+	// recordDeadline the time within which the store holds the acquittal of a part.
+	quarantineCrashes = 3
+	recordDeadline    = 3 * time.Second
 	// observationTime is how long each test checks whether the request still reaches
 	// engines.
 	observationTime = 1500 * time.Millisecond
@@ -382,10 +387,31 @@
 	for i, request := range others {
 		p.sendUntil(p.gateways[i%len(p.gateways)], request, func(got stand.Outcome) bool { return got.Complete })
 	}
-	assert.Equal(t, len(p.quarantinedKeys()), 1)
+	assert.Equal(t, len(p.recordsWith(quarantineCrashes)), 1)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if held := p.recordsWith(1); len(held) != 1 {
+			return poll.Continue("records with crashes: %v", held)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(recordDeadline), poll.WithDelay(10*time.Millisecond))
+}
+
+// recordsWith returns the names of the records in the store that name a number of crashed engines
+// or more. The record of a part whose answer acquitted it names none.
+func (p *poisonBench) recordsWith(crashes int) (names []string) {
+	p.t.Helper()
+	for _, name := range p.quarantinedKeys() {
+		var record router.Quarantine
+		object, _ := p.Store.Get(platform.KindQuarantines, name)
+		assert.NilError(p.t, json.Unmarshal(object.Spec, &record))
+		if len(record.Endpoints) >= crashes {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
-// quarantinedKeys returns the keys of the quarantines in the store.
+// quarantinedKeys returns the keys of the records in the store.
 func (p *poisonBench) quarantinedKeys() []string { return p.Store.Names(platform.KindQuarantines) }
 
 // Guards against a quarantine that operators can't end by deleting its object.
