fix(permit): nothing is sent to an endpoint whose entry says that it drains

What callers would see: a request, a piece or a release of a result that was placed at an engine, and waited for a permit, a confirmation or its process, is sent after the process has read that the engine drains or is gone; after a pause of the process later than drainMs allows.

Cause: target.Send, the only way to an endpoint, looked only at what the endpoint had stated itself. Evidence: found by reading (Open in docs/design/restore.md); TestPlacedRequestIsNotSentToADrainingEndpoint fails in both cases without the change.

The check that stands there for stated leaving now asks for the entry as well. Requests and pieces go elsewhere without use of the retry budget, as they do there.

--- a/internal/serve/permit/state.go
+++ b/internal/serve/permit/state.go
@@ -16,10 +16,10 @@
 // not in the view: its entry may return after an outage of the store, or not be read yet.
 const stateRetention = 30 * clock.Second
 
-// HeldError is returned for a request to an endpoint that has stated that it wants none.
+// HeldError is returned for a request to an endpoint that gets none.
 type HeldError struct {
 	Endpoint string
-	// Leaving is set if the endpoint leaves. Otherwise Rest is the time in ms in which it
+	// Leaving is set if the endpoint drains or is gone. Otherwise Rest is the time in ms in which it
 	// wants no requests from this process.
 	Leaving bool
 	Rest    clock.Millis
@@ -28,7 +28,7 @@
 // Error implements error.
 func (e *HeldError) Error() string {
 	if e.Leaving {
-		return fmt.Sprintf("endpoint %s has stated that it leaves", e.Endpoint)
+		return fmt.Sprintf("endpoint %s drains or is gone", e.Endpoint)
 	}
 	return fmt.Sprintf("endpoint %s has asked for a rest of %d ms more", e.Endpoint, e.Rest)
 }
@@ -100,9 +100,10 @@
 // Holding reports whether any endpoint has a limit, leaves or rests.
 func (b *Book) Holding() bool { return b.limited.Load() > 0 || b.states.held.Load() > 0 }
 
-// Check returns a HeldError for an endpoint that has stated that it wants no requests.
+// Check returns a HeldError for an endpoint that gets no new requests or has asked for a rest. It may
+// have changed since a request was placed there.
 func (b *Book) Check(e *view.Endpoint) error {
-	if b.Leaving(e) {
+	if b.Unavailable(e) {
 		return &HeldError{Endpoint: e.ID, Leaving: true}
 	}
 	if rest := b.Rest(e, b.clock.Now()); rest > 0 {
--- a/internal/serve/permit/state_test.go
+++ b/internal/serve/permit/state_test.go
@@ -33,6 +33,29 @@
 	assert.Assert(t, !b.Leaving(e), "the number of states is bounded")
 }
 
+// Guards against requests, pieces and releases of results that were placed at an endpoint before
+// its entry said that it drains or was removed, and are sent after that.
+func TestPlacedRequestIsNotSentToADrainingEndpoint(t *testing.T) {
+	entry := view.Entry{ID: "i-1", Address: "10.0.0.1:80", Pool: "models"}
+	draining := entry
+	draining.Leaving = true
+	for name, change := range map[string]func(*view.Registry){
+		"draining": func(r *view.Registry) { r.Put(draining, 1) },
+		"gone":     func(r *view.Registry) { r.Remove(entry.ID, 1, 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, endpoints := permit.New(), view.New()
+			endpoints.Put(entry, 0)
+			endpoints.Publish()
+			placed := endpoints.Snapshot().Find(entry.ID)
+			assert.NilError(t, b.Check(placed))
+			change(endpoints)
+			var held *permit.HeldError
+			assert.Assert(t, errors.As(b.Check(placed), &held) && held.Leaving)
+		})
+	}
+}
+
 // Guards against a statement that outlives the start of the endpoint that made it.
 func TestNextStartOfAnEndpointDoesNotLeave(t *testing.T) {
 	b := permit.New()
