fix(gate): a gateway doesn't panic when endpoints change while one is chosen

What callers saw: the whole process ends with 'index out of range [3] with length 3', and with it all requests that are open there; or, where the pool has grown, a subset that lacks endpoints until the next change.

Cause: the pool's endpoints and the key of the cache of subsets were two reads of the view.

Evidence: TestRequestsAtCrashingEnginesAreNotQuarantined, 1 of 56 runs beside load of 13 on five cores, panic in subset.go:75 from mesh.round.

The key names the pool's candidates instead of the version of the first endpoint.

--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -102,15 +102,16 @@
 	if req.origin != nil {
 		return g.resumeEndpoints(req)
 	}
-	if next := g.candidateEndpoints(req, now); len(next) > 0 {
+	endpoints := g.View()
+	if next := g.candidateEndpoints(req, endpoints, now); len(next) > 0 {
 		return next
 	}
-	return g.preferredEndpoints(req, g.View().Pool(req.pool.Name), now)
+	return g.preferredEndpoints(req, endpoints, subsetKey{pool: req.pool.Name}, now)
 }
 
-// preferredEndpoints returns those of the given endpoints that this process considers.
-func (g *Gate) preferredEndpoints(req *request, all []*view.Endpoint, now clock.Millis) []*view.Endpoint {
-	chosen := g.subsets.positions(g.View(), req.pool.Name, all)
+// preferredEndpoints returns those of a pool's endpoints that this process considers.
+func (g *Gate) preferredEndpoints(req *request, endpoints *view.Snapshot, key subsetKey, now clock.Millis) []*view.Endpoint {
+	all, chosen := g.subsets.choose(endpoints, key)
 	if len(chosen) == len(all) {
 		return all
 	}
@@ -118,10 +119,7 @@
 	var preferred []*view.Endpoint
 	usable := false
 	for i, e := range all {
-		inSubset := len(chosen) > 0 && chosen[0] == i
-		if inSubset {
-			chosen = chosen[1:]
-		}
+		_, inSubset := slices.BinarySearch(chosen, i)
 		if inSubset || (grouped && g.targets.Get(e).HasCached(group, now)) || (e.Cold(now) && g.mesh.Owns(e.ID)) {
 			preferred = append(preferred, e)
 			usable = usable || (!e.Blocked(now) && !g.limits.Unavailable(e) && !slices.Contains(req.tried, e) && g.limits.WaitFor(e, req.need(), now) == 0)
@@ -135,13 +133,13 @@
 
 // candidateEndpoints returns the endpoints of the rollout's candidate version if the
 // request is to run there, or nil if none of them accepts it.
-func (g *Gate) candidateEndpoints(req *request, now clock.Millis) []*view.Endpoint {
-	next := g.View().Candidates(req.pool.Name)
+func (g *Gate) candidateEndpoints(req *request, endpoints *view.Snapshot, now clock.Millis) []*view.Endpoint {
+	next := endpoints.Candidates(req.pool.Name)
 	switch {
 	case len(next) == 0:
 		return nil
 	case g.Deploy.Promoted(req.pool.Name, req.route.Name):
-		next = g.preferredEndpoints(req, next, now)
+		next = g.preferredEndpoints(req, endpoints, subsetKey{pool: req.pool.Name, candidates: true}, now)
 	case req.canary && len(req.tried) == 0:
 		next = g.Deploy.ActiveCandidates(req.pool.Name, next)
 	default:
--- a/internal/serve/gate/subset.go
+++ b/internal/serve/gate/subset.go
@@ -24,31 +24,32 @@
 	byPool sync.Map // subsetKey to []int
 }
 
-// subsetKey identifies the endpoints of one version of a pool.
-type subsetKey struct{ pool, version string }
+// subsetKey identifies a pool's endpoints of the version in force, or the candidates of its rollout.
+type subsetKey struct {
+	pool       string
+	candidates bool
+}
 
-// positions returns the indexes, within members, of the endpoints in this process's subset.
-// All members are of one pool and version.
-func (s *subsets) positions(endpoints *view.Snapshot, pool string, members []*view.Endpoint) []int {
-	key := subsetKey{pool: pool}
-	if len(members) > 0 {
-		key.version = members[0].Version
+// choose returns the endpoints of a key and the indexes of those in this process's subset.
+func (s *subsets) choose(endpoints *view.Snapshot, key subsetKey) (members []*view.Endpoint, chosen []int) {
+	if members = endpoints.Pool(key.pool); key.candidates {
+		members = endpoints.Candidates(key.pool)
 	}
 	current := s.current.Load()
 	if current == nil || current.snapshot != endpoints {
 		current = &poolSubsets{snapshot: endpoints}
 		s.current.Store(current)
 	}
-	if chosen, found := current.byPool.Load(key); found {
-		return chosen.([]int)
+	if known, found := current.byPool.Load(key); found {
+		return members, known.([]int)
 	}
 	all := make([]subset.Endpoint, 0, len(members))
 	for _, e := range members {
 		all = append(all, subset.Endpoint{ID: e.ID, Zone: e.Zone})
 	}
-	chosen := subset.Of(s.process, s.zone, s.processes(), all)
+	chosen = subset.Of(s.process, s.zone, s.processes(), all)
 	current.byPool.Store(key, chosen)
-	return chosen
+	return members, chosen
 }
 
 // endpointIDs returns the ids of the subset's endpoints over all pools that take requests,
@@ -68,8 +69,7 @@
 		if pool.Batching != nil {
 			continue
 		}
-		members := endpoints.Pool(pool.Name)
-		chosen := s.positions(endpoints, pool.Name, members)
+		members, chosen := s.choose(endpoints, subsetKey{pool: pool.Name})
 		divided = divided || len(chosen) < len(members)
 		for _, position := range chosen {
 			ids = append(ids, members[position].ID)
