fix(feed): what peers say the store has lost isn't dropped before the list is read

What callers would see: a process that starts after the store came back from a copy serves by the copy (an added route answers 404, a revoked key works) until the operator writes again, because peers tell once on a session what the store has lost, and that message came before the process had read its list, as with a slow store; the same where a peer reads a new era first.

Cause: Feed.applyHolds dropped the message unless the list of just that era was read. Evidence: found by reading; TestLostObjectsThatArriveBeforeTheListAreKept fails in both cases without the change.

The message is now kept until the list of its era is read, and combined with that list before it is shown.

--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -226,7 +226,7 @@
 	for _, object := range list.objects {
 		objects[object.Name] = object
 	}
-	f.reconcile(objects, list.held, s.listed && s.revision.Era != list.revision.Era)
+	f.reconcile(objects, list.held, list.revision.Era)
 	for name := range s.objects {
 		if _, found := objects[name]; !found {
 			f.recordDeleted(name)
--- a/internal/serve/feed/restore.go
+++ b/internal/serve/feed/restore.go
@@ -63,6 +63,8 @@
 	// by their version in the store.
 	deleted map[string]deletion
 	hidden  map[string]hiddenObject
+	// early is what a peer told of an era whose list this feed has not read yet, nil for nothing.
+	early *wire.Update
 }
 
 // hiddenObject is an object as it is in the store, and until when it is hidden.
@@ -79,9 +81,9 @@
 // objects that are newer than those in the list are kept; those that were kept before stay as
 // long as the store has not changed. The sender of a list may itself keep objects, which heldThere
 // explains. The caller holds the lock.
-func (f *Feed) reconcile(listed map[string]store.Object, heldThere map[string]hold, newEra bool) {
+func (f *Feed) reconcile(listed map[string]store.Object, heldThere map[string]hold, era uint64) {
 	s := &f.state
-	now := f.clock.Now()
+	now, newEra := f.clock.Now(), s.listed && s.revision.Era != era
 	held := make(map[string]hold)
 	maps.Copy(held, heldThere)
 	for name, known := range s.objects {
@@ -97,6 +99,11 @@
 			hidden++
 		}
 	}
+	if early := s.early; early != nil && early.Era <= era {
+		if s.early = nil; early.Era == era {
+			f.mergeHolds(early, listed)
+		}
+	}
 	if newEra {
 		f.log.Info("store restored from a copy", "kind", f.kind, "before", s.revision, "listed", len(listed), "kept", len(held), "hidden", hidden)
 	}
@@ -274,31 +281,44 @@
 	return update
 }
 
-// applyHolds takes the objects of Holds of another process, unless this one knows newer ones.
+// applyHolds takes the objects of Holds of another process, unless this one knows newer ones. It keeps
+// those of an era whose list was not read yet until that is read.
 func (f *Feed) applyHolds(update *wire.Update) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := &f.state
-	if !s.listed || update.Era != s.revision.Era {
+	if !s.listed || s.revision.Era < update.Era {
+		s.early = update
 		return
 	}
-	var changes []store.Change
+	if update.Era < s.revision.Era {
+		return
+	}
+	if changes := f.mergeHolds(update, s.objects); len(changes) > 0 {
+		f.changeFunc(changes)
+	}
+}
+
+// mergeHolds adds the objects of Holds of another process to those of the same era, and returns the
+// ones that it added. The caller holds the lock.
+func (f *Feed) mergeHolds(update *wire.Update, objects map[string]store.Object) (changes []store.Change) {
+	held := f.state.held
 	for _, stored := range update.Objects {
 		if stored.Hold == nil {
 			continue
 		}
 		object, h := objectOf(stored, update.Era), f.holdOf(stored, update.Era)
-		current, found := s.objects[object.Name]
-		if _, held := s.held[object.Name]; held || current.Version != h.over || !f.isKept(object, current, found) {
+		current, found := objects[object.Name]
+		if _, known := held[object.Name]; known || current.Version != h.over || !f.isKept(object, current, found) {
 			continue
 		}
-		s.objects[object.Name], s.held[object.Name] = object, h
+		objects[object.Name], held[object.Name] = object, h
 		changes = append(changes, store.Change{Object: object})
 	}
 	if len(changes) > 0 {
 		f.log.Info("lost objects taken from a peer", "kind", f.kind, "objects", len(changes), "first", changes[0].Object.Name)
-		f.changeFunc(changes)
 	}
+	return changes
 }
 
 // holdOf returns the hold of an object that another process keeps.
--- a/internal/serve/feed/restore_test.go
+++ b/internal/serve/feed/restore_test.go
@@ -263,6 +263,33 @@
 	assert.Equal(t, other.String(), "a=3 b=4")
 }
 
+// Guards against a process that serves by the copy because peers told it what the store has lost
+// before it had read the list of that era.
+func TestLostObjectsThatArriveBeforeTheListAreKept(t *testing.T) {
+	for name, readBefore := range map[string]bool{"before the first list": false, "before the list of the era": true} {
+		t.Run(name, func(t *testing.T) {
+			s, fake := newCopyStore(), clock.NewFake(1)
+			s.put("a", "1")
+			known, started := newFollower(s, fake, feed.Restore{KeepMissing: 1000}), newFollower(s, fake, feed.Restore{KeepMissing: 1000})
+			from := s.copy()
+			if readBefore {
+				started.ReadList(t.Context())
+			}
+			s.put("a", "3")
+			s.put("b", "3")
+			known.ReadList(t.Context())
+			s.restore(from)
+			known.ReadList(t.Context())
+			assert.Assert(t, !started.Apply(known.Holds(), 1))
+			started.ReadList(t.Context())
+			assert.Equal(t, started.String(), "a=3 b=3")
+			s.put("a", "4")
+			started.watchOnce(t)
+			assert.Equal(t, started.String(), "a=4 b=3")
+		})
+	}
+}
+
 // Guards against a copy that a process takes from a peer of an earlier era, or of the version
 // before, which knows no eras.
 func TestMessagesOfAnEarlierEraChangeNothing(t *testing.T) {
