fix(feed): forwarded changes begin where those left out of them end

What callers would see: a gateway lacks a change for good, and believes that its copy is fresh: a route that was added answers 404, an engine that drains gets requests.

Cause: a process that has read a change itself, from the list, leaves it out of the changes that it forwards when a peer relays it again, but kept the peer's revision as the one since which the forwarded changes are complete. A follower that stood between the two took the rest for everything.

TestForwardedChangesAreComplete plays these three processes and fails without the change.

--- a/internal/serve/feed/model_test.go
+++ b/internal/serve/feed/model_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/serve/feed"
 )
@@ -185,8 +186,10 @@
 		s := &modelStore{t: t, fake: fake, revision: store.Revision{Era: 1, Number: 5}}
 		s.write()
 		processes := make([]*feed.Feed, 3)
+		sent, sentAt := make([]wire.Update, len(processes)), make([]clock.Millis, len(processes))
 		for i := range processes {
-			processes[i] = feed.New("k", &store.Store{ScanFunc: s.scan, FollowFunc: s.follow}, feed.WithClock(withoutPauses(fake)))
+			processes[i] = feed.New("k", &store.Store{ScanFunc: s.scan, FollowFunc: s.follow}, feed.WithClock(withoutPauses(fake)),
+				feed.WithForward(func(update *wire.Update) { sent[i], sentAt[i] = *update, fake.Clock().Now() }))
 			processes[i].ReadList(t.Context())
 		}
 		draw := func(label string) *feed.Feed { return processes[rapid.IntRange(0, 2).Draw(t, label)] }
@@ -212,6 +215,12 @@
 				snapshot.Age += s.transit()
 				draw("to").Apply(snapshot, fake.Clock().Now())
 			},
+			"update relayed": func(t *rapid.T) {
+				from := rapid.IntRange(0, 2).Draw(t, "from")
+				update, delayed := sent[from], fake.Clock().Since(sentAt[from])
+				update.Age += delayed + s.transit()
+				draw("to").Apply(&update, fake.Clock().Now())
+			},
 			"confirmation": func(*rapid.T) {
 				progress := draw("from").Progress()
 				progress.Age += s.transit()
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -261,6 +261,7 @@
 		return s.revision
 	}
 	unseen := slices.DeleteFunc(slices.Clone(changes), func(change store.Change) bool { return f.isOld(change, since) || !f.release(change) })
+	since = store.Latest(since, s.revision) // earlier changes are not among the unseen ones
 	s.revision = revision
 	s.missingSince = 0
 	if len(unseen) == 0 {
--- a/internal/serve/feed/peer_test.go
+++ b/internal/serve/feed/peer_test.go
@@ -153,6 +153,24 @@
 	assert.Assert(t, p.Relayed())
 }
 
+// Guards against a process that lacks a change for good: its peer had read that change before, left it
+// out of the changes that it forwarded, and yet said that they were all.
+func TestForwardedChangesAreComplete(t *testing.T) {
+	changed := func(name string, revision uint64) wire.Stored { return wire.Stored{Name: name, Version: revision} }
+	var sent []*wire.Update
+	relay := feed.New("k", &store.Store{ScanFunc: func(context.Context, string) (store.Listing, error) {
+		return store.Listing{Revision: store.At(8), Objects: []store.Object{{Name: "k/a", Version: store.At(8)}}}, nil
+	}}, feed.WithForward(func(u *wire.Update) { sent = append(sent, u) }))
+	relay.ReadList(t.Context())
+	follower := feed.New("k", &store.Store{})
+	whole := update(0, 7)
+	whole.Whole = true
+	assert.Assert(t, !follower.Apply(whole, 1))
+	assert.Assert(t, !relay.Apply(update(7, 10, changed("k/a", 8), changed("k/b", 9)), 1))
+	assert.Assert(t, follower.Apply(sent[len(sent)-1], 1), "the change of revision 8 is missing")
+	assert.Equal(t, follower.Progress().Revision, uint64(7))
+}
+
 // Guards against a late message that reverts newer state: an older list, or changes
 // that overlap with those read from the store.
 func TestOlderMessagesAreIgnored(t *testing.T) {
