perf(feed): an era that rises without a loss is relayed without objects

A process whose first list of an era has the same objects with the same numbers sends its followers the era, and the last change that this builds on. Optional on the wire: a process of the version before sees changes without objects up to the revision.

The bytes that a fleet saves were not measured.

--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -191,6 +191,10 @@
 	Age      clock.Millis `cbor:"age,omitempty"`
 	// Lost is set if Objects are not changes, but objects that the store has lost.
 	Lost bool `cbor:"lost,omitempty"`
+	// EraOnly is set if the era has risen without a loss: Since is of the era SinceEra, and the
+	// objects are those as of it.
+	EraOnly  bool   `cbor:"eraOnly,omitempty"`
+	SinceEra uint64 `cbor:"sinceEra,omitempty"`
 	// Outage is how long the store was unreachable before.
 	Outage  clock.Millis `cbor:"away,omitempty"`
 	Objects []Stored     `cbor:"objects,omitempty"`
@@ -202,7 +206,12 @@
 func (u *Update) At() epoch.Revision { return epoch.Revision{Era: u.Era, Number: u.Revision} }
 
 // SinceAt returns the revision after which the changes of the update begin.
-func (u *Update) SinceAt() epoch.Revision { return epoch.Revision{Era: u.Era, Number: u.Since} }
+func (u *Update) SinceAt() epoch.Revision {
+	if u.EraOnly {
+		return epoch.Revision{Era: u.SinceEra, Number: u.Since}
+	}
+	return epoch.Revision{Era: u.Era, Number: u.Since}
+}
 
 // ChangedAt returns the revision of the last change in the update.
 func (u *Update) ChangedAt() epoch.Revision { return epoch.Revision{Era: u.Era, Number: u.Changed} }
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -226,7 +226,8 @@
 	for _, object := range list.objects {
 		objects[object.Name] = object
 	}
-	f.reconcile(objects, list.held, list.revision.Era)
+	before := s.lastChange
+	eraOnly := f.reconcile(objects, list.held, list.revision.Era)
 	for name := range s.objects {
 		if _, found := objects[name]; !found {
 			f.recordDeleted(name)
@@ -242,6 +243,10 @@
 		all = append(all, objects[name])
 	}
 	f.listFunc(all, list.outage)
+	if eraOnly {
+		f.forwardFunc(f.buildEraOnly(before))
+		return true
+	}
 	f.forwardFunc(f.buildSnapshot(list.outage))
 	return true
 }
@@ -342,14 +347,18 @@
 	if f.isOlder(update.At()) {
 		return false
 	}
-	if update.Whole {
+	switch known, listed := f.knownRevision(); {
+	case update.Whole:
 		if !f.applyList(f.listOf(update, at)) {
 			return false
 		}
-	} else {
-		if known, listed := f.knownRevision(); !listed || update.Era != known.Era || known.Before(update.SinceAt()) {
+	case update.EraOnly && known.Era != update.Era:
+		if !f.applyEraOnly(update, at) {
 			return true
 		}
+	case !listed, update.Era != known.Era, !update.EraOnly && known.Before(update.SinceAt()):
+		return true
+	default:
 		f.applyChanges(changesOf(update), update.SinceAt(), update.At(), at)
 	}
 	f.recordRelay(at)
--- a/internal/serve/feed/restore.go
+++ b/internal/serve/feed/restore.go
@@ -80,8 +80,8 @@
 // reconcile combines a list with what the feed knows. If the list is the first one of an era,
 // objects that are newer than those in the list are kept; those that were kept before stay as
 // long as the store has not changed. The sender of a list may itself keep objects, which heldThere
-// explains. The caller holds the lock.
-func (f *Feed) reconcile(listed map[string]store.Object, heldThere map[string]hold, era uint64) {
+// explains. It reports whether the era has risen without a loss. The caller holds the lock.
+func (f *Feed) reconcile(listed map[string]store.Object, heldThere map[string]hold, era uint64) (eraOnly bool) {
 	s := &f.state
 	now, newEra := f.clock.Now(), s.listed && s.revision.Era != era
 	held := make(map[string]hold)
@@ -107,6 +107,37 @@
 	if newEra {
 		f.log.Info("store restored from a copy", "kind", f.kind, "before", s.revision, "listed", len(listed), "kept", len(held), "hidden", hidden)
 	}
+	return newEra && len(held)+hidden == 0 && maps.EqualFunc(s.objects, listed, func(known, listed store.Object) bool {
+		return known.Version.Number == listed.Version.Number && sameContent(known, listed)
+	})
+}
+
+// buildEraOnly returns the message that the era has risen without a loss since a revision; the caller
+// holds the lock.
+func (f *Feed) buildEraOnly(since store.Revision) *wire.Update {
+	update := f.buildUpdate(nil, since)
+	update.EraOnly, update.SinceEra = true, since.Era
+	return update
+}
+
+// applyEraOnly applies the message of a peer that the era has risen without a loss. It returns false
+// if this feed doesn't know the objects that the peer has.
+func (f *Feed) applyEraOnly(update *wire.Update, at clock.Millis) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := &f.state
+	if !s.listed || s.lastChange != update.SinceAt() || len(s.held)+len(s.hidden) > 0 {
+		return false
+	}
+	for name, object := range s.objects {
+		object.Version.Era = update.Era
+		s.objects[name] = object
+	}
+	f.log.Info("era of the store risen without a loss", "kind", f.kind, "before", s.revision, "revision", update.At())
+	s.revision, s.lastChange, s.missingSince, s.listDue = update.At(), update.ChangedAt(), 0, false
+	s.confirmedAt = max(s.confirmedAt, at)
+	f.forwardFunc(f.buildEraOnly(update.SinceAt()))
+	return true
 }
 
 // keep reports whether a known object is used instead of the listed one, and why. The caller holds
--- a/internal/serve/feed/restore_test.go
+++ b/internal/serve/feed/restore_test.go
@@ -67,7 +67,7 @@
 }
 
 // newFollower returns a feed whose objects are ordered by their values.
-func newFollower(from *copyStore, fake *clock.Fake, restore feed.Restore) *follower {
+func newFollower(from *copyStore, fake *clock.Fake, restore feed.Restore, opts ...feed.Option) *follower {
 	f := &follower{from: from, shown: make(map[string]string), fake: fake}
 	if restore.NewerFunc == nil {
 		restore.NewerFunc = func(known, listed store.Object) bool { return string(known.Value) > string(listed.Value) }
@@ -93,7 +93,7 @@
 			}
 			return changes, nil
 		},
-	}, feed.WithClock(withoutPauses(fake)), feed.WithRestore(restore),
+	}, append(opts, feed.WithClock(withoutPauses(fake)), feed.WithRestore(restore),
 		feed.WithList(func(objects []store.Object, _ clock.Millis) {
 			f.shown = make(map[string]string)
 			for _, object := range objects {
@@ -106,7 +106,7 @@
 					delete(f.shown, change.Object.Name)
 				}
 			}
-		}))
+		}))...)
 	return f
 }
 
@@ -290,6 +290,39 @@
 	}
 }
 
+// Guards against lists that are sent to all processes although the store's era has risen without a
+// loss.
+func TestEraThatRisesWithoutALossIsRelayedWithoutObjects(t *testing.T) {
+	s, fake := newCopyStore(), clock.NewFake(1)
+	s.put("a", "1")
+	s.put("b", "1")
+	var sent []*wire.Update
+	upstream := newFollower(s, fake, feed.Restore{}, feed.WithForward(func(u *wire.Update) { sent = append(sent, u) }))
+	peer, behind := newFollower(s, fake, feed.Restore{}), newFollower(s, fake, feed.Restore{})
+	upstream.ReadList(t.Context())
+	assert.Assert(t, !behind.Apply(upstream.Snapshot(), 1))
+	s.put("a", "2")
+	upstream.watchOnce(t)
+	assert.Assert(t, !peer.Apply(upstream.Snapshot(), 1))
+	s.restore(s.copy())
+	upstream.ReadList(t.Context())
+	risen := sent[len(sent)-1]
+	assert.Assert(t, !risen.Whole && len(risen.Objects) == 0, "%+v", risen)
+	assert.Assert(t, !peer.Apply(risen, 1))
+	assert.DeepEqual(t, peer.Progress(), upstream.Progress())
+	assert.Assert(t, !peer.Confirm(upstream.Progress(), 1))
+	assert.Equal(t, peer.Version("a"), store.Revision{Era: 2, Number: 13})
+	assert.Equal(t, peer.String(), "a=2 b=1")
+	assert.Assert(t, behind.Apply(risen, 1), "it lacks a change of the era before")
+	assert.Equal(t, behind.String(), "a=1 b=1")
+	from := s.copy()
+	s.put("b", "2")
+	upstream.watchOnce(t)
+	s.restore(from)
+	upstream.ReadList(t.Context())
+	assert.Assert(t, sent[len(sent)-1].Whole, "a change was lost")
+}
+
 // Guards against a copy that a process takes from a peer of an earlier era, or of the version
 // before, which knows no eras.
 func TestMessagesOfAnEarlierEraChangeNothing(t *testing.T) {
