--- a/internal/flow/sums/sums_test.go
+++ b/internal/flow/sums/sums_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/flow/inflow"
 	"github.com/jujubescale/jujubescale/internal/flow/sums"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/route/owner"
@@ -310,3 +311,16 @@
 	c.Reset() // as mesh does if Send fails or the peer requests a full message
 	assert.Equal(t, len(totals.ForAggregator(c, true, 4).Crashes), 1)
 }
+
+// Guards against processes of the version before, which state no rate of requests, that count as idle
+// ones beside those that do.
+func TestRateOfRequestsCountsTheProcessesThatStateIt(t *testing.T) {
+	totals := sums.New()
+	rate := func(pieces ...int) *wire.Sums {
+		return &wire.Sums{Whole: true, Regular: true, PendingArrivals: []wire.PendingArrivals{{Pool: wire.RequestRate, Pieces: pieces}}}
+	}
+	put(t, totals, process("a"), rate(30, 1), 1)
+	put(t, totals, process("b"), &wire.Sums{Whole: true, Regular: true}, 1)
+	put(t, totals, group("g"), rate(80, 4), 1)
+	assert.DeepEqual(t, inflow.PoolPieces(totals.PendingArrivals("self"), wire.RequestRate)[:2], []int{110, 5})
+}
