--- a/internal/base/epoch/epoch.go
+++ b/internal/base/epoch/epoch.go
@@ -27,6 +27,9 @@
 // Before reports whether r is older than other.
 func (r Revision) Before(other Revision) bool { return r.Compare(other) < 0 }
 
+// EraBefore reports whether r belongs to an earlier era than other.
+func (r Revision) EraBefore(other Revision) bool { return r.Era < other.Era }
+
 // IsZero reports whether r is the revision of an object that does not exist.
 func (r Revision) IsZero() bool { return r.Number == 0 }
 
--- a/internal/base/epoch/epoch_test.go
+++ b/internal/base/epoch/epoch_test.go
@@ -27,6 +27,7 @@
 		for j, b := range ordered {
 			assert.Equal(t, a.Before(b), i < j, "%v before %v", a, b)
 			assert.Equal(t, a.Compare(b) == 0, i == j, "%v and %v", a, b)
+			assert.Equal(t, a.EraBefore(b), i < j && a.Era != b.Era, "era of %v before that of %v", a, b)
 		}
 	}
 }
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -227,7 +227,7 @@
 		objects[object.Name] = object
 	}
 	before := s.lastChange
-	eraOnly := f.reconcile(objects, list.held, list.revision.Era)
+	eraOnly := f.reconcile(objects, list.held, list.revision)
 	for name := range s.objects {
 		if _, found := objects[name]; !found {
 			f.recordDeleted(name)
--- a/internal/serve/feed/restore.go
+++ b/internal/serve/feed/restore.go
@@ -81,9 +81,9 @@
 // objects that are newer than those in the list are kept; those that were kept before stay as
 // long as the store has not changed. The sender of a list may itself keep objects, which heldThere
 // explains. It reports whether the era has risen without a loss. The caller holds the lock.
-func (f *Feed) reconcile(listed map[string]store.Object, heldThere map[string]hold, era uint64) (eraOnly bool) {
+func (f *Feed) reconcile(listed map[string]store.Object, heldThere map[string]hold, at store.Revision) (eraOnly bool) {
 	s := &f.state
-	now, newEra := f.clock.Now(), s.listed && s.revision.Era != era
+	now, newEra := f.clock.Now(), s.listed && s.revision.Era != at.Era
 	held := make(map[string]hold)
 	maps.Copy(held, heldThere)
 	for name, known := range s.objects {
@@ -99,8 +99,8 @@
 			hidden++
 		}
 	}
-	if early := s.early; early != nil && early.Era <= era {
-		if s.early = nil; early.Era == era {
+	if early := s.early; early != nil && !at.EraBefore(early.At()) {
+		if s.early = nil; early.Era == at.Era {
 			f.mergeHolds(early, listed)
 		}
 	}
@@ -318,11 +318,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := &f.state
-	if !s.listed || s.revision.Era < update.Era {
+	if !s.listed || s.revision.EraBefore(update.At()) {
 		s.early = update
 		return
 	}
-	if update.Era < s.revision.Era {
+	if update.Era != s.revision.Era {
 		return
 	}
 	if changes := f.mergeHolds(update, s.objects); len(changes) > 0 {
