fix(soak): no port is given to two processes

Cause: free ports are found by listening on a random one and closing it, and nothing remembered which ones were given away: 24 gateways draw 96 of 18,000 ports, so that one in four runs has a pair. TestPortsAreHandedOutOnce fails without the change.

Ports are now given away once by each program.

--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -64,11 +64,18 @@
 	portTries = 200
 )
 
-// freeAddress returns a loopback address whose port is free.
+// handedOut holds the ports that freeAddress has returned. They stay free until their processes start.
+var handedOut sync.Map
+
+// freeAddress returns a loopback address whose port is free and was not returned before.
 func freeAddress() (string, error) {
 	var last error
 	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if _, known := handedOut.LoadOrStore(port, true); known {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			last = err
--- a/internal/bench/soak/stops_test.go
+++ b/internal/bench/soak/stops_test.go
@@ -15,6 +15,17 @@
 // sigtermTime is the time at which the processes of the cases below get SIGTERM.
 var sigtermTime = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
+// Guards against processes that never become ready because two of them were given the same port.
+func TestPortsAreHandedOutOnce(t *testing.T) {
+	seen := make(map[string]bool)
+	for range 500 {
+		address, err := freeAddress()
+		assert.NilError(t, err)
+		assert.Assert(t, !seen[address], address)
+		seen[address] = true
+	}
+}
+
 // sinceSIGTERM returns the time at the given duration after SIGTERM; negative durations
 // are before it.
 func sinceSIGTERM(after time.Duration) time.Time { return sigtermTime.Add(after) }
