fix(gate): a process that may know less than its peers serves no request by the restored copy

What callers would see: 404 for a route that was added, or 200 for a revoked key, at a process that starts after the store came back from a copy.

Cause: since readiness waits up to 0.4 s for a peer, but a request waits 0.6 s at most for the process, counted from the request, and was then served whether the process was ready or not: its lists had only to come 0.2 s later. Found by reading. TestUninformedProcessServesNoRequest fails without the change (unknownRoute).

Such a request is refused as not run, as one without a configuration is.

--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -169,8 +169,8 @@
 // request.
 func (g *Gate) resolveRoute(req *request, r *http.Request) *fault.RefusalError {
 	routes := g.Table()
-	if routes == nil || !g.View().Complete() {
-		return fault.Refuse(fault.NotReady, "no configuration yet")
+	if routes == nil || !g.View().Complete() || (g.Informed != nil && !g.Informed()) {
+		return fault.Refuse(fault.NotReady, "no configuration yet, or peers may know a newer one")
 	}
 	if !strings.HasPrefix(req.target, "/") {
 		req.target = r.URL.RequestURI()
--- a/internal/serve/gate/subset_test.go
+++ b/internal/serve/gate/subset_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jujubescale/jujubescale/internal/base/fault"
 	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 )
@@ -36,3 +39,16 @@
 		})
 	}
 }
+
+// Guards against requests that a process serves by the restored copy, because it waited for its lists
+// for so long that the requests wait no longer for its peers.
+func TestUninformedProcessServesNoRequest(t *testing.T) {
+	g, req := newChoice(t)
+	registry := view.New()
+	registry.Sync(nil, 1, 0)
+	registry.Publish()
+	g.View, g.Table = registry.Snapshot, func() *table.Table { return table.New(table.Content{}) }
+	g.Informed = func() bool { return false }
+	refused := g.resolveRoute(req, httptest.NewRequest(http.MethodGet, "/", nil))
+	assert.Assert(t, refused != nil && refused.Reason == fault.NotReady, "%v", refused)
+}
