--- a/internal/serve/router/lost_test.go
+++ b/internal/serve/router/lost_test.go
@@ -29,7 +29,7 @@
 			b.Drain(leaving)
 			b.lose(100)
 			time.Sleep(time.Second)
-			b.restore(drill{}, from)
+			b.restore(storeReturn{}, from)
 			started := b.startGateway()
 			began := time.Now()
 			newest := func() *stand.Request {
@@ -56,7 +56,7 @@
 	b.awaitPeers(late, 3)
 	b.lose(50)
 	time.Sleep(500 * time.Millisecond)
-	b.restore(drill{}, from)
+	b.restore(storeReturn{}, from)
 	restored := time.Now()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if members := b.Members(); len(members) != 3 {
@@ -89,7 +89,7 @@
 	b.Store.Delete(platform.KindQuarantines, lifted)
 	b.lose(50)
 	time.Sleep(time.Second)
-	b.restore(drill{}, from)
+	b.restore(storeReturn{}, from)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		names := b.Store.Names(platform.KindQuarantines)
 		if len(names) != 1 || names[0] != kept {
@@ -138,7 +138,7 @@
 			}, poll.WithTimeout(rolloutTime+2*time.Second), poll.WithDelay(10*time.Millisecond))
 			b.lose(50)
 			time.Sleep(time.Second)
-			b.restore(drill{}, from)
+			b.restore(storeReturn{}, from)
 			restored := time.Now()
 			b.WriteAgain()
 			poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -174,7 +174,7 @@
 			from := b.Store.Copy()
 			b.lose(200)
 			time.Sleep(time.Second)
-			b.restore(drill{away: 300 * time.Millisecond}, from)
+			b.restore(storeReturn{away: 300 * time.Millisecond}, from)
 			b.WriteAgain()
 			calls := b.Store.Calls()
 			request := b.addRoute("after")
@@ -220,7 +220,7 @@
 	for name, l := range loads {
 		began[name] = [2]int64{l.sent.Load(), l.whole.Load()}
 	}
-	b.restore(drill{away: 300 * time.Millisecond}, from)
+	b.restore(storeReturn{away: 300 * time.Millisecond}, from)
 	time.Sleep(time.Second)
 	b.WriteAgain()
 	time.Sleep(3 * time.Second)
--- a/internal/serve/router/restore_test.go
+++ b/internal/serve/router/restore_test.go
@@ -13,20 +13,20 @@
 	"github.com/jujubescale/jujubescale/platform/stand"
 )
 
-// drill is a return of the store from a copy.
-type drill struct {
+// storeReturn is a return of the store from a copy.
+type storeReturn struct {
 	// lost is the number of acknowledged writes that the copy lacks, besides those of the test.
 	// away is how long the store doesn't answer before it returns.
 	lost int
 	away time.Duration
 }
 
-func (d drill) String() string { return fmt.Sprintf("%d lost, away %v", d.lost, d.away) }
+func (d storeReturn) String() string { return fmt.Sprintf("%d lost, away %v", d.lost, d.away) }
 
-// drills are the returns that tests play; the writes that follow one bring the revision past
+// storeReturns are the returns that tests play; the writes that follow one bring the revision past
 // that of before only with few lost ones.
-func drills() []drill {
-	return []drill{{0, 0}, {3, 0}, {20, 300 * time.Millisecond}, {200, 0}, {200, 3 * time.Second}, {1000, 300 * time.Millisecond}}
+func storeReturns() []storeReturn {
+	return []storeReturn{{0, 0}, {3, 0}, {20, 300 * time.Millisecond}, {200, 0}, {200, 3 * time.Second}, {1000, 300 * time.Millisecond}}
 }
 
 // lose makes a number of writes that nothing depends on.
@@ -37,7 +37,7 @@
 }
 
 // restore plays the return from a copy.
-func (b *bench) restore(d drill, from *stand.StoreCopy) {
+func (b *bench) restore(d storeReturn, from *stand.StoreCopy) {
 	if d.away > 0 {
 		b.Store.SetFault(stand.StoreFault{Status: http.StatusServiceUnavailable})
 		time.Sleep(d.away)
@@ -63,7 +63,7 @@
 // from a copy are lower than those that it knows.
 func TestVersionsAreInForceInTimeAfterTheStoreWasRestored(t *testing.T) {
 	t.Parallel()
-	for _, d := range drills() {
+	for _, d := range storeReturns() {
 		t.Run(d.String(), func(t *testing.T) {
 			t.Parallel()
 			b := start(t, 3)
@@ -92,7 +92,7 @@
 // revision that it had given out before it came back from a copy.
 func TestEngineDrainedAfterTheStoreWasRestoredGetsNoRequests(t *testing.T) {
 	t.Parallel()
-	for _, d := range drills() {
+	for _, d := range storeReturns() {
 		t.Run(d.String(), func(t *testing.T) {
 			t.Parallel()
 			b := start(t, 3)
@@ -143,7 +143,7 @@
 // engine, an evacuated zone and a new route, until they are written again.
 func TestAcknowledgedStateHoldsUntilItIsWrittenAgain(t *testing.T) {
 	t.Parallel()
-	for _, d := range []drill{{0, 0}, {200, 0}, {200, time.Second}} {
+	for _, d := range []storeReturn{{0, 0}, {200, 0}, {200, time.Second}} {
 		t.Run(d.String(), func(t *testing.T) {
 			t.Parallel()
 			b := start(t, 3)
