fix(feed): an era without a loss doesn't hide what another peer has said

What callers would see: a route that was added answers 404, or an engine that has drained gets requests, at a process that one peer had told that the store lost the object, and then its upstream, which had never read it, that the era has risen without a loss. What the first had said waited for a list that was no longer read.

Found by reading; TestEraWithoutALossKeepsWhatAPeerHasSaid fails without the change.

--- a/internal/serve/feed/restore.go
+++ b/internal/serve/feed/restore.go
@@ -121,12 +121,12 @@
 }
 
 // applyEraOnly applies the message of a peer that the era has risen without a loss. It returns false
-// if this feed doesn't know the objects that the peer has.
+// if this feed doesn't know the objects that the peer has, or others besides.
 func (f *Feed) applyEraOnly(update *wire.Update, at clock.Millis) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := &f.state
-	if !s.listed || s.lastChange != update.SinceAt() || len(s.held)+len(s.hidden) > 0 {
+	if !s.listed || s.lastChange != update.SinceAt() || len(s.held)+len(s.hidden) > 0 || s.early != nil {
 		return false
 	}
 	for name, object := range s.objects {
--- a/internal/serve/feed/restore_test.go
+++ b/internal/serve/feed/restore_test.go
@@ -323,6 +323,29 @@
 	assert.Assert(t, sent[len(sent)-1].Whole, "a change was lost")
 }
 
+// Guards against a lost object that never comes in: one peer had said that the store lost it, and then
+// another one, which didn't know it, that the era has risen without a loss.
+func TestEraWithoutALossKeepsWhatAPeerHasSaid(t *testing.T) {
+	s, fake := newCopyStore(), clock.NewFake(1)
+	s.put("a", "1")
+	var sent []*wire.Update
+	policy := feed.Restore{KeepMissing: 1000}
+	upstream := newFollower(s, fake, policy, feed.WithForward(func(u *wire.Update) { sent = append(sent, u) }))
+	knows, behind := newFollower(s, fake, policy), newFollower(s, fake, policy)
+	upstream.ReadList(t.Context())
+	assert.Assert(t, !behind.Apply(upstream.Snapshot(), 1))
+	from := s.copy()
+	s.put("b", "1")
+	knows.ReadList(t.Context())
+	s.restore(from)
+	knows.ReadList(t.Context())
+	upstream.ReadList(t.Context())
+	assert.Assert(t, !behind.Apply(knows.Holds(), 1))
+	assert.Assert(t, behind.Apply(sent[len(sent)-1], 1), "a snapshot is needed")
+	assert.Assert(t, !behind.Apply(upstream.Snapshot(), 1))
+	assert.Equal(t, behind.String(), "a=1 b=1")
+}
+
 // Guards against a copy that a process takes from a peer of an earlier era, or of the version
 // before, which knows no eras.
 func TestMessagesOfAnEarlierEraChangeNothing(t *testing.T) {
