--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -168,16 +168,15 @@
 // resolveRoute sets the route, pool, organisation, priority, objective and deadline of the
 // request.
 func (g *Gate) resolveRoute(req *request, r *http.Request) *fault.RefusalError {
-	routes := g.Table()
-	if routes == nil || !g.View().Complete() || (g.Informed != nil && !g.Informed()) {
+	if !g.mayServe() {
 		return fault.Refuse(fault.NotReady, "no configuration yet, or peers may know a newer one")
 	}
+	routes := g.Table()
 	if !strings.HasPrefix(req.target, "/") {
 		req.target = r.URL.RequestURI()
 	}
 	path, _, _ := strings.Cut(req.target, "?")
-	req.routes = routes
-	req.route = routes.Match(r.Host, path)
+	req.routes, req.route = routes, routes.Match(r.Host, path)
 	if req.route == nil {
 		return fault.Refuse(fault.UnknownRoute, "")
 	}
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -50,8 +50,7 @@
 	// Name of this process, and its availability zone.
 	Name string
 	Zone string
-	// Table and View return the current routes and endpoints, nil before the first have
-	// been read.
+	// Table and View return the current routes and endpoints, nil before the first were read.
 	Table func() *table.Table
 	View  func() *view.Snapshot
 	// Starting reports whether the first read of the routes and endpoints is under way, Informed
@@ -226,9 +225,7 @@
 	router.Get(g.Codec.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !g.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
-			return
 		}
-		w.WriteHeader(http.StatusOK)
 	})
 	return router
 }
@@ -237,7 +234,11 @@
 // planned stop has begun. It stays true while the store is unreachable, because the loaded
 // data remains valid.
 func (g *Gate) Ready() bool {
-	return !g.leaving.Load() && g.Table() != nil && g.View().Complete() && (g.Informed == nil || g.Informed())
+	return !g.leaving.Load() && g.mayServe()
+}
+
+func (g *Gate) mayServe() bool {
+	return g.Table() != nil && g.View().Complete() && (g.Informed == nil || g.Informed())
 }
 
 // StartDrain begins a planned stop. The process reports that it is not ready, and its
