fix(feed): read a requested list also while the feed waits for a peer

Callers: a process that starts after the store came back from a copy waits for what its peers know; a peer that read one kind of objects 360 ms later than the others told it too late, and it served 404 by the copy.

Cause: within the first two seconds of a process, and while it waits for a peer to relay changes, a feed ignored that the era had risen.

Evidence: TestProcessThatStartsAfterARestoreServesByWhatPeersKnow beside load with logs: the peer read four kinds at 29.156 to 29.160 s and evacuations at 29.519 s, as "call abandoned, list requested, tookMs=0".

Change: a requested list ends that wait. TestListRequestedDuringTheGraceIsRead no longer lets time pass, which is stricter: it failed before (1 list).

--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -195,7 +195,7 @@
 			continue
 		}
 		if left := f.graceTimeLeft(); left > 0 {
-			f.pauseUnlessRelayed(ctx, left)
+			f.pauseUnlessRequested(ctx, left)
 			continue
 		}
 		if since, listed := f.knownRevision(); listed {
@@ -370,6 +370,19 @@
 	}
 }
 
+// pauseUnlessRequested is pauseUnlessRelayed, but a requested list ends the pause.
+func (f *Feed) pauseUnlessRequested(ctx context.Context, pause clock.Millis) {
+	expired, stopTimer := f.clock.After(pause)
+	defer stopTimer()
+	select {
+	case <-expired:
+	case <-f.relayChanged:
+	case <-f.listRequested:
+		f.requireList()
+	case <-ctx.Done():
+	}
+}
+
 // pauseAfterFailure is pauseUnlessRelayed, but a requested list shortens the pause to
 // MaxBackoff: a peer with a newer state shows that the store answers again.
 func (f *Feed) pauseAfterFailure(ctx context.Context, pause clock.Millis) {
--- a/internal/serve/feed/feed_test.go
+++ b/internal/serve/feed/feed_test.go
@@ -279,8 +279,8 @@
 	assert.Assert(t, fake.Clock().Since(failedAt) < 3*clock.Second, "called after %d ms", fake.Clock().Since(failedAt))
 }
 
-// Guards against a requested list that is forgotten while the feed waits for a peer to relay
-// changes.
+// Guards against a requested list that is forgotten, or read only later, while the feed waits for a
+// peer to relay changes.
 func TestListRequestedDuringTheGraceIsRead(t *testing.T) {
 	const grace = 600 * clock.Millis(1)
 	fake := clock.NewFake(1)
@@ -307,7 +307,5 @@
 	}
 	waitFor(func() bool { return lists.Load() == 1 && fake.Pending() == 1 })
 	f.RequestList()
-	time.Sleep(20 * time.Millisecond)
-	fake.Advance(2 * grace)
 	waitFor(func() bool { return lists.Load() == 2 })
 }
