fix(mesh): say again what the store has lost once all kinds of an era were read

Cause: what the store has lost was sent once on a session, also by a peer that had not noticed the return yet; and such a message counted as the whole.

Change: it is sent again once the sender has read a later era of all kinds, and a starting process counts as informed only then. The era is that of the confirmations which the message carries already.

Result: TestLostObjectsAreSentOnceAllKindsOfAnEraWereRead failed before.

--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -50,7 +50,8 @@
 	HasTrials bool    `cbor:"hasTrials,omitempty"`
 	Trials    []Trial `cbor:"trials,omitempty"`
 	// Holds lists the objects that the sender keeps although the store has lost them, a message
-	// for each kind. It is sent once on a session.
+	// for each kind. It is sent at the start of a session and once the sender has read a later era
+	// of all kinds.
 	Holds []*Update `cbor:"lost,omitempty"`
 	// Speeds holds the endpoints whose speeds changed. Each replaces the one that the sender
 	// sent before.
@@ -159,6 +160,14 @@
 	Age      clock.Millis `cbor:"age"`
 }
 
+// CommonEra returns the era that the sender has read of all kinds, 0 if it has read several.
+func CommonEra(progress []Progress) uint64 {
+	if len(progress) == 0 || slices.ContainsFunc(progress, func(p Progress) bool { return p.Era != progress[0].Era }) {
+		return 0
+	}
+	return progress[0].Era
+}
+
 // At returns the revision up to which the sender has read.
 func (p *Progress) At() epoch.Revision { return epoch.Revision{Era: p.Era, Number: p.Revision} }
 
--- a/internal/serve/mesh/link.go
+++ b/internal/serve/mesh/link.go
@@ -48,6 +48,7 @@
 	// interest is the list that was sent last; it is valid if hasInterest is set.
 	interest    []string
 	hasInterest bool
+	holdsEra    uint64 // the era in which the lost objects were last sent
 }
 
 // inbound is a session that a peer opened.
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -89,7 +89,7 @@
 	// HoldsFunc returns what this process knows and the store has lost.
 	HoldsFunc func() []*wire.Update
 	// TakeHoldsFunc takes the same of a peer, which owns pools unless it has just started or leaves.
-	TakeHoldsFunc func(lost []*wire.Update, owns bool, now clock.Millis)
+	TakeHoldsFunc func(message *wire.Sums, now clock.Millis)
 	// MaxPeerAge bounds the age of the last store answer at a peer that this
 	// process follows; MaxWatcherAge bounds it at this process while it is a
 	// watcher. Both are in milliseconds.
--- a/internal/serve/mesh/mesh_test.go
+++ b/internal/serve/mesh/mesh_test.go
@@ -48,14 +48,24 @@
 func startProcesses(t *testing.T, c *clock.Clock, names ...string) []*process {
 	t.Helper()
 	var all []*process
-	var members []mesh.Member
 	for _, name := range names {
 		p := &process{member: mesh.Member{Name: name, Incarnation: token.NewIncarnation()}}
 		p.Mesh = mesh.New(t.Context(), p.member, mesh.WithClock(c), mesh.WithLoads(p.loads, p.setWork))
+		all = append(all, p)
+	}
+	connectProcesses(t, all)
+	return all
+}
+
+// connectProcesses makes processes list each other as members.
+func connectProcesses(t *testing.T, all []*process) {
+	t.Helper()
+	var members []mesh.Member
+	for _, p := range all {
 		server := httptest.NewServer(p.Handler())
 		t.Cleanup(func() { p.Stop(); server.Close() })
 		p.member.Address = strings.TrimPrefix(server.URL, "http://")
-		all, members = append(all, p), append(members, p.member)
+		members = append(members, p.member)
 	}
 	for _, p := range all {
 		p.StartOwning()
@@ -69,7 +79,6 @@
 			return poll.Continue("%v", p.LiveProcesses())
 		}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
 	}
-	return all
 }
 
 // Guards against long prompts that are reported only with the next regular message.
@@ -114,6 +123,42 @@
 	waitFor(t, func() bool { return all[1].peerTokens.Load() == 0 && len(all[1].LiveProcesses()) == 1 })
 }
 
+// Guards against a process that serves by a restored copy for good: its peer told it what the store
+// has lost before that peer had read all kinds of objects after the restore.
+func TestLostObjectsAreSentOnceAllKindsOfAnEraWereRead(t *testing.T) {
+	var progress atomic.Pointer[[]wire.Progress]
+	progress.Store(&[]wire.Progress{{Kind: "a", Era: 1}, {Kind: "b", Era: 1}})
+	var told atomic.Int64
+	connect := func(name string, follower mesh.Follower) *process {
+		p := &process{member: mesh.Member{Name: name, Incarnation: token.NewIncarnation()}}
+		follower.ConfirmFunc = func([]wire.Progress, clock.Millis) []string { return nil }
+		follower.SnapshotFunc = func(string) *wire.Update { return nil }
+		p.Mesh = mesh.New(t.Context(), p.member, mesh.WithLoads(p.loads, p.setWork), mesh.WithFollower(follower))
+		return p
+	}
+	knows := connect("a", mesh.Follower{
+		ProgressFunc: func() []wire.Progress { return *progress.Load() },
+		HoldsFunc:    func() []*wire.Update { return []*wire.Update{{Kind: "a", Lost: true, Era: 2}} },
+	})
+	starts := connect("b", mesh.Follower{
+		ProgressFunc:  func() []wire.Progress { return nil },
+		HoldsFunc:     func() []*wire.Update { return nil },
+		TakeHoldsFunc: func(message *wire.Sums, _ clock.Millis) { told.Add(int64(len(message.Holds))) },
+	})
+	connectProcesses(t, []*process{knows, starts})
+	for _, p := range []*process{knows, starts} {
+		go p.Run(t.Context())
+	}
+	waitFor(t, func() bool { return told.Load() == 1 })
+	progress.Store(&[]wire.Progress{{Kind: "a", Era: 2}, {Kind: "b", Era: 1}})
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, told.Load(), int64(1))
+	progress.Store(&[]wire.Progress{{Kind: "a", Era: 2}, {Kind: "b", Era: 2}})
+	waitFor(t, func() bool { return told.Load() == 2 })
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, told.Load(), int64(2))
+}
+
 func waitFor(t *testing.T, condition func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/internal/serve/mesh/send.go
+++ b/internal/serve/mesh/send.go
@@ -125,8 +125,8 @@
 		return
 	}
 	if regular {
-		if first && m.follower.HoldsFunc != nil {
-			message.Holds = m.follower.HoldsFunc()
+		if era := wire.CommonEra(progress); (first || era != 0 && era != to.target.holdsEra) && m.follower.HoldsFunc != nil {
+			message.Holds, to.target.holdsEra = m.follower.HoldsFunc(), era
 		}
 		message.Progress = progress
 		m.addMembers(message, to, now)
--- a/internal/serve/mesh/take.go
+++ b/internal/serve/mesh/take.go
@@ -94,7 +94,7 @@
 		m.limitsFunc(message.Limits)
 	}
 	if message.Regular && m.follower.TakeHoldsFunc != nil {
-		m.follower.TakeHoldsFunc(message.Holds, message.Owns, m.clock.Now())
+		m.follower.TakeHoldsFunc(message, m.clock.Now())
 	}
 }
 
--- a/internal/serve/router/restore.go
+++ b/internal/serve/router/restore.go
@@ -99,9 +99,10 @@
 
 // inform tells whether a process that has started knows what its peers know and the store has lost.
 type inform struct {
-	// done is set once the process may serve, heard once a peer that serves has said what the store has
-	// lost, and alone while no other process is listed.
-	done, heard, alone atomic.Bool
+	// done is set once the process may serve, and alone while no other process is listed.
+	done, alone atomic.Bool
+	// heard is the latest era of which a peer that serves has said what the store has lost.
+	heard atomic.Uint64
 	// waitingSince is when the lists were read, 0 before that.
 	waitingSince atomic.Int64
 }
@@ -115,27 +116,28 @@
 	now := g.Clock.Now()
 	g.inform.waitingSince.CompareAndSwap(0, int64(now))
 	waited := now - clock.Millis(g.inform.waitingSince.Load())
-	if g.Store.Era() > 1 && !g.inform.heard.Load() && !g.inform.alone.Load() && waited < maxInformWait {
+	era, heard := g.Store.Era(), g.inform.heard.Load()
+	if era > 1 && heard != era && !g.inform.alone.Load() && waited < maxInformWait {
 		return false
 	}
 	if g.inform.done.CompareAndSwap(false, true) && waited > 0 {
-		g.Log.Info("waited for what the store has lost", "era", g.Store.Era(), "heard", g.inform.heard.Load(), "waitedMs", int64(waited))
+		g.Log.Info("waited for what the store has lost", "era", era, "heard", heard, "waitedMs", int64(waited))
 	}
 	return true
 }
 
 // takeHolds takes what a peer says the store has lost. One that has itself just started, and owns no
-// pools yet, may know as little as this process.
-func (g *Gateway) takeHolds(lost []*wire.Update, owns bool, now clock.Millis) {
-	for _, update := range lost {
+// pools yet, may know as little as this process, as does one that has not read this era yet.
+func (g *Gateway) takeHolds(message *wire.Sums, now clock.Millis) {
+	for _, update := range message.Holds {
 		for _, f := range g.feeds.all() {
 			if f.Kind() == update.Kind {
 				f.Apply(update, now)
 			}
 		}
 	}
-	if owns {
-		g.inform.heard.Store(true)
+	if era := wire.CommonEra(message.Progress); message.Owns && era == g.Store.Era() {
+		g.inform.heard.Store(era)
 	}
 }
 
