fix(router): find the peers whose entries the store has lost before serving

Change: no list proves it; a process writes its lost entry as soon as it reads a list without it, at most every 0.5 s; one that starts in an era above 1 reads changes of the members without a pause until it has a session with a peer.

Ruled out: a longer wait for peers; it is in the way of all processes that start at once, and 0.4 s is enough now.

--- a/internal/serve/router/lost_test.go
+++ b/internal/serve/router/lost_test.go
@@ -10,6 +10,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/jujubescale/jujubescale/internal/base/token"
+	"github.com/jujubescale/jujubescale/internal/serve/mesh"
 	"github.com/jujubescale/jujubescale/internal/serve/router"
 	"github.com/jujubescale/jujubescale/platform"
 	"github.com/jujubescale/jujubescale/platform/stand"
@@ -18,10 +20,16 @@
 // Guards against a process that starts after the store came back from a copy and serves by the
 // older configuration of the copy, although its peers know the newer one.
 func TestProcessThatStartsAfterARestoreServesByWhatPeersKnow(t *testing.T) {
-	for name, gateways := range map[string]int{"first peer": 1, "more peers": 3} {
+	for name, c := range map[string]struct {
+		gateways int
+		dead     bool // whether the copy lists a process that has ended
+	}{"first peer": {gateways: 1}, "first peer after a dead one": {gateways: 1, dead: true}, "more peers": {gateways: 3}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			b := start(t, gateways)
+			b := start(t, c.gateways)
+			if c.dead {
+				b.Store.Put(platform.KindMembers, "gateway-0", mesh.Member{Name: "gateway-0", Address: "127.0.0.1:1", Incarnation: token.NewIncarnation()})
+			}
 			from := b.Store.Copy()
 			b.Config.Tenants[0].Keys = []string{"new-key"}
 			request := b.addRoute("lost")
--- a/internal/serve/router/members.go
+++ b/internal/serve/router/members.go
@@ -101,12 +101,16 @@
 		}
 	}
 	g.listed.Store(listed)
-	g.inform.alone.Store(!slices.ContainsFunc(members, func(m mesh.Member) bool { return m.Name != g.Name }))
 	g.mesh.SetMembers(members)
+	select {
+	case g.membersChanged <- struct{}{}:
+	default:
+	}
 }
 
 const (
-	// registerInterval is the interval at which a process checks that it is listed.
+	// registerInterval is the interval at which a process checks that it is listed, besides at
+	// each change of the list, and the shortest one between two writes of its entry.
 	registerInterval = 500 * clock.Millis(1)
 	// readyPollInterval is the interval at which a starting process checks that it is
 	// ready.
@@ -116,19 +120,34 @@
 // register adds this process to the member list once it has read routes and endpoints, and again
 // whenever its entry was removed. Peers may request pieces from every listed process.
 func (g *Gateway) register(ctx context.Context) {
+	triedAt := g.Clock.Now() - registerInterval
 	for ctx.Err() == nil {
 		pause := registerInterval
 		switch {
 		case !g.hasLists():
 			pause = readyPollInterval
-		case !g.listed.Load() || g.isMemberLost():
+		case g.listed.Load() && !g.isMemberLost():
+		case g.Clock.Since(triedAt) < registerInterval:
+			pause = triedAt + registerInterval - g.Clock.Now()
+		default:
+			triedAt = g.Clock.Now()
 			g.registerOnce(ctx)
 		}
 		if !g.inform.done.Load() {
 			g.startOwningIfReady()
 			pause = readyPollInterval
 		}
-		_ = g.Clock.Sleep(ctx, pause) // the loop checks the context
+		g.pauseUnlessMembersChange(ctx, pause)
+	}
+}
+
+func (g *Gateway) pauseUnlessMembersChange(ctx context.Context, pause clock.Millis) {
+	expired, stopTimer := g.Clock.After(max(pause, 0))
+	defer stopTimer()
+	select {
+	case <-expired:
+	case <-g.membersChanged:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/serve/router/restore.go
+++ b/internal/serve/router/restore.go
@@ -99,8 +99,8 @@
 
 // inform tells whether a process that has started knows what its peers know and the store has lost.
 type inform struct {
-	// done is set once the process may serve, and alone while no other process is listed.
-	done, alone atomic.Bool
+	// done is set once the process may serve.
+	done atomic.Bool
 	// heard is the latest era of which a peer that serves has said what the store has lost.
 	heard atomic.Uint64
 	// waitingSince is when the lists were read, 0 before that.
@@ -117,7 +117,7 @@
 	g.inform.waitingSince.CompareAndSwap(0, int64(now))
 	waited := now - clock.Millis(g.inform.waitingSince.Load())
 	era, heard := g.Store.Era(), g.inform.heard.Load()
-	if era > 1 && heard != era && !g.inform.alone.Load() && waited < maxInformWait {
+	if era > 1 && heard != era && waited < maxInformWait {
 		return false
 	}
 	if g.inform.done.CompareAndSwap(false, true) && waited > 0 {
@@ -126,6 +126,12 @@
 	return true
 }
 
+// seeksPeers reports whether this process has to hear of a peer before it serves, and has no session
+// with one. The store may have lost the entries of all peers that run.
+func (g *Gateway) seeksPeers() bool {
+	return g.Store.Era() > 1 && !g.inform.done.Load() && g.mesh.Sessions() == 0
+}
+
 // takeHolds takes what a peer says the store has lost. One that has itself just started, and owns no
 // pools yet, may know as little as this process, as does one that has not read this era yet.
 func (g *Gateway) takeHolds(message *wire.Sums, now clock.Millis) {
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -139,7 +139,9 @@
 	configWait  configWait
 	listed      atomic.Bool  // whether the store's member list holds this process
 	refreshedAt atomic.Int64 // when refreshConfig last requested the configuration
-	inform      inform
+	// membersChanged wakes register.
+	membersChanged chan struct{}
+	inform         inform
 
 	gate *gate.Gate
 	// origins holds at which software versions streams began.
@@ -169,7 +171,7 @@
 // New returns a gateway that is not running yet. Its calls to endpoints and peers end
 // with the context.
 func New(ctx context.Context, settings Settings) *Gateway {
-	g := &Gateway{Settings: settings, incarnation: token.NewIncarnation(), startedAt: settings.Clock.Now(), baseCtx: ctx}
+	g := &Gateway{Settings: settings, incarnation: token.NewIncarnation(), startedAt: settings.Clock.Now(), baseCtx: ctx, membersChanged: make(chan struct{}, 1)}
 	g.meter = newMeter(settings.Registry, g.configAge, g.Store.Era, g.lostObjects)
 	g.makeEndpoints()
 	g.limits = g.newHostLimits(ctx)
@@ -307,13 +309,26 @@
 // The store may not have it: after it came back from a copy, only processes know it.
 const minRefreshPause = 300 * clock.Millis(1)
 
+// watchWait returns how long a call waits for changes that have to be known within a limit.
+func watchWait(limit clock.Millis) clock.Millis { return clock.Millis(watchWaitShare * float64(limit)) }
+
+// unlessSeekingPeers returns a pause that is left out while this process seeks peers.
+func (g *Gateway) unlessSeekingPeers(pause func() clock.Millis) func() clock.Millis {
+	return func() clock.Millis {
+		if g.seeksPeers() {
+			return 0
+		}
+		return pause()
+	}
+}
+
 func (g *Gateway) makeFeeds() {
 	common := []feed.Option{
 		feed.WithClock(g.Clock), feed.WithLog(g.Log), feed.WithOutage(feed.NewOutage()), feed.WithBackoff(g.longestStoreBackoff),
 		feed.WithForward(g.mesh.Forward),
 	}
 	newFeed := func(kind string, limit clock.Millis, more ...feed.Option) *feed.Feed {
-		wait := clock.Millis(watchWaitShare * float64(limit))
+		wait := watchWait(limit)
 		own := []feed.Option{
 			feed.WithMaxAge(clock.Millis(maxAgeShare * float64(limit))),
 			feed.WithWait(func() clock.Millis { return randomWatchWait(wait, rand.Float64()) }),
@@ -329,8 +344,10 @@
 	zones := newNames(func(names []string) { g.setEvacuated(names) })
 	g.feeds.evacuated = newFeed(g.Dialect.EvacuatedKind, g.ChangeWithin, feed.WithList(zones.onList), feed.WithChanges(zones.onChanges),
 		feed.WithRestore(feed.Restore{KeepMissing: keepLostEvacuation}))
-	members := newMembers(g.setMembers)
-	g.feeds.members = newFeed(g.Dialect.MemberKind, g.ChangeWithin, feed.WithPause(func() clock.Millis { return memberReadPause }),
+	members, memberWait := newMembers(g.setMembers), watchWait(g.ChangeWithin)
+	g.feeds.members = newFeed(g.Dialect.MemberKind, g.ChangeWithin,
+		feed.WithPause(g.unlessSeekingPeers(func() clock.Millis { return memberReadPause })),
+		feed.WithPeerWait(g.unlessSeekingPeers(func() clock.Millis { return g.relayTimeout(memberWait) }), g.firstListDelay),
 		feed.WithList(members.onList), feed.WithChanges(members.onChanges), feed.WithRestore(feed.Restore{KeepMissing: keepLostMember}))
 	quarantines := newQuarantines(g.detector)
 	g.feeds.quarantines = newFeed(g.Dialect.QuarantineKind, quarantineChangeWithin, feed.WithoutAge(),
