--- a/internal/serve/resume/resume_test.go
+++ b/internal/serve/resume/resume_test.go
@@ -42,6 +42,8 @@
 	silent, old atomic.Bool
 	// cutFrom and cutTo drop messages in one direction.
 	cutFrom, cutTo atomic.Bool
+	// delay is how long answers take, in nanoseconds.
+	delay atomic.Int64
 }
 
 var errLost = errors.New("peer lost")
@@ -145,6 +147,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	time.Sleep(time.Duration(peer.delay.Load()))
 	if request.Search {
 		return peer.Search(ctx, request), nil
 	}
@@ -354,6 +357,20 @@
 	assert.Assert(t, found.Took >= 30)
 }
 
+// Guards against streams that break off although their origin is known, because the gateways that
+// know it are slow.
+func TestOriginsAreKnownFromSlowGateways(t *testing.T) {
+	f := newFleet(t, 5)
+	f.begin(10)
+	for _, name := range f.names {
+		f.find(name).delay.Store(int64(70 * time.Millisecond))
+	}
+	for i := range 10 {
+		found := f.find(f.names[(i+1)%5]).Find(t.Context(), keyOf(i))
+		assert.Equal(t, found.Verdict, origin.Known)
+	}
+}
+
 // Guards against gateways that lose the origins while the fleet is moved to this version.
 func TestOriginsPassPreviousVersions(t *testing.T) {
 	f := newFleet(t, 8)
