fix(resume): an origin is unknown only once all have answered

Cause, from the log of the refused ones: one of two keepers had answered that it doesn't know the stream, the other not yet. After two gateways have ended, one of the keepers is a new one, which nobody has told.

Change: one limit of 150 ms again; before it, an origin is unknown only when all that were asked have answered. This replaces the wait for the first answer.

--- a/internal/serve/resume/find.go
+++ b/internal/serve/resume/find.go
@@ -45,7 +45,7 @@
 	found := Found{}
 	found.Origin, found.Verdict = t.book.Find(key, began)
 	if found.Verdict == origin.Unknown {
-		t.ask(ctx, key, t.peers.AggregatorFunc(), t.newWait(findTimeout, silentTimeout), &found)
+		t.ask(ctx, key, t.peers.AggregatorFunc(), findTimeout, &found)
 	} else {
 		found.Source = t.peers.Self
 	}
@@ -82,8 +82,8 @@
 		found.Asked++
 		go t.askPeer(ctx, key, name, false, replies)
 	}
-	w := t.newWait(findTimeout, silentTimeout)
-	defer w.end()
+	timeout, stop := t.clock.After(findTimeout)
+	defer stop()
 	for range keepers {
 		select {
 		case r := <-replies:
@@ -91,50 +91,15 @@
 			if t.apply(key, r, found) && known.Verdict == origin.Known && found.Verdict == origin.Known && !known.Origin.Agrees(&found.Origin) {
 				found.Verdict = origin.Contradictory
 			}
-			w.heard = w.heard || r.answer != nil
-		case <-w.expired:
-			w.expire()
+		case <-timeout:
+			return
 		}
-		if w.over() || found.Verdict == origin.Contradictory {
+		if found.Verdict == origin.Contradictory {
 			return
 		}
 	}
 }
 
-// wait bounds the wait for the answers of peers: until a limit, and if no process has answered by
-// then that should know the origin, until the first one does or a later limit.
-type wait struct {
-	clock   *clock.Clock
-	expired <-chan struct{}
-	stop    func()
-	// silent is how long the wait goes on after the limit, in milliseconds.
-	silent clock.Millis
-	// heard is set once a process has answered that should know the origin, late once the limit
-	// has passed, and ended at the end of the wait.
-	heard, late, ended bool
-}
-
-func (t *Tracker) newWait(limit, silentLimit clock.Millis) *wait {
-	w := &wait{clock: t.clock, silent: silentLimit - limit}
-	w.expired, w.stop = t.clock.After(limit)
-	return w
-}
-
-// expire is called when a limit has passed.
-func (w *wait) expire() {
-	w.stop()
-	if w.late || w.heard || w.silent <= 0 {
-		w.ended = true
-		return
-	}
-	w.late = true
-	w.expired, w.stop = w.clock.After(w.silent)
-}
-
-func (w *wait) over() bool { return w.ended || w.late && w.heard }
-
-func (w *wait) end() { w.stop() }
-
 // otherKeepers returns the peers that should know the origin of a stream.
 func (t *Tracker) otherKeepers(key origin.Key) []string {
 	return slices.DeleteFunc(origin.Asked(key, t.peers.KeepersFunc()), func(name string) bool { return name == t.peers.Self })
@@ -169,7 +134,7 @@
 		return answer
 	}
 	key, found := origin.Key(request.Stream), Found{}
-	t.ask(ctx, key, "", t.newWait(searchTimeout, searchTimeout), &found)
+	t.ask(ctx, key, "", searchTimeout, &found)
 	answer.Complete = found.Answered == found.Asked
 	if found.Verdict != origin.Unknown {
 		o := message(key, &found.Origin, t.clock.Now())
@@ -179,9 +144,9 @@
 	return answer
 }
 
-// ask asks an aggregator until the wait is over, if one is given, and the peers that should know the origin: at once
+// ask asks an aggregator, if one is given, and the peers that should know the origin: at once
 // without an aggregator, otherwise after its answer or searchHead.
-func (t *Tracker) ask(ctx context.Context, key origin.Key, aggregator string, w *wait, found *Found) {
+func (t *Tracker) ask(ctx context.Context, key origin.Key, aggregator string, limit clock.Millis, found *Found) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	keepers := t.otherKeepers(key)
@@ -196,7 +161,8 @@
 		}
 		keepers = nil
 	}
-	defer w.end()
+	timeout, stop := t.clock.After(limit)
+	defer stop()
 	head, stopHead := t.clock.After(searchHead)
 	defer stopHead()
 	if aggregator != "" {
@@ -211,13 +177,9 @@
 			if t.apply(key, r, found) || (r.searched && r.answer != nil && r.answer.Complete) {
 				return
 			}
-			w.heard = w.heard || r.answer != nil && !r.searched
 		case <-head:
 			head = nil
-		case <-w.expired:
-			w.expire()
-		}
-		if w.over() {
+		case <-timeout:
 			return
 		}
 		before := found.Asked
--- a/internal/serve/resume/resume.go
+++ b/internal/serve/resume/resume.go
@@ -22,10 +22,9 @@
 )
 
 const (
-	// findTimeout bounds the wait for the answers of peers, and silentTimeout that for the first
-	// answer of a process that should know the origin: no answer doesn't say that it is unknown.
-	findTimeout   = 40 * clock.Millis(1)
-	silentTimeout = 150 * clock.Millis(1)
+	// findTimeout bounds the wait for the answers of peers. An origin is unknown at once when all
+	// have answered that they don't know it.
+	findTimeout = 150 * clock.Millis(1)
 	// searchTimeout is findTimeout for an aggregator that asks for another process, and
 	// searchHead the time after which that process asks the others itself.
 	searchTimeout = 25 * clock.Millis(1)
