fix(resume): a new stream may be resumed once the start of its engine is confirmed

Cause: the version of a stream is that of the engine's entry, and nothing says that the process at the address is the one of the entry.

Change: after the first event a gateway asks the engine when it started, beside the answer. A process that states the start of its entry then has been there before, so that this covers all streams that have begun until then. It counts while a connection to the engine is open, because a process that ends closes all of them, and for a minute after the last one was closed in order. Until then the stream has no origin and isn't resumed.

Ruled out: a call before each stream (it delays the first event, and takes a permit for each); trust in the entry while the store answers (the engine may not have written its entry yet).

--- a/internal/engine/conn/conn.go
+++ b/internal/engine/conn/conn.go
@@ -128,6 +128,9 @@
 	// returns, and one above MaxBytes is malformed.
 	VerifyFunc func(status int, header http.Header, body []byte) Verdict
 	MaxBytes   int64
+	// Spare allows one connection beyond the limit, which is closed after the answer. It is for
+	// short calls that can't wait until other requests have ended.
+	Spare bool
 	// Work is the kind of work, for metrics.
 	Work string
 }
@@ -140,6 +143,8 @@
 	dialed  func()
 	used    func(work string, reused bool)
 	skipped func(work string)
+	// lastClosed is called when the last open connection is closed.
+	lastClosed func(failed bool)
 	// distrusted is called when a distrustPeriod begins while none runs.
 	distrusted func(cause string)
 	push       *push.Book
@@ -193,6 +198,13 @@
 	return func(g *Group) { g.distrusted = distrusted }
 }
 
+// WithLastClosed sets a function that is called when no connection is open any more, with true if
+// the last one failed or the endpoint closed it early. A process that ends closes all of its
+// connections. The function must not call the group.
+func WithLastClosed(lastClosed func(failed bool)) Option {
+	return func(g *Group) { g.lastClosed = lastClosed }
+}
+
 // WithPush sets the limits of writes to endpoints that don't read; nil sets none.
 func WithPush(p *push.Book) Option { return func(g *Group) { g.push = p } }
 
@@ -202,7 +214,7 @@
 	const unbounded = 1 << 20
 	g := &Group{
 		address: address, clock: clock.New(), maxOpen: func() int { return unbounded }, dialed: func() {},
-		used: func(string, bool) {}, skipped: func(string) {}, distrusted: func(string) {},
+		used: func(string, bool) {}, skipped: func(string) {}, distrusted: func(string) {}, lastClosed: func(bool) {},
 		dialFunc: Dial,
 	}
 	for _, opt := range opts {
@@ -215,6 +227,7 @@
 	net.Conn
 	reader    *bufio.Reader
 	fresh     bool
+	spare     bool
 	lastUsed  clock.Millis
 	expiresAt clock.Millis // the endpoint may close the connection from this instant on
 	// closesAt is when the endpoint closes the connection according to its statement,
@@ -235,37 +248,45 @@
 	defer g.mu.Unlock()
 	g.closed = true
 	for _, c := range g.idle {
-		g.discard(c)
+		g.discard(c, false)
 	}
 	g.idle = nil
 }
 
-// Sweep closes connections whose idle timeout has passed.
+// Sweep closes connections whose idle timeout has passed, or which the endpoint has closed.
 func (g *Group) Sweep() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	kept := g.idle[:0]
 	for _, c := range g.idle {
-		if c.expiresAt > now {
+		_, ended := pendingInput(c)
+		if c.expiresAt > now && !ended {
 			kept = append(kept, c)
 			continue
 		}
-		g.discard(c)
+		g.discard(c, c.expiresAt > now)
 	}
 	clear(g.idle[len(kept):])
 	g.idle = kept
 }
 
-// discard closes a connection. The caller must hold g.mu.
-func (g *Group) discard(c *conn) {
-	g.open--
+// discard closes a connection, which may have failed. The caller must hold g.mu.
+func (g *Group) discard(c *conn, failed bool) {
 	_ = c.Close() // no answer is pending on it
+	g.countClosed(failed)
+}
+
+// countClosed counts a connection as closed. The caller must hold g.mu.
+func (g *Group) countClosed(failed bool) {
+	if g.open--; g.open == 0 {
+		g.lastClosed(failed)
+	}
 }
 
 // acquire returns an idle connection, or nil if the caller may open a new one,
-// which it has then counted as open.
-func (g *Group) acquire(request *Request) (*conn, error) {
+// which it has then counted as open. The new one is a spare one if it is beyond the limit.
+func (g *Group) acquire(request *Request) (reused *conn, spare bool, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
@@ -278,34 +299,46 @@
 		g.idle = g.idle[:last]
 		surplus, ended := pendingInput(c)
 		if c.expiresAt > now && !surplus && !ended {
-			return c, nil
+			return c, false, nil
 		}
 		if surplus && c.verified {
 			g.startDistrust(causeSurplus, now)
 		}
-		g.discard(c)
+		g.discard(c, ended && c.expiresAt > now)
 	}
-	if maxOpen := g.maxOpen(); g.open >= maxOpen {
-		if len(g.idle) == 0 {
-			return nil, &FullError{Max: maxOpen}
-		}
-		g.discard(g.idle[0])
+	if spare, err = g.makeRoom(request); err == nil {
+		g.open++
+	}
+	return nil, spare, err
+}
+
+// makeRoom closes an idle connection if as many are open as may be. It reports whether the request
+// needs a spare one. The caller must hold g.mu.
+func (g *Group) makeRoom(request *Request) (spare bool, err error) {
+	maxOpen := g.maxOpen()
+	switch {
+	case g.open < maxOpen:
+		return false, nil
+	case len(g.idle) > 0:
+		g.discard(g.idle[0], false)
 		g.idle = g.idle[1:]
+		return false, nil
+	case request.Spare && g.open == maxOpen:
+		return true, nil
 	}
-	g.open++
-	return nil, nil
+	return false, &FullError{Max: maxOpen}
 }
 
-func (g *Group) dial(ctx context.Context) (*conn, error) {
+func (g *Group) dial(ctx context.Context, spare bool) (*conn, error) {
 	opened, err := g.dialFunc(ctx, "tcp", g.address)
 	if err != nil {
 		g.mu.Lock()
-		g.open--
+		g.countClosed(ctx.Err() == nil)
 		g.mu.Unlock()
 		return nil, err
 	}
 	g.dialed()
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer), fresh: true}, nil
+	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer), fresh: true, spare: spare}, nil
 }
 
 // Dial opens a connection that also fails if the peer becomes unreachable without
@@ -332,9 +365,9 @@
 // exchange including the body. When it ends, the connection is closed, and most
 // endpoints then stop the work.
 func (g *Group) Do(ctx context.Context, request *Request) (*Reply, error) {
-	c, err := g.acquire(request)
+	c, spare, err := g.acquire(request)
 	if err == nil && c == nil {
-		c, err = g.dial(ctx)
+		c, err = g.dial(ctx, spare)
 	}
 	if err != nil {
 		return nil, &NotSentError{Address: g.address, Cause: err}
@@ -359,12 +392,12 @@
 	return r, nil
 }
 
-func (g *Group) release(c *conn, reusable bool) {
+func (g *Group) release(c *conn, reusable, failed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	if !reusable || g.closed || c.expiresAt <= now || (c.verified && now < g.distrustUntil) {
-		g.discard(c)
+		g.discard(c, failed)
 		return
 	}
 	c.fresh, c.lastUsed = false, now
--- a/internal/engine/conn/conn_test.go
+++ b/internal/engine/conn/conn_test.go
@@ -271,3 +271,57 @@
 	_, err = do(t, g, "c")
 	assert.NilError(t, err)
 }
+
+// Guards against a call that has to wait because all connections are in use, and against
+// connections beyond the limit that stay open.
+func TestSpareConnectionIsClosedAfterItsAnswer(t *testing.T) {
+	opened := 0
+	g := conn.New(endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			id, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer(id, id))
+		}
+	}), conn.WithDialed(func() { opened++ }), conn.WithMaxOpen(func() int { return 1 }))
+	held, err := g.Do(t.Context(), request("a"))
+	assert.NilError(t, err)
+	_, err = do(t, g, "b")
+	var full *conn.FullError
+	assert.Assert(t, errors.As(err, &full))
+	for range 2 {
+		spare := request("c")
+		spare.Spare = true
+		reply, err := g.Do(t.Context(), spare)
+		assert.NilError(t, err)
+		_, err = g.Do(t.Context(), spare)
+		assert.Assert(t, errors.As(err, &full))
+		_, _ = io.ReadAll(reply.Body)
+		reply.Finish()
+	}
+	held.Finish()
+	assert.Equal(t, opened, 3)
+}
+
+// Guards against an endpoint that is replaced unnoticed: the last connection to a process fails when
+// that process ends.
+func TestFailureOfTheLastConnectionIsReported(t *testing.T) {
+	var closed []bool
+	g := conn.New(endpoint(t, func(number int, c net.Conn, r *bufio.Reader) {
+		id, _ := readRequest(r)
+		if number == 2 {
+			_, _ = io.WriteString(c, answer(id, "long")[:20])
+			return
+		}
+		_, _ = io.WriteString(c, answer(id, id))
+		_, _ = readRequest(r)
+	}), conn.WithLastClosed(func(failed bool) { closed = append(closed, failed) }))
+	_, err := do(t, g, "a")
+	assert.NilError(t, err)
+	g.Close()
+	assert.DeepEqual(t, closed, []bool{false})
+	_, err = do(t, g, "b")
+	assert.Assert(t, err != nil)
+	assert.DeepEqual(t, closed, []bool{false, true})
+}
--- a/internal/engine/conn/reply.go
+++ b/internal/engine/conn/reply.go
@@ -133,7 +133,7 @@
 	chunked := len(response.TransferEncoding) > 0
 	noBody := response.ContentLength == 0 || response.Body == http.NoBody
 	r.Framed = response.ContentLength >= 0 || chunked || noBody
-	r.reusable = r.Framed && !response.Close && !r.conn.sawStray
+	r.reusable = r.Framed && !response.Close && !r.conn.sawStray && !r.conn.spare
 	if noBody {
 		r.eof.sawEOF = true
 	}
@@ -181,23 +181,26 @@
 			reusable = false
 		}
 	}
-	r.group.release(r.conn, reusable)
+	r.group.release(r.conn, reusable, stopped && (r.eof == nil || r.eof.failed))
 	if r.written != nil {
 		<-r.written // the write ends because the connection is closed
 	}
 }
 
-// eofReader records that the end of a body was reached.
+// eofReader records that the end of a body was reached, or that it can't be read.
 type eofReader struct {
-	from   io.Reader
-	sawEOF bool
+	from           io.Reader
+	sawEOF, failed bool
 }
 
 // Read implements io.Reader.
 func (e *eofReader) Read(p []byte) (int, error) {
 	n, err := e.from.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		e.sawEOF = true
+	case err != nil:
+		e.failed = true
 	}
 	return n, err
 }
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -18,6 +18,7 @@
 	"github.com/jujubescale/jujubescale/internal/flow/origin"
 	"github.com/jujubescale/jujubescale/internal/flow/span"
 	"github.com/jujubescale/jujubescale/internal/route/view"
+	"github.com/jujubescale/jujubescale/internal/serve/resume"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
 )
 
@@ -112,8 +113,8 @@
 	// stream began, nil before the first event; only endpoints that it allows may go on.
 	resumesStream bool
 	origin        *origin.Origin
-	// originKeys are the streams whose origin was recorded for this request.
-	originKeys []origin.Key
+	// stream is the stream that the caller gets, nil before the first event.
+	stream *resume.Stream
 	// gaps holds the times between events, also of different endpoints.
 	gaps         gaps.Longest
 	lastEndpoint *view.Endpoint
--- a/internal/serve/gate/confirm.go
+++ b/internal/serve/gate/confirm.go
@@ -3,53 +3,49 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net/http"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
-	"github.com/jujubescale/jujubescale/internal/engine/conn"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
 )
 
-const (
-	// confirmTimeout bounds the call that confirms the start of an endpoint.
-	confirmTimeout = 300 * clock.Millis(1)
-	// maxReportBytes bounds the report of an endpoint.
-	maxReportBytes = 64 << 10
-	// workConfirm names these calls in the metrics of connections.
-	workConfirm = "confirm"
-)
-
-// StartError is returned if an endpoint is not the start that its entry names. Got is 0 if the
-// endpoint doesn't state its start.
-type StartError struct {
-	Endpoint  string
-	Want, Got int64
-}
-
-// Error implements error.
-func (e *StartError) Error() string {
-	return fmt.Sprintf("endpoint %s started at %d, its entry says %d", e.Endpoint, e.Got, e.Want)
-}
+// confirmTimeout bounds the call that confirms the start of an endpoint.
+const confirmTimeout = 300 * clock.Millis(1)
 
 // confirmStart asks an endpoint when it started before it resumes a stream. An endpoint that
 // starts again under its ID may run another software version before its entry changes, and
 // accepts requests for the start before.
 func (g *Gate) confirmStart(ctx context.Context, req *request, t *target.Target) error {
+	wait, now := g.limits.Acquire(ctx, t.Endpoint, req.Request), g.Clock.Now()
+	if wait == 0 && t.Cold(now) {
+		wait = t.TryStart(g.startLimit(req, t.Endpoint, now), now)
+	}
+	return g.askStart(ctx, req.Request, t, wait)
+}
+
+// whenConfirmed calls then once the start of an endpoint that has begun to answer is confirmed. A
+// cold endpoint is not asked: the call would take the place of a request.
+func (g *Gate) whenConfirmed(request string, t *target.Target, then func()) {
+	t.WhenConfirmed(g.requestsContext, func(ctx context.Context) error {
+		wait := clock.Millis(1)
+		if !t.Cold(g.Clock.Now()) {
+			wait = g.limits.Acquire(ctx, t.Endpoint, request)
+		}
+		return g.askStart(ctx, request, t, wait)
+	}, then)
+}
+
+// askStart asks an endpoint when it started, unless its limits leave no room for the call: like
+// any request, it needs a permit where the endpoint limits its rate, and counts at a cold endpoint.
+func (g *Gate) askStart(ctx context.Context, request string, t *target.Target, wait clock.Millis) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout.Duration())
 	defer cancel()
-	var got int64
-	err := g.takeStart(ctx, req, t)
-	if err == nil {
-		got, err = g.askStart(ctx, t)
-	}
-	if err == nil && got != t.StartedAt {
-		err = &StartError{Endpoint: t.ID, Want: t.StartedAt, Got: got}
-		t.BlockReplaced(g.Clock.Now())
+	var err error = &HeldBackError{Endpoint: t.ID, Wait: wait}
+	if wait == 0 {
+		err = t.AskStart(ctx, g.Codec, maxReuseIdle)
 	}
 	if err != nil {
-		g.Log.Info("endpoint not confirmed", "request", req.Request, "endpoint", t.ID, "version", t.Version, logs.KeyError, err)
+		g.Log.Info("endpoint not confirmed", "request", request, "endpoint", t.ID, "version", t.Version, logs.KeyError, err)
 	}
 	return err
 }
@@ -64,37 +60,3 @@
 func (e *HeldBackError) Error() string {
 	return fmt.Sprintf("endpoint %s takes no call for %d ms", e.Endpoint, e.Wait)
 }
-
-// takeStart counts a call that confirms the start of an endpoint: like any request, it needs a
-// permit where the endpoint limits its rate, and counts at a cold endpoint.
-func (g *Gate) takeStart(ctx context.Context, req *request, t *target.Target) error {
-	wait, now := g.limits.Acquire(ctx, t.Endpoint, req.Request), g.Clock.Now()
-	if wait == 0 && t.Cold(now) {
-		wait = t.TryStart(g.startLimit(req, t.Endpoint, now), now)
-	}
-	if wait > 0 {
-		return &HeldBackError{Endpoint: t.ID, Wait: wait}
-	}
-	return nil
-}
-
-// askStart returns when the process at an endpoint's address started, 0 if it doesn't state it.
-func (g *Gate) askStart(ctx context.Context, t *target.Target) (int64, error) {
-	head := append(make([]byte, 0, headCapacity), "GET "+g.Codec.ReportPath+" HTTP/1.1\r\nHost: "+t.Address+"\r\n"...)
-	head = append(g.Codec.InstanceFunc(head, t.ID), "\r\n"...)
-	reply, err := t.Send(ctx, &conn.Request{
-		Method: http.MethodGet, Head: head, MaxIdle: maxReuseIdle, Work: workConfirm,
-		// A report has no request id; an answer with one is a late duplicate.
-		MatchFunc: func(header http.Header, _ bool) bool { return g.Codec.ResponseInfoFunc(header).Request == "" },
-	})
-	if err != nil {
-		return 0, err
-	}
-	defer reply.Finish()
-	raw, err := io.ReadAll(io.LimitReader(reply.Body, maxReportBytes))
-	if err != nil || reply.Status != http.StatusOK {
-		return 0, err
-	}
-	startedAt, _ := g.Codec.StartFunc(raw)
-	return startedAt, nil
-}
--- a/internal/serve/gate/pass.go
+++ b/internal/serve/gate/pass.go
@@ -145,7 +145,7 @@
 			return attemptResult{outcome: answered, err: fault.Refuse(fault.Cancelled, "the caller closed the connection")}
 		}
 		if req.eventCount++; req.eventCount == 1 {
-			g.recordOrigin(req, t.Endpoint)
+			g.recordOrigin(req, t)
 		}
 		if next.ID != "" {
 			req.LastEvent = next.ID
--- a/internal/serve/gate/resume.go
+++ b/internal/serve/gate/resume.go
@@ -10,6 +10,7 @@
 	"github.com/jujubescale/jujubescale/internal/flow/origin"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/resume"
+	"github.com/jujubescale/jujubescale/internal/serve/target"
 )
 
 // Values of the labels of the metrics of resumed streams.
@@ -102,44 +103,41 @@
 	return g.Origins.FindCommon(ctx, key)
 }
 
-// recordOrigin records the endpoint that has sent the first event of an answer.
-func (g *Gate) recordOrigin(req *request, e *view.Endpoint) {
+// recordOrigin records the endpoint that has sent the first event of an answer. A new stream may be
+// resumed once the start of that endpoint is confirmed.
+func (g *Gate) recordOrigin(req *request, t *target.Target) {
 	if !req.route.Resumable {
 		return
 	}
-	now := g.Clock.Now()
+	now, resumed := g.Clock.Now(), req.origin != nil
 	until := max(req.deadline, req.began+req.route.Timeout) + originMargin
-	if req.origin == nil {
-		first := origin.Of(e, now, until)
+	if !resumed {
+		first := origin.Of(t.Endpoint, now, until)
 		req.origin = &first
 	}
 	req.origin.Until = max(req.origin.Until, until)
 	if req.origin.Doubtful(g.View()) {
 		return
 	}
-	req.originKeys = append(req.originKeys, req.originKey(req.Request))
+	keys := []origin.Key{req.originKey(req.Request)}
 	if key, own := req.contentKey(); own {
-		req.originKeys = append(req.originKeys, key)
+		keys = append(keys, key)
 	}
 	if req.Resumes != "" {
-		req.originKeys = append(req.originKeys, req.originKey(req.Resumes))
+		keys = append(keys, req.originKey(req.Resumes))
 	}
-	for _, key := range req.originKeys {
-		g.Origins.Begin(key, req.origin)
-	}
-}
-
-// endOrigin is called when the request has ended.
-func (g *Gate) endOrigin(req *request) {
-	for _, key := range req.originKeys {
-		g.Origins.End(key)
+	stream, began := g.Origins.NewStream(keys), *req.origin
+	if req.stream = stream; resumed {
+		stream.Begin(&began)
+		return
 	}
+	g.whenConfirmed(req.Request, t, func() { stream.Begin(&began) })
 }
 
 // resumeEndpoints returns the endpoints that may resume the request's stream. Those of the
 // candidate version of a rollout get only the share of the requests that the rollout allows.
 func (g *Gate) resumeEndpoints(req *request) []*view.Endpoint {
-	if req.origin.Doubtful(g.View()) {
+	if req.origin.Doubtful(g.View()) || req.eventCount > 0 && !req.stream.Begun() {
 		return nil
 	}
 	all := g.View().Pool(req.pool.Name)
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -48,7 +48,7 @@
 
 // run runs the stages and the attempts of a request and ends it.
 func (g *Gate) run(ctx context.Context, w http.ResponseWriter, req *request) {
-	defer g.endOrigin(req)
+	defer func() { req.stream.End() }()
 	err := g.findOrigin(ctx, req)
 	if err == nil {
 		err = g.refuseBeforeStages(req)
--- a/internal/serve/target/target.go
+++ b/internal/serve/target/target.go
@@ -55,6 +55,7 @@
 	failureRate float64
 	// reported is the lowest number of running requests that was reported to peers.
 	reported places.Low
+	starts   starts
 }
 
 // Settings are the dependencies of a Set.
@@ -234,7 +235,10 @@
 }
 
 // BlockReplaced blocks the endpoint because another one now uses its address.
-func (t *Target) BlockReplaced(now clock.Millis) { t.Block(now + maxBlock) }
+func (t *Target) BlockReplaced(now clock.Millis) {
+	t.starts.close(true, now)
+	t.Block(now + maxBlock)
+}
 
 // RecordFailure blocks the endpoint, for longer after each consecutive failure.
 func (t *Target) RecordFailure(now clock.Millis) {
