--- a/internal/serve/target/conns.go
+++ b/internal/serve/target/conns.go
@@ -20,7 +20,8 @@
 			s.meter.distrusted.Inc()
 			s.Log.Info("connections not reused", "pool", t.Pool, "endpoint", t.ID, "cause", cause)
 		}),
-		conn.WithLastClosed(func(failed bool) { t.starts.close(failed, s.Clock.Now()) }), conn.WithPush(s.Push), conn.WithDial(s.DialFunc), conn.WithMaxOpen(func() int { return s.maxOpen(t) }))
+		conn.WithLastClosed(func(failed bool) { t.starts.close(failed, s.Clock.Now()) }),
+		conn.WithPush(s.Push), conn.WithDial(s.DialFunc), conn.WithMaxOpen(func() int { return s.maxOpen(t) }))
 }
 
 // maxOpen returns the number of connections that this process may have to an endpoint.
--- a/internal/serve/target/start.go
+++ b/internal/serve/target/start.go
@@ -105,10 +105,10 @@
 	s.closings++
 }
 
-// WhenConfirmed calls then once it is known that an answer which has begun comes from the start that
-// the entry names: a process that states this start after the answer has begun was there before.
-// It calls then at once while an earlier confirmation counts, and never if confirm fails, which
-// asks the process. Both may be called by another goroutine, which ends with the context.
+// WhenConfirmed calls a function once it is known that an answer which has begun comes from the start
+// that the entry names: a process that states this start after the answer has begun was there before.
+// It calls the function at once while an earlier confirmation counts. Otherwise another goroutine,
+// which ends with the context, calls confirm to ask the process, and the function if that succeeds.
 func (t *Target) WhenConfirmed(ctx context.Context, confirm func(ctx context.Context) error, then func()) {
 	s, now := &t.starts, t.set.Clock.Now()
 	s.mu.Lock()
