fix(feed): keep what each peer says the store has lost until the list is read

Callers: none seen; found by reading. A process that starts after a return of the store could serve an object by the copy.

Cause: before its list was read, a feed kept only the last message about lost objects. A peer that knows fewer of them replaced what another one had said, and each says it once.

Change: all are kept, at most 64.

--- a/internal/serve/feed/restore.go
+++ b/internal/serve/feed/restore.go
@@ -21,6 +21,8 @@
 	// hideTime is the longest time for which an object stays hidden that the store restored after
 	// it had been deleted. The platform removes the entries of what has ended before that.
 	hideTime = 5 * clock.Second
+	// maxEarly bounds the messages of peers that are kept until a list is read.
+	maxEarly = 64
 )
 
 // Restore decides between the objects that a feed knows and those of a store that came back from
@@ -63,8 +65,8 @@
 	// by their version in the store.
 	deleted map[string]deletion
 	hidden  map[string]hiddenObject
-	// early is what a peer told of an era whose list this feed has not read yet, nil for nothing.
-	early *wire.Update
+	// early is what peers told of eras whose list this feed has not read yet, at most maxEarly.
+	early []*wire.Update
 }
 
 // hiddenObject is an object as it is in the store, and until when it is hidden.
@@ -99,11 +101,12 @@
 			hidden++
 		}
 	}
-	if early := s.early; early != nil && !at.EraBefore(early.At()) {
-		if s.early = nil; early.Era == at.Era {
+	for _, early := range s.early {
+		if early.Era == at.Era {
 			f.mergeHolds(early, listed)
 		}
 	}
+	s.early = slices.DeleteFunc(s.early, func(early *wire.Update) bool { return !at.EraBefore(early.At()) })
 	if newEra {
 		f.log.Info("store restored from a copy", "kind", f.kind, "before", s.revision, "listed", len(listed), "kept", len(held), "hidden", hidden)
 	}
@@ -126,7 +129,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := &f.state
-	if !s.listed || s.lastChange != update.SinceAt() || len(s.held)+len(s.hidden) > 0 || s.early != nil {
+	if !s.listed || s.lastChange != update.SinceAt() || len(s.held)+len(s.hidden)+len(s.early) > 0 {
 		return false
 	}
 	for name, object := range s.objects {
@@ -319,7 +322,9 @@
 	defer f.mu.Unlock()
 	s := &f.state
 	if !s.listed || s.revision.EraBefore(update.At()) {
-		s.early = update
+		if len(s.early) < maxEarly {
+			s.early = append(s.early, update)
+		}
 		return
 	}
 	if update.Era != s.revision.Era {
--- a/internal/serve/feed/restore_test.go
+++ b/internal/serve/feed/restore_test.go
@@ -290,6 +290,29 @@
 	}
 }
 
+// Guards against a process that forgets what one peer told it before it had read the list, because
+// another one told it of other objects.
+func TestLostObjectsOfSeveralPeersAreKept(t *testing.T) {
+	s, fake := newCopyStore(), clock.NewFake(1)
+	s.put("a", "1")
+	restore := feed.Restore{KeepMissing: 1000}
+	first, second, started := newFollower(s, fake, restore), newFollower(s, fake, restore), newFollower(s, fake, restore)
+	from := s.copy()
+	s.put("a", "3")
+	s.put("b", "3")
+	first.ReadList(t.Context())
+	s.restore(from)
+	first.ReadList(t.Context())
+	assert.Assert(t, !second.Apply(first.Snapshot(), 1))
+	for _, known := range []*follower{first, second} {
+		told := known.Holds()
+		told.Objects = slices.DeleteFunc(told.Objects, func(o wire.Stored) bool { return (o.Name == "a") != (known == first) })
+		assert.Assert(t, !started.Apply(told, 1))
+	}
+	started.ReadList(t.Context())
+	assert.Equal(t, started.String(), "a=3 b=3")
+}
+
 // Guards against lists that are sent to all processes although the store's era has risen without a
 // loss.
 func TestEraThatRisesWithoutALossIsRelayedWithoutObjects(t *testing.T) {
