fix(router): tell starting processes what was learned, and only them again

Callers: none seen; found by reading.

(1) When the store returned, every process would have sent all objects that it keeps to its aggregator, and each aggregator to all its processes, at the same moment: with a lost configuration of 1 MB that is the link of a small host for seconds. (2) A process that starts relied on one that had started just before: that one says so once, before it has heard itself, and then counts as a process that serves. The first would serve by the copy.

Change: what the store has lost is said again only to processes that don't serve yet, by one that does, when the era of all its lists has risen or a peer has told it more. At the start of a session it is said as before. Whether a process serves is read before what it knows, so that the message can't claim more.

Result: TestProcessesThatStartAreToldWhatThePeersLearn; the mesh's test passes on what it is told to send, its sequel per state is as strict.

--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -50,8 +50,8 @@
 	HasTrials bool    `cbor:"hasTrials,omitempty"`
 	Trials    []Trial `cbor:"trials,omitempty"`
 	// Holds lists the objects that the sender keeps although the store has lost them, a message
-	// for each kind. It is sent at the start of a session and once the sender has read a later era
-	// of all kinds.
+	// for each kind. It is sent at the start of a session, and again to a process that has not begun
+	// to serve once the sender knows more.
 	Holds []*Update `cbor:"lost,omitempty"`
 	// Speeds holds the endpoints whose speeds changed. Each replaces the one that the sender
 	// sent before.
--- a/internal/serve/mesh/link.go
+++ b/internal/serve/mesh/link.go
@@ -48,7 +48,7 @@
 	// interest is the list that was sent last; it is valid if hasInterest is set.
 	interest    []string
 	hasInterest bool
-	holdsEra    uint64 // the era in which the lost objects were last sent
+	holdsTold   uint64 // what HoldsFunc returned last
 }
 
 // inbound is a session that a peer opened.
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -86,8 +86,8 @@
 	ConfirmFunc func(progress []wire.Progress, now clock.Millis) []string
 	// ExpectFunc is called while objects of a kind are being transferred from a peer.
 	ExpectFunc func(kind string)
-	// HoldsFunc returns what this process knows and the store has lost.
-	HoldsFunc func() []*wire.Update
+	// HoldsFunc returns what the store has lost, if a peer has to be told, and the state to pass next time.
+	HoldsFunc func(peer string, told uint64, first bool) ([]*wire.Update, uint64)
 	// TakeHoldsFunc takes the same of a peer, which owns pools unless it has just started or leaves.
 	TakeHoldsFunc func(message *wire.Sums, now clock.Millis)
 	// MaxPeerAge bounds the age of the last store answer at a peer that this
--- a/internal/serve/mesh/mesh_test.go
+++ b/internal/serve/mesh/mesh_test.go
@@ -123,40 +123,45 @@
 	waitFor(t, func() bool { return all[1].peerTokens.Load() == 0 && len(all[1].LiveProcesses()) == 1 })
 }
 
-// Guards against a process that serves by a restored copy for good: its peer told it what the store
-// has lost before that peer had read all kinds of objects after the restore.
-func TestLostObjectsAreSentOnceAllKindsOfAnEraWereRead(t *testing.T) {
-	var progress atomic.Pointer[[]wire.Progress]
-	progress.Store(&[]wire.Progress{{Kind: "a", Era: 1}, {Kind: "b", Era: 1}})
-	var told atomic.Int64
+// Guards against a process that serves by a restored copy for good, because its peer told it what the
+// store has lost before that peer knew it.
+func TestLostObjectsAreSentAgainOnceMoreAreKnown(t *testing.T) {
+	var state atomic.Uint64
+	var told, firsts atomic.Int64
 	connect := func(name string, follower mesh.Follower) *process {
 		p := &process{member: mesh.Member{Name: name, Incarnation: token.NewIncarnation()}}
+		follower.ProgressFunc = func() []wire.Progress { return nil }
 		follower.ConfirmFunc = func([]wire.Progress, clock.Millis) []string { return nil }
 		follower.SnapshotFunc = func(string) *wire.Update { return nil }
 		p.Mesh = mesh.New(t.Context(), p.member, mesh.WithLoads(p.loads, p.setWork), mesh.WithFollower(follower))
 		return p
 	}
-	knows := connect("a", mesh.Follower{
-		ProgressFunc: func() []wire.Progress { return *progress.Load() },
-		HoldsFunc:    func() []*wire.Update { return []*wire.Update{{Kind: "a", Lost: true, Era: 2}} },
-	})
-	starts := connect("b", mesh.Follower{
-		ProgressFunc:  func() []wire.Progress { return nil },
-		HoldsFunc:     func() []*wire.Update { return nil },
+	all := []*process{connect("a", mesh.Follower{
+		HoldsFunc: func(peer string, before uint64, first bool) ([]*wire.Update, uint64) {
+			if peer != "b" || !first && before == state.Load() {
+				return nil, before
+			}
+			if first {
+				firsts.Add(1)
+			}
+			return []*wire.Update{{Kind: "a", Lost: true, Era: 2}}, state.Load()
+		},
+	}), connect("b", mesh.Follower{
+		HoldsFunc:     func(string, uint64, bool) ([]*wire.Update, uint64) { return nil, 0 },
 		TakeHoldsFunc: func(message *wire.Sums, _ clock.Millis) { told.Add(int64(len(message.Holds))) },
-	})
-	connectProcesses(t, []*process{knows, starts})
-	for _, p := range []*process{knows, starts} {
+	})}
+	connectProcesses(t, all)
+	for _, p := range all {
 		go p.Run(t.Context())
 	}
 	waitFor(t, func() bool { return told.Load() == 1 })
-	progress.Store(&[]wire.Progress{{Kind: "a", Era: 2}, {Kind: "b", Era: 1}})
-	time.Sleep(300 * time.Millisecond)
-	assert.Equal(t, told.Load(), int64(1))
-	progress.Store(&[]wire.Progress{{Kind: "a", Era: 2}, {Kind: "b", Era: 2}})
-	waitFor(t, func() bool { return told.Load() == 2 })
-	time.Sleep(300 * time.Millisecond)
-	assert.Equal(t, told.Load(), int64(2))
+	for want := int64(2); want <= 3; want++ {
+		state.Add(1)
+		waitFor(t, func() bool { return told.Load() == want })
+		time.Sleep(300 * time.Millisecond)
+		assert.Equal(t, told.Load(), want)
+	}
+	assert.Equal(t, firsts.Load(), int64(1))
 }
 
 func waitFor(t *testing.T, condition func() bool) {
--- a/internal/serve/mesh/send.go
+++ b/internal/serve/mesh/send.go
@@ -124,14 +124,14 @@
 	if message == nil {
 		return
 	}
+	message.Owns = m.mayOwn() // before Holds: a peer that starts relies on what an owner has said
 	if regular {
-		if era := wire.CommonEra(progress); (first || era != 0 && era != to.target.holdsEra) && m.follower.HoldsFunc != nil {
-			message.Holds, to.target.holdsEra = m.follower.HoldsFunc(), era
+		if m.follower.HoldsFunc != nil {
+			message.Holds, to.target.holdsTold = m.follower.HoldsFunc(to.process, to.target.holdsTold, first)
 		}
 		message.Progress = progress
 		m.addMembers(message, to, now)
 	}
-	message.Owns = m.mayOwn()
 	if to.kind == wire.KindReport {
 		to.target.addInterest(message, m.reports.interest)
 	}
--- a/internal/serve/router/export_test.go
+++ b/internal/serve/router/export_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/serve/detect"
 	"github.com/jujubescale/jujubescale/internal/serve/gate"
 )
@@ -17,5 +18,13 @@
 // ConfigOutdated reports whether the configuration may be too old to deny a request by it.
 func (g *Gateway) ConfigOutdated() bool { return g.configOutdated() }
 
+// Holds returns what a peer is told of the objects that the store has lost.
+func (g *Gateway) Holds(peer string, told uint64, first bool) ([]*wire.Update, uint64) {
+	return g.holds(peer, told, first)
+}
+
+// TakeHolds takes what a peer tells of the objects that the store has lost.
+func (g *Gateway) TakeHolds(message *wire.Sums) { g.takeHolds(message, g.Clock.Now()) }
+
 // OwnerOf returns the process that this one asks for permits of an endpoint.
 func (g *Gateway) OwnerOf(endpoint string) string { return g.mesh.Owner(endpoint) }
--- a/internal/serve/router/lost_test.go
+++ b/internal/serve/router/lost_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/jujubescale/jujubescale/internal/base/token"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
 	"github.com/jujubescale/jujubescale/internal/serve/router"
 	"github.com/jujubescale/jujubescale/platform"
@@ -54,6 +56,41 @@
 	}
 }
 
+// Guards against a process that starts beside others and relies on one of them that has not been told
+// what the store has lost, and against messages of all processes to all when the store returns.
+func TestProcessesThatStartAreToldWhatThePeersLearn(t *testing.T) {
+	t.Parallel()
+	b := start(t, 2)
+	from := b.Store.Copy()
+	b.addRoute("lost")
+	b.lose(50)
+	time.Sleep(time.Second)
+	serving := b.gateways[0]
+	_, before := serving.Holds("gateway-9", 0, true)
+	b.restore(storeReturn{}, from)
+	var known []*wire.Update
+	var told uint64
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if known, told = serving.Holds("gateway-9", before, false); len(known) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("nothing to tell in state %d", told)
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+	again, _ := serving.Holds("gateway-9", told, false)
+	assert.Equal(t, len(again), 0, "told twice")
+	again, _ = serving.Holds("gateway-2", before, false)
+	assert.Equal(t, len(again), 0, "a process that serves is told")
+
+	lost := &wire.Update{Kind: platform.KindEvacuations, Lost: true, Era: known[0].Era, Revision: known[0].Revision,
+		Objects: []wire.Stored{{Name: platform.KindEvacuations + "/zone-9", Value: []byte("{}"), Hold: &wire.Hold{Era: 1, Left: 1000}}}}
+	serving.TakeHolds(&wire.Sums{Holds: []*wire.Update{lost}})
+	again, _ = serving.Holds("gateway-9", told, false)
+	assert.Assert(t, slices.ContainsFunc(again, func(u *wire.Update) bool { return u.Kind == lost.Kind }), "not told what a peer has said")
+	starting := b.startUnreadyGateway()
+	again, _ = starting.Holds("gateway-9", 0, false)
+	assert.Equal(t, len(again), 0, "a process that has just started tells")
+}
+
 // Guards against members that stay out of the list after the store has lost their entries, and
 // against entries that are written without end.
 func TestMembersThatTheStoreLostRegisterAgain(t *testing.T) {
--- a/internal/serve/router/restore.go
+++ b/internal/serve/router/restore.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync/atomic"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
@@ -83,15 +84,38 @@
 	return feed.Restore{NewerFunc: g.deploy.IsNewer, KeepMissing: deploy.KeepLost}
 }
 
-// holds returns what this process knows and the store has lost, for processes that start meanwhile.
-func (g *Gateway) holds() []*wire.Update {
+// holds returns what this process knows and the store has lost if a peer has to be told, and the
+// state of this process then. Peers that serve are told at the start of a session only: they know it
+// themselves, and all messages would be sent at the moment when the store returns.
+func (g *Gateway) holds(peer string, told uint64, first bool) ([]*wire.Update, uint64) {
+	state := g.holdsState()
+	if !first && (state == 0 || state == told || slices.Contains(g.mesh.LiveProcesses(), peer)) {
+		return nil, told
+	}
 	var all []*wire.Update
 	for _, f := range g.feeds.all() {
 		if update := f.Holds(); update != nil {
 			all = append(all, update)
 		}
 	}
-	return all
+	return all, state
+}
+
+// maxTaken bounds the part of holdsState below the era.
+const maxTaken = 1 << 32
+
+// holdsState tells states in which this process may know different lost objects apart. It is 0 while
+// the process doesn't serve yet or has not read all kinds of one era.
+func (g *Gateway) holdsState() uint64 {
+	var progress []wire.Progress
+	for _, f := range g.feeds.all() {
+		progress = append(progress, f.Progress())
+	}
+	era := wire.CommonEra(progress)
+	if era == 0 || !g.inform.done.Load() {
+		return 0
+	}
+	return era*maxTaken + g.inform.taken.Load()
 }
 
 // maxInformWait bounds how long a process that has read its lists waits for its peers before it serves.
@@ -103,6 +127,8 @@
 	done atomic.Bool
 	// heard is the latest era of which a peer that serves has said what the store has lost.
 	heard atomic.Uint64
+	// taken counts the messages of peers that added lost objects.
+	taken atomic.Uint64
 	// waitingSince is when the lists were read, 0 before that.
 	waitingSince atomic.Int64
 }
@@ -137,8 +163,12 @@
 func (g *Gateway) takeHolds(message *wire.Sums, now clock.Millis) {
 	for _, update := range message.Holds {
 		for _, f := range g.feeds.all() {
-			if f.Kind() == update.Kind {
-				f.Apply(update, now)
+			if f.Kind() != update.Kind {
+				continue
+			}
+			before := len(f.Lost())
+			if f.Apply(update, now); len(f.Lost()) > before {
+				g.inform.taken.Add(1)
 			}
 		}
 	}
