--- a/internal/serve/router/lost_test.go
+++ b/internal/serve/router/lost_test.go
@@ -81,8 +81,10 @@
 	again, _ = serving.Holds("gateway-2", before, false)
 	assert.Equal(t, len(again), 0, "a process that serves is told")
 
-	lost := &wire.Update{Kind: platform.KindEvacuations, Lost: true, Era: known[0].Era, Revision: known[0].Revision,
-		Objects: []wire.Stored{{Name: platform.KindEvacuations + "/zone-9", Value: []byte("{}"), Hold: &wire.Hold{Era: 1, Left: 1000}}}}
+	lost := &wire.Update{
+		Kind: platform.KindEvacuations, Lost: true, Era: known[0].Era, Revision: known[0].Revision,
+		Objects: []wire.Stored{{Name: platform.KindEvacuations + "/zone-9", Value: []byte("{}"), Hold: &wire.Hold{Era: 1, Left: 1000}}},
+	}
 	serving.TakeHolds(&wire.Sums{Holds: []*wire.Update{lost}})
 	again, _ = serving.Holds("gateway-9", told, false)
 	assert.Assert(t, slices.ContainsFunc(again, func(u *wire.Update) bool { return u.Kind == lost.Kind }), "not told what a peer has said")
