fix(router): members spread the writes of their lost entries

Callers: none seen; found by reading. Since each member writes its lost entry at the moment when it reads the list without it, and the list reaches all of them within some milliseconds: hundreds of writes to a store that has just returned. Before, the poll every 0.5 s spread them.

Change: each waits up to 2 ms for each member, at most 0.5 s. With a few members a process that starts still hears of one within its 0.4 s, and with many the first ones write at once. A planned stop that begins meanwhile writes nothing.

--- a/internal/serve/router/export_test.go
+++ b/internal/serve/router/export_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/serve/detect"
 	"github.com/jujubescale/jujubescale/internal/serve/gate"
@@ -26,5 +27,8 @@
 // TakeHolds takes what a peer tells of the objects that the store has lost.
 func (g *Gateway) TakeHolds(message *wire.Sums) { g.takeHolds(message, g.Clock.Now()) }
 
+// RewriteDelay returns how long a process waits before it writes its lost entry again.
+func RewriteDelay(members int, draw float64) clock.Millis { return rewriteDelay(members, draw) }
+
 // OwnerOf returns the process that this one asks for permits of an endpoint.
 func (g *Gateway) OwnerOf(endpoint string) string { return g.mesh.Owner(endpoint) }
--- a/internal/serve/router/lost_test.go
+++ b/internal/serve/router/lost_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/token"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
@@ -93,6 +94,15 @@
 	assert.Equal(t, len(again), 0, "a process that has just started tells")
 }
 
+// Guards against all processes that write their lost entries at the moment when the store returns.
+func TestLostEntriesAreNotAllWrittenAtOnce(t *testing.T) {
+	for members, within := range map[int]clock.Millis{1: 2, 24: 48, 100: 200, 300: 500} {
+		assert.Equal(t, router.RewriteDelay(members, 0), clock.Millis(0))
+		most := router.RewriteDelay(members, 0.999)
+		assert.Assert(t, most >= within*9/10-1 && most < within, "%d members: %d ms", members, most)
+	}
+}
+
 // Guards against members that stay out of the list after the store has lost their entries, and
 // against entries that are written without end.
 func TestMembersThatTheStoreLostRegisterAgain(t *testing.T) {
--- a/internal/serve/router/members.go
+++ b/internal/serve/router/members.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -115,8 +116,16 @@
 	// readyPollInterval is the interval at which a starting process checks that it is
 	// ready.
 	readyPollInterval = 20 * clock.Millis(1)
+	// rewriteSpacing is the mean time between two processes that write lost entries again.
+	rewriteSpacing = 2 * clock.Millis(1)
 )
 
+// rewriteDelay returns how long a process waits before it writes its lost entry again, so that not
+// all of them do at the moment when the store returns. The draw is at least 0 and less than 1.
+func rewriteDelay(members int, draw float64) clock.Millis {
+	return clock.Millis(draw * float64(min(clock.Millis(members)*rewriteSpacing, registerInterval)))
+}
+
 // register adds this process to the member list once it has read routes and endpoints, and again
 // whenever its entry was removed. Peers may request pieces from every listed process.
 func (g *Gateway) register(ctx context.Context) {
@@ -130,6 +139,9 @@
 		case g.Clock.Since(triedAt) < registerInterval:
 			pause = triedAt + registerInterval - g.Clock.Now()
 		default:
+			if g.isMemberLost() && !g.awaitRewrite(ctx) {
+				continue
+			}
 			triedAt = g.Clock.Now()
 			g.registerOnce(ctx)
 		}
@@ -141,6 +153,12 @@
 	}
 }
 
+// awaitRewrite waits for the turn of this process to write its lost entry again. It returns false if
+// a planned stop has begun meanwhile.
+func (g *Gateway) awaitRewrite(ctx context.Context) bool {
+	return g.Clock.Sleep(ctx, rewriteDelay(g.mesh.Count(), rand.Float64())) == nil && g.hasLists()
+}
+
 func (g *Gateway) pauseUnlessMembersChange(ctx context.Context, pause clock.Millis) {
 	expired, stopTimer := g.Clock.After(max(pause, 0))
 	defer stopTimer()
