fix(conn): an answer without length doesn't prove that its endpoint goes on

An engine that crashes under an answer which only the end of the connection ends, and starts again with other software, kept the confirmation of its start for a minute.

Cause: the connection looks as if it had been closed in order.

Change: it counts as failed if it was the last one. Engines that always answer so are asked for each stream that begins on their only connection. TestFailureOfTheLastConnectionIsReported failed before on its third answer.

--- a/internal/engine/conn/conn_test.go
+++ b/internal/engine/conn/conn_test.go
@@ -314,6 +314,10 @@
 			_, _ = io.WriteString(c, answer(id, "long")[:20])
 			return
 		}
+		if number == 3 {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\nup to the end")
+			return
+		}
 		_, _ = io.WriteString(c, answer(id, id))
 		_, _ = readRequest(r)
 	}), conn.WithLastClosed(func(failed bool) { closed = append(closed, failed) }))
@@ -324,4 +328,7 @@
 	_, err = do(t, g, "b")
 	assert.Assert(t, err != nil)
 	assert.DeepEqual(t, closed, []bool{false, true})
+	_, err = do(t, g, "c")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, closed, []bool{false, true, true})
 }
--- a/internal/engine/conn/reply.go
+++ b/internal/engine/conn/reply.go
@@ -181,7 +181,9 @@
 			reusable = false
 		}
 	}
-	r.group.release(r.conn, reusable, stopped && (r.eof == nil || r.eof.failed))
+	// Where only the end of the connection ends an answer, it doesn't tell whether the process has ended.
+	failed := r.eof == nil || r.eof.failed || !r.Framed
+	r.group.release(r.conn, reusable, stopped && failed)
 	if r.written != nil {
 		<-r.written // the write ends because the connection is closed
 	}
