test: add a review case of a stream cut by a leaving engine

An engine that leaves and exits while it sends a stream without a length makes the gateway end the answer as complete.

--- /dev/null
+++ b/review/stand/engine.go
@@ -0,0 +1,183 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Headers of the users' protocol.
+const (
+	headerRequest  = "X-Jujubescale-Attempt-Id"
+	headerSeal     = "X-Jujubescale-Response-Seal"
+	headerExpected = "X-Jujubescale-Expect-Instance"
+	headerInstance = "X-Jujubescale-Instance-Id"
+	headerDeadline = "X-Jujubescale-Deadline-Ms"
+	headerKey      = "X-Api-Key"
+)
+
+// eventInterval is the time between two events of a stream.
+const eventInterval = 60 * time.Millisecond
+
+// runEngine is an engine: one process that answers each request with a stream of events. The
+// body of the request is the number of events. The answer has no length and ends with its
+// connection.
+func runEngine(arguments []string) int {
+	flags := flag.NewFlagSet("engine", flag.ExitOnError)
+	id := flags.String("id", "", "id of the engine")
+	address := flags.String("address", "", "address to listen on")
+	_ = flags.Parse(arguments) // ExitOnError
+	listener, err := net.Listen("tcp", *address)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	server := &http.Server{Handler: &engineHandler{id: *id, born: time.Now().UnixMilli()}, ReadHeaderTimeout: time.Minute}
+	fmt.Println("listening") // tells the parent that it may list the engine
+	_ = server.Serve(listener)
+	return exitHeld
+}
+
+type engineHandler struct {
+	id   string
+	born int64
+}
+
+// ServeHTTP implements http.Handler.
+func (h *engineHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerInstance, h.id)
+	w.Header().Set(headerRequest, r.Header.Get(headerRequest))
+	if expected := r.Header.Get(headerExpected); expected != "" && expected != h.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.URL.Path {
+	case "/healthz":
+		w.WriteHeader(http.StatusOK)
+	case "/-/report":
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(map[string]any{
+			"stage": "both", "models": []any{}, "busy": false, "seq": 1, "queued": 0, "active": 0, "kvUsed": 0, "kvTotal": 300000, "born": h.born,
+		}) // fails only if the caller has disconnected
+	default:
+		h.stream(w, r)
+	}
+}
+
+// stream sends the events and closes the connection in order.
+func (h *engineHandler) stream(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(headerRequest)
+	body := new(strings.Builder)
+	if _, err := bufio.NewReader(r.Body).WriteTo(body); err != nil {
+		return
+	}
+	count, err := strconv.Atoi(body.String())
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	connection, out, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = connection.Close() }()
+	_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: %s\r\nConnection: close\r\n\r\n", headerRequest, id, headerSeal, h.id+"."+id)
+	for number := 1; number <= count; number++ {
+		time.Sleep(eventInterval)
+		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s piece %d\n\n", number, id, number)
+		if out.Flush() != nil {
+			return
+		}
+	}
+}
+
+// engine is a started engine process.
+type engine struct {
+	id      string
+	address string
+	born    int64
+	command *exec.Cmd
+
+	mu     sync.Mutex
+	state  string
+	seq    int
+	listed chan struct{} // closed to end the heartbeats
+}
+
+// startEngine starts an engine process and lists it in the store.
+func (w *world) startEngine(id, address string) (*engine, error) {
+	own, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	e := &engine{id: id, address: address, state: "ready", listed: make(chan struct{})}
+	e.command = exec.Command(own, "engine", "-id", id, "-address", address)
+	out, err := e.command.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := e.command.Start(); err != nil {
+		return nil, err
+	}
+	e.born = time.Now().UnixMilli()
+	w.processes = append(w.processes, e)
+	if _, err := bufio.NewReader(out).ReadString('\n'); err != nil {
+		return nil, fmt.Errorf("engine %s: %w", id, err)
+	}
+	w.record.printf("engine %s started at %s", id, address)
+	go w.heartbeats(e)
+	return e, nil
+}
+
+// heartbeats writes the engine's entry until the engine is no longer listed.
+func (w *world) heartbeats(e *engine) {
+	for {
+		w.write(e)
+		select {
+		case <-time.After(heartbeat):
+		case <-e.listed:
+			return
+		}
+	}
+}
+
+// write writes the engine's entry once.
+func (w *world) write(e *engine) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seq++
+	w.store.Put("servers", e.id, map[string]any{
+		"service": service, "address": e.address, "zone": zone, "version": "v1", "slots": 64,
+		"state": e.state, "coldLeftMs": 0, "seq": e.seq, "born": e.born,
+	})
+}
+
+// drain reports that the engine leaves.
+func (w *world) drain(e *engine) {
+	e.mu.Lock()
+	e.state = "draining"
+	e.mu.Unlock()
+	w.write(e)
+	w.record.printf("the store has accepted that engine %s is draining", e.id)
+}
+
+// remove ends the heartbeats and removes the entry.
+func (w *world) remove(e *engine) {
+	close(e.listed)
+	w.store.Delete("servers", e.id)
+}
+
+// kill ends the process.
+func (e *engine) kill() {
+	_ = e.command.Process.Kill()
+	_ = e.command.Wait()
+}
