test: add a review case of a cold engine that gets too many requests

Twelve gateways may each start three requests a second at an engine that they take to be warm, above the bound for an engine that has just become cold.

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -32,7 +32,7 @@
 // its end.
 func (w *world) ask(id string, events int) *outcome {
 	o := &outcome{request: id, asked: events}
-	request, err := http.NewRequest(http.MethodPost, "http://"+w.callers+path+"log", strings.NewReader(strconv.Itoa(events)))
+	request, err := http.NewRequest(http.MethodPost, "http://"+w.gateways[0].callers+path+"log", strings.NewReader(strconv.Itoa(events)))
 	if err != nil {
 		o.err = err
 		return o
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -25,6 +26,9 @@
 	headerKey      = "X-Api-Key"
 )
 
+// engineHost is the loopback address of engines.
+const engineHost = "127.0.0.10"
+
 // eventInterval is the time between two events of a stream.
 const eventInterval = 60 * time.Millisecond
 
@@ -35,13 +39,19 @@
 	flags := flag.NewFlagSet("engine", flag.ExitOnError)
 	id := flags.String("id", "", "id of the engine")
 	address := flags.String("address", "", "address to listen on")
+	coldRate := flags.Int("cold", 0, "a plain engine that exits above this number of requests in a second while it is cold")
 	_ = flags.Parse(arguments) // ExitOnError
 	listener, err := net.Listen("tcp", *address)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	server := &http.Server{Handler: &engineHandler{id: *id, born: time.Now().UnixMilli()}, ReadHeaderTimeout: time.Minute}
+	handler := &engineHandler{id: *id, born: time.Now().UnixMilli()}
+	if *coldRate > 0 {
+		handler.cold = &coldEngine{limit: *coldRate}
+		go handler.cold.listen(os.Stdin)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	fmt.Println("listening") // tells the parent that it may list the engine
 	_ = server.Serve(listener)
 	return exitHeld
@@ -50,6 +60,8 @@
 type engineHandler struct {
 	id   string
 	born int64
+	// cold is nil for an engine of streams.
+	cold *coldEngine
 }
 
 // ServeHTTP implements http.Handler.
@@ -69,6 +81,10 @@
 			"stage": "both", "models": []any{}, "busy": false, "seq": 1, "queued": 0, "active": 0, "kvUsed": 0, "kvTotal": 300000, "born": h.born,
 		}) // fails only if the caller has disconnected
 	default:
+		if h.cold != nil {
+			h.cold.serve(w, r)
+			return
+		}
 		h.stream(w, r)
 	}
 }
@@ -110,27 +126,34 @@
 	mu     sync.Mutex
 	state  string
 	seq    int
+	coldMs int64
 	listed chan struct{} // closed to end the heartbeats
+	input  io.Writer
+	output *bufio.Reader
 }
 
 // startEngine starts an engine process and lists it in the store.
-func (w *world) startEngine(id, address string) (*engine, error) {
+func (w *world) startEngine(id, address string, options ...string) (*engine, error) {
 	own, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
 	e := &engine{id: id, address: address, state: "ready", listed: make(chan struct{})}
-	e.command = exec.Command(own, "engine", "-id", id, "-address", address)
+	e.command = exec.Command(own, append([]string{"engine", "-id", id, "-address", address}, options...)...)
 	out, err := e.command.StdoutPipe()
 	if err != nil {
 		return nil, err
 	}
+	if e.input, err = e.command.StdinPipe(); err != nil {
+		return nil, err
+	}
 	if err := e.command.Start(); err != nil {
 		return nil, err
 	}
 	e.born = time.Now().UnixMilli()
 	w.processes = append(w.processes, e)
-	if _, err := bufio.NewReader(out).ReadString('\n'); err != nil {
+	e.output = bufio.NewReader(out)
+	if _, err := e.output.ReadString('\n'); err != nil {
 		return nil, fmt.Errorf("engine %s: %w", id, err)
 	}
 	w.record.printf("engine %s started at %s", id, address)
@@ -157,7 +180,7 @@
 	e.seq++
 	w.store.Put("servers", e.id, map[string]any{
 		"service": service, "address": e.address, "zone": zone, "version": "v1", "slots": 64,
-		"state": e.state, "coldLeftMs": 0, "seq": e.seq, "born": e.born,
+		"state": e.state, "coldLeftMs": e.coldMs, "seq": e.seq, "born": e.born,
 	})
 }
 
--- a/review/stand/leaving.go
+++ b/review/stand/leaving.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/jujubescale/jujubescale/platform/stand"
 )
 
 const (
@@ -16,13 +18,25 @@
 	exitMargin   = 500 * time.Millisecond
 )
 
+// streamConfig has one route of streams that may not be resumed.
+func streamConfig() *stand.Config {
+	return &stand.Config{
+		Version:  7,
+		Services: []stand.Service{{Name: service, Kind: stand.Model, MaxConns: 360}},
+		Routes: []stand.Route{{
+			Name: "notes", Host: host, Prefix: path, Kind: "stream", Service: service, TimeoutMs: 20000, SloMs: 2700, Attempts: 1,
+		}},
+		Tenants: []stand.Tenant{{Name: "tenant-a", Keys: []string{apiKey}}},
+	}
+}
+
 // runLeaving lets an engine leave while it sends streams: it exits exitMargin after the end of
 // drainTime, which begins when the store has accepted its notice. Without the disruption the
 // engine ends after the streams.
 //
 // With crash the engine sends no notice, which shows what the notice changes.
 func runLeaving(w *world, crash bool) int {
-	addresses, err := freePorts(1)
+	addresses, err := freePorts(engineHost, 1)
 	if err != nil {
 		return w.notRun(err)
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+
+	"github.com/jujubescale/jujubescale/platform/stand"
 )
 
 // Exit codes of a case.
@@ -34,19 +36,28 @@
 	os.Exit(code)
 }
 
+// cases holds the cases by name, with the deployment that each needs.
+var cases = map[string]struct {
+	config      *stand.Config
+	numGateways int
+	run         func(*world) int
+}{
+	"leaving": {config: streamConfig(), numGateways: 1, run: func(w *world) int { return runLeaving(w, false) }},
+	"crash":   {config: streamConfig(), numGateways: 1, run: func(w *world) int { return runLeaving(w, true) }},
+	"cold":    {config: coldConfig(), numGateways: coldGateways, run: runCold},
+}
+
 func runCase(name string, w *world) int {
+	c, found := cases[name]
+	if !found {
+		w.record.printf("not run: no case %q", name)
+		return exitNotRun
+	}
+	w.config, w.numGateways = c.config, c.numGateways
 	defer w.stop()
 	if err := w.start(); err != nil {
 		w.record.printf("not run: %v", err)
 		return exitNotRun
 	}
-	switch name {
-	case "leaving":
-		return runLeaving(w, false)
-	case "crash":
-		return runLeaving(w, true)
-	default:
-		w.record.printf("not run: no case %q", name)
-		return exitNotRun
-	}
+	return c.run(w)
 }
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/jujubescale/jujubescale/platform/stand"
@@ -50,47 +49,49 @@
 	trouble bool
 	record  *record
 
+	// config is the operator's configuration, and numGateways the number of gateways.
+	config      *stand.Config
+	numGateways int
+
 	dir       string
 	store     *stand.Store
 	platform  *http.Server
-	gateway   *exec.Cmd
-	callers   string
-	ready     string
+	gateways  []*gateway
 	processes []*engine
 }
 
-// start starts the store and the gateway. The gateway is ready once it is listed an engine.
+// gateway is a started gateway with its addresses for callers and for the balancer.
+type gateway struct {
+	command        *exec.Cmd
+	callers, ready string
+	log            string
+}
+
+// start starts the store and the gateways.
 func (w *world) start() error {
 	var err error
 	if w.dir, err = os.MkdirTemp("", "review"); err != nil {
 		return err
 	}
 	w.store = stand.NewStore()
-	w.store.Put("config", "main", configuration())
+	w.store.Put("config", "main", w.config.Document())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	w.platform = &http.Server{Handler: w.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = w.platform.Serve(listener) }() // ends with stop
-	return w.startGateway(listener.Addr().String())
-}
-
-func configuration() map[string]any {
-	config := &stand.Config{
-		Version:  7,
-		Services: []stand.Service{{Name: service, Kind: stand.Model, MaxConns: 360}},
-		Routes: []stand.Route{{
-			Name: "notes", Host: host, Prefix: path, Kind: "stream", Service: service, TimeoutMs: 20000, SloMs: 2700, Attempts: 1,
-		}},
-		Tenants: []stand.Tenant{{Name: "tenant-a", Keys: []string{apiKey}}},
+	for number := range w.numGateways {
+		if err := w.startGateway(fmt.Sprintf("front-a-%d", number+1), listener.Addr().String()); err != nil {
+			return err
+		}
 	}
-	return config.Document()
+	return nil
 }
 
 // settings has the fields of deploy/gateway.json.tmpl, with the bounds of a small deployment.
 const settings = `{
-  "process": "front-a-1", "availabilityZone": %q, "platformUrl": "http://%s",
+  "process": %q, "availabilityZone": %q, "platformUrl": "http://%s",
   "callers": %q, "ready": %q, "sessions": %q, "metrics": %q, "operators": %q,
   "allowPlain": true, "graceSeconds": 8, "memoryMb": 284, "processorShare": 0.304,
   "changeMs": 2000, "leaveMs": %d, "maxFds": 4100, "linkMbps": 1000,
@@ -102,32 +103,40 @@
 // numPorts is the number of the gateway's ports: callers, ready, sessions, metrics, operators.
 const numPorts = 5
 
-func (w *world) startGateway(store string) error {
-	ports, err := freePorts(numPorts)
+func (w *world) startGateway(name, store string) error {
+	ports, err := freePorts(fmt.Sprintf("127.0.0.%d", firstHost+len(w.gateways)), numPorts)
 	if err != nil {
 		return err
 	}
-	w.callers, w.ready = ports[0], ports[1]
-	text := fmt.Sprintf(settings, zone, store, ports[0], ports[1], ports[2], ports[3], ports[4], drainTime.Milliseconds())
-	file := filepath.Join(w.dir, "gateway.json")
+	text := fmt.Sprintf(settings, name, zone, store, ports[0], ports[1], ports[2], ports[3], ports[4], drainTime.Milliseconds())
+	file := filepath.Join(w.dir, name+".json")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(w.dir, "gateway.log"))
+	g := &gateway{callers: ports[0], ready: ports[1], log: filepath.Join(w.dir, name+".log")}
+	log, err := os.Create(g.log)
 	if err != nil {
 		return err
 	}
-	w.gateway = exec.Command(w.program, "gateway")
-	w.gateway.Env = append(os.Environ(), "JUJUBESCALE_BOOT="+file)
-	w.gateway.Stdout, w.gateway.Stderr = log, log
-	return w.gateway.Start()
+	g.command = exec.Command(w.program, "gateway")
+	g.command.Env = append(os.Environ(), "JUJUBESCALE_BOOT="+file)
+	g.command.Stdout, g.command.Stderr = log, log
+	if err := g.command.Start(); err != nil {
+		return err
+	}
+	w.gateways = append(w.gateways, g)
+	return nil
 }
 
-// freePorts returns free loopback addresses.
-func freePorts(count int) ([]string, error) {
+// firstHost is the last part of the first gateway's address. Connections to gateways and engines
+// begin at 127.0.0.1, so that they take none of their ports.
+const firstHost = 20
+
+// freePorts returns addresses with free ports of a loopback address.
+func freePorts(ip string, count int) ([]string, error) {
 	addresses := make([]string, 0, count)
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 		if err != nil {
 			return nil, err
 		}
@@ -137,35 +146,46 @@
 	return addresses, nil
 }
 
-// errNotReady is returned if the gateway doesn't become ready.
-var errNotReady = errors.New("the gateway is not ready")
+// errNotReady is returned if a gateway doesn't become ready.
+var errNotReady = errors.New("a gateway is not ready")
 
-// awaitReady waits until the gateway reports that it is ready, and then for one heartbeat.
+// awaitReady waits until all gateways report that they are ready, and then for one heartbeat.
 func (w *world) awaitReady() error {
+	for _, g := range w.gateways {
+		if !g.awaitReady() {
+			return errNotReady
+		}
+	}
+	time.Sleep(heartbeat)
+	return nil
+}
+
+func (g *gateway) awaitReady() bool {
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		response, err := http.Get("http://" + w.ready + "/-/readyz")
+		response, err := http.Get("http://" + g.ready + "/-/readyz")
 		if err != nil {
 			continue
 		}
 		_ = response.Body.Close()
 		if response.StatusCode == http.StatusOK {
-			time.Sleep(heartbeat)
-			return nil
+			return true
 		}
 	}
-	return errNotReady
+	return false
 }
 
-// gatewayLines returns the lines of the gateway's log that contain a text.
+// gatewayLines returns the lines of the gateways' logs that contain a text.
 func (w *world) gatewayLines(text string) []string {
-	raw, err := os.ReadFile(filepath.Join(w.dir, "gateway.log"))
-	if err != nil {
-		return nil
-	}
 	var lines []string
-	for line := range strings.Lines(string(raw)) {
-		if strings.Contains(line, text) {
-			lines = append(lines, strings.TrimSpace(line))
+	for _, g := range w.gateways {
+		raw, err := os.ReadFile(g.log)
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(raw)) {
+			if strings.Contains(line, text) {
+				lines = append(lines, strings.TrimSpace(line))
+			}
 		}
 	}
 	return lines
@@ -176,9 +196,9 @@
 	for _, e := range w.processes {
 		e.kill()
 	}
-	if w.gateway != nil && w.gateway.Process != nil {
-		_ = w.gateway.Process.Signal(syscall.SIGKILL)
-		_ = w.gateway.Wait()
+	for _, g := range w.gateways {
+		_ = g.command.Process.Kill()
+		_ = g.command.Wait()
 	}
 	if w.platform != nil {
 		_ = w.platform.Close()
