--- a/review/stand/cold.go
+++ b/review/stand/cold.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// coldGateways is the number of gateways. The deployments of the pages have 3 to 24 in one
-	// region.
-	coldGateways = 12
+	// coldGateways is the number of gateways. Deployments of the pages with one region have 3 to
+	// 29, and some have hundreds.
+	coldGateways = 16
 	// coldRate is coldPerS and coldTime coldS of the service; coldBound is the rule's bound in a
 	// second, with coldOverage and coldSlack of the pages.
 	coldRate     = 11
@@ -26,10 +26,10 @@
 	coldBound    = coldRate*coldOverage + coldSlack
 	coldCrash    = 25 // the engine crashes above this rate in a second, well above coldRate
 	coldWorkTime = 150 * time.Millisecond
-	// callsPerGateway is the rate of the clients of one gateway.
-	callsPerGateway = 5
-	warmTime        = 5 * time.Second
-	watchTime       = 4 * time.Second
+	// callInterval is the time between two requests to one gateway.
+	callInterval = 400 * time.Millisecond
+	warmTime     = 5 * time.Second
+	watchTime    = 4 * time.Second
 )
 
 // coldConfig has one route of requests that may run once, to a service whose engines can be cold.
@@ -182,7 +182,7 @@
 
 // repeat sends requests to one gateway at a steady rate.
 func (c *callCount) repeat(w *world, address string, done <-chan struct{}) {
-	ticker := time.NewTicker(time.Second / callsPerGateway)
+	ticker := time.NewTicker(callInterval)
 	defer ticker.Stop()
 	for {
 		select {
