--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -38,12 +38,12 @@
 		return o
 	}
 	request.Host = host
-	request.Header.Set(headerRequest, id)
-	request.Header.Set(headerKey, apiKey)
-	request.Header.Set(headerDeadline, "20000")
-	request.Header.Set("X-Jujubescale-Model", "m")
-	request.Header.Set("X-Jujubescale-Token-Usage", "120,280")
-	request.Header.Set("X-Jujubescale-Prompt-Prefix", fmt.Sprintf("5c1e07a2:40,%s:80", id[:8]))
+	request.Header.Set(protocol.Request, id)
+	request.Header.Set(protocol.Key, apiKey)
+	request.Header.Set(protocol.Deadline, "20000")
+	request.Header.Set(protocol.Model, "m")
+	request.Header.Set(protocol.Usage, "120,280")
+	request.Header.Set(protocol.Prompt, fmt.Sprintf("5c1e07a2:40,%s:80", id[:8]))
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	response, err := client.Do(request)
 	if err != nil {
@@ -51,7 +51,7 @@
 		return o
 	}
 	defer func() { _ = response.Body.Close() }()
-	o.status, o.seal = response.StatusCode, response.Header.Get(headerSeal)
+	o.status, o.seal = response.StatusCode, response.Header.Get(protocol.Seal)
 	o.read(response.Body)
 	return o
 }
--- a/review/stand/cold.go
+++ b/review/stand/cold.go
@@ -17,8 +17,8 @@
 	// coldGateways is the number of gateways. Deployments of the pages with one region have 3 to
 	// 29, and some have hundreds.
 	coldGateways = 16
-	// coldRate is coldPerS and coldTime coldS of the service; coldBound is the rule's bound in a
-	// second, with coldOverage and coldSlack of the pages.
+	// coldRate is the rate that a cold engine of the service tolerates, for coldTime after it became
+	// cold. coldBound is the bound of the rule in a second.
 	coldRate     = 11
 	coldTime     = 3 * time.Second
 	coldOverage  = 1.5
@@ -66,7 +66,7 @@
 // serve answers a request. While the engine is cold, it reports each arrival to the parent, and it
 // crashes above its limit.
 func (c *coldEngine) serve(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get(headerRequest)
+	id := r.Header.Get(protocol.Request)
 	c.mu.Lock()
 	if now := time.Now(); now.Before(c.coldTill) {
 		c.recent = append(c.recent, now)
@@ -83,7 +83,7 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	time.Sleep(coldWorkTime)
 	body := "done " + id
-	w.Header().Set(headerSeal, "s."+id)
+	w.Header().Set(protocol.Seal, "s."+id)
 	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
 	_, _ = io.WriteString(w, body)
 }
@@ -216,9 +216,9 @@
 		return err.Error()
 	}
 	request.Host = host
-	request.Header.Set(headerRequest, id)
-	request.Header.Set(headerKey, apiKey)
-	request.Header.Set(headerDeadline, "2500")
+	request.Header.Set(protocol.Request, id)
+	request.Header.Set(protocol.Key, apiKey)
+	request.Header.Set(protocol.Deadline, "2500")
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -16,16 +16,6 @@
 	"time"
 )
 
-// Headers of the users' protocol.
-const (
-	headerRequest  = "X-Jujubescale-Attempt-Id"
-	headerSeal     = "X-Jujubescale-Response-Seal"
-	headerExpected = "X-Jujubescale-Expect-Instance"
-	headerInstance = "X-Jujubescale-Instance-Id"
-	headerDeadline = "X-Jujubescale-Deadline-Ms"
-	headerKey      = "X-Api-Key"
-)
-
 // engineHost is the loopback address of engines.
 const engineHost = "127.0.0.10"
 
@@ -66,16 +56,16 @@
 
 // ServeHTTP implements http.Handler.
 func (h *engineHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(headerInstance, h.id)
-	w.Header().Set(headerRequest, r.Header.Get(headerRequest))
-	if expected := r.Header.Get(headerExpected); expected != "" && expected != h.id {
+	w.Header().Set(protocol.Instance, h.id)
+	w.Header().Set(protocol.Request, r.Header.Get(protocol.Request))
+	if expected := r.Header.Get(protocol.Expected); expected != "" && expected != h.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	switch r.URL.Path {
 	case "/healthz":
 		w.WriteHeader(http.StatusOK)
-	case "/-/report":
+	case protocol.Report:
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{
 			"stage": "both", "models": []any{}, "busy": false, "seq": 1, "queued": 0, "active": 0, "kvUsed": 0, "kvTotal": 300000, "born": h.born,
@@ -91,7 +81,7 @@
 
 // stream sends the events and closes the connection in order.
 func (h *engineHandler) stream(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get(headerRequest)
+	id := r.Header.Get(protocol.Request)
 	body := new(strings.Builder)
 	if _, err := bufio.NewReader(r.Body).WriteTo(body); err != nil {
 		return
@@ -106,7 +96,7 @@
 		return
 	}
 	defer func() { _ = connection.Close() }()
-	_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: %s\r\nConnection: close\r\n\r\n", headerRequest, id, headerSeal, h.id+"."+id)
+	_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: %s\r\nConnection: close\r\n\r\n", protocol.Request, id, protocol.Seal, h.id+"."+id)
 	for number := 1; number <= count; number++ {
 		time.Sleep(eventInterval)
 		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s piece %d\n\n", number, id, number)
@@ -180,7 +170,7 @@
 	e.seq++
 	w.store.Put("servers", e.id, map[string]any{
 		"service": service, "address": e.address, "zone": zone, "version": "v1", "slots": 64,
-		"state": e.state, "coldLeftMs": e.coldMs, "seq": e.seq, "born": e.born,
+		"state": e.state, protocol.ColdLeft: e.coldMs, "seq": e.seq, "born": e.born,
 	})
 }
 
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -162,7 +162,7 @@
 
 func (g *gateway) awaitReady() bool {
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		response, err := http.Get("http://" + g.ready + "/-/readyz")
+		response, err := http.Get("http://" + g.ready + protocol.Ready)
 		if err != nil {
 			continue
 		}
