--- a/review/stand/cold.go
+++ b/review/stand/cold.go
@@ -73,11 +73,13 @@
 		for now.Sub(c.recent[0]) >= time.Second {
 			c.recent = c.recent[1:]
 		}
-		fmt.Printf("arrived %d %s\n", now.UnixMilli(), id)
+		fmt.Printf("cold, runs request %s at %d\n", id, now.UnixMilli())
 		if len(c.recent) > c.limit {
-			fmt.Println("crash")
+			fmt.Println("crashes")
 			os.Exit(exitBroken)
 		}
+	} else {
+		fmt.Printf("runs request %s\n", id)
 	}
 	c.mu.Unlock()
 	_, _ = io.Copy(io.Discard, r.Body)
@@ -115,13 +117,12 @@
 		e.coldMs = coldTime.Milliseconds()
 		e.mu.Unlock()
 	}
-	arrived := make(chan []arrival, 1)
-	go func() { arrived <- w.readArrivals(e) }()
 	time.Sleep(watchTime)
 	close(done)
 	calls.group.Wait()
 	e.kill()
-	most := calls.mostInSecond(<-arrived)
+	<-e.ended
+	most := calls.mostInSecond(e.arrivals)
 	calls.log(w.record)
 	w.record.printf("most requests sent and arrived in one second at the cold engine: %d, bound %.1f", most, coldBound)
 	switch {
@@ -139,22 +140,6 @@
 	id string
 }
 
-// readArrivals records what the engine reports until it ends, and returns the arrivals.
-func (w *world) readArrivals(e *engine) []arrival {
-	var all []arrival
-	for {
-		line, err := e.output.ReadString('\n')
-		if err != nil {
-			return all
-		}
-		w.record.printf("engine: %s", strings.TrimSpace(line))
-		var a arrival
-		if _, err := fmt.Sscanf(line, "arrived %d %s", &a.at, &a.id); err == nil {
-			all = append(all, a)
-		}
-	}
-}
-
 // callCount counts the requests of clients by their result.
 type callCount struct {
 	group    sync.WaitGroup
@@ -204,9 +189,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.byResult[result]++
-	if result != "200" && result != "503" && result != "429" {
-		w.record.printf("request %s: %s", id, result)
-	}
+	w.record.printf("request %s, sent to %s: %s", id, address, result)
 }
 
 // callOnce sends one request and returns the status of its answer or the error.
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -96,16 +96,24 @@
 		return
 	}
 	defer func() { _ = connection.Close() }()
+	fmt.Printf("runs request %s\n", id)
 	_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: %s\r\nConnection: close\r\n\r\n", protocol.Request, id, protocol.Seal, h.id+"."+id)
 	for number := 1; number <= count; number++ {
 		time.Sleep(eventInterval)
 		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s piece %d\n\n", number, id, number)
 		if out.Flush() != nil {
+			fmt.Printf("request %s: its connection failed at event %d of %d\n", id, number, count)
 			return
 		}
+		if number%eventsPerLine == 0 || number == count {
+			fmt.Printf("request %s: %d of %d events sent\n", id, number, count)
+		}
 	}
 }
 
+// eventsPerLine is the number of events after which an engine reports its progress.
+const eventsPerLine = 10
+
 // engine is a started engine process.
 type engine struct {
 	id      string
@@ -120,6 +128,10 @@
 	listed chan struct{} // closed to end the heartbeats
 	input  io.Writer
 	output *bufio.Reader
+	// ended is closed at the end of the output, and arrivals holds the requests that the engine got
+	// while it was cold.
+	ended    chan struct{}
+	arrivals []arrival
 }
 
 // startEngine starts an engine process and lists it in the store.
@@ -128,7 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{id: id, address: address, state: "ready", listed: make(chan struct{})}
+	e := &engine{id: id, address: address, state: "ready", listed: make(chan struct{}), ended: make(chan struct{})}
 	e.command = exec.Command(own, append([]string{"engine", "-id", id, "-address", address}, options...)...)
 	out, err := e.command.StdoutPipe()
 	if err != nil {
@@ -147,10 +159,27 @@
 		return nil, fmt.Errorf("engine %s: %w", id, err)
 	}
 	w.record.printf("engine %s started at %s", id, address)
+	go w.readOutput(e)
 	go w.heartbeats(e)
 	return e, nil
 }
 
+// readOutput records what an engine reports, until it ends.
+func (w *world) readOutput(e *engine) {
+	defer close(e.ended)
+	for {
+		line, err := e.output.ReadString('\n')
+		if err != nil {
+			return
+		}
+		w.record.printf("engine %s: %s", e.id, strings.TrimSpace(line))
+		var a arrival
+		if _, err := fmt.Sscanf(line, "cold, runs request %s at %d", &a.id, &a.at); err == nil {
+			e.arrivals = append(e.arrivals, a)
+		}
+	}
+}
+
 // heartbeats writes the engine's entry until the engine is no longer listed.
 func (w *world) heartbeats(e *engine) {
 	for {
