feat(router): a denied request states what its denial was decided on

A refusal as unknownRoute or unauthorized said neither the version that it was decided on nor that version's age, so that the hypotheses of the record can't be told apart by the logs: denied by a copy known to be old, by one that is wrongly taken for fresh, or by one that a starting process got from a peer. The detail of 'request ended' has it now: version, time since the store confirmed it, through whom, for how long the store has been unreachable, and whether a peer has shown changes that are missing.

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -102,6 +102,11 @@
 	return &RefusalError{Reason: reason, Ran: NotRun, Detail: detail}
 }
 
+// IsDenial reports whether the refusal says that the configuration doesn't allow the request.
+func (r *RefusalError) IsDenial() bool {
+	return r != nil && (r.Reason == UnknownRoute || r.Reason == Unauthorized)
+}
+
 // InvalidError is one invalid value in a document, with its path and the values
 // that are allowed at that path.
 type InvalidError struct {
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -145,8 +145,8 @@
 		return req, fault.Refuse(fault.BadRequest, err.Error())
 	}
 	refused := g.resolveRoute(req, r)
-	if isDenied(refused) && g.AwaitConfig(r.Context(), req.Request) {
-		refused = g.resolveRoute(req, r)
+	if refused.IsDenial() {
+		refused = g.ConfirmDenial(r.Context(), req.Request, refused, func() *fault.RefusalError { return g.resolveRoute(req, r) })
 	}
 	if refused != nil {
 		return req, refused
@@ -210,11 +210,6 @@
 	return nil
 }
 
-// isDenied reports whether the configuration denies the request.
-func isDenied(refused *fault.RefusalError) bool {
-	return refused != nil && (refused.Reason == fault.UnknownRoute || refused.Reason == fault.Unauthorized)
-}
-
 // readBody reads the complete body before anything else starts, so that a caller that
 // disconnects during the upload causes no work.
 func readBody(w http.ResponseWriter, r *http.Request, req *request) *fault.RefusalError {
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -60,9 +60,9 @@
 	DialFunc conn.DialFunc
 	// Permits holds what endpoints state.
 	Permits *permit.Book
-	// AwaitConfig waits for a confirmation of the routes if they may be too old to deny a
-	// request by them. It reports whether it waited, so that the routes have to be read again.
-	AwaitConfig func(ctx context.Context, request string) bool
+	// ConfirmDenial returns the answer to a request that the routes deny. It waits for newer
+	// routes if they may be too old for that, and calls again to decide by them.
+	ConfirmDenial func(ctx context.Context, request string, denied *fault.RefusalError, again func() *fault.RefusalError) *fault.RefusalError
 	// Origins finds the version that began a stream.
 	Origins *resume.Tracker
 	// Detector finds out which endpoints crashed.
--- a/internal/serve/router/age.go
+++ b/internal/serve/router/age.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/fault"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 )
 
@@ -55,6 +57,28 @@
 	waiting int
 }
 
+// confirmDenial returns the answer to a request that the configuration denies. The configuration
+// is read again if a newer one may have arrived meanwhile.
+func (g *Gateway) confirmDenial(ctx context.Context, request string, denied *fault.RefusalError, again func() *fault.RefusalError) *fault.RefusalError {
+	if g.awaitConfig(ctx, request) {
+		denied = again()
+	}
+	if denied.IsDenial() {
+		denied.Detail = g.configEvidence()
+	}
+	return denied
+}
+
+// configEvidence describes the configuration in force, and what proves that it is the newest.
+func (g *Gateway) configEvidence() string {
+	source := "the store"
+	if upstream := g.mesh.Upstream(); upstream != "" && g.feeds.config.Relayed() {
+		source = upstream
+	}
+	return fmt.Sprintf("configuration %d, confirmed %d ms ago by %s, store unreachable for %d ms, changes missing: %t",
+		g.configVersion(), g.configAge(), source, g.feeds.config.AwayFor(), g.feeds.config.Behind())
+}
+
 // awaitConfig waits until the configuration is confirmed, if the one in force may be too old to
 // deny a request by it. It reports whether it waited. It calls nothing: a process whose
 // configuration is too old calls the store already. It doesn't wait while the store has been
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -185,7 +185,7 @@
 		}))
 	g.gate = gate.New(gate.Settings{
 		Clock: g.Clock, Log: g.Log, Codec: g.Dialect.Codec, Registry: g.Registry, Name: g.Name, Zone: g.Zone,
-		Table: g.table.Load, View: g.endpoints.Snapshot, Starting: g.starting, Informed: g.isInformed, AwaitConfig: g.awaitConfig, Deploy: g.deploy,
+		Table: g.table.Load, View: g.endpoints.Snapshot, Starting: g.starting, Informed: g.isInformed, ConfirmDenial: g.confirmDenial, Deploy: g.deploy,
 		ReuseFunc: g.reuses, DialFunc: g.EndpointDialFunc,
 		Permits:  g.newPermits(),
 		Origins:  g.origins,
