test(router): requests denied by a configuration that may be replaced; failing

While the store is silent, busy or limits calls, two gateways get requests of a route and a key of a version that the store has acknowledged: 404 and 401, 4 s after the acknowledgement, in all three cases. Expected is 503 with a time to return, and the route in force, and an unknown path denied, within 3 s of the store's return.

--- a/internal/serve/router/age_test.go
+++ b/internal/serve/router/age_test.go
@@ -65,3 +65,48 @@
 	calls := g.storeCalls.Load() - before
 	assert.Assert(t, calls < 30, "%d calls", calls)
 }
+
+// Guards against requests that are refused for good by a configuration that a newer one, which the
+// store has acknowledged, may have replaced: while the store can't be reached nobody knows.
+func TestNoRequestIsDeniedByAConfigurationThatMayBeReplaced(t *testing.T) {
+	for name, storeFault := range map[string]stand.StoreFault{
+		"silent store": {Hang: true}, "busy store": {Status: http.StatusServiceUnavailable}, "limited store": {Status: http.StatusTooManyRequests},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := start(t, 2)
+			b.Store.SetFault(storeFault)
+			time.Sleep(2 * time.Second) // watches that were waiting have ended
+			added := publicLookup(b.addRoutes(1, 7) + "x")
+			b.Config.Tenants[0].Keys = append(b.Config.Tenants[0].Keys, "new-key")
+			b.Publish()
+			time.Sleep(4 * time.Second)
+			withNewKey := lookup()
+			withNewKey.Key = "new-key"
+			for _, g := range b.gateways {
+				for _, s := range []*stand.Request{added, withNewKey, publicLookup("/unknown/x")} {
+					got := b.send(g, again(s))
+					assert.Check(t, got.Status == http.StatusServiceUnavailable && got.RetryAfter > 0, "%s: %d, return after %v", s.Path, got.Status, got.RetryAfter)
+				}
+				assert.Check(t, b.send(g, lookup()).Complete, "a request that the configuration in force allows")
+			}
+			b.Store.SetFault(stand.StoreFault{})
+			back := time.Now()
+			for _, g := range b.gateways {
+				for _, s := range []*stand.Request{added, withNewKey} {
+					got := b.sendUntil(g, func() *stand.Request { return again(s) }, func(got stand.Outcome) bool { return got.Complete })
+					assert.Equal(t, got.Status, http.StatusOK)
+				}
+				b.sendUntil(g, func() *stand.Request { return publicLookup("/unknown/x") }, func(got stand.Outcome) bool { return got.Status == http.StatusNotFound })
+			}
+			assert.Check(t, time.Since(back) < 3*time.Second, "in force and denied again after %v", time.Since(back))
+		})
+	}
+}
+
+// again returns the request of a caller's next attempt.
+func again(s *stand.Request) *stand.Request {
+	next := *s
+	next.ID = stand.NewID()
+	return &next
+}
