fix(router,gate): no request is denied by a configuration that may be replaced

What callers saw: 404 and 401 for a route and a key of a version that the store had acknowledged seconds before, at gateways that could not read it.

Cause: a denial waited for the configuration only while the store had been away for less than a quarter of the time within which a change must be in force. Beyond that, and after a wait without news, it was given by a copy that was known to be old. The class: a definite answer from a copy whose age isn't proved.

Change: a denial is given only by a configuration that the store has confirmed within three quarters of that time and of which no peer shows a newer one. Otherwise the request is refused with 503 (configOutdated) and a time to return. The same holds for the other answers that depend on the configuration: bodies that are too large for it, and pieces that don't fit the stages of the route.

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -65,6 +65,9 @@
 	// that began it, or no endpoint of that version takes requests.
 	StreamUnknown Reason = "streamUnknown"
 	VersionGone   Reason = "versionGone"
+	// ConfigOutdated refuses a request that the configuration denies, because a newer one that
+	// allows it may be in force already.
+	ConfigOutdated Reason = "configOutdated"
 )
 
 // Reasons returns all reasons, for documentation and metrics.
@@ -74,7 +77,7 @@
 		Isolated, Leaving, ZoneEvacuated, Overloaded, QueueFull, ColdStart, DeadlineUnreachable, DeadlinePassed,
 		NoEndpoint, EndpointFailed, AnswerBroken, KeyInUse, KeyDone, KeyUnavailable, OutcomeUnknown,
 		Cancelled, RetryBudget, WrongEndpoint, OldRelease, DuplicateFrame, BackendRejected,
-		InputLost, UnknownRoute, Quarantined, RateLimited, StreamUnknown, VersionGone,
+		InputLost, UnknownRoute, Quarantined, RateLimited, StreamUnknown, VersionGone, ConfigOutdated,
 	}
 }
 
@@ -87,6 +90,8 @@
 	RetryAfter clock.Millis
 	RequestID  string
 	Detail     string
+	// ByConfig is set if another configuration may allow the request.
+	ByConfig bool
 }
 
 // Error implements error.
@@ -102,11 +107,14 @@
 	return &RefusalError{Reason: reason, Ran: NotRun, Detail: detail}
 }
 
-// IsDenial reports whether the refusal says that the configuration doesn't allow the request.
-func (r *RefusalError) IsDenial() bool {
-	return r != nil && (r.Reason == UnknownRoute || r.Reason == Unauthorized)
+// Deny returns a refusal of a request that the configuration does not allow.
+func Deny(reason Reason, detail string) *RefusalError {
+	return &RefusalError{Reason: reason, Ran: NotRun, Detail: detail, ByConfig: true}
 }
 
+// IsDenial reports whether the request is refused because the configuration does not allow it.
+func (r *RefusalError) IsDenial() bool { return r != nil && r.ByConfig }
+
 // InvalidError is one invalid value in a document, with its path and the values
 // that are allowed at that path.
 type InvalidError struct {
--- a/internal/serve/front/refuse.go
+++ b/internal/serve/front/refuse.go
@@ -68,6 +68,7 @@
 		{fault.RateLimited, http.StatusServiceUnavailable, retryAfterChange},
 		{fault.StreamUnknown, http.StatusServiceUnavailable, retryAfterChange},
 		{fault.VersionGone, http.StatusServiceUnavailable, retryAfterChange},
+		{fault.ConfigOutdated, http.StatusServiceUnavailable, retryAfterChange},
 	}
 }
 
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -144,18 +144,15 @@
 	if err != nil {
 		return req, fault.Refuse(fault.BadRequest, err.Error())
 	}
-	refused := g.resolveRoute(req, r)
-	if refused.IsDenial() {
-		refused = g.ConfirmDenial(r.Context(), req.Request, refused, func() *fault.RefusalError { return g.resolveRoute(req, r) })
-	}
-	if refused != nil {
+	again := func() *fault.RefusalError { return g.resolveRoute(req, r) }
+	if refused := g.ConfirmDenial(r.Context(), req.Request, again(), again); refused != nil {
 		return req, refused
 	}
 	if refused := g.refuseLacking(); refused != nil {
 		return req, refused
 	}
 	if refused := readBody(w, r, req); refused != nil {
-		return req, refused
+		return req, g.ConfirmDenial(r.Context(), req.Request, refused, nil)
 	}
 	if refused := g.refuseQuarantined(req); refused != nil {
 		return req, refused
@@ -163,7 +160,7 @@
 	if refused := g.refuseParts(r.Context(), req); refused != nil {
 		return req, refused
 	}
-	return req, g.prepareStages(req)
+	return req, g.ConfirmDenial(r.Context(), req.Request, g.prepareStages(req), nil)
 }
 
 // resolveRoute sets the route, pool, organisation, priority, objective and deadline of the
@@ -179,11 +176,11 @@
 	path, _, _ := strings.Cut(req.target, "?")
 	req.routes, req.route = routes, routes.Match(r.Host, path)
 	if req.route == nil {
-		return fault.Refuse(fault.UnknownRoute, "")
+		return fault.Deny(fault.UnknownRoute, "")
 	}
 	organisation := routes.Holder(req.Key)
 	if organisation == nil && routes.NeedsKey(req.route) {
-		return fault.Refuse(fault.Unauthorized, "")
+		return fault.Deny(fault.Unauthorized, "")
 	}
 	if organisation != nil {
 		req.organisation = organisation.Name
@@ -216,7 +213,7 @@
 	limit := req.routes.Limits.MaxBodyBytes
 	if limit > 0 && r.ContentLength > limit {
 		w.Header().Set("Connection", "close")
-		return fault.Refuse(fault.BodyTooLarge, "")
+		return fault.Deny(fault.BodyTooLarge, "")
 	}
 	reader := r.Body
 	if limit > 0 {
@@ -232,7 +229,7 @@
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		return fault.Refuse(fault.BodyTooLarge, "")
+		return fault.Deny(fault.BodyTooLarge, "")
 	case err != nil:
 		return fault.Refuse(fault.Cancelled, "reading the request body: "+err.Error())
 	}
@@ -246,7 +243,7 @@
 	}
 	run, err := graph.New(req.route.Stages, req.Pieces)
 	if err != nil {
-		return fault.Refuse(fault.BadRequest, err.Error())
+		return fault.Deny(fault.BadRequest, err.Error())
 	}
 	req.run = run
 	req.results = make(map[string]resultLocation)
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -60,9 +60,9 @@
 	DialFunc conn.DialFunc
 	// Permits holds what endpoints state.
 	Permits *permit.Book
-	// ConfirmDenial returns the answer to a request that the routes deny. It waits for newer
-	// routes if they may be too old for that, and calls again to decide by them.
-	ConfirmDenial func(ctx context.Context, request string, denied *fault.RefusalError, again func() *fault.RefusalError) *fault.RefusalError
+	// ConfirmDenial returns the answer to a request that is refused. If newer routes may allow it, it
+	// waits for them and calls again; with a nil function it does not wait.
+	ConfirmDenial func(ctx context.Context, request string, refused *fault.RefusalError, again func() *fault.RefusalError) *fault.RefusalError
 	// Origins finds the version that began a stream.
 	Origins *resume.Tracker
 	// Detector finds out which endpoints crashed.
--- a/internal/serve/router/age.go
+++ b/internal/serve/router/age.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
@@ -57,16 +58,25 @@
 	waiting int
 }
 
-// confirmDenial returns the answer to a request that the configuration denies. The configuration
-// is read again if a newer one may have arrived meanwhile.
-func (g *Gateway) confirmDenial(ctx context.Context, request string, denied *fault.RefusalError, again func() *fault.RefusalError) *fault.RefusalError {
-	if g.awaitConfig(ctx, request) {
-		denied = again()
+// confirmDenial returns the answer to a request that is refused. A denial is given only while the
+// configuration is known to be recent enough. Otherwise a newer one may allow the request, so the
+// caller is told to come back. If again is set, it waits for the configuration first, and again
+// decides by the one that is in force then.
+func (g *Gateway) confirmDenial(ctx context.Context, request string, refused *fault.RefusalError, again func() *fault.RefusalError) *fault.RefusalError {
+	if !refused.IsDenial() {
+		return refused
 	}
-	if denied.IsDenial() {
-		denied.Detail = g.configEvidence()
+	if again != nil && g.awaitConfig(ctx, request) {
+		if refused = again(); !refused.IsDenial() {
+			return refused
+		}
+	}
+	evidence := g.configEvidence()
+	if g.configOutdated() {
+		return fault.Refuse(fault.ConfigOutdated, fmt.Sprintf("%s by %s", refused.Reason, evidence))
 	}
-	return denied
+	refused.Detail = strings.Trim(refused.Detail+"; "+evidence, "; ")
+	return refused
 }
 
 // configEvidence describes the configuration in force, and what proves that it is the newest.
@@ -84,7 +94,7 @@
 // configuration is too old calls the store already. It doesn't wait while the store has been
 // away for longer than a denial may wait.
 func (g *Gateway) awaitConfig(ctx context.Context, request string) bool {
-	if !g.configOutdated() {
+	if !g.mayBeConfirmed() {
 		return false
 	}
 	ended := g.configWait.join(g.waitForConfig)
@@ -102,14 +112,14 @@
 	return true
 }
 
-// configOutdated reports whether a version that this process lacks may have to be in force, and
-// may arrive soon.
+// configOutdated reports whether a version that this process lacks may have to be in force.
 func (g *Gateway) configOutdated() bool {
-	config := g.feeds.config
-	if config.Behind() {
-		return true
-	}
-	return g.configAge() > g.share(maxAgeShare) && config.AwayFor() <= g.share(callShare)
+	return g.feeds.config.Behind() || g.configAge() > g.share(maxAgeShare)
+}
+
+// mayBeConfirmed reports whether the configuration is outdated, and may be confirmed or replaced soon.
+func (g *Gateway) mayBeConfirmed() bool {
+	return g.configOutdated() && (g.feeds.config.Behind() || g.feeds.config.AwayFor() <= g.share(callShare))
 }
 
 // share returns a share of the time within which a change must be in force.
@@ -120,7 +130,7 @@
 func (g *Gateway) waitForConfig(ended chan struct{}) {
 	defer g.configWait.end(ended)
 	until := g.Clock.Now() + g.share(callShare)
-	for g.configOutdated() && g.Clock.Now() < until {
+	for g.mayBeConfirmed() && g.Clock.Now() < until {
 		if g.Clock.Sleep(g.baseCtx, configPoll) != nil {
 			return
 		}
