fix(feed): an answer of the store refutes the claim of a peer

Cause: what a peer has shown counted as missing until the revision changed, whatever the store answered after that. Found by reading.

TestAnswerOfTheStoreRefutesTheClaimOfAPeer fails without the change.

--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -65,11 +65,12 @@
 	return f.state.lastChange
 }
 
-// Behind reports whether a peer has shown changes that this feed lacks.
+// Behind reports whether a peer has shown changes that this feed lacks, and the store has not
+// confirmed the known state since.
 func (f *Feed) Behind() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.missingSince > 0
+	return f.state.missingSince > 0 && f.state.confirmedAt < f.state.missingSince
 }
 
 // Relayed reports whether a peer relays changes.
--- a/internal/serve/feed/peer_test.go
+++ b/internal/serve/feed/peer_test.go
@@ -323,3 +323,46 @@
 	}
 	assert.Equal(t, p.follows.Load(), int64(1))
 }
+
+// Guards against a process that denies nothing any more because a peer has claimed a state that the
+// store doesn't have.
+func TestAnswerOfTheStoreRefutesTheClaimOfAPeer(t *testing.T) {
+	fake, answers := clock.NewFake(1), make(chan store.Changes)
+	s := &store.Store{
+		ScanFunc: func(context.Context, string) (store.Listing, error) { return listed(5, "k/a")() },
+		FollowFunc: func(ctx context.Context, _ string, _ store.Revision, _ clock.Millis) (store.Changes, error) {
+			select {
+			case changes := <-answers:
+				return changes, nil
+			case <-ctx.Done():
+				return store.Changes{}, ctx.Err()
+			}
+		},
+	}
+	f := feed.New("k", s, feed.WithClock(fake.Clock()))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.Listed() {
+			return poll.Success()
+		}
+		return poll.Continue("not listed")
+	})
+	fake.Advance(100)
+	assert.Assert(t, f.Confirm(wire.Progress{Kind: "k", Revision: 9, Changed: 9}, fake.Clock().Now()))
+	assert.Assert(t, f.Behind())
+	answers <- store.Changes{Revision: store.At(5)} // of a call that was sent before the claim
+	answers <- store.Changes{Revision: store.At(5)}
+	fake.Advance(1)
+	answers <- store.Changes{Revision: store.At(5)}
+	answers <- store.Changes{Revision: store.At(5)}
+	assert.Assert(t, !f.Behind())
+}
