--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -77,6 +77,16 @@
 	runSeed(t, 202, 31*time.Second, "the rollout of a bad version completed after 16 answers; the version failed until the end")
 }
 
+// Twelve processes share the engines, so that each has a small part of an engine's memory. Guards
+// against engines that crash again and again because each process sends them requests before any
+// process knows that they share their hosts.
+func TestManyGatewaysServeAgainAfterFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("short mode: each seed takes about 20 seconds")
+	}
+	runOptions(t, soak.Options{Seed: 91511, Length: 26 * time.Second, Gateways: 12, PerSecond: 60}, "engines crashed before they had answered any process")
+}
+
 // Engines of three software versions serve side by side and are replaced during streams, at
 // their addresses too, while callers resume streams at other processes. Guards against streams
 // that hold events of two versions, and against streams that don't go on although they could.
