fix(permit,router): gateways remember which pools share their hosts

Cause: a gateway reserves an engine's memory only once an engine of the pool that is in its view has stated that it shares its host. The class: what has to be known before a request is sent is learned only from the answer, and forgotten with the engine.

Change: a statement holds for the pool and as long as the process lives, not as long as the engine; it stands in the member entry of the process, which outlives it, so that gateways that start after all were killed know it; and a pool that has broken off a request before its first answer counts as sharing until an answer says otherwise. Pools that answer without the statement are treated as before.

--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -238,6 +238,7 @@
 	if !errors.As(err, &sent) {
 		return attemptResult{outcome: unsent, cause: err, err: fault.Refuse(fault.NoEndpoint, err.Error())}
 	}
+	g.limits.ObserveBreak(t.Endpoint)
 	if req.pool.ColdTime > 0 {
 		// The endpoint may have restarted without any sign but the reset; then it is cold.
 		t.SetCold(now + req.pool.ColdTime)
--- a/internal/serve/permit/book.go
+++ b/internal/serve/permit/book.go
@@ -63,6 +63,7 @@
 
 	states states
 	rooms  rooms
+	pools  pools
 
 	mu      sync.Mutex
 	entries map[string]*entry // by endpoint ID
@@ -118,6 +119,7 @@
 	}
 	b.states.byID = make(map[string]*state)
 	b.rooms.held, b.rooms.owned, b.rooms.wake = make(map[string]*heldRoom), make(map[string]*ownedRoom), make(chan struct{}, 1)
+	b.pools.known = make(map[string]sharing)
 	b.meter = newMeter(b)
 	for _, opt := range opts {
 		opt(b)
@@ -159,7 +161,10 @@
 		return
 	}
 	b.observeState(e, status, info, request)
-	b.observeShared(e, info, request)
+	b.pools.observe(e.Pool, &info)
+	if info.Slowdown > 0 {
+		b.observeShared(e, request)
+	}
 	stated := info.Rate > 0 || info.RateFault != ""
 	if !stated && b.limited.Load() == 0 {
 		return
--- a/internal/serve/permit/room.go
+++ b/internal/serve/permit/room.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
-	"github.com/jujubescale/jujubescale/internal/engine/spell"
 	"github.com/jujubescale/jujubescale/internal/guard/room"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/route/view"
@@ -107,10 +106,9 @@
 	if use.Need.IsZero() {
 		return Reservation{}, b.Acquire(ctx, e, use.Request)
 	}
-	if slowdown := e.Load.LearnedSlowdown(); slowdown > 0 {
-		// Others of the pool state that they share their hosts. This one may not have answered
-		// yet, or not since it started again.
-		b.observeShared(e, spell.ResponseInfo{Slowdown: slowdown}, use.Request)
+	if b.mayShare(e) {
+		// This one may not have answered yet, or not since it started again.
+		b.observeShared(e, use.Request)
 	}
 	reserved := Reservation{book: b, endpoint: e, need: use.Need}
 	if !b.reserveUnshared(e, use.Need) {
@@ -322,9 +320,9 @@
 	return resultGranted, 0
 }
 
-// observeShared records that an endpoint has stated that it shares its host.
-func (b *Book) observeShared(e *view.Endpoint, info spell.ResponseInfo, request string) {
-	if info.Slowdown <= 0 || b.rooms.EngineFunc == nil {
+// observeShared records that an endpoint shares its host.
+func (b *Book) observeShared(e *view.Endpoint, request string) {
+	if b.rooms.EngineFunc == nil {
 		return
 	}
 	b.rooms.mu.Lock()
@@ -363,7 +361,7 @@
 		if same {
 			known.seenAt = now
 		}
-		if (present != nil && !same) || now-known.seenAt > stateRetention {
+		if (present != nil && !same) || now-known.seenAt > stateRetention || !b.mayShare(known.endpoint) {
 			delete(b.rooms.held, endpoint)
 			b.rooms.shared.Add(-1)
 			b.log.Info("endpoint's capacity is not reserved any more", "endpoint", endpoint, "restarted", present != nil)
--- a/internal/serve/router/members.go
+++ b/internal/serve/router/members.go
@@ -51,18 +51,26 @@
 
 func (n *names) set() { n.setFunc(slices.Sorted(maps.Keys(n.known))) }
 
+// memberEntry is the entry of a process in the member list. It outlives the process, so that
+// processes that start after all have ended know what it states.
+type memberEntry struct {
+	mesh.Member
+	// SharedPools lists the pools whose engines share their hosts.
+	SharedPools []string `json:"sharedPools,omitempty"`
+}
+
 // members follows the member list, which holds all gateways.
 type members struct {
-	known   map[string]mesh.Member
-	setFunc func([]mesh.Member)
+	known   map[string]memberEntry
+	setFunc func([]memberEntry)
 }
 
-func newMembers(set func([]mesh.Member)) *members {
-	return &members{known: make(map[string]mesh.Member), setFunc: set}
+func newMembers(set func([]memberEntry)) *members {
+	return &members{known: make(map[string]memberEntry), setFunc: set}
 }
 
 func (m *members) onList(objects []store.Object, _ clock.Millis) {
-	m.known = make(map[string]mesh.Member, len(objects))
+	m.known = make(map[string]memberEntry, len(objects))
 	for _, object := range objects {
 		m.put(object)
 	}
@@ -82,7 +90,7 @@
 
 // put adds an entry. An entry that can't be decoded is left out.
 func (m *members) put(object store.Object) {
-	var member mesh.Member
+	var member memberEntry
 	if err := json.Unmarshal(object.Value, &member); err != nil || member.Name != nameOf(object.Name) {
 		delete(m.known, nameOf(object.Name))
 		return
@@ -94,14 +102,20 @@
 
 // setMembers passes the member list to the mesh and records whether it holds this
 // process.
-func (g *Gateway) setMembers(members []mesh.Member) {
+func (g *Gateway) setMembers(entries []memberEntry) {
 	listed := false
-	for _, member := range members {
-		if member.Name == g.Name && member.Incarnation == g.incarnation {
+	members := make([]mesh.Member, 0, len(entries))
+	var sharedPools []string
+	for _, entry := range entries {
+		if entry.Name == g.Name && entry.Incarnation == g.incarnation {
 			listed = true
+			g.listedPools.Store(strings.Join(entry.SharedPools, " "))
 		}
+		members = append(members, entry.Member)
+		sharedPools = append(sharedPools, entry.SharedPools...)
 	}
 	g.listed.Store(listed)
+	g.gate.Limits().TakeSharedPools(sharedPools)
 	g.mesh.SetMembers(members)
 	select {
 	case g.membersChanged <- struct{}{}:
@@ -135,7 +149,7 @@
 		switch {
 		case !g.hasLists():
 			pause = readyPollInterval
-		case g.listed.Load() && !g.isMemberLost():
+		case g.listed.Load() && !g.isMemberLost() && g.listedPools.Load() == strings.Join(g.gate.Limits().SharedPools(), " "):
 		case g.Clock.Since(triedAt) < registerInterval:
 			pause = triedAt + registerInterval - g.Clock.Now()
 		default:
@@ -171,7 +185,10 @@
 
 func (g *Gateway) registerOnce(ctx context.Context) {
 	name := g.Dialect.MemberKind + "/" + g.Name
-	self := mesh.Member{Name: g.Name, Address: g.Address, Incarnation: g.incarnation, Zone: g.Zone, Capacity: g.Capacity}
+	self := memberEntry{
+		Member:      mesh.Member{Name: g.Name, Address: g.Address, Incarnation: g.incarnation, Zone: g.Zone, Capacity: g.Capacity},
+		SharedPools: g.gate.Limits().SharedPools(),
+	}
 	value, err := json.Marshal(self)
 	if err != nil {
 		g.Log.Error("member entry not encoded", logs.KeyError, err)
@@ -188,6 +205,7 @@
 		g.Log.Info("member entry not written yet", logs.KeyError, err)
 		return
 	}
+	g.listedPools.Store(strings.Join(self.SharedPools, " "))
 	g.listed.Store(true)
 }
 
--- a/internal/serve/router/room_test.go
+++ b/internal/serve/router/room_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -91,3 +92,27 @@
 		assert.Check(t, tokens > sharedMemory*7/10 || places > sharedSlots*7/10)
 	}
 }
+
+// Guards against engines that crash because all gateways were killed, so that none of them knows
+// that new engines share their hosts.
+func TestGatewaysKnowSharedPoolsAfterAllWereKilled(t *testing.T) {
+	b := startShared(t, 3)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, name := range b.Store.Names("members") {
+			if object, _ := b.Store.Get("members", name); !strings.Contains(string(object.Spec), models) {
+				return poll.Continue("%s: %s", name, object.Spec)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+	b.killAndStart()
+	for _, g := range b.gateways {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if b.isReady(g) {
+				return poll.Success()
+			}
+			return poll.Continue("not ready")
+		}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+		assert.DeepEqual(t, g.Gate().Limits().SharedPools(), []string{models})
+	}
+}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -138,6 +138,7 @@
 	configOld   bool         // whether checkConfigAge found the configuration too old
 	configWait  configWait
 	listed      atomic.Bool  // whether the store's member list holds this process
+	listedPools atomic.Value // string, the shared pools that the entry of this process states
 	refreshedAt atomic.Int64 // when refreshConfig last requested the configuration
 	// membersChanged wakes register.
 	membersChanged chan struct{}
