test(soak): all hosts lose their power at once, sessions fall silent

Until now the soak killed processes one by one, reset their connections with that, and had no fault on the connections between processes, because the store listed the processes' own addresses.

--- /dev/null
+++ b/internal/bench/soak/outage.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/jujubescale/jujubescale/platform"
+)
+
+const (
+	// PowerLoss ends all processes at once. Their connections stay open without a byte. Every
+	// second time the engines lose their power too.
+	PowerLoss Kind = "powerLoss"
+	// SilenceSessions silences the open connections between all processes; new ones work.
+	SilenceSessions Kind = "silenceSessions"
+)
+
+const (
+	// returnTime is the time after the return of all hosts from which requests are served.
+	returnTime = 2 * time.Second
+	// minReturnedShare is the share of the processes that serve then.
+	minReturnedShare = 0.9
+	// outageSpan is the least time between two outages. Within it, the hosts return and are checked.
+	outageSpan = 6 * time.Second
+)
+
+// outages returns the times at which all hosts lose their power or the processes lose each other,
+// overlapping other disturbances.
+func outages(seed uint64, length time.Duration) []Disturbance {
+	random := rand.New(rand.NewPCG(seed, 43))
+	var plan []Disturbance
+	for at := firstDisturbance + rollingCount*rollingSpan; at < length-recoverySpan-outageSpan; at += outageSpan {
+		kind := []Kind{PowerLoss, SilenceSessions}[random.IntN(2)]
+		plan = append(plan, Disturbance{Kind: kind, At: at, For: time.Duration(300+random.IntN(1500)) * time.Millisecond, Subject: random.IntN(64)})
+		at += time.Duration(random.IntN(2000)) * time.Millisecond
+	}
+	return plan
+}
+
+// addressMembers makes the store list the proxies in front of the processes as their addresses.
+func (r *run) addressMembers() {
+	r.deployment.Store.SetWriteFunc(func(kind, name string, spec json.RawMessage) json.RawMessage {
+		proxy, known := r.sessions.Load(name)
+		var entry map[string]any
+		if kind != platform.KindMembers || !known || json.Unmarshal(spec, &entry) != nil {
+			return spec
+		}
+		entry["address"] = proxy.(*Proxy).Address()
+		changed, err := json.Marshal(entry)
+		if err != nil {
+			return spec
+		}
+		return changed
+	})
+}
+
+// injectOutage causes an outage right after the store has acknowledged a version with a route of its
+// own, and checks after it that the processes serve that route.
+func (r *run) injectOutage(ctx context.Context, d Disturbance) {
+	request := r.addProbeRoute()
+	if d.Kind == SilenceSessions {
+		r.sessions.Range(func(_, proxy any) bool {
+			proxy.(*Proxy).Blackhole()
+			return true
+		})
+	} else {
+		r.cutPower(ctx, d)
+	}
+	back := time.Now()
+	pause(ctx, max(changeWithin, returnTime))
+	if ctx.Err() != nil || r.faults.overlapping(back, time.Now(), nil, StoreDown, StoreHangs, StoreDropsHistory, StoreLosesAnswers, StoreRestores) {
+		return
+	}
+	var asked, served atomic.Int64
+	var group sync.WaitGroup
+	for _, p := range r.processes {
+		if !r.isUndisturbed(p, back.Add(time.Second)) {
+			continue
+		}
+		group.Go(func() {
+			asked.Add(1)
+			if r.checkProbe(ctx, p, request(), back) {
+				served.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	if share := float64(served.Load()); ctx.Err() == nil && share < minReturnedShare*float64(asked.Load()) {
+		r.addViolation("%v after %s only %d of %d processes serve a route that was acknowledged before", returnTime, d.Kind, served.Load(), asked.Load())
+	}
+}
+
+// cutPower ends all processes, and starts them again after the time of the disturbance.
+func (r *run) cutPower(ctx context.Context, d Disturbance) {
+	defer r.faults.begin(Kill, nil)()
+	var proxies []*Proxy
+	proxies = append(append(proxies, r.callers...), r.stores...)
+	r.sessions.Range(func(_, proxy any) bool {
+		proxies = append(proxies, proxy.(*Proxy))
+		return true
+	})
+	for _, proxy := range proxies {
+		proxy.Sever()
+	}
+	if d.Subject%2 == 0 {
+		end := r.faults.beginEngineEnd()
+		r.deployment.PowerOff(d.For, time.Duration(d.Subject%4)*500*time.Millisecond)
+		defer end()
+	}
+	for _, p := range r.processes {
+		p.startAfter(time.Now().Add(d.For))
+		p.signal(syscall.SIGKILL)
+	}
+	pause(ctx, d.For+restartPause)
+}
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -33,6 +33,8 @@
 	incarnations []*incarnation
 	exited       chan struct{}
 	stopped      bool
+	// off is until when the host has no power.
+	off time.Time
 }
 
 // hostSettings describe the host of a process; no maxFds is the default of the program.
@@ -146,10 +148,10 @@
 		_ = log.Close()
 		p.mu.Lock()
 		current.ended, current.failed = time.Now(), failed
-		again := !p.stopped
+		again, off := !p.stopped, time.Until(p.off)
 		p.mu.Unlock()
 		if again {
-			time.Sleep(restartPause)
+			time.Sleep(max(restartPause, off))
 			if err := p.start(); err != nil {
 				_, _ = fmt.Fprintln(os.Stderr, "soak:", err)
 			}
@@ -158,6 +160,13 @@
 	return nil
 }
 
+// startAfter delays the next start of the program until an instant.
+func (p *process) startAfter(at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.off = at
+}
+
 func (p *process) signal(signal syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/bench/soak/proxy.go
+++ b/internal/bench/soak/proxy.go
@@ -39,6 +39,8 @@
 	client, server net.Conn
 	// blackholed connections stay open and discard all bytes.
 	blackholed atomic.Bool
+	// severed connections are blackholed, and their ends don't show on the other side.
+	severed atomic.Bool
 }
 
 // NewProxy listens on loopback; close it with Close.
@@ -79,6 +81,15 @@
 // Blackhole makes all open connections discard their bytes; new connections work.
 func (p *Proxy) Blackhole() { p.each(func(c *connection) { c.blackholed.Store(true) }) }
 
+// Sever makes all open connections fall silent for good, as those of a host without power: the other
+// side gets neither a byte nor an end.
+func (p *Proxy) Sever() {
+	p.each(func(c *connection) {
+		c.blackholed.Store(true)
+		c.severed.Store(true)
+	})
+}
+
 func (p *Proxy) each(visit func(*connection)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -159,6 +170,9 @@
 				err = writeErr
 			}
 		}
+		if err != nil && c.severed.Load() {
+			return
+		}
 		if err != nil {
 			c.close()
 			return
--- a/internal/bench/soak/restore.go
+++ b/internal/bench/soak/restore.go
@@ -108,7 +108,9 @@
 	r.deployment.Publish()
 }
 
-func (r *run) checkProbe(ctx context.Context, p *process, s *stand.Request, published time.Time) {
+// checkProbe sends a request of a route that was published to a process and reports whether it was
+// served.
+func (r *run) checkProbe(ctx context.Context, p *process, s *stand.Request, published time.Time) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.DeadlineMs)*time.Millisecond)
 	defer cancel()
 	sent := time.Now()
@@ -116,6 +118,7 @@
 	if got.Status == http.StatusNotFound && r.isUndisturbed(p, published) {
 		r.addViolation("%s answers %d for a route %v after its version was acknowledged", p.name, got.Status, sent.Sub(published))
 	}
+	return got.Complete
 }
 
 // drained is an engine that drains for a check, and the number of its entries then.
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -59,7 +59,10 @@
 	Parts bool
 	// Restores adds returns of the store from a copy.
 	Restores bool
-	Out      io.Writer
+	// Outages makes all hosts lose their power at once and the processes lose each other, instead of
+	// rollouts.
+	Outages bool
+	Out     io.Writer
 }
 
 // Report is the result of a run.
@@ -101,6 +104,7 @@
 	processes  []*process
 	callers    []*Proxy // between the callers and each process
 	stores     []*Proxy // between each process and the store
+	sessions   sync.Map // string to *Proxy, between the other processes and each one, with outages
 	engines    []*engine
 	started    time.Time
 	faults     faultLog
@@ -140,6 +144,9 @@
 		r.close()
 		return err
 	}
+	if r.Outages {
+		r.addressMembers()
+	}
 	for i := range r.Gateways {
 		if err := r.addGateway(i); err != nil {
 			r.close()
@@ -164,7 +171,7 @@
 	switch {
 	case r.Versions:
 		return r.addVersions()
-	case r.Parts:
+	case r.Parts, r.Outages:
 		return nil
 	}
 	return r.addUnorderedVersion()
@@ -238,9 +245,16 @@
 		return err
 	}
 	r.stores = append(r.stores, store)
+	if r.Outages {
+		sessions, err := NewProxy(own.sessions)
+		if err != nil {
+			return err
+		}
+		r.sessions.Store(fmt.Sprintf("gateway-%d", number), sessions)
+	}
 	p := &process{
 		name: fmt.Sprintf("gateway-%d", number), program: r.Program, folder: r.Folder, ports: own, storeAddress: store.Address(), grace: grace,
-		rollouts: !r.Versions && !r.Parts, host: settings,
+		rollouts: !r.Versions && !r.Parts && !r.Outages, host: settings,
 	}
 	if err := p.writeSettings(zones[number%len(zones)], 0); err != nil {
 		return err
@@ -260,6 +274,10 @@
 	for _, proxy := range append(append([]*Proxy{}, r.callers...), r.stores...) {
 		proxy.Close()
 	}
+	r.sessions.Range(func(_, proxy any) bool {
+		proxy.(*Proxy).Close()
+		return true
+	})
 	closed := make(map[*Proxy]bool)
 	for _, e := range r.engines {
 		if e.proxy != nil && !closed[e.proxy] {
@@ -309,6 +327,9 @@
 	if r.Restores {
 		plan = append(plan, restores(r.Seed, r.Length)...)
 	}
+	if r.Outages {
+		plan = append(plan, outages(r.Seed, r.Length)...)
+	}
 	for _, disturbance := range plan {
 		r.group.Add(1)
 		go func() {
@@ -337,7 +358,7 @@
 	if r.Versions {
 		return []func(context.Context){r.replaceEngines, r.startGuides}
 	}
-	if r.Parts {
+	if r.Parts || r.Outages {
 		return nil
 	}
 	return []func(context.Context){r.issueOrders}
--- a/internal/bench/soak/strike.go
+++ b/internal/bench/soak/strike.go
@@ -42,6 +42,8 @@
 		r.processAt(index).signal(syscall.SIGHUP)
 	case ResetLinks, BlackholeLinks, DelayLinks, CutOneWay, CutStore:
 		r.injectLinkFault(ctx, d, index)
+	case PowerLoss, SilenceSessions:
+		r.injectOutage(ctx, d)
 	case StoreDown, StoreHangs, StoreDropsHistory, StoreLosesAnswers:
 		r.injectStoreFault(ctx, d)
 	case StoreRestores:
--- a/internal/cli/devel/soak.go
+++ b/internal/cli/devel/soak.go
@@ -24,6 +24,7 @@
 	versions  bool
 	parts     bool
 	restores  bool
+	outages   bool
 	verbose   bool
 }
 
@@ -48,6 +49,7 @@
 	flags.BoolVar(&options.versions, "versions", false, "run engines of several software versions side by side and replace them, instead of rollouts")
 	flags.BoolVar(&options.parts, "parts", false, "add parts of prompts that crash engines, an uneven balancer and answers without length, instead of rollouts")
 	flags.BoolVar(&options.restores, "restores", false, "bring the platform's store back from copies that lack its last writes")
+	flags.BoolVar(&options.outages, "outages", false, "let all hosts lose their power at once and silence the connections between processes, instead of rollouts")
 	flags.BoolVar(&options.verbose, "verbose", false, "print each fault when it is injected")
 	return command
 }
@@ -98,7 +100,7 @@
 	}
 	report, err := soak.Run(command.Context(), soak.Options{
 		Seed: seed, Length: time.Duration(options.seconds) * time.Second, Program: options.program, Folder: folder,
-		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Out: out,
+		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Out: out,
 	})
 	if err != nil {
 		return false, err
