--- a/internal/engine/conn/conn_test.go
+++ b/internal/engine/conn/conn_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -332,3 +333,54 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, closed, []bool{false, true, true})
 }
+
+// endlessConn is a connection on which an answer never ends.
+type endlessConn struct {
+	net.Conn
+	start, text string
+	read        atomic.Int64
+}
+
+// Read implements net.Conn. It ends after 64 MB, so that a failed test doesn't fill the memory.
+func (c *endlessConn) Read(p []byte) (int, error) {
+	if c.read.Load() > 64<<20 {
+		return 0, io.EOF
+	}
+	for i := range p {
+		if at := int(c.read.Load()) + i; at < len(c.start) {
+			p[i] = c.start[at]
+		} else {
+			p[i] = c.text[(at-len(c.start))%len(c.text)]
+		}
+	}
+	c.read.Add(int64(len(p)))
+	return len(p), nil
+}
+
+// Write implements net.Conn.
+func (c *endlessConn) Write(p []byte) (int, error) { return len(p), nil }
+
+// Close implements net.Conn.
+func (c *endlessConn) Close() error { return nil }
+
+// SetDeadline implements net.Conn.
+func (c *endlessConn) SetDeadline(time.Time) error { return nil }
+
+// Guards against requests that wait until their deadline, and memory that grows meanwhile, because an
+// endpoint sends bytes that are no answer without end.
+func TestBytesWithoutEndAreRefusedAtOnce(t *testing.T) {
+	for name, c := range map[string]*endlessConn{
+		"no answer": {text: "a"}, "no answer with lines": {text: "a\r\n"}, "zeros": {text: "\x00"},
+		"status line": {start: "HTTP/1.1 200 ", text: "O"}, "headers": {start: "HTTP/1.1 200 OK\r\n", text: "X: a\r\n"},
+		"informational answers": {text: "HTTP/1.1 100 Continue\r\n\r\n"},
+	} {
+		g := conn.New("127.0.0.1:1", conn.WithDial(func(context.Context, string, string) (net.Conn, error) { return c, nil }))
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		_, err := g.Do(ctx, &conn.Request{Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\n\r\n")})
+		assert.NilError(t, ctx.Err(), name)
+		cancel()
+		var sent *conn.SentError
+		assert.Assert(t, errors.As(err, &sent), "%s: %v", name, err)
+		assert.Assert(t, c.read.Load() <= 70<<10, "%s: %d bytes read", name, c.read.Load())
+	}
+}
