fix(conn,call): the head of an answer has a bound

What callers saw: nothing until their deadline, and gateways whose memory grows by hundreds of MB a request while an engine sends bytes without end in a head, or bytes that are no answer.

Cause: the parser of net/http keeps a line of any length, and neither it nor the readers before it had a bound. The class: bytes that are read from another process before their number is known.

Change: a head, with all informational answers before it, has at most 64 KB (base/bound). Bytes that begin no answer are refused at the first one that shows it, also for requests whose answers aren't verified. All HTTP clients bound the heads that they read (net/http's default is 10 MB), and a caller's body has 16 MB where the configuration states no limit.

Not bounded by this: the head of a peer's answer to the opening of a session, which gorilla/websocket reads for at most its handshake timeout.

--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/spf13/cobra"
 
+	"github.com/jujubescale/jujubescale/internal/base/bound"
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/cli/exit"
 	"github.com/jujubescale/jujubescale/internal/cli/proc"
@@ -149,7 +150,7 @@
 const storeTimeout = 1500 * clock.Millis(1)
 
 func (r *gatewayRun) startGateway(ctx context.Context) error {
-	transport := &http.Transport{DialContext: conn.Dial, MaxIdleConnsPerHost: 4, DisableCompression: true}
+	transport := &http.Transport{DialContext: conn.Dial, MaxIdleConnsPerHost: 4, DisableCompression: true, MaxResponseHeaderBytes: bound.MaxHeadBytes}
 	r.gateway = router.New(ctx, router.Settings{
 		Name: r.settings.Process.Process, Zone: r.settings.AvailabilityZone, Address: r.settings.Sessions, Capacity: r.settings.ProcessorShare, ChangeWithin: r.settings.ChangeMs, LeaveWithin: r.settings.LeaveMs,
 		Clock: r.Clock, Log: r.Log, Registry: r.Registry,
--- a/internal/cli/proc/process.go
+++ b/internal/cli/proc/process.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"github.com/jujubescale/jujubescale/internal/base/bound"
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/conf/config"
 	"github.com/jujubescale/jujubescale/internal/link/certs"
@@ -119,7 +120,7 @@
 // httpClient returns a client for the server at the URL base. If source is not nil,
 // it presents the certificate of source and verifies that of the server.
 func httpClient(base string, source *certs.Source) *http.Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: smallIdle}
+	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: smallIdle, MaxResponseHeaderBytes: bound.MaxHeadBytes}
 	if parsed, err := url.Parse(base); err == nil && source != nil {
 		transport.TLSClientConfig = source.Client(parsed.Hostname())
 	}
--- a/internal/cli/reach/reach.go
+++ b/internal/cli/reach/reach.go
@@ -17,6 +17,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/jujubescale/jujubescale/internal/base/bound"
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/cli/exit"
 	"github.com/jujubescale/jujubescale/internal/conf/check"
@@ -122,7 +123,7 @@
 	if err != nil {
 		return nil, exit.With(exit.Usage, err)
 	}
-	transport := &http.Transport{TLSClientConfig: source.Client(base.Hostname())}
+	transport := &http.Transport{TLSClientConfig: source.Client(base.Hostname()), MaxResponseHeaderBytes: bound.MaxHeadBytes}
 	return client.New(o.platform, client.WithHTTP(&http.Client{Transport: transport})).Store(), nil
 }
 
--- a/internal/engine/call/call.go
+++ b/internal/engine/call/call.go
@@ -10,7 +10,6 @@
 package call
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -22,6 +21,7 @@
 	"strconv"
 	"time"
 
+	"github.com/jujubescale/jujubescale/internal/base/bound"
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/fault"
 )
@@ -153,6 +153,8 @@
 			IdleConnTimeout:     c.idle.Duration(),
 			MaxIdleConnsPerHost: maxIdle,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: bound.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -294,16 +296,12 @@
 	if err := request.Write(conn); err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReader(conn)
-	for {
-		response, err := http.ReadResponse(reader, request)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
-		}
-		// Skip interim responses (1xx).
-	}
+	return bound.New(conn, readBuffer).ReadResponse(request)
 }
 
+// readBuffer is the size of the buffer of a connection, in bytes.
+const readBuffer = 4 << 10
+
 // ownedBody is a response body that closes its connection on Close.
 type ownedBody struct {
 	io.ReadCloser
--- a/internal/engine/conn/conn.go
+++ b/internal/engine/conn/conn.go
@@ -9,7 +9,6 @@
 package conn
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -20,6 +19,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/jujubescale/jujubescale/internal/base/bound"
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/engine/push"
 )
@@ -225,7 +225,7 @@
 
 type conn struct {
 	net.Conn
-	reader    *bufio.Reader
+	reader    *bound.Reader
 	fresh     bool
 	spare     bool
 	lastUsed  clock.Millis
@@ -338,7 +338,7 @@
 		return nil, err
 	}
 	g.dialed()
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer), fresh: true, spare: spare}, nil
+	return &conn{Conn: opened, reader: bound.New(opened, readBuffer), fresh: true, spare: spare}, nil
 }
 
 // Dial opens a connection that also fails if the peer becomes unreachable without
--- a/internal/engine/conn/reply.go
+++ b/internal/engine/conn/reply.go
@@ -87,18 +87,14 @@
 }
 
 func (r *Reply) readHead(request *Request) (*http.Response, error) {
-	for {
-		if err := r.awaitByte(request); err != nil {
-			return nil, err
-		}
-		response, err := http.ReadResponse(r.conn.reader, &http.Request{Method: request.Method})
-		if err != nil {
-			return nil, r.headError(request, err)
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, nil
-		}
+	if err := r.awaitByte(request); err != nil {
+		return nil, err
+	}
+	response, err := r.conn.reader.ReadResponse(&http.Request{Method: request.Method})
+	if err != nil {
+		return nil, r.headError(request, err)
 	}
+	return response, nil
 }
 
 // awaitByte waits for the first byte of an answer.
@@ -111,15 +107,16 @@
 		}
 		return err
 	}
-	if request.VerifyFunc == nil {
+	start, _ := r.conn.reader.Peek(min(r.conn.reader.Buffered(), len(answerStart))) // the bytes are buffered
+	if strings.HasPrefix(answerStart, string(start)) {
 		return nil
 	}
-	start, _ := r.conn.reader.Peek(min(r.conn.reader.Buffered(), len(answerStart))) // the bytes are buffered
-	if !strings.HasPrefix(answerStart, string(start)) {
-		// Other bytes may contain no end of a line, for which the read of a head would wait.
-		return r.malformed(errNoAnswer)
+	// Other bytes may contain no end of a line, for which the read of a head would wait.
+	if request.VerifyFunc == nil {
+		r.noAnswer = true
+		return errNoAnswer
 	}
-	return nil
+	return r.malformed(errNoAnswer)
 }
 
 // answerStart is how each answer begins.
--- a/internal/ops/fleet/fleet.go
+++ b/internal/ops/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"sync"
 
+	"github.com/jujubescale/jujubescale/internal/base/bound"
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/certs"
 	"github.com/jujubescale/jujubescale/internal/ops/admin"
@@ -68,7 +69,7 @@
 	for _, opt := range opts {
 		opt(f)
 	}
-	f.client = &http.Client{Transport: &http.Transport{DialTLSContext: f.dialTLS, MaxIdleConnsPerHost: 1}}
+	f.client = &http.Client{Transport: &http.Transport{DialTLSContext: f.dialTLS, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: bound.MaxHeadBytes}}
 	return f
 }
 
--- a/internal/plat/client/client.go
+++ b/internal/plat/client/client.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/jujubescale/jujubescale/internal/base/bound"
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 )
@@ -53,7 +54,7 @@
 func New(base string, opts ...Option) *Client {
 	c := &Client{
 		base:    strings.TrimSuffix(base, "/"),
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: bound.MaxHeadBytes}},
 		timeout: callTimeout,
 	}
 	for _, opt := range opts {
--- a/internal/serve/agent/order.go
+++ b/internal/serve/agent/order.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/jujubescale/jujubescale/internal/base/bound"
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/conf/manif"
 	"github.com/jujubescale/jujubescale/internal/engine/load"
@@ -64,7 +65,7 @@
 // an order whose answer was lost, and models that the engine lost in a restart.
 func (a *Agent) reconcile(ctx context.Context) {
 	reader := load.New(a.settings.EndpointURL, func(load.Reading) {}, load.WithClock(a.clock))
-	sender := order.NewClient(a.settings.EndpointURL, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}})
+	sender := order.NewClient(a.settings.EndpointURL, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: bound.MaxHeadBytes}})
 	holder := a.settings.Process + "/" + a.incarnation.String()
 	engineLease := lease.New(a.orders.caller.Store(call.Lease), orderLeasePrefix+a.settings.Pool+"/"+a.settings.Endpoint, holder, lease.WithClock(a.clock))
 	loadSlots := slot.New(a.orders.caller.Store(call.Lease), weightSlotPrefix, a.orders.slots, holder, slot.WithClock(a.clock))
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -207,18 +207,18 @@
 	return nil
 }
 
+// defaultMaxBody is the largest body of a request in bytes if the configuration states no limit.
+const defaultMaxBody = 16 << 20
+
 // readBody reads the complete body before anything else starts, so that a caller that
 // disconnects during the upload causes no work.
 func readBody(w http.ResponseWriter, r *http.Request, req *request) *fault.RefusalError {
-	limit := req.routes.Limits.MaxBodyBytes
-	if limit > 0 && r.ContentLength > limit {
+	limit := cmp.Or(req.routes.Limits.MaxBodyBytes, defaultMaxBody)
+	if r.ContentLength > limit {
 		w.Header().Set("Connection", "close")
 		return fault.Deny(fault.BodyTooLarge, "")
 	}
-	reader := r.Body
-	if limit > 0 {
-		reader = http.MaxBytesReader(w, r.Body, limit)
-	}
+	reader := http.MaxBytesReader(w, r.Body, limit)
 	var err error
 	if r.ContentLength > 0 {
 		req.body = make([]byte, r.ContentLength)
