fix(gate,detect): an answer without a length is whole only if its engine goes on

Cause: the end of such an answer was trusted unless detect.Crashed blamed a crash for it, and that is false for an endpoint that leaves, whatever its address does. It also was false where the probe had no answer in time. The class: another question's answer is taken for proof.

Change: detect.Ended asks what is needed: the endpoint is shown to go on only if it has not restarted and its address takes a connection now and 50 ms later. It holds for plain answers without a length, too. Open: another process that listens at the address within 50 ms.

--- a/internal/serve/detect/detect.go
+++ b/internal/serve/detect/detect.go
@@ -7,6 +7,7 @@
 	"errors"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
@@ -27,6 +28,8 @@
 	// probeTimeout bounds one probe. An endpoint that has ended refuses connections at
 	// once.
 	probeTimeout = 250 * clock.Millis(1)
+	// closingTime is the time in which the system closes all connections of a process that ends.
+	closingTime = 50 * clock.Millis(1)
 	// keepUnfinished is how long after its end an attempt without a complete answer counts
 	// as work that its endpoint may still run: the entry of a crashed endpoint is removed
 	// some seconds after the crash.
@@ -256,14 +259,34 @@
 	case t.Restarted():
 		return true
 	}
+	return errors.Is(probe(ctx, t), syscall.ECONNREFUSED)
+}
+
+// Ended reports whether an endpoint can't be shown to go on: it has restarted, or its address takes
+// no connection. A planned stop may end it in the middle of an answer, too. It blocks for closingTime
+// at least: the port of a process that ends takes connections until all others are closed.
+func Ended(ctx context.Context, t *target.Target) bool {
+	if probe(ctx, t) != nil || t.Restarted() {
+		return true
+	}
+	closed := time.NewTimer(closingTime.Duration())
+	defer closed.Stop()
+	select {
+	case <-closed.C:
+	case <-ctx.Done():
+	}
+	return probe(ctx, t) != nil || t.Restarted()
+}
+
+// probe opens a connection to an endpoint and closes it.
+func probe(ctx context.Context, t *target.Target) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 	defer cancel()
 	opened, err := conn.Dial(ctx, "tcp", t.Address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
-	_ = opened.Close() // nothing was sent
-	return false
+	return opened.Close() // nothing was sent
 }
 
 func (d *Detector) recordQuarantine(key crash.Key, cause string) {
--- a/internal/serve/gate/pass.go
+++ b/internal/serve/gate/pass.go
@@ -27,7 +27,7 @@
 func (g *Gate) passComplete(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, l *attemptLoad, info spell.ResponseInfo, began clock.Millis) attemptResult {
 	limit := g.maxPlain()
 	body, err := io.ReadAll(io.LimitReader(reply.Body, limit+1))
-	if err == nil && reply.Complete() && g.endedByCrash(t, reply) {
+	if err == nil && reply.Complete() && g.endedEarly(t, reply) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
@@ -97,7 +97,7 @@
 	if err == nil {
 		_, err = io.Copy(w, reply.Body)
 	}
-	if err != nil || !reply.Complete() || g.endedByCrash(t, reply) {
+	if err != nil || !reply.Complete() || g.endedEarly(t, reply) {
 		return attemptResult{outcome: broken, err: fault.Refuse(fault.AnswerBroken, "the connection failed before the end of a long answer")}
 	}
 	return attemptResult{outcome: answered}
@@ -179,10 +179,10 @@
 	}
 }
 
-// endedByCrash reports whether a crash ended an answer whose length nothing states. The
-// connection of a crashed endpoint may be closed in order, like that of a whole answer.
-func (g *Gate) endedByCrash(t *target.Target, reply *conn.Reply) bool {
-	return !reply.Framed && detect.Crashed(g.requestsContext, t)
+// endedEarly reports whether the end of its endpoint may have cut an answer whose length nothing
+// states. The connection of a process that ends may be closed in order, like that of a whole answer.
+func (g *Gate) endedEarly(t *target.Target, reply *conn.Reply) bool {
+	return !reply.Framed && detect.Ended(g.requestsContext, t)
 }
 
 // isWholeStream reports whether a stream that ended between two events is whole. One that is
@@ -192,7 +192,7 @@
 	if !reply.Framed && req.attemptEvents == 0 && req.LastEvent == "" {
 		return false
 	}
-	return reply.Complete() && !g.endedByCrash(t, reply)
+	return reply.Complete() && !g.endedEarly(t, reply)
 }
 
 // handleStreamEnd returns the result of a stream that has ended or broken off.
