fix(soak): the proxied address of a process keeps its incarnation

Since 'all hosts lose their power at once', the soak rewrote member entries through floating-point numbers, so that the store listed incarnations that no process has, and up to 16 of 21 processes counted as absent for the rest of a run.

--- a/internal/bench/soak/outage.go
+++ b/internal/bench/soak/outage.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -46,11 +47,11 @@
 func (r *run) addressMembers() {
 	r.deployment.Store.SetWriteFunc(func(kind, name string, spec json.RawMessage) json.RawMessage {
 		proxy, known := r.sessions.Load(name)
-		var entry map[string]any
+		var entry map[string]json.RawMessage // a number keeps all its digits
 		if kind != platform.KindMembers || !known || json.Unmarshal(spec, &entry) != nil {
 			return spec
 		}
-		entry["address"] = proxy.(*Proxy).Address()
+		entry["address"] = json.RawMessage(strconv.Quote(proxy.(*Proxy).Address()))
 		changed, err := json.Marshal(entry)
 		if err != nil {
 			return spec
