--- a/internal/bench/soak/load.go
+++ b/internal/bench/soak/load.go
@@ -35,6 +35,9 @@
 
 // modelMemory returns the memory of a model engine in tokens.
 func (o *Options) modelMemory() int64 {
+	if o.Memory > 0 {
+		return o.Memory
+	}
 	if o.Versions || o.Parts {
 		return longStreamMemory
 	}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -59,6 +59,8 @@
 	Parts bool
 	// Restores adds returns of the store from a copy.
 	Restores bool
+	// Memory is the memory of a model engine in tokens, 0 for the default.
+	Memory int64
 	// Outages makes all hosts lose their power at once and the processes lose each other, instead of
 	// rollouts.
 	Outages bool
--- a/internal/cli/devel/soak.go
+++ b/internal/cli/devel/soak.go
@@ -25,6 +25,7 @@
 	parts     bool
 	restores  bool
 	outages   bool
+	memory    int64
 	verbose   bool
 }
 
@@ -50,6 +51,7 @@
 	flags.BoolVar(&options.parts, "parts", false, "add parts of prompts that crash engines, an uneven balancer and answers without length, instead of rollouts")
 	flags.BoolVar(&options.restores, "restores", false, "bring the platform's store back from copies that lack its last writes")
 	flags.BoolVar(&options.outages, "outages", false, "let all hosts lose their power at once and silence the connections between processes, instead of rollouts")
+	flags.Int64Var(&options.memory, "memory", 0, "memory of a model engine in tokens (default: some eight of the largest requests)")
 	flags.BoolVar(&options.verbose, "verbose", false, "print each fault when it is injected")
 	return command
 }
@@ -100,7 +102,7 @@
 	}
 	report, err := soak.Run(command.Context(), soak.Options{
 		Seed: seed, Length: time.Duration(options.seconds) * time.Second, Program: options.program, Folder: folder,
-		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Out: out,
+		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Memory: options.memory, Out: out,
 	})
 	if err != nil {
 		return false, err
