fix(gate,subset): the starts at a warm endpoint are divided among those that use it

Cause: the limit of starts at a warm endpoint, 0.9 of what a cold one may get, was divided by the number of processes but never below 3 a second for each, so that the sum grows with the fleet. The class: a floor for each process in a limit of a sum.

Change: the limit is divided by the mean number of processes that use an endpoint, which subsets keep small in large fleets, and each may start one request at least. The sum is above the bound only where more processes than the bound allows requests use one endpoint: pools of up to 30 endpoints from about 20 gateways on. That stays open, as do two other floors of this kind found by reading: the first extra of each process in the retry budget (extra.initialExtras) and the connections that each process may have (places.Minimum).

--- a/internal/route/subset/subset.go
+++ b/internal/route/subset/subset.go
@@ -34,7 +34,7 @@
 // Of returns the indexes of the endpoints that a process uses, in ascending order.
 // processes is the number of processes that share the pool.
 func Of(process, zone string, processes int, endpoints []Endpoint) []int {
-	size := min(max(usersPerEndpoint*len(endpoints)/max(processes, 1), minSubset), maxSubset)
+	size := sizeOf(processes, len(endpoints))
 	nearCount, farCount := size/2, size/2
 	byZone := make(map[string][]int)
 	for i, e := range endpoints {
@@ -62,6 +62,21 @@
 	return chosen
 }
 
+// sizeOf returns the size of the subsets of a pool.
+func sizeOf(processes, endpoints int) int {
+	return min(max(usersPerEndpoint*endpoints/max(processes, 1), minSubset), maxSubset)
+}
+
+// Users returns the mean number of processes that use an endpoint of a pool, rounded up, at least 1.
+// A limit of an endpoint is divided by it.
+func Users(processes, endpoints int) int {
+	processes = max(processes, 1)
+	if endpoints <= MaxWholePool {
+		return processes
+	}
+	return min((processes*sizeOf(processes, endpoints)+endpoints-1)/endpoints, processes)
+}
+
 func allIndexes(endpoints []Endpoint) []int {
 	all := make([]int, len(endpoints))
 	for i := range all {
--- a/internal/route/subset/subset_test.go
+++ b/internal/route/subset/subset_test.go
@@ -78,3 +78,12 @@
 	assert.Assert(t, len(subset.Of("g", "z1", 100, lost)) >= 24, "a process without endpoints in its zone uses as many in other zones")
 	assert.Equal(t, len(subset.Of("g", "z1", 100, nil)), 0)
 }
+
+// Guards against limits of endpoints that are divided by more or fewer processes than use them.
+func TestUsersAreThoseOfTheSubsets(t *testing.T) {
+	for _, tt := range []struct{ processes, endpoints, want int }{
+		{0, 5, 1}, {16, 1, 16}, {300, 30, 300}, {22, 41, 13}, {26, 48, 13}, {5, 53, 5}, {103, 160, 16},
+	} {
+		assert.Equal(t, subset.Users(tt.processes, tt.endpoints), tt.want, "%+v", tt)
+	}
+}
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/route/place"
+	"github.com/jujubescale/jujubescale/internal/route/subset"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/permit"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
@@ -20,9 +21,6 @@
 	// send to a warm endpoint in a second: it may become cold before the processes are
 	// informed.
 	warmRateShare = 0.9
-	// minWarmStarts is the number of requests per second that each process may always start
-	// at a warm endpoint.
-	minWarmStarts = 3
 	// expectedOutputShare is the share of the largest allowed output that a generation is
 	// expected to produce when the caller gives no estimate.
 	expectedOutputShare = 0.5
@@ -181,7 +179,7 @@
 	}
 	bounds := g.bounds.Load()
 	all := (rate*bounds.ColdShare + bounds.ColdSpare) * warmRateShare
-	return max(int(all)/max(g.mesh.Count(), 1), minWarmStarts)
+	return max(int(all)/subset.Users(g.mesh.Count(), len(g.View().Pool(req.pool.Name))), 1)
 }
 
 func (g *Gate) chooseEngine(req *request, targets []*target.Target, excluded []bool, held choice, now clock.Millis) choice {
