fix(resume,origin): a rolling restart doesn't make streams unknown

What callers would see since: after a rolling restart of all gateways within the time that a stream may last, none that name no attempt can resume their streams, although each process has handed over what it kept.

Cause: a process counted only its own time as a keeper, not that of those that handed their origins over to it. Found by reading.

Change: a process that stops sends its history, and those that it was told, with its origins (one optional field). The time for which a key was kept goes on over a handover to a process that was among the next keepers, and over chains of them. A process that is killed hands nothing over.

--- a/internal/flow/origin/history_test.go
+++ b/internal/flow/origin/history_test.go
@@ -1,6 +1,7 @@
 package origin_test
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -39,3 +40,44 @@
 	assert.Equal(t, stays.Kept(key, 70_002), clock.Millis(64_002), "the first view has ended long ago")
 	assert.Equal(t, origin.NewHistory("a").Kept(key, 5), clock.Millis(0))
 }
+
+// Guards against streams that can't be resumed after a rolling restart, although each process has
+// handed over what it kept.
+func TestStreamsStayKeptOverHandovers(t *testing.T) {
+	key := origin.KeyOf("one", "draft", "models", "5f")
+	all := []string{"a", "b", "c", "d", "e"}
+	without := func(name string) []string {
+		return slices.DeleteFunc(slices.Clone(all), func(other string) bool { return other == name })
+	}
+	histories := make(map[string]*origin.History)
+	for _, name := range all {
+		histories[name] = origin.NewHistory(name)
+		histories[name].See(all, 0, clock.Minute)
+	}
+	now := 20 * clock.Second
+	for _, stopped := range all {
+		left := without(stopped)
+		handovers := histories[stopped].HandOver(left, now)
+		for _, name := range left {
+			histories[name].Take(handovers)
+			histories[name].See(left, now+100, clock.Minute)
+		}
+		now += clock.Second
+		histories[stopped] = origin.NewHistory(stopped)
+		for _, name := range all {
+			histories[name].See(all, now, clock.Minute)
+		}
+		now += clock.Second
+		most := clock.Millis(0)
+		for _, name := range all {
+			most = max(most, histories[name].Kept(key, now))
+		}
+		assert.Equal(t, most, now, "after the restart of %s", stopped)
+	}
+	killed := make(map[string]*origin.History)
+	for _, name := range all {
+		killed[name] = origin.NewHistory(name)
+		killed[name].See(all, now, clock.Minute)
+		assert.Equal(t, killed[name].Kept(key, now+clock.Second) <= clock.Second, true, name)
+	}
+}
--- a/internal/link/wire/origin.go
+++ b/internal/link/wire/origin.go
@@ -27,6 +27,23 @@
 	// Forwarded is set if the receiver is to keep the origins itself.
 	Forwarded bool     `cbor:"forwarded,omitempty"`
 	Origins   []Origin `cbor:"origins"`
+	// Handovers holds the histories of processes that have stopped. The sender is the first one.
+	Handovers []OriginHandover `cbor:"handovers,omitempty"`
+}
+
+// OriginHandover is the history of a process that has handed its origins over to the keepers among
+// Next. Its times are relative to the sending of the message.
+type OriginHandover struct {
+	Process string       `cbor:"process"`
+	Age     clock.Millis `cbor:"age,omitempty"`
+	Views   []OriginView `cbor:"views,omitempty"`
+	Next    []string     `cbor:"next,omitempty"`
+}
+
+// OriginView lists the processes that may keep origins from a time before the message on.
+type OriginView struct {
+	Age   clock.Millis `cbor:"age,omitempty"`
+	Names []string     `cbor:"names"`
 }
 
 // OriginRequest asks for the origin of a stream. A process that has Hello.Origins set
--- a/internal/serve/resume/resume.go
+++ b/internal/serve/resume/resume.go
@@ -154,8 +154,20 @@
 		m.Contradictory = verdict == origin.Contradictory
 		kept = append(kept, m)
 	})
-	t.forward(kept, t.peers.KeepersFunc(), now)
-	t.log.Info("stream origins handed over", "origins", len(kept))
+	next := t.peers.KeepersFunc()
+	t.forward(kept, next, now)
+	t.mu.Lock()
+	handovers := handoverMessages(t.history.HandOver(next, now), now)
+	t.mu.Unlock()
+	for _, name := range next {
+		if name == t.peers.Self {
+			continue
+		}
+		if err := t.peers.SendFunc(name, &wire.Origins{Forwarded: true, Handovers: handovers}); err != nil {
+			t.log.Debug("handover of stream origins not sent", "peer", name, logs.KeyError, err)
+		}
+	}
+	t.log.Info("stream origins handed over", "origins", len(kept), "peers", next)
 }
 
 func (t *Tracker) keep(key origin.Key, o *origin.Origin, now clock.Millis) {
@@ -196,6 +208,11 @@
 	for i := range origins.Origins {
 		t.keepMessage(&origins.Origins[i], now)
 	}
+	if len(origins.Handovers) > 0 {
+		t.mu.Lock()
+		t.history.Take(handoversOf(origins.Handovers, now))
+		t.mu.Unlock()
+	}
 }
 
 func (t *Tracker) keepMessage(o *wire.Origin, now clock.Millis) {
