--- a/internal/serve/router/warm_test.go
+++ b/internal/serve/router/warm_test.go
@@ -12,10 +12,10 @@
 // Guards against an endpoint that becomes cold without a sign and gets more requests than it bears,
 // because each process of a larger fleet may always send it some.
 func TestFleetSendsAWarmEndpointNoMoreThanAColdOneMayGet(t *testing.T) {
-	const gateways, coldPerS = 9, 5
-	bound := coldPerS*1.5 + 5 // of the settings of the gateways
+	const gateways, rate = 9, 5
+	bound := rate*1.5 + 5 // of the settings of the gateways
 	c := testConfig()
-	c.Services[0].ColdPerS, c.Services[0].ColdS = coldPerS, 3
+	c.Services[0].ColdPerS, c.Services[0].ColdS = rate, 3
 	b := startBench(t, gateways, c, &bench{})
 	engines := b.Engines(orders)
 	b.Remove(engines[1])
