fix(router): a process that serves owns pools, whoever finds out first that it serves

What callers saw: all gateways start again beside a store that has come back from a copy, and each of them sees no other one from then on.

Cause: beside a store whose era is above 1, a process that starts waits for what its peers know, at most 0.4 s, before it serves. It starts to own pools when routes or endpoints are listed, which is before the end of that wait, or when the loop that registers it finds the wait ended. A caller's request and the balancer's check ask the same question; where one of them was the first to find the wait ended, the loop took the process for one that owns pools, and it never did until the next configuration. A process that owns none counts as absent. With all of them so, each takes the whole fleet's part of every limit: half of an engine, all starts at a cold one, all reads of the store. The class: a step that depends on who asks first.

Change: the loop asks until the process owns pools. TestAllProcessesOwnPoolsAfterAllWereKilledBesideARestoredStore fails without the change in 3 of 3 runs (each gateway sees only itself for 6 s), passes in 5 of 5.

--- a/internal/serve/router/follow.go
+++ b/internal/serve/router/follow.go
@@ -75,11 +75,17 @@
 	g.startOwningIfReady()
 }
 
-// startOwningIfReady lets this process own pools once it has read routes and endpoints.
-func (g *Gateway) startOwningIfReady() {
-	if g.gate.Ready() {
+// startOwningIfReady lets this process own pools once it may serve, and reports whether it may. A
+// caller's request may be the first to find that out, so it is also called regularly.
+func (g *Gateway) startOwningIfReady() bool {
+	ready := g.gate.Ready()
+	if ready {
 		g.mesh.StartOwning()
 	}
+	if !g.gate.NotDraining() {
+		g.mesh.StopOwning() // a planned stop has begun meanwhile
+	}
+	return ready
 }
 
 func (g *Gateway) onEndpointChanges(events []store.Change) {
--- a/internal/serve/router/members.go
+++ b/internal/serve/router/members.go
@@ -159,9 +159,8 @@
 			triedAt = g.Clock.Now()
 			g.registerOnce(ctx)
 		}
-		if !g.inform.done.Load() {
-			g.startOwningIfReady()
-			pause = readyPollInterval
+		if !g.startOwningIfReady() {
+			pause = min(pause, readyPollInterval)
 		}
 		g.pauseUnlessMembersChange(ctx, pause)
 	}
--- a/internal/serve/router/rejoin_test.go
+++ b/internal/serve/router/rejoin_test.go
@@ -1,6 +1,8 @@
 package router_test
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -61,3 +63,35 @@
 		})
 	}
 }
+
+// Guards against processes that own no pools, and count as absent, after all have started again beside
+// a store that had come back from a copy: a caller's request was the first to find out that they serve.
+func TestAllProcessesOwnPoolsAfterAllWereKilledBesideARestoredStore(t *testing.T) {
+	b := start(t, 3)
+	b.Store.Restore(b.Store.Copy())
+	b.killAndStart()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var group sync.WaitGroup
+	defer group.Wait()
+	for _, g := range b.gateways {
+		group.Go(func() {
+			for ctx.Err() == nil {
+				b.isReady(g)
+			}
+		})
+	}
+	defer cancel()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for i, g := range b.gateways {
+			if alive := g.Alive(); len(alive) != 3 {
+				return poll.Continue("gateway %d sees %v", i+1, alive)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(6*time.Second), poll.WithDelay(20*time.Millisecond))
+	time.Sleep(1500 * time.Millisecond) // aggregators mark processes as absent from a second on
+	for i, g := range b.gateways {
+		assert.Equal(t, len(g.Alive()), 3, "gateway %d sees %v", i+1, g.Alive())
+	}
+}
