--- a/internal/serve/router/follow.go
+++ b/internal/serve/router/follow.go
@@ -75,17 +75,14 @@
 	g.startOwningIfReady()
 }
 
-// startOwningIfReady lets this process own pools once it may serve, and reports whether it may. A
+// startOwningIfReady lets this process own pools once it may serve, and reports whether it does. A
 // caller's request may be the first to find that out, so it is also called regularly.
 func (g *Gateway) startOwningIfReady() bool {
-	ready := g.gate.Ready()
-	if ready {
+	if !g.owning.Load() && g.gate.Ready() {
 		g.mesh.StartOwning()
+		g.owning.Store(true)
 	}
-	if !g.gate.NotDraining() {
-		g.mesh.StopOwning() // a planned stop has begun meanwhile
-	}
-	return ready
+	return g.owning.Load()
 }
 
 func (g *Gateway) onEndpointChanges(events []store.Change) {
