fix(conn): bytes that are no answer are refused after an informational answer, too

What callers would see since: a wait until the deadline, where an engine sends an informational answer and then bytes that are no answer and contain no end of a line. Before it, only verified requests were refused at once there.

Cause: the loop over informational answers had moved to base/bound, behind the check of the first bytes. Found by reading. The loop is in conn again, within one bound for all heads.

TestBytesAfterAnInformationalAnswerAreRefusedAtOnce fails without the change (10 s, not verified). TestBytesWithoutEndAreRefusedAtOnce asks for at most 64 KB instead of 70.

--- a/internal/base/bound/bound.go
+++ b/internal/base/bound/bound.go
@@ -9,8 +9,7 @@
 	"net/http"
 )
 
-// MaxHeadBytes is the largest head of an answer, with all informational answers before it. It is
-// the limit of most servers and proxies.
+// MaxHeadBytes is the largest head of an answer, with all informational answers before it.
 const MaxHeadBytes = 64 << 10
 
 // HeadError is returned for a head of an answer above Max bytes.
@@ -35,22 +34,40 @@
 	return &Reader{Reader: bufio.NewReaderSize(l, size), from: l}
 }
 
+// Limit bounds what is read until Unlimit is called, which is the head of one answer.
+func (r *Reader) Limit() { r.from.left = MaxHeadBytes - r.Buffered() }
+
+// Unlimit ends the bound: what follows is a body.
+func (r *Reader) Unlimit() { r.from.left = unlimited }
+
+// ReadHead reads the head of an answer, which may be an informational one. It returns a HeadError if
+// more bytes than Limit allows would have to be read.
+func (r *Reader) ReadHead(request *http.Request) (*http.Response, error) {
+	response, err := http.ReadResponse(r.Reader, request)
+	if err != nil && r.from.left <= 0 {
+		return nil, &HeadError{Max: MaxHeadBytes}
+	}
+	return response, err
+}
+
 // ReadResponse reads the head of the final answer to a request and skips informational ones. It
 // returns a HeadError if they are too large. The body is not limited.
 func (r *Reader) ReadResponse(request *http.Request) (*http.Response, error) {
-	r.from.left = MaxHeadBytes - r.Buffered()
-	defer func() { r.from.left = unlimited }()
+	r.Limit()
+	defer r.Unlimit()
 	for {
-		response, err := http.ReadResponse(r.Reader, request)
-		if err != nil && r.from.left <= 0 {
-			return nil, &HeadError{Max: MaxHeadBytes}
-		}
-		if err != nil || response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		response, err := r.ReadHead(request)
+		if err != nil || IsFinal(response) {
 			return response, err
 		}
 	}
 }
 
+// IsFinal reports whether no other answer to the request follows.
+func IsFinal(response *http.Response) bool {
+	return response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols
+}
+
 const unlimited = int(^uint(0) >> 1)
 
 // limited reads at most left bytes.
--- a/internal/base/rules/readers_test.go
+++ b/internal/base/rules/readers_test.go
@@ -24,7 +24,7 @@
 // boundElsewhere lists the readers whose bound is not beside them.
 var boundElsewhere = map[string]string{
 	"internal/serve/gate/accept.go: req.body, err = io.ReadAll(reader)":                   "reader is a MaxBytesReader, a few lines above",
-	"internal/base/bound/bound.go: response, err := http.ReadResponse(r.Reader, request)": "r.Reader reads at most MaxHeadBytes",
+	"internal/base/bound/bound.go: response, err := http.ReadResponse(r.Reader, request)": "r.Reader reads at most MaxHeadBytes after Limit",
 	"internal/serve/gate/pass.go: _, err = io.Copy(w, reply.Body)":                        "the answer is passed on as it arrives, and not kept",
 }
 
--- a/internal/engine/conn/conn_test.go
+++ b/internal/engine/conn/conn_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jujubescale/jujubescale/internal/base/bound"
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
 )
@@ -381,6 +382,24 @@
 		cancel()
 		var sent *conn.SentError
 		assert.Assert(t, errors.As(err, &sent), "%s: %v", name, err)
-		assert.Assert(t, c.read.Load() <= 70<<10, "%s: %d bytes read", name, c.read.Load())
+		assert.Assert(t, c.read.Load() <= bound.MaxHeadBytes, "%s: %d bytes read", name, c.read.Load())
+	}
+}
+
+// Guards against a request that waits until its deadline because an endpoint sends bytes that are no
+// answer, and no end of a line, after an informational answer.
+func TestBytesAfterAnInformationalAnswerAreRefusedAtOnce(t *testing.T) {
+	for name, verify := range map[string]func(int, http.Header, []byte) conn.Verdict{"verified": verdictOf, "not verified": nil} {
+		address := endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			_, _ = readRequest(r)
+			_, _ = c.Write([]byte("HTTP/1.1 103 Early Hints\r\n\r\nno answer"))
+			_, _ = r.ReadByte() // until the caller closes
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		_, err := conn.New(address).Do(ctx, &conn.Request{Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\n\r\n"), VerifyFunc: verify, MaxBytes: 100})
+		assert.NilError(t, ctx.Err(), name)
+		cancel()
+		var sent *conn.SentError
+		assert.Assert(t, errors.As(err, &sent), "%s: %v", name, err)
 	}
 }
--- a/internal/engine/conn/reply.go
+++ b/internal/engine/conn/reply.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 
+	"github.com/jujubescale/jujubescale/internal/base/bound"
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 )
 
@@ -87,14 +88,20 @@
 }
 
 func (r *Reply) readHead(request *Request) (*http.Response, error) {
-	if err := r.awaitByte(request); err != nil {
-		return nil, err
-	}
-	response, err := r.conn.reader.ReadResponse(&http.Request{Method: request.Method})
-	if err != nil {
-		return nil, r.headError(request, err)
+	r.conn.reader.Limit()
+	defer r.conn.reader.Unlimit()
+	for {
+		if err := r.awaitByte(request); err != nil {
+			return nil, err
+		}
+		response, err := r.conn.reader.ReadHead(&http.Request{Method: request.Method})
+		if err != nil {
+			return nil, r.headError(request, err)
+		}
+		if bound.IsFinal(response) {
+			return response, nil
+		}
 	}
-	return response, nil
 }
 
 // awaitByte waits for the first byte of an answer.
