fix(sess,reach): the answer to the opening of a session and the store's head have a bound

What callers would see: a gateway whose memory grows while another process at the address of a peer answers the opening of a session without end, until the handshake times out.

Cause: TestAllReadersAreBounded took a time-out for a bound, and a bound that stood up to nine lines away from a reader for its own. Found by reading. It asks for the bound on the reader's line now, or in its literal, and knows more kinds of readers; that found the client of jujubectl, whose head net/http bounds at 10 MB only.

TestAnswerWithoutEndOpensNoSession fails without the change (4 MB read, where the test ends).

--- a/internal/base/bound/bound.go
+++ b/internal/base/bound/bound.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 )
 
@@ -87,3 +88,18 @@
 	}
 	return n, err
 }
+
+// Conn is a connection of which at most MaxHeadBytes are read until Unlimit is called.
+type Conn struct {
+	net.Conn
+	from limited
+}
+
+// NewConn returns a limited connection.
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, from: limited{from: c, left: MaxHeadBytes}} }
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) { return c.from.Read(p) }
+
+// Unlimit ends the bound. It is called before the next read.
+func (c *Conn) Unlimit() { c.from.left = unlimited }
--- a/internal/base/rules/readers_test.go
+++ b/internal/base/rules/readers_test.go
@@ -8,29 +8,41 @@
 	"gotest.tools/v3/assert"
 )
 
-// readers are the calls that read until the other side ends, and what a line with one of them, or one
-// of the nine lines after it, must contain to bound that.
-var readers = map[string]*regexp.Regexp{
-	`io\.ReadAll\(`:              regexp.MustCompile(`LimitReader|MaxBytesReader`),
-	`io\.Copy\(`:                 regexp.MustCompile(`LimitReader|MaxBytesReader`),
-	`json\.NewDecoder\(`:         regexp.MustCompile(`LimitReader|MaxBytesReader|bytes\.NewReader`),
-	`http\.Transport\{`:          regexp.MustCompile(`MaxResponseHeaderBytes`),
-	`http\.Server\{`:             regexp.MustCompile(`MaxHeaderBytes`),
-	`http\.ReadResponse\(`:       nil,
-	`bufio\.NewScanner\(`:        regexp.MustCompile(`\.Buffer\(`),
-	`websocket\.(Dialer|Conn)\{`: regexp.MustCompile(`HandshakeTimeout`),
+// reader is a call or a literal that reads until the other side ends, and what must bound it within a
+// number of lines.
+type reader struct {
+	call, bound *regexp.Regexp
+	lines       int
+}
+
+func readers() []reader {
+	limited := regexp.MustCompile(`LimitReader|MaxBytesReader|bytes\.NewReader`)
+	never := regexp.MustCompile(`^$`) // listed in boundElsewhere
+	return []reader{
+		{regexp.MustCompile(`io\.(ReadAll|Copy)\(`), limited, 1},
+		{regexp.MustCompile(`(json|cbor|xml|gob)\.NewDecoder\(`), limited, 1},
+		{regexp.MustCompile(`(gzip|flate|zlib)\.NewReader\(`), limited, 1},
+		{regexp.MustCompile(`\.Read(String|Bytes|Line|Slice)\(`), never, 1},
+		{regexp.MustCompile(`http\.Read(Response|Request)\(`), never, 1},
+		{regexp.MustCompile(`bufio\.NewScanner\(`), regexp.MustCompile(`\.Buffer\(`), 2},
+		{regexp.MustCompile(`http\.Transport\{`), regexp.MustCompile(`MaxResponseHeaderBytes`), 8},
+		{regexp.MustCompile(`http\.Server\{`), regexp.MustCompile(`MaxHeaderBytes`), 8},
+		{regexp.MustCompile(`http\.(DefaultClient|DefaultTransport|Get|Post|Head)\b`), never, 1},
+		{regexp.MustCompile(`websocket\.Dialer\{`), regexp.MustCompile(`bound\.NewConn`), 8},
+	}
 }
 
 // boundElsewhere lists the readers whose bound is not beside them.
 var boundElsewhere = map[string]string{
 	"internal/serve/gate/accept.go: req.body, err = io.ReadAll(reader)":                   "reader is a MaxBytesReader, a few lines above",
 	"internal/base/bound/bound.go: response, err := http.ReadResponse(r.Reader, request)": "r.Reader reads at most MaxHeadBytes after Limit",
+	"internal/engine/event/event.go: part, err := r.from.ReadSlice('\\n')":                "it returns at most the buffer, and the loop ends at MaxEvent",
 	"internal/serve/gate/pass.go: _, err = io.Copy(w, reply.Body)":                        "the answer is passed on as it arrives, and not kept",
 }
 
 // Guards against memory that grows without a bound because of what another process sends.
 func TestAllReadersAreBounded(t *testing.T) {
-	found := 0
+	found, all := 0, readers()
 	for _, name := range files(t, ".go") {
 		if strings.HasSuffix(name, "_test.go") || !strings.HasPrefix(name, "internal/") && !strings.HasPrefix(name, "platform/") ||
 			strings.Contains(name, "/stand/") || strings.HasPrefix(name, "internal/bench/") || strings.HasPrefix(name, "internal/cli/devel/") {
@@ -38,14 +50,14 @@
 		}
 		lines := strings.Split(read(t, name), "\n")
 		for i, line := range lines {
-			for call, bound := range readers {
-				if !regexp.MustCompile(call).MatchString(line) {
+			for _, r := range all {
+				if !r.call.MatchString(line) || strings.HasPrefix(strings.TrimSpace(line), "//") {
 					continue
 				}
 				found++
-				near := strings.Join(lines[i:min(i+10, len(lines))], "\n")
+				near := strings.Join(lines[i:min(i+r.lines, len(lines))], "\n")
 				_, listed := boundElsewhere[name+": "+strings.TrimSpace(line)]
-				assert.Check(t, listed || bound != nil && bound.MatchString(near), "%s:%d reads without a bound: %s", name, i+1, strings.TrimSpace(line))
+				assert.Check(t, listed || r.bound.MatchString(near), "%s:%d reads without a bound: %s", name, i+1, strings.TrimSpace(line))
 			}
 		}
 	}
--- a/internal/cli/reach/reach.go
+++ b/internal/cli/reach/reach.go
@@ -144,7 +144,8 @@
 	if err != nil || base.Host == "" {
 		return nil, exit.With(exit.Usage, fmt.Errorf("--platform %q is not allowed; allowed: http://HOST:PORT or https://HOST:PORT", o.platform))
 	}
-	return platform.NewStore(o.platform, http.DefaultClient, routedTimeout, routedMargin), nil
+	client := &http.Client{Transport: &http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: bound.MaxHeadBytes}}
+	return platform.NewStore(o.platform, client, routedTimeout, routedMargin), nil
 }
 
 func (o *Options) fleet(platform *store.Store) (*fleet.Fleet, error) {
--- a/internal/link/sess/open.go
+++ b/internal/link/sess/open.go
@@ -12,6 +12,7 @@
 
 	"github.com/gorilla/websocket"
 
+	"github.com/jujubescale/jujubescale/internal/base/bound"
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 )
@@ -146,8 +147,16 @@
 // arrived from the peer for too long.
 func Dial(ctx context.Context, address string, opts ...Option) (*Session, error) {
 	o := newOptions(opts)
+	var head *bound.Conn // until the peer has answered
 	dialer := websocket.Dialer{
-		NetDialContext:   o.dial,
+		NetDialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			opened, err := o.dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			head = bound.NewConn(opened)
+			return head, nil
+		},
 		TLSClientConfig:  o.tls,
 		HandshakeTimeout: o.openTimeout.Duration(),
 		ReadBufferSize:   bufferBytes,
@@ -165,6 +174,7 @@
 	if err != nil {
 		return nil, err
 	}
+	head.Unlimit()
 	s := newSession(conn, o, true)
 	s.number = rand.Uint64() | 1
 	if err := s.sendHello(); err != nil {
--- a/internal/link/sess/opened_test.go
+++ b/internal/link/sess/opened_test.go
@@ -1,6 +1,9 @@
 package sess_test
 
 import (
+	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jujubescale/jujubescale/internal/base/bound"
 	"github.com/jujubescale/jujubescale/internal/link/sess"
 )
 
@@ -58,3 +62,40 @@
 	assert.Assert(t, err != nil)
 	assert.Assert(t, <-ended != nil)
 }
+
+// endlessHead is a connection to a peer whose answer to the opening of a session never ends.
+type endlessHead struct {
+	net.Conn
+	read atomic.Int64
+}
+
+// Read implements net.Conn. It ends after 4 MB, so that a failed test doesn't fill the memory.
+func (c *endlessHead) Read(p []byte) (int, error) {
+	if c.read.Load() > 4<<20 {
+		return 0, io.EOF
+	}
+	n := copy(p, strings.Repeat("X: a\r\n", len(p)/6+1))
+	if c.read.Load() == 0 {
+		n = copy(p, "HTTP/1.1 101 Switching Protocols\r\n")
+	}
+	c.read.Add(int64(n))
+	return n, nil
+}
+
+// Write implements net.Conn.
+func (c *endlessHead) Write(p []byte) (int, error) { return len(p), nil }
+
+// Close implements net.Conn.
+func (c *endlessHead) Close() error { return nil }
+
+// SetDeadline implements net.Conn.
+func (c *endlessHead) SetDeadline(time.Time) error { return nil }
+
+// Guards against memory that grows while another process at the address of a peer answers the opening
+// of a session without end.
+func TestAnswerWithoutEndOpensNoSession(t *testing.T) {
+	c := &endlessHead{}
+	_, err := sess.Dial(t.Context(), "127.0.0.1:1", sess.WithDial(func(context.Context, string, string) (net.Conn, error) { return c, nil }))
+	assert.Assert(t, err != nil)
+	assert.Assert(t, c.read.Load() <= bound.MaxHeadBytes, "%d bytes read", c.read.Load())
+}
