fix(resume,origin): a handover proves nothing before all of it has arrived

What callers would see since: streams joined from two versions by a resumption without a named attempt, where a part of what a stopping process handed over was lost but its history arrived, or where a process had dropped origins because it keeps too many.

Cause: the history was a message of its own; messages to a session that is being opened go out in any order, and may be lost one by one. And a dropped origin changed nothing about the time for which a process says that it has kept all. Found by reading.

Change: the parts of a handover carry its id and their number, and the history counts once all have arrived; a dropped origin begins the time anew. Not covered are drops from the full queues of a sender or an aggregator (design/resume.md).

TestHandoverCountsOnceAllItsPartsHaveArrived and TestNothingIsCompleteBeforeADroppedOrigin call what is new.

--- a/internal/flow/origin/history.go
+++ b/internal/flow/origin/history.go
@@ -21,6 +21,8 @@
 	self      string
 	views     []View
 	handovers []Handover
+	// lostAt is when an origin was last dropped; nothing is known to be complete before that.
+	lostAt clock.Millis
 }
 
 // View is the list of the processes that may keep origins from an instant on.
@@ -57,8 +59,15 @@
 // HandOver returns the handovers that this process passes on with its origins: its own to the keepers
 // among next, and those that it was told.
 func (h *History) HandOver(next []string, now clock.Millis) []Handover {
-	own := Handover{Process: h.self, At: now, Views: h.views, Next: next}
-	return append([]Handover{own}, h.handovers...)
+	own := Handover{Process: h.self, At: now, Next: next}
+	for i, view := range h.views {
+		if i+1 < len(h.views) && h.views[i+1].Since <= h.lostAt {
+			continue
+		}
+		own.Views = append(own.Views, View{Since: max(view.Since, h.lostAt), Names: view.Names})
+	}
+	told := slices.DeleteFunc(slices.Clone(h.handovers), func(other Handover) bool { return other.At <= h.lostAt })
+	return append([]Handover{own}, told...)
 }
 
 // Take records handovers of processes that have stopped.
@@ -73,13 +82,19 @@
 	}
 }
 
+// Lose records that an origin was dropped.
+func (h *History) Lose(now clock.Millis) { h.lostAt = max(h.lostAt, now) }
+
 // Kept returns for how long all streams with a key were kept without a gap by this process and those
 // before it, 0 if it doesn't keep them.
 func (h *History) Kept(key Key, now clock.Millis) clock.Millis {
-	holder, since := h.self, keptSince(key, h.self, h.views, now)
+	holder, since := h.self, max(keptSince(key, h.self, h.views, now), h.lostAt)
 	for found := since < now; found; {
 		found = false
 		for _, other := range h.handovers {
+			if other.At <= h.lostAt {
+				continue
+			}
 			before := keptSince(key, other.Process, other.Views, other.At)
 			if before < since && other.At >= since-viewLag && slices.Contains(Keepers(key, other.Next), holder) {
 				holder, since, found = other.Process, before, true
--- a/internal/flow/origin/history_test.go
+++ b/internal/flow/origin/history_test.go
@@ -81,3 +81,17 @@
 		assert.Equal(t, killed[name].Kept(key, now+clock.Second) <= clock.Second, true, name)
 	}
 }
+
+// Guards against a process that takes what it keeps for all there is although it has dropped origins.
+func TestNothingIsCompleteBeforeADroppedOrigin(t *testing.T) {
+	key := origin.KeyOf("one", "draft", "models", "5f")
+	h, next := origin.NewHistory("a"), origin.NewHistory("b")
+	h.See([]string{"a"}, 0, clock.Minute)
+	h.Lose(4000)
+	assert.Equal(t, h.Kept(key, 9000), clock.Millis(5000))
+	next.Take(h.HandOver([]string{"b"}, 10_000))
+	next.See([]string{"b"}, 10_100, clock.Minute)
+	assert.Equal(t, next.Kept(key, 12_000), clock.Millis(8000), "since the loss of the process before it")
+	next.Lose(10_050)
+	assert.Equal(t, next.Kept(key, 12_000), clock.Millis(1900), "a handover before a loss proves nothing")
+}
--- a/internal/link/wire/origin.go
+++ b/internal/link/wire/origin.go
@@ -27,8 +27,12 @@
 	// Forwarded is set if the receiver is to keep the origins itself.
 	Forwarded bool     `cbor:"forwarded,omitempty"`
 	Origins   []Origin `cbor:"origins"`
-	// Handovers holds the histories of processes that have stopped. The sender is the first one.
-	Handovers []OriginHandover `cbor:"handovers,omitempty"`
+	// Parts is the number of messages of a handover, 0 for other origins. They have the same
+	// HandoverID and arrive in any order. One of them holds the histories of processes that have
+	// stopped, the sender first, which count once all parts have arrived.
+	Parts      int              `cbor:"parts,omitempty"`
+	HandoverID uint64           `cbor:"handover,omitempty"`
+	Handovers  []OriginHandover `cbor:"handovers,omitempty"`
 }
 
 // OriginHandover is the history of a process that has handed its origins over to the keepers among
--- a/internal/serve/resume/resume.go
+++ b/internal/serve/resume/resume.go
@@ -81,8 +81,10 @@
 	unsent, relayed []wire.Origin
 	// route describes the processes through which the open origins were sent last.
 	route string
-	// history holds which processes kept origins lately.
+	// history holds which processes kept origins lately, and partial the handovers of which not
+	// all parts have arrived, by id.
 	history *origin.History
+	partial map[uint64]*partialHandover
 }
 
 // Option configures a Tracker.
@@ -118,7 +120,7 @@
 	for _, opt := range opts {
 		opt(t)
 	}
-	t.history = origin.NewHistory(t.peers.Self)
+	t.history, t.partial = origin.NewHistory(t.peers.Self), make(map[uint64]*partialHandover)
 	return t
 }
 
@@ -155,25 +157,23 @@
 		kept = append(kept, m)
 	})
 	next := t.peers.KeepersFunc()
-	t.forward(kept, next, now)
 	t.mu.Lock()
 	handovers := handoverMessages(t.history.HandOver(next, now), now)
 	t.mu.Unlock()
-	for _, name := range next {
-		if name == t.peers.Self {
-			continue
-		}
-		if err := t.peers.SendFunc(name, &wire.Origins{Forwarded: true, Handovers: handovers}); err != nil {
-			t.log.Debug("handover of stream origins not sent", "peer", name, logs.KeyError, err)
-		}
+	for name, origins := range byKeeper(kept, next) {
+		t.sendHandover(name, origins, handovers)
 	}
 	t.log.Info("stream origins handed over", "origins", len(kept), "peers", next)
 }
 
 func (t *Tracker) keep(key origin.Key, o *origin.Origin, now clock.Millis) {
-	if !t.book.Put(key, o, now) {
-		t.meter.dropped.WithLabelValues(droppedFull).Inc()
+	if t.book.Put(key, o, now) {
+		return
 	}
+	t.meter.dropped.WithLabelValues(droppedFull).Inc()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.history.Lose(now)
 }
 
 // queue appends an origin to a queue. The caller must hold t.mu.
@@ -208,10 +208,8 @@
 	for i := range origins.Origins {
 		t.keepMessage(&origins.Origins[i], now)
 	}
-	if len(origins.Handovers) > 0 {
-		t.mu.Lock()
-		t.history.Take(handoversOf(origins.Handovers, now))
-		t.mu.Unlock()
+	if origins.Parts > 0 {
+		t.takePart(origins, now)
 	}
 }
 
@@ -221,11 +219,10 @@
 		t.meter.dropped.WithLabelValues(droppedMalformed).Inc()
 		return
 	}
+	t.keep(key, &kept, now)
 	if o.Contradictory {
 		t.book.PutContradictory(key, &kept, now)
-		return
 	}
-	t.keep(key, &kept, now)
 }
 
 // Answer answers a peer's request for the origin of a stream.
@@ -262,6 +259,7 @@
 		case <-t.wake:
 		case <-due:
 			t.book.Prune(t.clock.Now())
+			t.dropPartial(t.clock.Now())
 			t.openSessions()
 		case <-ctx.Done():
 			stop()
@@ -319,23 +317,35 @@
 	t.forward(slices.Concat(own, relayed), keepers, now)
 }
 
-// forward sends each origin to its keepers.
-func (t *Tracker) forward(origins []wire.Origin, keepers []string, now clock.Millis) {
-	byKeeper := make(map[string][]wire.Origin)
+// byKeeper returns the origins for each process that keeps some of them, and an empty list for each
+// other one. Malformed ones are left out.
+func byKeeper(origins []wire.Origin, keepers []string) map[string][]wire.Origin {
+	all := make(map[string][]wire.Origin, len(keepers))
+	for _, name := range keepers {
+		all[name] = nil
+	}
 	for i := range origins {
 		if len(origins[i].Stream) != len(origin.Key{}) {
-			t.meter.dropped.WithLabelValues(droppedMalformed).Inc()
 			continue
 		}
 		for _, name := range origin.Keepers(origin.Key(origins[i].Stream), keepers) {
-			if name == t.peers.Self {
-				t.keepMessage(&origins[i], now)
-				continue
-			}
-			byKeeper[name] = append(byKeeper[name], origins[i])
+			all[name] = append(all[name], origins[i])
 		}
 	}
-	for name, forwarded := range byKeeper {
+	return all
+}
+
+// forward sends each origin to its keepers.
+func (t *Tracker) forward(origins []wire.Origin, keepers []string, now clock.Millis) {
+	valid := slices.DeleteFunc(slices.Clone(origins), func(o wire.Origin) bool { return len(o.Stream) != len(origin.Key{}) })
+	t.meter.dropped.WithLabelValues(droppedMalformed).Add(float64(len(origins) - len(valid)))
+	for name, forwarded := range byKeeper(valid, keepers) {
+		if name == t.peers.Self {
+			for i := range forwarded {
+				t.keepMessage(&forwarded[i], now)
+			}
+			continue
+		}
 		t.meter.sent.WithLabelValues("forwarded").Add(float64(len(forwarded)))
 		for part := range slices.Chunk(forwarded, maxPerMessage) {
 			if err := t.peers.SendFunc(name, &wire.Origins{Forwarded: true, Origins: part}); err != nil {
--- a/internal/serve/resume/resume_test.go
+++ b/internal/serve/resume/resume_test.go
@@ -500,3 +500,24 @@
 		t.End(key)
 	}
 }
+
+// Guards against a stream that goes on by what a process that has stopped handed over, although a part
+// of the handover was lost.
+func TestHandoverCountsOnceAllItsPartsHaveArrived(t *testing.T) {
+	f := newFleet(t, 1)
+	p := f.find(f.names[0])
+	key := keyOf(1)
+	history := wire.OriginHandover{Process: "gateway-9", Next: []string{p.name}, Views: []wire.OriginView{{Age: clock.Minute, Names: []string{"gateway-9"}}}}
+	kept := func() clock.Millis { return p.Answer(&wire.OriginRequest{Stream: key[:]}).Kept }
+	p.Take(&wire.Origins{Forwarded: true, Parts: 2, HandoverID: 7, Handovers: []wire.OriginHandover{history}})
+	assert.Assert(t, kept() < 30*clock.Second, "%d", kept())
+	p.Take(&wire.Origins{Forwarded: true, Parts: 2, HandoverID: 8})
+	assert.Assert(t, kept() < 30*clock.Second, "%d, a part of another handover", kept())
+	p.Take(&wire.Origins{Forwarded: true, Parts: 2, HandoverID: 7})
+	poll.WaitOn(t, func(poll.LogT) poll.Result { // the process has just started to keep the stream
+		if kept() >= clock.Minute {
+			return poll.Success()
+		}
+		return poll.Continue("kept for %d ms", kept())
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+}
