fix(router): member entries state configured pools only, and are written again in turn

What one would see since: an entry names every pool that ever shared its hosts, since each process repeats what the others state, and all processes write their entries at the same moment when one of them has learned it. Found by reading. TestMemberEntriesStateConfiguredPoolsOnly fails without the filter by what it asserts (the entry holds the pool 'gone').

--- a/internal/serve/router/members.go
+++ b/internal/serve/router/members.go
@@ -109,7 +109,7 @@
 	for _, entry := range entries {
 		if entry.Name == g.Name && entry.Incarnation == g.incarnation {
 			listed = true
-			g.listedPools.Store(strings.Join(entry.SharedPools, " "))
+			g.statedPools.Store(&entry.SharedPools)
 		}
 		members = append(members, entry.Member)
 		sharedPools = append(sharedPools, entry.SharedPools...)
@@ -149,11 +149,11 @@
 		switch {
 		case !g.hasLists():
 			pause = readyPollInterval
-		case g.listed.Load() && !g.isMemberLost() && g.listedPools.Load() == strings.Join(g.gate.Limits().SharedPools(), " "):
+		case g.listed.Load() && !g.isMemberLost() && g.statesPools():
 		case g.Clock.Since(triedAt) < registerInterval:
 			pause = triedAt + registerInterval - g.Clock.Now()
 		default:
-			if g.isMemberLost() && !g.awaitRewrite(ctx) {
+			if (g.isMemberLost() || g.listed.Load()) && !g.awaitRewrite(ctx) {
 				continue
 			}
 			triedAt = g.Clock.Now()
@@ -166,8 +166,19 @@
 	}
 }
 
-// awaitRewrite waits for the turn of this process to write its lost entry again. It returns false if
-// a planned stop has begun meanwhile.
+// sharedPools returns the configured pools whose engines share their hosts, in a fixed order.
+func (g *Gateway) sharedPools() []string {
+	return slices.DeleteFunc(g.gate.Limits().SharedPools(), func(pool string) bool { return !g.hasPool(pool) })
+}
+
+// statesPools reports whether the entry of this process states the pools that share their hosts.
+func (g *Gateway) statesPools() bool {
+	stated := g.statedPools.Load()
+	return stated != nil && slices.Equal(*stated, g.sharedPools())
+}
+
+// awaitRewrite waits for the turn of this process to write its entry again, which all may have to do
+// at the same moment. It returns false if a planned stop has begun meanwhile.
 func (g *Gateway) awaitRewrite(ctx context.Context) bool {
 	return g.Clock.Sleep(ctx, rewriteDelay(g.mesh.Count(), rand.Float64())) == nil && g.hasLists()
 }
@@ -186,7 +197,7 @@
 	name := g.Dialect.MemberKind + "/" + g.Name
 	self := memberEntry{
 		Member:      mesh.Member{Name: g.Name, Address: g.Address, Incarnation: g.incarnation, Zone: g.Zone, Capacity: g.Capacity},
-		SharedPools: g.gate.Limits().SharedPools(),
+		SharedPools: g.sharedPools(),
 	}
 	value, err := json.Marshal(self)
 	if err != nil {
@@ -204,7 +215,7 @@
 		g.Log.Info("member entry not written yet", logs.KeyError, err)
 		return
 	}
-	g.listedPools.Store(strings.Join(self.SharedPools, " "))
+	g.statedPools.Store(&self.SharedPools)
 	g.listed.Store(true)
 }
 
--- a/internal/serve/router/room_test.go
+++ b/internal/serve/router/room_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -116,3 +117,21 @@
 		assert.DeepEqual(t, g.Gate().Limits().SharedPools(), []string{models})
 	}
 }
+
+// Guards against member entries that grow with every pool that ever shared its hosts.
+func TestMemberEntriesStateConfiguredPoolsOnly(t *testing.T) {
+	b := start(t, 1)
+	g := b.gateways[0]
+	object, _ := b.Store.Get("members", "gateway-1")
+	var entry map[string]json.RawMessage
+	assert.NilError(t, json.Unmarshal(object.Spec, &entry))
+	entry["name"], entry["sharedPools"] = json.RawMessage(`"gateway-9"`), json.RawMessage(`["gone","`+models+`"]`)
+	b.Store.Put("members", "gateway-9", entry)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if object, _ := b.Store.Get("members", "gateway-1"); strings.Contains(string(object.Spec), models) {
+			assert.Assert(t, !strings.Contains(string(object.Spec), "gone"), "%s", object.Spec)
+			return poll.Success()
+		}
+		return poll.Continue("%v", g.Gate().Limits().SharedPools())
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -137,10 +137,10 @@
 	storeBackAt clock.Millis // when the store was reachable again after its last outage
 	configOld   bool         // whether checkConfigAge found the configuration too old
 	configWait  configWait
-	owning      atomic.Bool  // whether this process has begun to own pools
-	listed      atomic.Bool  // whether the store's member list holds this process
-	listedPools atomic.Value // string, the shared pools that the entry of this process states
-	refreshedAt atomic.Int64 // when refreshConfig last requested the configuration
+	owning      atomic.Bool              // whether this process has begun to own pools
+	listed      atomic.Bool              // whether the store's member list holds this process
+	statedPools atomic.Pointer[[]string] // the shared pools that the entry of this process states
+	refreshedAt atomic.Int64             // when refreshConfig last requested the configuration
 	// membersChanged wakes register.
 	membersChanged chan struct{}
 	inform         inform
