fix(gate,router): callers don't get what a denial rests on

What callers saw since: the body of a 404 or 401 names processes, the version of the configuration and the state of the store, to callers without a key. Found by reading. The evidence is for the log alone now; 'request ended' has it in detail as before. TestDenialTellsCallersNothingOfTheDeployment fails without the change.

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -92,6 +92,16 @@
 	Detail     string
 	// ByConfig is set if another configuration may allow the request.
 	ByConfig bool
+	// Evidence tells what the refusal rests on, for the log; callers don't get it.
+	Evidence string
+}
+
+// LogDetail returns the detail and the evidence.
+func (r *RefusalError) LogDetail() string {
+	if r.Detail == "" || r.Evidence == "" {
+		return r.Detail + r.Evidence
+	}
+	return r.Detail + "; " + r.Evidence
 }
 
 // Error implements error.
--- a/internal/serve/gate/refuse.go
+++ b/internal/serve/gate/refuse.go
@@ -58,7 +58,7 @@
 	took := g.Clock.Since(req.began)
 	reason, ran, detail := "", "", ""
 	if refused != nil {
-		reason, ran, detail = string(refused.Reason), string(refused.Ran), refused.Detail
+		reason, ran, detail = string(refused.Reason), string(refused.Ran), refused.LogDetail()
 	}
 	route, version, endpoint, maxGap := "", uint64(0), "", clock.Millis(0)
 	if req.route != nil {
--- a/internal/serve/router/age.go
+++ b/internal/serve/router/age.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"sync"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
@@ -71,11 +70,10 @@
 			return refused
 		}
 	}
-	evidence := g.configEvidence()
 	if g.configOutdated() {
-		return fault.Refuse(fault.ConfigOutdated, fmt.Sprintf("%s by %s", refused.Reason, evidence))
+		refused = fault.Refuse(fault.ConfigOutdated, "denied by the configuration in force: "+string(refused.Reason))
 	}
-	refused.Detail = strings.Trim(refused.Detail+"; "+evidence, "; ")
+	refused.Evidence = g.configEvidence()
 	return refused
 }
 
--- a/internal/serve/router/age_test.go
+++ b/internal/serve/router/age_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -111,3 +112,14 @@
 	next.ID = stand.NewID()
 	return &next
 }
+
+// Guards against callers without a key who learn names of processes and versions of the configuration
+// from a refusal.
+func TestDenialTellsCallersNothingOfTheDeployment(t *testing.T) {
+	b := start(t, 2)
+	for range 2 {
+		got := b.rawAt(b.gateways[1].address, "GET /unknown/x HTTP/1.1\r\nHost: orders.example\r\n"+stand.HeaderLines(stand.NewID(), "", 2000)+"\r\n")
+		assert.Assert(t, strings.Contains(got, " 404 ") && !strings.Contains(got, "confirmed") && !strings.Contains(got, "gateway-"), "%s", got)
+		time.Sleep(time.Second)
+	}
+}
