--- a/internal/flow/origin/history.go
+++ b/internal/flow/origin/history.go
@@ -27,7 +27,7 @@
 
 // View is the list of the processes that may keep origins from an instant on.
 type View struct {
-	Since clock.Millis
+	From  clock.Millis
 	Names []string
 }
 
@@ -50,8 +50,8 @@
 	if last := len(h.views) - 1; last >= 0 && slices.Equal(h.views[last].Names, names) {
 		return
 	}
-	h.views = append(h.views, View{Since: now, Names: slices.Clone(names)})
-	for len(h.views) > 1 && now-h.views[1].Since > retention {
+	h.views = append(h.views, View{From: now, Names: slices.Clone(names)})
+	for len(h.views) > 1 && now-h.views[1].From > retention {
 		h.views = h.views[1:]
 	}
 }
@@ -61,10 +61,10 @@
 func (h *History) HandOver(next []string, now clock.Millis) []Handover {
 	own := Handover{Process: h.self, At: now, Next: next}
 	for i, view := range h.views {
-		if i+1 < len(h.views) && h.views[i+1].Since <= h.lostAt {
+		if i+1 < len(h.views) && h.views[i+1].From <= h.lostAt {
 			continue
 		}
-		own.Views = append(own.Views, View{Since: max(view.Since, h.lostAt), Names: view.Names})
+		own.Views = append(own.Views, View{From: max(view.From, h.lostAt), Names: view.Names})
 	}
 	told := slices.DeleteFunc(slices.Clone(h.handovers), func(other Handover) bool { return other.At <= h.lostAt })
 	return append([]Handover{own}, told...)
@@ -112,7 +112,7 @@
 		if !slices.Contains(Keepers(key, view.Names), process) {
 			break
 		}
-		since = view.Since
+		since = view.From
 	}
 	return since
 }
--- a/internal/serve/resume/handover.go
+++ b/internal/serve/resume/handover.go
@@ -79,7 +79,7 @@
 	for _, h := range handovers {
 		message := wire.OriginHandover{Process: h.Process, Age: now - h.At, Next: h.Next}
 		for _, view := range h.Views {
-			message.Views = append(message.Views, wire.OriginView{Age: now - view.Since, Names: view.Names})
+			message.Views = append(message.Views, wire.OriginView{Age: now - view.From, Names: view.Names})
 		}
 		messages = append(messages, message)
 	}
@@ -95,7 +95,7 @@
 		}
 		h := origin.Handover{Process: message.Process, At: now - message.Age, Next: message.Next}
 		for _, view := range message.Views {
-			h.Views = append(h.Views, origin.View{Since: now - max(view.Age, 0), Names: view.Names})
+			h.Views = append(h.Views, origin.View{From: now - max(view.Age, 0), Names: view.Names})
 		}
 		handovers = append(handovers, h)
 	}
