--- a/internal/serve/router/rejoin_test.go
+++ b/internal/serve/router/rejoin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -95,3 +96,45 @@
 		assert.Equal(t, len(g.Alive()), 3, "gateway %d sees %v", i+1, g.Alive())
 	}
 }
+
+// Guards against streams that can't be resumed because all gateways were killed, and with them what
+// they kept of where streams began.
+func TestStreamsGoOnAfterAllGatewaysWereKilled(t *testing.T) {
+	for _, gateways := range []int{3, 5, 24} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			b := startVersions(t, gateways, func() *stand.Engine {
+				return &stand.Engine{WorkTime: 5 * time.Millisecond, EventInterval: 50 * time.Millisecond, Events: 40}
+			})
+			versions := make(map[string]string)
+			for _, e := range b.Engines(models) {
+				versions[e.ID] = e.Version
+			}
+			broken := b.begunStreams(60, gateways, longGuide, func() {
+				time.Sleep(time.Second)
+				b.killAndStart()
+			})
+			assert.Assert(t, len(broken) > 30, "%d of 60 streams were broken off", len(broken))
+			b.awaitReady()
+			continued, joined := 0, 0
+			for i, got := range b.sendAll(broken, b.gateways) {
+				s := broken[i]
+				if got.LastEvent <= s.LastEvent {
+					continue
+				}
+				continued++
+				if versions[b.Ledger.Runs(s.ID)[0]] != versions[b.Ledger.Runs(s.Resumes)[0]] {
+					joined++
+				}
+			}
+			fresh := make([]*stand.Request, len(broken))
+			for i := range fresh {
+				fresh[i] = longGuide()
+			}
+			begun := b.countEvents(fresh)
+			t.Logf("%d of %d streams went on, %d of as many new ones began", continued, len(broken), begun)
+			assert.Equal(t, joined, 0)
+			assert.Assert(t, begun > 0)
+			assert.Assert(t, float64(continued) >= 0.9*float64(begun))
+		})
+	}
+}
