fix(gate): the start of a cold endpoint is confirmed, too

What callers saw: streams of engines that had just started, as all of a new version have, can't be resumed at another gateway: they are refused as streamUnknown.

Cause: a stream is recorded once its engine has confirmed its start, and cold engines weren't asked, so that the call takes the place of no request.

Change: a cold engine is asked as before a resumption: the call counts as one of its starts. Only the owner of a cold engine sends there, so that it is one call for each engine that starts.

--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/route/place"
 	"github.com/jujubescale/jujubescale/internal/route/subset"
 	"github.com/jujubescale/jujubescale/internal/route/view"
@@ -74,7 +75,7 @@
 		if req.unlimitedOnly && (g.limits.Limit(e) > 0 || !g.limits.Fits(e, need, now)) {
 			limitWait = max(limitWait, 1)
 		}
-		if delay := max(t.StartDelay(g.startLimit(req, e, now), now), limitWait); delay > 0 {
+		if delay := max(t.StartDelay(g.startLimit(req.pool, e, now), now), limitWait); delay > 0 {
 			excluded[i] = true
 			if limitWait > 0 {
 				held.limitedBy = e
@@ -166,8 +167,8 @@
 
 // startLimit returns how many requests this process may start at an endpoint within a
 // second.
-func (g *Gate) startLimit(req *request, e *view.Endpoint, now clock.Millis) int {
-	rate := req.pool.ColdRate
+func (g *Gate) startLimit(pool *table.Pool, e *view.Endpoint, now clock.Millis) int {
+	rate := pool.ColdRate
 	if rate <= 0 {
 		return unlimited
 	}
@@ -179,7 +180,7 @@
 	}
 	bounds := g.bounds.Load()
 	all := (rate*bounds.ColdShare + bounds.ColdSpare) * warmRateShare
-	return max(int(all)/subset.Users(g.mesh.Count(), len(g.View().Pool(req.pool.Name))), 1)
+	return max(int(all)/subset.Users(g.mesh.Count(), len(g.View().Pool(pool.Name))), 1)
 }
 
 func (g *Gate) chooseEngine(req *request, targets []*target.Target, excluded []bool, held choice, now clock.Millis) choice {
--- a/internal/serve/gate/confirm.go
+++ b/internal/serve/gate/confirm.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
 )
@@ -16,25 +17,27 @@
 // starts again under its ID may run another software version before its entry changes, and
 // accepts requests for the start before.
 func (g *Gate) confirmStart(ctx context.Context, req *request, t *target.Target) error {
-	wait, now := g.limits.Acquire(ctx, t.Endpoint, req.Request), g.Clock.Now()
-	if wait == 0 && t.Cold(now) {
-		wait = t.TryStart(g.startLimit(req, t.Endpoint, now), now)
-	}
-	return g.askStart(ctx, req.Request, t, wait)
+	return g.askStart(ctx, req.Request, t, g.waitToAsk(ctx, req.Request, req.pool, t))
 }
 
-// whenConfirmed calls then once the start of an endpoint that has begun to answer is confirmed. A
-// cold endpoint is not asked: the call would take the place of a request.
-func (g *Gate) whenConfirmed(request string, t *target.Target, then func()) {
+// whenConfirmed calls then once the start of an endpoint that has begun to answer is confirmed.
+func (g *Gate) whenConfirmed(req *request, t *target.Target, then func()) {
+	request, pool := req.Request, req.pool
 	t.WhenConfirmed(g.requestsContext, func(ctx context.Context) error {
-		wait := clock.Millis(1)
-		if !t.Cold(g.Clock.Now()) {
-			wait = g.limits.Acquire(ctx, t.Endpoint, request)
-		}
-		return g.askStart(ctx, request, t, wait)
+		return g.askStart(ctx, request, t, g.waitToAsk(ctx, request, pool, t))
 	}, then)
 }
 
+// waitToAsk returns how long the rate limits of an endpoint let this process wait before it may send
+// a call, 0 if it may now. A call to a cold endpoint takes the place of a request.
+func (g *Gate) waitToAsk(ctx context.Context, request string, pool *table.Pool, t *target.Target) clock.Millis {
+	wait, now := g.limits.Acquire(ctx, t.Endpoint, request), g.Clock.Now()
+	if wait == 0 && t.Cold(now) {
+		wait = t.TryStart(g.startLimit(pool, t.Endpoint, now), now)
+	}
+	return wait
+}
+
 // askStart asks an endpoint when it started, unless its limits leave no room for the call: like
 // any request, it needs a permit where the endpoint limits its rate, and counts at a cold endpoint.
 func (g *Gate) askStart(ctx context.Context, request string, t *target.Target, wait clock.Millis) error {
--- a/internal/serve/gate/resume.go
+++ b/internal/serve/gate/resume.go
@@ -131,7 +131,7 @@
 		stream.Begin(&began)
 		return
 	}
-	g.whenConfirmed(req.Request, t, func() { stream.Begin(&began) })
+	g.whenConfirmed(req, t, func() { stream.Begin(&began) })
 }
 
 // resumeEndpoints returns the endpoints that may resume the request's stream. Those of the
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -250,7 +250,7 @@
 		return reserved, wait
 	}
 	now := g.Clock.Now()
-	if wait = t.TryStart(g.startLimit(req, t.Endpoint, now), now); wait > 0 {
+	if wait = t.TryStart(g.startLimit(req.pool, t.Endpoint, now), now); wait > 0 {
 		reserved.Release()
 	}
 	return reserved, wait
