fix(resume,origin,router): origins of streams outlive all gateways

What callers saw: all gateways are killed while a pool has two versions, and come back; none of the broken streams goes on, all are refused as streamUnknown.

Change: while a pool has, or within the life of its streams had, several versions, one process for six keepers writes the origins of streams that callers can name to the store, every 250 ms, in objects of 128. A process that keeps origins reads them once, after its start; while it does, a resumption asks again, for at most a second. Streams without a named attempt stay refused: a record that is written behind can't prove that no other stream has the same content. docs/design/resume.md has the ways weighed. Two optional fields in messages between processes.

--- a/internal/flow/origin/keepers.go
+++ b/internal/flow/origin/keepers.go
@@ -22,6 +22,20 @@
 // Asked returns the processes to ask for the origin of a stream.
 func Asked(key Key, processes []string) []string { return first(key, processes, asked) }
 
+// writerShare is the number of processes that may keep origins for each one that writes them to the
+// store.
+const writerShare = 6
+
+// Writer returns the process that writes the origin of a stream to the store, out of those that may
+// keep it, "" if there are none.
+func Writer(key Key, processes []string) string {
+	writers := first(Key{}, processes, (len(processes)+writerShare-1)/writerShare)
+	if len(writers) == 0 {
+		return ""
+	}
+	return first(key, writers, 1)[0]
+}
+
 // first returns the processes with the highest weights for a stream. All processes that see
 // the same list return the same ones, and a change of the list moves few streams.
 func first(key Key, processes []string, count int) []string {
--- a/internal/link/wire/origin.go
+++ b/internal/link/wire/origin.go
@@ -27,6 +27,9 @@
 	// Forwarded is set if the receiver is to keep the origins itself.
 	Forwarded bool     `cbor:"forwarded,omitempty"`
 	Origins   []Origin `cbor:"origins"`
+	// Lasting lists the indexes of the origins that are to be written to the platform's store, which
+	// outlives all processes: by the receiver if Forwarded is set.
+	Lasting []int `cbor:"lasting,omitempty"`
 	// Parts is the number of messages of a handover, 0 for other origins. They have the same
 	// HandoverID and arrive in any order. One of them holds the histories of processes that have
 	// stopped, the sender first, which count once all parts have arrived.
@@ -68,4 +71,7 @@
 	// Kept is for how long the sender has kept the origins of all streams with the key, 0 if it
 	// doesn't keep them.
 	Kept clock.Millis `cbor:"kept,omitempty"`
+	// Loading is set while the sender reads from the platform's store what was kept before it
+	// started, and may know the origin soon.
+	Loading bool `cbor:"loading,omitempty"`
 }
--- a/internal/serve/gate/resume.go
+++ b/internal/serve/gate/resume.go
@@ -119,14 +119,14 @@
 	if req.origin.Doubtful(g.View()) {
 		return
 	}
-	keys := []origin.Key{req.originKey(req.Request)}
+	named, others := []origin.Key{req.originKey(req.Request)}, []origin.Key(nil)
 	if key, own := req.contentKey(); own {
-		keys = append(keys, key)
+		others = append(others, key)
 	}
 	if req.Resumes != "" {
-		keys = append(keys, req.originKey(req.Resumes))
+		named = append(named, req.originKey(req.Resumes))
 	}
-	stream, began := g.Origins.NewStream(keys), *req.origin
+	stream, began := g.Origins.NewStream(req.pool.Name, named, others), *req.origin
 	if req.stream = stream; resumed {
 		stream.Begin(&began)
 		return
--- a/internal/serve/resume/find.go
+++ b/internal/serve/resume/find.go
@@ -22,6 +22,8 @@
 	Took            clock.Millis
 	// Kept is the longest time for which one of them has kept all streams with the key.
 	Kept clock.Millis
+	// Loading is set if one of them was still reading the platform's store.
+	Loading bool
 }
 
 // Age returns the time since the stream began, 0 if its origin isn't known.
@@ -41,18 +43,30 @@
 
 // Find returns the origin of a stream. If this process doesn't know it, it asks its aggregator,
 // which has sessions to the processes that should. It asks these itself if the aggregator has
-// not answered within searchHead. The first answer that knows the origin counts.
+// not answered within searchHead. The first answer that knows the origin counts. While one of them
+// reads the platform's store it asks again, within loadTimeout.
 func (t *Tracker) Find(ctx context.Context, key origin.Key) Found {
 	began := t.clock.Now()
-	found := Found{}
-	found.Origin, found.Verdict = t.book.Find(key, began)
+	found := t.findOnce(ctx, key)
+	for found.Verdict == origin.Unknown && found.Loading && t.clock.Since(began) < loadTimeout {
+		if t.clock.Sleep(ctx, loadPause) != nil {
+			break
+		}
+		found = t.findOnce(ctx, key)
+	}
+	found.Took = t.clock.Since(began)
+	t.meter.found.WithLabelValues(found.Verdict.String(), source(&found, t.peers.Self)).Inc()
+	return found
+}
+
+func (t *Tracker) findOnce(ctx context.Context, key origin.Key) Found {
+	found := Found{Loading: t.loading.Load() && t.keeps()}
+	found.Origin, found.Verdict = t.book.Find(key, t.clock.Now())
 	if found.Verdict == origin.Unknown {
 		t.ask(ctx, key, t.peers.AggregatorFunc(), findTimeout, &found)
 	} else {
 		found.Source = t.peers.Self
 	}
-	found.Took = t.clock.Since(began)
-	t.meter.found.WithLabelValues(found.Verdict.String(), source(&found, t.peers.Self)).Inc()
 	return found
 }
 
@@ -141,7 +155,7 @@
 	}
 	key, found := origin.Key(request.Stream), Found{}
 	t.ask(ctx, key, "", searchTimeout, &found)
-	answer.Complete = found.Answered == found.Asked
+	answer.Complete, answer.Loading = found.Answered == found.Asked, answer.Loading || found.Loading
 	if found.Verdict != origin.Unknown {
 		o := message(key, &found.Origin, t.clock.Now())
 		o.Contradictory = found.Verdict == origin.Contradictory
@@ -200,7 +214,7 @@
 		return false
 	}
 	found.Answered++
-	found.Kept = max(found.Kept, r.answer.Kept)
+	found.Kept, found.Loading = max(found.Kept, r.answer.Kept), found.Loading || r.answer.Loading
 	if r.answer.Origin == nil {
 		return false
 	}
--- a/internal/serve/resume/meter.go
+++ b/internal/serve/resume/meter.go
@@ -18,6 +18,7 @@
 	sent    *prometheus.CounterVec
 	found   *prometheus.CounterVec
 	dropped *prometheus.CounterVec
+	written prometheus.Counter
 }
 
 func newMeter(book *origin.Book) *meter {
@@ -31,9 +32,12 @@
 		sent:    counter("jujubescale_stream_origins_sent_total", "Origins of streams sent to peers, own ones to the aggregator or forwarded to the processes that keep them.", "kind"),
 		found:   counter("jujubescale_stream_origins_found_total", "Searches for the origin of a stream that a caller resumes, by result (known, unknown, contradictory) and by who knew it (self, peer, none).", "result", "source"),
 		dropped: counter("jujubescale_stream_origins_dropped_total", "Origins of streams that were not kept or sent, by reason (full, queue, malformed).", "reason"),
+		written: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "jujubescale_stream_origins_written_total", Help: "Origins of streams in objects written to the platform's store, also those that an object held before.",
+		}),
 	}
 }
 
 func (m *meter) register(r prometheus.Registerer) {
-	r.MustRegister(m.kept, m.sent, m.found, m.dropped)
+	r.MustRegister(m.kept, m.sent, m.found, m.dropped, m.written)
 }
--- a/internal/serve/resume/resume.go
+++ b/internal/serve/resume/resume.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
@@ -72,13 +73,21 @@
 	meter *meter
 	book  *origin.Book
 	wake  chan struct{}
+	// storage connects the Tracker to the platform's store, and loading is set while it reads what
+	// stands there.
+	storage Storage
+	loading atomic.Bool
 
 	mu sync.Mutex
 	// open holds the origins of the streams that this process passes on now.
-	open map[origin.Key]origin.Origin
+	open map[origin.Key]*openStream
+	// mixes holds which pools may have streams of several versions, and batches the origins that
+	// this process writes to the store.
+	mixes   map[string]*origin.Mix
+	batches *origin.Batches
 	// unsent holds origins of this process, and relayed those that peers of its group have
 	// sent, to be forwarded.
-	unsent, relayed []wire.Origin
+	unsent, relayed []queued
 	// route describes the processes through which the open origins were sent last.
 	route string
 	// history holds which processes kept origins lately, and partial the handovers of which not
@@ -87,6 +96,20 @@
 	partial map[uint64]*partialHandover
 }
 
+// openStream is a stream that this process passes on now. Pool is empty if callers don't name it by
+// this key; otherwise its origin is lasting once the pool may have streams of several versions.
+type openStream struct {
+	origin.Origin
+	pool    string
+	lasting bool
+}
+
+// queued is an origin that waits to be sent. If it is lasting, it is written to the store.
+type queued struct {
+	wire.Origin
+	lasting bool
+}
+
 // Option configures a Tracker.
 type Option func(*Tracker)
 
@@ -106,7 +129,8 @@
 // New returns a Tracker that knows no stream.
 func New(opts ...Option) *Tracker {
 	t := &Tracker{
-		clock: clock.New(), log: log.New(io.Discard), book: origin.New(), wake: make(chan struct{}, 1), open: make(map[origin.Key]origin.Origin),
+		clock: clock.New(), log: log.New(io.Discard), book: origin.New(), wake: make(chan struct{}, 1), open: make(map[origin.Key]*openStream),
+		mixes: make(map[string]*origin.Mix), batches: origin.NewBatches(),
 		peers: Peers{
 			KeepersFunc: func() []string { return nil }, AggregatorFunc: func() string { return "" },
 			SendFunc: func(string, *wire.Origins) error { return nil },
@@ -126,13 +150,17 @@
 
 // Begin records the origin of a stream that this process begins to pass on, or resumes, and
 // sends it to the processes that keep it. It doesn't wait for them.
-func (t *Tracker) Begin(key origin.Key, o *origin.Origin) {
-	now, bounded := t.clock.Now(), *o
-	bounded.Until = min(o.Until, now+maxLifetime)
-	t.keep(key, &bounded, now)
+func (t *Tracker) Begin(key origin.Key, o *origin.Origin) { t.begin(key, o, "") }
+
+// begin is Begin for a stream of a pool, which is empty if callers don't name the stream by this key.
+func (t *Tracker) begin(key origin.Key, o *origin.Origin, pool string) {
+	now, stream := t.clock.Now(), &openStream{Origin: *o, pool: pool}
+	stream.Until = min(o.Until, now+maxLifetime)
+	t.keep(key, &stream.Origin, now)
 	t.mu.Lock()
-	t.open[key] = bounded
-	t.queue(&t.unsent, message(key, &bounded, now))
+	stream.lasting = t.isMixed(stream, now)
+	t.open[key] = stream
+	t.queue(&t.unsent, queued{Origin: message(key, &stream.Origin, now), lasting: stream.lasting})
 	t.mu.Unlock()
 	t.wakeUp()
 }
@@ -177,7 +205,7 @@
 }
 
 // queue appends an origin to a queue. The caller must hold t.mu.
-func (t *Tracker) queue(to *[]wire.Origin, o wire.Origin) {
+func (t *Tracker) queue(to *[]queued, o queued) {
 	if len(*to) >= maxQueued {
 		t.meter.dropped.WithLabelValues(droppedQueue).Inc()
 		return
@@ -198,18 +226,28 @@
 	now := t.clock.Now()
 	if !origins.Forwarded {
 		t.mu.Lock()
-		for _, o := range origins.Origins {
-			t.queue(&t.relayed, o)
+		for i, o := range origins.Origins {
+			t.queue(&t.relayed, queued{Origin: o, lasting: slices.Contains(origins.Lasting, i)})
 		}
 		t.mu.Unlock()
 		t.wakeUp()
 		return
 	}
+	t.takeForwarded(origins, now)
+	if origins.Parts > 0 {
+		t.takePart(origins, now)
+	}
+}
+
+// takeForwarded keeps origins, and queues those that are lasting to be written to the store.
+func (t *Tracker) takeForwarded(origins *wire.Origins, now clock.Millis) {
 	for i := range origins.Origins {
 		t.keepMessage(&origins.Origins[i], now)
 	}
-	if origins.Parts > 0 {
-		t.takePart(origins, now)
+	for _, i := range origins.Lasting {
+		if i >= 0 && i < len(origins.Origins) {
+			t.addLasting(&origins.Origins[i], now)
+		}
 	}
 }
 
@@ -232,7 +270,7 @@
 	}
 	key, now := origin.Key(request.Stream), t.clock.Now()
 	known, verdict := t.book.Find(key, now)
-	answer := &wire.OriginAnswer{Kept: t.kept(key, now)}
+	answer := &wire.OriginAnswer{Kept: t.kept(key, now), Loading: t.loading.Load()}
 	if verdict == origin.Unknown {
 		return answer
 	}
@@ -260,6 +298,7 @@
 		case <-due:
 			t.book.Prune(t.clock.Now())
 			t.dropPartial(t.clock.Now())
+			t.seeVersions()
 			t.openSessions()
 		case <-ctx.Done():
 			stop()
@@ -297,20 +336,19 @@
 	own, relayed := t.unsent, t.relayed
 	t.unsent, t.relayed = nil, nil
 	if route != t.route {
-		own = slices.DeleteFunc(own, func(o wire.Origin) bool {
+		own = slices.DeleteFunc(own, func(o queued) bool {
 			_, open := t.open[origin.Key(o.Stream)]
 			return open
 		})
-		for key := range t.open {
-			o := t.open[key]
-			own = append(own, message(key, &o, now))
+		for key, o := range t.open {
+			own = append(own, queued{Origin: message(key, &o.Origin, now), lasting: o.lasting})
 		}
 		t.route = route
 	}
 	t.mu.Unlock()
 	if len(own) > 0 && aggregator != "" {
 		t.meter.sent.WithLabelValues("own").Add(float64(len(own)))
-		if t.peers.SendFunc(aggregator, &wire.Origins{Origins: own}) == nil {
+		if t.peers.SendFunc(aggregator, messageOf(own)) == nil {
 			own = nil
 		}
 	}
@@ -335,26 +373,58 @@
 	return all
 }
 
-// forward sends each origin to its keepers.
-func (t *Tracker) forward(origins []wire.Origin, keepers []string, now clock.Millis) {
-	valid := slices.DeleteFunc(slices.Clone(origins), func(o wire.Origin) bool { return len(o.Stream) != len(origin.Key{}) })
+// messageOf returns the message with origins, of which some are lasting.
+func messageOf(all []queued) *wire.Origins {
+	message := &wire.Origins{}
+	for i, o := range all {
+		message.Origins = append(message.Origins, o.Origin)
+		if o.lasting {
+			message.Lasting = append(message.Lasting, i)
+		}
+	}
+	return message
+}
+
+// forward sends each origin to its keepers, and those that are lasting to their writers, too.
+func (t *Tracker) forward(origins []queued, keepers []string, now clock.Millis) {
+	var valid []wire.Origin
+	lasting := make(map[string][]queued)
+	for i := range origins {
+		if len(origins[i].Stream) != len(origin.Key{}) {
+			continue
+		}
+		valid = append(valid, origins[i].Origin)
+		if origins[i].lasting {
+			writer := origin.Writer(origin.Key(origins[i].Stream), keepers)
+			lasting[writer] = append(lasting[writer], origins[i])
+		}
+	}
 	t.meter.dropped.WithLabelValues(droppedMalformed).Add(float64(len(origins) - len(valid)))
 	for name, forwarded := range byKeeper(valid, keepers) {
-		if name == t.peers.Self {
-			for i := range forwarded {
-				t.keepMessage(&forwarded[i], now)
-			}
-			continue
+		for part := range slices.Chunk(forwarded, maxPerMessage) {
+			t.sendForwarded(name, &wire.Origins{Origins: part}, now)
 		}
-		t.meter.sent.WithLabelValues("forwarded").Add(float64(len(forwarded)))
+	}
+	for name, forwarded := range lasting {
 		for part := range slices.Chunk(forwarded, maxPerMessage) {
-			if err := t.peers.SendFunc(name, &wire.Origins{Forwarded: true, Origins: part}); err != nil {
-				t.log.Debug("stream origins not sent", "peer", name, "origins", len(part), logs.KeyError, err)
-			}
+			t.sendForwarded(name, messageOf(part), now)
 		}
 	}
 }
 
+// sendForwarded sends a process origins that it keeps or writes.
+func (t *Tracker) sendForwarded(name string, origins *wire.Origins, now clock.Millis) {
+	origins.Forwarded = true
+	if name == t.peers.Self {
+		t.takeForwarded(origins, now)
+		return
+	}
+	t.meter.sent.WithLabelValues("forwarded").Add(float64(len(origins.Origins)))
+	if err := t.peers.SendFunc(name, origins); err != nil {
+		t.log.Debug("stream origins not sent", "peer", name, "origins", len(origins.Origins), logs.KeyError, err)
+	}
+}
+
 // message returns an origin as peers get it.
 func message(key origin.Key, o *origin.Origin, now clock.Millis) wire.Origin {
 	return wire.Origin{
--- a/internal/serve/resume/stream.go
+++ b/internal/serve/resume/stream.go
@@ -1,6 +1,7 @@
 package resume
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/jujubescale/jujubescale/internal/flow/origin"
@@ -10,25 +11,34 @@
 // nil Stream has not begun. It is safe for concurrent use.
 type Stream struct {
 	tracker *Tracker
-	keys    []origin.Key
+	pool    string
+	// named holds the keys of the attempts by which callers may name the stream, and others the
+	// keys that it shares with other streams.
+	named, others []origin.Key
 
 	mu           sync.Mutex
 	begun, ended bool
 }
 
-// NewStream returns a stream whose origin is not recorded yet.
-func (t *Tracker) NewStream(keys []origin.Key) *Stream { return &Stream{tracker: t, keys: keys} }
+// NewStream returns a stream of a pool whose origin is not recorded yet. Named holds the keys of the
+// attempts by which callers may name it, and others the keys that it shares with other streams.
+func (t *Tracker) NewStream(pool string, named, others []origin.Key) *Stream {
+	return &Stream{tracker: t, pool: pool, named: named, others: others}
+}
 
 // Begin records the origin of the stream. It may be called after the stream has ended.
 func (s *Stream) Begin(o *origin.Origin) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.begun = true
-	for _, key := range s.keys {
-		s.tracker.Begin(key, o)
-		if s.ended {
-			s.tracker.End(key)
-		}
+	for _, key := range s.named {
+		s.tracker.begin(key, o, s.pool)
+	}
+	for _, key := range s.others {
+		s.tracker.begin(key, o, "")
+	}
+	if s.ended {
+		s.end()
 	}
 }
 
@@ -50,7 +60,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ended = true
-	for _, key := range s.keys {
+	s.end()
+}
+
+func (s *Stream) end() {
+	for _, key := range slices.Concat(s.named, s.others) {
 		s.tracker.End(key)
 	}
 }
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -44,6 +44,8 @@
 	ConfigKind, EndpointKind, EvacuatedKind, MemberKind string
 	// QuarantineKind is the kind of the objects that record crashes under a request.
 	QuarantineKind string
+	// OriginKind is the kind of the objects that record where streams began.
+	OriginKind string
 	// RolloutKind is the kind of operators' orders to roll out another version to a
 	// pool; Rollouts decodes and encodes them.
 	RolloutKind string
@@ -457,7 +459,7 @@
 // or the context ends.
 func (g *Gateway) Start(ctx context.Context) {
 	ctx, g.stop = context.WithCancel(ctx)
-	runs := []func(context.Context){g.host.Run, g.mesh.Run, g.sweep, g.register, g.detector.Run, g.gate.Limits().Run, g.origins.Run, g.syncQuarantines}
+	runs := []func(context.Context){g.host.Run, g.mesh.Run, g.sweep, g.register, g.detector.Run, g.gate.Limits().Run, g.origins.Run, g.origins.RunStorage, g.syncQuarantines}
 	for _, f := range g.feeds.all() {
 		runs = append(runs, f.Run)
 	}
