fix(soak): returns of the store are judged beside other faults, and it is counted how many are

No route is asked for if the store has come back from another copy since: that copy may lack its version.

--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -73,6 +73,13 @@
 	})
 }
 
+// begunSince reports whether a fault of a kind has begun after an instant.
+func (f *faultLog) begunSince(kind Kind, since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.faults, func(one *fault) bool { return one.kind == kind && one.from.After(since) })
+}
+
 // struck reports whether a fault of one process alone overlaps a time span.
 func (f *faultLog) struck(p *process, from, to time.Time) bool {
 	f.mu.Lock()
--- a/internal/bench/soak/outage.go
+++ b/internal/bench/soak/outage.go
@@ -91,12 +91,12 @@
 	var asked, served, denied atomic.Int64
 	var group sync.WaitGroup
 	for _, p := range r.processes {
-		if !r.hasRun(p, back) {
+		if !r.isUndisturbed(p, back.Add(time.Second)) {
 			continue
 		}
 		group.Go(func() {
 			got := r.client.Do(ctx, p.ports.callers, request())
-			if !r.hasRun(p, back) {
+			if !r.isUndisturbed(p, back.Add(time.Second)) {
 				return
 			}
 			asked.Add(1)
@@ -123,13 +123,6 @@
 	}
 }
 
-// hasRun reports whether a process has run since it returned from an outage, and nothing has struck it
-// alone since.
-func (r *run) hasRun(p *process, back time.Time) bool {
-	current := p.currentIncarnation()
-	return current.began.Before(back.Add(time.Second)) && p.terminatedAt(current).IsZero() && !r.faults.struck(p, back, time.Now())
-}
-
 // cutPower ends all processes, and starts them again after the time of the disturbance.
 func (r *run) cutPower(ctx context.Context, d Disturbance) {
 	defer r.faults.begin(Kill, nil)()
--- a/internal/bench/soak/restore.go
+++ b/internal/bench/soak/restore.go
@@ -70,9 +70,12 @@
 		return
 	}
 	told := time.Now()
-	for _, p := range r.processes {
-		if r.isUndisturbed(p, began) {
-			r.checkProbe(ctx, p, request(), began)
+	r.restores.Add(1)
+	if !r.faults.begunSince(StoreRestores, began) { // the next copy may lack the version
+		for _, p := range r.processes {
+			if r.isUndisturbed(p, began) {
+				r.checkProbe(ctx, p, request(), began)
+			}
 		}
 	}
 	pause(ctx, time.Second)
@@ -80,10 +83,10 @@
 	r.returnDrained(drained)
 }
 
-// isUndisturbed reports whether a process has run without faults since an instant.
+// isUndisturbed reports whether a process has run since an instant, and no fault has struck it alone.
 func (r *run) isUndisturbed(p *process, since time.Time) bool {
 	current := p.currentIncarnation()
-	return current.began.Before(since) && p.terminatedAt(current).IsZero() && !r.faults.overlapping(since.Add(-time.Second), time.Now(), p)
+	return current.began.Before(since) && p.terminatedAt(current).IsZero() && !r.faults.struck(p, since.Add(-time.Second), time.Now())
 }
 
 // addProbeRoute publishes a version with a route of its own, and returns requests of it.
@@ -113,7 +116,11 @@
 	defer cancel()
 	sent := time.Now()
 	got := r.client.Do(ctx, p.ports.callers, s)
-	if got.Status == http.StatusNotFound && r.isUndisturbed(p, published) {
+	if !r.isUndisturbed(p, published) {
+		return
+	}
+	r.restoreProbes.Add(1)
+	if got.Status == http.StatusNotFound {
 		r.addViolation("%s answers %d for a route %v after its version was acknowledged", p.name, got.Status, sent.Sub(published))
 	}
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -85,6 +85,8 @@
 	// Outages is the number of outages, OutagesJudged that of those after which no other fault kept
 	// the processes from being checked, and OutageProbes the number of processes that were.
 	Outages, OutagesJudged, OutageProbes int64
+	// Restores is the number of returns of the store, RestoreProbes that of the checks after them.
+	Restores, RestoreProbes int64
 }
 
 // Run runs the disturbances of one seed. It returns a StartError if a process does not
@@ -127,6 +129,8 @@
 	// outages counts the outages, outagesJudged those after which a process could be checked, and
 	// outageProbes the checks.
 	outages, outagesJudged, outageProbes atomic.Int64
+	// restores counts the returns of the store, and restoreProbes the checks after them.
+	restores, restoreProbes atomic.Int64
 
 	kept, crossed                 atomic.Int64
 	sent, served, refused, failed atomic.Int64
@@ -456,6 +460,7 @@
 		SettledSent: r.settledSent.Load(), SettledServed: r.settledServed.Load(),
 		BadParts: r.badParts.Load(), BadCrashes: r.badCrashes.Load(),
 		Outages: r.outages.Load(), OutagesJudged: r.outagesJudged.Load(), OutageProbes: r.outageProbes.Load(),
+		Restores: r.restores.Load(), RestoreProbes: r.restoreProbes.Load(),
 	}
 	if float64(report.SettledServed) < minServedShare*float64(report.SettledSent) {
 		r.addViolation("only %d of %d requests were served after the last disturbance", report.SettledServed, report.SettledSent)
--- a/internal/cli/devel/soak.go
+++ b/internal/cli/devel/soak.go
@@ -118,6 +118,9 @@
 	if report.Outages > 0 {
 		command.Printf("  %d outages, %d judged by %d checks\n", report.Outages, report.OutagesJudged, report.OutageProbes)
 	}
+	if report.Restores > 0 {
+		command.Printf("  %d returns of the store, %d checks\n", report.Restores, report.RestoreProbes)
+	}
 	for _, violation := range report.Violations {
 		command.Printf("  %s\n", violation)
 	}
