--- a/internal/serve/router/rejoin_test.go
+++ b/internal/serve/router/rejoin_test.go
@@ -27,20 +27,45 @@
 }
 
 // Guards against a stream that goes on at the version of another stream of the same request, which
-// is all that is known of it because all gateways were killed.
-func TestStreamIsNotJoinedWithOneBegunAnewAfterAllGatewaysWereKilled(t *testing.T) {
-	for name, leaves := range map[string]bool{"the first version has left": true, "both versions serve": false} {
-		t.Run(name, func(t *testing.T) {
-			b := startVersions(t, 5, steadyEngine)
+// is all that is known of it because its gateways were killed.
+func TestStreamIsNotJoinedWithOneBegunAnewAfterItsGatewaysWereKilled(t *testing.T) {
+	for _, tt := range []struct {
+		name             string
+		gateways, killed int
+		leaves           bool
+	}{
+		{"all, the first version has left", 5, 5, true},
+		{"all, both versions serve", 5, 5, false},
+		{"all of three", 3, 3, false},
+		{"two of three", 3, 2, false},
+		{"three of five, the first version has left", 5, 3, true},
+		{"all of twenty-four", 24, 24, false},
+		{"twelve of twenty-four", 24, 12, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := startVersions(t, tt.gateways, steadyEngine)
 			versions := make(map[string]string)
 			for _, e := range b.Engines(models) {
 				versions[e.ID] = e.Version
 			}
-			broken := b.begunStreams(40, 5, longGuide, func() { b.killAndStart() })
+			broken := b.begunStreams(40, tt.killed, longGuide, func() {
+				if tt.killed == tt.gateways {
+					b.killAndStart()
+					return
+				}
+				var group sync.WaitGroup
+				for _, g := range b.gateways[:tt.killed] {
+					group.Go(g.stop)
+				}
+				group.Wait()
+			})
 			assert.Assert(t, len(broken) > 20, "%d of 40 streams were broken off", len(broken))
+			if tt.killed < tt.gateways {
+				b.gateways = b.gateways[tt.killed:]
+			}
 			b.awaitReady()
 			for _, e := range b.Engines(models) {
-				if leaves && e.Version == "v1" {
+				if tt.leaves && e.Version == "v1" {
 					b.Remove(e)
 				}
 			}
@@ -51,16 +76,25 @@
 				next := *s
 				next.ID, next.Resumes, next.LastEvent = stand.NewID(), "", 0
 				anew[i] = &next
-				s.Resumes = ""
 			}
 			b.sendAll(anew, b.gateways)
-			joined := 0
-			for i, got := range b.sendAll(broken, b.gateways) {
-				if got.LastEvent > broken[i].LastEvent && versions[b.Ledger.Runs(broken[i].ID)[0]] != began[i] {
-					joined++
+			for _, named := range []bool{false, true} {
+				resumed := make([]*stand.Request, len(broken))
+				for i, s := range broken {
+					next := *s
+					if next.ID = stand.NewID(); !named {
+						next.Resumes = ""
+					}
+					resumed[i] = &next
+				}
+				joined := 0
+				for i, got := range b.sendAll(resumed, b.gateways) {
+					if got.LastEvent > resumed[i].LastEvent && versions[b.Ledger.Runs(resumed[i].ID)[0]] != began[i] {
+						joined++
+					}
 				}
+				assert.Equal(t, joined, 0, "of %d streams, attempt named: %v", len(broken), named)
 			}
-			assert.Equal(t, joined, 0, "of %d streams", len(broken))
 		})
 	}
 }
