--- a/internal/serve/resume/storage.go
+++ b/internal/serve/resume/storage.go
@@ -19,7 +19,7 @@
 	maxWriteBackoff = 4 * clock.Second
 	storageTimeout  = clock.Second
 	// loadTimeout bounds the wait of a caller for origins that are read from the store, and
-	// loadPause is the pause between two looks. A process that hasn't read them within
+	// loadPause is the pause between two searches. A process that hasn't read them within
 	// maxLoading after its start lets no caller wait any more. One that doesn't keep origins by
 	// its own view lets the others wait, too: while a fleet starts, their views differ.
 	loadTimeout = clock.Second
