--- a/internal/serve/router/room_test.go
+++ b/internal/serve/router/room_test.go
@@ -122,9 +122,17 @@
 func TestMemberEntriesStateConfiguredPoolsOnly(t *testing.T) {
 	b := start(t, 1)
 	g := b.gateways[0]
-	object, _ := b.Store.Get("members", "gateway-1")
 	var entry map[string]json.RawMessage
-	assert.NilError(t, json.Unmarshal(object.Spec, &entry))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		object, found := b.Store.Get("members", "gateway-1")
+		if !found {
+			return poll.Continue("not listed")
+		}
+		if err := json.Unmarshal(object.Spec, &entry); err != nil {
+			return poll.Error(err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
 	entry["name"], entry["sharedPools"] = json.RawMessage(`"gateway-9"`), json.RawMessage(`["gone","`+models+`"]`)
 	b.Store.Put("members", "gateway-9", entry)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
