fix(sums,resume): no report states an age below zero

Cause: a process reads the clock, then waits for the lock of the sums. Where a message of another process is recorded in between, its age is -1 ms in the next report, and the receiver drops the whole report as invalid. The class: one value that can't be makes a message with everything else be lost.

Change: the sums take the latest instant of any call for now. The same cause elsewhere: origins of streams and their handovers, whose receivers drop those below zero; stores and feeds had the bound already.

--- a/internal/flow/sums/message.go
+++ b/internal/flow/sums/message.go
@@ -56,6 +56,7 @@
 func (t *Totals) ForAggregator(c *Cursor, regular bool, now clock.Millis) *wire.Sums {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now = t.advance(now)
 	local := func(from Source) bool { return !from.OtherGroup }
 	message := t.message(c, regular, now, nil, func(endpoint string, e *entry) wire.Work {
 		work := e.group
@@ -80,6 +81,7 @@
 func (t *Totals) ForProcess(process string, c *Cursor, regular bool, now clock.Millis) *wire.Sums {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now = t.advance(now)
 	own := t.ownWork(process)
 	others := func(from Source) bool { return from != (Source{Process: process}) }
 	var interest map[string]bool
--- a/internal/flow/sums/sums.go
+++ b/internal/flow/sums/sums.go
@@ -121,6 +121,8 @@
 type Totals struct {
 	mu   sync.Mutex
 	step uint64
+	// latest is the latest instant of a call.
+	latest clock.Millis
 	// speedsStep is the step of the last change of a speed.
 	speedsStep uint64
 	entries    map[string]*entry
@@ -197,6 +199,13 @@
 	return !slices.ContainsFunc(trial.Histogram, func(count int64) bool { return count < 0 })
 }
 
+// advance returns the instant of a call. Callers read the clock before they get the lock, so that
+// their calls may come in another order. The caller must hold t.mu.
+func (t *Totals) advance(now clock.Millis) clock.Millis {
+	t.latest = max(t.latest, now)
+	return t.latest
+}
+
 // Put processes a message and returns the endpoints whose work has changed. It returns a
 // ReportError for invalid values and an UnknownSourceError if the first message of a
 // source is not a full one.
@@ -206,6 +215,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now = t.advance(now)
 	state := t.sources[from]
 	if state == nil {
 		if !sums.Whole {
--- a/internal/flow/sums/sums_test.go
+++ b/internal/flow/sums/sums_test.go
@@ -324,3 +324,22 @@
 	put(t, totals, group("g"), rate(80, 4), 1)
 	assert.DeepEqual(t, inflow.PoolPieces(totals.PendingArrivals("self"), wire.RequestRate)[:2], []int{110, 5})
 }
+
+// Guards against a report that its receiver drops as a whole because of an age below zero: a message
+// arrives between the moment at which a report's time is read and the moment at which it is made.
+func TestReportsStateNoAgeBelowZero(t *testing.T) {
+	totals := sums.New()
+	put(t, totals, process("a"), &wire.Sums{
+		Whole: true, Regular: true, Pools: []wire.PoolLoad{{Pool: "p"}}, Limits: []wire.EndpointLimit{{Endpoint: "e", Limit: 1}},
+		Refused: []wire.Refused{{Key: 1, Wait: 50}},
+	}, 100)
+	for _, message := range []*wire.Sums{
+		totals.ForProcess("b", &sums.Cursor{}, true, 99), totals.ForAggregator(&sums.Cursor{}, true, 99),
+	} {
+		assert.Equal(t, len(message.Pools), 1)
+		assert.Equal(t, len(message.Limits), 1)
+		assert.Equal(t, len(message.Refused), 1)
+		assert.Equal(t, message.Refused[0].Age, clock.Millis(0))
+		assert.NilError(t, sums.Check(process("self"), message))
+	}
+}
--- /dev/null
+++ b/internal/serve/resume/export_test.go
@@ -0,0 +1,4 @@
+package resume
+
+// Message returns an origin as peers get it.
+var Message = message
--- a/internal/serve/resume/handover.go
+++ b/internal/serve/resume/handover.go
@@ -77,7 +77,7 @@
 func handoverMessages(handovers []origin.Handover, now clock.Millis) []wire.OriginHandover {
 	messages := make([]wire.OriginHandover, 0, len(handovers))
 	for _, h := range handovers {
-		message := wire.OriginHandover{Process: h.Process, Age: now - h.At, Next: h.Next}
+		message := wire.OriginHandover{Process: h.Process, Age: max(now-h.At, 0), Next: h.Next}
 		for _, view := range h.Views {
 			message.Views = append(message.Views, wire.OriginView{Age: now - view.From, Names: view.Names})
 		}
--- a/internal/serve/resume/resume.go
+++ b/internal/serve/resume/resume.go
@@ -425,10 +425,10 @@
 	}
 }
 
-// message returns an origin as peers get it.
+// message returns an origin as peers get it. The stream may have begun after now was read.
 func message(key origin.Key, o *origin.Origin, now clock.Millis) wire.Origin {
 	return wire.Origin{
-		Stream: key[:], Endpoint: o.Endpoint, StartedAt: o.StartedAt, Version: o.Version, Age: now - o.BeganAt, Left: o.Until - now,
+		Stream: key[:], Endpoint: o.Endpoint, StartedAt: o.StartedAt, Version: o.Version, Age: max(now-o.BeganAt, 0), Left: o.Until - now,
 	}
 }
 
