fix(crash): a quarantine is tried after all processes that saw the crashes have ended

What callers saw: hosts lose their power at once, those of the engines too, and come back; a request that all callers send alike is refused as quarantined for fifteen minutes.

Cause: for a moment one gateway outlived three engines that all ran that request. It counted three crashes within 14 ms, quarantined the request and wrote that to the store, 60 ms before it lost its own power. A trial 4 s later shows that such a request is harmless, but only a process that had seen a crash itself ran one, and none of them was left. The class: what comes back waits for something that no longer exists.

Change: a process that has read the crashes from the store alone runs the trial 4 s later, if none has failed: the crash under a trial is one more than start a quarantine, and the store holds it. So restarts add no trials after one that has failed.

All tests of poison requests in serve/router pass with the race detector.

--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -71,9 +71,11 @@
 	// entry.
 	cleared bool
 	// reported is true if this process or a peer reported a crash while this
-	// process ran, so that the crashes are not known from the store alone.
+	// process ran, so that the crashes are not known from the store alone. readAt is when
+	// this process first read them there.
 	// trialTaken is true if this process has started the trial.
 	reported, trialTaken bool
+	readAt               clock.Millis
 }
 
 // quarantineLeft returns how much longer the request is quarantined, in
@@ -183,15 +185,20 @@
 }
 
 // TrialDue reports whether a quarantined request may be sent to an endpoint once as
-// a trial, since the endpoints may have stopped for another reason. It is false in
-// a process that has read the crashes only from the store, so that restarts do not
-// cause more trials. The caller has to ensure that a single process runs the
-// trial.
+// a trial, since the endpoints may have stopped for another reason. The caller has to
+// ensure that a single process runs the trial.
 func (t *Tracker) TrialDue(key Key, now clock.Millis) bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	r := t.records[key]
-	return r != nil && !r.trialTaken && r.reported && r.quarantineLeft(now) > 0 && now-r.lastCrash >= trialDelay
+	return r != nil && !r.trialTaken && r.mayBeTried(now) && r.quarantineLeft(now) > 0 && now-r.lastCrash >= trialDelay
+}
+
+// mayBeTried reports whether this process may run a trial. If it has read the crashes only from the
+// store, it may unless a trial has failed, so that restarts do not cause more trials: that crash is
+// one more than start a quarantine. It waits for its peers to start.
+func (r *record) mayBeTried(now clock.Millis) bool {
+	return r.reported || len(r.endpoints) == quarantineCrashes && now-r.readAt >= trialDelay
 }
 
 // TakeTrial marks the trial of a request as used. It returns false if no trial is
@@ -293,7 +300,7 @@
 	r := t.records[entry.Key]
 	if r == nil {
 		t.makeRoom()
-		r = &record{}
+		r = &record{readAt: now}
 		t.records[entry.Key] = r
 	}
 	before := r.quarantineLeft(now)
