--- a/internal/flow/origin/keepers.go
+++ b/internal/flow/origin/keepers.go
@@ -14,6 +14,9 @@
 	// asked is the number of processes that are asked for an origin. A process that has
 	// started again counts as a keeper at once, without the origins that it kept.
 	asked = copies + 1
+	// writerShare is the number of processes that may keep origins for each one that writes them
+	// to the store.
+	writerShare = 6
 )
 
 // Keepers returns the processes that keep the origin of a stream, out of those that may.
@@ -22,10 +25,6 @@
 // Asked returns the processes to ask for the origin of a stream.
 func Asked(key Key, processes []string) []string { return first(key, processes, asked) }
 
-// writerShare is the number of processes that may keep origins for each one that writes them to the
-// store.
-const writerShare = 6
-
 // Writer returns the process that writes the origin of a stream to the store, out of those that may
 // keep it, "" if there are none.
 func Writer(key Key, processes []string) string {
