fix(crash,router): a trial is known to have failed by a mark, not by the number of crashes

Four that end together, as in any larger pool without power, were taken for three and a failed trial, and the request stayed refused for fifteen minutes. Found by reading.

Cause: a number of crashes doesn't tell a crash under a trial from one beside the others.

Change: the record and the object in the store state that a trial has failed (one optional field); that and nothing else ends trials, in every process. A copy of the store that lacks it is written again.

TestTrialOutlastsTheProcessesThatSawTheCrashes plays four endpoints, too; with four TrialDue was false by the comparison with three. TestOneTrialIsAllowed passes what is written on to a process that starts.

--- a/internal/flow/crash/crash.go
+++ b/internal/flow/crash/crash.go
@@ -57,6 +57,8 @@
 	// crash, in milliseconds.
 	Endpoints []string
 	Age       clock.Millis
+	// Tried is set once an endpoint has crashed under a trial.
+	Tried bool
 }
 
 // record holds the crashes of endpoints that ran a request.
@@ -73,9 +75,10 @@
 	// reported is true if this process or a peer reported a crash while this
 	// process ran, so that the crashes are not known from the store alone. readAt is when
 	// this process first read them there.
-	// trialTaken is true if this process has started the trial.
-	reported, trialTaken bool
-	readAt               clock.Millis
+	// trialTaken is true if this process has started the trial, and tried once an endpoint has
+	// crashed under one. triedWritten is true if the store holds that.
+	reported, trialTaken, tried, triedWritten bool
+	readAt                                    clock.Millis
 }
 
 // quarantineLeft returns how much longer the request is quarantined, in
@@ -194,11 +197,11 @@
 	return r != nil && !r.trialTaken && r.mayBeTried(now) && r.quarantineLeft(now) > 0 && now-r.lastCrash >= trialDelay
 }
 
-// mayBeTried reports whether this process may run a trial. If it has read the crashes only from the
-// store, it may unless a trial has failed, so that restarts do not cause more trials: that crash is
-// one more than start a quarantine. It waits for its peers to start.
+// mayBeTried reports whether this process may run a trial. None follows one that has failed, which the
+// store holds, so that restarts do not cause more. A process that has read the crashes only from the
+// store waits for its peers to start.
 func (r *record) mayBeTried(now clock.Millis) bool {
-	return r.reported || len(r.endpoints) == quarantineCrashes && now-r.readAt >= trialDelay
+	return !r.tried && (r.reported || now-r.readAt >= trialDelay)
 }
 
 // TakeTrial marks the trial of a request as used. It returns false if no trial is
@@ -233,19 +236,23 @@
 	defer t.mu.RUnlock()
 	var unwritten []Stored
 	for key, r := range t.records {
-		if !r.cleared && len(r.endpoints) >= storeCrashes && len(r.endpoints) > r.written && now-r.lastCrash < recordTime {
-			unwritten = append(unwritten, Stored{Key: key, Age: now - r.lastCrash, Endpoints: slices.Clone(r.endpoints)})
+		if !r.cleared && len(r.endpoints) >= storeCrashes && r.hasUnwritten() && now-r.lastCrash < recordTime {
+			unwritten = append(unwritten, Stored{Key: key, Age: now - r.lastCrash, Endpoints: slices.Clone(r.endpoints), Tried: r.tried})
 		}
 	}
 	return unwritten
 }
 
-// MarkWritten records how many endpoints of a request were written to the store.
-func (t *Tracker) MarkWritten(key Key, endpoints int) {
+func (r *record) hasUnwritten() bool {
+	return len(r.endpoints) > r.written || r.tried && !r.triedWritten
+}
+
+// MarkWritten records that an entry was written to the store.
+func (t *Tracker) MarkWritten(entry *Stored) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.records[key]; r != nil {
-		r.written = max(r.written, endpoints)
+	if r := t.records[entry.Key]; r != nil {
+		r.written, r.triedWritten = max(r.written, len(entry.Endpoints)), r.triedWritten || entry.Tried
 	}
 }
 
@@ -309,6 +316,7 @@
 	}
 	r.lastCrash = max(r.lastCrash, now-max(entry.Age, 0))
 	r.stored, r.written = true, max(r.written, len(entry.Endpoints))
+	r.tried, r.triedWritten = r.tried || entry.Tried, r.triedWritten || entry.Tried
 	return before == 0 && r.quarantineLeft(now) > 0
 }
 
@@ -336,6 +344,7 @@
 	before := r.quarantineLeft(now)
 	if r.addEndpoint(endpoint) {
 		r.lastCrash, r.reported = now, true
+		r.tried = r.tried || r.trialTaken
 	}
 	return len(r.endpoints), before == 0 && r.quarantineLeft(now) > 0
 }
--- a/internal/flow/crash/crash_test.go
+++ b/internal/flow/crash/crash_test.go
@@ -160,21 +160,27 @@
 	assert.Assert(t, !tracker.TrialDue(key("x"), due+clock.Minute))
 
 	started := crash.New()
-	started.SetStored([]crash.Stored{{Key: key("x"), Endpoints: []string{"a", "b", "c", "d"}}}, 10)
+	unwritten := tracker.Unwritten(due + 3)
+	assert.Assert(t, len(unwritten) == 1 && unwritten[0].Tried)
+	started.SetStored(unwritten, 10)
 	assert.Assert(t, !started.TrialDue(key("x"), due+clock.Minute), "no trial after one that has failed, whatever starts again")
+	tracker.MarkWritten(&unwritten[0])
+	assert.Equal(t, len(tracker.Unwritten(due+4)), 0)
 }
 
 // Guards against a harmless request that stays refused because all processes that had seen the
 // crashes have ended before its trial, as after a loss of power that ended the endpoints, too.
 func TestTrialOutlastsTheProcessesThatSawTheCrashes(t *testing.T) {
-	started := crash.New()
-	started.SetStored([]crash.Stored{{Key: key("x"), Age: clock.Minute, Endpoints: []string{"a", "b", "c"}}}, 10)
-	const due = 10 + 4*clock.Second
-	assert.Assert(t, !started.TrialDue(key("x"), due-1), "its peers have not started yet")
-	assert.Assert(t, started.TakeTrial(key("x"), due))
-	assert.Assert(t, !started.TakeTrial(key("x"), due))
-	_, _ = started.RecordCrash(key("x"), "d", due+1)
-	assert.Assert(t, !started.TrialDue(key("x"), due+clock.Minute))
+	for _, endpoints := range [][]string{{"a", "b", "c"}, {"a", "b", "c", "d"}} {
+		started := crash.New()
+		started.SetStored([]crash.Stored{{Key: key("x"), Age: clock.Minute, Endpoints: endpoints}}, 10)
+		const due = 10 + 4*clock.Second
+		assert.Assert(t, !started.TrialDue(key("x"), due-1), "its peers have not started yet")
+		assert.Assert(t, started.TakeTrial(key("x"), due), "%d endpoints ended at once", len(endpoints))
+		assert.Assert(t, !started.TakeTrial(key("x"), due))
+		_, _ = started.RecordCrash(key("x"), "e", due+1)
+		assert.Assert(t, !started.TrialDue(key("x"), due+clock.Minute))
+	}
 }
 
 // Guards against a request that crashes endpoints again after all processes were
@@ -185,7 +191,7 @@
 	assert.Equal(t, len(tracker.Unwritten(6)), 0)
 	crashed(tracker, key("x"), 2, 10)
 	assert.DeepEqual(t, tracker.Unwritten(30), []crash.Stored{{Key: key("x"), Age: 20, Endpoints: []string{"e0", "e1"}}})
-	tracker.MarkWritten(key("x"), 2)
+	tracker.MarkWritten(&crash.Stored{Key: key("x"), Endpoints: make([]string, 2)})
 	assert.Equal(t, len(tracker.Unwritten(30)), 0)
 	_, lifted := tracker.SetStored(nil, 40) // read before the write
 	assert.Equal(t, len(lifted), 0)
@@ -207,7 +213,7 @@
 func TestAnswerBetweenWriteAndListEndsQuarantine(t *testing.T) {
 	tracker := crash.New()
 	assert.Assert(t, crashed(tracker, key("x"), 3, 10))
-	tracker.MarkWritten(key("x"), 3)
+	tracker.MarkWritten(&crash.Stored{Key: key("x"), Endpoints: make([]string, 3)})
 	assert.Assert(t, tracker.RecordAnswer(key("x")))
 	assert.Equal(t, len(tracker.Expire(20)), 0)
 	stored := crash.Stored{Key: key("x"), Age: 20, Endpoints: []string{"e0", "e1", "e2"}}
--- a/internal/serve/router/quarantine.go
+++ b/internal/serve/router/quarantine.go
@@ -45,6 +45,8 @@
 	SinceMs int64 `json:"sinceMs"`
 	// Endpoints are the IDs of the endpoints that crashed under the request.
 	Endpoints []string `json:"endpoints"`
+	// Tried is set once an endpoint has crashed under a trial of the request.
+	Tried bool `json:"tried,omitempty"`
 	// Part is set for a part of prompts.
 	Part *QuarantinedPart `json:"part,omitempty"`
 }
@@ -143,7 +145,7 @@
 		return
 	}
 	age := clock.Millis(time.Now().UnixMilli() - entry.SinceMs)
-	q.known[object.Name] = crash.Stored{Key: key, Age: age, Endpoints: entry.Endpoints}
+	q.known[object.Name] = crash.Stored{Key: key, Age: age, Endpoints: entry.Endpoints, Tried: entry.Tried}
 }
 
 func (q *quarantines) set() {
@@ -227,11 +229,14 @@
 // writeQuarantine writes a request's crashes to the store, unless the store already
 // holds as many.
 func (g *Gateway) writeQuarantine(ctx context.Context, entry crash.Stored) error {
-	q := Quarantine{SinceMs: time.Now().UnixMilli() - int64(entry.Age), Endpoints: entry.Endpoints}
-	if err := g.putQuarantine(ctx, entry.Key, &q, func(stored *Quarantine) bool { return len(stored.Endpoints) >= len(q.Endpoints) }); err != nil {
+	q := Quarantine{SinceMs: time.Now().UnixMilli() - int64(entry.Age), Endpoints: entry.Endpoints, Tried: entry.Tried}
+	holds := func(stored *Quarantine) bool {
+		return len(stored.Endpoints) >= len(q.Endpoints) && (stored.Tried || !q.Tried)
+	}
+	if err := g.putQuarantine(ctx, entry.Key, &q, holds); err != nil {
 		return err
 	}
-	g.detector.Requests().MarkWritten(entry.Key, len(entry.Endpoints))
+	g.detector.Requests().MarkWritten(&entry)
 	g.Log.Info("crashes under request written", "key", entry.Key, "crashes", len(entry.Endpoints), "ageMs", int64(entry.Age))
 	return nil
 }
@@ -267,6 +272,12 @@
 		if json.Unmarshal(conflict.Current.Value, &stored) == nil && holds(&stored) {
 			return nil
 		}
+		if stored.Tried && !q.Tried {
+			q.Tried = true
+			if value, err = json.Marshal(q); err != nil {
+				return err
+			}
+		}
 		_, err = g.Store.Put(ctx, name, conflict.Current.Version, value)
 	}
 	return err
--- a/internal/serve/router/restore.go
+++ b/internal/serve/router/restore.go
@@ -77,7 +77,7 @@
 	if json.Unmarshal(known.Value, &before) != nil {
 		return false
 	}
-	return json.Unmarshal(listed.Value, &now) != nil || len(before.Endpoints) > len(now.Endpoints)
+	return json.Unmarshal(listed.Value, &now) != nil || len(before.Endpoints) > len(now.Endpoints) || before.Tried && !now.Tried
 }
 
 func (g *Gateway) restoreRollouts() feed.Restore {
