fix(origin): a stream with two versions is written with both

What callers would see: one that uses an id for two attempts, at two versions, has its stream go on at the first version after all gateways were killed, whichever it resumes. Found by reading.

Cause: an origin that is kept no longer than the one before it of the same stream was not written again, also if it names another version, so that a process that reads the store knows one of them.

TestContradictoryOriginsAreWritten failed (known, not contradictory) and passes.

--- a/internal/flow/origin/batch.go
+++ b/internal/flow/origin/batch.go
@@ -31,16 +31,17 @@
 type Batches struct {
 	all  []*Batch
 	last *Batch
-	// until holds until when each origin is kept. Origins of open streams are sent again and again.
-	until map[Key]clock.Millis
+	// added holds the last origin of each stream. Those of open streams are sent again and again.
+	added map[Key]Origin
 }
 
 // NewBatches returns Batches without an origin.
-func NewBatches() *Batches { return &Batches{until: make(map[Key]clock.Millis)} }
+func NewBatches() *Batches { return &Batches{added: make(map[Key]Origin)} }
 
 // Add adds an origin. It reports false if there is no room.
 func (b *Batches) Add(key Key, o *Origin, now clock.Millis) bool {
-	if o.Until <= now || b.until[key] >= o.Until {
+	known, found := b.added[key]
+	if o.Until <= now || found && known.Until >= o.Until && known.Agrees(o) {
 		return true
 	}
 	if b.last == nil || len(b.last.Origins) >= MaxBatch {
@@ -53,7 +54,7 @@
 	b.last.Origins = append(b.last.Origins, Keyed{Key: key, Origin: *o})
 	b.last.until = max(b.last.until, o.Until)
 	b.last.revision++
-	b.until[key] = o.Until
+	b.added[key] = *o
 	return true
 }
 
@@ -65,8 +66,8 @@
 			continue
 		}
 		for _, o := range batch.Origins {
-			if b.until[o.Key] <= now {
-				delete(b.until, o.Key)
+			if b.added[o.Key].Until <= now {
+				delete(b.added, o.Key)
 			}
 		}
 		batch.Origins, batch.until = nil, 0
--- a/internal/flow/origin/batch_test.go
+++ b/internal/flow/origin/batch_test.go
@@ -91,3 +91,17 @@
 }
 
 func keyName(i int) string { return "gateway-" + string(rune('a'+i)) }
+
+// Guards against a caller that uses an id twice: after all processes were killed, the store would know
+// the first of two versions only, and its stream would go on at that.
+func TestContradictoryOriginsAreWritten(t *testing.T) {
+	b, kept := origin.NewBatches(), origin.New()
+	b.Add(keyOf(1), &origin.Origin{Endpoint: "e", Version: "v1", Until: 1000}, 0)
+	b.Add(keyOf(1), &origin.Origin{Endpoint: "f", Version: "v2", Until: 900}, 0)
+	batch, _ := b.Unwritten(0)
+	for i := range batch.Origins {
+		kept.Put(batch.Origins[i].Key, &batch.Origins[i].Origin, 0)
+	}
+	_, verdict := kept.Find(keyOf(1), 1)
+	assert.Equal(t, verdict, origin.Contradictory)
+}
