fix(resume,router): expired origins are removed after a start, not while callers wait

What callers would see: after a return of all, resumptions that wait while processes that have just started delete up to 32 objects each, one after another, before they use what they have read; and all do so at the same moment, when each may take itself for the owner. Found by reading.

Change: they are removed 20 to 40 s after the start, each process at a time of its own. TestExpiredOriginsAreRemoved is new: the removal had no test.

--- a/internal/serve/resume/storage.go
+++ b/internal/serve/resume/storage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
@@ -28,6 +29,8 @@
 	// loadCheckInterval is the interval at which a process that has just started checks whether
 	// it keeps origins.
 	loadCheckInterval = 20 * clock.Millis(1)
+	// cleanDelay is the shortest time after which a process removes expired origins.
+	cleanDelay = 20 * clock.Second
 	// maxLoaded is the number of origins in the store up to which a process keeps all that it
 	// has read. Of more it keeps only those of which it is asked.
 	maxLoaded = 8192
@@ -43,8 +46,10 @@
 	ReadyFunc func() bool
 	// WriteFunc writes an object with the origins of streams under a number of this process.
 	WriteFunc func(ctx context.Context, number int, origins []wire.Origin) error
-	// ReadFunc reads the origins that all processes have written.
-	ReadFunc func(ctx context.Context) ([]wire.Origin, error)
+	// ReadFunc reads the origins that all processes have written. CleanFunc removes what has long
+	// expired of that. It is called some time after it, when a fleet that starts serves again.
+	ReadFunc  func(ctx context.Context) ([]wire.Origin, error)
+	CleanFunc func(ctx context.Context)
 }
 
 // WithStorage connects the Tracker to the platform's store. Without it, no stream can be resumed
@@ -142,6 +147,7 @@
 		err := t.loadOnce(ctx)
 		if err == nil {
 			t.loading.Store(false)
+			t.clean(ctx)
 			return
 		}
 		t.log.Info("stream origins not read yet", logs.KeyError, err)
@@ -149,6 +155,14 @@
 	}
 }
 
+// clean removes expired origins, each process at a time of its own.
+func (t *Tracker) clean(ctx context.Context) {
+	delay := cleanDelay + rand.N(cleanDelay)
+	if t.storage.CleanFunc != nil && t.clock.Sleep(ctx, delay) == nil {
+		t.storage.CleanFunc(ctx)
+	}
+}
+
 // keeps reports whether this process keeps origins, by its own view.
 func (t *Tracker) keeps() bool { return slices.Contains(t.peers.KeepersFunc(), t.peers.Self) }
 
--- a/internal/serve/router/export_test.go
+++ b/internal/serve/router/export_test.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"context"
+
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/serve/detect"
@@ -32,3 +34,11 @@
 
 // OwnerOf returns the process that this one asks for permits of an endpoint.
 func (g *Gateway) OwnerOf(endpoint string) string { return g.mesh.Owner(endpoint) }
+
+// ReadAndClean reads the origins of streams in the store and removes those that have long expired.
+func (g *Gateway) ReadAndClean(ctx context.Context) (origins int, err error) {
+	stored := newStoredOrigins(g)
+	all, err := stored.read(ctx)
+	stored.removeExpired(ctx)
+	return len(all), err
+}
--- a/internal/serve/router/origins.go
+++ b/internal/serve/router/origins.go
@@ -24,7 +24,7 @@
 	return resume.New(resume.WithClock(g.Clock), resume.WithLog(g.Log), resume.WithRegistry(g.Registry), resume.WithStorage(resume.Storage{
 		VersionsFunc: func() map[string][]string { return poolVersions(g.endpoints.Snapshot()) },
 		ReadyFunc:    func() bool { return g.feeds.members.Listed() },
-		WriteFunc:    stored.write, ReadFunc: stored.read,
+		WriteFunc:    stored.write, ReadFunc: stored.read, CleanFunc: stored.removeExpired,
 	}), resume.WithPeers(resume.Peers{
 		Self:           g.Name,
 		KeepersFunc:    func() []string { return g.mesh.OriginKeepers() },
@@ -68,7 +68,7 @@
 	UntilMs   int64  `json:"untilMs"`
 }
 
-// maxRemovedOrigins bounds the expired objects that a process removes when it reads all of them.
+// maxRemovedOrigins bounds the expired objects that a process removes after its start.
 const maxRemovedOrigins = 32
 
 // storedOrigins writes and reads StreamOrigins.
@@ -77,6 +77,7 @@
 
 	mu       sync.Mutex
 	versions map[int]store.Revision
+	expired  []store.Object
 }
 
 func newStoredOrigins(g *Gateway) *storedOrigins {
@@ -115,11 +116,9 @@
 	return nil
 }
 
-// read returns the origins that all processes have written. It removes some of the objects of which
-// all origins have expired.
+// read returns the origins that all processes have written.
 func (s *storedOrigins) read(ctx context.Context) ([]wire.Origin, error) {
-	g := s.gateway
-	listing, err := g.Store.Scan(ctx, g.Dialect.OriginKind)
+	listing, err := s.gateway.Store.Scan(ctx, s.gateway.Dialect.OriginKind)
 	if err != nil {
 		return nil, err
 	}
@@ -129,17 +128,30 @@
 	for _, object := range listing.Objects {
 		origins, ended := decodeOrigins(object.Value, nowMs)
 		all = append(all, origins...)
-		if ended && g.mesh.Owns(object.Name) {
+		if ended {
 			expired = append(expired, object)
 		}
 	}
-	for _, object := range expired[:min(len(expired), maxRemovedOrigins)] {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expired = expired
+	return all, nil
+}
+
+// removeExpired removes some of the objects that read has found expired, those of which this process
+// is the owner.
+func (s *storedOrigins) removeExpired(ctx context.Context) {
+	g := s.gateway
+	s.mu.Lock()
+	owned := slices.DeleteFunc(s.expired, func(object store.Object) bool { return !g.mesh.Owns(object.Name) })
+	s.expired = nil
+	s.mu.Unlock()
+	for _, object := range owned[:min(len(owned), maxRemovedOrigins)] {
 		if err := g.Store.Delete(ctx, object.Name, object.Version); err != nil {
 			g.Log.Info("expired stream origins not removed", "object", object.Name, logs.KeyError, err)
-			break
+			return
 		}
 	}
-	return all, nil
 }
 
 // expiredAfter is how long the origins of an object must have expired before it is removed: the
--- a/internal/serve/router/rejoin_test.go
+++ b/internal/serve/router/rejoin_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/jujubescale/jujubescale/internal/serve/router"
 	"github.com/jujubescale/jujubescale/platform/stand"
 )
 
@@ -172,3 +173,21 @@
 		})
 	}
 }
+
+// Guards against objects of processes that have ended, which stay in the store for good, and against the
+// removal of those that callers still need.
+func TestExpiredOriginsAreRemoved(t *testing.T) {
+	b := start(t, 1)
+	b.awaitReady()
+	until := func(at time.Time) router.StreamOrigins {
+		return router.StreamOrigins{Origins: []router.StreamOrigin{{Stream: make([]byte, 16), Endpoint: "e", UntilMs: at.UnixMilli()}}}
+	}
+	b.Store.Put("origins", "gateway-9.1.0", until(time.Now().Add(-2*time.Minute)))
+	b.Store.Put("origins", "gateway-9.1.1", until(time.Now().Add(-time.Second)))
+	b.Store.Put("origins", "gateway-9.1.2", until(time.Now().Add(time.Minute)))
+	b.Store.Put("origins", "gateway-9.1.3", "no origins")
+	origins, err := b.gateways[0].ReadAndClean(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, origins, 1)
+	assert.DeepEqual(t, b.Store.Names("origins"), []string{"gateway-9.1.1", "gateway-9.1.2"})
+}
