feat(gate,router): a denied request states its version first, and never 0 for no route

The users' record has one line that names a refused request, cut off behind its first fields: configuration=0, status=404. The 0 was logged for every request without a route, and the version, revision and age that the denial was decided on stood behind the cut. The line begins with the version that decided, status, reason and that evidence now; the evidence has the revision of the object in the store, too.

--- a/internal/serve/gate/refuse.go
+++ b/internal/serve/gate/refuse.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -61,15 +62,18 @@
 		reason, ran, detail = string(refused.Reason), string(refused.Ran), refused.LogDetail()
 	}
 	route, version, endpoint, maxGap := "", uint64(0), "", clock.Millis(0)
+	if routes := cmp.Or(req.routes, g.Table()); routes != nil {
+		version = routes.Version
+	}
 	if req.route != nil {
-		route, version, maxGap = req.route.Name, req.routes.Version, req.route.MaxGap
+		route, maxGap = req.route.Name, req.route.MaxGap
 	}
 	if req.lastEndpoint != nil {
 		endpoint = req.lastEndpoint.ID
 	}
 	g.meter.requestEnded(route, reason, req.status, took)
-	g.Log.Info("request ended", "request", req.Request, "route", route, "organisation", req.organisation,
-		"configuration", version, "status", req.status, "reason", reason, "ran", ran, "detail", detail,
+	g.Log.Info("request ended", "request", req.Request, "configuration", version, "status", req.status, "reason", reason, "detail", detail,
+		"route", route, "organisation", req.organisation, "ran", ran,
 		"tookMs", int64(took), "estimateMs", int64(req.estimate), "stagesMs", int64(req.stagesTime), "heldMs", int64(req.timeToSend), "firstMs", int64(req.firstEventTime),
 		"objectiveMs", int64(req.neededBy-req.firstArrival), "sinceFirstMs", int64(req.began-req.firstArrival), "pool", req.bottleneck, "spans", span.Format(req.spans),
 		"sent", req.sentCount, "endpoint", endpoint, "events", req.eventCount, "longestGapMs", int64(req.gaps.Longest), "maxGapMs", int64(maxGap),
--- a/internal/serve/router/age.go
+++ b/internal/serve/router/age.go
@@ -83,8 +83,9 @@
 	if upstream := g.mesh.Upstream(); upstream != "" && g.feeds.config.Relayed() {
 		source = upstream
 	}
-	return fmt.Sprintf("configuration %d, confirmed %d ms ago by %s, store unreachable for %d ms, changes missing: %t",
-		g.configVersion(), g.configAge(), source, g.feeds.config.AwayFor(), g.feeds.config.Behind())
+	revision := g.feeds.config.Version(g.Dialect.ConfigKind + "/" + g.Dialect.ConfigName)
+	return fmt.Sprintf("configuration %d of revision %v, confirmed %d ms ago by %s, store unreachable for %d ms, changes missing: %t",
+		g.configVersion(), revision, g.configAge(), source, g.feeds.config.AwayFor(), g.feeds.config.Behind())
 }
 
 // awaitConfig waits until the configuration is confirmed, if the one in force may be too old to
