fix(proof,feed,gate,router): a denial rests on the configuration that decided it

Cause: the decision and its proof were read at two instants. resolveRoute read the table, and confirmDenial asked the feed for the age of its copy later. The feed notes a new age first, and then holds its lock while the new version is decoded and put in force, which takes 20 to 50 ms of processor time for a large one, and several times as long under a quota. A request that had read the old table waited for that lock and found the age of the new version: denied by one configuration, confirmed by the proof of another. Besides, a version that can't be put in force was dropped while the feed counted as confirmed, so that the old table denied for good. The class: a definite answer whose proof isn't that of the decision.

Change: the table in force, its revision and what the store has confirmed of it are one value (serve/proof) that is replaced as a whole: first the table, then the proof. A request takes that value once, with the instant, and a denial quotes it. Whoever has no such value, or one whose newest version could not be put in force, can't deny.

--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -66,6 +66,7 @@
 	listFunc      func(objects []store.Object, outage clock.Millis)
 	changeFunc    func(changes []store.Change)
 	forwardFunc   func(*wire.Update)
+	proofFunc     func(Proof)
 	listRequested chan struct{}
 	// reading is set while the list is being read.
 	reading atomic.Bool
@@ -150,7 +151,7 @@
 		pause:        func() clock.Millis { return 0 },
 		backoffLimit: func() clock.Millis { return MaxBackoff },
 		maxAge:       defaultMaxAge, relayGrace: func() clock.Millis { return 0 }, firstWait: func(string) clock.Millis { return 0 },
-		listFunc: func([]store.Object, clock.Millis) {}, changeFunc: func([]store.Change) {}, forwardFunc: func(*wire.Update) {},
+		listFunc: func([]store.Object, clock.Millis) {}, changeFunc: func([]store.Change) {}, forwardFunc: func(*wire.Update) {}, proofFunc: func(Proof) {},
 	}
 	for _, opt := range opts {
 		opt(f)
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -70,7 +70,29 @@
 func (f *Feed) Behind() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.missingSince > 0 && f.state.confirmedAt < f.state.missingSince
+	return f.state.behind()
+}
+
+func (s *state) behind() bool { return s.missingSince > 0 && s.confirmedAt < s.missingSince }
+
+// Proof is what the store has confirmed about the objects that a feed has read.
+type Proof struct {
+	// ConfirmedAt is the instant for which the store has confirmed that there are no others, and Relayed
+	// whether a peer passed that on.
+	ConfirmedAt clock.Millis
+	Relayed     bool
+	// Behind is Feed.Behind.
+	Behind bool
+}
+
+// WithProof sets the function that takes each new proof. It is called after the handlers of the objects
+// that the proof covers, and must not call the feed.
+func WithProof(prove func(Proof)) Option { return func(f *Feed) { f.proofFunc = prove } }
+
+// publishProof passes the present proof on. The caller holds the lock.
+func (f *Feed) publishProof() {
+	s := &f.state
+	f.proofFunc(Proof{ConfirmedAt: s.confirmedAt, Relayed: s.relayedAt > 0 && s.relayedAt == s.confirmedAt, Behind: s.behind()})
 }
 
 // Relayed reports whether a peer relays changes.
@@ -220,6 +242,7 @@
 		return false // an older answer shows nothing about the known revision
 	}
 	s.confirmedAt = max(s.confirmedAt, list.at)
+	defer f.publishProof() // after the objects
 	if s.listed && list.revision == s.revision && !required {
 		return true // already known through a relay or a call
 	}
@@ -263,6 +286,7 @@
 		return s.revision
 	}
 	s.confirmedAt = max(s.confirmedAt, at)
+	defer f.publishProof() // after the objects
 	if revision == s.revision {
 		return s.revision
 	}
@@ -373,12 +397,14 @@
 	if !f.state.listed || f.state.revision.Before(progress.ChangedAt()) {
 		if f.state.missingSince == 0 {
 			f.state.missingSince = f.clock.Now()
+			f.publishProof()
 			f.wakeRun()
 		}
 		f.mu.Unlock()
 		return true
 	}
 	f.state.missingSince = 0
+	f.publishProof()
 	if progress.At().Before(f.state.revision) {
 		f.logOlder("confirmation of a peer", progress.At())
 		f.mu.Unlock()
@@ -425,6 +451,7 @@
 	f.mu.Lock()
 	f.state.relayedAt = max(f.state.relayedAt, at)
 	f.state.confirmedAt = max(f.state.confirmedAt, at)
+	f.publishProof()
 	f.mu.Unlock()
 	if !wasRelayed && f.Relayed() {
 		f.log.Info("changes relayed by a peer", "kind", f.kind, "ageMs", int64(f.clock.Now()-at))
--- a/internal/serve/feed/restore.go
+++ b/internal/serve/feed/restore.go
@@ -139,6 +139,7 @@
 	f.log.Info("era of the store risen without a loss", "kind", f.kind, "before", s.revision, "revision", update.At())
 	s.revision, s.lastChange, s.missingSince, s.listDue = update.At(), update.ChangedAt(), 0, false
 	s.confirmedAt = max(s.confirmedAt, at)
+	f.publishProof()
 	f.forwardFunc(f.buildEraOnly(update.SinceAt()))
 	return true
 }
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -18,6 +18,7 @@
 	"github.com/jujubescale/jujubescale/internal/flow/origin"
 	"github.com/jujubescale/jujubescale/internal/flow/span"
 	"github.com/jujubescale/jujubescale/internal/route/view"
+	"github.com/jujubescale/jujubescale/internal/serve/proof"
 	"github.com/jujubescale/jujubescale/internal/serve/resume"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
 )
@@ -28,7 +29,7 @@
 	// partKeys identify the parts of the prompt in messages between processes.
 	partKeys []target.Key
 
-	routes       *table.Table
+	decision     proof.Decision
 	route        *table.Route
 	pool         *table.Pool
 	organisation string
@@ -145,14 +146,14 @@
 		return req, fault.Refuse(fault.BadRequest, err.Error())
 	}
 	again := func() *fault.RefusalError { return g.resolveRoute(req, r) }
-	if refused := g.ConfirmDenial(r.Context(), req.Request, again(), again); refused != nil {
+	if refused := g.Config.ConfirmDenial(r.Context(), req.Request, &req.decision, again(), again); refused != nil {
 		return req, refused
 	}
 	if refused := g.refuseLacking(); refused != nil {
 		return req, refused
 	}
 	if refused := readBody(w, r, req); refused != nil {
-		return req, g.ConfirmDenial(r.Context(), req.Request, refused, nil)
+		return req, g.Config.ConfirmDenial(r.Context(), req.Request, &req.decision, refused, nil)
 	}
 	if refused := g.refuseQuarantined(req); refused != nil {
 		return req, refused
@@ -160,7 +161,7 @@
 	if refused := g.refuseParts(r.Context(), req); refused != nil {
 		return req, refused
 	}
-	return req, g.ConfirmDenial(r.Context(), req.Request, g.prepareStages(req), nil)
+	return req, g.Config.ConfirmDenial(r.Context(), req.Request, &req.decision, g.prepareStages(req), nil)
 }
 
 // resolveRoute sets the route, pool, organisation, priority, objective and deadline of the
@@ -169,13 +170,13 @@
 	if !g.mayServe() {
 		return fault.Refuse(fault.NotReady, "no configuration yet, or peers may know a newer one")
 	}
-	routes := g.Table()
 	if !strings.HasPrefix(req.target, "/") {
 		req.target = r.URL.RequestURI()
 	}
 	path, _, _ := strings.Cut(req.target, "?")
-	req.routes, req.route = routes, routes.Match(r.Host, path)
-	if req.route == nil {
+	req.decision = g.Config.Decide()
+	routes := req.decision.Table
+	if req.route = routes.Match(r.Host, path); req.route == nil {
 		return fault.Deny(fault.UnknownRoute, "")
 	}
 	organisation := routes.Holder(req.Key)
@@ -213,7 +214,7 @@
 // readBody reads the complete body before anything else starts, so that a caller that
 // disconnects during the upload causes no work.
 func readBody(w http.ResponseWriter, r *http.Request, req *request) *fault.RefusalError {
-	limit := cmp.Or(req.routes.Limits.MaxBodyBytes, defaultMaxBody)
+	limit := cmp.Or(req.decision.Table.Limits.MaxBodyBytes, defaultMaxBody)
 	if r.ContentLength > limit {
 		w.Header().Set("Connection", "close")
 		return fault.Deny(fault.BodyTooLarge, "")
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -195,7 +195,7 @@
 		engines[i].Running = t.Load.Running.Load() + t.Load.PeerRunning.Load()
 		engines[i].Prefill = t.Load.PendingPrefill(t.Load.ReadRate(rate), now) + t.Load.PeerPrefill.Load()
 		if engines[i].Slowdown = t.Load.Slowdown(now); engines[i].Slowdown > 0 {
-			gap = req.routes.MinGap(req.pool.Name)
+			gap = req.decision.Table.MinGap(req.pool.Name)
 		}
 		engines[i].Planned = req.plannedByOthers(t)
 		engines[i].Memory = t.Load.Memory.Load() + t.Load.PeerMemory.Load()
--- a/internal/serve/gate/choose_test.go
+++ b/internal/serve/gate/choose_test.go
@@ -19,11 +19,20 @@
 	"github.com/jujubescale/jujubescale/internal/guard/room"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
+	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
 	"github.com/jujubescale/jujubescale/internal/serve/permit"
+	"github.com/jujubescale/jujubescale/internal/serve/proof"
 )
 
+// inForce returns a configuration in force.
+func inForce(routes *table.Table) *proof.Book {
+	config := proof.New(2*clock.Second, 0)
+	config.Put(&store.Object{}, routes, nil)
+	return config
+}
+
 // newChoice returns a gate with 48 model engines and a request for them.
 func newChoice(t testing.TB) (*Gate, *request) {
 	t.Helper()
@@ -37,7 +46,7 @@
 	registry.Publish()
 	g := New(Settings{
 		Clock: clock.New(), Log: log, Registry: prometheus.NewRegistry(), Name: "g", Zone: "a",
-		Table: func() *table.Table { return &table.Table{} }, View: registry.Snapshot,
+		Config: inForce(&table.Table{}), View: registry.Snapshot,
 	})
 	g.Attach(mesh.New(context.Background(), mesh.Member{Name: "g", Incarnation: token.NewIncarnation()}), nil)
 	req := &request{RequestInfo: spell.RequestInfo{Request: "r", PromptTokens: 2000, OutputTokens: 500}, pool: pool, route: &table.Route{Name: "r", Objective: 440}}
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -17,7 +17,6 @@
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/fault"
-	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
 	"github.com/jujubescale/jujubescale/internal/engine/push"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
@@ -35,6 +34,7 @@
 	"github.com/jujubescale/jujubescale/internal/serve/host"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
 	"github.com/jujubescale/jujubescale/internal/serve/permit"
+	"github.com/jujubescale/jujubescale/internal/serve/proof"
 	"github.com/jujubescale/jujubescale/internal/serve/resume"
 	"github.com/jujubescale/jujubescale/internal/serve/speeds"
 	"github.com/jujubescale/jujubescale/internal/serve/spool"
@@ -50,9 +50,8 @@
 	// Name of this process, and its availability zone.
 	Name string
 	Zone string
-	// Table and View return the current routes and endpoints, nil before the first were read.
-	Table func() *table.Table
-	View  func() *view.Snapshot
+	// View returns the current endpoints, nil before the first were read.
+	View func() *view.Snapshot
 	// Starting reports whether the first read of the routes and endpoints is under way, Informed
 	// whether this process knows what its peers know and the store has lost.
 	Starting, Informed func() bool
@@ -60,9 +59,8 @@
 	DialFunc conn.DialFunc
 	// Permits holds what endpoints state.
 	Permits *permit.Book
-	// ConfirmDenial returns the answer to a request that is refused. If newer routes may allow it, it
-	// waits for them and calls again; with a nil function it does not wait.
-	ConfirmDenial func(ctx context.Context, request string, refused *fault.RefusalError, again func() *fault.RefusalError) *fault.RefusalError
+	// Config holds the configuration that decides requests and what proves it.
+	Config *proof.Book
 	// Origins finds the version that began a stream.
 	Origins *resume.Tracker
 	// Detector finds out which endpoints crashed.
@@ -136,7 +134,7 @@
 	g.Door = cmp.Or(settings.Door, door.New(door.Limits{}, nil))
 	g.Origins = cmp.Or(settings.Origins, resume.New(resume.WithClock(settings.Clock)))
 	g.targets = target.NewSet(target.Settings{
-		Clock: g.Clock, Log: g.Log, Registry: g.Registry, Table: g.Table, Check: g.limits.Check, ByUse: g.reuses, Push: g.Push, DialFunc: g.DialFunc,
+		Clock: g.Clock, Log: g.Log, Registry: g.Registry, Table: g.Config.Table, Check: g.limits.Check, ByUse: g.reuses, Push: g.Push, DialFunc: g.DialFunc,
 		Processes: func() int { return g.mesh.Count() }, UpToDate: func() bool { return g.mesh.UpToDate() },
 	})
 	g.prefixes = target.NewPrefixes(g.targets)
@@ -182,7 +180,7 @@
 
 // SubsetEndpoints returns the ids of the endpoints in this process's subsets, or nil while
 // it uses every pool as a whole.
-func (g *Gate) SubsetEndpoints() []string { return g.subsets.endpointIDs(g.View(), g.Table()) }
+func (g *Gate) SubsetEndpoints() []string { return g.subsets.endpointIDs(g.View(), g.Config.Table()) }
 
 // Speeds returns the speeds of the endpoints.
 func (g *Gate) Speeds() *speeds.Tracker { return g.speeds }
@@ -238,7 +236,7 @@
 }
 
 func (g *Gate) mayServe() bool {
-	return g.Table() != nil && g.View().Complete() && (g.Informed == nil || g.Informed())
+	return g.Config.Table() != nil && g.View().Complete() && (g.Informed == nil || g.Informed())
 }
 
 // StartDrain begins a planned stop. The process reports that it is not ready, and its
--- a/internal/serve/gate/reach.go
+++ b/internal/serve/gate/reach.go
@@ -95,7 +95,7 @@
 // poolQueue returns the state of a pool's queue over all its shards, or nil if the pool's
 // engines compute no pieces.
 func (g *Gate) poolQueue(name string) *reach.Queue {
-	batching := g.Table().Batching(name)
+	batching := g.Config.Table().Batching(name)
 	if batching == nil {
 		return nil
 	}
@@ -151,7 +151,7 @@
 		r.Done[i] = !req.run.DependsOn(i, stage)
 	}
 	return clock.Millis(r.Remaining(func(name string) *reach.Queue {
-		batching := g.Table().Batching(name)
+		batching := g.Config.Table().Batching(name)
 		if batching == nil {
 			return nil
 		}
--- a/internal/serve/gate/refuse.go
+++ b/internal/serve/gate/refuse.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"cmp"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -61,10 +60,7 @@
 	if refused != nil {
 		reason, ran, detail = string(refused.Reason), string(refused.Ran), refused.LogDetail()
 	}
-	route, version, endpoint, maxGap := "", uint64(0), "", clock.Millis(0)
-	if routes := cmp.Or(req.routes, g.Table()); routes != nil {
-		version = routes.Version
-	}
+	route, endpoint, maxGap := "", "", clock.Millis(0)
 	if req.route != nil {
 		route, maxGap = req.route.Name, req.route.MaxGap
 	}
@@ -72,7 +68,7 @@
 		endpoint = req.lastEndpoint.ID
 	}
 	g.meter.requestEnded(route, reason, req.status, took)
-	g.Log.Info("request ended", "request", req.Request, "configuration", version, "status", req.status, "reason", reason, "detail", detail,
+	g.Log.Info("request ended", "request", req.Request, "configuration", g.Config.VersionOf(&req.decision), "status", req.status, "reason", reason, "detail", detail,
 		"route", route, "organisation", req.organisation, "ran", ran,
 		"tookMs", int64(took), "estimateMs", int64(req.estimate), "stagesMs", int64(req.stagesTime), "heldMs", int64(req.timeToSend), "firstMs", int64(req.firstEventTime),
 		"objectiveMs", int64(req.neededBy-req.firstArrival), "sinceFirstMs", int64(req.began-req.firstArrival), "pool", req.bottleneck, "spans", span.Format(req.spans),
--- a/internal/serve/gate/stages.go
+++ b/internal/serve/gate/stages.go
@@ -186,7 +186,7 @@
 // chooseShard sets the shard of the pool that computes the pieces. A shard outside the
 // requested zone places them at any of its engines.
 func (g *Gate) chooseShard(pieces *wire.Pieces, pool string, tried map[string]bool) {
-	poolShards, batching := g.View().Shards(pool), g.Table().Batching(pool)
+	poolShards, batching := g.View().Shards(pool), g.Config.Table().Batching(pool)
 	if len(poolShards) == 0 || batching == nil {
 		pieces.Pool = pool
 		return
--- a/internal/serve/gate/subset_test.go
+++ b/internal/serve/gate/subset_test.go
@@ -33,7 +33,7 @@
 			}
 			assert.Assert(t, len(g.eligibleEndpoints(req, 1)) > 0)
 			routes := table.New(table.Content{Pools: []table.Pool{*req.pool}})
-			g.Table, reads = func() *table.Table { return routes }, changeAt
+			g.Config, reads = inForce(routes), changeAt
 			assert.Equal(t, len(g.SubsetEndpoints()), 0, "the whole pool is used")
 			assert.Equal(t, len(g.eligibleEndpoints(req, 1)), 3)
 		})
@@ -47,7 +47,7 @@
 	registry := view.New()
 	registry.Sync(nil, 1, 0)
 	registry.Publish()
-	g.View, g.Table = registry.Snapshot, func() *table.Table { return table.New(table.Content{}) }
+	g.View, g.Config = registry.Snapshot, inForce(table.New(table.Content{}))
 	g.Informed = func() bool { return false }
 	refused := g.resolveRoute(req, httptest.NewRequest(http.MethodGet, "/", nil))
 	assert.Assert(t, refused != nil && refused.Reason == fault.NotReady, "%v", refused)
--- /dev/null
+++ b/internal/serve/proof/proof.go
@@ -0,0 +1,233 @@
+// Package proof holds the configuration that decides requests together with what proves that it is the
+// newest one, as one value that is replaced as a whole. A denial rests on that value alone, so that no
+// decision by one configuration is confirmed by the proof of another.
+package proof
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
+	"github.com/jujubescale/jujubescale/internal/ops/logs"
+	"github.com/jujubescale/jujubescale/internal/plat/store"
+	"github.com/jujubescale/jujubescale/internal/serve/feed"
+)
+
+// denialShare is the highest age of a configuration that denies a request, as a share of the time within
+// which a change must be in force.
+const denialShare = 0.75
+
+// State is a configuration in force with its proof. It is immutable.
+type State struct {
+	// Table is the configuration, nil before the first one.
+	Table *table.Table
+	// Revision is the revision of the object that holds the configuration.
+	Revision store.Revision
+	// ConfirmedAt is the instant for which the store has confirmed that there is no newer one, and
+	// Relayed whether a peer passed that on.
+	ConfirmedAt clock.Millis
+	Relayed     bool
+	// Behind is set if a peer has shown a newer state of the store, and NotInForce if the newest
+	// configuration could not be put in force.
+	Behind, NotInForce bool
+}
+
+// version returns the version of the configuration, 0 before the first one.
+func (s *State) version() uint64 {
+	if s.Table == nil {
+		return 0
+	}
+	return s.Table.Version
+}
+
+// Decision is the state that a request is decided by, and the instant from which on it was used.
+type Decision struct {
+	*State
+	At clock.Millis
+}
+
+// Book holds the state of a process.
+type Book struct {
+	clock  *clock.Clock
+	log    *log.Logger
+	within clock.Millis
+	// waitFor is how long a denial waits for a confirmation.
+	waitFor clock.Millis
+	// awayFunc returns how long calls to the store have failed, sourceFunc the peer that relays the
+	// configuration, "" for none.
+	awayFunc   func() clock.Millis
+	sourceFunc func() string
+
+	state   atomic.Pointer[State]
+	replace sync.Mutex // serialises the replacements of the state
+	wait    wait
+	old     bool // whether Check has found the state too old
+}
+
+// Option configures a Book.
+type Option func(*Book)
+
+// WithClock sets the clock.
+func WithClock(c *clock.Clock) Option { return func(b *Book) { b.clock = c } }
+
+// WithLog sets the logger.
+func WithLog(l *log.Logger) Option { return func(b *Book) { b.log = l } }
+
+// WithStore sets the functions that return how long calls to the store have failed, and which peer
+// relays the configuration, "" for none.
+func WithStore(away func() clock.Millis, source func() string) Option {
+	return func(b *Book) { b.awayFunc, b.sourceFunc = away, source }
+}
+
+// New returns a book. A change must be in force within a time; a denial waits up to waitFor for a
+// confirmation.
+func New(within, waitFor clock.Millis, opts ...Option) *Book {
+	b := &Book{
+		clock: clock.New(), log: log.New(io.Discard), within: within, waitFor: waitFor,
+		awayFunc: func() clock.Millis { return 0 }, sourceFunc: func() string { return "" },
+	}
+	for _, opt := range opts {
+		opt(b)
+	}
+	b.state.Store(&State{})
+	return b
+}
+
+// Table returns the configuration in force, nil before the first one.
+func (b *Book) Table() *table.Table { return b.state.Load().Table }
+
+// Version returns the version of the configuration in force, 0 before the first one.
+func (b *Book) Version() uint64 { return b.state.Load().version() }
+
+// VersionOf returns the version of the configuration that a request was decided by, or of the one in
+// force if it was decided by none.
+func (b *Book) VersionOf(d *Decision) uint64 {
+	if d.State == nil {
+		return b.Version()
+	}
+	return d.version()
+}
+
+// Decide returns the state that a request is decided by from now on.
+func (b *Book) Decide() Decision {
+	state := b.state.Load()
+	return Decision{State: state, At: b.clock.Now()} // read after the state, so that its age is not understated
+}
+
+// Put takes the newest object that holds a configuration, or the error of its decoding, and reports
+// whether a new configuration is in force. Call it before the confirmation of that object.
+func (b *Book) Put(object *store.Object, routes *table.Table, err error) bool {
+	b.replace.Lock()
+	defer b.replace.Unlock()
+	next := *b.state.Load()
+	switch {
+	case err != nil:
+		b.log.Error("configuration is not usable, keeping the current one", "revision", object.Version, logs.KeyError, err)
+		next.NotInForce = true
+	case routes.Version < next.version():
+		b.log.Warn("configuration with a lower version ignored", "revision", object.Version, "configuration", routes.Version, "inForce", next.version())
+		return false // versions never go back
+	case routes.Version == next.version() && next.Table != nil:
+		next.NotInForce = false
+	default:
+		next.Table, next.Revision, next.NotInForce = routes, object.Version, false
+		b.state.Store(&next)
+		b.log.Info("configuration in force", "configuration", routes.Version, "revision", object.Version, "bytes", len(object.Value))
+		return true
+	}
+	b.state.Store(&next)
+	return false
+}
+
+// Confirm takes what the feed of the configuration proves, after all objects that it has read were
+// passed to Put.
+func (b *Book) Confirm(proof feed.Proof) {
+	b.replace.Lock()
+	defer b.replace.Unlock()
+	next := *b.state.Load()
+	next.ConfirmedAt, next.Behind, next.Relayed = proof.ConfirmedAt, proof.Behind, proof.Relayed
+	b.state.Store(&next)
+}
+
+// Age returns the time since the store confirmed the configuration in force, in milliseconds. It is 0
+// before the first one.
+func (b *Book) Age() clock.Millis {
+	d := b.Decide()
+	if d.Table == nil {
+		return 0
+	}
+	return d.age()
+}
+
+func (d *Decision) age() clock.Millis { return max(d.At-d.ConfirmedAt, 0) }
+
+// Outdated reports whether a configuration that this process lacks may have to be in force.
+func (b *Book) Outdated() bool {
+	d := b.Decide()
+	return b.isUnproved(&d)
+}
+
+// isUnproved reports whether a newer configuration than that of a decision may have to be in force.
+func (b *Book) isUnproved(d *Decision) bool {
+	return d.State == nil || d.Table == nil || d.Behind || d.NotInForce || d.age() > b.share(denialShare)
+}
+
+// share returns a share of the time within which a change must be in force.
+func (b *Book) share(of float64) clock.Millis { return clock.Millis(of * float64(b.within)) }
+
+// Check logs when the age of the configuration exceeds a limit, and when it doesn't any more.
+func (b *Book) Check(limit clock.Millis) {
+	d := b.Decide()
+	age := b.Age()
+	old := age > limit
+	if old == b.old {
+		return
+	}
+	b.old = old
+	event := "configuration confirmed"
+	if old {
+		event = "configuration not confirmed"
+	}
+	b.log.Info(event, "configuration", d.version(), "ageMs", int64(age), "withinMs", int64(b.within), "storeAwayMs", int64(b.awayFunc()),
+		"relayed", d.Relayed, "upstream", b.sourceFunc())
+}
+
+// ConfirmDenial returns the answer to a request that was refused by a decision. A denial is given only
+// if the decision is proved. Otherwise a newer configuration may allow the request, so the caller is
+// told to come back. If again is set, the denial waits for a confirmation first; again decides anew,
+// and decision points to its result then.
+func (b *Book) ConfirmDenial(ctx context.Context, request string, decision *Decision, refused *fault.RefusalError, again func() *fault.RefusalError) *fault.RefusalError {
+	if !refused.IsDenial() {
+		return refused
+	}
+	if again != nil && b.isUnproved(decision) && b.await(ctx, request) {
+		if refused = again(); !refused.IsDenial() {
+			return refused
+		}
+	}
+	if b.isUnproved(decision) {
+		refused = fault.Refuse(fault.ConfigOutdated, "denied by the configuration in force: "+string(refused.Reason))
+	}
+	refused.Evidence = b.evidence(decision)
+	return refused
+}
+
+// evidence describes a decision and what proves it, for the log.
+func (b *Book) evidence(d *Decision) string {
+	if d.State == nil {
+		return "no configuration"
+	}
+	source := "the store"
+	if d.Relayed {
+		source = b.sourceFunc()
+	}
+	return fmt.Sprintf("configuration %d of revision %v, confirmed %d ms before by %s, store unreachable for %d ms, changes missing: %t, newest not in force: %t",
+		d.version(), d.Revision, d.age(), source, b.awayFunc(), d.Behind, d.NotInForce)
+}
--- /dev/null
+++ b/internal/serve/proof/proof_test.go
@@ -0,0 +1,94 @@
+package proof_test
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/fault"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
+	"github.com/jujubescale/jujubescale/internal/plat/store"
+	"github.com/jujubescale/jujubescale/internal/serve/feed"
+	"github.com/jujubescale/jujubescale/internal/serve/proof"
+)
+
+const within = 2 * clock.Second
+
+// book returns a book at an instant that the test sets, with version 1 in force and proved at 100 ms.
+func book(now *clock.Millis) *proof.Book {
+	b := proof.New(within, 0, proof.WithClock(clock.New(clock.WithNow(func() clock.Millis { return *now }))))
+	*now = 100
+	put(b, 1, nil)
+	b.Confirm(feed.Proof{ConfirmedAt: 100})
+	return b
+}
+
+func put(b *proof.Book, version uint64, err error) {
+	b.Put(&store.Object{Version: store.Revision{Number: version}}, table.New(table.Content{Version: version}), err)
+}
+
+// Guards against a denial by one configuration that is confirmed by the proof of another.
+func TestDenialRestsOnTheProofOfItsOwnDecision(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(b *proof.Book)
+		at     clock.Millis
+		want   fault.Reason
+	}{
+		"proved":                 {func(*proof.Book) {}, 200, fault.UnknownRoute},
+		"too old":                {func(*proof.Book) {}, 100 + within, fault.ConfigOutdated},
+		"a peer has a newer one": {func(b *proof.Book) { b.Confirm(feed.Proof{ConfirmedAt: 100, Behind: true}) }, 200, fault.ConfigOutdated},
+		"the newest is unusable": {func(b *proof.Book) { put(b, 2, errors.New("odd")); b.Confirm(feed.Proof{ConfirmedAt: 200}) }, 200, fault.ConfigOutdated},
+		"the newest is in force": {func(b *proof.Book) {
+			put(b, 2, errors.New("odd"))
+			put(b, 3, nil)
+			b.Confirm(feed.Proof{ConfirmedAt: 200})
+		}, 200, fault.UnknownRoute},
+		"an older version follows": {func(b *proof.Book) { put(b, 0, nil); b.Confirm(feed.Proof{ConfirmedAt: 200}) }, 200, fault.UnknownRoute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var now clock.Millis
+			b := book(&now)
+			c.change(b)
+			now = c.at
+			decision := b.Decide()
+			put(b, 9, nil)
+			now += 10
+			b.Confirm(feed.Proof{ConfirmedAt: now})
+			got := b.ConfirmDenial(t.Context(), "r", &decision, fault.Deny(fault.UnknownRoute, ""), nil)
+			assert.Equal(t, got.Reason, c.want, "%s", got.Evidence)
+		})
+	}
+}
+
+// Guards against a request without any decision that is denied.
+func TestNoDenialWithoutAConfiguration(t *testing.T) {
+	b := proof.New(within, 0)
+	got := b.ConfirmDenial(t.Context(), "r", &proof.Decision{}, fault.Deny(fault.UnknownRoute, ""), nil)
+	assert.Equal(t, got.Reason, fault.ConfigOutdated)
+}
+
+// Guards against a refusal that is no denial and waits or changes all the same.
+func TestOtherRefusalsAreGivenAtOnce(t *testing.T) {
+	b := proof.New(within, within)
+	refused := fault.Refuse(fault.Overloaded, "full")
+	assert.Equal(t, b.ConfirmDenial(t.Context(), "r", &proof.Decision{}, refused, nil), refused)
+	assert.Assert(t, b.ConfirmDenial(t.Context(), "r", &proof.Decision{}, nil, nil) == nil)
+}
+
+// Guards against a waiting denial that is decided by the configuration before the wait.
+func TestDenialIsDecidedAnewOnceAProofArrives(t *testing.T) {
+	var now clock.Millis
+	b := book(&now)
+	now = 100 + within
+	decision := b.Decide()
+	put(b, 2, nil)
+	b.Confirm(feed.Proof{ConfirmedAt: now})
+	got := b.ConfirmDenial(t.Context(), "r", &decision, fault.Deny(fault.UnknownRoute, ""), func() *fault.RefusalError {
+		decision = b.Decide()
+		return nil
+	})
+	assert.Assert(t, got == nil)
+	assert.Equal(t, decision.Table.Version, uint64(2))
+}
--- /dev/null
+++ b/internal/serve/router/denial_test.go
@@ -0,0 +1,79 @@
+package router_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/platform/stand"
+)
+
+// Guards against a request that is decided by the table before a change and denied with the proof
+// of the table after it.
+func TestRequestDuringTheDecodingOfAVersionIsNotDenied(t *testing.T) {
+	b := start(t, 1)
+	g := b.gateways[0]
+	b.Store.SetFault(stand.StoreFault{Hang: true})
+	prefix := b.addRoutes(1, 7)
+	b.Publish()
+	time.Sleep(2500 * time.Millisecond)
+	b.decodeTime.Store(int64(700 * time.Millisecond))
+	b.Store.SetFault(stand.StoreFault{})
+	var group sync.WaitGroup
+	var denied, served atomic.Int64
+	for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		group.Go(func() {
+			switch got := b.send(g, publicLookup(prefix+"x")); {
+			case got.Status == http.StatusNotFound:
+				denied.Add(1)
+			case got.Complete:
+				served.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	assert.Check(t, denied.Load() == 0, "%d requests denied although the store had acknowledged their route 2.5 s before", denied.Load())
+	assert.Check(t, served.Load() > 0)
+}
+
+// Guards against requests that are denied for good because one element of every later version can't
+// be read.
+func TestVersionThatCanNotBeReadDeniesNoRequest(t *testing.T) {
+	for name, change := range map[string]func(document map[string]any){
+		"whole document": func(document map[string]any) { document["routes"] = "none" },
+		"version":        func(document map[string]any) { document["version"] = "next" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := start(t, 2)
+			prefix := b.addRoutes(1, 7)
+			b.Config.Version++
+			b.writeChangedConfig(change)
+			time.Sleep(2500 * time.Millisecond)
+			for _, g := range b.gateways {
+				got := b.send(g, publicLookup(prefix+"x"))
+				assert.Check(t, got.Status == http.StatusServiceUnavailable && got.RetryAfter > 0, "%d, return after %v", got.Status, got.RetryAfter)
+				assert.Check(t, b.send(g, lookup()).Complete, "a request that the configuration in force allows")
+			}
+			b.Publish()
+			for _, g := range b.gateways {
+				b.sendUntil(g, func() *stand.Request { return publicLookup(prefix + "x") }, func(got stand.Outcome) bool { return got.Complete })
+				b.sendUntil(g, func() *stand.Request { return publicLookup("/unknown/x") }, func(got stand.Outcome) bool { return got.Status == http.StatusNotFound })
+			}
+		})
+	}
+}
+
+// writeChangedConfig writes the configuration with a change of its document.
+func (b *bench) writeChangedConfig(change func(document map[string]any)) {
+	document := b.Config.Document()
+	change(document)
+	raw, err := json.Marshal(document)
+	assert.NilError(b.t, err)
+	b.Store.PutRaw("config", "main", raw)
+}
--- a/internal/serve/router/export_test.go
+++ b/internal/serve/router/export_test.go
@@ -19,7 +19,7 @@
 func (g *Gateway) Watches() bool { return g.mesh.IsWatcher() }
 
 // ConfigOutdated reports whether the configuration may be too old to deny a request by it.
-func (g *Gateway) ConfigOutdated() bool { return g.configOutdated() }
+func (g *Gateway) ConfigOutdated() bool { return g.config.Outdated() }
 
 // Holds returns what a peer is told of the objects that the store has lost.
 func (g *Gateway) Holds(peer string, told uint64, first bool) ([]*wire.Update, uint64) {
--- a/internal/serve/router/follow.go
+++ b/internal/serve/router/follow.go
@@ -31,23 +31,15 @@
 	}
 }
 
-// applyConfig puts a configuration in force if it is newer than the current one. An
-// older one may arrive later, through a slower peer.
+// applyConfig puts the newest configuration in force.
 func (g *Gateway) applyConfig(object store.Object) {
 	if object.Name != g.Dialect.ConfigKind+"/"+g.Dialect.ConfigName {
 		return
 	}
 	routes, err := g.Dialect.TableFunc(object.Value)
-	if err != nil {
-		g.Log.Error("configuration is not usable, keeping the current one", "revision", object.Version, logs.KeyError, err)
-		return
+	if g.config.Put(&object, routes, err) {
+		g.startOwningIfReady()
 	}
-	if routes.Version <= g.configVersion() {
-		return
-	}
-	g.table.Store(routes)
-	g.Log.Info("configuration in force", "configuration", routes.Version, "revision", object.Version, "bytes", len(object.Value))
-	g.startOwningIfReady()
 }
 
 func (g *Gateway) onEndpointList(objects []store.Object, outage clock.Millis) {
@@ -147,7 +139,7 @@
 
 // hasPool reports whether the configuration contains a pool.
 func (g *Gateway) hasPool(pool string) bool {
-	routes := g.table.Load()
+	routes := g.config.Table()
 	return routes != nil && routes.Pool(pool) != nil
 }
 
@@ -155,7 +147,7 @@
 // name under which a pool's requests are counted. Calls of stage pools may always be
 // repeated.
 func (g *Gateway) isRepeatable(pool, route string) bool {
-	routes := g.table.Load()
+	routes := g.config.Table()
 	if routes == nil {
 		return false
 	}
--- a/internal/serve/router/harness_test.go
+++ b/internal/serve/router/harness_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
 	"github.com/jujubescale/jujubescale/internal/link/conns"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
@@ -63,6 +64,8 @@
 	changeWithin clock.Millis
 	// hostFunc returns the host of a gateway by its index, nil for hosts without limits.
 	hostFunc func(index int) benchHost
+	// decodeTime is how long gateways take to decode a configuration.
+	decodeTime atomic.Int64
 	// addresses holds the addresses for sessions, callers and readiness of gateways that are
 	// started again.
 	addresses map[string][3]string
@@ -291,7 +294,7 @@
 	g.Gateway = router.New(ctx, router.Settings{
 		Name: name, Zone: []string{zoneA, zoneB}[len(b.gateways)%2], Address: sessions.Addr().String(), ChangeWithin: cmp.Or(b.changeWithin, 2*clock.Second), LeaveWithin: 2 * clock.Second, Clock: clock.New(), Log: log,
 		Capacity: host.capacity, DialFunc: peerDial, EndpointDialFunc: engineDial, LinkMbps: host.linkMbps, MemoryMb: host.memoryMb, MaxFds: host.maxFds,
-		Registry: g.registry, Dialect: platform.Dialect(),
+		Registry: g.registry, Dialect: b.dialect(),
 		Store:    platform.NewStore("http://"+b.Address, &http.Client{Transport: storeTransport}, clock.Second, 300),
 		Bounds:   gate.Bounds{ExtraShare: 0.2, ExtraSpare: 50, ExtraWindow: 10 * clock.Second, ColdShare: 1.5, ColdSpare: 5},
 		Rollouts: b.rollouts, RolloutBounds: canary.Bounds{Share: rolloutShare, Base: rolloutBase},
@@ -318,6 +321,17 @@
 	return g
 }
 
+// dialect returns the platform's dialect with a decoder that takes decodeTime.
+func (b *bench) dialect() router.Dialect {
+	dialect := platform.Dialect()
+	decode := dialect.TableFunc
+	dialect.TableFunc = func(raw []byte) (*table.Table, error) {
+		time.Sleep(time.Duration(b.decodeTime.Load()))
+		return decode(raw)
+	}
+	return dialect
+}
+
 // Bounds of the requests that a candidate gets before its rollout is decided.
 const (
 	rolloutShare = 0.1
--- a/internal/serve/router/permits.go
+++ b/internal/serve/router/permits.go
@@ -28,7 +28,7 @@
 // engineLimits returns a model engine and what all requests together may take of it, nil for
 // other endpoints.
 func (g *Gateway) engineLimits(endpoint string) (*view.Endpoint, room.Limits) {
-	e, routes := g.endpoints.Snapshot().Find(endpoint), g.table.Load()
+	e, routes := g.endpoints.Snapshot().Find(endpoint), g.config.Table()
 	if e == nil || routes == nil {
 		return nil, room.Limits{}
 	}
--- a/internal/serve/router/restore.go
+++ b/internal/serve/router/restore.go
@@ -179,7 +179,7 @@
 
 // hasLists reports whether routes and endpoints were read and no planned stop has begun.
 func (g *Gateway) hasLists() bool {
-	return g.gate.NotDraining() && g.table.Load() != nil && g.endpoints.Snapshot().Complete()
+	return g.gate.NotDraining() && g.config.Table() != nil && g.endpoints.Snapshot().Complete()
 }
 
 // lostObjects returns the number of objects that are used although the store has lost them.
--- a/internal/serve/router/room_test.go
+++ b/internal/serve/router/room_test.go
@@ -39,7 +39,7 @@
 	b.awaitKnown(models)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		for _, g := range b.gateways {
-			if g.Gate().Table().Pool(models).Generation.Tokens != sharedMemory {
+			if g.Gate().Config.Table().Pool(models).Generation.Tokens != sharedMemory {
 				return poll.Continue("the configuration is not in force")
 			}
 		}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -32,6 +32,7 @@
 	"github.com/jujubescale/jujubescale/internal/serve/gate"
 	"github.com/jujubescale/jujubescale/internal/serve/host"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
+	"github.com/jujubescale/jujubescale/internal/serve/proof"
 	"github.com/jujubescale/jujubescale/internal/serve/resume"
 )
 
@@ -133,12 +134,11 @@
 	Settings
 	incarnation token.Incarnation
 	startedAt   clock.Millis
-	table       atomic.Pointer[table.Table]
+	// config holds the configuration in force and what proves it.
+	config      *proof.Book
 	endpoints   *view.Registry
 	endpointsMu sync.Mutex
-	storeBackAt clock.Millis // when the store was reachable again after its last outage
-	configOld   bool         // whether checkConfigAge found the configuration too old
-	configWait  configWait
+	storeBackAt clock.Millis             // when the store was reachable again after its last outage
 	owning      atomic.Bool              // whether this process has begun to own pools
 	listed      atomic.Bool              // whether the store's member list holds this process
 	statedPools atomic.Pointer[[]string] // the shared pools that the entry of this process states
@@ -176,7 +176,9 @@
 // with the context.
 func New(ctx context.Context, settings Settings) *Gateway {
 	g := &Gateway{Settings: settings, incarnation: token.NewIncarnation(), startedAt: settings.Clock.Now(), baseCtx: ctx, membersChanged: make(chan struct{}, 1)}
-	g.meter = newMeter(settings.Registry, g.configAge, g.Store.Era, g.lostObjects)
+	g.config = proof.New(g.ChangeWithin, clock.Millis(callShare*float64(g.ChangeWithin)), proof.WithClock(g.Clock), proof.WithLog(g.Log),
+		proof.WithStore(func() clock.Millis { return g.feeds.config.AwayFor() }, func() string { return g.mesh.Upstream() }))
+	g.meter = newMeter(settings.Registry, g.config.Age, g.Store.Era, g.lostObjects)
 	g.makeEndpoints()
 	g.limits = g.newHostLimits(ctx)
 	g.origins = g.newOrigins()
@@ -189,7 +191,7 @@
 		}))
 	g.gate = gate.New(gate.Settings{
 		Clock: g.Clock, Log: g.Log, Codec: g.Dialect.Codec, Registry: g.Registry, Name: g.Name, Zone: g.Zone,
-		Table: g.table.Load, View: g.endpoints.Snapshot, Starting: g.starting, Informed: g.isInformed, ConfirmDenial: g.confirmDenial, Deploy: g.deploy,
+		Config: g.config, View: g.endpoints.Snapshot, Starting: g.starting, Informed: g.isInformed, Deploy: g.deploy,
 		ReuseFunc: g.reuses, DialFunc: g.EndpointDialFunc,
 		Permits:  g.newPermits(),
 		Origins:  g.origins,
@@ -198,7 +200,7 @@
 	})
 	g.SetBounds(settings.Bounds)
 	g.host = host.New(ctx, host.Settings{
-		Clock: g.Clock, Log: g.Log, Codec: g.Dialect.Codec, Table: g.table.Load, View: g.endpoints.Snapshot,
+		Clock: g.Clock, Log: g.Log, Codec: g.Dialect.Codec, Table: g.config.Table, View: g.endpoints.Snapshot,
 		SendFunc: g.gate.Send, Retry: g.gate.PieceRetryBudget().Take, Earn: g.gate.PieceRetryBudget().Earn, Meter: host.NewMeter(g.Registry),
 		RetryAll: g.gate.PieceRetryBudget().TakeMany, ReuseFunc: g.reuses,
 		Deploy: g.deploy, ObserveFunc: g.gate.ObserveAnswer, LimitFunc: g.gate.Limits().Limit, UnavailableFunc: g.gate.Limits().Unavailable, RestFunc: g.gate.Limits().Rest,
@@ -210,7 +212,7 @@
 		mesh.WithLoads(g.collectLoads, g.setPeerWork), mesh.WithPrefixes(g.gate.AddPeerPrefixes), mesh.WithRefused(g.gate.AddPeerRefusals),
 		mesh.WithCrashes(g.detector.AddPeers), mesh.WithLimits(g.gate.Limits().ApplyPeer, g.answerPermitRequest),
 		mesh.WithSpeeds(g.gate.Speeds().ApplyPeers), mesh.WithOrigins(g.origins.Take, g.origins.Answer, g.origins.Search), mesh.WithLost(g.abandonRequests, g.reclaimResults), mesh.WithIgnored(g.meter.countIgnored), mesh.WithFollower(g.follower()),
-		mesh.WithRelease(g.configVersion, g.refreshConfig), mesh.WithBulk(g.limits.bulk), mesh.WithSession(g.sessionOptions()...))
+		mesh.WithRelease(g.config.Version, g.refreshConfig), mesh.WithBulk(g.limits.bulk), mesh.WithSession(g.sessionOptions()...))
 	g.gate.Attach(g.mesh, g.host)
 	g.makeFeeds()
 	return g
@@ -291,13 +293,6 @@
 // SetBounds replaces the bounds, also while the process runs.
 func (g *Gateway) SetBounds(bounds gate.Bounds) { g.gate.SetBounds(bounds) }
 
-func (g *Gateway) configVersion() uint64 {
-	if routes := g.table.Load(); routes != nil {
-		return routes.Version
-	}
-	return 0
-}
-
 // refreshConfig is called when a peer has a newer configuration. It reads the
 // configuration from the store unless a peer relays changes, because then the newer
 // one usually arrives without a call.
@@ -342,7 +337,7 @@
 	}
 	pause := clock.Millis(readPauseShare * float64(g.LeaveWithin))
 	g.feeds.config = newFeed(g.Dialect.ConfigKind, g.ChangeWithin, feed.WithList(g.onConfigList), feed.WithChanges(g.onConfigChanges),
-		feed.WithRestore(g.restoreConfig()))
+		feed.WithRestore(g.restoreConfig()), feed.WithProof(g.config.Confirm))
 	g.feeds.endpoints = newFeed(g.Dialect.EndpointKind, g.LeaveWithin, feed.WithPause(func() clock.Millis { return pause }),
 		feed.WithList(g.onEndpointList), feed.WithChanges(g.onEndpointChanges), feed.WithRestore(g.restoreEndpoints()))
 	zones := newNames(func(names []string) { g.setEvacuated(names) })
@@ -378,6 +373,9 @@
 	upstreamAgeShare = 0.65
 	maxAgeShare      = 0.75
 	watcherAgeShare  = 0.9
+	// callShare is left for a call to the store, from its start until the change is in force: at an age
+	// of maxAgeShare the process calls the store. A denial waits as long for the answer.
+	callShare = 1 - maxAgeShare
 )
 
 // WatchMargin is the time that a watch call may take in addition to its wait. A watch without
@@ -519,7 +517,7 @@
 		g.endpointsMu.Unlock()
 		g.handleChanges(changes)
 		g.gate.Sweep()
-		g.checkConfigAge()
+		g.config.Check(clock.Millis(maxAgeShare * float64(g.ChangeWithin)))
 		for _, f := range g.feeds.all() {
 			f.Expire()
 		}
