fix(proof,router): an age counts from the beginning of a watch when it denies

What callers could see: 404 by a configuration that is older than a change may take, if the store answers a watch early and empty and the answer is long on its way.

Cause: an empty answer counts as of the end of its wait, up to half of the time within which a change must be in force later than the store may have looked, and a denial was given up to an age of three quarters of it: 1.25 in all.

Change: a denial is given up to the part of the time that the longest watch leaves. Waits of watches differ by an eighth instead of a quarter, with the same mean, so that the longest one is 0.45 of the time and not 0.5.

Result: both new cases fail with the shares of before.

--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -20,9 +20,15 @@
 	"github.com/jujubescale/jujubescale/internal/serve/feed"
 )
 
-// denialShare is the highest age of a configuration that denies a request, as a share of the time within
-// which a change must be in force.
-const denialShare = 0.75
+const (
+	// LongestWatch is the longest wait of a watch for a new configuration, as a share of the time within
+	// which a change must be in force.
+	LongestWatch = 0.45
+	// DenialShare is the highest age of a configuration that denies a request, as such a share. The
+	// store may have answered a watch at its beginning, and the answer may have been on its way for
+	// the rest.
+	DenialShare = 1 - LongestWatch
+)
 
 // State is a configuration in force with its proof. It is immutable.
 type State struct {
@@ -176,7 +182,7 @@
 
 // isUnproved reports whether a newer configuration than that of a decision may have to be in force.
 func (b *Book) isUnproved(d *Decision) bool {
-	return d.State == nil || d.Table == nil || d.Behind || d.NotInForce || d.age() > b.share(denialShare)
+	return d.State == nil || d.Table == nil || d.Behind || d.NotInForce || d.age() > b.share(DenialShare)
 }
 
 // share returns a share of the time within which a change must be in force.
--- a/internal/serve/proof/proof_test.go
+++ b/internal/serve/proof/proof_test.go
@@ -36,10 +36,11 @@
 		at     clock.Millis
 		want   fault.Reason
 	}{
-		"proved":                 {func(*proof.Book) {}, 200, fault.UnknownRoute},
-		"too old":                {func(*proof.Book) {}, 100 + within, fault.ConfigOutdated},
-		"a peer has a newer one": {func(b *proof.Book) { b.Confirm(feed.Proof{ConfirmedAt: 100, Behind: true}) }, 200, fault.ConfigOutdated},
-		"the newest is unusable": {func(b *proof.Book) { put(b, 2, errors.New("odd")); b.Confirm(feed.Proof{ConfirmedAt: 200}) }, 200, fault.ConfigOutdated},
+		"proved":                    {func(*proof.Book) {}, 200, fault.UnknownRoute},
+		"too old":                   {func(*proof.Book) {}, 100 + within, fault.ConfigOutdated},
+		"older than a watch allows": {func(*proof.Book) {}, 100 + within*6/10, fault.ConfigOutdated},
+		"a peer has a newer one":    {func(b *proof.Book) { b.Confirm(feed.Proof{ConfirmedAt: 100, Behind: true}) }, 200, fault.ConfigOutdated},
+		"the newest is unusable":    {func(b *proof.Book) { put(b, 2, errors.New("odd")); b.Confirm(feed.Proof{ConfirmedAt: 200}) }, 200, fault.ConfigOutdated},
 		"the newest is in force": {func(b *proof.Book) {
 			put(b, 2, errors.New("odd"))
 			put(b, 3, nil)
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -363,7 +363,7 @@
 const (
 	// watchWaitShare is the mean wait of a watch, readPauseShare the pause between
 	// two reads of changes of endpoints.
-	watchWaitShare = 0.4
+	watchWaitShare = proof.LongestWatch * 8 / 9
 	readPauseShare = 0.1
 	// upstreamAgeShare is the highest age of the progress of a peer that is used as
 	// upstream, and maxAgeShare the age above which relayed progress is not used at
@@ -400,12 +400,12 @@
 	startupPeerWait = 400 * clock.Millis(1)
 )
 
-// randomWatchWait returns the wait of one watch, between 3/4 and 5/4 of the mean, for
+// randomWatchWait returns the wait of one watch, between 7/8 and 9/8 of the mean, for
 // a random number from 0 to 1. A change wakes all watches at once. If the store loses
 // the watches that follow, a change after that shows only when a watch ends. Waits of
 // different lengths let some watch end soon.
 func randomWatchWait(mean clock.Millis, random float64) clock.Millis {
-	return mean*3/4 + clock.Millis(random*float64(mean/2))
+	return mean*7/8 + clock.Millis(random*float64(mean/4))
 }
 
 // relayTimeout returns how long this process waits for changes from its peers before
--- a/internal/serve/router/watch_test.go
+++ b/internal/serve/router/watch_test.go
@@ -9,6 +9,7 @@
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/route/relay"
 	"github.com/jujubescale/jujubescale/internal/serve/feed"
+	"github.com/jujubescale/jujubescale/internal/serve/proof"
 )
 
 // Guards against a revoked key that works for seconds. A change of the configuration
@@ -53,6 +54,7 @@
 			"the others see that it is back":      {progressInterval, feed.MaxBackoff, share(callShare)},
 			"a watcher that is cut off follows":   {share(watcherAgeShare), progressInterval},
 			"a process waits for its peers first": {share(watchWaitShare), share(callShare)},
+			"a watch answered at once denies":     {longestWatch, share(proof.DenialShare)},
 		} {
 			sum := clock.Millis(0)
 			for _, part := range parts {
