--- a/internal/conf/table/table.go
+++ b/internal/conf/table/table.go
@@ -174,6 +174,10 @@
 	Organisations []Organisation
 	// Holders maps each key to the index of the organisation that holds it.
 	Holders map[string]int
+	// Odd lists the parts of the configuration that could not be read. Incomplete is set if routes,
+	// pools or organisations may be missing because of that.
+	Odd        []error
+	Incomplete bool
 }
 
 // Table is one version of the routing configuration.
@@ -181,6 +185,9 @@
 	// Version increases with each change.
 	Version uint64
 	Limits  Limits
+	// Odd and Incomplete are those of Content.
+	Odd        []error
+	Incomplete bool
 
 	byHost       map[string][]*Route
 	pools        map[string]*Pool
@@ -194,6 +201,8 @@
 	t := &Table{
 		Version:      content.Version,
 		Limits:       content.Limits,
+		Odd:          content.Odd,
+		Incomplete:   content.Incomplete,
 		byHost:       make(map[string][]*Route),
 		pools:        make(map[string]*Pool, len(content.Pools)),
 		holders:      make(map[string]*Organisation, len(content.Holders)),
--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -146,6 +146,9 @@
 		next.Table, next.Revision, next.NotInForce = routes, object.Version, false
 		b.state.Store(&next)
 		b.log.Info("configuration in force", "configuration", routes.Version, "revision", object.Version, "bytes", len(object.Value))
+		if len(routes.Odd) > 0 {
+			b.log.Error("configuration has parts that can't be read", "configuration", routes.Version, "parts", len(routes.Odd), "incomplete", routes.Incomplete, "first", routes.Odd[0])
+		}
 		return true
 	}
 	b.state.Store(&next)
@@ -182,7 +185,7 @@
 
 // isUnproved reports whether a newer configuration than that of a decision may have to be in force.
 func (b *Book) isUnproved(d *Decision) bool {
-	return d.State == nil || d.Table == nil || d.Behind || d.NotInForce || d.age() > b.share(DenialShare)
+	return d.State == nil || d.Table == nil || d.Table.Incomplete || d.Behind || d.NotInForce || d.age() > b.share(DenialShare)
 }
 
 // share returns a share of the time within which a change must be in force.
@@ -234,6 +237,6 @@
 	if d.Relayed {
 		source = b.sourceFunc()
 	}
-	return fmt.Sprintf("configuration %d of revision %v, confirmed %d ms before by %s, store unreachable for %d ms, changes missing: %t, newest not in force: %t",
-		d.version(), d.Revision, d.age(), source, b.awayFunc(), d.Behind, d.NotInForce)
+	return fmt.Sprintf("configuration %d of revision %v, confirmed %d ms before by %s, store unreachable for %d ms, changes missing: %t, newest not in force: %t, incomplete: %t",
+		d.version(), d.Revision, d.age(), source, b.awayFunc(), d.Behind, d.NotInForce, d.Table != nil && d.Table.Incomplete)
 }
--- a/internal/serve/router/denial_test.go
+++ b/internal/serve/router/denial_test.go
@@ -69,6 +69,43 @@
 	}
 }
 
+// Guards against a whole version that is not in force because of one element of it.
+func TestOddElementsOfAVersionKeepOutNothingElse(t *testing.T) {
+	for name, change := range map[string]func(document map[string]any){
+		"fractions of whole numbers": func(document map[string]any) {
+			each(document, "routes", func(route map[string]any) {
+				route["attempts"], route["priority"] = json.Number("2.0"), json.Number("1e0")
+			})
+			each(document, "services", func(service map[string]any) { service["maxConns"] = json.Number("64.0") })
+		},
+		"a route of another type": func(document map[string]any) { document["routes"] = append(document["routes"].([]any), 7, "odd", nil) },
+		"a service of another type": func(document map[string]any) {
+			document["services"] = append(document["services"].([]any), []any{}, true)
+		},
+		"a tenant of another type": func(document map[string]any) { document["tenants"] = append(document["tenants"].([]any), "odd", 7) },
+		"limits of another type":   func(document map[string]any) { document["limits"] = "none" },
+		"a field of another type": func(document map[string]any) {
+			each(document, "routes", func(route map[string]any) { route["resumable"] = "soon" })
+		},
+		"a number out of range": func(document map[string]any) {
+			each(document, "routes", func(route map[string]any) { route["priority"] = json.Number("1e999") })
+		},
+		"fields that nobody knows":   func(document map[string]any) { document["later"] = map[string]any{"version": "x"} },
+		"null instead of an element": func(document map[string]any) { document["tenants"] = append(document["tenants"].([]any), nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := start(t, 1)
+			prefix := b.addRoutes(1, 7)
+			b.Config.Version++
+			b.writeChangedConfig(change)
+			g := b.gateways[0]
+			b.sendUntil(g, func() *stand.Request { return publicLookup(prefix + "x") }, func(got stand.Outcome) bool { return got.Complete })
+			assert.Check(t, b.send(g, lookup()).Complete)
+		})
+	}
+}
+
 // writeChangedConfig writes the configuration with a change of its document.
 func (b *bench) writeChangedConfig(change func(document map[string]any)) {
 	document := b.Config.Document()
@@ -77,3 +114,12 @@
 	assert.NilError(b.t, err)
 	b.Store.PutRaw("config", "main", raw)
 }
+
+// each changes all elements of a list of a document.
+func each(document map[string]any, list string, change func(element map[string]any)) {
+	for _, element := range document[list].([]any) {
+		if object, ok := element.(map[string]any); ok {
+			change(object)
+		}
+	}
+}
