fix(platform,feed,router): an odd object of the store keeps out no other

Cause: the client of the store decoded each answer in one piece. The class: one bad element refuses all that came with it.

What can't be read is left out, counted and logged once by its name (ops/skip), and the revision moves on.

--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -101,8 +101,26 @@
 type Listing struct {
 	Objects  []Object
 	Revision Revision
+	// Skipped holds a SkippedError for each object that was left out.
+	Skipped []error
 }
 
+// SkippedError is the reason why an object is left out of a list or of changes.
+type SkippedError struct {
+	Kind string
+	// Name is "" if it can't be read.
+	Name  string
+	Cause error
+}
+
+// Error implements error.
+func (e *SkippedError) Error() string {
+	return fmt.Sprintf("object %s/%s can't be read: %v", e.Kind, e.Name, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *SkippedError) Unwrap() error { return e.Cause }
+
 // Change is one object that was written or deleted.
 type Change struct {
 	Object  Object
@@ -114,6 +132,8 @@
 type Changes struct {
 	Changes  []Change
 	Revision Revision
+	// Skipped is Listing.Skipped.
+	Skipped []error
 }
 
 // HistoryError is returned when the store has dropped some of the requested
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -67,6 +67,7 @@
 	changeFunc    func(changes []store.Change)
 	forwardFunc   func(*wire.Update)
 	proofFunc     func(Proof)
+	skippedFunc   func(error)
 	listRequested chan struct{}
 	// reading is set while the list is being read.
 	reading atomic.Bool
@@ -142,6 +143,9 @@
 // WithForward sets the function that relays lists and changes to peers.
 func WithForward(forward func(*wire.Update)) Option { return func(f *Feed) { f.forwardFunc = forward } }
 
+// WithSkipped sets the function that takes the SkippedError of each object that can't be read.
+func WithSkipped(skipped func(error)) Option { return func(f *Feed) { f.skippedFunc = skipped } }
+
 // New returns a feed of one kind of objects; Run reads it.
 func New(kind string, from *store.Store, opts ...Option) *Feed {
 	f := &Feed{
@@ -151,7 +155,7 @@
 		pause:        func() clock.Millis { return 0 },
 		backoffLimit: func() clock.Millis { return MaxBackoff },
 		maxAge:       defaultMaxAge, relayGrace: func() clock.Millis { return 0 }, firstWait: func(string) clock.Millis { return 0 },
-		listFunc: func([]store.Object, clock.Millis) {}, changeFunc: func([]store.Change) {}, forwardFunc: func(*wire.Update) {}, proofFunc: func(Proof) {},
+		listFunc: func([]store.Object, clock.Millis) {}, changeFunc: func([]store.Change) {}, forwardFunc: func(*wire.Update) {}, proofFunc: func(Proof) {}, skippedFunc: func(error) {},
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -222,6 +226,7 @@
 		return
 	}
 	f.recordAnswer()
+	f.reportSkipped(listing.Skipped)
 	f.outage.recordEra(f, listing.Revision.Era)
 	if !f.applyList(&listed{objects: listing.Objects, revision: listing.Revision, changed: listing.Revision, outage: f.lostFor, at: sentAt}) {
 		// Without a pause, the next calls would be a watch that the store can't serve and the
@@ -233,6 +238,12 @@
 	f.lostFor, f.olderPause = 0, 0
 }
 
+func (f *Feed) reportSkipped(skipped []error) {
+	for _, err := range skipped {
+		f.skippedFunc(err)
+	}
+}
+
 // watch reads changes until the list has to be read again or a peer relays them.
 func (f *Feed) watch(ctx context.Context, since store.Revision) {
 	for ctx.Err() == nil {
@@ -261,6 +272,7 @@
 			f.handleFailure(ctx, err)
 			return
 		}
+		f.reportSkipped(changes.Skipped)
 		f.outage.recordEra(f, changes.Revision.Era)
 		if f.recordAnswer(); f.lostFor > 0 || changes.Revision.Era != since.Era {
 			// Entries may have expired during the outage, or were lost before the era rose. The
@@ -299,7 +311,7 @@
 // shows the state. Without changes the store answers when the wait is over, otherwise at
 // any time after the call was sent.
 func (f *Feed) confirmedBy(changes store.Changes, sentAt, wait clock.Millis) clock.Millis {
-	if len(changes.Changes) == 0 && f.clock.Since(sentAt) >= wait {
+	if len(changes.Changes)+len(changes.Skipped) == 0 && f.clock.Since(sentAt) >= wait {
 		return sentAt + wait
 	}
 	return sentAt
--- a/internal/serve/router/follow.go
+++ b/internal/serve/router/follow.go
@@ -1,8 +1,9 @@
 package router
 
 import (
+	"errors"
+
 	"github.com/jujubescale/jujubescale/internal/base/clock"
-	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 )
@@ -108,12 +109,20 @@
 func (g *Gateway) decodeEntry(object store.Object) (view.Entry, bool) {
 	entry, err := g.Dialect.EntryFunc(nameOf(object.Name), object.Value)
 	if err != nil {
-		g.Log.Debug("entry is not a valid endpoint", "revision", object.Version, logs.KeyError, err)
+		g.skipped.Record(g.Dialect.EndpointKind, nameOf(object.Name), err)
 		return view.Entry{}, false
 	}
 	return entry, true
 }
 
+// recordSkipped records an object that the store's client has left out.
+func (g *Gateway) recordSkipped(err error) {
+	var skipped *store.SkippedError
+	if errors.As(err, &skipped) {
+		g.skipped.Record(skipped.Kind, skipped.Name, skipped.Cause)
+	}
+}
+
 func (g *Gateway) handleChanges(changes []view.Change) {
 	for _, change := range changes {
 		e := change.Endpoint
--- a/internal/serve/router/members.go
+++ b/internal/serve/router/members.go
@@ -4,13 +4,16 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/split"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
+	"github.com/jujubescale/jujubescale/internal/ops/skip"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
 )
@@ -63,10 +66,11 @@
 type members struct {
 	known   map[string]memberEntry
 	setFunc func([]memberEntry)
+	skipped *skip.Book
 }
 
-func newMembers(set func([]memberEntry)) *members {
-	return &members{known: make(map[string]memberEntry), setFunc: set}
+func newMembers(set func([]memberEntry), skipped *skip.Book) *members {
+	return &members{known: make(map[string]memberEntry), setFunc: set, skipped: skipped}
 }
 
 func (m *members) onList(objects []store.Object, _ clock.Millis) {
@@ -91,7 +95,12 @@
 // put adds an entry. An entry that can't be decoded is left out.
 func (m *members) put(object store.Object) {
 	var member memberEntry
-	if err := json.Unmarshal(object.Value, &member); err != nil || member.Name != nameOf(object.Name) {
+	err := split.Decode(object.Value, &member)
+	if err == nil && member.Name != nameOf(object.Name) {
+		err = fmt.Errorf("its entry names %.40q", member.Name)
+	}
+	if err != nil {
+		m.skipped.Record("members", nameOf(object.Name), err)
 		delete(m.known, nameOf(object.Name))
 		return
 	}
--- a/internal/serve/router/quarantine.go
+++ b/internal/serve/router/quarantine.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/split"
 	"github.com/jujubescale/jujubescale/internal/flow/blame"
 	"github.com/jujubescale/jujubescale/internal/flow/crash"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
+	"github.com/jujubescale/jujubescale/internal/ops/skip"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/serve/detect"
 	"github.com/jujubescale/jujubescale/internal/serve/gate"
@@ -107,9 +109,12 @@
 	known    map[string]crash.Stored
 	parts    map[string]blame.Stored
 	detector *detect.Detector
+	skipped  *skip.Book
 }
 
-func newQuarantines(detector *detect.Detector) *quarantines { return &quarantines{detector: detector} }
+func newQuarantines(detector *detect.Detector, skipped *skip.Book) *quarantines {
+	return &quarantines{detector: detector, skipped: skipped}
+}
 
 func (q *quarantines) onList(objects []store.Object, _ clock.Millis) {
 	q.known, q.parts = make(map[string]crash.Stored, len(objects)), make(map[string]blame.Stored)
@@ -133,9 +138,13 @@
 
 // put adds an entry. An entry that can't be decoded is left out.
 func (q *quarantines) put(object store.Object) {
-	key, err := crash.ParseKey(nameOf(object.Name))
 	var entry Quarantine
-	if err != nil || json.Unmarshal(object.Value, &entry) != nil {
+	key, err := crash.ParseKey(nameOf(object.Name))
+	if err == nil {
+		err = split.Decode(object.Value, &entry)
+	}
+	if err != nil {
+		q.skipped.Record("quarantines", nameOf(object.Name), err)
 		delete(q.known, object.Name)
 		delete(q.parts, object.Name)
 		return
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -23,6 +23,7 @@
 	"github.com/jujubescale/jujubescale/internal/guard/door"
 	"github.com/jujubescale/jujubescale/internal/link/sess"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/ops/skip"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/route/canary"
 	"github.com/jujubescale/jujubescale/internal/route/view"
@@ -155,6 +156,8 @@
 	mesh     *mesh.Mesh
 	host     *host.Host
 	meter    *meter
+	// skipped counts objects of the store that can't be read.
+	skipped *skip.Book
 	// deploy carries out rollouts; nil if they are disabled.
 	deploy *deploy.Controller
 	limits hostLimits
@@ -178,6 +181,7 @@
 	g := &Gateway{Settings: settings, incarnation: token.NewIncarnation(), startedAt: settings.Clock.Now(), baseCtx: ctx, membersChanged: make(chan struct{}, 1)}
 	g.config = proof.New(g.ChangeWithin, clock.Millis(callShare*float64(g.ChangeWithin)), proof.WithClock(g.Clock), proof.WithLog(g.Log),
 		proof.WithStore(func() clock.Millis { return g.feeds.config.AwayFor() }, func() string { return g.mesh.Upstream() }))
+	g.skipped = skip.New(skip.WithLog(g.Log), skip.WithRegistry(g.Registry))
 	g.meter = newMeter(settings.Registry, g.config.Age, g.Store.Era, g.lostObjects)
 	g.makeEndpoints()
 	g.limits = g.newHostLimits(ctx)
@@ -324,7 +328,7 @@
 func (g *Gateway) makeFeeds() {
 	common := []feed.Option{
 		feed.WithClock(g.Clock), feed.WithLog(g.Log), feed.WithOutage(feed.NewOutage()), feed.WithBackoff(g.longestStoreBackoff),
-		feed.WithForward(g.mesh.Forward),
+		feed.WithForward(g.mesh.Forward), feed.WithSkipped(g.recordSkipped),
 	}
 	newFeed := func(kind string, limit clock.Millis, more ...feed.Option) *feed.Feed {
 		wait := watchWait(limit)
@@ -343,12 +347,12 @@
 	zones := newNames(func(names []string) { g.setEvacuated(names) })
 	g.feeds.evacuated = newFeed(g.Dialect.EvacuatedKind, g.ChangeWithin, feed.WithList(zones.onList), feed.WithChanges(zones.onChanges),
 		feed.WithRestore(feed.Restore{KeepMissing: keepLostEvacuation}))
-	members, memberWait := newMembers(g.setMembers), watchWait(g.ChangeWithin)
+	members, memberWait := newMembers(g.setMembers, g.skipped), watchWait(g.ChangeWithin)
 	g.feeds.members = newFeed(g.Dialect.MemberKind, g.ChangeWithin,
 		feed.WithPause(g.unlessSeekingPeers(func() clock.Millis { return memberReadPause })),
 		feed.WithPeerWait(g.unlessSeekingPeers(func() clock.Millis { return g.relayTimeout(memberWait) }), g.firstListDelay),
 		feed.WithList(members.onList), feed.WithChanges(members.onChanges), feed.WithRestore(feed.Restore{KeepMissing: keepLostMember}))
-	quarantines := newQuarantines(g.detector)
+	quarantines := newQuarantines(g.detector, g.skipped)
 	g.feeds.quarantines = newFeed(g.Dialect.QuarantineKind, quarantineChangeWithin, feed.WithoutAge(),
 		feed.WithList(quarantines.onList), feed.WithChanges(quarantines.onChanges), feed.WithRestore(restoreQuarantines()))
 	if g.deploy != nil {
