feat(soak): an operator who adds, moves and removes routes in series

Every answer is checked against both rules: in force after 2 s, and never back behind what a process has shown.

--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -64,7 +64,10 @@
 	// Outages makes all hosts lose their power at once and the processes lose each other, instead of
 	// rollouts.
 	Outages bool
-	Out     io.Writer
+	// Routes makes the operator add, move and remove routes in series while all processes are asked for
+	// them, and throttles and pauses processes, instead of rollouts.
+	Routes bool
+	Out    io.Writer
 }
 
 // Report is the result of a run.
@@ -85,6 +88,8 @@
 	// Outages is the number of outages, OutagesJudged that of those after which no other fault kept
 	// the processes from being checked, and OutageProbes the number of processes that were.
 	Outages, OutagesJudged, OutageProbes int64
+	// Routes describes the versions and the requests for their routes, "" without Options.Routes.
+	Routes string
 	// Restores is the number of returns of the store, RestoreProbes that of the checks after them.
 	Restores, RestoreProbes int64
 }
@@ -132,6 +137,7 @@
 	// restores counts the returns of the store, and restoreProbes the checks after them.
 	restores, restoreProbes atomic.Int64
 
+	added                         routeBook
 	kept, crossed                 atomic.Int64
 	sent, served, refused, failed atomic.Int64
 	settledSent, settledServed    atomic.Int64
@@ -183,7 +189,7 @@
 	switch {
 	case r.Versions:
 		return r.addVersions()
-	case r.Parts, r.Outages:
+	case r.Parts, r.Outages, r.Routes:
 		return nil
 	}
 	return r.addUnorderedVersion()
@@ -266,7 +272,7 @@
 	}
 	p := &process{
 		name: fmt.Sprintf("gateway-%d", number), program: r.Program, folder: r.Folder, ports: own, storeAddress: store.Address(), grace: grace,
-		rollouts: !r.Versions && !r.Parts && !r.Outages, host: settings,
+		rollouts: !r.Versions && !r.Parts && !r.Outages && !r.Routes, host: settings,
 	}
 	if err := p.writeSettings(zones[number%len(zones)], 0); err != nil {
 		return err
@@ -339,6 +345,9 @@
 	if r.Restores {
 		plan = append(plan, restores(r.Seed, r.Length)...)
 	}
+	if r.Routes {
+		plan = append(plan, routePlan(r.Seed, r.Length)...)
+	}
 	if r.Outages {
 		plan = append(plan, outages(r.Seed, r.Length)...)
 	}
@@ -370,6 +379,9 @@
 	if r.Versions {
 		return []func(context.Context){r.replaceEngines, r.startGuides}
 	}
+	if r.Routes {
+		return []func(context.Context){r.changeRoutes, r.probeRoutes}
+	}
 	if r.Parts || r.Outages {
 		return nil
 	}
@@ -468,6 +480,9 @@
 	if r.Versions {
 		report.Resumes = r.resumes.String()
 	}
+	if r.Routes {
+		report.Routes = r.added.String()
+	}
 	report.Violations = append(r.deployment.Ledger.Violations(), r.violations...)
 	return report
 }
--- a/internal/bench/soak/strike.go
+++ b/internal/bench/soak/strike.go
@@ -24,10 +24,6 @@
 	switch d.Kind {
 	case Kill:
 		r.processAt(index).signal(syscall.SIGKILL)
-	case Pause:
-		r.processAt(index).signal(syscall.SIGSTOP)
-		pause(ctx, d.For)
-		r.processAt(index).signal(syscall.SIGCONT)
 	case Terminate:
 		r.processAt(index).signal(syscall.SIGTERM)
 	case RollingStop:
@@ -50,6 +46,8 @@
 		r.restoreStore(ctx, d)
 	case BadPart, PressOne, Unframed:
 		r.injectPart(ctx, d)
+	case Pause, Throttle, PauseGroup:
+		r.injectHold(ctx, d, index)
 	default:
 		r.injectPlatformChange(ctx, d)
 	}
--- a/internal/cli/devel/soak.go
+++ b/internal/cli/devel/soak.go
@@ -25,6 +25,7 @@
 	parts     bool
 	restores  bool
 	outages   bool
+	routes    bool
 	memory    int64
 	verbose   bool
 }
@@ -51,6 +52,7 @@
 	flags.BoolVar(&options.parts, "parts", false, "add parts of prompts that crash engines, an uneven balancer and answers without length, instead of rollouts")
 	flags.BoolVar(&options.restores, "restores", false, "bring the platform's store back from copies that lack its last writes")
 	flags.BoolVar(&options.outages, "outages", false, "let all hosts lose their power at once and silence the connections between processes, instead of rollouts")
+	flags.BoolVar(&options.routes, "routes", false, "add, move and remove routes in series, ask all processes for them, and throttle and pause processes, instead of rollouts")
 	flags.Int64Var(&options.memory, "memory", 0, "memory of a model engine in tokens (default: some eight of the largest requests)")
 	flags.BoolVar(&options.verbose, "verbose", false, "print each fault when it is injected")
 	return command
@@ -102,7 +104,7 @@
 	}
 	report, err := soak.Run(command.Context(), soak.Options{
 		Seed: seed, Length: time.Duration(options.seconds) * time.Second, Program: options.program, Folder: folder,
-		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Memory: options.memory, Out: out,
+		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Routes: options.routes, Memory: options.memory, Out: out,
 	})
 	if err != nil {
 		return false, err
@@ -112,6 +114,9 @@
 	if report.Resumes != "" {
 		command.Printf("  streams: %s\n", report.Resumes)
 	}
+	if report.Routes != "" {
+		command.Printf("  routes: %s\n", report.Routes)
+	}
 	if report.BadParts > 0 {
 		command.Printf("  %d parts crashed %d engines\n", report.BadParts, report.BadCrashes)
 	}
