fix(resume,router): what a gateway has kept counts only while its peers could tell it more

What callers saw: streams whose first events come from the new software version and the rest from the old one, after a gateway stood still or was cut off from its peers for some seconds while engines of the new version joined.

Cause: a stream without a named attempt goes on if one that answers has kept all streams of the request for long enough, and a process counted its own book as such an answer. It had been a keeper all the time, and got nothing while it stood still or was cut off. The class: what is known is taken for all there is.

Change: a process that has stood still for longer than its peers wait for it has kept nothing before (a gap between two looks at its clock), nor has one that dropped an origin from a full queue. And what a process has kept counts only if another keeper answers, unless the store lists no other process.

The test's gateway is held back in its clock, its connections and its callers.

What it costs: a stream without a named attempt is refused at a gateway that no other keeper answers, such as the one that is left of two.

--- a/internal/serve/resume/find.go
+++ b/internal/serve/resume/find.go
@@ -73,7 +73,8 @@
 // FindCommon returns the origin of the streams that share a key and began within a span, if all of
 // them agree. Several processes may have begun them, so it takes the answers of all processes that
 // should know one of them, within findTimeout. One of these must have kept the streams for the
-// whole span: after others have ended, what is left may not be all.
+// whole span: after others have ended, what is left may not be all. What this process has kept counts
+// only if one of the others answers: a process that they can't reach gets nothing of what they begin.
 func (t *Tracker) FindCommon(ctx context.Context, key origin.Key, span clock.Millis) Found {
 	began := t.clock.Now()
 	found := Found{Kept: t.kept(key, began)}
@@ -83,7 +84,8 @@
 	if found.Verdict != origin.Contradictory {
 		t.askAll(ctx, key, &found)
 	}
-	if found.Verdict == origin.Known && found.Kept < span {
+	inTouch := found.Answered > 0 || t.peers.AloneFunc()
+	if found.Verdict == origin.Known && (found.Kept < span || !inTouch) {
 		found.Verdict = origin.Unknown
 	}
 	found.Took = t.clock.Since(began)
--- a/internal/serve/resume/resume.go
+++ b/internal/serve/resume/resume.go
@@ -36,6 +36,9 @@
 	// checkInterval is the interval at which origins of open streams are sent again if the
 	// processes that keep them have changed.
 	checkInterval = 250 * clock.Millis(1)
+	// maxStandstill is the longest time between two looks at the history, which come every
+	// checkInterval. Peers give a silent process up after 700 ms; until then, what they send arrives later.
+	maxStandstill = 600 * clock.Millis(1)
 	// maxOpened is the number of processes that keep origins up to which a process has sessions
 	// to all of them. In larger fleets, these are the aggregators, which have sessions to each
 	// other.
@@ -63,6 +66,8 @@
 	AskFunc  func(ctx context.Context, to string, request *wire.OriginRequest) (*wire.OriginAnswer, error)
 	// OpenFunc opens a session to a peer, so that none has to be opened while a caller waits.
 	OpenFunc func(to string)
+	// AloneFunc reports whether there is no other process, reachable or not.
+	AloneFunc func() bool
 }
 
 // Tracker sends, keeps and finds the origins of streams. It is safe for concurrent use.
@@ -90,6 +95,8 @@
 	unsent, relayed []queued
 	// route describes the processes through which the open origins were sent last.
 	route string
+	// seenAt is when this process last looked at its history.
+	seenAt clock.Millis
 	// history holds which processes kept origins lately, and partial the handovers of which not
 	// all parts have arrived, by id.
 	history *origin.History
@@ -137,14 +144,14 @@
 			AskFunc: func(context.Context, string, *wire.OriginRequest) (*wire.OriginAnswer, error) {
 				return &wire.OriginAnswer{}, nil
 			},
-			OpenFunc: func(string) {},
+			OpenFunc: func(string) {}, AloneFunc: func() bool { return true },
 		},
 	}
 	t.meter = newMeter(t.book)
 	for _, opt := range opts {
 		opt(t)
 	}
-	t.history, t.partial = origin.NewHistory(t.peers.Self), make(map[uint64]*partialHandover)
+	t.history, t.partial, t.seenAt = origin.NewHistory(t.peers.Self), make(map[uint64]*partialHandover), t.clock.Now()
 	return t
 }
 
@@ -208,6 +215,7 @@
 func (t *Tracker) queue(to *[]queued, o queued) {
 	if len(*to) >= maxQueued {
 		t.meter.dropped.WithLabelValues(droppedQueue).Inc()
+		t.history.Lose(t.clock.Now())
 		return
 	}
 	*to = append(*to, o)
@@ -285,10 +293,21 @@
 	names := t.peers.KeepersFunc()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.history.See(names, now, maxLifetime)
+	t.see(names, now)
 	return t.history.Kept(key, now)
 }
 
+// see records the processes that keep origins now. If this process has stood still, its peers may have
+// given it up and sent origins to others. The caller must hold t.mu.
+func (t *Tracker) see(names []string, now clock.Millis) {
+	if stood := now - t.seenAt; stood > maxStandstill {
+		t.history.Lose(now)
+		t.log.Info("stream origins may be missing", "reason", "stoodStill", "forMs", int64(stood))
+	}
+	t.seenAt = max(t.seenAt, now)
+	t.history.See(names, now, maxLifetime)
+}
+
 // Run sends origins until the context ends.
 func (t *Tracker) Run(ctx context.Context) {
 	for {
@@ -332,7 +351,7 @@
 	route := aggregator + "|" + strings.Join(keepers, " ")
 	now := t.clock.Now()
 	t.mu.Lock()
-	t.history.See(keepers, now, maxLifetime)
+	t.see(keepers, now)
 	own, relayed := t.unsent, t.relayed
 	t.unsent, t.relayed = nil, nil
 	if route != t.route {
--- a/internal/serve/router/harness_test.go
+++ b/internal/serve/router/harness_test.go
@@ -64,6 +64,8 @@
 	changeWithin clock.Millis
 	// hostFunc returns the host of a gateway by its index, nil for hosts without limits.
 	hostFunc func(index int) benchHost
+	// heldFunc returns what holds back a gateway by its index, nil for nothing.
+	heldFunc func(index int) *held
 	// decodeTime is how long gateways take to decode a configuration.
 	decodeTime atomic.Int64
 	// addresses holds the addresses for sessions, callers and readiness of gateways that are
@@ -259,6 +261,7 @@
 	at := b.addresses[name]
 	sessions, callers, ready := listen(b.t, at[0]), listen(b.t, at[1]), listen(b.t, at[2])
 	b.addresses[name] = [3]string{sessions.Addr().String(), callers.Addr().String(), ready.Addr().String()}
+	at = b.addresses[name]
 	var host benchHost
 	if b.hostFunc != nil {
 		host = b.hostFunc(len(b.gateways))
@@ -279,8 +282,16 @@
 			engineDial = storeDial
 		}
 	}
+	now := clock.New()
+	if b.heldFunc != nil {
+		if h := b.heldFunc(len(b.gateways)); h != nil {
+			peersIn, peersOut, storeHeld := func(h *held) bool { return h.peersIn }, func(h *held) bool { return h.peersOut }, func(h *held) bool { return h.store }
+			now, callers, ready, sessions = h.clock(), h.listen(callers, never, never), h.listen(ready, never, never), h.listen(sessions, peersIn, peersOut)
+			storeDial, peerDial, engineDial = h.dial(conn.Dial, storeHeld, storeHeld), h.dial(conn.Dial, peersIn, peersOut), h.dial(conn.Dial, never, never)
+		}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &gateway{address: callers.Addr().String(), ready: ready.Addr().String(), registry: prometheus.NewRegistry()}
+	g := &gateway{address: at[1], ready: at[2], registry: prometheus.NewRegistry()}
 	log, err := logs.New(g, "debug")
 	assert.NilError(b.t, err)
 	transport := &http.Transport{DialContext: storeDial}
@@ -292,7 +303,7 @@
 		return transport.RoundTrip(r)
 	})
 	g.Gateway = router.New(ctx, router.Settings{
-		Name: name, Zone: []string{zoneA, zoneB}[len(b.gateways)%2], Address: sessions.Addr().String(), ChangeWithin: cmp.Or(b.changeWithin, 2*clock.Second), LeaveWithin: 2 * clock.Second, Clock: clock.New(), Log: log,
+		Name: name, Zone: []string{zoneA, zoneB}[len(b.gateways)%2], Address: sessions.Addr().String(), ChangeWithin: cmp.Or(b.changeWithin, 2*clock.Second), LeaveWithin: 2 * clock.Second, Clock: now, Log: log,
 		Capacity: host.capacity, DialFunc: peerDial, EndpointDialFunc: engineDial, LinkMbps: host.linkMbps, MemoryMb: host.memoryMb, MaxFds: host.maxFds,
 		Registry: g.registry, Dialect: b.dialect(),
 		Store:    platform.NewStore("http://"+b.Address, &http.Client{Transport: storeTransport}, clock.Second, 300),
--- a/internal/serve/router/origins.go
+++ b/internal/serve/router/origins.go
@@ -33,7 +33,8 @@
 		AskFunc: func(ctx context.Context, to string, request *wire.OriginRequest) (*wire.OriginAnswer, error) {
 			return g.mesh.RequestOrigin(ctx, to, request)
 		},
-		OpenFunc: func(to string) { g.mesh.OpenSession(to) },
+		OpenFunc:  func(to string) { g.mesh.OpenSession(to) },
+		AloneFunc: func() bool { return g.memberCount.Load() <= 1 },
 	}))
 }
 
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -142,6 +142,7 @@
 	storeBackAt clock.Millis             // when the store was reachable again after its last outage
 	owning      atomic.Bool              // whether this process has begun to own pools
 	listed      atomic.Bool              // whether the store's member list holds this process
+	memberCount atomic.Int64             // the number of processes in that list
 	statedPools atomic.Pointer[[]string] // the shared pools that the entry of this process states
 	refreshedAt atomic.Int64             // when refreshConfig last requested the configuration
 	// membersChanged wakes register.
