--- a/internal/engine/conn/head_test.go
+++ b/internal/engine/conn/head_test.go
@@ -21,7 +21,7 @@
 	"reset":  func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) },
 	"half closed": func(c net.Conn) {
 		_ = c.(*net.TCPConn).CloseWrite()
-		_, _ = io.Copy(io.Discard, c) //nolint:errcheck // until the caller closes
+		_, _ = io.Copy(io.Discard, c) // until the caller closes
 	},
 }
 
