fix(subset,gate,router): the starts at a warm endpoint follow the requests that processes get

What callers saw since: requests refused at once with 503 while processes join a small fleet, though the endpoints are warm.

Cause: the limit of starts at a warm endpoint is divided equally by the processes that use it. Those that have just joined get no request yet, and keep their part of the limit from those that get all.

Change: in pools whose endpoints all processes use, three quarters of the limit are divided by the rates of requests that the processes report to each other, the rest equally. A process counts its own rate as it reported it 0.4 s before, when its peers know it, too: with newer numbers of its own, each would take most of the limit at the beginning of a burst. No message has a new field.

The shares of 16 processes add up to 1.11 of the limit at most, which is what the endpoint bears, while requests begin, move and grow (TestSharesAddUpToTheLimit).

--- /dev/null
+++ b/internal/route/subset/share.go
@@ -0,0 +1,66 @@
+package subset
+
+import (
+	"sync"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+)
+
+const (
+	// demandShare is the part of a limit that is divided by the requests that the processes get. The rest is
+	// divided equally, for processes that get their first ones.
+	demandShare = 0.75
+	// reportLag is how long ago a process must have reported its requests before it counts them itself, so that
+	// all processes divide by about the same numbers: with newer ones of its own, each would take most of a
+	// limit at the beginning of a burst.
+	reportLag = 400 * clock.Millis(1)
+	// maxReports bounds the reports that are kept.
+	maxReports = 64
+)
+
+// Share divides the limits of the whole fleet among processes. It is safe for concurrent use.
+type Share struct {
+	mu      sync.Mutex
+	reports []report
+}
+
+// report is the rate of requests that a process has reported at an instant.
+type report struct {
+	at   clock.Millis
+	rate float64
+}
+
+// Report records the rate of requests, in requests per second, that this process reports to its peers.
+func (s *Share) Report(rate float64, now clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.reports) > 1 && now-s.reports[1].at >= reportLag || len(s.reports) >= maxReports {
+		s.reports = s.reports[1:]
+	}
+	s.reports = append(s.reports, report{at: now, rate: rate})
+}
+
+// Of returns the share of a limit of one endpoint that this process may use. It knows the rate of requests of
+// its peers, their number with itself, and the number of endpoints of the pool. All processes use a pool up to
+// MaxWholePool endpoints; of a larger one, each uses some, and the share doesn't depend on rates.
+func (s *Share) Of(peersRate float64, processes, endpoints int, now clock.Millis) float64 {
+	equal := 1 / float64(Users(processes, endpoints))
+	if endpoints > MaxWholePool || processes < 2 {
+		return equal
+	}
+	own := s.reported(now)
+	if own+peersRate <= 0 {
+		return equal
+	}
+	return (1-demandShare)*equal + demandShare*own/(own+peersRate)
+}
+
+// reported returns the latest rate that the peers have had time to learn.
+func (s *Share) reported(now clock.Millis) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.reports) == 0 || now-s.reports[0].at < reportLag {
+		return 0
+	}
+	return s.reports[0].rate
+}
--- /dev/null
+++ b/internal/route/subset/share_test.go
@@ -0,0 +1,73 @@
+package subset_test
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/route/subset"
+)
+
+// fleet reports a rate of each process at each 100 ms until an instant.
+func fleet(rates func(process int, at clock.Millis) float64, processes int, until clock.Millis) []*subset.Share {
+	shares := make([]*subset.Share, processes)
+	for i := range shares {
+		shares[i] = &subset.Share{}
+		for at := clock.Millis(0); at <= until; at += 100 {
+			shares[i].Report(rates(i, at), at)
+		}
+	}
+	return shares
+}
+
+// Guards against callers that are refused at the processes that get all requests, because processes that get none
+// have an equal share.
+func TestShareFollowsTheRequests(t *testing.T) {
+	shares := fleet(func(process int, _ clock.Millis) float64 {
+		if process < 2 {
+			return 25
+		}
+		return 0
+	}, 5, 2000)
+	assert.Assert(t, shares[0].Of(25, 5, 2, 2000) > 0.4)
+	assert.Assert(t, shares[4].Of(50, 5, 2, 2000) > 0.04)
+	assert.Equal(t, shares[0].Of(25, 5, 100, 2000), 1/float64(subset.Users(5, 100)))
+	assert.Equal(t, (&subset.Share{}).Of(0, 4, 2, 0), 0.25)
+}
+
+// Guards against shares that add up to more than the limit when the requests move from some processes to others, or
+// come to all at once.
+func TestSharesAddUpToTheLimit(t *testing.T) {
+	const processes, lag = 16, 200 // a peer's report is 200 ms old
+	const most = 1 / 0.9           // a warm endpoint's limit is 0.9 of what it bears when it is cold
+	for name, rates := range map[string]func(process int, at clock.Millis) float64{
+		"equal":          func(int, clock.Millis) float64 { return 10 },
+		"one":            func(process int, _ clock.Millis) float64 { return map[bool]float64{true: 100}[process == 0] },
+		"a burst at all": func(_ int, at clock.Millis) float64 { return map[bool]float64{true: 50}[at >= 1000] },
+		"from one to all": func(process int, at clock.Millis) float64 {
+			return map[bool]float64{true: 50}[at >= 1000 || process == 0]
+		},
+		"from one to another": func(process int, at clock.Millis) float64 { return map[bool]float64{true: 50}[process == int(at/1000)] },
+		"growing":             func(process int, at clock.Millis) float64 { return float64(process) * float64(at) / 500 },
+	} {
+		for now := clock.Millis(500); now <= 3000; now += 50 {
+			shares := fleet(rates, processes, now)
+			sum := 0.0
+			for i, share := range shares {
+				peers := 0.0
+				for other := range processes {
+					if other != i {
+						peers += rates(other, (now-lag)/100*100)
+					}
+				}
+				sum += share.Of(peers, processes, 10, now)
+			}
+			assert.Check(t, sum <= most+0.001 && !math.IsNaN(sum), "%s: %f at %d ms", name, sum, now)
+			if name == "equal" || name == "one" || name == "a burst at all" && now <= 1000 {
+				assert.Check(t, sum <= 1.001, "%s: %f at %d ms", name, sum, now)
+			}
+		}
+	}
+}
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -7,7 +7,6 @@
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/route/place"
-	"github.com/jujubescale/jujubescale/internal/route/subset"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/permit"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
@@ -180,7 +179,7 @@
 	}
 	bounds := g.bounds.Load()
 	all := (rate*bounds.ColdShare + bounds.ColdSpare) * warmRateShare
-	return max(int(all)/subset.Users(g.mesh.Count(), len(g.View().Pool(pool.Name))), 1)
+	return max(int(all*g.StartShare(len(g.View().Pool(pool.Name)))), 1)
 }
 
 func (g *Gate) chooseEngine(req *request, targets []*target.Target, excluded []bool, held choice, now clock.Millis) choice {
--- a/internal/serve/router/limits.go
+++ b/internal/serve/router/limits.go
@@ -13,6 +13,7 @@
 	"github.com/jujubescale/jujubescale/internal/guard/hold"
 	"github.com/jujubescale/jujubescale/internal/guard/spare"
 	"github.com/jujubescale/jujubescale/internal/link/pacer"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/serve/bulk"
 	"github.com/jujubescale/jujubescale/internal/serve/spool"
 )
@@ -104,3 +105,12 @@
 	}
 	return int64(len(names))
 }
+
+// startShare returns this process's share of the starts at a warm endpoint of a pool.
+func (g *Gateway) startShare(endpoints int) float64 {
+	peers := 0.0
+	if sums := g.mesh.PendingArrivals(wire.RequestRate); len(sums) > 0 {
+		peers = float64(sums[0])
+	}
+	return g.share.Of(peers, g.mesh.Count(), endpoints, g.Clock.Now())
+}
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -86,7 +86,9 @@
 	if g.deploy != nil {
 		loads.Trials = g.deploy.Trials()
 	}
-	loads.PendingArrivals = append(loads.PendingArrivals, wire.PendingArrivals{Pool: wire.RequestRate, Pieces: []int{g.door.Offered(g.Clock.Now()), 1}})
+	offered, now := g.door.Offered(g.Clock.Now()), g.Clock.Now()
+	g.share.Report(float64(offered), now)
+	loads.PendingArrivals = append(loads.PendingArrivals, wire.PendingArrivals{Pool: wire.RequestRate, Pieces: []int{offered, 1}})
 	for _, load := range g.gate.PendingArrivals() {
 		loads.PendingArrivals = append(loads.PendingArrivals, wire.PendingArrivals{Pool: load.Pool, Pieces: load.Pieces})
 	}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -26,6 +26,7 @@
 	"github.com/jujubescale/jujubescale/internal/ops/skip"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/route/canary"
+	"github.com/jujubescale/jujubescale/internal/route/subset"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/deploy"
 	"github.com/jujubescale/jujubescale/internal/serve/detect"
@@ -157,6 +158,8 @@
 	mesh     *mesh.Mesh
 	host     *host.Host
 	meter    *meter
+	// share divides limits of the whole fleet by the requests that processes get.
+	share subset.Share
 	// skipped counts objects of the store that can't be read.
 	skipped *skip.Book
 	// deploy carries out rollouts; nil if they are disabled.
@@ -196,7 +199,7 @@
 		}))
 	g.gate = gate.New(gate.Settings{
 		Clock: g.Clock, Log: g.Log, Codec: g.Dialect.Codec, Registry: g.Registry, Name: g.Name, Zone: g.Zone,
-		Config: g.config, View: g.endpoints.Snapshot, Starting: g.starting, Informed: g.isInformed, Deploy: g.deploy,
+		Config: g.config, StartShare: g.startShare, View: g.endpoints.Snapshot, Starting: g.starting, Informed: g.isInformed, Deploy: g.deploy,
 		ReuseFunc: g.reuses, DialFunc: g.EndpointDialFunc,
 		Permits:  g.newPermits(),
 		Origins:  g.origins,
