--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -98,6 +98,16 @@
 		"a stream went on at another version than the one that began it")
 }
 
+// The operator adds, moves and removes routes in series while processes are throttled, paused and killed. Guards
+// against requests that are denied although their version was acknowledged, and against older versions that come back.
+func TestAddedRoutesAreServedUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("short mode: each seed takes about 20 seconds")
+	}
+	runOptions(t, soak.Options{Seed: 63005, Length: 26 * time.Second, Gateways: 6, PerSecond: 40, Routes: true, Memory: 24_000},
+		"a version that spells whole numbers as fractions was in force nowhere")
+}
+
 func TestPlansAreReproducibleAndEndBeforeRecovery(t *testing.T) {
 	const length = 30 * time.Second
 	first, again, other := soak.Plan(5, length), soak.Plan(5, length), soak.Plan(6, length)
