--- a/internal/serve/router/still_test.go
+++ b/internal/serve/router/still_test.go
@@ -51,7 +51,8 @@
 	const count = 40
 	h := newHeld()
 	c := testConfig()
-	c.Services[1].ColdPerS = 200 // the bound of cold engines would limit the load
+	c.Services[1].ColdPerS = 200   // the bound of cold engines would limit the load
+	c.Routes[2].TimeoutMs = 12_000 // origins outlast the test beside load
 	b := startBench(t, tt.gateways, c, &bench{heldFunc: func(index int) *held {
 		if index == 0 {
 			return h
@@ -73,7 +74,7 @@
 		b.Remove(e)
 	}
 	add("v1")
-	time.Sleep(9500 * time.Millisecond) // no stream is older than the gateways
+	time.Sleep(13500 * time.Millisecond) // no stream is older than the gateways
 	others := b.gateways[1:]
 	first := make([]*stand.Request, count)
 	for i := range first {
