fix(apply): an operator's change uses the head that a conflict shows

What operators saw: a change that is given up after 8 tries, 'nothing was changed', while half of the store's reads are stale: TestNoDaemonRevertsOnPlatformFaults failed once in three runs of all e2e tests.

Cause: each try after a conflict reads the head anew and takes a stale one, though the conflict holds the newest.

The gateway doesn't use this package.

--- a/internal/share/apply/write.go
+++ b/internal/share/apply/write.go
@@ -58,6 +58,8 @@
 	outcomeUnknown bool
 	// sectionsWritten is set after all sections were written.
 	sectionsWritten bool
+	// shown is the head that the last conflict has shown. A read may return an older one.
+	shown store.Object
 }
 
 // change performs one action. It reads the head, checks for conflicts, writes
@@ -92,7 +94,7 @@
 }
 
 func (o *Operator) try(ctx context.Context, a *attempt) (Result, error) {
-	current, version, err := o.read(ctx)
+	current, version, err := o.readSince(ctx, &a.shown)
 	if err != nil {
 		return Result{}, err
 	}
@@ -118,6 +120,10 @@
 	if err := o.writeHead(ctx, version, next); err != nil {
 		var unknown *store.UnknownError
 		a.outcomeUnknown = a.outcomeUnknown || errors.As(err, &unknown)
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) {
+			a.shown = conflict.Current
+		}
 		return Result{}, err
 	}
 	return Result{Head: next, Changed: true}, nil
@@ -174,7 +180,15 @@
 
 // read returns the head and its version. The head is nil if there is none.
 func (o *Operator) read(ctx context.Context) (*head.Head, store.Revision, error) {
+	return o.readSince(ctx, &store.Object{})
+}
+
+// readSince reads the head, or returns the known one if that is newer: a read may be stale.
+func (o *Operator) readSince(ctx context.Context, known *store.Object) (*head.Head, store.Revision, error) {
 	object, err := o.store.Get(ctx, head.Object)
+	if err == nil && object.Version.Before(known.Version) {
+		object = *known
+	}
 	if err != nil || object.Version.IsZero() {
 		return nil, store.Revision{}, err
 	}
