fix(proof,feed): nothing is denied right after the store came back from a copy

Change: for as long as a change may take after a gateway has seen the era rise, it denies nothing; what was lost is written again within that time.

--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -83,6 +83,8 @@
 	Relayed     bool
 	// Behind is Feed.Behind.
 	Behind bool
+	// Era is the era of the store that the feed has read.
+	Era uint64
 }
 
 // WithProof sets the function that takes each new proof. It is called after the handlers of the objects
@@ -92,7 +94,7 @@
 // publishProof passes the present proof on. The caller holds the lock.
 func (f *Feed) publishProof() {
 	s := &f.state
-	f.proofFunc(Proof{ConfirmedAt: s.confirmedAt, Relayed: s.relayedAt > 0 && s.relayedAt == s.confirmedAt, Behind: s.behind()})
+	f.proofFunc(Proof{ConfirmedAt: s.confirmedAt, Relayed: s.relayedAt > 0 && s.relayedAt == s.confirmedAt, Behind: s.behind(), Era: s.revision.Era})
 }
 
 // Relayed reports whether a peer relays changes.
--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -40,6 +40,10 @@
 	// Relayed whether a peer passed that on.
 	ConfirmedAt clock.Millis
 	Relayed     bool
+	// Era is the era of the store, and RestoredAt the instant at which it was seen to rise, 0 if it has not. The
+	// store may lack what it acknowledged until that is written again, and this process may not know it.
+	Era        uint64
+	RestoredAt clock.Millis
 	// Behind is set if a peer has shown a newer state of the store, and NotInForce if the newest
 	// configuration could not be put in force.
 	Behind, NotInForce bool
@@ -163,7 +167,10 @@
 	b.replace.Lock()
 	defer b.replace.Unlock()
 	next := *b.state.Load()
-	next.ConfirmedAt, next.Behind, next.Relayed = proof.ConfirmedAt, proof.Behind, proof.Relayed
+	if next.Era != 0 && proof.Era > next.Era {
+		next.RestoredAt = b.clock.Now()
+	}
+	next.ConfirmedAt, next.Behind, next.Relayed, next.Era = proof.ConfirmedAt, proof.Behind, proof.Relayed, proof.Era
 	b.state.Store(&next)
 }
 
@@ -187,9 +194,12 @@
 
 // isUnproved reports whether a newer configuration than that of a decision may have to be in force.
 func (b *Book) isUnproved(d *Decision) bool {
-	return d.State == nil || d.Table == nil || d.Table.Incomplete || d.Behind || d.NotInForce || d.age() > b.share(DenialShare)
+	return d.State == nil || d.Table == nil || d.Table.Incomplete || d.Behind || d.NotInForce || d.age() > b.share(DenialShare) || b.isRestored(d)
 }
 
+// isRestored reports whether the store had just come back from a copy at a decision.
+func (b *Book) isRestored(d *Decision) bool { return d.RestoredAt > 0 && d.At-d.RestoredAt < b.within }
+
 // share returns a share of the time within which a change must be in force.
 func (b *Book) share(of float64) clock.Millis { return clock.Millis(of * float64(b.within)) }
 
@@ -239,6 +249,6 @@
 	if d.Relayed {
 		source = b.sourceFunc()
 	}
-	return fmt.Sprintf("configuration %d of revision %v, confirmed %d ms before by %s, store unreachable for %d ms, changes missing: %t, newest not in force: %t, incomplete: %t",
-		d.version(), d.Revision, d.age(), source, b.awayFunc(), d.Behind, d.NotInForce, d.Table != nil && d.Table.Incomplete)
+	return fmt.Sprintf("configuration %d of revision %v, confirmed %d ms before by %s, store unreachable for %d ms, changes missing: %t, newest not in force: %t, incomplete: %t, store restored: %t",
+		d.version(), d.Revision, d.age(), source, b.awayFunc(), d.Behind, d.NotInForce, d.Table != nil && d.Table.Incomplete, b.isRestored(d))
 }
--- a/internal/serve/proof/proof_test.go
+++ b/internal/serve/proof/proof_test.go
@@ -47,6 +47,14 @@
 			put(b, 3, nil)
 			b.Confirm(feed.Proof{ConfirmedAt: 200})
 		}, 200, fault.UnknownRoute},
+		"the store is restored": {func(b *proof.Book) {
+			b.Confirm(feed.Proof{ConfirmedAt: 100, Era: 1})
+			b.Confirm(feed.Proof{ConfirmedAt: 150, Era: 2})
+		}, 200, fault.ConfigOutdated},
+		"the store was restored": {func(b *proof.Book) {
+			b.Confirm(feed.Proof{ConfirmedAt: 100, Era: 1})
+			b.Confirm(feed.Proof{ConfirmedAt: within, Era: 2})
+		}, 101 + within, fault.UnknownRoute},
 		"an older version follows": {func(b *proof.Book) { put(b, 0, nil); b.Confirm(feed.Proof{ConfirmedAt: 200}) }, 200, fault.UnknownRoute},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/serve/router/denial_test.go
+++ b/internal/serve/router/denial_test.go
@@ -107,6 +107,38 @@
 	}
 }
 
+// Guards against a request that is denied because the store has lost the version that added its route, at a
+// gateway that was cut off when that was acknowledged, while others know it.
+func TestVersionThatTheStoreHasLostDeniesNoRequestAtAGatewayThatMissedIt(t *testing.T) {
+	h := newHeld()
+	b := startBench(t, 3, testConfig(), &bench{heldFunc: func(index int) *held {
+		if index == 0 {
+			return h
+		}
+		return nil
+	}})
+	t.Cleanup(h.release)
+	before := b.Store.Copy()
+	h.set(func(h *held) { h.peersIn, h.peersOut, h.store = true, true, true })
+	prefix := b.addRoutes(1, 7)
+	b.Publish()
+	for _, g := range b.gateways[1:] {
+		b.sendUntil(g, func() *stand.Request { return publicLookup(prefix + "x") }, func(got stand.Outcome) bool { return got.Complete })
+	}
+	time.Sleep(2 * time.Second)
+	b.Store.Restore(before)
+	h.release()
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		got := b.send(b.gateways[0], publicLookup(prefix+"x"))
+		assert.Check(t, got.Status != http.StatusNotFound, "%d", got.Status)
+	}
+	b.WriteAgain()
+	for _, g := range b.gateways {
+		b.sendUntil(g, func() *stand.Request { return publicLookup(prefix + "x") }, func(got stand.Outcome) bool { return got.Complete })
+		b.sendUntil(g, func() *stand.Request { return publicLookup("/unknown/x") }, func(got stand.Outcome) bool { return got.Status == http.StatusNotFound })
+	}
+}
+
 // writeChangedConfig writes the configuration with a change of its document.
 func (b *bench) writeChangedConfig(change func(document map[string]any)) {
 	document := b.Config.Document()
