fix(platform,router): metadata that can't be read proves nothing

Found by reading the whole change: an object whose revision could not be read was left out of a list, so that the engine that it names counted as gone; and an object of the configuration's kind that was left out did not keep the old configuration from denying, at this process and at those that follow the store through it. TestUnreadableMetadataProvesNothing.

--- a/internal/serve/router/follow.go
+++ b/internal/serve/router/follow.go
@@ -120,6 +120,9 @@
 	var skipped *store.SkippedError
 	if errors.As(err, &skipped) {
 		g.skipped.Record(skipped.Kind, skipped.Name, skipped.Cause)
+		if skipped.Kind == g.Dialect.ConfigKind {
+			g.config.Put(&store.Object{}, nil, err) // it may be the newest configuration
+		}
 	}
 }
 
--- a/internal/serve/router/odd_test.go
+++ b/internal/serve/router/odd_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -77,3 +78,22 @@
 		}, poll.WithTimeout(4*time.Second))
 	}
 }
+
+// Guards against a denial by an old configuration beside an object that may be the newest one and can't be read, and
+// against an engine that counts as gone because the revision of its entry can't be read.
+func TestUnreadableMetadataProvesNothing(t *testing.T) {
+	b := start(t, 1)
+	g := b.gateways[0]
+	b.sendUntil(g, func() *stand.Request { return publicLookup("/unknown/x") }, func(got stand.Outcome) bool { return got.Status == http.StatusNotFound })
+	b.Store.PutOdd("config", "odd", json.RawMessage("{}"), json.RawMessage(`{"name":[],"revision":1}`))
+	b.sendUntil(g, func() *stand.Request { return publicLookup("/unknown/x") }, func(got stand.Outcome) bool { return got.Status == http.StatusServiceUnavailable })
+	b.Store.Delete("config", "odd")
+	b.Publish()
+	b.sendUntil(g, func() *stand.Request { return publicLookup("/unknown/x") }, func(got stand.Outcome) bool { return got.Status == http.StatusNotFound })
+	e := b.Engines(orders)[0]
+	known, _ := b.Store.Get("servers", e.ID)
+	b.Store.PutOdd("servers", e.ID, known.Spec, json.RawMessage(fmt.Sprintf(`{"name":%q,"revision":1e999}`, e.ID)))
+	b.Store.DropHistory() // the list is read again
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, g.KnownEndpoints(orders), 2)
+}
