fix(proof): callers aren't held while no proof can come in time

Found by reading the whole change: for up to a quarter of the time of a change each unknown path waited after a return of the store, though nothing is denied for longer. A version that is written again with its odd parts mended replaces itself. TestDenialDoesNotWaitForARestoredStore.

--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -146,7 +146,7 @@
 	case routes.Version < next.version():
 		b.log.Warn("configuration with a lower version ignored", "revision", object.Version, "configuration", routes.Version, "inForce", next.version())
 		return false // versions never go back
-	case routes.Version == next.version() && next.Table != nil:
+	case routes.Version == next.version() && next.Table != nil && !next.Table.Incomplete:
 		next.NotInForce = false
 	default:
 		next.Table, next.Revision, next.NotInForce = routes, object.Version, false
@@ -198,7 +198,15 @@
 }
 
 // isRestored reports whether the store had just come back from a copy at a decision.
-func (b *Book) isRestored(d *Decision) bool { return d.RestoredAt > 0 && d.At-d.RestoredAt < b.within }
+func (b *Book) isRestored(d *Decision) bool { return b.restoredFor(d) > 0 }
+
+// restoredFor returns for how long after a decision the store counts as just restored.
+func (b *Book) restoredFor(d *Decision) clock.Millis {
+	if d.RestoredAt == 0 {
+		return 0
+	}
+	return max(d.RestoredAt+b.within-d.At, 0)
+}
 
 // share returns a share of the time within which a change must be in force.
 func (b *Book) share(of float64) clock.Millis { return clock.Millis(of * float64(b.within)) }
@@ -206,8 +214,8 @@
 // Check logs when the age of the configuration exceeds a limit, and when it doesn't any more.
 func (b *Book) Check(limit clock.Millis) {
 	d := b.Decide()
-	age := b.Age()
-	old := age > limit
+	age := d.age()
+	old := d.Table != nil && age > limit
 	if old == b.old {
 		return
 	}
--- a/internal/serve/proof/proof_test.go
+++ b/internal/serve/proof/proof_test.go
@@ -102,3 +102,19 @@
 	assert.Assert(t, got == nil)
 	assert.Equal(t, decision.Table.Version, uint64(2))
 }
+
+// Guards against callers who are held although no proof can come in time, as the store has just been restored.
+func TestDenialDoesNotWaitForARestoredStore(t *testing.T) {
+	var now clock.Millis
+	b := proof.New(t.Context(), within, within/4, proof.WithClock(clock.New(clock.WithNow(func() clock.Millis { return now }))))
+	now = 100
+	put(b, 1, nil)
+	b.Confirm(feed.Proof{ConfirmedAt: 100, Era: 1})
+	b.Confirm(feed.Proof{ConfirmedAt: 100, Era: 2})
+	decision := b.Decide()
+	got := b.ConfirmDenial(t.Context(), "r", &decision, fault.Deny(fault.UnknownRoute, ""), func() *fault.RefusalError {
+		t.Error("decided anew")
+		return nil
+	})
+	assert.Equal(t, got.Reason, fault.ConfigOutdated)
+}
--- a/internal/serve/proof/wait.go
+++ b/internal/serve/proof/wait.go
@@ -49,7 +49,7 @@
 // mayBeConfirmed reports whether the configuration is outdated, and may be confirmed or replaced soon.
 func (b *Book) mayBeConfirmed() bool {
 	d := b.Decide()
-	return b.isUnproved(&d) && !d.NotInForce && d.Table != nil && !d.Table.Incomplete && (d.Behind || b.awayFunc() <= b.waitFor)
+	return b.isUnproved(&d) && !d.NotInForce && d.Table != nil && !d.Table.Incomplete && b.restoredFor(&d) <= b.waitFor && (d.Behind || b.awayFunc() <= b.waitFor)
 }
 
 // awaitEnd closes ended once the configuration is confirmed, at the latest after waitFor.
