--- a/internal/ops/skip/skip.go
+++ b/internal/ops/skip/skip.go
@@ -55,17 +55,16 @@
 func (b *Book) Record(kind, name string, cause error) {
 	name = cut(name)
 	b.mu.Lock()
-	known := b.logged[[2]string{kind, name}]
-	if full := len(b.logged) >= maxNames; !known && !full {
+	known, full := b.logged[[2]string{kind, name}], len(b.logged) >= maxNames
+	if !full {
 		b.logged[[2]string{kind, name}] = true
 	}
-	first := !known && len(b.logged) < maxNames
 	b.mu.Unlock()
 	if known {
 		return
 	}
 	b.counter.WithLabelValues(kind).Inc()
-	if first {
+	if !full {
 		b.log.Warn("object left out", "kind", kind, "name", name, logs.KeyError, cut(cause.Error()))
 	}
 }
