fix(subset): a share doesn't fall because a process reports often

Found by reading: with more than 64 reports in 0.4 s none was old enough, and the process counted no requests of its own. TestShareOutlastsManyReports fails without the change.

--- a/internal/route/subset/share.go
+++ b/internal/route/subset/share.go
@@ -14,8 +14,8 @@
 	// all processes divide by about the same numbers: with newer ones of its own, each would take most of a
 	// limit at the beginning of a burst.
 	reportLag = 400 * clock.Millis(1)
-	// maxReports bounds the reports that are kept.
-	maxReports = 64
+	// reportGap is the shortest time between two reports that are kept. It bounds their number.
+	reportGap = 20 * clock.Millis(1)
 )
 
 // Share divides the limits of the whole fleet among processes. It is safe for concurrent use.
@@ -34,7 +34,10 @@
 func (s *Share) Report(rate float64, now clock.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for len(s.reports) > 1 && now-s.reports[1].at >= reportLag || len(s.reports) >= maxReports {
+	if last := len(s.reports) - 1; last >= 0 && now-s.reports[last].at < reportGap {
+		return
+	}
+	for len(s.reports) > 1 && now-s.reports[1].at >= reportLag {
 		s.reports = s.reports[1:]
 	}
 	s.reports = append(s.reports, report{at: now, rate: rate})
--- a/internal/route/subset/share_test.go
+++ b/internal/route/subset/share_test.go
@@ -71,3 +71,12 @@
 		}
 	}
 }
+
+// Guards against a share that falls because a process reports often.
+func TestShareOutlastsManyReports(t *testing.T) {
+	share := &subset.Share{}
+	for at := clock.Millis(0); at < 2000; at++ {
+		share.Report(25, at)
+	}
+	assert.Assert(t, share.Of(25, 5, 2, 2000) > 0.4)
+}
