fix(subset): peers whose reports are missing keep their share

Found by reading the whole change: reports that are missing were left out after 1.5 s, before their processes count as gone, so that each of the others took most of the limit: the class of a floor whose sum grows. TestSilentPeersKeepTheirShare fails without the change.

--- a/internal/route/subset/share.go
+++ b/internal/route/subset/share.go
@@ -16,12 +16,18 @@
 	reportLag = 400 * clock.Millis(1)
 	// reportGap is the shortest time between two reports that are kept. It bounds their number.
 	reportGap = 20 * clock.Millis(1)
+	// silentSpan is how long the highest rate of the peers counts at least: reports of peers that fall silent are
+	// left out before these peers count as gone.
+	silentSpan = 3 * clock.Second
 )
 
 // Share divides the limits of the whole fleet among processes. It is safe for concurrent use.
 type Share struct {
 	mu      sync.Mutex
 	reports []report
+	// peers and before are the highest rates of the peers in this silentSpan, which began at since, and in the one before.
+	peers, before float64
+	since         clock.Millis
 }
 
 // report is the rate of requests that a process has reported at an instant.
@@ -51,13 +57,27 @@
 	if endpoints > MaxWholePool || processes < 2 {
 		return equal
 	}
-	own := s.reported(now)
+	own, peersRate := s.reported(now), s.highest(peersRate, now)
 	if own+peersRate <= 0 {
 		return equal
 	}
 	return (1-demandShare)*equal + demandShare*own/(own+peersRate)
 }
 
+// highest records the rate of the peers and returns their highest one of late.
+func (s *Share) highest(peersRate float64, now clock.Millis) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now-s.since >= silentSpan {
+		if s.before = s.peers; now-s.since >= 2*silentSpan {
+			s.before = 0
+		}
+		s.peers, s.since = 0, now
+	}
+	s.peers = max(s.peers, peersRate)
+	return max(s.peers, s.before)
+}
+
 // reported returns the latest rate that the peers have had time to learn.
 func (s *Share) reported(now clock.Millis) float64 {
 	s.mu.Lock()
--- a/internal/route/subset/share_test.go
+++ b/internal/route/subset/share_test.go
@@ -80,3 +80,16 @@
 	}
 	assert.Assert(t, share.Of(25, 5, 2, 2000) > 0.4)
 }
+
+// Guards against processes that each take most of a limit when reports of their peers are missing.
+func TestSilentPeersKeepTheirShare(t *testing.T) {
+	shares := fleet(func(int, clock.Millis) float64 { return 10 }, 8, 4000)
+	for name, silent := range map[string]clock.Millis{"soon": 2100, "later": 3500} {
+		sum := 0.0
+		for _, share := range shares {
+			share.Of(70, 8, 10, 2000)
+			sum += share.Of(0, 8, 10, silent)
+		}
+		assert.Check(t, sum <= 1.001, "%s: %f", name, sum)
+	}
+}
