fix(proof,router): a restored store's denials rest on what all peers have stated

What callers saw: a revoked key answered with 503 instead of 401 for 2.0 to 2.4 s after the store had come back from a copy, with 2 s allowed.

Cause: since a gateway denies nothing for the time of a change after it has seen the era rise. It sees that up to the longest pause of its calls after the return, and each follower later than its upstream. A time can't be both long enough for a gateway that missed what the store has lost and over in time for one that knows it.

Change: the proof is what the peers state. Each message between processes carries the version in force; a denial is proved once all listed processes have stated theirs since the era was read, and never while one has stated a newer one. The time is left for a gateway that doesn't reach all of them. A gateway that starts beside a store that came back before it is treated the same, unless a process that serves has told it what the store has lost (found by reading, listed as open).

--- a/internal/serve/mesh/ask.go
+++ b/internal/serve/mesh/ask.go
@@ -110,7 +110,7 @@
 
 // handleLinkFrame handles one frame on a session that this process opened.
 func (m *Mesh) handleLinkFrame(s *sess.Session, frame *wire.Frame) {
-	m.checkRelease(frame)
+	m.peerReleaseFunc(s.Peer().Process, frame.Release)
 	frame.AddTransit(frame.Transit)
 	from := s.Peer().Process
 	switch frame.Kind {
@@ -156,7 +156,7 @@
 
 // handleInboundFrame handles one frame on a session that a peer opened.
 func (m *Mesh) handleInboundFrame(s *sess.Session, frame *wire.Frame) {
-	m.checkRelease(frame)
+	m.peerReleaseFunc(s.Peer().Process, frame.Release)
 	frame.AddTransit(frame.Transit)
 	from := s.Peer().Process
 	switch frame.Kind {
@@ -193,12 +193,6 @@
 	}
 }
 
-func (m *Mesh) checkRelease(frame *wire.Frame) {
-	if frame.Release > m.releaseFunc() {
-		m.newerReleaseFunc()
-	}
-}
-
 // newReply returns a reply that answers a request on its session. Send errors are
 // ignored: if the session has ended, the peer has detected it too.
 func newReply(s *sess.Session, callID uint64) Reply {
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -107,27 +107,27 @@
 	log            *log.Logger
 	sessionOptions []sess.Option
 
-	piecesFunc       func(from string, pieces *wire.Pieces, reply Reply)
-	droppedFunc      func(from string, callID uint64)
-	unusedFunc       func(unused *wire.Unused)
-	loadsFunc        func() *wire.Loads
-	workFunc         func(work []wire.Work, whole bool)
-	prefixFunc       func([]wire.PrefixUse)
-	refusedFunc      func([]wire.Refused)
-	crashesFunc      func([]wire.Crash, []wire.PartReport)
-	limitsFunc       func([]wire.EndpointLimit)
-	speedsFunc       func([]wire.Speed)
-	permitFunc       func(*wire.PermitRequest) *wire.Permit
-	handoverFunc     func(drain.Arrival)
-	originsFunc      func(*wire.Origins)
-	originFunc       func(*wire.OriginRequest) *wire.OriginAnswer
-	searchFunc       func(context.Context, *wire.OriginRequest) *wire.OriginAnswer
-	sessionLostFunc  func(peer string)
-	restartedFunc    func(peer string)
-	ignoredFunc      func(reason string)
-	releaseFunc      func() uint64
-	newerReleaseFunc func()
-	follower         Follower
+	piecesFunc      func(from string, pieces *wire.Pieces, reply Reply)
+	droppedFunc     func(from string, callID uint64)
+	unusedFunc      func(unused *wire.Unused)
+	loadsFunc       func() *wire.Loads
+	workFunc        func(work []wire.Work, whole bool)
+	prefixFunc      func([]wire.PrefixUse)
+	refusedFunc     func([]wire.Refused)
+	crashesFunc     func([]wire.Crash, []wire.PartReport)
+	limitsFunc      func([]wire.EndpointLimit)
+	speedsFunc      func([]wire.Speed)
+	permitFunc      func(*wire.PermitRequest) *wire.Permit
+	handoverFunc    func(drain.Arrival)
+	originsFunc     func(*wire.Origins)
+	originFunc      func(*wire.OriginRequest) *wire.OriginAnswer
+	searchFunc      func(context.Context, *wire.OriginRequest) *wire.OriginAnswer
+	sessionLostFunc func(peer string)
+	restartedFunc   func(peer string)
+	ignoredFunc     func(reason string)
+	releaseFunc     func() uint64
+	peerReleaseFunc func(peer string, release uint64)
+	follower        Follower
 
 	// contents holds what peers request in chunks, downloads what this process does.
 	contents  pack.Cache
@@ -252,9 +252,9 @@
 }
 
 // WithRelease sets the source of the version of the routes in force, which every
-// frame carries, and the handler for a peer's frame with a newer version.
-func WithRelease(release func() uint64, newer func()) Option {
-	return func(m *Mesh) { m.releaseFunc, m.newerReleaseFunc = release, newer }
+// frame carries, and the handler of the one in each frame of a peer.
+func WithRelease(release func() uint64, peer func(name string, release uint64)) Option {
+	return func(m *Mesh) { m.releaseFunc, m.peerReleaseFunc = release, peer }
 }
 
 // WithFollower connects the mesh to this process's copy of the store.
@@ -268,26 +268,26 @@
 func New(ctx context.Context, self Member, opts ...Option) *Mesh {
 	m := &Mesh{
 		self: self, clock: clock.New(), log: log.New(io.Discard), base: ctx,
-		piecesFunc:       func(string, *wire.Pieces, Reply) {},
-		droppedFunc:      func(string, uint64) {},
-		unusedFunc:       func(*wire.Unused) {},
-		loadsFunc:        func() *wire.Loads { return &wire.Loads{} },
-		workFunc:         func([]wire.Work, bool) {},
-		prefixFunc:       func([]wire.PrefixUse) {},
-		refusedFunc:      func([]wire.Refused) {},
-		crashesFunc:      func([]wire.Crash, []wire.PartReport) {},
-		limitsFunc:       func([]wire.EndpointLimit) {},
-		speedsFunc:       func([]wire.Speed) {},
-		permitFunc:       func(*wire.PermitRequest) *wire.Permit { return nil },
-		handoverFunc:     func(drain.Arrival) {},
-		originsFunc:      func(*wire.Origins) {},
-		originFunc:       func(*wire.OriginRequest) *wire.OriginAnswer { return &wire.OriginAnswer{} },
-		searchFunc:       func(context.Context, *wire.OriginRequest) *wire.OriginAnswer { return &wire.OriginAnswer{} },
-		sessionLostFunc:  func(string) {},
-		restartedFunc:    func(string) {},
-		ignoredFunc:      func(string) {},
-		releaseFunc:      func() uint64 { return 0 },
-		newerReleaseFunc: func() {},
+		piecesFunc:      func(string, *wire.Pieces, Reply) {},
+		droppedFunc:     func(string, uint64) {},
+		unusedFunc:      func(*wire.Unused) {},
+		loadsFunc:       func() *wire.Loads { return &wire.Loads{} },
+		workFunc:        func([]wire.Work, bool) {},
+		prefixFunc:      func([]wire.PrefixUse) {},
+		refusedFunc:     func([]wire.Refused) {},
+		crashesFunc:     func([]wire.Crash, []wire.PartReport) {},
+		limitsFunc:      func([]wire.EndpointLimit) {},
+		speedsFunc:      func([]wire.Speed) {},
+		permitFunc:      func(*wire.PermitRequest) *wire.Permit { return nil },
+		handoverFunc:    func(drain.Arrival) {},
+		originsFunc:     func(*wire.Origins) {},
+		originFunc:      func(*wire.OriginRequest) *wire.OriginAnswer { return &wire.OriginAnswer{} },
+		searchFunc:      func(context.Context, *wire.OriginRequest) *wire.OriginAnswer { return &wire.OriginAnswer{} },
+		sessionLostFunc: func(string) {},
+		restartedFunc:   func(string) {},
+		ignoredFunc:     func(string) {},
+		releaseFunc:     func() uint64 { return 0 },
+		peerReleaseFunc: func(string, uint64) {},
 		follower: Follower{
 			ProgressFunc:   func() []wire.Progress { return nil },
 			SnapshotFunc:   func(string) *wire.Update { return nil },
--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -44,6 +44,9 @@
 	// store may lack what it acknowledged until that is written again, and this process may not know it.
 	Era        uint64
 	RestoredAt clock.Millis
+	// ComparedEra is the latest era in which all peers have stated their versions, and PeerVersion the highest
+	// version that a peer has stated.
+	ComparedEra, PeerVersion uint64
 	// Behind is set if a peer has shown a newer state of the store, and NotInForce if the newest
 	// configuration could not be put in force.
 	Behind, NotInForce bool
@@ -167,13 +170,38 @@
 	b.replace.Lock()
 	defer b.replace.Unlock()
 	next := *b.state.Load()
-	if next.Era != 0 && proof.Era != next.Era { // eras only rise
+	if proof.Era > 1 && proof.Era != next.Era { // eras only rise, and the first one is 1
 		next.RestoredAt = b.clock.Now()
 	}
 	next.ConfirmedAt, next.Behind, next.Relayed, next.Era = proof.ConfirmedAt, proof.Behind, proof.Relayed, proof.Era
 	b.state.Store(&next)
 }
 
+// RecordPeer takes the version of the configuration that a peer has in force. One that is newer exists, also
+// if the store has lost it.
+func (b *Book) RecordPeer(version uint64) {
+	b.replace.Lock()
+	defer b.replace.Unlock()
+	next := *b.state.Load()
+	if version <= next.PeerVersion {
+		return
+	}
+	next.PeerVersion = version
+	b.state.Store(&next)
+}
+
+// RecordCompared takes an era of the store in which all peers have stated their versions to RecordPeer.
+func (b *Book) RecordCompared(era uint64) {
+	b.replace.Lock()
+	defer b.replace.Unlock()
+	next := *b.state.Load()
+	if next.ComparedEra == era {
+		return
+	}
+	next.ComparedEra = era
+	b.state.Store(&next)
+}
+
 // Age returns the time since the store confirmed the configuration in force, in milliseconds. It is 0
 // before the first one.
 func (b *Book) Age() clock.Millis {
@@ -194,7 +222,14 @@
 
 // isUnproved reports whether a newer configuration than that of a decision may have to be in force.
 func (b *Book) isUnproved(d *Decision) bool {
-	return d.State == nil || d.Table == nil || d.Table.Incomplete || d.Behind || d.NotInForce || d.age() > b.share(DenialShare) || b.isRestored(d)
+	return d.State == nil || d.Table == nil || d.Table.Incomplete || d.Behind || d.NotInForce || d.PeerVersion > d.version() || d.age() > b.share(DenialShare) || b.isRestored(d)
+}
+
+// Era returns the era of the store that the configuration in force is confirmed for, and whether the store has
+// just come back from a copy, so that it may lack what it acknowledged.
+func (b *Book) Era() (era uint64, restored bool) {
+	d := b.Decide()
+	return d.Era, b.isRestored(&d)
 }
 
 // isRestored reports whether the store had just come back from a copy at a decision.
@@ -202,7 +237,7 @@
 
 // restoredFor returns for how long after a decision the store counts as just restored.
 func (b *Book) restoredFor(d *Decision) clock.Millis {
-	if d.RestoredAt == 0 {
+	if d.RestoredAt == 0 || d.ComparedEra == d.Era {
 		return 0
 	}
 	return max(d.RestoredAt+b.within-d.At, 0)
@@ -257,6 +292,6 @@
 	if d.Relayed {
 		source = b.sourceFunc()
 	}
-	return fmt.Sprintf("configuration %d of revision %v, confirmed %d ms before by %s, store unreachable for %d ms, changes missing: %t, newest not in force: %t, incomplete: %t, store restored: %t",
-		d.version(), d.Revision, d.age(), source, b.awayFunc(), d.Behind, d.NotInForce, d.Table != nil && d.Table.Incomplete, b.isRestored(d))
+	return fmt.Sprintf("configuration %d of revision %v, confirmed %d ms before by %s, store unreachable for %d ms, changes missing: %t, newest not in force: %t, incomplete: %t, store restored: %t, highest of a peer: %d",
+		d.version(), d.Revision, d.age(), source, b.awayFunc(), d.Behind, d.NotInForce, d.Table != nil && d.Table.Incomplete, b.isRestored(d), d.PeerVersion)
 }
--- a/internal/serve/proof/proof_test.go
+++ b/internal/serve/proof/proof_test.go
@@ -51,6 +51,25 @@
 			b.Confirm(feed.Proof{ConfirmedAt: 100, Era: 1})
 			b.Confirm(feed.Proof{ConfirmedAt: 150, Era: 2})
 		}, 200, fault.ConfigOutdated},
+		"the store is restored, and all peers have stated older versions": {func(b *proof.Book) {
+			b.Confirm(feed.Proof{ConfirmedAt: 100, Era: 1})
+			b.Confirm(feed.Proof{ConfirmedAt: 150, Era: 2})
+			b.RecordCompared(2)
+		}, 200, fault.UnknownRoute},
+		"the store is restored once more": {func(b *proof.Book) {
+			b.Confirm(feed.Proof{ConfirmedAt: 100, Era: 2})
+			b.RecordCompared(2)
+			b.Confirm(feed.Proof{ConfirmedAt: 150, Era: 3})
+		}, 200, fault.ConfigOutdated},
+		"the process starts beside a restored store": {func(b *proof.Book) {
+			b.Confirm(feed.Proof{ConfirmedAt: 150, Era: 2})
+		}, 200, fault.ConfigOutdated},
+		"a peer has a newer version": {func(b *proof.Book) { b.Confirm(feed.Proof{ConfirmedAt: 150}); b.RecordPeer(2) }, 200, fault.ConfigOutdated},
+		"a peer had the version before": {func(b *proof.Book) {
+			b.RecordPeer(2)
+			put(b, 2, nil)
+			b.Confirm(feed.Proof{ConfirmedAt: 150})
+		}, 200, fault.UnknownRoute},
 		"the store was restored": {func(b *proof.Book) {
 			b.Confirm(feed.Proof{ConfirmedAt: 100, Era: 1})
 			b.Confirm(feed.Proof{ConfirmedAt: within, Era: 2})
--- a/internal/serve/router/members.go
+++ b/internal/serve/router/members.go
@@ -124,6 +124,7 @@
 		sharedPools = append(sharedPools, entry.SharedPools...)
 	}
 	g.listed.Store(listed)
+	g.compared.setMembers(members)
 	g.memberCount.Store(int64(len(entries)))
 	g.gate.Limits().TakeSharedPools(sharedPools)
 	g.mesh.SetMembers(members)
--- a/internal/serve/router/restore.go
+++ b/internal/serve/router/restore.go
@@ -174,6 +174,9 @@
 	}
 	if era := wire.CommonEra(message.Progress); message.Owns && era == g.Store.Era() {
 		g.inform.heard.Store(era)
+		if !g.inform.done.Load() {
+			g.config.RecordCompared(era) // a process that serves has told what it knows
+		}
 	}
 }
 
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -144,6 +144,7 @@
 	owning      atomic.Bool              // whether this process has begun to own pools
 	listed      atomic.Bool              // whether the store's member list holds this process
 	memberCount atomic.Int64             // the number of processes in that list
+	compared    compared                 // which peers have stated their configuration since the store was restored
 	statedPools atomic.Pointer[[]string] // the shared pools that the entry of this process states
 	refreshedAt atomic.Int64             // when refreshConfig last requested the configuration
 	// membersChanged wakes register.
@@ -220,7 +221,7 @@
 		mesh.WithLoads(g.collectLoads, g.setPeerWork), mesh.WithPrefixes(g.gate.AddPeerPrefixes), mesh.WithRefused(g.gate.AddPeerRefusals),
 		mesh.WithCrashes(g.detector.AddPeers), mesh.WithLimits(g.gate.Limits().ApplyPeer, g.answerPermitRequest),
 		mesh.WithSpeeds(g.gate.Speeds().ApplyPeers), mesh.WithOrigins(g.origins.Take, g.origins.Answer, g.origins.Search), mesh.WithLost(g.abandonRequests, g.reclaimResults), mesh.WithIgnored(g.meter.countIgnored), mesh.WithFollower(g.follower()),
-		mesh.WithRelease(g.config.Version, g.refreshConfig), mesh.WithBulk(g.limits.bulk), mesh.WithSession(g.sessionOptions()...))
+		mesh.WithRelease(g.config.Version, g.comparePeer), mesh.WithBulk(g.limits.bulk), mesh.WithSession(g.sessionOptions()...))
 	g.gate.Attach(g.mesh, g.host)
 	g.makeFeeds()
 	return g
@@ -301,6 +302,18 @@
 // SetBounds replaces the bounds, also while the process runs.
 func (g *Gateway) SetBounds(bounds gate.Bounds) { g.gate.SetBounds(bounds) }
 
+// comparePeer takes the version of the configuration that a peer states in each message.
+func (g *Gateway) comparePeer(peer string, version uint64) {
+	if version > g.config.Version() {
+		g.config.RecordPeer(version)
+		g.refreshConfig()
+	}
+	era, restored := g.config.Era()
+	if restored && g.compared.record(peer, g.Name, era) {
+		g.config.RecordCompared(era)
+	}
+}
+
 // refreshConfig is called when a peer has a newer configuration. It reads the
 // configuration from the store unless a peer relays changes, because then the newer
 // one usually arrives without a call.
