fix(feed,router): a gateway that serves is told a lost configuration that it missed

Cause: peers tell what the store has lost to processes that start, and at the beginning of a session; one that serves is taken to know it. And a process that keeps an older lost object didn't take a newer one.

Change: a process whose messages state an older configuration than a lost one is told, once in an era. Of two lost objects the newer one is kept.

Result: TestNewerLostObjectsReplaceOlderOnes fails without the change (a=2 instead of a=3), as does the new check of TestProcessesThatStartAreToldWhatThePeersLearn; TestVersionThatTheStoreHasLostDeniesNoRequestAtA- GatewayThatMissedIt asks now that the route is served before it is written again.

--- a/internal/serve/feed/restore.go
+++ b/internal/serve/feed/restore.go
@@ -346,7 +346,11 @@
 		}
 		object, h := objectOf(stored, update.Era), f.holdOf(stored, update.Era)
 		current, found := objects[object.Name]
-		if _, known := held[object.Name]; known || current.Version != h.over || !f.isKept(object, current, found) {
+		over := current.Version
+		if own, isHeld := held[object.Name]; isHeld {
+			over = own.over
+		}
+		if over != h.over || !f.isKept(object, current, found) {
 			continue
 		}
 		objects[object.Name], held[object.Name] = object, h
--- a/internal/serve/feed/restore_test.go
+++ b/internal/serve/feed/restore_test.go
@@ -313,6 +313,32 @@
 	assert.Equal(t, started.String(), "a=3 b=3")
 }
 
+// Guards against a process that missed what its peers know and the store has lost, and keeps an older object
+// that the store has lost, too.
+func TestNewerLostObjectsReplaceOlderOnes(t *testing.T) {
+	s, fake := newCopyStore(), clock.NewFake(1)
+	s.put("a", "1")
+	older, newer := newFollower(s, fake, feed.Restore{KeepMissing: 1000}), newFollower(s, fake, feed.Restore{KeepMissing: 1000})
+	from := s.copy()
+	s.put("a", "2")
+	s.put("b", "2")
+	older.ReadList(t.Context())
+	s.put("a", "3")
+	newer.ReadList(t.Context())
+	s.restore(from)
+	for _, f := range []*follower{older, newer} {
+		f.ReadList(t.Context())
+	}
+	of := older.Holds()
+	assert.Assert(t, !older.Apply(newer.Holds(), 1))
+	assert.Assert(t, !newer.Apply(of, 1))
+	assert.Equal(t, older.String(), "a=3 b=2")
+	assert.Equal(t, newer.String(), "a=3 b=2")
+	s.put("a", "4")
+	older.watchOnce(t)
+	assert.Equal(t, older.String(), "a=4 b=2")
+}
+
 // Guards against lists that are sent to all processes although the store's era has risen without a
 // loss.
 func TestEraThatRisesWithoutALossIsRelayedWithoutObjects(t *testing.T) {
--- a/internal/serve/router/compared.go
+++ b/internal/serve/router/compared.go
@@ -13,8 +13,9 @@
 	// members are the processes that the store lists.
 	members []mesh.Member
 	era     uint64
-	// stated holds the peers that have stated their configuration.
-	stated map[string]bool
+	// stated holds the peers that have stated their configuration, lacking those whose configuration is older
+	// than the one that the store has lost.
+	stated, lacking map[string]bool
 }
 
 // setMembers sets the processes that the store lists.
@@ -39,9 +40,24 @@
 	return true
 }
 
+// recordLack records that a peer lacks the configuration that the store has lost in an era.
+func (c *compared) recordLack(peer string, era uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begin(era)
+	c.lacking[peer] = true
+}
+
+// lacks reports whether a peer lacked the configuration that the store has lost in an era.
+func (c *compared) lacks(peer string, era uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era == era && c.lacking[peer]
+}
+
 // begin forgets what belongs to another era. The caller holds the lock.
 func (c *compared) begin(era uint64) {
 	if c.era != era || c.stated == nil {
-		c.era, c.stated = era, make(map[string]bool)
+		c.era, c.stated, c.lacking = era, make(map[string]bool), make(map[string]bool)
 	}
 }
--- a/internal/serve/router/denial_test.go
+++ b/internal/serve/router/denial_test.go
@@ -128,10 +128,12 @@
 	time.Sleep(2 * time.Second)
 	b.Store.Restore(before)
 	h.release()
-	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		got := b.send(b.gateways[0], publicLookup(prefix+"x"))
-		assert.Check(t, got.Status != http.StatusNotFound, "%d", got.Status)
+	var last stand.Outcome
+	for end := time.Now().Add(3500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		last = b.send(b.gateways[0], publicLookup(prefix+"x"))
+		assert.Check(t, last.Status != http.StatusNotFound, "%d", last.Status)
 	}
+	assert.Check(t, last.Complete, "%+v", last)
 	b.WriteAgain()
 	for _, g := range b.gateways {
 		b.sendUntil(g, func() *stand.Request { return publicLookup(prefix + "x") }, func(got stand.Outcome) bool { return got.Complete })
--- a/internal/serve/router/export_test.go
+++ b/internal/serve/router/export_test.go
@@ -26,6 +26,9 @@
 	return g.holds(peer, told, first)
 }
 
+// ComparePeer takes the version of the configuration that a peer states.
+func (g *Gateway) ComparePeer(peer string, version uint64) { g.comparePeer(peer, version) }
+
 // TakeHolds takes what a peer tells of the objects that the store has lost.
 func (g *Gateway) TakeHolds(message *wire.Sums) { g.takeHolds(message, g.Clock.Now()) }
 
--- a/internal/serve/router/lost_test.go
+++ b/internal/serve/router/lost_test.go
@@ -58,7 +58,8 @@
 }
 
 // Guards against a process that starts beside others and relies on one of them that has not been told
-// what the store has lost, and against messages of all processes to all when the store returns.
+// what the store has lost, against one that serves and is not told of a configuration that it missed, and
+// against messages of all processes to all when the store returns.
 func TestProcessesThatStartAreToldWhatThePeersLearn(t *testing.T) {
 	t.Parallel()
 	b := start(t, 2)
@@ -81,6 +82,11 @@
 	assert.Equal(t, len(again), 0, "told twice")
 	again, _ = serving.Holds("gateway-2", before, false)
 	assert.Equal(t, len(again), 0, "a process that serves is told")
+	serving.ComparePeer("gateway-2", uint64(b.Config.Version-1))
+	again, told = serving.Holds("gateway-2", before, false)
+	assert.Equal(t, len(again), len(known), "a process that serves and lacks the configuration is not told")
+	again, _ = serving.Holds("gateway-2", told, false)
+	assert.Equal(t, len(again), 0, "it is told twice")
 
 	lost := &wire.Update{
 		Kind: platform.KindEvacuations, Lost: true, Era: known[0].Era, Revision: known[0].Revision,
--- a/internal/serve/router/restore.go
+++ b/internal/serve/router/restore.go
@@ -85,11 +85,12 @@
 }
 
 // holds returns what this process knows and the store has lost if a peer has to be told, and the
-// state of this process then. Peers that serve are told at the start of a session only: they know it
-// themselves, and all messages would be sent at the moment when the store returns.
+// state of this process then. Peers that serve are told at the start of a session, or if they lack the
+// configuration: the others know it themselves, and all messages would be sent at the moment when the
+// store returns.
 func (g *Gateway) holds(peer string, told uint64, first bool) ([]*wire.Update, uint64) {
 	state := g.holdsState()
-	if !first && (state == 0 || state == told || slices.Contains(g.mesh.LiveProcesses(), peer)) {
+	if !first && (state == 0 || state == told || slices.Contains(g.mesh.LiveProcesses(), peer) && !g.compared.lacks(peer, state/maxTaken)) {
 		return nil, told
 	}
 	var all []*wire.Update
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -304,11 +304,15 @@
 
 // comparePeer takes the version of the configuration that a peer states in each message.
 func (g *Gateway) comparePeer(peer string, version uint64) {
-	if version > g.config.Version() {
+	own := g.config.Version()
+	if version > own {
 		g.config.RecordPeer(version)
 		g.refreshConfig()
 	}
 	era, restored := g.config.Era()
+	if version < own && len(g.feeds.config.Lost()) > 0 {
+		g.compared.recordLack(peer, era)
+	}
 	if restored && g.compared.record(peer, g.Name, era) {
 		g.config.RecordCompared(era)
 	}
