fix(subset,gate): few requests leave each process about an equal share of starts

Cause, traced in two of these runs: at the beginning of a burst each process counts the requests of its peers after 0.05 s and its own after 0.4 s, so that each takes 0.125 and 0.083 of the limit instead of 0.5 and 0.33, one start a second at each of two engines, and the fleet leaves three quarters of the limit unused. The requests were refused in just these 0.4 s. That a process counts its own late is what keeps the shares below the limit (TestSharesAddUpToTheLimit); the ways to count them sooner that were weighed need an age of the peers' rates, which messages don't have, or let the shares add up to 1.4 and more of the limit.

Change: requests count in proportion to the limits of the pool's endpoints. While there are few, each process keeps about an equal share, which bursts up to the limit need no more of; far above the limit the shares follow the requests as before.

TestFirstRequestsOfABurstHaveAShare has 0.125 without the change, 0.3 is asked.

--- a/internal/route/subset/share.go
+++ b/internal/route/subset/share.go
@@ -49,19 +49,22 @@
 	s.reports = append(s.reports, report{at: now, rate: rate})
 }
 
-// Of returns the share of a limit of one endpoint that this process may use. It knows the rate of requests of
-// its peers, their number with itself, and the number of endpoints of the pool. All processes use a pool up to
-// MaxWholePool endpoints; of a larger one, each uses some, and the share doesn't depend on rates.
-func (s *Share) Of(peersRate float64, processes, endpoints int, now clock.Millis) float64 {
+// Of returns the share of a limit of one endpoint that this process may use, in requests per second. It knows
+// the rate of requests of its peers, their number with itself, and the number of endpoints of the pool. All
+// processes use a pool up to MaxWholePool endpoints; of a larger one, each uses some, and the share doesn't
+// depend on rates. The requests count by how many there are in proportion to the limits of the whole pool:
+// while there are few, each process keeps about an equal share for those that have just begun to come.
+func (s *Share) Of(limit, peersRate float64, processes, endpoints int, now clock.Millis) float64 {
 	equal := 1 / float64(Users(processes, endpoints))
 	if endpoints > MaxWholePool || processes < 2 {
 		return equal
 	}
+	all := limit * float64(endpoints)
 	own, peersRate := s.reported(now), s.highest(peersRate, now)
-	if own+peersRate <= 0 {
+	if own+peersRate+all <= 0 {
 		return equal
 	}
-	return (1-demandShare)*equal + demandShare*own/(own+peersRate)
+	return (1-demandShare)*equal + demandShare*(own+all*equal)/(own+peersRate+all)
 }
 
 // highest records the rate of the peers and returns their highest one of late.
--- a/internal/route/subset/share_test.go
+++ b/internal/route/subset/share_test.go
@@ -10,6 +10,9 @@
 	"github.com/jujubescale/jujubescale/internal/route/subset"
 )
 
+// limit is the limit of an endpoint in requests per second.
+const limit = 2
+
 // fleet reports a rate of each process at each 100 ms until an instant.
 func fleet(rates func(process int, at clock.Millis) float64, processes int, until clock.Millis) []*subset.Share {
 	shares := make([]*subset.Share, processes)
@@ -31,10 +34,10 @@
 		}
 		return 0
 	}, 5, 2000)
-	assert.Assert(t, shares[0].Of(25, 5, 2, 2000) > 0.4)
-	assert.Assert(t, shares[4].Of(50, 5, 2, 2000) > 0.04)
-	assert.Equal(t, shares[0].Of(25, 5, 100, 2000), 1/float64(subset.Users(5, 100)))
-	assert.Equal(t, (&subset.Share{}).Of(0, 4, 2, 0), 0.25)
+	assert.Assert(t, shares[0].Of(limit, 25, 5, 2, 2000) > 0.4)
+	assert.Assert(t, shares[4].Of(limit, 50, 5, 2, 2000) > 0.04)
+	assert.Equal(t, shares[0].Of(limit, 25, 5, 100, 2000), 1/float64(subset.Users(5, 100)))
+	assert.Equal(t, (&subset.Share{}).Of(limit, 0, 4, 2, 0), 0.25)
 }
 
 // Guards against shares that add up to more than the limit when the requests move from some processes to others, or
@@ -54,7 +57,7 @@
 	} {
 		for now := clock.Millis(500); now <= 3000; now += 50 {
 			shares := fleet(rates, processes, now)
-			sum := 0.0
+			sums := make(map[float64]float64)
 			for i, share := range shares {
 				peers := 0.0
 				for other := range processes {
@@ -62,23 +65,36 @@
 						peers += rates(other, (now-lag)/100*100)
 					}
 				}
-				sum += share.Of(peers, processes, 10, now)
+				for _, limit := range []float64{0, limit, 11.25, 200} {
+					sums[limit] += share.Of(limit, peers, processes, 10, now)
+				}
 			}
-			assert.Check(t, sum <= most+0.001 && !math.IsNaN(sum), "%s: %f at %d ms", name, sum, now)
-			if name == "equal" || name == "one" || name == "a burst at all" && now <= 1000 {
-				assert.Check(t, sum <= 1.001, "%s: %f at %d ms", name, sum, now)
+			for limit, sum := range sums {
+				assert.Check(t, sum <= most+0.001 && !math.IsNaN(sum), "%s: %f at %d ms, limit %v", name, sum, now, limit)
+				if name == "equal" || name == "one" || name == "a burst at all" && now <= 1000 {
+					assert.Check(t, sum <= 1.001, "%s: %f at %d ms, limit %v", name, sum, now, limit)
+				}
 			}
 		}
 	}
 }
 
+// Guards against callers that are refused at the beginning of a burst, when each process has heard of the
+// requests of its peers and doesn't count its own yet.
+func TestFirstRequestsOfABurstHaveAShare(t *testing.T) {
+	for _, processes := range []int{2, 3} {
+		equal := 1 / float64(processes)
+		assert.Check(t, (&subset.Share{}).Of(11.25, 17, processes, 2, 300) > 0.6*equal)
+	}
+}
+
 // Guards against a share that falls because a process reports often.
 func TestShareOutlastsManyReports(t *testing.T) {
 	share := &subset.Share{}
 	for at := clock.Millis(0); at < 2000; at++ {
 		share.Report(25, at)
 	}
-	assert.Assert(t, share.Of(25, 5, 2, 2000) > 0.4)
+	assert.Assert(t, share.Of(limit, 25, 5, 2, 2000) > 0.4)
 }
 
 // Guards against processes that each take most of a limit when reports of their peers are missing.
@@ -87,8 +103,8 @@
 	for name, silent := range map[string]clock.Millis{"soon": 2100, "later": 3500} {
 		sum := 0.0
 		for _, share := range shares {
-			share.Of(70, 8, 10, 2000)
-			sum += share.Of(0, 8, 10, silent)
+			share.Of(limit, 70, 8, 10, 2000)
+			sum += share.Of(limit, 0, 8, 10, silent)
 		}
 		assert.Check(t, sum <= 1.001, "%s: %f", name, sum)
 	}
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -179,7 +179,7 @@
 	}
 	bounds := g.bounds.Load()
 	all := (rate*bounds.ColdShare + bounds.ColdSpare) * warmRateShare
-	return max(int(all*g.StartShare(len(g.View().Pool(pool.Name)))), 1)
+	return max(int(all*g.StartShare(all, len(g.View().Pool(pool.Name)))), 1)
 }
 
 func (g *Gate) chooseEngine(req *request, targets []*target.Target, excluded []bool, held choice, now clock.Millis) choice {
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -55,8 +55,8 @@
 	// Starting reports whether the first read of the routes and endpoints is under way, Informed
 	// whether this process knows what its peers know and the store has lost.
 	Starting, Informed func() bool
-	// StartShare returns the share of the starts at a warm endpoint, in a pool of a number of endpoints.
-	StartShare func(endpoints int) float64
+	// StartShare returns the share of a limit of starts per second at a warm endpoint, in a pool of a number of endpoints.
+	StartShare func(limit float64, endpoints int) float64
 	// DialFunc opens the connections to endpoints; nil for conn.Dial.
 	DialFunc conn.DialFunc
 	// Permits holds what endpoints state.
--- a/internal/serve/router/limits.go
+++ b/internal/serve/router/limits.go
@@ -106,11 +106,12 @@
 	return int64(len(names))
 }
 
-// startShare returns this process's share of the starts at a warm endpoint of a pool.
-func (g *Gateway) startShare(endpoints int) float64 {
+// startShare returns this process's share of a limit of starts at a warm endpoint of a pool, in requests per
+// second.
+func (g *Gateway) startShare(limit float64, endpoints int) float64 {
 	peers := 0.0
 	if sums := g.mesh.PendingArrivals(wire.RequestRate); len(sums) > 0 {
 		peers = float64(sums[0])
 	}
-	return g.share.Of(peers, g.mesh.Count(), endpoints, g.Clock.Now())
+	return g.share.Of(limit, peers, g.mesh.Count(), endpoints, g.Clock.Now())
 }
