fix(feed): objects that were deleted aren't taken from peers that missed that

What callers can see: after a return of the store, a quarantine that was lifted, for up to a minute, or requests for an engine that has ended, for up to 1.8 s, at processes that had seen that; and more often since processes that lack a configuration are told what the store has lost.

Cause: a process that saw a deletion hides the object if the store lists it again, and took it all the same when a peer told it as lost. In a peer's list it hid the object and kept the reason for it, which names nothing then and was passed on.

Result: TestDeletedObjectsAreNotTakenFromPeers fails in both cases without the change.

--- a/internal/serve/feed/restore.go
+++ b/internal/serve/feed/restore.go
@@ -98,6 +98,7 @@
 	for name, current := range listed {
 		if f.isHidden(current, newEra, now) {
 			delete(listed, name)
+			delete(held, name)
 			hidden++
 		}
 	}
@@ -192,17 +193,23 @@
 		delete(s.hidden, listed.Name)
 		return false
 	}
-	gone, found := s.deleted[listed.Name]
-	if !newEra || !found || !f.restore.HideDeleted || now-gone.at > deletedTime {
-		return false
-	}
-	if !sameContent(gone.object, listed) && (f.restore.NewerFunc == nil || !f.restore.NewerFunc(gone.object, listed)) {
+	if !newEra || !f.isDeleted(listed, now) {
 		return false
 	}
 	s.hidden[listed.Name] = hiddenObject{object: listed, until: now + hideTime}
 	return true
 }
 
+// isDeleted reports whether an object is one that was deleted of late, or an older one. The caller holds
+// the lock.
+func (f *Feed) isDeleted(object store.Object, now clock.Millis) bool {
+	gone, found := f.state.deleted[object.Name]
+	if !found || !f.restore.HideDeleted || now-gone.at > deletedTime {
+		return false
+	}
+	return sameContent(gone.object, object) || f.restore.NewerFunc != nil && f.restore.NewerFunc(gone.object, object)
+}
+
 func sameContent(a, b store.Object) bool {
 	return bytes.Equal(a.Value, b.Value) && bytes.Equal(a.Status, b.Status)
 }
@@ -350,7 +357,7 @@
 		if own, isHeld := held[object.Name]; isHeld {
 			over = own.over
 		}
-		if over != h.over || !f.isKept(object, current, found) {
+		if over != h.over || !f.isKept(object, current, found) || f.isDeleted(object, f.clock.Now()) {
 			continue
 		}
 		objects[object.Name], held[object.Name] = object, h
--- a/internal/serve/feed/restore_test.go
+++ b/internal/serve/feed/restore_test.go
@@ -339,6 +339,41 @@
 	assert.Equal(t, older.String(), "a=4 b=2")
 }
 
+// Guards against an object that was deleted and comes back because a peer that missed that keeps it as lost.
+func TestDeletedObjectsAreNotTakenFromPeers(t *testing.T) {
+	for name, take := range map[string]func(to, from *follower) bool{
+		"lost objects": func(to, from *follower) bool {
+			to.ReadList(context.Background())
+			return to.Apply(from.Holds(), 1)
+		},
+		"all objects": func(to, from *follower) bool { return to.Apply(from.Snapshot(), 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, fake := newCopyStore(), clock.NewFake(1)
+			restore := feed.Restore{KeepMissing: 1000, HideDeleted: true}
+			missed, saw := newFollower(s, fake, restore), newFollower(s, fake, restore)
+			s.put("b", "1")
+			from := s.copy()
+			s.put("a", "1")
+			missed.ReadList(t.Context())
+			saw.ReadList(t.Context())
+			s.remove("a")
+			saw.watchOnce(t)
+			s.restore(from)
+			missed.ReadList(t.Context())
+			assert.Equal(t, missed.String(), "a=1 b=1")
+			assert.Assert(t, !take(saw, missed))
+			assert.Equal(t, saw.String(), "b=1")
+			assert.Equal(t, len(saw.Lost()), 0)
+			fake.Advance(1000)
+			missed.Expire()
+			saw.Expire()
+			assert.Equal(t, saw.String(), "b=1")
+			assert.Equal(t, missed.String(), "b=1")
+		})
+	}
+}
+
 // Guards against lists that are sent to all processes although the store's era has risen without a
 // loss.
 func TestEraThatRisesWithoutALossIsRelayedWithoutObjects(t *testing.T) {
