fix(sess): the opening of a session ends with its context

Neither the answer to the request nor the hello is waited for with the context, but for up to the time limit of the opening, 0.8 s, and Mesh.Stop waits for that.

Change: the connection is closed when the context ends before the session is open.

Result: TestOpeningASessionEndsWithItsContext waits for more than 10 s in both cases without the change.

--- a/internal/link/sess/open.go
+++ b/internal/link/sess/open.go
@@ -147,14 +147,18 @@
 // arrived from the peer for too long.
 func Dial(ctx context.Context, address string, opts ...Option) (*Session, error) {
 	o := newOptions(opts)
-	var head *bound.Conn // until the peer has answered
+	var head *bound.Conn                // until the peer has answered
+	keep := func() bool { return true } // reports whether the context has not ended
+	defer func() { keep() }()
 	dialer := websocket.Dialer{
-		NetDialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			opened, err := o.dial(ctx, network, address)
+		NetDialContext: func(dialing context.Context, network, address string) (net.Conn, error) {
+			opened, err := o.dial(dialing, network, address)
 			if err != nil {
 				return nil, err
 			}
 			head = bound.NewConn(opened)
+			// A peer that stands still answers neither the request nor the hello.
+			keep = context.AfterFunc(ctx, func() { _ = opened.Close() })
 			return head, nil
 		},
 		TLSClientConfig:  o.tls,
@@ -185,6 +189,9 @@
 		_ = conn.Close()
 		return nil, err
 	}
+	if !keep() {
+		return nil, ctx.Err()
+	}
 	s.run(ctx)
 	return s, nil
 }
--- a/internal/link/sess/opened_test.go
+++ b/internal/link/sess/opened_test.go
@@ -11,9 +11,11 @@
 	"testing"
 	"time"
 
+	"github.com/gorilla/websocket"
 	"gotest.tools/v3/assert"
 
 	"github.com/jujubescale/jujubescale/internal/base/bound"
+	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/sess"
 )
 
@@ -99,3 +101,38 @@
 	assert.Assert(t, err != nil)
 	assert.Assert(t, c.read.Load() <= bound.MaxHeadBytes, "%d bytes read", c.read.Load())
 }
+
+// Guards against a planned stop that takes longer than it may because a peer stands still while a session with it
+// is opened.
+func TestOpeningASessionEndsWithItsContext(t *testing.T) {
+	upgrader := websocket.Upgrader{}
+	for name, answer := range map[string]func(w http.ResponseWriter, r *http.Request){
+		"no answer": func(http.ResponseWriter, *http.Request) {},
+		"no hello":  func(w http.ResponseWriter, r *http.Request) { _, _ = upgrader.Upgrade(w, r, nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			reached, done := make(chan struct{}), make(chan struct{})
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				answer(w, r)
+				close(reached)
+				<-done
+			}))
+			defer server.Close()
+			defer close(done)
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() {
+				_, err := sess.Dial(ctx, strings.TrimPrefix(server.URL, "http://"), sess.WithOpenTimeout(clock.Minute))
+				ended <- err
+			}()
+			<-reached
+			cancel()
+			select {
+			case err := <-ended:
+				assert.Assert(t, err != nil)
+			case <-time.After(10 * time.Second):
+				t.Fatal("still opening")
+			}
+		})
+	}
+}
