--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -28,6 +28,8 @@
 	// store may have answered a watch at its beginning, and the answer may have been on its way for
 	// the rest.
 	DenialShare = 1 - LongestWatch
+	// firstEra is the era of a store that has not come back from a copy.
+	firstEra = 1
 )
 
 // State is a configuration in force with its proof. It is immutable.
@@ -170,7 +172,7 @@
 	b.replace.Lock()
 	defer b.replace.Unlock()
 	next := *b.state.Load()
-	if proof.Era > 1 && proof.Era != next.Era { // eras only rise, and the first one is 1
+	if proof.Era != next.Era && proof.Era != 0 && proof.Era != firstEra { // eras only rise
 		next.RestoredAt = b.clock.Now()
 	}
 	next.ConfirmedAt, next.Behind, next.Relayed, next.Era = proof.ConfirmedAt, proof.Behind, proof.Relayed, proof.Era
