fix(stall,gate,router): a process that stood still catches up before it acts on what it knew

What engines saw: more requests than they state.

The class is that of streams out of step: a process that has stood still acts on what it knew.

Change: a process looks at its clock each 50 ms and at each request. After a gap of more than 0.4 s new requests wait for 0.25 s, within the time that they may wait for a process that starts. A quota that stops a process for a tenth of a second makes no such gap.

--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -52,9 +52,9 @@
 	Zone string
 	// View returns the current endpoints, nil before the first were read.
 	View func() *view.Snapshot
-	// Starting reports whether the first read of the routes and endpoints is under way, Informed
-	// whether this process knows what its peers know and the store has lost.
-	Starting, Informed func() bool
+	// Starting reports whether the first read of the routes and endpoints is under way, Informed whether this process
+	// knows what its peers know and the store has lost, and CatchingUp whether it has just stood still.
+	Starting, Informed, CatchingUp func() bool
 	// StartShare returns the share of a limit of starts per second at a warm endpoint, in a pool of a number of endpoints.
 	StartShare func(limit float64, endpoints int) float64
 	// DialFunc opens the connections to endpoints; nil for conn.Dial.
@@ -323,11 +323,11 @@
 	startPoll    = 20 * clock.Millis(1)
 )
 
-// awaitReady waits up to maxStartWait while the process starts. If the process can't reach
-// the store, it returns at once and the request is refused.
+// awaitReady waits up to maxStartWait while the process starts or catches up. If it starts and can't
+// reach the store, it returns at once and the request is refused.
 func (g *Gate) awaitReady(ctx context.Context) {
 	until := g.Clock.Now() + maxStartWait
-	for !g.Ready() && !g.leaving.Load() && g.Starting() && g.Clock.Now() < until {
+	for (g.CatchingUp != nil && g.CatchingUp() || !g.Ready() && !g.leaving.Load() && g.Starting()) && g.Clock.Now() < until {
 		if g.Clock.Sleep(ctx, startPoll) != nil {
 			return // the caller closed the connection; later steps detect that too
 		}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/stall"
 	"github.com/jujubescale/jujubescale/internal/base/token"
 	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
@@ -163,6 +164,7 @@
 	share subset.Share
 	// skipped counts objects of the store that can't be read.
 	skipped *skip.Book
+	stall   *stall.Watch
 	// deploy carries out rollouts; nil if they are disabled.
 	deploy *deploy.Controller
 	limits hostLimits
@@ -186,6 +188,7 @@
 	g := &Gateway{Settings: settings, incarnation: token.NewIncarnation(), startedAt: settings.Clock.Now(), baseCtx: ctx, membersChanged: make(chan struct{}, 1)}
 	g.config = proof.New(ctx, g.ChangeWithin, clock.Millis(callShare*float64(g.ChangeWithin)), proof.WithClock(g.Clock), proof.WithLog(g.Log),
 		proof.WithStore(func() clock.Millis { return g.feeds.config.AwayFor() }, func() string { return g.mesh.Upstream() }))
+	g.stall = stall.New(stall.WithClock(g.Clock), stall.WithLog(g.Log))
 	g.skipped = skip.New(skip.WithLog(g.Log), skip.WithRegistry(g.Registry))
 	g.meter = newMeter(settings.Registry, g.config.Age, g.Store.Era, g.lostObjects)
 	g.makeEndpoints()
@@ -200,7 +203,7 @@
 		}))
 	g.gate = gate.New(gate.Settings{
 		Clock: g.Clock, Log: g.Log, Codec: g.Dialect.Codec, Registry: g.Registry, Name: g.Name, Zone: g.Zone,
-		Config: g.config, StartShare: g.startShare, View: g.endpoints.Snapshot, Starting: g.starting, Informed: g.isInformed, Deploy: g.deploy,
+		Config: g.config, StartShare: g.startShare, View: g.endpoints.Snapshot, Starting: g.starting, Informed: g.isInformed, CatchingUp: g.stall.CatchingUp, Deploy: g.deploy,
 		ReuseFunc: g.reuses, DialFunc: g.EndpointDialFunc,
 		Permits:  g.newPermits(),
 		Origins:  g.origins,
@@ -482,7 +485,7 @@
 // or the context ends.
 func (g *Gateway) Start(ctx context.Context) {
 	ctx, g.stop = context.WithCancel(ctx)
-	runs := []func(context.Context){g.host.Run, g.mesh.Run, g.sweep, g.register, g.detector.Run, g.gate.Limits().Run, g.origins.Run, g.origins.RunStorage, g.syncQuarantines}
+	runs := []func(context.Context){g.stall.Run, g.host.Run, g.mesh.Run, g.sweep, g.register, g.detector.Run, g.gate.Limits().Run, g.origins.Run, g.origins.RunStorage, g.syncQuarantines}
 	for _, f := range g.feeds.all() {
 		runs = append(runs, f.Run)
 	}
--- a/internal/serve/router/still_test.go
+++ b/internal/serve/router/still_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -152,3 +153,45 @@
 	group.Wait()
 	assert.Check(t, float64(goneOn.Load()) >= 0.9*float64(len(broken)), "%d of %d named streams go on", goneOn.Load(), len(broken))
 }
+
+// Guards against engines that get more requests than they state from a gateway that stood still when they began
+// to state a rate, and has not learned that yet when it goes on.
+func TestGatewayThatStoodStillKeepsToTheRatesOfEngines(t *testing.T) {
+	t.Parallel()
+	h := newHeld()
+	b := startBench(t, 3, testConfig(), &bench{heldFunc: func(index int) *held {
+		if index == 0 {
+			return h
+		}
+		return nil
+	}})
+	t.Cleanup(h.release)
+	time.Sleep(time.Second)
+	h.set(func(h *held) { h.still = true })
+	time.Sleep(4 * time.Second) // its peers have closed their sessions
+	limited := b.Engines(orders)
+	for _, e := range limited {
+		e.SetRate(1)
+	}
+	b.sendUntil(b.gateways[1], lookup, func(stand.Outcome) bool {
+		return b.gateways[1].limitedAt(t) == len(limited) && b.gateways[2].limitedAt(t) == len(limited)
+	})
+	requests := make([]*stand.Request, 60)
+	for i := range requests {
+		requests[i] = lookup()
+	}
+	var outcomes []stand.Outcome
+	var group sync.WaitGroup
+	time.Sleep(2 * time.Second) // with the wait below, longer than engines allow for a change of their rate
+	group.Go(func() { outcomes = b.sendAll(requests, b.gateways[:1]) })
+	time.Sleep(1500 * time.Millisecond)
+	h.release()
+	group.Wait()
+	for _, got := range outcomes {
+		assert.Check(t, got.Complete || got.Status == http.StatusServiceUnavailable && got.RetryAfter > 0, "%+v", got)
+	}
+	for _, e := range limited {
+		_, most := e.Arrivals()
+		assert.Check(t, most <= 11, "%s got %d requests in 4 s", e.ID, most)
+	}
+}
