fix(feed): several returns of the store keep a lost object no longer than one

What callers saw: most requests refused as overloaded in the calm.

Each process keeps what the store has lost for 10 s, and began these anew at each of six returns: zone b was out of use for 26 s.

Change: an object that is kept already keeps its time.

Result: TestSeveralReturnsKeepALostObjectNoLongerThanOne fails without the change.

--- a/internal/serve/feed/restore.go
+++ b/internal/serve/feed/restore.go
@@ -154,10 +154,14 @@
 	if isHeldThere {
 		inStore = there.over
 	}
+	before, isHeld := f.state.held[known.Name]
 	if newEra {
-		return f.newHold(inStore, now), f.isKept(known, current, found)
+		h := f.newHold(inStore, now)
+		if isHeld && before.until > 0 && h.until > 0 {
+			h.until = min(h.until, before.until) // several returns don't keep it longer than one
+		}
+		return h, f.isKept(known, current, found)
 	}
-	before, isHeld := f.state.held[known.Name]
 	switch {
 	case !isHeld:
 		return hold{}, false
--- a/internal/serve/feed/restore_test.go
+++ b/internal/serve/feed/restore_test.go
@@ -339,6 +339,25 @@
 	assert.Equal(t, older.String(), "a=4 b=2")
 }
 
+// Guards against a lost object that its writer has withdrawn and that stays in force for as long as the store
+// comes back from copies again and again.
+func TestSeveralReturnsKeepALostObjectNoLongerThanOne(t *testing.T) {
+	s, fake := newCopyStore(), clock.NewFake(1)
+	s.put("b", "1")
+	from := s.copy()
+	s.put("a", "1")
+	known := newFollower(s, fake, feed.Restore{KeepMissing: 1000})
+	known.ReadList(t.Context())
+	for range 3 {
+		s.restore(from)
+		known.ReadList(t.Context())
+		assert.Equal(t, known.String(), "a=1 b=1")
+		fake.Advance(400)
+		known.Expire()
+	}
+	assert.Equal(t, known.String(), "b=1")
+}
+
 // Guards against an object that was deleted and comes back because a peer that missed that keeps it as lost.
 func TestDeletedObjectsAreNotTakenFromPeers(t *testing.T) {
 	for name, take := range map[string]func(to, from *follower) bool{
