test(soak): nothing arrives on a connection after lost bytes

Traced: both streams come from i-models-2, whose link is cut in one direction for 0.8 s; another request at the same gateway gets "bytes that begin no answer" in the same 6 ms, and all three connections are reset right after. The link discards bytes while it is cut, the cut ends, and what the engine sends until the link resets its connections is forwarded, behind a hole. No real connection does that: what follows lost bytes doesn't arrive.

The link forwards nothing in a direction any more once it has lost something there. The check of events is as it was.

--- a/internal/bench/soak/proxy.go
+++ b/internal/bench/soak/proxy.go
@@ -161,11 +161,13 @@
 func (p *Proxy) copyChunks(c *connection, to io.Writer, from io.Reader, drops func(*LinkFault) bool) {
 	const chunk = 16 << 10
 	buf := make([]byte, chunk)
+	lost := false // nothing arrives on a connection after bytes that were lost
 	for {
 		n, err := from.Read(buf)
 		fault := p.fault.Load()
 		time.Sleep(fault.Delay)
-		if n > 0 && !drops(fault) && !c.blackholed.Load() {
+		lost = lost || n > 0 && (drops(fault) || c.blackholed.Load())
+		if n > 0 && !lost {
 			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
 				err = writeErr
 			}
