fix(router): no denial after a restore before the member list is read

Found by reading the change: a process that starts beside a restored store, and gets a message of a peer before it has read the member list, took that one peer for all of them and could deny by the store's copy. TestDenialsWaitForAllListedPeers fails without the change.

--- a/internal/serve/router/compared.go
+++ b/internal/serve/router/compared.go
@@ -37,7 +37,7 @@
 			return false
 		}
 	}
-	return true
+	return len(c.members) > 0 // the list has been read
 }
 
 // recordLack records that a peer lacks the configuration that the store has lost in an era.
--- a/internal/serve/router/export_test.go
+++ b/internal/serve/router/export_test.go
@@ -7,6 +7,7 @@
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/serve/detect"
 	"github.com/jujubescale/jujubescale/internal/serve/gate"
+	"github.com/jujubescale/jujubescale/internal/serve/mesh"
 )
 
 // Gate returns the gate, so that a test can pass a report to a single process.
@@ -29,6 +30,14 @@
 // ComparePeer takes the version of the configuration that a peer states.
 func (g *Gateway) ComparePeer(peer string, version uint64) { g.comparePeer(peer, version) }
 
+// Compared reports whether all listed processes have stated their configuration once a peer has, if the store
+// lists some members.
+func Compared(members []mesh.Member, peer, self string) bool {
+	var c compared
+	c.setMembers(members)
+	return c.record(peer, self, 2)
+}
+
 // TakeHolds takes what a peer tells of the objects that the store has lost.
 func (g *Gateway) TakeHolds(message *wire.Sums) { g.takeHolds(message, g.Clock.Now()) }
 
--- a/internal/serve/router/lost_test.go
+++ b/internal/serve/router/lost_test.go
@@ -100,6 +100,20 @@
 	assert.Equal(t, len(again), 0, "a process that has just started tells")
 }
 
+// Guards against a process that starts beside a restored store and denies by its copy before it knows which peers
+// there are.
+func TestDenialsWaitForAllListedPeers(t *testing.T) {
+	a, b, self := mesh.Member{Name: "a"}, mesh.Member{Name: "b"}, mesh.Member{Name: "self"}
+	for _, tt := range []struct {
+		members []mesh.Member
+		want    bool
+	}{
+		{nil, false}, {[]mesh.Member{self, a, b}, false}, {[]mesh.Member{self, a}, true},
+	} {
+		assert.Equal(t, router.Compared(tt.members, "a", "self"), tt.want, "%v", tt.members)
+	}
+}
+
 // Guards against all processes that write their lost entries at the moment when the store returns.
 func TestLostEntriesAreNotAllWrittenAtOnce(t *testing.T) {
 	for members, within := range map[int]clock.Millis{1: 2, 24: 48, 100: 200, 300: 500} {
