fix(router): one process of a group tells its aggregator what that lacks

Found by reading the change: an aggregator that missed a configuration which the store has lost got it from each process of its group at the same moment, up to the size of a version for each; on a link of 10 Mbit/s that holds back what callers and peers send. The class: work that all processes do at once when the store returns.

--- a/internal/serve/router/export_test.go
+++ b/internal/serve/router/export_test.go
@@ -30,6 +30,9 @@
 // ComparePeer takes the version of the configuration that a peer states.
 func (g *Gateway) ComparePeer(peer string, version uint64) { g.comparePeer(peer, version) }
 
+// Aggregator returns the process that this one reports to, "" if it aggregates itself.
+func (g *Gateway) Aggregator() string { return g.mesh.Aggregator() }
+
 // Compared reports whether all listed processes have stated their configuration once a peer has, if the store
 // lists some members.
 func Compared(members []mesh.Member, peer, self string) bool {
--- a/internal/serve/router/lost_test.go
+++ b/internal/serve/router/lost_test.go
@@ -100,6 +100,44 @@
 	assert.Equal(t, len(again), 0, "a process that has just started tells")
 }
 
+// Guards against an aggregator that missed a lost configuration and gets it from each process of its group.
+func TestFewProcessesTellAnAggregatorWhatItLacks(t *testing.T) {
+	t.Parallel()
+	b := start(t, 9)
+	from := b.Store.Copy()
+	b.addRoute("lost")
+	b.lose(50)
+	time.Sleep(time.Second)
+	b.restore(storeReturn{}, from)
+	aggregators, members := make(map[string]bool), 0
+	for _, g := range b.gateways {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if known, _ := g.Holds("gateway-99", 0, true); len(known) == 0 {
+				return poll.Continue("gateway %s has not read the list of the era", g.address)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+		if name := g.Aggregator(); name != "" {
+			aggregators[name] = true
+			members++
+		}
+	}
+	assert.Assert(t, members > len(aggregators), "%d members of %d aggregators", members, len(aggregators))
+	for aggregator := range aggregators {
+		tellers := 0
+		for _, g := range b.gateways {
+			if g.Aggregator() != aggregator {
+				continue
+			}
+			g.ComparePeer(aggregator, uint64(b.Config.Version-1))
+			if known, _ := g.Holds(aggregator, 0, false); len(known) > 0 {
+				tellers++
+			}
+		}
+		assert.Check(t, tellers <= 1, "%d processes tell %s", tellers, aggregator)
+	}
+}
+
 // Guards against a process that starts beside a restored store and denies by its copy before it knows which peers
 // there are.
 func TestDenialsWaitForAllListedPeers(t *testing.T) {
--- a/internal/serve/router/restore.go
+++ b/internal/serve/router/restore.go
@@ -90,7 +90,8 @@
 // store returns.
 func (g *Gateway) holds(peer string, told uint64, first bool) ([]*wire.Update, uint64) {
 	state := g.holdsState()
-	if !first && (state == 0 || state == told || slices.Contains(g.mesh.LiveProcesses(), peer) && !g.compared.lacks(peer, state/maxTaken)) {
+	lacks := g.compared.lacks(peer, state/maxTaken) && g.tells(peer)
+	if !first && (state == 0 || state == told || !lacks && slices.Contains(g.mesh.LiveProcesses(), peer)) {
 		return nil, told
 	}
 	var all []*wire.Update
@@ -102,6 +103,20 @@
 	return all, state
 }
 
+// tells reports whether this process tells a peer what the peer lacks. Of those that report to the same
+// aggregator one tells it, so that it doesn't get a configuration from each.
+func (g *Gateway) tells(peer string) bool {
+	if g.mesh.Aggregator() != peer {
+		return true
+	}
+	for _, name := range g.mesh.LiveProcesses() {
+		if name != peer && name < g.Name {
+			return false
+		}
+	}
+	return true
+}
+
 // maxTaken bounds the part of holdsState below the era.
 const maxTaken = 1 << 32
 
