fix(stall,router): a process that stood still waits until a peer has told it what it missed

The end of the wait was a time and no proof.

Change: the wait ends once a peer has sent a whole message since the process went on, later than what had arrived before is read; at least 0.25 s and at most 0.6 s. A process that the store lists alone waits for 0.25 s.

Result: TestProcessCatchesUpAfterItStoodStill plays when a peer tells; the cases "told late", "told what had arrived before" and "not told" fail with a fixed time.

--- a/internal/base/stall/stall.go
+++ b/internal/base/stall/stall.go
@@ -17,17 +17,23 @@
 	// maxGap between them.
 	interval = 50 * clock.Millis(1)
 	maxGap   = 400 * clock.Millis(1)
-	// catchUp is how long a process takes to learn from its peers what it missed, if it has to open its
-	// sessions again.
-	catchUp = 250 * clock.Millis(1)
+	// minCatchUp is how long a process catches up at least, and maxCatchUp at most if it hears nothing from
+	// its peers: they may have to open their sessions again.
+	minCatchUp = 250 * clock.Millis(1)
+	maxCatchUp = 600 * clock.Millis(1)
+	// bufferTime is how long messages may still be read that arrived while the process stood still.
+	bufferTime = 100 * clock.Millis(1)
 )
 
 // Watch looks at the clock of a process. It is safe for concurrent use.
 type Watch struct {
 	clock *clock.Clock
 	log   *log.Logger
-	// seenAt is when the clock was last looked at, 0 before Run. until is when the process has caught up.
-	seenAt, until atomic.Int64
+	// aloneFunc reports whether there are no peers.
+	aloneFunc func() bool
+	// seenAt is when the clock was last looked at, 0 before Run. goneOnAt is when the process last went on after
+	// it had stood still, and toldAt when a peer last told it what it knows.
+	seenAt, goneOnAt, toldAt atomic.Int64
 }
 
 // Option configures a Watch.
@@ -39,9 +45,12 @@
 // WithLog sets the logger.
 func WithLog(l *log.Logger) Option { return func(w *Watch) { w.log = l } }
 
+// WithAlone sets the function that reports whether there are no peers.
+func WithAlone(alone func() bool) Option { return func(w *Watch) { w.aloneFunc = alone } }
+
 // New returns a Watch that looks at the clock once Run is called.
 func New(opts ...Option) *Watch {
-	w := &Watch{clock: clock.New(), log: log.New(io.Discard)}
+	w := &Watch{clock: clock.New(), log: log.New(io.Discard), aloneFunc: func() bool { return false }}
 	for _, opt := range opts {
 		opt(w)
 	}
@@ -56,8 +65,19 @@
 	}
 }
 
+// RecordTold records that a peer has told all that it knows.
+func (w *Watch) RecordTold() { w.toldAt.Store(int64(w.clock.Now())) }
+
 // CatchingUp reports whether the process has stood still and may not have learned yet what it missed.
-func (w *Watch) CatchingUp() bool { return int64(w.look()) < w.until.Load() }
+func (w *Watch) CatchingUp() bool {
+	now := w.look()
+	goneOnAt := clock.Millis(w.goneOnAt.Load())
+	if goneOnAt == 0 || now-goneOnAt >= maxCatchUp {
+		return false
+	}
+	told := clock.Millis(w.toldAt.Load())-goneOnAt >= bufferTime
+	return now-goneOnAt < minCatchUp || !told && !w.aloneFunc()
+}
 
 // look looks at the clock and returns its time in milliseconds.
 func (w *Watch) look() clock.Millis {
@@ -68,7 +88,7 @@
 	}
 	gap := now - before
 	if gap > maxGap {
-		w.until.Store(int64(now + catchUp)) // before seenAt, so that no other look misses it
+		w.goneOnAt.Store(int64(now)) // before seenAt, so that no other look misses it
 	}
 	if w.seenAt.CompareAndSwap(int64(before), int64(now)) && gap > maxGap {
 		w.log.Info("process stood still", "forMs", int64(gap))
--- a/internal/base/stall/stall_test.go
+++ b/internal/base/stall/stall_test.go
@@ -15,7 +15,8 @@
 // although it only was slow.
 func TestProcessCatchesUpAfterItStoodStill(t *testing.T) {
 	fake := clock.NewFake(1)
-	w := stall.New(stall.WithClock(fake.Clock()))
+	alone := false
+	w := stall.New(stall.WithClock(fake.Clock()), stall.WithAlone(func() bool { return alone }))
 	fake.Advance(5000)
 	assert.Assert(t, !w.CatchingUp(), "before its start")
 	ended := make(chan struct{})
@@ -36,10 +37,24 @@
 		fake.Advance(350)
 		assert.Assert(t, !w.CatchingUp(), "slow")
 	}
+	for _, tt := range []struct {
+		name      string
+		toldAfter clock.Millis // 0 for never
+		caughtUp  clock.Millis
+	}{{"told", 200, 250}, {"told late", 400, 400}, {"told what had arrived before", 50, 600}, {"not told", 0, 600}} {
+		fake.Advance(1000)
+		assert.Assert(t, w.CatchingUp(), tt.name)
+		for after := clock.Millis(50); after <= 700; after += 50 {
+			fake.Advance(50)
+			if after == tt.toldAfter {
+				w.RecordTold()
+			}
+			assert.Equal(t, w.CatchingUp(), after < tt.caughtUp, "%s: after %d ms", tt.name, after)
+		}
+	}
+	alone = true
 	fake.Advance(1000)
 	assert.Assert(t, w.CatchingUp())
-	fake.Advance(200)
-	assert.Assert(t, w.CatchingUp())
-	fake.Advance(100)
+	fake.Advance(250)
 	assert.Assert(t, !w.CatchingUp())
 }
--- a/internal/serve/router/members.go
+++ b/internal/serve/router/members.go
@@ -109,6 +109,9 @@
 
 func (m *members) set() { m.setFunc(slices.Collect(maps.Values(m.known))) }
 
+// isAlone reports whether the store lists this process and no other.
+func (g *Gateway) isAlone() bool { return g.listed.Load() && g.memberCount.Load() == 1 }
+
 // setMembers passes the member list to the mesh and records whether it holds this
 // process.
 func (g *Gateway) setMembers(entries []memberEntry) {
--- a/internal/serve/router/origins.go
+++ b/internal/serve/router/origins.go
@@ -34,7 +34,7 @@
 			return g.mesh.RequestOrigin(ctx, to, request)
 		},
 		OpenFunc:  func(to string) { g.mesh.OpenSession(to) },
-		AloneFunc: func() bool { return g.listed.Load() && g.memberCount.Load() == 1 },
+		AloneFunc: g.isAlone,
 	}))
 }
 
--- a/internal/serve/router/restore.go
+++ b/internal/serve/router/restore.go
@@ -177,6 +177,7 @@
 // takeHolds takes what a peer says the store has lost. One that has itself just started, and owns no
 // pools yet, may know as little as this process, as does one that has not read this era yet.
 func (g *Gateway) takeHolds(message *wire.Sums, now clock.Millis) {
+	g.stall.RecordTold()
 	for _, update := range message.Holds {
 		for _, f := range g.feeds.all() {
 			if f.Kind() != update.Kind {
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -188,7 +188,7 @@
 	g := &Gateway{Settings: settings, incarnation: token.NewIncarnation(), startedAt: settings.Clock.Now(), baseCtx: ctx, membersChanged: make(chan struct{}, 1)}
 	g.config = proof.New(ctx, g.ChangeWithin, clock.Millis(callShare*float64(g.ChangeWithin)), proof.WithClock(g.Clock), proof.WithLog(g.Log),
 		proof.WithStore(func() clock.Millis { return g.feeds.config.AwayFor() }, func() string { return g.mesh.Upstream() }))
-	g.stall = stall.New(stall.WithClock(g.Clock), stall.WithLog(g.Log))
+	g.stall = stall.New(stall.WithClock(g.Clock), stall.WithLog(g.Log), stall.WithAlone(g.isAlone))
 	g.skipped = skip.New(skip.WithLog(g.Log), skip.WithRegistry(g.Registry))
 	g.meter = newMeter(settings.Registry, g.config.Age, g.Store.Era, g.lostObjects)
 	g.makeEndpoints()
