--- a/internal/bench/soak/press.go
+++ b/internal/bench/soak/press.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/jujubescale/jujubescale/internal/stand/netw"
@@ -127,9 +126,9 @@
 	go func() {
 		defer close(done)
 		for ctx.Err() == nil {
-			p.signal(syscall.SIGSTOP)
+			resume := p.stopFor()
 			time.Sleep(stopTurn)
-			p.signal(syscall.SIGCONT)
+			resume()
 			time.Sleep(runTurn)
 		}
 	}()
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -35,6 +35,10 @@
 	stopped      bool
 	// off is until when the host has no power.
 	off time.Time
+	// stops is the number of reasons for which the process stands still, and throttled whether its quota is
+	// one of them.
+	stops     int
+	throttled bool
 }
 
 // hostSettings describe the host of a process; no maxFds is the default of the program.
@@ -177,6 +181,46 @@
 	_ = p.command.Process.Signal(signal) // fails if the process has just exited
 }
 
+// stopFor makes the process stand still until the function that it returns is called, and longer if it is
+// stopped for other reasons besides.
+func (p *process) stopFor() (resume func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addStops(1)
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.addStops(-1)
+	}
+}
+
+// setThrottled sets whether the process stands still because of its quota.
+func (p *process) setThrottled(throttled bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if throttled == p.throttled {
+		return
+	}
+	p.throttled = throttled
+	if throttled {
+		p.addStops(1)
+	} else {
+		p.addStops(-1)
+	}
+}
+
+// addStops changes the number of reasons for which the process stands still. The caller holds the lock.
+func (p *process) addStops(by int) {
+	before := p.stops
+	p.stops += by
+	switch { // a signal fails if the process has just exited
+	case before == 0 && p.stops > 0:
+		_ = p.command.Process.Signal(syscall.SIGSTOP)
+	case before > 0 && p.stops == 0:
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+	}
+}
+
 // currentIncarnation returns the latest incarnation.
 func (p *process) currentIncarnation() *incarnation {
 	p.mu.Lock()
--- a/internal/bench/soak/routes.go
+++ b/internal/bench/soak/routes.go
@@ -8,7 +8,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/jujubescale/jujubescale/platform/stand"
@@ -72,9 +71,8 @@
 
 // hold pauses a process for a time.
 func hold(ctx context.Context, p *process, during time.Duration) {
-	p.signal(syscall.SIGSTOP)
+	defer p.stopFor()()
 	pause(ctx, during)
-	p.signal(syscall.SIGCONT)
 }
 
 // throttle stops a process for most of each period.
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -67,6 +67,11 @@
 	// Routes makes the operator add, move and remove routes in series while all processes are asked for
 	// them, and throttles and pauses processes, instead of rollouts.
 	Routes bool
+	// Moves makes the operator move routes between services in versions that stay large, and checks which service
+	// ran each request. It needs Routes.
+	Moves bool
+	// Quotas limits the processor time of all processes during the whole run.
+	Quotas bool
 	Out    io.Writer
 }
 
@@ -90,6 +95,9 @@
 	Outages, OutagesJudged, OutageProbes int64
 	// Routes describes the versions and the requests for their routes, "" without Options.Routes.
 	Routes string
+	// Moves describes the requests for routes that move, and Lags the times until versions were in force.
+	Moves string
+	Lags  Lags
 	// Restores is the number of returns of the store, RestoreProbes that of the checks after them.
 	Restores, RestoreProbes int64
 }
@@ -138,6 +146,7 @@
 	restores, restoreProbes atomic.Int64
 
 	added                         routeBook
+	moved                         moveBook
 	kept, crossed                 atomic.Int64
 	sent, served, refused, failed atomic.Int64
 	settledSent, settledServed    atomic.Int64
@@ -153,7 +162,11 @@
 
 // start starts the platform, the engines and the gateways. After an error nothing runs.
 func (r *run) start() error {
-	d, err := stand.New(config(r.modelMemory()))
+	first := config(r.modelMemory())
+	if r.Moves {
+		r.addMovedRoutes(&first)
+	}
+	d, err := stand.New(first)
 	if err != nil {
 		return err
 	}
@@ -186,6 +199,14 @@
 			}
 		}
 	}
+	if r.Moves {
+		for _, zone := range zones {
+			mover := &stand.Engine{Service: movers[1], Kind: stand.Plain, WorkTime: 10 * time.Millisecond, Zone: zone, IdleTimeout: engineIdleTimeout}
+			if _, err := r.addEngine(mover); err != nil {
+				return err
+			}
+		}
+	}
 	switch {
 	case r.Versions:
 		return r.addVersions()
@@ -365,6 +386,9 @@
 			task(ctx)
 		}()
 	}
+	if r.Quotas {
+		defer r.startQuotas()()
+	}
 	r.startPersistentCallers(ctx)
 	r.load(ctx)
 	r.group.Wait()
@@ -380,7 +404,11 @@
 		return []func(context.Context){r.replaceEngines, r.startGuides}
 	}
 	if r.Routes {
-		return []func(context.Context){r.changeRoutes, r.probeRoutes}
+		tasks := []func(context.Context){r.changeRoutes, r.probeRoutes}
+		if r.Moves {
+			tasks = append(tasks, r.moveRoutes, r.probeMoved)
+		}
+		return tasks
 	}
 	if r.Parts || r.Outages {
 		return nil
@@ -483,6 +511,14 @@
 	if r.Routes {
 		report.Routes = r.added.String()
 	}
+	if r.Moves {
+		report.Moves = r.moved.String()
+		lags, err := r.lags()
+		if err != nil {
+			r.addViolation("logs: %v", err)
+		}
+		report.Lags = lags
+	}
 	report.Violations = append(r.deployment.Ledger.Violations(), r.violations...)
 	return report
 }
--- a/internal/cli/devel/soak.go
+++ b/internal/cli/devel/soak.go
@@ -26,6 +26,8 @@
 	restores  bool
 	outages   bool
 	routes    bool
+	moves     bool
+	quotas    bool
 	memory    int64
 	verbose   bool
 }
@@ -53,6 +55,8 @@
 	flags.BoolVar(&options.restores, "restores", false, "bring the platform's store back from copies that lack its last writes")
 	flags.BoolVar(&options.outages, "outages", false, "let all hosts lose their power at once and silence the connections between processes, instead of rollouts")
 	flags.BoolVar(&options.routes, "routes", false, "add, move and remove routes in series, ask all processes for them, and throttle and pause processes, instead of rollouts")
+	flags.BoolVar(&options.moves, "moves", false, "move routes between services in versions of some 750 KB, and check which service ran each request; needs --routes")
+	flags.BoolVar(&options.quotas, "quotas", false, "limit the processor time of the processes during the whole run, to 0.109, 0.352 or 0.8 of a processor")
 	flags.Int64Var(&options.memory, "memory", 0, "memory of a model engine in tokens (default: some eight of the largest requests)")
 	flags.BoolVar(&options.verbose, "verbose", false, "print each fault when it is injected")
 	return command
@@ -104,7 +108,7 @@
 	}
 	report, err := soak.Run(command.Context(), soak.Options{
 		Seed: seed, Length: time.Duration(options.seconds) * time.Second, Program: options.program, Folder: folder,
-		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Routes: options.routes, Memory: options.memory, Out: out,
+		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Routes: options.routes, Moves: options.moves, Quotas: options.quotas, Memory: options.memory, Out: out,
 	})
 	if err != nil {
 		return false, err
@@ -117,6 +121,9 @@
 	if report.Routes != "" {
 		command.Printf("  routes: %s\n", report.Routes)
 	}
+	if report.Moves != "" {
+		command.Printf("  moves: %s\n  lags: %s\n", report.Moves, report.Lags)
+	}
 	if report.BadParts > 0 {
 		command.Printf("  %d parts crashed %d engines\n", report.BadParts, report.BadCrashes)
 	}
--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -156,7 +156,8 @@
 	default:
 		next.Table, next.Revision, next.NotInForce = routes, object.Version, false
 		b.state.Store(&next)
-		b.log.Info("configuration in force", "configuration", routes.Version, "revision", object.Version, "bytes", len(object.Value))
+		before := Decision{State: &next, At: b.clock.Now()}
+		b.log.Info("configuration in force", "configuration", routes.Version, "revision", object.Version, "bytes", len(object.Value), "replacedAgeMs", int64(before.Age()))
 		if len(routes.Odd) > 0 {
 			b.log.Error("configuration has parts that can't be read", "configuration", routes.Version, "parts", len(routes.Odd), "incomplete", routes.Incomplete, "first", routes.Odd[0])
 		}
@@ -208,14 +209,18 @@
 // before the first one.
 func (b *Book) Age() clock.Millis {
 	d := b.Decide()
-	if d.Table == nil {
+	return d.Age()
+}
+
+// Age returns the time from the confirmation of the configuration to the decision, in milliseconds. It is 0
+// without a configuration.
+func (d *Decision) Age() clock.Millis {
+	if d.State == nil || d.Table == nil {
 		return 0
 	}
-	return d.age()
+	return max(d.At-d.ConfirmedAt, 0)
 }
 
-func (d *Decision) age() clock.Millis { return max(d.At-d.ConfirmedAt, 0) }
-
 // Outdated reports whether a configuration that this process lacks may have to be in force.
 func (b *Book) Outdated() bool {
 	d := b.Decide()
@@ -224,7 +229,7 @@
 
 // isUnproved reports whether a newer configuration than that of a decision may have to be in force.
 func (b *Book) isUnproved(d *Decision) bool {
-	return d.State == nil || d.Table == nil || d.Table.Incomplete || d.Behind || d.NotInForce || d.PeerVersion > d.version() || d.age() > b.share(DenialShare) || b.isRestored(d)
+	return d.State == nil || d.Table == nil || d.Table.Incomplete || d.Behind || d.NotInForce || d.PeerVersion > d.version() || d.Age() > b.share(DenialShare) || b.isRestored(d)
 }
 
 // Era returns the era of the store that the configuration in force is confirmed for, and whether the store has
@@ -251,7 +256,7 @@
 // Check logs when the age of the configuration exceeds a limit, and when it doesn't any more.
 func (b *Book) Check(limit clock.Millis) {
 	d := b.Decide()
-	age := d.age()
+	age := d.Age()
 	old := d.Table != nil && age > limit
 	if old == b.old {
 		return
@@ -295,5 +300,5 @@
 		source = b.sourceFunc()
 	}
 	return fmt.Sprintf("configuration %d of revision %v, confirmed %d ms before by %s, store unreachable for %d ms, changes missing: %t, newest not in force: %t, incomplete: %t, store restored: %t, highest of a peer: %d",
-		d.version(), d.Revision, d.age(), source, b.awayFunc(), d.Behind, d.NotInForce, d.Table != nil && d.Table.Incomplete, b.isRestored(d), d.PeerVersion)
+		d.version(), d.Revision, d.Age(), source, b.awayFunc(), d.Behind, d.NotInForce, d.Table != nil && d.Table.Incomplete, b.isRestored(d), d.PeerVersion)
 }
--- a/internal/serve/router/follow.go
+++ b/internal/serve/router/follow.go
@@ -37,7 +37,9 @@
 	if object.Name != g.Dialect.ConfigKind+"/"+g.Dialect.ConfigName {
 		return
 	}
+	began := g.Clock.Now()
 	routes, err := g.Dialect.TableFunc(object.Value)
+	g.Log.Info("configuration decoded", "revision", object.Version, "bytes", len(object.Value), "tookMs", int64(g.Clock.Since(began)))
 	if g.config.Put(&object, routes, err) {
 		g.startOwningIfReady()
 	}
