--- a/internal/base/split/split.go
+++ b/internal/base/split/split.go
@@ -7,6 +7,10 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"reflect"
+
+	jsonv2 "github.com/go-json-experiment/json"
+	jsonv1 "github.com/go-json-experiment/json/v1"
 )
 
 // MaxDepth is the deepest nesting of an element that is decoded.
@@ -80,13 +84,20 @@
 	return elements, c.end()
 }
 
-// Decode decodes a value of at most MaxDepth levels. Fields of another type are left as they are, and the
-// first of them is returned as the error.
+// options make the decoder behave as encoding/json does.
+var options = jsonv1.DefaultOptionsV1()
+
+// Decode decodes a value of at most MaxDepth levels into a zero value. Fields of another type are left as they are,
+// and the first of them is returned as the error.
 func Decode(raw []byte, into any) error {
 	if depth := Depth(raw); depth > MaxDepth {
 		return &DepthError{Depth: depth}
 	}
-	return json.Unmarshal(raw, into)
+	if jsonv2.Unmarshal(raw, into, options) == nil {
+		return nil
+	}
+	reflect.ValueOf(into).Elem().SetZero()
+	return json.Unmarshal(raw, into) // goes on after a field of another type
 }
 
 // Depth returns how deeply a value is nested, 0 for one that is neither an object nor an array.
@@ -139,37 +150,32 @@
 // value returns the next value and moves behind it. It checks only that brackets and quotes are closed.
 func (c *cursor) value() (json.RawMessage, error) {
 	c.skipSpace()
-	from, depth := c.at, 0
+	from := c.at
 	for c.at < len(c.raw) {
 		switch c.raw[c.at] {
 		case '"':
-			c.at = closingQuote(c.raw, c.at)
+			if c.at = closingQuote(c.raw, c.at) + 1; c.at > len(c.raw) {
+				return nil, c.unclosed()
+			}
+			return c.cut(from)
 		case '{', '[':
-			depth++
-		case '}', ']':
-			depth--
-		case ',', ':', ' ', '\t', '\r', '\n':
-			if depth == 0 {
-				return c.cut(from)
+			if c.at = closingBracket(c.raw, c.at) + 1; c.at > len(c.raw) {
+				return nil, c.unclosed()
 			}
-		}
-		if depth < 0 {
-			return c.cut(from) // the bracket closes what holds the value
-		}
-		c.at++
-		if closed := c.at <= len(c.raw) && isClosing(c.raw[c.at-1]); closed && depth == 0 {
+			return c.cut(from)
+		case '}', ']', ',', ':', ' ', '\t', '\r', '\n': // it ends the value, or what holds the value
 			return c.cut(from)
 		}
-	}
-	if depth > 0 || c.at > len(c.raw) {
-		c.at = len(c.raw)
-		return nil, &SyntaxError{Offset: c.at, Want: "end of a value"}
+		c.at++
 	}
 	return c.cut(from)
 }
 
-// isClosing reports whether a character ends a string, an object or an array.
-func isClosing(character byte) bool { return character == '"' || character == '}' || character == ']' }
+// unclosed returns the error of a value whose end is missing.
+func (c *cursor) unclosed() error {
+	c.at = len(c.raw)
+	return &SyntaxError{Offset: c.at, Want: "end of a value"}
+}
 
 func (c *cursor) cut(from int) (json.RawMessage, error) {
 	if c.at == from {
@@ -178,6 +184,31 @@
 	return c.raw[from:c.at], nil
 }
 
+// structural marks the characters that begin or end a string, an object or an array.
+var structural = [256]bool{'"': true, '{': true, '[': true, '}': true, ']': true}
+
+// closingBracket returns the position of the bracket that closes the one at a position, or the length of the document
+// if there is none. It doesn't tell the two kinds of brackets apart.
+func closingBracket(raw []byte, from int) int {
+	depth := 0
+	for i := from; i < len(raw); i++ {
+		if !structural[raw[i]] {
+			continue
+		}
+		switch raw[i] {
+		case '"':
+			i = closingQuote(raw, i)
+		case '{', '[':
+			depth++
+		default:
+			if depth--; depth == 0 {
+				return i
+			}
+		}
+	}
+	return len(raw)
+}
+
 // closingQuote returns the position of the quote that closes the string which begins at a position, or
 // the length of the document if there is none.
 func closingQuote(raw []byte, from int) int {
--- a/internal/base/split/split_test.go
+++ b/internal/base/split/split_test.go
@@ -85,3 +85,35 @@
 		_ = split.Depth(raw)
 	})
 }
+
+// Guards against values that are decoded otherwise than encoding/json decodes them.
+func FuzzDecodeAsEncodingJSON(f *testing.F) {
+	type value struct {
+		Name   string   `json:"name"`
+		Number float64  `json:"number"`
+		Set    bool     `json:"set"`
+		Keys   []string `json:"keys"`
+		Parts  []struct {
+			After []float64 `json:"after"`
+		} `json:"parts"`
+		Left  *float64        `json:"left"`
+		Whole uint64          `json:"whole"`
+		Raw   json.RawMessage `json:"raw"`
+	}
+	for _, seed := range []string{
+		`{"name":"a","number":1e3,"set":true,"keys":["k",null],"parts":[{"after":[0,2.0]},{}],"left":7,"whole":3,"raw":{"a":[1]}}`,
+		`{"NAME":"\ud800","number":"x","set":1,"keys":{},"parts":[{"after":[1]},{"after":"x"}],"whole":-1}`,
+		"{\"name\":\"\xff\",\"name\":\"b\",\"left\":null}", `null`, `[]`, `{"keys":["a","b"],"keys":["c"]}`, `{"a":tru}`, `{} x`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if split.Depth(raw) > split.MaxDepth {
+			return
+		}
+		var got, want value
+		err, wantErr := split.Decode(raw, &got), json.Unmarshal(raw, &want)
+		assert.Equal(t, err == nil, wantErr == nil, "%v, want %v", err, wantErr)
+		assert.DeepEqual(t, got, want)
+	})
+}
--- a/internal/conf/table/table.go
+++ b/internal/conf/table/table.go
@@ -209,15 +209,7 @@
 		minGaps:      make(map[string]clock.Millis),
 		requiresKeys: len(content.Organisations) > 0,
 	}
-	for i := range content.Routes {
-		route := &content.Routes[i]
-		t.addGap(route)
-		host := strings.ToLower(route.Host)
-		t.byHost[host] = append(t.byHost[host], route)
-	}
-	for _, routes := range t.byHost {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
-	}
+	t.addRoutes(content.Routes)
 	for i := range content.Pools {
 		t.pools[content.Pools[i].Name] = &content.Pools[i]
 	}
@@ -227,6 +219,28 @@
 	return t
 }
 
+// addRoutes adds the routes of each host, the longest prefix first.
+func (t *Table) addRoutes(routes []Route) {
+	counts := make(map[string]int)
+	for i := range routes {
+		t.addGap(&routes[i])
+		counts[strings.ToLower(routes[i].Host)]++
+	}
+	all := make([]*Route, 0, len(routes))
+	for host, count := range counts {
+		t.byHost[host] = all[len(all) : len(all) : len(all)+count]
+		all = all[:len(all)+count]
+	}
+	for i := range routes {
+		host := strings.ToLower(routes[i].Host)
+		t.byHost[host] = append(t.byHost[host], &routes[i])
+	}
+	byPrefix := func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) }
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, byPrefix)
+	}
+}
+
 // addGap records the allowed gap of a route of streams for its pools.
 func (t *Table) addGap(route *Route) {
 	if route.Kind != Stream || route.MaxGap <= 0 {
