--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -11,6 +11,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -278,6 +279,9 @@
 	if number == 0 {
 		settings.maxFds, settings.env = r.firstFds, r.firstEnv
 	}
+	if r.Quotas {
+		settings.env = append(slices.Clone(settings.env), "GOMAXPROCS=1") // hosts with quotas have one processor
+	}
 	r.callers = append(r.callers, callers)
 	store, err := NewProxy(r.deployment.Address)
 	if err != nil {
