fix(sess,mesh,feed): the age of a relayed copy counts from the instant at which it was taken

An update of 750 KB is packed between the instant at which its age is taken and the one at which it is stamped; confirmations are taken once a round for all peers; and the receiver read its clock after it had waited for locks. A process with a tenth of a processor stands still for up to 90 ms at each of these points, so that copies counted as fresher than they were.

The stamp of a frame is now the instant for which its ages hold, and the receiver counts from the frame's arrival.

--- a/internal/link/sess/sess.go
+++ b/internal/link/sess/sess.go
@@ -80,7 +80,8 @@
 	frame.Session = s.number
 	frame.Release = s.opts.release()
 	if frame.StatesAge() {
-		frame.Stamp = s.transit.stamp(s.opts.clock.Now())
+		now := s.opts.clock.Now()
+		frame.Stamp = s.transit.stamp(frame.AsOf(now), now)
 	}
 	select {
 	case <-s.closing:
@@ -141,8 +142,10 @@
 		s.opts.dropped("session")
 		return
 	}
+	now := s.opts.clock.Now()
+	frame.SetArrival(now)
 	if frame.Stamp != nil {
-		frame.Transit = s.transit.observe(frame.Stamp, s.opts.clock.Now())
+		frame.Transit = s.transit.observe(frame.Stamp, now)
 	}
 	if frame.Kind == wire.KindBeat && !frame.Beat.Reply {
 		_ = s.Send(&wire.Frame{Kind: wire.KindBeat, Beat: &wire.Beat{Reply: true, Mark: frame.Beat.Mark, Load: s.opts.load(), Outside: s.opts.outside()}})
--- a/internal/link/sess/transit.go
+++ b/internal/link/sess/transit.go
@@ -7,8 +7,8 @@
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 )
 
-// transitMeter bounds the time that frames of a session are on their way: in the queues of
-// both processes, on the connection, and while one of them is paused. The difference between
+// transitMeter bounds the time that frames of a session are on their way: while they are packed, in the
+// queues of both processes, on the connection, and while one of them is paused. The difference between
 // the clocks at arrival and at sending is the time on the way plus the clocks' offset; the
 // shortest difference in the other direction bounds that offset.
 type transitMeter struct {
@@ -23,11 +23,11 @@
 // driftInterval is the time in which two clocks may drift apart by one millisecond.
 const driftInterval = 10 * clock.Second
 
-// stamp returns the stamp of a frame that is sent now.
-func (m *transitMeter) stamp(now clock.Millis) *wire.Stamp {
+// stamp returns the stamp of a frame that is sent now and whose ages hold for an instant.
+func (m *transitMeter) stamp(asOf, now clock.Millis) *wire.Stamp {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return &wire.Stamp{SentAt: now, Shortest: m.shortestAt(now), Measured: m.measured}
+	return &wire.Stamp{SentAt: asOf, Shortest: m.shortestAt(now), Measured: m.measured}
 }
 
 // observe returns an upper bound of the time that a frame was on its way, in milliseconds.
--- a/internal/link/sess/transit_test.go
+++ b/internal/link/sess/transit_test.go
@@ -21,10 +21,10 @@
 			now += clock.Millis(rapid.IntRange(1, 2000).Draw(t, "pause"))
 			transit := clock.Millis(rapid.IntRange(0, 3000).Draw(t, "transit"))
 			if rapid.Bool().Draw(t, "to the peer") {
-				peer.observe(here.stamp(now), now+transit+offset)
+				peer.observe(here.stamp(now, now), now+transit+offset)
 				continue
 			}
-			stamp := peer.stamp(now + offset)
+			stamp := peer.stamp(now+offset, now+offset)
 			bound := here.observe(stamp, now+transit)
 			if stamp.Measured && bound < transit {
 				t.Fatalf("bound of %d ms, but the frame took %d ms", bound, transit)
@@ -40,15 +40,15 @@
 	var here, peer transitMeter
 	now := clock.Millis(1)
 	for _, delay := range []clock.Millis{900, oneWay, oneWay} {
-		peer.observe(here.stamp(now), now+delay+offset)
+		peer.observe(here.stamp(now, now), now+delay+offset)
 		now += 1000
 	}
 	for range 600 {
 		now += 1000
-		assert.Assert(t, here.observe(peer.stamp(now+offset), now+oneWay) <= 2*oneWay)
-		peer.observe(here.stamp(now), now+oneWay+offset)
+		assert.Assert(t, here.observe(peer.stamp(now+offset, now+offset), now+oneWay) <= 2*oneWay)
+		peer.observe(here.stamp(now, now), now+oneWay+offset)
 	}
-	assert.Equal(t, here.observe(peer.stamp(now+offset), now+800), clock.Millis(800+oneWay))
+	assert.Equal(t, here.observe(peer.stamp(now+offset, now+offset), now+800), clock.Millis(800+oneWay))
 }
 
 func TestTransitBeforeTheFirstAnswerCountsFromTheFastestFrame(t *testing.T) {
--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -31,6 +31,8 @@
 	Pools           []PoolLoad        `cbor:"pools,omitempty"`
 	PendingArrivals []PendingArrivals `cbor:"coming,omitempty"`
 	Progress        []Progress        `cbor:"seen,omitempty"`
+	// AsOf is the instant for which the ages in Progress hold, 0 if it is not known. It stays in the process.
+	AsOf clock.Millis `cbor:"-"`
 	// Members lists the processes of a group if HasMembers is set. In a total it
 	// lists the registered processes that must not be used.
 	HasMembers bool       `cbor:"hasMembers,omitempty"`
@@ -198,6 +200,8 @@
 	Changed  uint64       `cbor:"changed"`
 	Whole    bool         `cbor:"whole,omitempty"`
 	Age      clock.Millis `cbor:"age,omitempty"`
+	// AsOf is the instant for which Age holds, 0 if it is not known. It stays in the process.
+	AsOf clock.Millis `cbor:"-"`
 	// Lost is set if Objects are not changes, but objects that the store has lost.
 	Lost bool `cbor:"lost,omitempty"`
 	// EraOnly is set if the era has risen without a loss: Since is of the era SinceEra, and the
--- a/internal/link/wire/transit.go
+++ b/internal/link/wire/transit.go
@@ -6,7 +6,7 @@
 // of two processes have an unknown offset, so that it takes measurements of both directions.
 type Stamp struct {
 	_ struct{} `cbor:",toarray"`
-	// SentAt is when the sender queued the frame, on the sender's clock.
+	// SentAt is the instant for which the ages in the frame hold, or when the sender queued it, on the sender's clock.
 	SentAt clock.Millis
 	// Shortest is the shortest difference between the sender's clock at the arrival of a
 	// frame and that frame's SentAt. It is valid if Measured is set.
@@ -14,6 +14,29 @@
 	Measured bool
 }
 
+// AsOf returns the instant for which the ages in the frame hold, on the clock of the process that made it, or now if
+// that is not known.
+func (f *Frame) AsOf(now clock.Millis) clock.Millis {
+	switch {
+	case f.Update != nil && f.Update.AsOf > 0:
+		return f.Update.AsOf
+	case f.Sums != nil && f.Sums.AsOf > 0:
+		return f.Sums.AsOf
+	}
+	return now
+}
+
+// SetArrival sets the instant for which the ages in the frame hold to that of its arrival, on the receiver's clock.
+// AddTransit makes them hold for it.
+func (f *Frame) SetArrival(now clock.Millis) {
+	if f.Update != nil {
+		f.Update.AsOf = now
+	}
+	if f.Sums != nil {
+		f.Sums.AsOf = now
+	}
+}
+
 // StatesAge reports whether the frame states how old something is.
 func (f *Frame) StatesAge() bool { return f.Sums != nil || f.Update != nil || f.Handover != nil }
 
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -209,12 +209,18 @@
 	return f.buildSnapshot(0)
 }
 
+// age returns the present instant and the age of the known state. The caller holds the lock.
+func (f *Feed) age() (now, age clock.Millis) {
+	now = f.clock.Now()
+	return now, max(now-f.state.confirmedAt, 0)
+}
+
 // buildSnapshot returns all objects; the caller holds the lock.
 func (f *Feed) buildSnapshot(outage clock.Millis) *wire.Update {
 	update := &wire.Update{
 		Kind: f.kind, Era: f.state.revision.Era, Revision: f.state.revision.Number, Changed: f.lastChange(), Whole: true, Outage: outage,
-		Age: max(f.clock.Now()-f.state.confirmedAt, 0),
 	}
+	update.AsOf, update.Age = f.age()
 	for _, name := range slices.Sorted(maps.Keys(f.state.objects)) {
 		object := f.state.objects[name]
 		update.Objects = append(update.Objects, f.storedOf(object, false))
@@ -355,8 +361,8 @@
 func (f *Feed) buildUpdate(changes []store.Change, since store.Revision) *wire.Update {
 	update := &wire.Update{
 		Kind: f.kind, Era: f.state.revision.Era, Since: since.Number, Revision: f.state.revision.Number, Changed: f.lastChange(),
-		Age: max(f.clock.Now()-f.state.confirmedAt, 0),
 	}
+	update.AsOf, update.Age = f.age()
 	for _, change := range changes {
 		update.Objects = append(update.Objects, f.storedOf(change.Object, change.Deleted))
 	}
--- a/internal/serve/mesh/follow.go
+++ b/internal/serve/mesh/follow.go
@@ -180,7 +180,7 @@
 		m.log.Info("update dropped", "peer", from, "kind", update.Kind, "revision", update.At(), "bytes", update.Bytes(), "reason", "notUpstream")
 		return
 	}
-	m.receiveUpdate(from, update, m.clock.Now())
+	m.receiveUpdate(from, update, update.AsOf)
 }
 
 // confirmProgress applies the progress of the upstream and requests missing
--- a/internal/serve/mesh/send.go
+++ b/internal/serve/mesh/send.go
@@ -129,7 +129,7 @@
 		if m.follower.HoldsFunc != nil {
 			message.Holds, to.target.holdsTold = m.follower.HoldsFunc(to.process, to.target.holdsTold, first)
 		}
-		message.Progress = progress
+		message.Progress, message.AsOf = progress, now
 		m.addMembers(message, to, now)
 	}
 	if to.kind == wire.KindReport {
--- a/internal/serve/mesh/take.go
+++ b/internal/serve/mesh/take.go
@@ -73,7 +73,7 @@
 	m.handleEvents(message)
 	m.forwardChangedWork(changed)
 	if message.Regular && m.uplink.Load().upstream == from {
-		m.confirmProgress(from, message.Progress, now)
+		m.confirmProgress(from, message.Progress, message.AsOf)
 	}
 	if message.Urgent {
 		m.triggerRound()
@@ -152,6 +152,6 @@
 		m.trials.Store(&total.Trials)
 	}
 	if m.uplink.Load().upstream == from {
-		m.confirmProgress(from, total.Progress, now)
+		m.confirmProgress(from, total.Progress, total.AsOf)
 	}
 }
--- a/internal/serve/mesh/transit_test.go
+++ b/internal/serve/mesh/transit_test.go
@@ -19,38 +19,68 @@
 // arrival, although it waited on the way.
 func TestConfirmationThatWaitedIsNoYoungerThanItsWait(t *testing.T) {
 	const waited = 900
-	ages := make(chan clock.Millis, 10)
+	p := newConfirmingPeer(t)
+	began := p.local.Now()
+	assert.Equal(t, p.confirm(t, 0), clock.Millis(100))
+	// Until the receiver has sent ages itself, the bound counts from the fastest frame.
+	fastest := p.local.Since(began) + 1
+	p.lag.Store(waited)
+	age := p.confirm(t, 0)
+	assert.Assert(t, age >= 100+waited-fastest, "%d ms, fastest frame %d ms", age, fastest)
+}
+
+// Guards against a copy that seems fresh because a peer's ages count from the sending of its message, although it has
+// packed objects or stood still since it took them.
+func TestAgesCountFromTheInstantAtWhichTheyWereTaken(t *testing.T) {
+	const before = 700
+	p := newConfirmingPeer(t)
+	began := p.local.Now()
+	p.confirm(t, 0)
+	fastest := p.local.Since(began) + 1
+	age := p.confirm(t, before)
+	assert.Assert(t, age >= 100+before-fastest, "%d ms, fastest frame %d ms", age, fastest)
+}
+
+// confirmingPeer is the upstream of a process. It confirms a state that is 100 ms old.
+type confirmingPeer struct {
+	local, clock *clock.Clock
+	session      *sess.Session
+	ages         chan clock.Millis
+	// lag is how long its frames are on their way.
+	lag atomic.Int64
+}
+
+func newConfirmingPeer(t *testing.T) *confirmingPeer {
+	t.Helper()
+	p := &confirmingPeer{local: clock.New(), ages: make(chan clock.Millis, 10)}
+	p.clock = clock.New(clock.WithNow(func() clock.Millis { return p.local.Now() + 5000 - clock.Millis(p.lag.Load()) }))
 	receiver := mesh.New(t.Context(), mesh.Member{Name: "receiver", Incarnation: token.NewIncarnation()}, mesh.WithFollower(mesh.Follower{
 		ProgressFunc: func() []wire.Progress { return nil },
 		ConfirmFunc: func(progress []wire.Progress, _ clock.Millis) []string {
-			ages <- progress[0].Age
+			p.ages <- progress[0].Age
 			return nil
 		},
 	}))
 	receiver.SetUpstream("upstream")
 	server := httptest.NewServer(receiver.Handler())
-	defer server.Close()
-	defer receiver.Stop()
-
-	var lag atomic.Int64
-	local := clock.New()
-	lagging := clock.New(clock.WithNow(func() clock.Millis { return local.Now() + 5000 - clock.Millis(lag.Load()) }))
-	upstream, err := sess.Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), sess.WithClock(lagging),
+	var err error
+	p.session, err = sess.Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), sess.WithClock(p.clock),
 		sess.WithHello(func() wire.Hello {
 			return wire.Hello{Process: "upstream", Incarnation: token.NewIncarnation(), Relays: true}
 		}))
 	assert.NilError(t, err)
-	defer upstream.Close(nil)
-	confirm := func() clock.Millis {
-		report := &wire.Sums{Whole: true, Regular: true, Progress: []wire.Progress{{Kind: "config", Age: 100}}}
-		assert.NilError(t, upstream.Send(&wire.Frame{Kind: wire.KindReport, Sums: report}))
-		return <-ages
-	}
-	began := local.Now()
-	assert.Equal(t, confirm(), clock.Millis(100))
-	// Until the receiver has sent ages itself, the bound counts from the fastest frame.
-	fastest := local.Since(began) + 1
-	lag.Store(waited)
-	age := confirm()
-	assert.Assert(t, age >= 100+waited-fastest, "%d ms, fastest frame %d ms", age, fastest)
+	t.Cleanup(func() {
+		p.session.Close(nil)
+		receiver.Stop()
+		server.Close()
+	})
+	return p
+}
+
+// confirm sends a confirmation whose ages were taken some time before, and returns the age that the receiver sees.
+func (p *confirmingPeer) confirm(t *testing.T, before clock.Millis) clock.Millis {
+	t.Helper()
+	report := &wire.Sums{Whole: true, Regular: true, Progress: []wire.Progress{{Kind: "config", Age: 100}}, AsOf: p.clock.Now() - before}
+	assert.NilError(t, p.session.Send(&wire.Frame{Kind: wire.KindReport, Sums: report}))
+	return <-p.ages
 }
