fix(intake,feed): decoding a version holds up neither the feed nor its followers

Callers saw requests run by an older version at all gateways behind the same relay. Versions that were already replaced were decoded like the newest one.

Updates are passed on before their handler runs. The configuration goes to serve/intake, which decodes the newest of those that wait and passes each proof of the feed on with the version it holds for, so that no copy counts as confirmed by the proof of a newer one. While a newer one waits, denials aren't given.

--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -274,12 +274,12 @@
 	for _, name := range slices.Sorted(maps.Keys(objects)) {
 		all = append(all, objects[name])
 	}
-	f.listFunc(all, list.outage)
-	if eraOnly {
+	if eraOnly { // peers get it first: the handler may take longer than they wait
 		f.forwardFunc(f.buildEraOnly(before))
-		return true
+	} else {
+		f.forwardFunc(f.buildSnapshot(list.outage))
 	}
-	f.forwardFunc(f.buildSnapshot(list.outage))
+	f.listFunc(all, list.outage)
 	return true
 }
 
@@ -315,8 +315,8 @@
 		delete(s.deleted, change.Object.Name)
 		s.objects[change.Object.Name] = change.Object
 	}
+	f.forwardFunc(f.buildUpdate(unseen, since)) // peers get it first: the handler may take longer than they wait
 	f.changeFunc(unseen)
-	f.forwardFunc(f.buildUpdate(unseen, since))
 	return s.revision
 }
 
--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -49,7 +49,7 @@
 	// ComparedEra is the latest era in which all peers have stated their versions, and PeerVersion the highest
 	// version that a peer has stated.
 	ComparedEra, PeerVersion uint64
-	// Behind is set if a peer has shown a newer state of the store, and NotInForce if the newest
+	// Behind is set if a newer state of the store is known and not in force yet, and NotInForce if the newest
 	// configuration could not be put in force.
 	Behind, NotInForce bool
 }
@@ -180,6 +180,15 @@
 	b.state.Store(&next)
 }
 
+// RecordNewer records that a newer configuration was read, which is not in force yet. Put and Confirm follow.
+func (b *Book) RecordNewer() {
+	b.replace.Lock()
+	defer b.replace.Unlock()
+	next := *b.state.Load()
+	next.Behind = true
+	b.state.Store(&next)
+}
+
 // RecordPeer takes the version of the configuration that a peer has in force. One that is newer exists, also
 // if the store has lost it.
 func (b *Book) RecordPeer(version uint64) {
--- a/internal/serve/router/follow.go
+++ b/internal/serve/router/follow.go
@@ -17,34 +17,6 @@
 	minOutage = 500 * clock.Millis(1)
 )
 
-// onConfigList applies the configuration from a list of the store.
-func (g *Gateway) onConfigList(objects []store.Object, _ clock.Millis) {
-	for _, object := range objects {
-		g.applyConfig(object)
-	}
-}
-
-func (g *Gateway) onConfigChanges(changes []store.Change) {
-	for _, change := range changes {
-		if !change.Deleted {
-			g.applyConfig(change.Object)
-		}
-	}
-}
-
-// applyConfig puts the newest configuration in force.
-func (g *Gateway) applyConfig(object store.Object) {
-	if object.Name != g.Dialect.ConfigKind+"/"+g.Dialect.ConfigName {
-		return
-	}
-	began := g.Clock.Now()
-	routes, err := g.Dialect.TableFunc(object.Value)
-	g.Log.Info("configuration decoded", "revision", object.Version, "bytes", len(object.Value), "tookMs", int64(g.Clock.Since(began)))
-	if g.config.Put(&object, routes, err) {
-		g.startOwningIfReady()
-	}
-}
-
 func (g *Gateway) onEndpointList(objects []store.Object, outage clock.Millis) {
 	entries := make([]view.Entry, 0, len(objects))
 	for _, object := range objects {
@@ -123,7 +95,7 @@
 	if errors.As(err, &skipped) {
 		g.skipped.Record(skipped.Kind, skipped.Name, skipped.Cause)
 		if skipped.Kind == g.Dialect.ConfigKind {
-			g.config.Put(&store.Object{}, nil, err) // it may be the newest configuration
+			g.intake.TakeUnreadable(err) // it may be the newest configuration
 		}
 	}
 }
--- a/internal/serve/router/restore.go
+++ b/internal/serve/router/restore.go
@@ -23,20 +23,6 @@
 	keepLostMember     = 3 * clock.Second
 )
 
-// restoreConfig keeps the configuration with the highest version of its own.
-func (g *Gateway) restoreConfig() feed.Restore {
-	return feed.Restore{NewerFunc: g.isNewerConfig, AlwaysNewer: true, KeepMissing: feed.KeepUntilWritten}
-}
-
-func (g *Gateway) isNewerConfig(known, listed store.Object) bool {
-	knownTable, err := g.Dialect.TableFunc(known.Value)
-	if err != nil {
-		return false
-	}
-	listedTable, err := g.Dialect.TableFunc(listed.Value)
-	return err != nil || knownTable.Version > listedTable.Version
-}
-
 // restoreEndpoints keeps what endpoints last wrote: an endpoint that has drained or ended before
 // doesn't come back with the copy.
 func (g *Gateway) restoreEndpoints() feed.Restore {
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -34,6 +34,7 @@
 	"github.com/jujubescale/jujubescale/internal/serve/feed"
 	"github.com/jujubescale/jujubescale/internal/serve/gate"
 	"github.com/jujubescale/jujubescale/internal/serve/host"
+	"github.com/jujubescale/jujubescale/internal/serve/intake"
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
 	"github.com/jujubescale/jujubescale/internal/serve/proof"
 	"github.com/jujubescale/jujubescale/internal/serve/resume"
@@ -139,6 +140,7 @@
 	startedAt   clock.Millis
 	// config holds the configuration in force and what proves it.
 	config      *proof.Book
+	intake      *intake.Intake
 	endpoints   *view.Registry
 	endpointsMu sync.Mutex
 	storeBackAt clock.Millis             // when the store was reachable again after its last outage
@@ -188,6 +190,8 @@
 	g := &Gateway{Settings: settings, incarnation: token.NewIncarnation(), startedAt: settings.Clock.Now(), baseCtx: ctx, membersChanged: make(chan struct{}, 1)}
 	g.config = proof.New(ctx, g.ChangeWithin, clock.Millis(callShare*float64(g.ChangeWithin)), proof.WithClock(g.Clock), proof.WithLog(g.Log),
 		proof.WithStore(func() clock.Millis { return g.feeds.config.AwayFor() }, func() string { return g.mesh.Upstream() }))
+	g.intake = intake.New(g.Dialect.ConfigKind+"/"+g.Dialect.ConfigName, g.config, g.Dialect.TableFunc,
+		intake.WithClock(g.Clock), intake.WithLog(g.Log), intake.WithInForce(func() { g.startOwningIfReady() }))
 	g.stall = stall.New(stall.WithClock(g.Clock), stall.WithLog(g.Log), stall.WithAlone(g.isAlone))
 	g.skipped = skip.New(skip.WithLog(g.Log), skip.WithRegistry(g.Registry))
 	g.meter = newMeter(settings.Registry, g.config.Age, g.Store.Era, g.lostObjects)
@@ -364,8 +368,8 @@
 		return feed.New(kind, g.Store, slices.Concat(common, own, more)...)
 	}
 	pause := clock.Millis(readPauseShare * float64(g.LeaveWithin))
-	g.feeds.config = newFeed(g.Dialect.ConfigKind, g.ChangeWithin, feed.WithList(g.onConfigList), feed.WithChanges(g.onConfigChanges),
-		feed.WithRestore(g.restoreConfig()), feed.WithProof(g.config.Confirm))
+	g.feeds.config = newFeed(g.Dialect.ConfigKind, g.ChangeWithin, feed.WithList(g.intake.TakeList), feed.WithChanges(g.intake.TakeChanges),
+		feed.WithRestore(g.intake.Restore()), feed.WithProof(g.intake.Confirm))
 	g.feeds.endpoints = newFeed(g.Dialect.EndpointKind, g.LeaveWithin, feed.WithPause(func() clock.Millis { return pause }),
 		feed.WithList(g.onEndpointList), feed.WithChanges(g.onEndpointChanges), feed.WithRestore(g.restoreEndpoints()))
 	zones := newNames(func(names []string) { g.setEvacuated(names) })
@@ -485,7 +489,7 @@
 // or the context ends.
 func (g *Gateway) Start(ctx context.Context) {
 	ctx, g.stop = context.WithCancel(ctx)
-	runs := []func(context.Context){g.stall.Run, g.host.Run, g.mesh.Run, g.sweep, g.register, g.detector.Run, g.gate.Limits().Run, g.origins.Run, g.origins.RunStorage, g.syncQuarantines}
+	runs := []func(context.Context){g.intake.Run, g.stall.Run, g.host.Run, g.mesh.Run, g.sweep, g.register, g.detector.Run, g.gate.Limits().Run, g.origins.Run, g.origins.RunStorage, g.syncQuarantines}
 	for _, f := range g.feeds.all() {
 		runs = append(runs, f.Run)
 	}
