fix(proof,gate): no request is run by a configuration that should have been confirmed

A request whose configuration is older than the bound waits up to a quarter of the bound for its confirmation, is decided anew, and is otherwise told to come back (configOutdated, not run). While the store is away (calls fail, or an answer is overdue by that long) processes serve by the last copy as before.

--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -75,7 +75,9 @@
 	relayChanged chan struct{}
 	// lostAt is the instant in ms at which the store stopped answering, 0 while it answers.
 	// lostFor is the duration of the last outage, 0 once the list was read after it.
-	lostAt  atomic.Int64
+	lostAt atomic.Int64
+	// dueAt is the instant in ms at which the answer to the present call is due, 0 without a call.
+	dueAt   atomic.Int64
 	lostFor clock.Millis
 	backoff clock.Millis
 	outage  *Outage
@@ -190,6 +192,16 @@
 	return max(f.clock.Since(lostAt), 1)
 }
 
+// OverdueFor returns how long the answer to the present call to the store has been overdue, in milliseconds, 0 if it
+// is not or there is no call.
+func (f *Feed) OverdueFor() clock.Millis {
+	dueAt := clock.Millis(f.dueAt.Load())
+	if dueAt == 0 {
+		return 0
+	}
+	return max(f.clock.Since(dueAt), 0)
+}
+
 // Run follows the kind until the context ends: through a peer while one relays
 // changes, otherwise by calls to the store.
 func (f *Feed) Run(ctx context.Context) {
@@ -219,7 +231,9 @@
 	default:
 	}
 	sentAt := f.clock.Now()
+	f.dueAt.Store(int64(sentAt))
 	listing, err := f.store.Scan(ctx, f.kind)
+	f.dueAt.Store(0)
 	f.reading.Store(false)
 	if err != nil {
 		f.handleFailure(ctx, err)
@@ -323,6 +337,8 @@
 	done := make(chan struct{})
 	cause := make(chan error, 1)
 	began := f.clock.Now()
+	f.dueAt.Store(int64(began + wait))
+	defer f.dueAt.Store(0)
 	go func() { cause <- f.awaitInterrupt(cancel, done) }()
 	changes, err := f.store.Follow(call, f.kind, since, wait)
 	close(done)
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -146,7 +146,7 @@
 		return req, fault.Refuse(fault.BadRequest, err.Error())
 	}
 	again := func() *fault.RefusalError { return g.resolveRoute(req, r) }
-	if refused := g.Config.ConfirmDenial(r.Context(), req.Request, &req.decision, again(), again); refused != nil {
+	if refused := g.Config.ConfirmRequest(r.Context(), req.Request, &req.decision, again(), again); refused != nil {
 		return req, refused
 	}
 	if refused := g.refuseLacking(); refused != nil {
--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -73,19 +73,17 @@
 	clock  *clock.Clock
 	log    *log.Logger
 	within clock.Millis
-	// waitFor is how long a denial waits for a confirmation.
+	// waitFor is how long a request waits for a confirmation.
 	waitFor clock.Millis
-	// ctx ends the waits of denials.
-	ctx context.Context
-	// awayFunc returns how long calls to the store have failed, sourceFunc the peer that relays the
-	// configuration, "" for none.
-	awayFunc   func() clock.Millis
-	sourceFunc func() string
+	// ctx ends the waits of requests.
+	ctx   context.Context
+	store Store
 
 	state   atomic.Pointer[State]
 	replace sync.Mutex // serialises the replacements of the state
-	wait    wait
-	old     bool // whether Check has found the state too old
+	// denials is the wait of requests that the configuration denies, all that of those that it is too old for.
+	denials, all wait
+	old          bool // whether Check has found the state too old
 }
 
 // Option configures a Book.
@@ -97,19 +95,27 @@
 // WithLog sets the logger.
 func WithLog(l *log.Logger) Option { return func(b *Book) { b.log = l } }
 
-// WithStore sets the functions that return how long calls to the store have failed, and which peer
-// relays the configuration, "" for none.
-func WithStore(away func() clock.Millis, source func() string) Option {
-	return func(b *Book) { b.awayFunc, b.sourceFunc = away, source }
+// Store tells how a process reaches the store.
+type Store struct {
+	// AwayFunc returns how long calls have failed, in milliseconds, 0 if the last one did not or a peer relays
+	// changes. OverdueFunc returns how long the answer to the present call has been overdue, 0 if it is not.
+	AwayFunc, OverdueFunc func() clock.Millis
+	// SourceFunc returns the peer that relays the configuration, "" for none.
+	SourceFunc func() string
 }
 
-// New returns a book. A change must be in force within a time; a denial waits up to waitFor for a
+// WithStore sets how the store is reached.
+func WithStore(s Store) Option { return func(b *Book) { b.store = s } }
+
+// New returns a book. A change must be in force within a time; a request waits up to waitFor for a
 // confirmation, and no longer than the context lasts.
 func New(ctx context.Context, within, waitFor clock.Millis, opts ...Option) *Book {
 	b := &Book{
 		ctx: ctx, clock: clock.New(), log: log.New(io.Discard), within: within, waitFor: waitFor,
-		awayFunc: func() clock.Millis { return 0 }, sourceFunc: func() string { return "" },
+		store: Store{AwayFunc: func() clock.Millis { return 0 }, OverdueFunc: func() clock.Millis { return 0 }, SourceFunc: func() string { return "" }},
 	}
+	b.denials.missingFunc, b.denials.neededFunc = b.Outdated, b.denialMayBeProved
+	b.all.missingFunc, b.all.neededFunc = b.isTooOld, b.isTooOld
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -275,8 +281,27 @@
 	if old {
 		event = "configuration not confirmed"
 	}
-	b.log.Info(event, "configuration", d.version(), "ageMs", int64(age), "withinMs", int64(b.within), "storeAwayMs", int64(b.awayFunc()),
-		"relayed", d.Relayed, "upstream", b.sourceFunc())
+	b.log.Info(event, "configuration", d.version(), "ageMs", int64(age), "withinMs", int64(b.within), "storeAwayMs", int64(b.store.AwayFunc()),
+		"relayed", d.Relayed, "upstream", b.store.SourceFunc())
+}
+
+// isStale reports whether a newer configuration than that of a decision must be in force by now if there is one, while
+// the store may be asked. A process that can't reach the store serves by its last configuration.
+func (b *Book) isStale(d *Decision) bool {
+	return d.State != nil && d.Table != nil && d.Age() > b.within && b.store.AwayFunc() == 0 && b.store.OverdueFunc() <= b.waitFor
+}
+
+// ConfirmRequest is ConfirmDenial for a request that may also run by a decision, if refused is nil. It runs only if the
+// configuration is not too old; the request waits for a confirmation first, and is then told to come back.
+func (b *Book) ConfirmRequest(ctx context.Context, request string, decision *Decision, refused *fault.RefusalError, again func() *fault.RefusalError) *fault.RefusalError {
+	if refused == nil && b.isStale(decision) && b.await(ctx, &b.all, request, "request waited for the configuration") {
+		refused = again()
+	}
+	if refused == nil && b.isStale(decision) {
+		refused = fault.Refuse(fault.ConfigOutdated, "the store has not confirmed the configuration in force in time")
+		refused.Evidence = b.evidence(decision)
+	}
+	return b.ConfirmDenial(ctx, request, decision, refused, again)
 }
 
 // ConfirmDenial returns the answer to a request that was refused by a decision. A denial is given only
@@ -287,7 +312,7 @@
 	if !refused.IsDenial() {
 		return refused
 	}
-	if again != nil && b.isUnproved(decision) && b.await(ctx, request) {
+	if again != nil && b.isUnproved(decision) && b.await(ctx, &b.denials, request, "denial waited for the configuration") {
 		if refused = again(); !refused.IsDenial() {
 			return refused
 		}
@@ -306,8 +331,8 @@
 	}
 	source := "the store"
 	if d.Relayed {
-		source = b.sourceFunc()
+		source = b.store.SourceFunc()
 	}
 	return fmt.Sprintf("configuration %d of revision %v, confirmed %d ms before by %s, store unreachable for %d ms, changes missing: %t, newest not in force: %t, incomplete: %t, store restored: %t, highest of a peer: %d",
-		d.version(), d.Revision, d.Age(), source, b.awayFunc(), d.Behind, d.NotInForce, d.Table != nil && d.Table.Incomplete, b.isRestored(d), d.PeerVersion)
+		d.version(), d.Revision, d.Age(), source, b.store.AwayFunc(), d.Behind, d.NotInForce, d.Table != nil && d.Table.Incomplete, b.isRestored(d), d.PeerVersion)
 }
--- a/internal/serve/proof/proof_test.go
+++ b/internal/serve/proof/proof_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -137,3 +138,64 @@
 	})
 	assert.Equal(t, got.Reason, fault.ConfigOutdated)
 }
+
+// Guards against requests that are run by an old configuration while the store may be asked, and against requests that
+// are refused while it is away.
+func TestOnlyConfirmedConfigurationsRunRequests(t *testing.T) {
+	const wait = within / 4
+	for name, c := range map[string]struct {
+		age, away, overdue clock.Millis
+		want               fault.Reason
+	}{
+		"confirmed in time":                 {age: within},
+		"too old":                           {age: within + 1, want: fault.ConfigOutdated},
+		"too old, an answer is due":         {age: within + 1, overdue: wait, want: fault.ConfigOutdated},
+		"too old, the store doesn't answer": {age: within + 1, overdue: wait + 1},
+		"too old, the store is away":        {age: within + 1, away: 1},
+		"the store is away for long":        {age: 10 * clock.Minute, away: 10 * clock.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var now atomic.Int64
+			now.Store(100)
+			instant := func() clock.Millis { return clock.Millis(now.Load()) }
+			b := proof.New(t.Context(), within, wait, proof.WithClock(clock.New(clock.WithNow(instant), clock.WithAfter(func(by clock.Millis) (<-chan struct{}, func()) {
+				expired := make(chan struct{})
+				close(expired)
+				now.Add(int64(by))
+				return expired, func() {}
+			}))), proof.WithStore(proof.Store{
+				AwayFunc: func() clock.Millis { return c.away }, OverdueFunc: func() clock.Millis { return c.overdue }, SourceFunc: func() string { return "" },
+			}))
+			put(b, 1, nil)
+			b.Confirm(feed.Proof{ConfirmedAt: instant()})
+			now.Add(int64(c.age))
+			decision := b.Decide()
+			got := b.ConfirmRequest(t.Context(), "r", &decision, nil, func() *fault.RefusalError {
+				decision = b.Decide()
+				return nil
+			})
+			if c.want == "" {
+				assert.Assert(t, got == nil, "%v", got)
+				return
+			}
+			assert.Equal(t, got.Reason, c.want)
+			assert.Assert(t, got.Evidence != "")
+		})
+	}
+}
+
+// Guards against a request that has waited for a configuration and is run by the one before it.
+func TestRequestIsDecidedAnewOnceItsConfigurationIsConfirmed(t *testing.T) {
+	var now clock.Millis
+	b := book(&now)
+	now = 101 + within
+	decision := b.Decide()
+	put(b, 2, nil)
+	b.Confirm(feed.Proof{ConfirmedAt: now})
+	got := b.ConfirmRequest(t.Context(), "r", &decision, nil, func() *fault.RefusalError {
+		decision = b.Decide()
+		return nil
+	})
+	assert.Assert(t, got == nil)
+	assert.Equal(t, decision.Table.Version, uint64(2))
+}
--- a/internal/serve/proof/wait.go
+++ b/internal/serve/proof/wait.go
@@ -9,53 +9,62 @@
 )
 
 const (
-	// maxWaiting limits the denials that wait, so that a flood of unknown paths takes little memory.
+	// maxWaiting limits the requests that wait, so that a flood of them takes little memory.
 	maxWaiting = 200
-	// poll is the pause between two looks at the state while denials wait.
+	// poll is the pause between two looks at the state while requests wait.
 	poll = 20 * clock.Millis(1)
 )
 
-// wait is the wait of all denials for a confirmation.
+// wait is the wait of all requests that need the same proof.
 type wait struct {
+	// missingFunc reports whether the proof is missing, neededFunc whether it may also come soon.
+	missingFunc, neededFunc func() bool
+
 	mu sync.Mutex
-	// ended is closed when the current wait ends, nil without one. waiting is the number of denials
+	// ended is closed when the current wait ends, nil without one. waiting is the number of requests
 	// that wait for it.
 	ended   chan struct{}
 	waiting int
 }
 
-// await waits until the configuration is confirmed, and reports whether it waited. It calls nothing: a
-// process whose configuration is too old calls the store already. It doesn't wait while the store has
-// been away for longer than a denial may wait.
-func (b *Book) await(ctx context.Context, request string) bool {
-	if !b.mayBeConfirmed() {
-		return !b.Outdated() // it was confirmed since the decision
+// await waits until the configuration is confirmed, and reports whether the request is to be decided anew. It calls
+// nothing: a process whose configuration is too old calls the store already.
+func (b *Book) await(ctx context.Context, w *wait, request, event string) bool {
+	if !w.neededFunc() {
+		return !w.missingFunc() // it has come since the decision
 	}
-	ended := b.wait.join(b.awaitEnd)
+	ended := w.join(func(ended chan struct{}) { b.awaitEnd(w, ended) })
 	if ended == nil {
 		return false
 	}
-	defer b.wait.leave()
+	defer w.leave()
 	began := b.clock.Now()
 	select {
 	case <-ended:
 	case <-ctx.Done():
 	}
-	b.log.Info("denial waited for the configuration", logs.KeyRequest, request, "waitedMs", int64(b.clock.Since(began)),
+	b.log.Info(event, logs.KeyRequest, request, "waitedMs", int64(b.clock.Since(began)),
 		"configuration", b.Version(), "ageMs", int64(b.Age()), "outdated", b.Outdated())
 	return true
 }
 
-// mayBeConfirmed reports whether the configuration is outdated, and may be confirmed or replaced soon.
-func (b *Book) mayBeConfirmed() bool {
+// denialMayBeProved reports whether a denial is not proved, and a proof or a newer configuration may come soon. It
+// doesn't while the store has been away for longer than a denial may wait.
+func (b *Book) denialMayBeProved() bool {
+	d := b.Decide()
+	return b.isUnproved(&d) && !d.NotInForce && d.Table != nil && !d.Table.Incomplete && b.restoredFor(&d) <= b.waitFor && (d.Behind || b.store.AwayFunc() <= b.waitFor)
+}
+
+// isTooOld reports whether the configuration in force is too old for any request.
+func (b *Book) isTooOld() bool {
 	d := b.Decide()
-	return b.isUnproved(&d) && !d.NotInForce && d.Table != nil && !d.Table.Incomplete && b.restoredFor(&d) <= b.waitFor && (d.Behind || b.awayFunc() <= b.waitFor)
+	return b.isStale(&d)
 }
 
-// awaitEnd closes ended once the configuration is confirmed, at the latest after waitFor.
-func (b *Book) awaitEnd(ended chan struct{}) {
-	defer b.wait.end(ended)
-	for until := b.clock.Now() + b.waitFor; b.mayBeConfirmed() && b.clock.Now() < until; {
+// awaitEnd closes ended once the proof is not needed any more, at the latest after waitFor.
+func (b *Book) awaitEnd(w *wait, ended chan struct{}) {
+	defer w.end(ended)
+	for until := b.clock.Now() + b.waitFor; w.neededFunc() && b.clock.Now() < until; {
 		if b.clock.Sleep(b.ctx, poll) != nil {
 			return
 		}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -189,7 +189,11 @@
 func New(ctx context.Context, settings Settings) *Gateway {
 	g := &Gateway{Settings: settings, incarnation: token.NewIncarnation(), startedAt: settings.Clock.Now(), baseCtx: ctx, membersChanged: make(chan struct{}, 1)}
 	g.config = proof.New(ctx, g.ChangeWithin, clock.Millis(callShare*float64(g.ChangeWithin)), proof.WithClock(g.Clock), proof.WithLog(g.Log),
-		proof.WithStore(func() clock.Millis { return g.feeds.config.AwayFor() }, func() string { return g.mesh.Upstream() }))
+		proof.WithStore(proof.Store{
+			AwayFunc:    func() clock.Millis { return g.feeds.config.AwayFor() },
+			OverdueFunc: func() clock.Millis { return g.feeds.config.OverdueFor() },
+			SourceFunc:  func() string { return g.mesh.Upstream() },
+		}))
 	g.intake = intake.New(g.Dialect.ConfigKind+"/"+g.Dialect.ConfigName, g.config, g.Dialect.TableFunc,
 		intake.WithClock(g.Clock), intake.WithLog(g.Log), intake.WithInForce(func() { g.startOwningIfReady() }))
 	g.stall = stall.New(stall.WithClock(g.Clock), stall.WithLog(g.Log), stall.WithAlone(g.isAlone))
