fix(daemon): a reload ends no process that starts or stops

SIGHUP was caught only between the end of the start and the end of the stop.

It is caught from the first line of main on, until the process is gone; one that comes during the start is followed after it.

--- a/cmd/jujubed/main.go
+++ b/cmd/jujubed/main.go
@@ -9,5 +9,6 @@
 )
 
 func main() {
+	daemon.CatchReloads() // reading the settings takes a while on a slow host
 	os.Exit(exit.Run(daemon.New(), os.Args[1:]))
 }
--- a/internal/bench/soak/late_test.go
+++ b/internal/bench/soak/late_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -60,3 +61,31 @@
 		assert.Assert(t, !incarnation.ended.IsZero() && incarnation.failed == nil, "ended with %v, %v after SIGTERM", incarnation.failed, incarnation.ended.Sub(incarnation.terminated))
 	}
 }
+
+// Guards against a planned stop that a reload of the settings cuts off, so that its requests get no answer.
+func TestReloadDoesNotEndAPlannedStop(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "jujubed")
+	out, err := exec.Command("go", "build", "-o", path, "../../../cmd/jujubed").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	r, err := newRun(Options{Program: path, Folder: t.TempDir(), Gateways: 6, Out: io.Discard})
+	assert.NilError(t, err)
+	defer r.close()
+	assert.NilError(t, r.awaitReady(t.Context()))
+	var group sync.WaitGroup
+	for _, p := range r.processes {
+		slow, stopQuota := context.WithCancel(t.Context())
+		group.Go(func() { enforceQuota(slow, p, 0.02) })
+		group.Go(func() {
+			defer stopQuota()
+			p.signal(syscall.SIGTERM)
+			for end := time.Now().Add(3 * grace); time.Now().Before(end) && p.history()[0].ended.IsZero(); time.Sleep(100 * time.Microsecond) {
+				p.signal(syscall.SIGHUP)
+			}
+		})
+	}
+	group.Wait()
+	for _, p := range r.processes {
+		first := p.history()[0]
+		assert.Assert(t, !first.ended.IsZero() && first.failed == nil, "%s ended with %v", p.name, first.failed)
+	}
+}
--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -98,6 +98,7 @@
 }
 
 func (r *gatewayRun) run(ctx context.Context) error {
+	hangup := CatchReloads() // a reload that is asked for during the start follows it
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	logging, stopLog := context.WithCancel(context.Background())
 	r.trail = trail.New(logging, r.out)
@@ -112,7 +113,7 @@
 		return err
 	}
 	r.Log.Info("serving", "callers", r.callers.Address(), "sessions", r.sessions.Address(), "incarnation", r.gateway.Incarnation())
-	reloaded := r.watchSettings(background)
+	reloaded := r.watchSettings(background, hangup)
 	<-ctx.Done()
 	r.stop()
 	stop()
--- a/internal/cli/daemon/reload.go
+++ b/internal/cli/daemon/reload.go
@@ -14,16 +14,21 @@
 // change without a signal.
 const pollInterval = clock.Second
 
-// watchSettings reloads the settings at SIGHUP and when their file changes. It
+// CatchReloads returns a channel that gets a SIGHUP. From then on the signal doesn't end the process, also while it
+// starts or stops.
+func CatchReloads() <-chan os.Signal {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	return hangup
+}
+
+// watchSettings reloads the settings at a signal and when their file changes. It
 // stops when the context ends, and then closes the channel that it returns.
 // Invalid settings are logged and ignored; the old ones stay in force.
-func (r *gatewayRun) watchSettings(ctx context.Context) <-chan struct{} {
+func (r *gatewayRun) watchSettings(ctx context.Context, hangup <-chan os.Signal) <-chan struct{} {
 	done := make(chan struct{})
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
 	go func() {
 		defer close(done)
-		defer signal.Stop(hangup)
 		loaded := r.fileContent()
 		for {
 			poll, stopPoll := r.Clock.After(pollInterval)
