--- a/internal/bench/soak/outage.go
+++ b/internal/bench/soak/outage.go
@@ -26,6 +26,8 @@
 const (
 	// returnTime is the time after the return of all hosts from which requests are served.
 	returnTime = 2 * time.Second
+	// returnedAfter is the time after it from which requests are counted, on hosts with quotas.
+	returnedAfter = 3 * time.Second
 	// minReturnedShare is the share of the processes that serve then.
 	minReturnedShare = 0.9
 	// outageSpan is the least time between two outages. Within it, the hosts return and are checked.
@@ -123,9 +125,17 @@
 	}
 }
 
+// isReturned reports whether all hosts have lost their power, and have returned for returnedAfter.
+func (r *run) isReturned() bool {
+	at := r.poweredAt.Load()
+	return at > 0 && time.Since(r.started) > time.Duration(at)*time.Millisecond+returnedAfter
+}
+
 // cutPower ends all processes, and starts them again after the time of the disturbance.
 func (r *run) cutPower(ctx context.Context, d Disturbance) {
 	defer r.faults.begin(Kill, nil)()
+	r.poweredAt.Store(0)
+	defer func() { r.poweredAt.Store(time.Since(r.started).Milliseconds()) }()
 	var proxies []*Proxy
 	proxies = append(append(proxies, r.callers...), r.stores...)
 	r.sessions.Range(func(_, proxy any) bool {
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -73,7 +73,9 @@
 	Moves bool
 	// Quotas limits the processor time of all processes during the whole run.
 	Quotas bool
-	Out    io.Writer
+	// Only are the kinds of disturbances of the run, all that its other options add if it is empty.
+	Only []Kind
+	Out  io.Writer
 }
 
 // Report is the result of a run.
@@ -94,6 +96,9 @@
 	// Outages is the number of outages, OutagesJudged that of those after which no other fault kept
 	// the processes from being checked, and OutageProbes the number of processes that were.
 	Outages, OutagesJudged, OutageProbes int64
+	// Returned are the requests that were sent returnedAfter or more after all hosts had lost their power, until the
+	// next outage, and ReturnedServed those of them that were served.
+	Returned, ReturnedServed int64
 	// Routes describes the versions and the requests for their routes, "" without Options.Routes.
 	Routes string
 	// Moves describes the requests for routes that move, and Lags the times until versions were in force.
@@ -143,6 +148,9 @@
 	// outages counts the outages, outagesJudged those after which a process could be checked, and
 	// outageProbes the checks.
 	outages, outagesJudged, outageProbes atomic.Int64
+	// poweredAt is when all hosts had their power again, in ms since the start, 0 before the first loss and during one.
+	poweredAt                atomic.Int64
+	returned, returnedServed atomic.Int64
 	// restores counts the returns of the store, and restoreProbes the checks after them.
 	restores, restoreProbes atomic.Int64
 
@@ -376,6 +384,9 @@
 	if r.Outages {
 		plan = append(plan, outages(r.Seed, r.Length)...)
 	}
+	if len(r.Only) > 0 {
+		plan = slices.DeleteFunc(plan, func(d Disturbance) bool { return !slices.Contains(r.Only, d.Kind) })
+	}
 	for _, disturbance := range plan {
 		r.group.Add(1)
 		go func() {
@@ -464,6 +475,7 @@
 		defer timer.Stop()
 	}
 	settled := time.Since(r.started) > r.Length-recoverySpan+settlingTime
+	returned := r.isReturned()
 	r.sent.Add(1)
 	got := r.client.Do(ctx, r.callers[number].Address(), s)
 	if got.RetryAfter > 0 && got.RetryAfter < time.Duration(s.DeadlineMs)*time.Millisecond && got.Status == http.StatusServiceUnavailable {
@@ -475,6 +487,12 @@
 	if settled && !cancels {
 		r.settledSent.Add(1)
 	}
+	if returned && !cancels {
+		r.returned.Add(1)
+		if got.Complete {
+			r.returnedServed.Add(1)
+		}
+	}
 	switch {
 	case got.Complete:
 		r.served.Add(1)
@@ -505,6 +523,10 @@
 		BadParts: r.badParts.Load(), BadCrashes: r.badCrashes.Load(),
 		Outages: r.outages.Load(), OutagesJudged: r.outagesJudged.Load(), OutageProbes: r.outageProbes.Load(),
 		Restores: r.restores.Load(), RestoreProbes: r.restoreProbes.Load(),
+		Returned: r.returned.Load(), ReturnedServed: r.returnedServed.Load(),
+	}
+	if len(r.Only) > 0 && float64(report.ReturnedServed) < minReturnedShare*float64(report.Returned) {
+		r.addViolation("only %d of %d requests were served that were sent %v after all hosts had returned", report.ReturnedServed, report.Returned, returnedAfter)
 	}
 	if float64(report.SettledServed) < minServedShare*float64(report.SettledSent) {
 		r.addViolation("only %d of %d requests were served after the last disturbance", report.SettledServed, report.SettledSent)
--- a/internal/bench/soak/stops_test.go
+++ b/internal/bench/soak/stops_test.go
@@ -142,4 +142,10 @@
 	assert.Equal(t, len(stopped.violations), 1, stopped.violations)
 	assert.NilError(t, killed.checkLog(p, history))
 	assert.Equal(t, len(killed.violations), 0, killed.violations)
+
+	paused, resumed := runWithFault(Pause, time.Second, grace+time.Millisecond), runWithFault(Pause, time.Second, grace-time.Millisecond)
+	assert.NilError(t, paused.checkLog(p, history))
+	assert.Equal(t, len(paused.violations), 0, paused.violations)
+	assert.NilError(t, resumed.checkLog(p, history))
+	assert.Equal(t, len(resumed.violations), 1, resumed.violations)
 }
--- a/internal/cli/devel/soak.go
+++ b/internal/cli/devel/soak.go
@@ -28,6 +28,7 @@
 	routes    bool
 	moves     bool
 	quotas    bool
+	only      []string
 	memory    int64
 	verbose   bool
 }
@@ -57,6 +58,7 @@
 	flags.BoolVar(&options.routes, "routes", false, "add, move and remove routes in series, ask all processes for them, and throttle and pause processes, instead of rollouts")
 	flags.BoolVar(&options.moves, "moves", false, "move routes between services in versions of some 750 KB, and check which service ran each request; needs --routes")
 	flags.BoolVar(&options.quotas, "quotas", false, "limit the processor time of the processes during the whole run, to 0.109, 0.352 or 0.8 of a processor")
+	flags.StringSliceVar(&options.only, "only", nil, "kinds of disturbances of the run, such as powerLoss (default: all that the other flags add)")
 	flags.Int64Var(&options.memory, "memory", 0, "memory of a model engine in tokens (default: some eight of the largest requests)")
 	flags.BoolVar(&options.verbose, "verbose", false, "print each fault when it is injected")
 	return command
@@ -106,9 +108,13 @@
 	if options.verbose {
 		out = command.ErrOrStderr()
 	}
+	var only []soak.Kind
+	for _, kind := range options.only {
+		only = append(only, soak.Kind(kind))
+	}
 	report, err := soak.Run(command.Context(), soak.Options{
 		Seed: seed, Length: time.Duration(options.seconds) * time.Second, Program: options.program, Folder: folder,
-		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Routes: options.routes, Moves: options.moves, Quotas: options.quotas, Memory: options.memory, Out: out,
+		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Routes: options.routes, Moves: options.moves, Quotas: options.quotas, Only: only, Memory: options.memory, Out: out,
 	})
 	if err != nil {
 		return false, err
@@ -128,7 +134,8 @@
 		command.Printf("  %d parts crashed %d engines\n", report.BadParts, report.BadCrashes)
 	}
 	if report.Outages > 0 {
-		command.Printf("  %d outages, %d judged by %d checks\n", report.Outages, report.OutagesJudged, report.OutageProbes)
+		command.Printf("  %d outages, %d judged by %d checks; %d of %d requests served from 3 s after the return on\n",
+			report.Outages, report.OutagesJudged, report.OutageProbes, report.ReturnedServed, report.Returned)
 	}
 	if report.Restores > 0 {
 		command.Printf("  %d returns of the store, %d checks\n", report.Restores, report.RestoreProbes)
