fix(feed): a store that answers no call counts as away, a long list doesn't

While a store hangs, callers of a process whose copy is older than the bound would be refused for half a second at the change from an unanswered watch to a list, because the list began a new wait; and while a large list is transferred on a slow link requests would be run by the old copy, because a list counted as overdue from its start.

An unanswered call stays overdue until the store answers another, and a list has the time of a transfer. TestStoreThatAnswersNoCallIsOverdue.

--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -33,7 +33,9 @@
 	minBackoff = 100 * clock.Millis(1)
 	// minWait is the shortest wait of a call for changes. confirmShare is the part of the
 	// maximum age within which the next confirmation is due.
-	minWait      = 50 * clock.Millis(1)
+	minWait = 50 * clock.Millis(1)
+	// listTime is how long the transfer of a large list may take on a slow link.
+	listTime     = 500 * clock.Millis(1)
 	confirmShare = 0.8
 )
 
@@ -75,10 +77,11 @@
 	relayChanged chan struct{}
 	// lostAt is the instant in ms at which the store stopped answering, 0 while it answers.
 	// lostFor is the duration of the last outage, 0 once the list was read after it.
-	lostAt atomic.Int64
-	// dueAt is the instant in ms at which the answer to the present call is due, 0 without a call.
-	dueAt   atomic.Int64
+	lostAt  atomic.Int64
 	lostFor clock.Millis
+	// dueAt is the instant in ms at which the answer to the first of the calls is due that the store has not
+	// answered, 0 without one.
+	dueAt   atomic.Int64
 	backoff clock.Millis
 	outage  *Outage
 	down    atomic.Bool
@@ -192,8 +195,7 @@
 	return max(f.clock.Since(lostAt), 1)
 }
 
-// OverdueFor returns how long the answer to the present call to the store has been overdue, in milliseconds, 0 if it
-// is not or there is no call.
+// OverdueFor returns how long an answer of the store has been overdue, in milliseconds, 0 if none is.
 func (f *Feed) OverdueFor() clock.Millis {
 	dueAt := clock.Millis(f.dueAt.Load())
 	if dueAt == 0 {
@@ -202,6 +204,16 @@
 	return max(f.clock.Since(dueAt), 0)
 }
 
+// beginCall records that the answer to a call is due at an instant.
+func (f *Feed) beginCall(dueAt clock.Millis) { f.dueAt.CompareAndSwap(0, int64(dueAt)) }
+
+// endCall records the end of a call. One without an answer stays overdue until the store answers another.
+func (f *Feed) endCall(answered bool) {
+	if answered || f.OverdueFor() == 0 {
+		f.dueAt.Store(0)
+	}
+}
+
 // Run follows the kind until the context ends: through a peer while one relays
 // changes, otherwise by calls to the store.
 func (f *Feed) Run(ctx context.Context) {
@@ -231,9 +243,9 @@
 	default:
 	}
 	sentAt := f.clock.Now()
-	f.dueAt.Store(int64(sentAt))
+	f.beginCall(sentAt + listTime)
 	listing, err := f.store.Scan(ctx, f.kind)
-	f.dueAt.Store(0)
+	f.endCall(err == nil)
 	f.reading.Store(false)
 	if err != nil {
 		f.handleFailure(ctx, err)
@@ -337,12 +349,13 @@
 	done := make(chan struct{})
 	cause := make(chan error, 1)
 	began := f.clock.Now()
-	f.dueAt.Store(int64(began + wait))
-	defer f.dueAt.Store(0)
+	f.beginCall(began + wait)
 	go func() { cause <- f.awaitInterrupt(cancel, done) }()
 	changes, err := f.store.Follow(call, f.kind, since, wait)
 	close(done)
-	if interrupt := <-cause; interrupt != nil {
+	interrupt := <-cause
+	f.endCall(interrupt == nil && !errors.Is(err, context.DeadlineExceeded))
+	if interrupt != nil {
 		f.log.Info("call to the store abandoned", "kind", f.kind, "since", since, "reason", interrupt, "tookMs", int64(f.clock.Since(began)))
 		return store.Changes{}, interrupt
 	}
@@ -372,6 +385,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	f.dueAt.Store(0)
 	f.down.Store(true)
 	if f.lostAt.CompareAndSwap(0, int64(f.clock.Now())) {
 		f.log.Info("platform lost", "kind", f.kind, logs.KeyError, err)
--- a/internal/serve/feed/feed_test.go
+++ b/internal/serve/feed/feed_test.go
@@ -309,3 +309,45 @@
 	f.RequestList()
 	waitFor(func() bool { return lists.Load() == 2 })
 }
+
+// Guards against a store that counts as reachable although it answers no call, so that requests are refused instead of
+// run by the last configuration.
+func TestStoreThatAnswersNoCallIsOverdue(t *testing.T) {
+	const wait = 20
+	answers := make(chan struct{})
+	unanswered := func(context.Context) (store.Changes, error) {
+		time.Sleep(2 * wait * time.Millisecond)
+		return store.Changes{}, context.DeadlineExceeded
+	}
+	s := &script{
+		scans: []func() (store.Listing, error){listed(1, "k/a"), func() (store.Listing, error) {
+			<-answers
+			return listed(1, "k/a")()
+		}},
+		follows: []func(context.Context) (store.Changes, error){unanswered, blockUntilDone},
+	}
+	f := feed.New("k", s.store(), feed.WithWait(func() clock.Millis { return wait }))
+	assert.Equal(t, f.OverdueFor(), clock.Millis(0))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.Run(ctx)
+	}()
+	longer := func(poll.LogT) poll.Result { // than the wait of the list that follows the watch
+		if f.OverdueFor() > 5*wait {
+			return poll.Success()
+		}
+		return poll.Continue("overdue for %d ms", f.OverdueFor())
+	}
+	poll.WaitOn(t, longer, poll.WithDelay(time.Millisecond))
+	close(answers)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.OverdueFor() <= 5*wait {
+			return poll.Success()
+		}
+		return poll.Continue("overdue for %d ms", f.OverdueFor())
+	}, poll.WithDelay(time.Microsecond))
+	cancel()
+	<-ended
+}
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -172,6 +172,7 @@
 // outage which this process may have detected.
 func (f *Feed) recordRelayedAnswer() {
 	f.backoff, f.lostFor = 0, 0
+	f.dueAt.Store(0)
 	f.outage.recordAnswer(f)
 	f.down.Store(false)
 	if lostAt := clock.Millis(f.lostAt.Swap(0)); lostAt > 0 {
