--- a/internal/bench/soak/quota_test.go
+++ b/internal/bench/soak/quota_test.go
@@ -59,6 +59,18 @@
 	assert.Assert(t, lags.NinetyNinth <= time.Second && lags.OverBound == 0, "%v", lags)
 }
 
+// All hosts lose their power at once, or all connections between the processes fall silent. Guards against routes that
+// were acknowledged before and that processes serve late, and against requests that are run by an older version.
+func TestAcknowledgedRoutesAreServedAfterOutagesUnderQuotas(t *testing.T) {
+	if testing.Short() {
+		t.Skip("short mode: the run takes about 35 seconds")
+	}
+	runOptions(t, soak.Options{
+		Seed: 78005, Length: 32 * time.Second, Gateways: 22, PerSecond: 60, Memory: 58_000, Routes: true, Moves: true, Quotas: true,
+		Outages: true, Only: []soak.Kind{soak.PowerLoss, soak.SilenceSessions},
+	}, "hosts with little processor time had not decoded the version yet")
+}
+
 // Guards against planned stops that exceed their grace period, or cut requests, because hosts have little processor
 // time.
 func TestPlannedStopsEndInTimeUnderQuotas(t *testing.T) {
