--- a/internal/bench/soak/moves.go
+++ b/internal/bench/soak/moves.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// movedRoutes is the number of routes that move between the services of movers.
+	// movedRoutes is the number of routes that move between the services of moveTargets.
 	movedRoutes = 8
 	// keptRoutes is the number of routes that nobody asks for in each version, some 750 KB.
 	keptRoutes = 3400
@@ -22,8 +22,8 @@
 	keptHost = "kept.example"
 )
 
-// movers are the services between which routes move.
-var movers = []string{"orders", "stock"}
+// moveTargets are the services between which routes move.
+var moveTargets = []string{"orders", "stock"}
 
 // placement is a state of a route: the services that may run its requests, and the versions in which it holds.
 type placement struct {
@@ -65,10 +65,10 @@
 
 // addMovedRoutes adds the routes that move, and those that make each version large, to the first version.
 func (r *run) addMovedRoutes(config *stand.Config) {
-	config.Services = append(config.Services, stand.Service{Name: movers[1], Kind: stand.Plain, MaxConns: 200})
+	config.Services = append(config.Services, stand.Service{Name: moveTargets[1], Kind: stand.Plain, MaxConns: 200})
 	for i := range movedRoutes {
-		r.moved.routes[i] = []placement{{services: movers[:1], version: 1}}
-		config.Routes = append(config.Routes, movedRoute(i, movers[:1]))
+		r.moved.routes[i] = []placement{{services: moveTargets[:1], version: 1}}
+		config.Routes = append(config.Routes, movedRoute(i, moveTargets[:1]))
 	}
 	for i := range keptRoutes {
 		config.Routes = append(config.Routes, addedRouteOf(fmt.Sprintf("kept-%d", i), keptHost))
@@ -93,7 +93,7 @@
 	defer r.publishing.Unlock()
 	config, book := &r.deployment.Config, &r.moved
 	number, next := random.IntN(movedRoutes), config.Version+1
-	services := [][]string{movers[:1], movers[1:], movers}[random.IntN(3)]
+	services := [][]string{moveTargets[:1], moveTargets[1:], moveTargets}[random.IntN(3)]
 	route := movedRoute(number, services)
 	route.SloMs += random.IntN(100)
 	config.Routes[slices.IndexFunc(config.Routes, func(known stand.Route) bool { return known.Name == route.Name })] = route
@@ -132,7 +132,7 @@
 
 // probeMovedRoute sends one request for a route that moves, and checks which services ran it.
 func (r *run) probeMovedRoute(ctx context.Context, p *process, number int, kept bool) {
-	s := &stand.Request{ID: stand.NewID(), Method: http.MethodGet, Host: "orders.example", Path: "/" + movedName(number) + "/x", Service: movers[0], AnyService: true, DeadlineMs: 2500}
+	s := &stand.Request{ID: stand.NewID(), Method: http.MethodGet, Host: "orders.example", Path: "/" + movedName(number) + "/x", Service: moveTargets[0], AnyService: true, DeadlineMs: 2500}
 	running, sent := p.currentIncarnation(), time.Now()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.DeadlineMs)*time.Millisecond+deadlineTolerance)
 	defer cancel()
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -68,8 +68,8 @@
 	// Routes makes the operator add, move and remove routes in series while all processes are asked for
 	// them, and throttles and pauses processes, instead of rollouts.
 	Routes bool
-	// Moves makes the operator move routes between services in versions that stay large, and checks which service
-	// ran each request. It needs Routes.
+	// Moves adds routes that move between services, in versions that stay large, to Routes, and checks which services
+	// ran each request.
 	Moves bool
 	// Quotas limits the processor time of all processes during the whole run.
 	Quotas bool
@@ -165,6 +165,7 @@
 }
 
 func newRun(options Options) (*run, error) {
+	options.Routes = options.Routes || options.Moves
 	r := &run{Options: options}
 	return r, r.start()
 }
@@ -210,8 +211,8 @@
 	}
 	if r.Moves {
 		for _, zone := range zones {
-			mover := &stand.Engine{Service: movers[1], Kind: stand.Plain, WorkTime: 10 * time.Millisecond, Zone: zone, IdleTimeout: engineIdleTimeout}
-			if _, err := r.addEngine(mover); err != nil {
+			target := &stand.Engine{Service: moveTargets[1], Kind: stand.Plain, WorkTime: 10 * time.Millisecond, Zone: zone, IdleTimeout: engineIdleTimeout}
+			if _, err := r.addEngine(target); err != nil {
 				return err
 			}
 		}
--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -81,9 +81,9 @@
 
 	state   atomic.Pointer[State]
 	replace sync.Mutex // serialises the replacements of the state
-	// denials is the wait of requests that the configuration denies, all that of those that it is too old for.
-	denials, all wait
-	old          bool // whether Check has found the state too old
+	// denied is the wait of requests that the configuration denies, stale that of all while it is too old.
+	denied, stale wait
+	old           bool // whether Check has found the state too old
 }
 
 // Option configures a Book.
@@ -114,8 +114,8 @@
 		ctx: ctx, clock: clock.New(), log: log.New(io.Discard), within: within, waitFor: waitFor,
 		store: Store{AwayFunc: func() clock.Millis { return 0 }, OverdueFunc: func() clock.Millis { return 0 }, SourceFunc: func() string { return "" }},
 	}
-	b.denials.missingFunc, b.denials.neededFunc = b.Outdated, b.denialMayBeProved
-	b.all.missingFunc, b.all.neededFunc = b.isTooOld, b.isTooOld
+	b.denied.missingFunc, b.denied.neededFunc = b.Outdated, b.denialMayBeProved
+	b.stale.missingFunc, b.stale.neededFunc = b.isTooOld, b.isTooOld
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -294,7 +294,7 @@
 // ConfirmRequest is ConfirmDenial for a request that may also run by a decision, if refused is nil. It runs only if the
 // configuration is not too old; the request waits for a confirmation first, and is then told to come back.
 func (b *Book) ConfirmRequest(ctx context.Context, request string, decision *Decision, refused *fault.RefusalError, again func() *fault.RefusalError) *fault.RefusalError {
-	if refused == nil && b.isStale(decision) && b.await(ctx, &b.all, request, "request waited for the configuration") {
+	if refused == nil && b.isStale(decision) && b.await(ctx, &b.stale, request, "request waited for the configuration") {
 		refused = again()
 	}
 	if refused == nil && b.isStale(decision) {
@@ -312,7 +312,7 @@
 	if !refused.IsDenial() {
 		return refused
 	}
-	if again != nil && b.isUnproved(decision) && b.await(ctx, &b.denials, request, "denial waited for the configuration") {
+	if again != nil && b.isUnproved(decision) && b.await(ctx, &b.denied, request, "denial waited for the configuration") {
 		if refused = again(); !refused.IsDenial() {
 			return refused
 		}
