fix(proof,stall): a process that stood still doesn't take the store for away

While a process stands still, its calls run out of time and answers wait unread; when it goes on it would take the store for away and run requests by a copy that is older than the bound. Failures and overdue answers count only once the process has run for as long as a request waits. Two rows of TestOnlyConfirmedConfigurationsRunRequests fail without it.

--- a/internal/base/stall/stall.go
+++ b/internal/base/stall/stall.go
@@ -79,6 +79,12 @@
 	return now-goneOnAt < minCatchUp || !told && !w.aloneFunc()
 }
 
+// RunsFor returns how long the process has run since it last stood still, in milliseconds.
+func (w *Watch) RunsFor() clock.Millis {
+	now := w.look()
+	return now - clock.Millis(w.goneOnAt.Load())
+}
+
 // look looks at the clock and returns its time in milliseconds.
 func (w *Watch) look() clock.Millis {
 	now := w.clock.Now()
--- a/internal/base/stall/stall_test.go
+++ b/internal/base/stall/stall_test.go
@@ -44,8 +44,10 @@
 	}{{"told", 200, 250}, {"told late", 400, 400}, {"told what had arrived before", 50, 600}, {"not told", 0, 600}} {
 		fake.Advance(1000)
 		assert.Assert(t, w.CatchingUp(), tt.name)
+		assert.Equal(t, w.RunsFor(), clock.Millis(0), tt.name)
 		for after := clock.Millis(50); after <= 700; after += 50 {
 			fake.Advance(50)
+			assert.Equal(t, w.RunsFor(), after, tt.name)
 			if after == tt.toldAfter {
 				w.RecordTold()
 			}
--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -98,8 +98,11 @@
 // Store tells how a process reaches the store.
 type Store struct {
 	// AwayFunc returns how long calls have failed, in milliseconds, 0 if the last one did not or a peer relays
-	// changes. OverdueFunc returns how long the answer to the present call has been overdue, 0 if it is not.
+	// changes. OverdueFunc returns how long an answer has been overdue, 0 if none is.
 	AwayFunc, OverdueFunc func() clock.Millis
+	// RunsForFunc returns how long the process has run since it last stood still. Calls fail then and answers are
+	// overdue although the store is not away.
+	RunsForFunc func() clock.Millis
 	// SourceFunc returns the peer that relays the configuration, "" for none.
 	SourceFunc func() string
 }
@@ -112,8 +115,9 @@
 func New(ctx context.Context, within, waitFor clock.Millis, opts ...Option) *Book {
 	b := &Book{
 		ctx: ctx, clock: clock.New(), log: log.New(io.Discard), within: within, waitFor: waitFor,
-		store: Store{AwayFunc: func() clock.Millis { return 0 }, OverdueFunc: func() clock.Millis { return 0 }, SourceFunc: func() string { return "" }},
 	}
+	zero := func() clock.Millis { return 0 }
+	b.store = Store{AwayFunc: zero, OverdueFunc: zero, RunsForFunc: b.clock.Now, SourceFunc: func() string { return "" }}
 	b.denied.missingFunc, b.denied.neededFunc = b.Outdated, b.denialMayBeProved
 	b.stale.missingFunc, b.stale.neededFunc = b.isTooOld, b.isTooOld
 	for _, opt := range opts {
@@ -288,7 +292,11 @@
 // isStale reports whether a newer configuration than that of a decision must be in force by now if there is one, while
 // the store may be asked. A process that can't reach the store serves by its last configuration.
 func (b *Book) isStale(d *Decision) bool {
-	return d.State != nil && d.Table != nil && d.Age() > b.within && b.store.AwayFunc() == 0 && b.store.OverdueFunc() <= b.waitFor
+	if d.State == nil || d.Table == nil || d.Age() <= b.within {
+		return false
+	}
+	away := b.store.AwayFunc() > 0 || b.store.OverdueFunc() > b.waitFor
+	return !away || b.store.RunsForFunc() <= b.waitFor
 }
 
 // ConfirmRequest is ConfirmDenial for a request that may also run by a decision, if refused is nil. It runs only if the
--- a/internal/serve/proof/proof_test.go
+++ b/internal/serve/proof/proof_test.go
@@ -1,6 +1,7 @@
 package proof_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync/atomic"
@@ -145,6 +146,7 @@
 	const wait = within / 4
 	for name, c := range map[string]struct {
 		age, away, overdue clock.Millis
+		runsFor            clock.Millis // 0 for long
 		want               fault.Reason
 	}{
 		"confirmed in time":                 {age: within},
@@ -152,6 +154,9 @@
 		"too old, an answer is due":         {age: within + 1, overdue: wait, want: fault.ConfigOutdated},
 		"too old, the store doesn't answer": {age: within + 1, overdue: wait + 1},
 		"too old, the store is away":        {age: within + 1, away: 1},
+		"calls failed as it stood still":    {age: within + 1, away: 1, runsFor: wait, want: fault.ConfigOutdated},
+		"answers waited as it stood still":  {age: within + 1, overdue: 10 * wait, runsFor: 1, want: fault.ConfigOutdated},
+		"stood still, the store is away":    {age: within + 1, away: 1, runsFor: wait + 1},
 		"the store is away for long":        {age: 10 * clock.Minute, away: 10 * clock.Minute},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -164,7 +169,8 @@
 				now.Add(int64(by))
 				return expired, func() {}
 			}))), proof.WithStore(proof.Store{
-				AwayFunc: func() clock.Millis { return c.away }, OverdueFunc: func() clock.Millis { return c.overdue }, SourceFunc: func() string { return "" },
+				AwayFunc: func() clock.Millis { return c.away }, OverdueFunc: func() clock.Millis { return c.overdue },
+				RunsForFunc: func() clock.Millis { return cmp.Or(c.runsFor, clock.Minute) }, SourceFunc: func() string { return "" },
 			}))
 			put(b, 1, nil)
 			b.Confirm(feed.Proof{ConfirmedAt: instant()})
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -192,6 +192,7 @@
 		proof.WithStore(proof.Store{
 			AwayFunc:    func() clock.Millis { return g.feeds.config.AwayFor() },
 			OverdueFunc: func() clock.Millis { return g.feeds.config.OverdueFor() },
+			RunsForFunc: func() clock.Millis { return g.stall.RunsFor() },
 			SourceFunc:  func() string { return g.mesh.Upstream() },
 		}))
 	g.intake = intake.New(g.Dialect.ConfigKind+"/"+g.Dialect.ConfigName, g.config, g.Dialect.TableFunc,
