--- a/internal/serve/feed/feed_test.go
+++ b/internal/serve/feed/feed_test.go
@@ -310,44 +310,41 @@
 	waitFor(func() bool { return lists.Load() == 2 })
 }
 
-// Guards against a store that counts as reachable although it answers no call, so that requests are refused instead of
-// run by the last configuration.
+// Guards against a store that counts as reachable although it answers no call, and against one that counts as away while
+// it transfers a long list.
 func TestStoreThatAnswersNoCallIsOverdue(t *testing.T) {
 	const wait = 20
-	answers := make(chan struct{})
-	unanswered := func(context.Context) (store.Changes, error) {
-		time.Sleep(2 * wait * time.Millisecond)
-		return store.Changes{}, context.DeadlineExceeded
+	var now atomic.Int64
+	now.Store(1)
+	var f *feed.Feed
+	var atLists []clock.Millis
+	list := func() (store.Listing, error) {
+		now.Add(300)
+		atLists = append(atLists, f.OverdueFor())
+		return listed(1, "k/a")()
 	}
+	again, ended := make(chan struct{}), make(chan struct{})
 	s := &script{
-		scans: []func() (store.Listing, error){listed(1, "k/a"), func() (store.Listing, error) {
-			<-answers
-			return listed(1, "k/a")()
-		}},
-		follows: []func(context.Context) (store.Changes, error){unanswered, blockUntilDone},
+		scans: []func() (store.Listing, error){list, list},
+		follows: []func(context.Context) (store.Changes, error){
+			func(context.Context) (store.Changes, error) {
+				now.Add(2 * wait)
+				return store.Changes{}, context.DeadlineExceeded
+			},
+			func(ctx context.Context) (store.Changes, error) {
+				close(again)
+				return blockUntilDone(ctx)
+			},
+		},
 	}
-	f := feed.New("k", s.store(), feed.WithWait(func() clock.Millis { return wait }))
-	assert.Equal(t, f.OverdueFor(), clock.Millis(0))
+	f = feed.New("k", s.store(), feed.WithWait(func() clock.Millis { return wait }), feed.WithClock(clock.New(clock.WithNow(func() clock.Millis { return clock.Millis(now.Load()) }))))
 	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		f.Run(ctx)
 	}()
-	longer := func(poll.LogT) poll.Result { // than the wait of the list that follows the watch
-		if f.OverdueFor() > 5*wait {
-			return poll.Success()
-		}
-		return poll.Continue("overdue for %d ms", f.OverdueFor())
-	}
-	poll.WaitOn(t, longer, poll.WithDelay(time.Millisecond))
-	close(answers)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if f.OverdueFor() <= 5*wait {
-			return poll.Success()
-		}
-		return poll.Continue("overdue for %d ms", f.OverdueFor())
-	}, poll.WithDelay(time.Microsecond))
+	<-again
 	cancel()
 	<-ended
+	assert.DeepEqual(t, atLists, []clock.Millis{0, wait + 300})
 }
--- a/internal/serve/intake/intake_test.go
+++ b/internal/serve/intake/intake_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/conf/table"
@@ -113,7 +114,11 @@
 	b.Confirm(feed.Proof{ConfirmedAt: 990})
 	b.release <- struct{}{}
 	<-b.inForce
-	for b.book.Age() != 10 { // Run takes the error next
-	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result { // Run takes the error next
+		if b.book.Age() != 10 {
+			return poll.Continue("confirmed %d ms before", b.book.Age())
+		}
+		return poll.Success()
+	})
 	assert.Assert(t, b.book.Outdated())
 }
