--- a/internal/bench/soak/lag.go
+++ b/internal/bench/soak/lag.go
@@ -73,10 +73,10 @@
 	first := slices.IndexFunc(inForce, func(v publishedVersion) bool {
 		return v.version >= published.version && v.at.After(running.began)
 	})
-	if first < 0 {
-		return 0, false
+	at := r.started.Add(r.Length) // a version that never came into force
+	if first >= 0 {
+		at = inForce[first].at
 	}
-	at := inForce[first].at
 	stopped := func(instant time.Time) bool { return !instant.IsZero() && instant.Before(at) }
 	if stopped(running.ended) || stopped(running.terminated) || !r.followed(p, published.at.Add(-stableTime), at) {
 		return 0, false
