test(soak): hosts with quotas have the links and sizes that their processes are told

Callers saw: nothing; the soak told each process linkMbps 10 and gave it the loopback's bandwidth, and told it nothing of its processor share and memory, so that hosts with a tenth of a processor became aggregators and watchers.

--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/jujubescale/jujubescale/internal/stand/netw"
 )
 
 // process is a gateway that runs as a separate program. It is restarted after each exit.
@@ -27,6 +29,8 @@
 	// rollouts enables rollouts; without them versions serve side by side.
 	rollouts bool
 	host     hostSettings
+	// link is the link of the host, nil for one without limits.
+	link *netw.Link
 
 	mu           sync.Mutex
 	command      *exec.Cmd
@@ -41,11 +45,11 @@
 	throttled bool
 }
 
-// hostSettings describe the host of a process; no maxFds is the default of the program.
+// hostSettings describe the host of a process; 0 is the default of the program.
 type hostSettings struct {
-	linkMbps float64
-	maxFds   int
-	env      []string
+	linkMbps, memoryMb, processorShare float64
+	maxFds                             int
+	env                                []string
 }
 
 // incarnation is one run of a process.
@@ -118,6 +122,12 @@
 	if p.host.maxFds > 0 {
 		settings["maxFds"] = p.host.maxFds
 	}
+	if p.host.memoryMb > 0 {
+		settings["memoryMb"] = p.host.memoryMb
+	}
+	if p.host.processorShare > 0 {
+		settings["processorShare"] = p.host.processorShare
+	}
 	raw, err := json.Marshal(settings)
 	if err != nil {
 		return err
--- a/internal/bench/soak/proxy.go
+++ b/internal/bench/soak/proxy.go
@@ -28,6 +28,8 @@
 	listener net.Listener
 	fault    atomic.Pointer[LinkFault]
 	link     atomic.Pointer[netw.Link]
+	// clientLinkFunc returns the link of the host that has opened a connection, nil for none.
+	clientLinkFunc atomic.Pointer[func(client net.Conn) *netw.Link]
 
 	mu          sync.Mutex
 	connections map[*connection]bool
@@ -37,6 +39,8 @@
 // connection is a client's connection and the connection to the target behind it.
 type connection struct {
 	client, server net.Conn
+	// accepted is the client's connection without links.
+	accepted net.Conn
 	// blackholed connections stay open and discard all bytes.
 	blackholed atomic.Bool
 	// severed connections are blackholed, and their ends don't show on the other side.
@@ -65,13 +69,18 @@
 // SetFault replaces the fault that applies from now on.
 func (p *Proxy) SetFault(fault LinkFault) { p.fault.Store(&fault) }
 
-// SetLink makes all new connections share a link towards their clients.
+// SetLink makes all new connections share the link of the target's host.
 func (p *Proxy) SetLink(link *netw.Link) { p.link.Store(link) }
 
+// SetClientLink makes new connections use the links of the hosts that have opened them, too.
+func (p *Proxy) SetClientLink(linkOf func(client net.Conn) *netw.Link) {
+	p.clientLinkFunc.Store(&linkOf)
+}
+
 // Reset closes all open connections; clients receive a TCP reset.
 func (p *Proxy) Reset() {
 	p.each(func(c *connection) {
-		if tcp, ok := c.client.(*net.TCPConn); ok {
+		if tcp, ok := c.accepted.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
 		c.close()
@@ -125,11 +134,22 @@
 			_ = client.Close()
 			continue
 		}
-		if link := p.link.Load(); link != nil {
-			client = link.Attach(client)
+		p.relay(p.attach(client, server))
+	}
+}
+
+// attach returns a connection that uses the links of both hosts.
+func (p *Proxy) attach(client, server net.Conn) *connection {
+	c := &connection{client: client, server: server, accepted: client}
+	if linkOf := p.clientLinkFunc.Load(); linkOf != nil {
+		if link := (*linkOf)(client); link != nil {
+			c.server = link.Attach(server) // what the target sends arrives at the client's host
 		}
-		p.relay(&connection{client: client, server: server})
 	}
+	if link := p.link.Load(); link != nil {
+		c.client = link.Attach(client)
+	}
+	return c
 }
 
 func (p *Proxy) relay(c *connection) {
--- a/internal/bench/soak/quota.go
+++ b/internal/bench/soak/quota.go
@@ -16,35 +16,12 @@
 	quotaPoll = 2 * time.Millisecond
 )
 
-// quotaShares are the shares of a processor that hosts of three sizes have, and quotaOf the number of
-// hosts of each size among quotaHosts.
-var quotaShares = []struct {
-	share float64
-	hosts int
-}{{0.109, 12}, {0.352, 4}, {0.8, 6}}
-
-// quotaHosts is the number of hosts in quotaShares.
-const quotaHosts = 22
-
-// quotaOf returns the share of a processor that a process has. Neighbours differ, so that few processes have
-// hosts of all sizes, too.
-func quotaOf(number int) float64 {
-	number = number * 5 % quotaHosts
-	for _, size := range quotaShares {
-		if number < size.hosts {
-			return size.share
-		}
-		number -= size.hosts
-	}
-	return quotaShares[0].share
-}
-
 // startQuotas limits the processor time of all processes until the function that it returns is called.
 func (r *run) startQuotas() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	for i, p := range r.processes {
-		group.Go(func() { enforceQuota(ctx, p, quotaOf(i)) })
+		group.Go(func() { enforceQuota(ctx, p, sizeOf(i).share) })
 	}
 	return func() {
 		cancel()
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -185,7 +185,7 @@
 		r.close()
 		return err
 	}
-	if r.Outages {
+	if r.Outages || r.Quotas {
 		r.addressMembers()
 	}
 	for i := range r.Gateways {
@@ -281,15 +281,8 @@
 		return err
 	}
 	settings := hostSettings{linkMbps: linkMbps}
-	if number == 0 && r.firstLink != nil {
-		callers.SetLink(r.firstLink)
-		settings.linkMbps = r.firstLinkMbps
-	}
 	if number == 0 {
-		settings.maxFds, settings.env = r.firstFds, r.firstEnv
-	}
-	if r.Quotas {
-		settings.env = append(slices.Clone(settings.env), "GOMAXPROCS=1") // hosts with quotas have one processor
+		settings = r.firstHost(callers)
 	}
 	r.callers = append(r.callers, callers)
 	store, err := NewProxy(r.deployment.Address)
@@ -297,16 +290,21 @@
 		return err
 	}
 	r.stores = append(r.stores, store)
-	if r.Outages {
+	var link *netw.Link
+	if r.Outages || r.Quotas {
 		sessions, err := NewProxy(own.sessions)
 		if err != nil {
 			return err
 		}
 		r.sessions.Store(fmt.Sprintf("gateway-%d", number), sessions)
+		if r.Quotas {
+			size := sizeOf(number)
+			link, settings = r.attachHost(&size, callers, store, sessions), size.settings()
+		}
 	}
 	p := &process{
 		name: fmt.Sprintf("gateway-%d", number), program: r.Program, folder: r.Folder, ports: own, storeAddress: store.Address(), grace: grace,
-		rollouts: !r.Versions && !r.Parts && !r.Outages && !r.Routes, host: settings,
+		rollouts: !r.Versions && !r.Parts && !r.Outages && !r.Routes, host: settings, link: link,
 	}
 	if err := p.writeSettings(zones[number%len(zones)], 0); err != nil {
 		return err
@@ -314,6 +312,8 @@
 	if err := p.start(); err != nil {
 		return err
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.processes = append(r.processes, p)
 	return nil
 }
