fix(feed): an answer of the store that arrives is neither overdue nor begun again

Callers saw: routes that move between services were served by the service before, while versions of 750 KB followed each other.

Cause: on a link of 10 Mbit/s a version takes 0.6 s and more. An answer counted as overdue from the end of the watch on, whether or not its bytes arrived; a request for the list gave up the answer that brought the same object; and a watch from an older revision brought every version since, where the list holds only the newest one.

Change: the store's client reports what has arrived of an answer. An answer is overdue only while no part of it arrives; it isn't given up for a list once it has begun; one that is longer than the list by half is. A deadline of this process is no refusal.

TestArrivingChangesAreNotAbandonedForTheList and TestChangesLongerThanTheListAreReplacedByIt fail without the change.

--- /dev/null
+++ b/internal/serve/feed/answer.go
@@ -0,0 +1,72 @@
+package feed
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/plat/store"
+)
+
+// answer is the answer to the present call to the store.
+type answer struct {
+	begun atomic.Bool
+	// long holds a value once the answer is longer than the list.
+	long chan struct{}
+}
+
+const (
+	// answerGrace is how long a call for changes is still waited for after a peer has shown a newer state. The
+	// store answers it at about the same time.
+	answerGrace = 150 * clock.Millis(1)
+	// minLongAnswer is the least number of bytes of changes that are given up for the list.
+	minLongAnswer = 64 << 10
+)
+
+// beginCall records that the answer to a call is due at an instant. It returns the context of the call.
+func (f *Feed) beginCall(ctx context.Context, dueAt clock.Millis) context.Context {
+	f.dueAt.CompareAndSwap(0, int64(dueAt))
+	f.answer.begun.Store(false)
+	select {
+	case <-f.answer.long:
+	default:
+	}
+	limit := max(f.listBytes()*3/2, minLongAnswer)
+	return store.WithProgress(ctx, func(p store.Progress) {
+		f.answer.begun.Store(true)
+		if due, now := f.dueAt.Load(), int64(f.clock.Now()); due > 0 && due < now {
+			f.dueAt.Store(now) // an answer that arrives, however slowly, is not overdue
+		}
+		if max(p.Total, p.Received) <= limit {
+			return
+		}
+		select {
+		case f.answer.long <- struct{}{}:
+		default:
+		}
+	})
+}
+
+// listBytes returns the size of the known objects.
+func (f *Feed) listBytes() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	total := 0
+	for _, object := range f.state.objects {
+		total += len(object.Value) + len(object.Status)
+	}
+	return int64(total)
+}
+
+// answerBegins reports whether the answer to the present call has begun to arrive, or begins within answerGrace.
+func (f *Feed) answerBegins(done <-chan struct{}) bool {
+	if !f.answer.begun.Load() {
+		expired, stopTimer := f.clock.After(answerGrace)
+		defer stopTimer()
+		select {
+		case <-expired:
+		case <-done:
+		}
+	}
+	return f.answer.begun.Load()
+}
--- /dev/null
+++ b/internal/serve/feed/answer_test.go
@@ -0,0 +1,100 @@
+package feed_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/plat/store"
+	"github.com/jujubescale/jujubescale/internal/serve/feed"
+)
+
+const long = 1 << 20
+
+// Guards against a transfer that is given up and begun again as a list while it is under way.
+func TestArrivingChangesAreNotAbandonedForTheList(t *testing.T) {
+	begun, finish := make(chan struct{}), make(chan struct{})
+	s := &script{
+		scans: []func() (store.Listing, error){listed(1, "k/a")},
+		follows: []func(context.Context) (store.Changes, error){
+			func(ctx context.Context) (store.Changes, error) {
+				store.ReportProgress(ctx, store.Progress{Received: 1, Total: 100})
+				close(begun)
+				select {
+				case <-finish:
+				case <-ctx.Done():
+					return store.Changes{}, ctx.Err()
+				}
+				return store.Changes{Revision: store.At(2), Changes: []store.Change{{Object: store.Object{Name: "k/b", Version: store.At(2)}}}}, nil
+			},
+			blockUntilDone,
+		},
+	}
+	f, h := run(t, s)
+	<-begun
+	f.RequestList()
+	time.AfterFunc(300*time.Millisecond, func() { close(finish) }) // longer than the feed waits for an answer to begin
+	h.waitFor(t, func(h *received) bool { return h.changes == 1 })
+	assert.Equal(t, len(h.lists), 1)
+}
+
+// Guards against several versions of an object that are transferred although the list holds only the newest one.
+func TestChangesLongerThanTheListAreReplacedByIt(t *testing.T) {
+	for name, answer := range map[string]store.Progress{
+		"length stated": {Received: 1, Total: long}, "length not stated": {Received: long, Total: -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &script{
+				scans: []func() (store.Listing, error){listed(1, "k/a"), listed(9, "k/a", "k/b")},
+				follows: []func(context.Context) (store.Changes, error){
+					func(ctx context.Context) (store.Changes, error) {
+						store.ReportProgress(ctx, answer)
+						return blockUntilDone(ctx)
+					},
+					blockUntilDone,
+				},
+			}
+			_, h := run(t, s)
+			h.waitFor(t, func(h *received) bool { return len(h.lists) == 2 && h.lists[1] == 2 })
+		})
+	}
+}
+
+// Guards against a slow transfer that counts as a store that doesn't answer, and against one that never does.
+func TestOnlyAnAnswerThatDoesNotArriveIsOverdue(t *testing.T) {
+	const wait = 20
+	var now atomic.Int64
+	now.Store(1)
+	var f *feed.Feed
+	var overdue []clock.Millis
+	judged, ended := make(chan struct{}), make(chan struct{})
+	s := &script{
+		scans: []func() (store.Listing, error){listed(1, "k/a")},
+		follows: []func(context.Context) (store.Changes, error){
+			func(ctx context.Context) (store.Changes, error) {
+				now.Add(3 * wait)
+				overdue = append(overdue, f.OverdueFor())
+				store.ReportProgress(ctx, store.Progress{Received: 1, Total: 100})
+				overdue = append(overdue, f.OverdueFor())
+				now.Add(wait)
+				overdue = append(overdue, f.OverdueFor())
+				close(judged)
+				return blockUntilDone(ctx)
+			},
+		},
+	}
+	f = feed.New("k", s.store(), feed.WithWait(func() clock.Millis { return wait }), feed.WithClock(clock.New(clock.WithNow(func() clock.Millis { return clock.Millis(now.Load()) }))))
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		defer close(ended)
+		f.Run(ctx)
+	}()
+	<-judged
+	cancel()
+	<-ended
+	assert.DeepEqual(t, overdue, []clock.Millis{2 * wait, 0, wait})
+}
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -80,11 +80,14 @@
 	lostAt  atomic.Int64
 	lostFor clock.Millis
 	// dueAt is the instant in ms at which the answer to the first of the calls is due that the store has not
-	// answered, 0 without one.
+	// answered, or at which a part of it has arrived since, 0 without one.
 	dueAt   atomic.Int64
+	answer  answer
 	backoff clock.Millis
 	outage  *Outage
 	down    atomic.Bool
+	// refused is set if the last call ended by something other than a deadline of this process.
+	refused atomic.Bool
 
 	restore Restore
 	// olderPause is the pause after a list that was older than the known state.
@@ -155,7 +158,7 @@
 func New(kind string, from *store.Store, opts ...Option) *Feed {
 	f := &Feed{
 		kind: kind, store: from, clock: clock.New(), log: log.New(io.Discard), listRequested: make(chan struct{}, 1), relayChanged: make(chan struct{}, 1), outage: NewOutage(),
-		olderLogged: make(map[string]store.Revision), state: state{restored: newRestored()},
+		answer: answer{long: make(chan struct{}, 1)}, olderLogged: make(map[string]store.Revision), state: state{restored: newRestored()},
 		wait:         func() clock.Millis { return defaultWait },
 		pause:        func() clock.Millis { return 0 },
 		backoffLimit: func() clock.Millis { return MaxBackoff },
@@ -195,7 +198,12 @@
 	return max(f.clock.Since(lostAt), 1)
 }
 
-// OverdueFor returns how long an answer of the store has been overdue, in milliseconds, 0 if none is.
+// Refused reports whether the store could not be reached by the last call, or has refused it. A call that this process
+// has given up says nothing of the store.
+func (f *Feed) Refused() bool { return f.refused.Load() }
+
+// OverdueFor returns how long an answer of the store has been overdue, in milliseconds, 0 if none is. One that is
+// arriving, however slowly, is not.
 func (f *Feed) OverdueFor() clock.Millis {
 	dueAt := clock.Millis(f.dueAt.Load())
 	if dueAt == 0 {
@@ -204,9 +212,6 @@
 	return max(f.clock.Since(dueAt), 0)
 }
 
-// beginCall records that the answer to a call is due at an instant.
-func (f *Feed) beginCall(dueAt clock.Millis) { f.dueAt.CompareAndSwap(0, int64(dueAt)) }
-
 // endCall records the end of a call. One without an answer stays overdue until the store answers another.
 func (f *Feed) endCall(answered bool) {
 	if answered || f.OverdueFor() == 0 {
@@ -243,8 +248,7 @@
 	default:
 	}
 	sentAt := f.clock.Now()
-	f.beginCall(sentAt + listTime)
-	listing, err := f.store.Scan(ctx, f.kind)
+	listing, err := f.store.Scan(f.beginCall(ctx, sentAt+listTime), f.kind)
 	f.endCall(err == nil)
 	f.reading.Store(false)
 	if err != nil {
@@ -279,7 +283,7 @@
 		switch {
 		case errors.Is(err, errRelayed):
 			return
-		case errors.Is(err, errListRequested):
+		case errors.Is(err, errListRequested), errors.Is(err, errLongAnswer):
 			f.requireList()
 			return
 		case errors.As(err, &dropped):
@@ -319,6 +323,7 @@
 // Errors that end a wait for changes early.
 var (
 	errListRequested = errors.New("list requested")
+	errLongAnswer    = errors.New("the list is shorter than the changes")
 	errRelayed       = errors.New("a peer relays changes")
 )
 
@@ -349,9 +354,9 @@
 	done := make(chan struct{})
 	cause := make(chan error, 1)
 	began := f.clock.Now()
-	f.beginCall(began + wait)
+	tracked := f.beginCall(call, began+wait)
 	go func() { cause <- f.awaitInterrupt(cancel, done) }()
-	changes, err := f.store.Follow(call, f.kind, since, wait)
+	changes, err := f.store.Follow(tracked, f.kind, since, wait)
 	close(done)
 	interrupt := <-cause
 	f.endCall(interrupt == nil && !errors.Is(err, context.DeadlineExceeded))
@@ -368,8 +373,14 @@
 	for {
 		select {
 		case <-f.listRequested:
+			if f.answerBegins(done) {
+				continue // a list would begin the same transfer again
+			}
 			cancel()
 			return errListRequested
+		case <-f.answer.long:
+			cancel()
+			return errLongAnswer
 		case <-f.relayChanged:
 			if f.Relayed() {
 				cancel()
@@ -385,7 +396,10 @@
 	if ctx.Err() != nil {
 		return
 	}
-	f.dueAt.Store(0)
+	if !errors.Is(err, context.DeadlineExceeded) {
+		f.dueAt.Store(0)
+		f.refused.Store(true)
+	}
 	f.down.Store(true)
 	if f.lostAt.CompareAndSwap(0, int64(f.clock.Now())) {
 		f.log.Info("platform lost", "kind", f.kind, logs.KeyError, err)
@@ -452,6 +466,7 @@
 func (f *Feed) recordAnswer() {
 	f.backoff = 0
 	f.down.Store(false)
+	f.refused.Store(false)
 	f.outage.recordAnswer(f)
 	lostAt := clock.Millis(f.lostAt.Swap(0))
 	if lostAt == 0 {
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -175,6 +175,7 @@
 	f.dueAt.Store(0)
 	f.outage.recordAnswer(f)
 	f.down.Store(false)
+	f.refused.Store(false)
 	if lostAt := clock.Millis(f.lostAt.Swap(0)); lostAt > 0 {
 		f.log.Info("platform found again through a peer", "kind", f.kind, "awayMs", int64(f.clock.Since(lostAt)))
 	}
