fix(proof): a process that reads slowly doesn't take the store for away

Callers saw: requests run by a service that only an older version of the configuration allows, by processes that logged a copy up to 2.5 s old where 2 s are allowed.

Cause: whether the store is away was decided by a process alone, from its own lateness. An answer that was overdue for longer than a request waits, or any failed call, lifted the limit on the age of the copy for good.

Change: the store counts as away only if no peer has stated a confirmation within the time for a change, and either a call was refused, or peers state that they have none, or no answer has arrived for as long as a change may take. Peers state the ages of their confirmations already. A request that is run by a copy over the limit is logged with what that rests on.

TestOnlyConfirmedConfigurationsRunRequests: a lone process whose answer is overdue by more than a request waits was allowed to run requests; that case now needs an answer overdue by the whole time for a change. Cases with peers are new and fail without the change.

--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -81,6 +81,7 @@
 
 	state   atomic.Pointer[State]
 	replace sync.Mutex // serialises the replacements of the state
+	peers   peers
 	// denied is the wait of requests that the configuration denies, stale that of all while it is too old.
 	denied, stale wait
 	old           bool // whether Check has found the state too old
@@ -98,8 +99,10 @@
 // Store tells how a process reaches the store.
 type Store struct {
 	// AwayFunc returns how long calls have failed, in milliseconds, 0 if the last one did not or a peer relays
-	// changes. OverdueFunc returns how long an answer has been overdue, 0 if none is.
+	// changes. OverdueFunc returns for how long no part of an answer has arrived since it was due, 0 if none is.
 	AwayFunc, OverdueFunc func() clock.Millis
+	// RefusedFunc reports whether the last call failed otherwise than by a deadline of this process.
+	RefusedFunc func() bool
 	// RunsForFunc returns how long the process has run since it last stood still. Calls fail then and answers are
 	// overdue although the store is not away.
 	RunsForFunc func() clock.Millis
@@ -117,7 +120,7 @@
 		ctx: ctx, clock: clock.New(), log: log.New(io.Discard), within: within, waitFor: waitFor,
 	}
 	zero := func() clock.Millis { return 0 }
-	b.store = Store{AwayFunc: zero, OverdueFunc: zero, RunsForFunc: b.clock.Now, SourceFunc: func() string { return "" }}
+	b.store = Store{AwayFunc: zero, OverdueFunc: zero, RefusedFunc: func() bool { return false }, RunsForFunc: b.clock.Now, SourceFunc: func() string { return "" }}
 	b.denied.missingFunc, b.denied.neededFunc = b.Outdated, b.denialMayBeProved
 	b.stale.missingFunc, b.stale.neededFunc = b.isTooOld, b.isTooOld
 	for _, opt := range opts {
@@ -289,16 +292,6 @@
 		"relayed", d.Relayed, "upstream", b.store.SourceFunc())
 }
 
-// isStale reports whether a newer configuration than that of a decision must be in force by now if there is one, while
-// the store may be asked. A process that can't reach the store serves by its last configuration.
-func (b *Book) isStale(d *Decision) bool {
-	if d.State == nil || d.Table == nil || d.Age() <= b.within {
-		return false
-	}
-	away := b.store.AwayFunc() > 0 || b.store.OverdueFunc() > b.waitFor
-	return !away || b.store.RunsForFunc() <= b.waitFor
-}
-
 // ConfirmRequest is ConfirmDenial for a request that may also run by a decision, if refused is nil. It runs only if the
 // configuration is not too old; the request waits for a confirmation first, and is then told to come back.
 func (b *Book) ConfirmRequest(ctx context.Context, request string, decision *Decision, refused *fault.RefusalError, again func() *fault.RefusalError) *fault.RefusalError {
@@ -309,6 +302,9 @@
 		refused = fault.Refuse(fault.ConfigOutdated, "the store has not confirmed the configuration in force in time")
 		refused.Evidence = b.evidence(decision)
 	}
+	if refused == nil && b.isOld(decision) {
+		b.logUnconfirmed(request, decision)
+	}
 	return b.ConfirmDenial(ctx, request, decision, refused, again)
 }
 
--- a/internal/serve/proof/proof_test.go
+++ b/internal/serve/proof/proof_test.go
@@ -145,23 +145,33 @@
 func TestOnlyConfirmedConfigurationsRunRequests(t *testing.T) {
 	const wait = within / 4
 	for name, c := range map[string]struct {
-		age, away, overdue clock.Millis
-		runsFor            clock.Millis // 0 for long
-		want               fault.Reason
+		age, overdue clock.Millis
+		refused      bool
+		// peer is the age of the confirmation that a peer states, and quiet how long ago it did; no peer is 0.
+		peer, quiet clock.Millis
+		runsFor     clock.Millis // 0 for long
+		want        fault.Reason
 	}{
-		"confirmed in time":                 {age: within},
-		"too old":                           {age: within + 1, want: fault.ConfigOutdated},
-		"too old, an answer is due":         {age: within + 1, overdue: wait, want: fault.ConfigOutdated},
-		"too old, the store doesn't answer": {age: within + 1, overdue: wait + 1},
-		"too old, the store is away":        {age: within + 1, away: 1},
-		"calls failed as it stood still":    {age: within + 1, away: 1, runsFor: wait, want: fault.ConfigOutdated},
-		"answers waited as it stood still":  {age: within + 1, overdue: 10 * wait, runsFor: 1, want: fault.ConfigOutdated},
-		"stood still, the store is away":    {age: within + 1, away: 1, runsFor: wait + 1},
-		"the store is away for long":        {age: 10 * clock.Minute, away: 10 * clock.Minute},
+		"confirmed in time":                             {age: within},
+		"too old":                                       {age: within + 1, want: fault.ConfigOutdated},
+		"too old, an answer is due":                     {age: within + 1, overdue: wait, want: fault.ConfigOutdated},
+		"an answer is overdue, no peer":                 {age: within + 1, overdue: within, want: fault.ConfigOutdated},
+		"the store doesn't answer, no peer":             {age: within + 1, overdue: within + 1},
+		"an answer is overdue, a peer is confirmed":     {age: within + 1, overdue: 10 * within, peer: within / 2, want: fault.ConfigOutdated},
+		"an answer is overdue, a peer was confirmed":    {age: within + 1, overdue: 10 * within, peer: 10, quiet: within / 2, want: fault.ConfigOutdated},
+		"an answer is overdue, peers state older ones":  {age: within + 1, overdue: wait + 1, peer: 2 * within, quiet: wait},
+		"an answer is due, peers state older ones":      {age: within + 1, overdue: wait, peer: 2 * within, quiet: wait, want: fault.ConfigOutdated},
+		"an answer is overdue, peers stated older ones": {age: within + 1, overdue: wait + 1, peer: 2 * within, quiet: wait + 1, want: fault.ConfigOutdated},
+		"the store refuses":                             {age: within + 1, refused: true},
+		"the store refuses, a peer is confirmed":        {age: within + 1, refused: true, peer: within / 2, want: fault.ConfigOutdated},
+		"calls failed as it stood still":                {age: within + 1, refused: true, runsFor: wait, want: fault.ConfigOutdated},
+		"answers waited as it stood still":              {age: within + 1, overdue: 10 * wait, runsFor: 1, want: fault.ConfigOutdated},
+		"stood still, the store refuses":                {age: within + 1, refused: true, runsFor: wait + 1},
+		"the store is away for long":                    {age: 10 * clock.Minute, refused: true, peer: 9 * clock.Minute},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var now atomic.Int64
-			now.Store(100)
+			now.Store(int64(60 * clock.Minute))
 			instant := func() clock.Millis { return clock.Millis(now.Load()) }
 			b := proof.New(t.Context(), within, wait, proof.WithClock(clock.New(clock.WithNow(instant), clock.WithAfter(func(by clock.Millis) (<-chan struct{}, func()) {
 				expired := make(chan struct{})
@@ -169,12 +179,17 @@
 				now.Add(int64(by))
 				return expired, func() {}
 			}))), proof.WithStore(proof.Store{
-				AwayFunc: func() clock.Millis { return c.away }, OverdueFunc: func() clock.Millis { return c.overdue },
+				AwayFunc: func() clock.Millis { return 0 }, OverdueFunc: func() clock.Millis { return c.overdue },
+				RefusedFunc: func() bool { return c.refused },
 				RunsForFunc: func() clock.Millis { return cmp.Or(c.runsFor, clock.Minute) }, SourceFunc: func() string { return "" },
 			}))
 			put(b, 1, nil)
 			b.Confirm(feed.Proof{ConfirmedAt: instant()})
-			now.Add(int64(c.age))
+			now.Add(int64(c.age - c.quiet))
+			if c.peer > 0 {
+				b.RecordPeerConfirmed(instant() - c.peer)
+			}
+			now.Add(int64(c.quiet))
 			decision := b.Decide()
 			got := b.ConfirmRequest(t.Context(), "r", &decision, nil, func() *fault.RefusalError {
 				decision = b.Decide()
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"slices"
-
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/route/view"
@@ -122,21 +120,13 @@
 // changes of the store to each other.
 func (g *Gateway) follower() mesh.Follower {
 	withFeed := func(kind string, do func(*feed.Feed) bool) []string {
-		for _, f := range g.feeds.all() {
-			if f.Kind() == kind && do(f) {
-				return []string{kind}
-			}
+		if f := g.feeds.all().Of(kind); f != nil && do(f) {
+			return []string{kind}
 		}
 		return nil
 	}
 	return mesh.Follower{
-		ProgressFunc: func() []wire.Progress {
-			var progress []wire.Progress
-			for _, f := range g.feeds.all() {
-				progress = append(progress, f.Progress())
-			}
-			return progress
-		},
+		ProgressFunc: func() []wire.Progress { return g.feeds.all().Progress() },
 		SnapshotFunc: func(kind string) (whole *wire.Update) {
 			withFeed(kind, func(f *feed.Feed) bool { whole = f.Snapshot(); return false })
 			return whole
@@ -151,16 +141,12 @@
 			}
 			return missing
 		},
-		ExpectFunc:    func(kind string) { withFeed(kind, func(f *feed.Feed) bool { f.Expect(); return false }) },
-		HoldsFunc:     g.holds,
-		TakeHoldsFunc: g.takeHolds,
-		MaxPeerAge:    clock.Millis(upstreamAgeShare * float64(min(g.ChangeWithin, g.LeaveWithin))),
-		MaxWatcherAge: clock.Millis(watcherAgeShare * float64(min(g.ChangeWithin, g.LeaveWithin))),
-		DownFunc:      func() bool { return slices.ContainsFunc(g.feeds.all(), (*feed.Feed).Down) },
-		NoUpstreamFunc: func() {
-			for _, f := range g.feeds.all() {
-				f.EndRelay()
-			}
-		},
+		ExpectFunc:     func(kind string) { withFeed(kind, func(f *feed.Feed) bool { f.Expect(); return false }) },
+		HoldsFunc:      g.holds,
+		TakeHoldsFunc:  g.takeHolds,
+		MaxPeerAge:     clock.Millis(upstreamAgeShare * float64(min(g.ChangeWithin, g.LeaveWithin))),
+		MaxWatcherAge:  clock.Millis(watcherAgeShare * float64(min(g.ChangeWithin, g.LeaveWithin))),
+		DownFunc:       func() bool { return g.feeds.all().Down() },
+		NoUpstreamFunc: func() { g.feeds.all().EndRelay() },
 	}
 }
--- a/internal/serve/router/restore.go
+++ b/internal/serve/router/restore.go
@@ -109,11 +109,7 @@
 // holdsState tells states in which this process may know different lost objects apart. It is 0 while
 // the process doesn't serve yet or has not read all kinds of one era.
 func (g *Gateway) holdsState() uint64 {
-	var progress []wire.Progress
-	for _, f := range g.feeds.all() {
-		progress = append(progress, f.Progress())
-	}
-	era := wire.CommonEra(progress)
+	era := wire.CommonEra(g.feeds.all().Progress())
 	if era == 0 || !g.inform.done.Load() {
 		return 0
 	}
@@ -165,16 +161,18 @@
 func (g *Gateway) takeHolds(message *wire.Sums, now clock.Millis) {
 	g.stall.RecordTold()
 	for _, update := range message.Holds {
-		for _, f := range g.feeds.all() {
-			if f.Kind() != update.Kind {
-				continue
-			}
+		if f := g.feeds.all().Of(update.Kind); f != nil {
 			before := len(f.Lost())
 			if f.Apply(update, now); len(f.Lost()) > before {
 				g.inform.taken.Add(1)
 			}
 		}
 	}
+	for _, progress := range message.Progress {
+		if progress.Kind == g.Dialect.ConfigKind && message.AsOf > 0 {
+			g.config.RecordPeerConfirmed(message.AsOf - progress.Age)
+		}
+	}
 	if era := wire.CommonEra(message.Progress); message.Owns && era == g.Store.Era() {
 		g.inform.heard.Store(era)
 		if !g.inform.done.Load() {
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -125,8 +125,8 @@
 	rollouts *feed.Feed
 }
 
-func (f *feeds) all() []*feed.Feed {
-	all := []*feed.Feed{f.config, f.endpoints, f.evacuated, f.members, f.quarantines}
+func (f *feeds) all() feed.Set {
+	all := feed.Set{f.config, f.endpoints, f.evacuated, f.members, f.quarantines}
 	if f.rollouts != nil {
 		all = append(all, f.rollouts)
 	}
@@ -192,6 +192,7 @@
 		proof.WithStore(proof.Store{
 			AwayFunc:    func() clock.Millis { return g.feeds.config.AwayFor() },
 			OverdueFunc: func() clock.Millis { return g.feeds.config.OverdueFor() },
+			RefusedFunc: func() bool { return g.feeds.config.Refused() },
 			RunsForFunc: func() clock.Millis { return g.stall.RunsFor() },
 			SourceFunc:  func() string { return g.mesh.Upstream() },
 		}))
