fix(feed): each watch begins before the last answer, so that a change which that left out is read

An empty answer to a watch moves the known revision past a change that the store left out of it, for example as it was discarding its history; the copy then counts as confirmed until the configuration changes again.

Change: a call for changes begins at the revision that was known before the last answer, never before the last known change, so that the store sends nothing twice. An answer whose length is not stated is given up for the list once a whole list has arrived.

--- a/internal/serve/feed/answer.go
+++ b/internal/serve/feed/answer.go
@@ -31,13 +31,13 @@
 	case <-f.answer.long:
 	default:
 	}
-	limit := max(f.listBytes()*3/2, minLongAnswer)
+	list := f.listBytes()
 	return store.WithProgress(ctx, func(p store.Progress) {
 		f.answer.begun.Store(true)
 		if due, now := f.dueAt.Load(), int64(f.clock.Now()); due > 0 && due < now {
 			f.dueAt.Store(now) // an answer that arrives, however slowly, is not overdue
 		}
-		if max(p.Total, p.Received) <= limit {
+		if !isLong(p, list) {
 			return
 		}
 		select {
@@ -47,6 +47,12 @@
 	})
 }
 
+// isLong reports whether an answer is so much longer than the list that this is to be read instead. Of an answer whose
+// length is not stated that shows only once a whole list has arrived.
+func isLong(p store.Progress, list int64) bool {
+	return p.Total > max(list*3/2, minLongAnswer) || p.Total < 0 && p.Received > max(list*9/8, minLongAnswer)
+}
+
 // listBytes returns the size of the known objects.
 func (f *Feed) listBytes() int64 {
 	f.mu.Lock()
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -274,11 +274,13 @@
 	}
 }
 
-// watch reads changes until the list has to be read again or a peer relays them.
+// watch reads changes until the list has to be read again or a peer relays them. Each call begins at the revision that
+// was known before the last answer, so that it shows a change which that answer left out.
 func (f *Feed) watch(ctx context.Context, since store.Revision) {
+	before := since
 	for ctx.Err() == nil {
-		wait, sentAt := f.nextWait(), f.clock.Now()
-		changes, err := f.waitForChanges(ctx, since, wait)
+		wait, sentAt, from := f.nextWait(), f.clock.Now(), store.Latest(before, f.LastChange())
+		changes, err := f.waitForChanges(ctx, from, wait)
 		var dropped *store.HistoryError
 		switch {
 		case errors.Is(err, errRelayed):
@@ -310,7 +312,9 @@
 			f.requireList()
 			return
 		}
-		since = f.applyChanges(changes.Changes, since, store.Latest(since, changes.Revision), f.confirmedBy(changes, sentAt, wait))
+		if next := f.applyChanges(changes.Changes, from, store.Latest(since, changes.Revision), f.confirmedBy(changes, sentAt, wait)); next != since {
+			before, since = since, next
+		}
 		if f.graceTimeLeft() > 0 {
 			return
 		}
