fix(proof): answers that are late in a slow fleet aren't taken for a store that is away

Change: with such peers, no part of an answer must have arrived for half of the time for a change, where it was a quarter. A store that is silent to all has been so for that long when copies reach the limit, as a watch ends before half of that time.

--- a/internal/serve/proof/away.go
+++ b/internal/serve/proof/away.go
@@ -14,6 +14,10 @@
 	confirmedAt, heardAt atomic.Int64
 }
 
+// silentShare is how long no answer may arrive at a process whose peers have no confirmation either, as a share of the
+// time within which a change must be in force. All processes of a slow fleet get answers late.
+const silentShare = 0.5
+
 // RecordPeerConfirmed takes the instant for which a peer has a confirmation of the store, also of a configuration that
 // this process lacks.
 func (b *Book) RecordPeerConfirmed(at clock.Millis) {
@@ -44,7 +48,7 @@
 		return false
 	}
 	overdue := b.store.OverdueFunc()
-	return b.store.RefusedFunc() || overdue > b.within || overdue > b.waitFor && b.sincePeer(&b.peers.heardAt) <= b.waitFor
+	return b.store.RefusedFunc() || overdue > b.within || overdue > b.share(silentShare) && b.sincePeer(&b.peers.heardAt) <= b.waitFor
 }
 
 // never is the time since an instant that has not been yet.
