fix(mesh): all silent sessions are replaced at once

Callers saw: 2 s after all open connections between processes had fallen silent, processes didn't serve routes that were acknowledged before.

Cause: a process found out about one silent session after the other, 700 ms each, because it chose the next aggregator over a session that was silent too. Aggregators noticed silent sessions to each other only by heartbeats, after 3 s, and relayed outdated data until then.

Change: once an aggregator or the group of another aggregator turns out silent, the process opens a new session to the peer that it needs next, and uses the previous one until that is open or while requests wait on it. All other sessions that have delivered nothing for 350 ms get a heartbeat at once, and end after 500 ms without a message (sess.Session.Probe). A peer that doesn't answer a new session is treated as before. No message has a new field.

--- a/internal/link/sess/sess.go
+++ b/internal/link/sess/sess.go
@@ -44,6 +44,7 @@
 	firstCall    chan struct{} // wakes the writer when a call is sent and none was in flight
 	probedAt     clock.Millis  // when the writer last sent a heartbeat
 	stalledUntil clock.Millis  // when the writer last ran late by an interval or more
+	checkedSince atomic.Int64  // when Probe was last called
 }
 
 // Peer returns the hello of the peer.
@@ -68,6 +69,17 @@
 	if s.inFlight.Add(change) != change || change <= 0 {
 		return
 	}
+	s.wakeWriter()
+}
+
+// Probe sends a heartbeat at once. Until a message arrives, heartbeats are as frequent as with
+// calls in flight, so that a silent session ends soon.
+func (s *Session) Probe() {
+	s.checkedSince.Store(int64(s.opts.clock.Now()))
+	s.wakeWriter()
+}
+
+func (s *Session) wakeWriter() {
 	select {
 	case s.firstCall <- struct{}{}:
 	default:
@@ -177,6 +189,11 @@
 			}
 		case <-s.firstCall:
 			stop()
+			if s.isProbed() {
+				if err := s.heartbeat(); err != nil {
+					return err
+				}
+			}
 		case <-s.closing:
 			return s.writeClose(buf)
 		case <-ctx.Done():
@@ -216,12 +233,15 @@
 }
 
 func (s *Session) interval() clock.Millis {
-	if s.inFlight.Load() > 0 {
+	if s.inFlight.Load() > 0 || s.isProbed() {
 		return s.opts.busyInterval
 	}
 	return s.opts.idleInterval
 }
 
+// isProbed reports whether no message has arrived since the last call of Probe.
+func (s *Session) isProbed() bool { return s.checkedSince.Load() > s.lastReceived.Load() }
+
 // writeQueued writes all queued frames in messages of about maxBatchBytes, so that one
 // system call sends many small frames under load.
 func (s *Session) writeQueued(buf []byte) ([]byte, error) {
--- a/internal/link/sess/silent_test.go
+++ b/internal/link/sess/silent_test.go
@@ -133,6 +133,40 @@
 	assert.Assert(t, errors.As(s.Err(), &silent), "%v", s.Err())
 }
 
+// Guards against a silent session that is found only after several idle intervals although other
+// sessions have already turned out silent.
+func TestProbeEndsASilentSessionSoon(t *testing.T) {
+	const idle, busy = 60 * clock.Minute, 50 * clock.Millis(1)
+	fake, silence := clock.NewFake(1000), make(chan struct{})
+	s, err := sess.Dial(t.Context(), listen(t, func(*sess.Session, *wire.Frame) {}),
+		sess.WithDial(dialSilent(silence)), sess.WithClock(fake.Clock()), sess.WithHeartbeats(idle, busy))
+	assert.NilError(t, err)
+	wait(t, func() bool { return fake.Pending() == 1 })
+	fake.Advance(1)
+	before := s.LastReceived()
+	fake.Advance(2 * busy)
+	s.Probe()
+	wait(t, func() bool { return s.LastReceived() > before }) // a peer that lives answers at once
+	close(silence)
+	fake.Advance(2 * busy)
+	s.Probe()
+	ended := func() bool {
+		select {
+		case <-s.Done():
+			return true
+		default:
+			return false
+		}
+	}
+	for began := fake.Clock().Now(); !ended(); {
+		assert.Assert(t, fake.Clock().Now()-began < clock.Minute, "still open")
+		wait(t, func() bool { return ended() || fake.Pending() == 1 })
+		fake.Advance(busy)
+	}
+	var silent *sess.SilentError
+	assert.Assert(t, errors.As(s.Err(), &silent), "%v", s.Err())
+}
+
 func wait(t *testing.T, done func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/internal/serve/mesh/export_test.go
+++ b/internal/serve/mesh/export_test.go
@@ -1,8 +1,13 @@
 package mesh
 
 import (
+	"context"
 	"errors"
+	"slices"
 
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/flow/sums"
+	"github.com/jujubescale/jujubescale/internal/link/sess"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 )
 
@@ -59,3 +64,26 @@
 
 // SetUpstream sets the peer through which the process follows the store.
 func (m *Mesh) SetUpstream(name string) { m.uplink.Store(&uplink{upstream: name}) }
+
+// Round runs one round of reports.
+func (m *Mesh) Round(now clock.Millis) { m.round(now) }
+
+// Aggregators returns the other aggregators.
+func (m *Mesh) Aggregators() []string {
+	return slices.DeleteFunc(slices.Clone(m.view.Load().plan.Aggregators), func(name string) bool { return name == m.self.Name })
+}
+
+// GroupReportedAt returns when another aggregator has last sent the sums of its group.
+func (m *Mesh) GroupReportedAt(name string) clock.Millis {
+	_, at := m.totals.StoreRevisions(sums.Source{Process: name, OtherGroup: true})
+	return at
+}
+
+// SessionTo returns the open session to a peer, nil if there is none.
+func (m *Mesh) SessionTo(ctx context.Context, name string) *sess.Session {
+	l := m.openLink(ctx, name)
+	if l == nil {
+		return nil
+	}
+	return l.session
+}
--- a/internal/serve/mesh/link.go
+++ b/internal/serve/mesh/link.go
@@ -9,6 +9,7 @@
 	"github.com/jujubescale/jujubescale/internal/link/sess"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
+	"github.com/jujubescale/jujubescale/internal/serve/dest"
 )
 
 // pendingRequest is a request for pieces without an answer yet.
@@ -29,28 +30,17 @@
 	answers  map[uint64]chan *wire.Frame
 	lastUsed clock.Millis
 	// target is the state of the reports on this session; only Run uses it.
-	target target
+	target dest.State
 	// lastTotal is when the last total arrived on this session.
 	lastTotal clock.Millis
+	// replacing is set while a new session is opened that replaces this one.
+	replacing bool
 	// resendAll is set when the peer requests complete sums.
 	resendAll bool
 	// changesRequested is when missing changes were last requested.
 	changesRequested clock.Millis
 }
 
-// target is the state of the reports that are sent on a session.
-type target struct {
-	kind        wire.Kind
-	cursor      sums.Cursor
-	membersSent clock.Millis
-	// lastRegular is when all changes were last sent.
-	lastRegular clock.Millis
-	// interest is the list that was sent last; it is valid if hasInterest is set.
-	interest    []string
-	hasInterest bool
-	holdsTold   uint64 // what HoldsFunc returned last
-}
-
 // inbound is a session that a peer opened.
 type inbound struct {
 	session *sess.Session
@@ -61,7 +51,7 @@
 	// resendAll is set when the peer requests complete sums.
 	resendAll bool
 	// target is only used by Run.
-	target target
+	target dest.State
 }
 
 // linkTo returns the link to a process, which may still be opening. It returns
@@ -205,7 +195,7 @@
 			return
 		}
 		if s, err := m.dial(member); err == nil {
-			if m.restoreLink(member, s) {
+			if m.restoreLink(member, s, nil) {
 				return
 			}
 		}
@@ -224,12 +214,12 @@
 	return !m.stopped && m.members[member.Name] == member
 }
 
-// restoreLink adds a link for the new session with a process that was
-// unreachable. It reports false if the session can't be used: another incarnation
-// of the process is used only once it is listed.
-func (m *Mesh) restoreLink(member Member, s *sess.Session) bool {
+// restoreLink adds a link for the new session with a process that was unreachable, or
+// whose previous session delivers nothing. It reports false if the session can't be used:
+// another incarnation of the process is used only once it is listed.
+func (m *Mesh) restoreLink(member Member, s *sess.Session, previous *link) bool {
 	m.mu.Lock()
-	if m.stopped || s.Peer().Incarnation != member.Incarnation || m.links[member.Name] != nil {
+	if m.stopped || s.Peer().Incarnation != member.Incarnation || m.links[member.Name] != previous {
 		m.mu.Unlock()
 		s.Close(errIdle)
 		return false
@@ -240,6 +230,9 @@
 	m.updateView()
 	m.goroutines.Add(1)
 	m.mu.Unlock()
+	if previous != nil {
+		previous.session.Close(errIdle)
+	}
 	m.addSession(l, s)
 	go func() {
 		defer m.goroutines.Done()
@@ -249,6 +242,37 @@
 	return true
 }
 
+// replaceSilent opens a new session to a peer that is needed now, and probes the other
+// sessions, unless they have received messages lately. The previous session is used until
+// the new one is open, and while requests on it wait for their answers.
+func (m *Mesh) replaceSilent(name string, now clock.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for peer, l := range m.links {
+		switch {
+		case l.session == nil || now-l.session.LastReceived() < aggregatorTimeout/2:
+		case peer != name || len(l.pending)+len(l.answers) > 0 || l.replacing || m.stopped:
+			l.session.Probe()
+		default:
+			l.replacing = true
+			m.goroutines.Add(1)
+			go m.replace(l)
+		}
+	}
+}
+
+// replace replaces the session of a link with a new one if that can be opened.
+func (m *Mesh) replace(l *link) {
+	defer m.goroutines.Done()
+	s, err := m.dial(l.member)
+	if err == nil && m.restoreLink(l.member, s, l) {
+		m.log.Info("silent session replaced", "peer", l.member.Name)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l.replacing = false
+}
+
 // closeIdle closes links that were not used for idleTimeout.
 func (m *Mesh) closeIdle(now clock.Millis) {
 	m.mu.Lock()
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -137,7 +137,7 @@
 	totals *sums.Totals
 	view   atomic.Pointer[view]
 	// pools, pendingArrivals and trials hold the sums of the reports of all peers.
-	pools           atomic.Pointer[map[string]sums.Pool]
+	pools           sums.PoolTable
 	pendingArrivals atomic.Pointer[[]inflow.Load]
 	trials          atomic.Pointer[[]wire.Trial]
 	lastCallID      atomic.Uint64
--- a/internal/serve/mesh/relay_test.go
+++ b/internal/serve/mesh/relay_test.go
@@ -23,6 +23,8 @@
 	"github.com/jujubescale/jujubescale/internal/serve/mesh"
 )
 
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // fleet is a set of processes in two availability zones.
 type fleet struct {
 	t       *testing.T
@@ -33,13 +35,17 @@
 	mu  sync.Mutex
 	// zones holds the zone of each address.
 	zones map[string]string
+	dial  dialFunc
 }
 
 // newFleet starts perZone processes in each of two zones. The processes whose names
-// selectHanging returns accept sessions, but don't run.
-func newFleet(t *testing.T, perZone int, selectHanging func(members []mesh.Member) []string) *fleet {
+// selectHanging returns accept sessions, but don't run. The function dial may replace the dialer.
+func newFleet(t *testing.T, perZone int, selectHanging func(members []mesh.Member) []string, dial ...dialFunc) *fleet {
 	t.Helper()
-	f := &fleet{t: t, zones: make(map[string]string)}
+	f := &fleet{t: t, zones: make(map[string]string), dial: (&net.Dialer{}).DialContext}
+	if len(dial) > 0 {
+		f.dial = dial[0]
+	}
 	var members []mesh.Member
 	for i := range 2 * perZone {
 		p := f.add(fmt.Sprintf("g%02d", i), fmt.Sprint("zone-", i%2))
@@ -70,7 +76,7 @@
 		if f.cut.Load() && otherZone {
 			return nil, errors.New("cut")
 		}
-		return (&net.Dialer{}).DialContext(ctx, network, address)
+		return f.dial(ctx, network, address)
 	}
 	p.Mesh = mesh.New(f.t.Context(), p.member, mesh.WithLoads(p.loads, p.setWork), mesh.WithSession(sess.WithDial(dial)),
 		mesh.WithIgnored(func(string) { f.ignored.Add(1) }))
--- a/internal/serve/mesh/report.go
+++ b/internal/serve/mesh/report.go
@@ -39,9 +39,6 @@
 	// marks processes as absent.
 	presenceGrace    = 500 * clock.Millis(1)
 	absentStartDelay = clock.Second
-	// membersInterval is the interval at which an unchanged list of processes is
-	// sent again.
-	membersInterval = clock.Second
 	// usualPoolAge is the usual age of the reported queue of another owner's pool:
 	// twice the time of three hops, each of which takes half an interval.
 	usualPoolAge = 2*reportInterval + groupInterval
@@ -69,9 +66,11 @@
 	aggregatingSince clock.Millis
 	aggregatorSince  clock.Millis // when reporting to the aggregator began
 	avoidUntil       map[string]clock.Millis
-	lastReports      map[string]lastReport
-	absentChanged    clock.Millis // when the set of absent processes last changed
-	groupMembers     []wire.Presence
+	// replacedAt holds when the session to each other aggregator was last replaced.
+	replacedAt    map[string]clock.Millis
+	lastReports   map[string]lastReport
+	absentChanged clock.Millis // when the set of absent processes last changed
+	groupMembers  []wire.Presence
 	// interest lists the endpoints that this process normally uses.
 	interest []string
 	// speeds is the position of this process in the speeds, while it is an aggregator.
@@ -85,7 +84,7 @@
 }
 
 func (r *reports) init() {
-	r.avoidUntil, r.lastReports = make(map[string]clock.Millis), make(map[string]lastReport)
+	r.avoidUntil, r.replacedAt, r.lastReports = make(map[string]clock.Millis), make(map[string]clock.Millis), make(map[string]lastReport)
 }
 
 // ReportNow makes the next round report the loads of this process at once, because
@@ -143,6 +142,7 @@
 	}
 	m.chooseRole(now)
 	if regular {
+		m.replaceSilentGroups(now)
 		m.chooseUpstream(now)
 		m.resumeDownloads(now)
 		m.updateTotals()
@@ -215,9 +215,12 @@
 	aggregating := plan.IsAggregator(m.self.Name) || m.totals.Reporters(m.self.Name) > 0
 	to := ""
 	if !aggregating {
-		m.avoidSilent(before.aggregator, now)
+		silent := m.avoidSilent(before.aggregator, now)
 		to = plan.AggregatorFor(m.self.Name, m.self.Zone, func(name string) bool { return r.avoidUntil[name] > now })
 		aggregating = to == ""
+		if silent {
+			m.replaceSilent(to, now)
+		}
 	}
 	if aggregating && !r.aggregating {
 		r.aggregatingSince = now
@@ -235,10 +238,10 @@
 }
 
 // avoidSilent avoids the aggregator for avoidPeriod if it has sent no total for
-// aggregatorTimeout.
-func (m *Mesh) avoidSilent(aggregator string, now clock.Millis) {
+// aggregatorTimeout, and reports whether it does.
+func (m *Mesh) avoidSilent(aggregator string, now clock.Millis) bool {
 	if aggregator == "" {
-		return
+		return false
 	}
 	r := &m.reports
 	m.mu.Lock()
@@ -247,10 +250,24 @@
 		lastTotal = max(lastTotal, l.lastTotal)
 	}
 	m.mu.Unlock()
-	if now-lastTotal > aggregatorTimeout {
+	silent := now-lastTotal > aggregatorTimeout
+	if silent {
 		r.avoidUntil[aggregator] = now + avoidPeriod
 		m.log.Info("aggregator silent", "aggregator", aggregator, "ageMs", int64(now-lastTotal))
 	}
+	return silent
+}
+
+// replaceSilentGroups replaces the sessions to aggregators that have stopped sending the sums of
+// their groups. Usually both sides notice at about the same time.
+func (m *Mesh) replaceSilentGroups(now clock.Millis) {
+	for name, kind := range m.reportKinds() {
+		_, at := m.totals.StoreRevisions(sums.Source{Process: name, OtherGroup: true})
+		if kind == wire.KindGroup && at > 0 && now-at > aggregatorTimeout && now-max(at, m.reports.replacedAt[name]) > aggregatorTimeout {
+			m.reports.replacedAt[name] = now
+			m.replaceSilent(name, now)
+		}
+	}
 }
 
 // updateAbsent marks listed processes as absent while this process is an
@@ -329,7 +346,7 @@
 		return
 	}
 	arrivals, trials := m.totals.PendingArrivals(m.self.Name), m.totals.Trials(m.self.Name)
-	m.setPools(m.totals.Pools(m.self.Name))
+	m.pools.Set(m.totals.Pools(m.self.Name))
 	m.pendingArrivals.Store(&arrivals)
 	m.trials.Store(&trials)
 	m.speedsFunc(m.totals.Speeds(m.self.Name, &m.reports.speeds, m.clock.Now()))
@@ -370,25 +387,9 @@
 // there is no report. The excess age is how much older the report is than
 // usualPoolAge, in milliseconds.
 func (m *Mesh) PoolLoad(name string) (load wire.PoolLoad, excessAge clock.Millis, known bool) {
-	pools := m.pools.Load()
-	if pools == nil {
-		return wire.PoolLoad{}, 0, false
-	}
-	pool, known := (*pools)[name]
+	pool, known := m.pools.Find(name)
 	if !known {
 		return wire.PoolLoad{}, 0, false
 	}
 	return pool.Load, max(m.clock.Since(pool.At)-usualPoolAge, 0), true
 }
-
-// setPools replaces the reported loads of pools. If two owners report the same
-// pool, the newer report counts.
-func (m *Mesh) setPools(all []sums.Pool) {
-	pools := make(map[string]sums.Pool, len(all))
-	for _, pool := range all {
-		if other, found := pools[pool.Load.Pool]; !found || other.At < pool.At {
-			pools[pool.Load.Pool] = pool
-		}
-	}
-	m.pools.Store(&pools)
-}
--- a/internal/serve/mesh/send.go
+++ b/internal/serve/mesh/send.go
@@ -6,13 +6,14 @@
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/sess"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/serve/dest"
 )
 
 // destination is a session that gets reports in a round.
 type destination struct {
 	process string
 	session *sess.Session
-	target  *target
+	target  *dest.State
 	kind    wire.Kind
 }
 
@@ -80,12 +81,12 @@
 // withdrawn, unless another session to the same process gets them now.
 func (o destination) updateKind(all []destination, resendAll *bool, kinds map[string]wire.Kind) []destination {
 	if *resendAll {
-		o.target.reset()
+		o.target.Reset()
 		*resendAll = false
 	}
-	if o.target.kind != o.kind {
-		o.target.withdraw(o.session, o.kind == 0 && kinds[o.process] == o.target.kind)
-		*o.target = target{kind: o.kind}
+	if o.target.Kind != o.kind {
+		o.target.Withdraw(o.session, o.kind == 0 && kinds[o.process] == o.target.Kind)
+		*o.target = dest.State{Kind: o.kind}
 	}
 	if o.kind == 0 {
 		return all
@@ -93,33 +94,19 @@
 	return append(all, o)
 }
 
-// withdraw withdraws the sums that were sent on a session, unless they continue on
-// another session.
-func (t *target) withdraw(s *sess.Session, continues bool) {
-	if !continues && (t.kind == wire.KindReport || t.kind == wire.KindGroup) {
-		_ = s.Send(&wire.Frame{Kind: t.kind, Sums: &wire.Sums{Ended: true}}) // a session that can't send is ending
-	}
-}
-
-// reset makes the next message complete.
-func (t *target) reset() {
-	t.cursor.Reset()
-	t.membersSent, t.lastRegular, t.hasInterest = 0, 0, false
-}
-
 func (m *Mesh) sendTo(to destination, regular bool, progress []wire.Progress, now clock.Millis) {
-	if to.kind == wire.KindGroup && now-to.target.lastRegular < groupInterval {
+	if to.kind == wire.KindGroup && now-to.target.LastRegular < groupInterval {
 		regular = false
 	}
-	first := to.target.lastRegular == 0
+	first := to.target.LastRegular == 0
 	if regular {
-		to.target.lastRegular = now
+		to.target.LastRegular = now
 	}
 	var message *wire.Sums
 	if to.kind == wire.KindTotal {
-		message = m.totals.ForProcess(to.process, &to.target.cursor, regular, now)
+		message = m.totals.ForProcess(to.process, &to.target.Cursor, regular, now)
 	} else {
-		message = m.totals.ForAggregator(&to.target.cursor, regular, now)
+		message = m.totals.ForAggregator(&to.target.Cursor, regular, now)
 	}
 	if message == nil {
 		return
@@ -127,50 +114,32 @@
 	message.Owns = m.mayOwn() // before Holds: a peer that starts relies on what an owner has said
 	if regular {
 		if m.follower.HoldsFunc != nil {
-			message.Holds, to.target.holdsTold = m.follower.HoldsFunc(to.process, to.target.holdsTold, first)
+			message.Holds, to.target.HoldsTold = m.follower.HoldsFunc(to.process, to.target.HoldsTold, first)
 		}
 		message.Progress, message.AsOf = progress, now
 		m.addMembers(message, to, now)
 	}
 	if to.kind == wire.KindReport {
-		to.target.addInterest(message, m.reports.interest)
+		to.target.AddInterest(message, m.reports.interest)
 	}
 	if err := to.session.Send(&wire.Frame{Kind: to.kind, Sums: message}); err != nil {
-		to.target.reset()
-	}
-}
-
-// addInterest adds the endpoints that this process normally uses, if they changed.
-func (t *target) addInterest(message *wire.Sums, interest []string) {
-	if t.hasInterest && slices.Equal(t.interest, interest) {
-		return
+		to.target.Reset()
 	}
-	message.HasInterest, message.Interest = true, interest
-	t.interest, t.hasInterest = interest, true
 }
 
-// addMembers adds the list of processes if it changed or membersInterval has
-// passed.
+// addMembers adds the list of processes if that is due.
 func (m *Mesh) addMembers(message *wire.Sums, to destination, now clock.Millis) {
 	r := &m.reports
 	switch to.kind {
 	case wire.KindTotal:
-		if to.target.membersDue(r.absentChanged, now) {
+		if to.target.MembersDue(r.absentChanged, now) {
 			message.HasMembers, message.Members = true, m.absentMembers()
 		}
 	case wire.KindGroup:
-		if to.target.membersDue(r.groupChanged, now) {
+		if to.target.MembersDue(r.groupChanged, now) {
 			message.HasMembers, message.Members = true, r.groupMembers
 		}
 	default:
 		// A report lists no processes: the receiver adds its sender.
 	}
 }
-
-func (t *target) membersDue(changed, now clock.Millis) bool {
-	if t.membersSent > changed && now-t.membersSent < membersInterval {
-		return false
-	}
-	t.membersSent = now
-	return true
-}
--- a/internal/serve/mesh/take.go
+++ b/internal/serve/mesh/take.go
@@ -141,12 +141,8 @@
 	if !total.Regular {
 		return
 	}
-	pools := make([]sums.Pool, 0, len(total.Pools))
-	for _, load := range total.Pools {
-		pools = append(pools, sums.Pool{Load: load, At: now - load.Age})
-	}
 	arrivals := sums.PendingArrivalsOf(total.PendingArrivals)
-	m.setPools(pools)
+	m.pools.Set(sums.PoolsOf(total.Pools, now))
 	m.pendingArrivals.Store(&arrivals)
 	if total.HasTrials {
 		m.trials.Store(&total.Trials)
