fix(mesh): a process doesn't take its aggregator for silent because of its own lateness

Callers saw: requests run by older versions, at processes on links of 10 Mbit/s that changed their aggregator again and again.

Cause: the time without a total was counted whatever the process itself did. A list of 770 KB fills a link of 10 Mbit/s for 0.6 s and more, and totals wait behind it; a process that stood still compared its clock with the last total before it had read what had arrived meanwhile. It then left its aggregator, and read the store again. A session also counted as silent while a message was arriving slowly.

Change: serve/pulse decides whether a peer is silent.

--- a/internal/base/token/token.go
+++ b/internal/base/token/token.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/hex"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 )
 
@@ -50,3 +51,16 @@
 func (a Attempt) String() string {
 	return a.Request + "/" + strconv.Itoa(a.Stage) + "/" + strconv.Itoa(a.Try)
 }
+
+// Difference returns the sorted names of the processes whose incarnation is in set and not in
+// other.
+func Difference(set, other map[string]Incarnation) []string {
+	var names []string
+	for name, incarnation := range set {
+		if in, found := other[name]; !found || in != incarnation {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/link/sess/open.go
+++ b/internal/link/sess/open.go
@@ -147,6 +147,7 @@
 // arrived from the peer for too long.
 func Dial(ctx context.Context, address string, opts ...Option) (*Session, error) {
 	o := newOptions(opts)
+	var received *meteredConn
 	var head *bound.Conn                // until the peer has answered
 	keep := func() bool { return true } // reports whether the context has not ended
 	defer func() { keep() }()
@@ -156,7 +157,8 @@
 			if err != nil {
 				return nil, err
 			}
-			head = bound.NewConn(opened)
+			received = &meteredConn{Conn: opened, clock: o.clock}
+			head = bound.NewConn(received)
 			// A peer that stands still answers neither the request nor the hello.
 			keep = context.AfterFunc(ctx, func() { _ = opened.Close() })
 			return head, nil
@@ -180,6 +182,7 @@
 	}
 	head.Unlimit()
 	s := newSession(conn, o, true)
+	s.received = received
 	s.number = rand.Uint64() | 1
 	if err := s.sendHello(); err != nil {
 		_ = conn.Close()
@@ -240,6 +243,7 @@
 		conn:      conn,
 		opts:      o,
 		dialed:    dialed,
+		received:  &meteredConn{},
 		out:       newQueue(o.queue),
 		closing:   make(chan struct{}),
 		firstCall: make(chan struct{}, 1),
--- a/internal/link/sess/sess.go
+++ b/internal/link/sess/sess.go
@@ -38,6 +38,7 @@
 	once         sync.Once
 	cause        error
 	lastReceived atomic.Int64
+	received     *meteredConn // of a session that this process opened
 	inFlight     atomic.Int64
 	transit      transitMeter
 	batch        []*wire.Frame // used only by the writer
@@ -63,6 +64,15 @@
 // LastReceived returns the instant of the newest message from the peer.
 func (s *Session) LastReceived() clock.Millis { return clock.Millis(s.lastReceived.Load()) }
 
+// PartReceivedAt returns the instant at which a part of a message arrived whose rest has not
+// arrived yet, 0 if there is none. It is only known of sessions that this process opened.
+func (s *Session) PartReceivedAt() clock.Millis {
+	if at := s.received.at.Load(); at > s.lastReceived.Load() {
+		return clock.Millis(at)
+	}
+	return 0
+}
+
 // AddInFlight changes the number of calls in flight. While it is above zero,
 // heartbeats are more frequent, so that a silent connection is detected soon.
 func (s *Session) AddInFlight(change int64) {
@@ -209,10 +219,10 @@
 // measured from the heartbeat and not from the last message, because an idle session
 // normally receives nothing for a long time. Time in which this process got no
 // processor time doesn't count either: messages of the peer may have arrived that the
-// reader has not read yet. The accepting side sends no heartbeats of its own; it only
+// reader has not read yet. A part of a message that is long on its way counts as received. The accepting side sends no heartbeats of its own; it only
 // checks that something has arrived within silentIntervals idle intervals.
 func (s *Session) heartbeat() error {
-	now, received := s.opts.clock.Now(), max(s.LastReceived(), s.stalledUntil)
+	now, received := s.opts.clock.Now(), max(s.LastReceived(), s.PartReceivedAt(), s.stalledUntil)
 	if !s.dialed {
 		if silence := now - received; silence > silentIntervals*s.opts.idleInterval {
 			return &SilentError{Process: s.peer.Process, Silence: silence}
--- a/internal/link/sess/silent_test.go
+++ b/internal/link/sess/silent_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,6 +169,60 @@
 	assert.Assert(t, errors.As(s.Err(), &silent), "%v", s.Err())
 }
 
+// slowConn delivers one byte for each value of a channel once slow is set.
+type slowConn struct {
+	net.Conn
+	slow  *atomic.Bool
+	bytes chan struct{}
+}
+
+// Read implements net.Conn.
+func (c *slowConn) Read(into []byte) (int, error) {
+	n, err := c.Conn.Read(into[:1])
+	if c.slow.Load() {
+		<-c.bytes
+	}
+	return n, err
+}
+
+// Guards against a session that ends as silent while a message arrives over a link that is filled
+// by other data.
+func TestSessionWithAMessageUnderWayIsNotSilent(t *testing.T) {
+	const busy = 50 * clock.Millis(1)
+	fake := clock.NewFake(1000)
+	var slow atomic.Bool
+	bytes := make(chan struct{})
+	defer close(bytes)
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return &slowConn{Conn: conn, slow: &slow, bytes: bytes}, err
+	}
+	s, err := sess.Dial(t.Context(), listen(t, func(s *sess.Session, f *wire.Frame) {
+		if f.Kind == wire.KindAck {
+			_ = s.Send(&wire.Frame{Kind: wire.KindUpdate, Update: &wire.Update{Kind: strings.Repeat("k", 1000)}})
+		}
+	}), sess.WithDial(dial), sess.WithClock(fake.Clock()), sess.WithHeartbeats(busy, busy))
+	assert.NilError(t, err)
+	slow.Store(true)
+	assert.NilError(t, s.Send(&wire.Frame{Kind: wire.KindAck, Ack: &wire.Ack{}}))
+	for range 20 {
+		fake.Advance(1)
+		select {
+		case bytes <- struct{}{}:
+		case <-s.Done():
+			t.Fatal(s.Err())
+		}
+		now := fake.Clock().Now()
+		wait(t, func() bool { return s.PartReceivedAt() == now && fake.Pending() == 1 })
+		fake.Advance(busy)
+		select {
+		case <-s.Done():
+			t.Fatal(s.Err())
+		case <-time.After(5 * time.Millisecond): // a session that ends does so meanwhile
+		}
+	}
+}
+
 func wait(t *testing.T, done func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/internal/serve/feed/set.go
+++ b/internal/serve/feed/set.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 )
 
@@ -26,6 +27,24 @@
 	return all
 }
 
+// Snapshot returns all objects of a kind, nil before the first read.
+func (s Set) Snapshot(kind string) *wire.Update {
+	if f := s.Of(kind); f != nil {
+		return f.Snapshot()
+	}
+	return nil
+}
+
+// partInterval is the longest time between two parts of an answer that arrives.
+const partInterval = 200 * clock.Millis(1)
+
+// Receiving reports whether an answer of the store is arriving.
+func (s Set) Receiving() bool {
+	return slices.ContainsFunc(s, func(f *Feed) bool {
+		return f.answer.begun.Load() && f.dueAt.Load() != 0 && f.OverdueFor() < partInterval
+	})
+}
+
 // Down reports whether the last call of some feed failed.
 func (s Set) Down() bool { return slices.ContainsFunc(s, (*Feed).Down) }
 
--- a/internal/serve/mesh/content.go
+++ b/internal/serve/mesh/content.go
@@ -40,6 +40,8 @@
 	// no requests for missing ones. downloadTimeout is that after which it is given up.
 	stallTime       = clock.Second
 	downloadTimeout = 5 * clock.Second
+	// partInterval is the longest time between two chunks of a transfer that fills the link.
+	partInterval = 200 * clock.Millis(1)
 	// maxLaterUpdates limits the updates that are kept until a download is complete.
 	maxLaterUpdates = 64
 )
@@ -307,6 +309,18 @@
 	return current != nil && !current.isStalled(m.clock.Now())
 }
 
+// isReceiving reports whether objects are arriving from the store or a peer.
+func (m *Mesh) isReceiving(now clock.Millis) bool {
+	m.downloads.mu.Lock()
+	defer m.downloads.mu.Unlock()
+	for _, d := range m.downloads.byKind {
+		if d.transfer.Offset() > 0 && now-d.receivedAt < partInterval {
+			return true
+		}
+	}
+	return m.follower.ReceivingFunc != nil && m.follower.ReceivingFunc()
+}
+
 // isStalled reports whether no chunk has arrived for stallTime: the peer is paused, can't be
 // reached, or has the previous version.
 func (d *download) isStalled(now clock.Millis) bool { return now-d.receivedAt > stallTime }
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -96,6 +96,8 @@
 	MaxPeerAge, MaxWatcherAge clock.Millis
 	// DownFunc reports whether the last call to the store failed for any kind.
 	DownFunc func() bool
+	// ReceivingFunc reports whether an answer of the store is arriving.
+	ReceivingFunc func() bool
 	// NoUpstreamFunc is called when this process has to read the store itself.
 	NoUpstreamFunc func()
 }
--- a/internal/serve/mesh/report.go
+++ b/internal/serve/mesh/report.go
@@ -11,6 +11,7 @@
 	"github.com/jujubescale/jujubescale/internal/flow/sums"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
+	"github.com/jujubescale/jujubescale/internal/serve/pulse"
 )
 
 const (
@@ -81,9 +82,11 @@
 	// tries the store until retryUntil.
 	followUntil, retryUntil clock.Millis
 	destinations            int
+	pulse                   *pulse.Monitor
 }
 
 func (r *reports) init() {
+	r.pulse = pulse.New(aggregatorTimeout)
 	r.avoidUntil, r.replacedAt, r.lastReports = make(map[string]clock.Millis), make(map[string]clock.Millis), make(map[string]lastReport)
 }
 
@@ -140,6 +143,7 @@
 		m.closeIdle(now)
 		m.updateAbsent(now)
 	}
+	r.pulse.StartRound(m.isReceiving(now), now)
 	m.chooseRole(now)
 	if regular {
 		m.replaceSilentGroups(now)
@@ -245,15 +249,18 @@
 	}
 	r := &m.reports
 	m.mu.Lock()
-	lastTotal := r.aggregatorSince
+	last := r.aggregatorSince
 	if l := m.links[aggregator]; l != nil {
-		lastTotal = max(lastTotal, l.lastTotal)
+		last = max(last, l.lastTotal)
+		if l.session != nil {
+			last = max(last, l.session.PartReceivedAt())
+		}
 	}
 	m.mu.Unlock()
-	silent := now-lastTotal > aggregatorTimeout
+	silent := r.pulse.IsSilent(last, now)
 	if silent {
 		r.avoidUntil[aggregator] = now + avoidPeriod
-		m.log.Info("aggregator silent", "aggregator", aggregator, "ageMs", int64(now-lastTotal))
+		m.log.Info("aggregator silent", "aggregator", aggregator, "ageMs", int64(now-last))
 	}
 	return silent
 }
@@ -263,7 +270,7 @@
 func (m *Mesh) replaceSilentGroups(now clock.Millis) {
 	for name, kind := range m.reportKinds() {
 		_, at := m.totals.StoreRevisions(sums.Source{Process: name, OtherGroup: true})
-		if kind == wire.KindGroup && at > 0 && now-at > aggregatorTimeout && now-max(at, m.reports.replacedAt[name]) > aggregatorTimeout {
+		if kind == wire.KindGroup && at > 0 && m.reports.pulse.IsSilent(max(at, m.reports.replacedAt[name]), now) {
 			m.reports.replacedAt[name] = now
 			m.replaceSilent(name, now)
 		}
@@ -309,25 +316,12 @@
 	if maps.Equal(m.absent, absent) {
 		return false
 	}
-	m.log.Info("absent peers changed", "absent", difference(absent, m.absent), "present", difference(m.absent, absent), "listed", len(m.members))
+	m.log.Info("absent peers changed", "absent", token.Difference(absent, m.absent), "present", token.Difference(m.absent, absent), "listed", len(m.members))
 	m.absent = absent
 	m.updateView()
 	return true
 }
 
-// difference returns the names of the processes whose incarnation is in set and
-// not in other.
-func difference(set, other map[string]token.Incarnation) []string {
-	var names []string
-	for name, run := range set {
-		if !hasIncarnation(other, name, run) {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
 // absentMembers returns the absent processes, for a message.
 func (m *Mesh) absentMembers() []wire.Presence {
 	m.mu.Lock()
--- a/internal/serve/router/peers.go
+++ b/internal/serve/router/peers.go
@@ -127,10 +127,7 @@
 	}
 	return mesh.Follower{
 		ProgressFunc: func() []wire.Progress { return g.feeds.all().Progress() },
-		SnapshotFunc: func(kind string) (whole *wire.Update) {
-			withFeed(kind, func(f *feed.Feed) bool { whole = f.Snapshot(); return false })
-			return whole
-		},
+		SnapshotFunc: func(kind string) *wire.Update { return g.feeds.all().Snapshot(kind) },
 		ApplyFunc: func(update *wire.Update, now clock.Millis) []string {
 			return withFeed(update.Kind, func(f *feed.Feed) bool { return f.Apply(update, now) })
 		},
@@ -146,6 +143,7 @@
 		TakeHoldsFunc:  g.takeHolds,
 		MaxPeerAge:     clock.Millis(upstreamAgeShare * float64(min(g.ChangeWithin, g.LeaveWithin))),
 		MaxWatcherAge:  clock.Millis(watcherAgeShare * float64(min(g.ChangeWithin, g.LeaveWithin))),
+		ReceivingFunc:  func() bool { return g.feeds.all().Receiving() },
 		DownFunc:       func() bool { return g.feeds.all().Down() },
 		NoUpstreamFunc: func() { g.feeds.all().EndRelay() },
 	}
