--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -96,6 +96,8 @@
 	MaxPeerAge, MaxWatcherAge clock.Millis
 	// DownFunc reports whether the last call to the store failed for any kind.
 	DownFunc func() bool
+	// ReceivingFunc reports whether an answer of the store is arriving.
+	ReceivingFunc func() bool
 	// NoUpstreamFunc is called when this process has to read the store itself.
 	NoUpstreamFunc func()
 }
@@ -137,7 +139,7 @@
 	totals *sums.Totals
 	view   atomic.Pointer[view]
 	// pools, pendingArrivals and trials hold the sums of the reports of all peers.
-	pools           atomic.Pointer[map[string]sums.Pool]
+	pools           sums.PoolTable
 	pendingArrivals atomic.Pointer[[]inflow.Load]
 	trials          atomic.Pointer[[]wire.Trial]
 	lastCallID      atomic.Uint64
