fix(mesh): a newer update of the previous upstream is used, and that peer stops relaying

Callers saw: versions in force late beside silent sessions, while processes on narrow links received the same version several times.

Cause: an update was dropped if its sender was not the upstream any more, although it was newer than what the process had (`update dropped … reason=notUpstream`). Nobody told the previous upstream to stop, so it went on sending all changes.

Change: an update of any peer is used if its revision is higher than the known one; if earlier changes are missing, they are requested from the upstream alone. A download doesn't move from the upstream to the previous one.

TestNewerUpdateOfThePreviousUpstreamIsApplied and TestPreviousUpstreamStopsRelaying fail without the change. go test -race of serve/mesh and link/wire passes.

--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -185,9 +185,11 @@
 }
 
 // Follow requests that a peer forward the changes of some kinds of objects that are
-// newer than the given revisions.
+// newer than the given revisions. If Ended is set, the peer forwards none from now on. A peer
+// of the previous version ignores that and goes on.
 type Follow struct {
 	Kinds []Revision `cbor:"kinds"`
+	Ended bool       `cbor:"ended,omitempty"`
 }
 
 // Update forwards the changes of one kind of object in the store after Since up to
@@ -232,6 +234,11 @@
 // Valid reports whether the last change is within the revision of the update.
 func (u *Update) Valid() bool { return u.Kind != "" && u.Age >= 0 && !u.At().Before(u.ChangedAt()) }
 
+// IsNewer reports whether the update has a higher revision than the known one of its kind.
+func (u *Update) IsNewer(known []Progress) bool {
+	return slices.ContainsFunc(known, func(p Progress) bool { return p.Kind == u.Kind && p.At().Before(u.At()) })
+}
+
 // Packed names the objects of an update, which the receiver requests in chunks. Bytes
 // is the size of all chunks.
 type Packed struct {
--- a/internal/serve/mesh/content.go
+++ b/internal/serve/mesh/content.go
@@ -84,7 +84,7 @@
 	d.byKind, d.last = make(map[string]*download), make(map[string]*pack.Transfer)
 }
 
-// receiveUpdate applies an update of the upstream, after its objects have been
+// receiveUpdate applies an update of a peer, after its objects have been
 // transferred if it is packed.
 func (m *Mesh) receiveUpdate(from string, update *wire.Update, now clock.Millis) {
 	arrived := received{update: update, from: from, at: now}
@@ -146,7 +146,7 @@
 		if !update.At().Before(current.update.At()) {
 			current.update, current.arrivedAt = update, announcement.at
 		}
-		if current.from != announcement.from {
+		if current.from != announcement.from && announcement.from == m.uplink.Load().upstream {
 			current.from = announcement.from
 			m.requestChunk(current, announcement.at)
 		}
--- a/internal/serve/mesh/content_test.go
+++ b/internal/serve/mesh/content_test.go
@@ -16,6 +16,7 @@
 type receiver struct {
 	*mesh.Mesh
 	fake     *clock.Fake
+	known    uint64
 	applied  []uint64
 	sizes    []int
 	arrivals []clock.Millis
@@ -24,7 +25,7 @@
 func newReceiver(t *testing.T) *receiver {
 	r := &receiver{fake: clock.NewFake(1)}
 	r.Mesh = mesh.New(t.Context(), mesh.Member{Name: "receiver"}, mesh.WithClock(r.fake.Clock()), mesh.WithFollower(mesh.Follower{
-		ProgressFunc: func() []wire.Progress { return []wire.Progress{{Kind: "config"}} },
+		ProgressFunc: func() []wire.Progress { return []wire.Progress{{Kind: "config", Revision: r.known, Changed: r.known}} },
 		ApplyFunc: func(update *wire.Update, now clock.Millis) []string {
 			r.applied, r.sizes, r.arrivals = append(r.applied, update.Revision), append(r.sizes, update.Bytes()), append(r.arrivals, now)
 			return nil
@@ -203,3 +204,25 @@
 		<-announced
 	}
 }
+
+// Guards against a newer version that is dropped, and transferred again by the new upstream, because
+// it arrives from the upstream before.
+func TestNewerUpdateOfThePreviousUpstreamIsApplied(t *testing.T) {
+	r, sender := newReceiver(t), newSender(t)
+	r.known = 4
+	r.SetUpstream("new")
+	small := func(revision uint64) *wire.Update {
+		return &wire.Update{Kind: "config", Since: 4, Revision: revision, Changed: revision}
+	}
+	r.HandleUpdate("previous", small(4))
+	assert.Equal(t, len(r.applied), 0)
+	r.HandleUpdate("previous", small(5))
+	assert.DeepEqual(t, r.applied, []uint64{5})
+	large := pack(t, sender, largeUpdate(6))
+	r.HandleUpdate("previous", large)
+	r.HandleUpdate("new", large)
+	r.HandleUpdate("previous", large)
+	assert.Equal(t, r.Source("config"), "new")
+	r.transfer(sender, "new", large.Packed.Digest, 100)
+	assert.DeepEqual(t, r.applied, []uint64{5, 6})
+}
--- a/internal/serve/mesh/export_test.go
+++ b/internal/serve/mesh/export_test.go
@@ -49,6 +49,13 @@
 	return d.transfer.Offset(), true
 }
 
+// Source returns the peer that is asked for the objects of a kind.
+func (m *Mesh) Source(kind string) string {
+	m.downloads.mu.Lock()
+	defer m.downloads.mu.Unlock()
+	return m.downloads.byKind[kind].from
+}
+
 // Digest returns the digest of the objects of a kind that are being transferred.
 func (m *Mesh) Digest(kind string) string {
 	m.downloads.mu.Lock()
@@ -87,3 +94,13 @@
 	}
 	return l.session
 }
+
+// HandleUpdate handles an update that any peer relays.
+func (m *Mesh) HandleUpdate(from string, update *wire.Update) { m.handleUpdate(from, update) }
+
+// RelaysTo reports whether this process relays changes to a peer.
+func (m *Mesh) RelaysTo(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.inbound[name] != nil && m.inbound[name].follows
+}
--- a/internal/serve/mesh/follow.go
+++ b/internal/serve/mesh/follow.go
@@ -31,23 +31,23 @@
 		upstream = m.selectUpstream(before.upstream, now)
 	}
 	var open *link
-	if upstream != "" {
-		if l := m.linkTo(upstream); l != nil {
-			open = m.ifOpen(l)
-		}
-	}
-	if upstream == before.upstream && open == r.upstreamLink {
-		return
+	if l := m.linkTo(upstream); l != nil { // none if there is no upstream
+		open = m.ifOpen(l)
 	}
 	if upstream != before.upstream {
 		m.uplink.Store(&uplink{aggregator: before.aggregator, upstream: upstream})
 		m.log.Info("store followed through", "peer", upstream, "before", before.upstream)
+		if upstream == "" {
+			m.follower.NoUpstreamFunc()
+		}
 	}
-	r.upstreamLink = open
-	if upstream == "" {
-		m.follower.NoUpstreamFunc()
+	if open == r.upstreamLink || (open == nil && upstream != "") {
+		return // the previous upstream relays changes until the session to the new one is open
+	}
+	if r.upstreamLink != nil {
+		m.sendOn(r.upstreamLink, &wire.Frame{Kind: wire.KindFollow, Follow: &wire.Follow{Ended: true}})
 	}
-	if open != nil {
+	if r.upstreamLink = open; open != nil {
 		m.requestChanges(open, nil)
 	}
 }
@@ -132,12 +132,12 @@
 	m.sendOn(l, &wire.Frame{Kind: wire.KindFollow, Follow: follow})
 }
 
-// handleFollow starts to relay changes to a peer. It sends a snapshot of each kind
+// handleFollow starts or stops to relay changes to a peer. It sends a snapshot of each kind
 // of which the peer lacks changes.
 func (m *Mesh) handleFollow(s *sess.Session, follow *wire.Follow) {
 	m.mu.Lock()
 	if in := m.inbound[s.Peer().Process]; in != nil && in.session == s {
-		in.follows = true
+		in.follows = !follow.Ended
 	}
 	m.mu.Unlock()
 	for _, kind := range follow.Kinds {
@@ -175,7 +175,7 @@
 		m.log.Warn("update ignored", "peer", from, "kind", update.Kind, "revision", update.At())
 		return
 	}
-	if m.uplink.Load().upstream != from {
+	if m.uplink.Load().upstream != from && !update.IsNewer(m.follower.ProgressFunc()) {
 		m.ignoredFunc("notUpstream")
 		m.log.Info("update dropped", "peer", from, "kind", update.Kind, "revision", update.At(), "bytes", update.Bytes(), "reason", "notUpstream")
 		return
@@ -189,11 +189,11 @@
 	m.requestMissing(from, m.follower.ConfirmFunc(progress, now))
 }
 
-// requestMissing requests changes of the given kinds from the upstream, at most
+// requestMissing requests changes of the given kinds from a peer if it is the upstream, at most
 // once per minRequestPause. It requests none that are being transferred.
 func (m *Mesh) requestMissing(from string, missing []string) {
 	missing = slices.DeleteFunc(missing, m.isDownloading)
-	if len(missing) == 0 {
+	if len(missing) == 0 || m.uplink.Load().upstream != from {
 		return
 	}
 	now := m.clock.Now()
--- a/internal/serve/mesh/silence_test.go
+++ b/internal/serve/mesh/silence_test.go
@@ -98,12 +98,13 @@
 	fake     *clock.Fake
 	silences *silences
 	before   map[string]*sess.Session
+	peers    map[string]*process
 }
 
 // newSilenced returns a process that is an aggregator if that is set.
 func newSilenced(t *testing.T, aggregator bool, opts ...mesh.Option) *silenced {
 	t.Helper()
-	p := &silenced{t: t, fake: clock.NewFake(1000), silences: newSilences(), before: make(map[string]*sess.Session)}
+	p := &silenced{t: t, fake: clock.NewFake(1000), silences: newSilences(), before: make(map[string]*sess.Session), peers: make(map[string]*process)}
 	peers := newFleet(t, 14, nil, p.silences.dial)
 	members := membersOf(peers.all)
 	self := mesh.Member{Name: "s0", Incarnation: token.NewIncarnation(), Zone: "zone-0"}
@@ -118,6 +119,7 @@
 	p.StartOwning()
 	for _, peer := range peers.all {
 		peer.SetMembers(members)
+		p.peers[peer.member.Name] = peer
 	}
 	p.SetMembers(members)
 	for _, member := range membersOf(peers.all) {
@@ -202,3 +204,27 @@
 	p.Round(p.fake.Clock().Now())
 	assert.Equal(t, p.Aggregator(), first)
 }
+
+// Guards against changes that are relayed twice: by the upstream, and by the one before it.
+func TestPreviousUpstreamStopsRelaying(t *testing.T) {
+	p := newSilenced(t, false, mesh.WithSession(sess.WithHeartbeats(clock.Hour, clock.Hour)))
+	p.Round(p.fake.Clock().Now())
+	first := p.Aggregator()
+	waitFor(t, func() bool { return p.peers[first].RelaysTo(p.Self()) })
+	waitFor(t, func() bool {
+		p.fake.Advance(100) // faster than the aggregator sends totals
+		p.Round(p.fake.Clock().Now())
+		return p.Aggregator() != first
+	})
+	waitFor(t, func() bool {
+		p.fake.Advance(10)
+		p.Round(p.fake.Clock().Now())
+		next := p.peers[p.Aggregator()]
+		return next != nil && next.RelaysTo(p.Self()) && p.Aggregator() != first
+	})
+	session := p.SessionTo(t.Context(), first)
+	waitFor(t, func() bool {
+		assert.NilError(t, session.Send(&wire.Frame{Kind: wire.KindBeat, Beat: &wire.Beat{}})) // keeps the session open
+		return !p.peers[first].RelaysTo(p.Self())
+	})
+}
