fix(relay): aggregators on small hosts don't watch the store

Callers saw: versions in force late at processes that follow the store through one on a link of 10 Mbit/s.

Cause: large hosts were preferred within each zone only. If the large hosts of a zone are down or can't be reached, one of its small ones becomes its aggregator, and all aggregators were equal as watchers.

Change: watchers are chosen among the aggregators with at least half of the largest processor share. If there is only one, the largest of the others watches too. Aggregators are chosen as before, so that each zone keeps one. A process of the previous version chooses by the old rule; a process that is a watcher to itself alone reads the store, and the others follow it or not.

TestWatchersRunOnLargeHosts fails without the change. go test -race of route/relay passes. Not measured in a soak on its own.

--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -22,6 +22,9 @@
 	minGroup = 12
 	// Watchers is the number of processes that watch the store.
 	Watchers = 3
+	// minWatchers is the number of watchers in fleets with fewer aggregators on large hosts: one
+	// may end, and the others need a peer that still relays changes.
+	minWatchers = 2
 	// minKeepers is the number of processes that keep the origins of streams in fleets with
 	// fewer aggregators: two of them may end at the same moment.
 	minKeepers = 6
@@ -66,11 +69,23 @@
 			candidates = append(candidates, process)
 		}
 	}
-	plan.Watchers = firstNames(rankByWeight(watchSubject, candidates), Watchers)
+	plan.Watchers = watchers(candidates)
 	plan.Keepers = keepers(plan.Aggregators, processes)
 	return plan
 }
 
+// watchers returns the aggregators that watch the store. One on a small host, whose zone has no
+// larger one, only watches if there are fewer than minWatchers others.
+func watchers(aggregators []owner.Process) []string {
+	ranked := rankByWeight(watchSubject, owner.Eligible(aggregators))
+	if len(ranked) < minWatchers {
+		ranked = rankByWeight(watchSubject, aggregators)
+		slices.SortStableFunc(ranked, func(a, b owner.Process) int { return cmp.Compare(b.Capacity, a.Capacity) })
+		ranked = ranked[:min(minWatchers, len(ranked))]
+	}
+	return firstNames(ranked, Watchers)
+}
+
 // keepers returns the aggregators and, if these are fewer than minKeepers, other processes.
 func keepers(aggregators []string, processes []owner.Process) []string {
 	if len(aggregators) >= minKeepers {
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -107,3 +107,28 @@
 	assert.DeepEqual(t, alone.Watchers, []string{"gateway-0000"})
 	assert.Equal(t, len(relay.New(nil).Aggregators), 0)
 }
+
+// Guards against watchers on small hosts, whose links are narrow: a large version takes longer to
+// read there, and each process that follows them gets it later.
+func TestWatchersRunOnLargeHosts(t *testing.T) {
+	const small = 3
+	for large, expected := range map[int][]string{0: nil, 1: {"large-0"}, 2: {"large-0", "large-1"}, 3: {"large-0", "large-1", "large-2"}} {
+		var all []owner.Process
+		add := func(name string, capacity float64) {
+			all = append(all, owner.Process{Name: name, Key: name + "/1", Zone: "zone of " + name, Capacity: capacity})
+		}
+		for i := range large {
+			add(fmt.Sprint("large-", i), 0.8)
+		}
+		for i := range small {
+			add(fmt.Sprint("small-", i), 0.109)
+		}
+		plan := relay.New(all)
+		assert.Equal(t, len(plan.Aggregators), large+small)
+		for _, name := range expected {
+			assert.Assert(t, slices.Contains(plan.Watchers, name), "%d large hosts: %v", large, plan.Watchers)
+		}
+		count := map[int]int{0: 3, 1: 2, 2: 2, 3: 3}[large]
+		assert.Equal(t, len(plan.Watchers), count, "%d large hosts: %v", large, plan.Watchers)
+	}
+}
