test(soak): planned stops beside engines that take most of the grace period

Callers saw: requests that may run once only, taken up to 1.2 s after SIGTERM, answered with 502 when the planned stop ended.

Cause: the soak's requests end within 0.3 s, and nothing judged an answer with 502.

In all runs, a request that may run once only and is answered with 502 by a process that got SIGTERM before is a breach, unless an unplanned fault or an ending engine overlaps it. The last part of the grace is not excused.

--- a/internal/bench/soak/keeper.go
+++ b/internal/bench/soak/keeper.go
@@ -74,6 +74,7 @@
 		p.kept.Add(1)
 		sent := time.Now()
 		got := p.client.Receive(replies, s)
+		p.checkCut(s, p.process, current, began, got)
 		if got.Status == 0 || got.Truncated {
 			p.checkUnanswered(&unanswered{id: s.ID, process: p.process, incarnation: current, began: began, sent: sent, ended: time.Now(), got: got})
 		}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -73,6 +73,9 @@
 	Moves bool
 	// Quotas limits the processor time of all processes during the whole run.
 	Quotas bool
+	// SlowOrders makes plain engines take up to most of the grace period, and stops one process after the
+	// other, instead of rollouts.
+	SlowOrders bool
 	// Only are the kinds of disturbances of the run, all that its other options add if it is empty.
 	Only []Kind
 	Out  io.Writer
@@ -84,6 +87,9 @@
 	// Kept counts the requests on persistent connections. Crossed counts those of them
 	// whose connection a planned stop closed within 200 ms, before the process read them.
 	Kept, Crossed int64
+	// Stops is the number of planned stops, OnceOnly that of the requests that may run once only and that a
+	// process got after SIGTERM, and Cut those of them that it did not let end.
+	Stops, OnceOnly, Cut int64
 	// Violations describes the violated invariants.
 	Violations []string
 	// SettledSent counts the requests that were sent after recovery at the end of the
@@ -157,6 +163,7 @@
 	added                         routeBook
 	moved                         moveBook
 	kept, crossed                 atomic.Int64
+	onceOnly, cut                 atomic.Int64
 	sent, served, refused, failed atomic.Int64
 	settledSent, settledServed    atomic.Int64
 	mu                            sync.Mutex
@@ -173,6 +180,9 @@
 // start starts the platform, the engines and the gateways. After an error nothing runs.
 func (r *run) start() error {
 	first := config(r.modelMemory())
+	if r.SlowOrders {
+		slowRoutes(&first)
+	}
 	if r.Moves {
 		r.addMovedRoutes(&first)
 	}
@@ -204,6 +214,9 @@
 			if r.Versions && e.Kind == stand.Model {
 				continue
 			}
+			if r.SlowOrders && e.Kind == stand.Plain {
+				e.WorkTime, e.WorkSpread = shortestOrder, longestOrder-shortestOrder
+			}
 			if _, err := r.addEngine(e); err != nil {
 				return err
 			}
@@ -220,7 +233,7 @@
 	switch {
 	case r.Versions:
 		return r.addVersions()
-	case r.Parts, r.Outages, r.Routes:
+	case r.Parts, r.Outages, r.Routes, r.SlowOrders:
 		return nil
 	}
 	return r.addUnorderedVersion()
@@ -304,7 +317,7 @@
 	}
 	p := &process{
 		name: fmt.Sprintf("gateway-%d", number), program: r.Program, folder: r.Folder, ports: own, storeAddress: store.Address(), grace: grace,
-		rollouts: !r.Versions && !r.Parts && !r.Outages && !r.Routes, host: settings, link: link,
+		rollouts: !r.Versions && !r.Parts && !r.Outages && !r.Routes && !r.SlowOrders, host: settings, link: link,
 	}
 	if err := p.writeSettings(zones[number%len(zones)], 0); err != nil {
 		return err
@@ -426,6 +439,9 @@
 		}
 		return tasks
 	}
+	if r.SlowOrders {
+		return []func(context.Context){r.stopInTurn}
+	}
 	if r.Parts || r.Outages {
 		return nil
 	}
@@ -438,6 +454,9 @@
 	if r.Versions && s.Events > 0 {
 		s.Events = longEvents
 	}
+	if r.SlowOrders && s.Events == 0 {
+		s.DeadlineMs = slowTimeoutMs
+	}
 	return s
 }
 
@@ -478,7 +497,9 @@
 	settled := time.Since(r.started) > r.Length-recoverySpan+settlingTime
 	returned := r.isReturned()
 	r.sent.Add(1)
+	current, began := r.processes[number].currentIncarnation(), time.Now()
 	got := r.client.Do(ctx, r.callers[number].Address(), s)
+	r.checkCut(s, r.processes[number], current, began, got)
 	if got.RetryAfter > 0 && got.RetryAfter < time.Duration(s.DeadlineMs)*time.Millisecond && got.Status == http.StatusServiceUnavailable {
 		time.Sleep(got.RetryAfter)
 		again := *s
@@ -519,7 +540,7 @@
 func (r *run) report() *Report {
 	report := &Report{
 		Sent: r.sent.Load(), Served: r.served.Load(), Refused: r.refused.Load(), Failed: r.failed.Load(),
-		Kept: r.kept.Load(), Crossed: r.crossed.Load(),
+		Kept: r.kept.Load(), Crossed: r.crossed.Load(), Stops: r.plannedStops(), OnceOnly: r.onceOnly.Load(), Cut: r.cut.Load(),
 		SettledSent: r.settledSent.Load(), SettledServed: r.settledServed.Load(),
 		BadParts: r.badParts.Load(), BadCrashes: r.badCrashes.Load(),
 		Outages: r.outages.Load(), OutagesJudged: r.outagesJudged.Load(), OutageProbes: r.outageProbes.Load(),
--- a/internal/cli/devel/soak.go
+++ b/internal/cli/devel/soak.go
@@ -28,6 +28,7 @@
 	routes    bool
 	moves     bool
 	quotas    bool
+	slow      bool
 	only      []string
 	memory    int64
 	verbose   bool
@@ -58,6 +59,7 @@
 	flags.BoolVar(&options.routes, "routes", false, "add, move and remove routes in series, ask all processes for them, and throttle and pause processes, instead of rollouts")
 	flags.BoolVar(&options.moves, "moves", false, "as --routes, and move routes between services in versions of some 750 KB, and check which services ran each request")
 	flags.BoolVar(&options.quotas, "quotas", false, "limit the processor time of the processes during the whole run, to 0.109, 0.352 or 0.8 of a processor")
+	flags.BoolVar(&options.slow, "slow-orders", false, "let engines of the service orders take 0.5 to 3.5 s and stop one process after the other, instead of rollouts")
 	flags.StringSliceVar(&options.only, "only", nil, "kinds of disturbances of the run, such as powerLoss (default: all that the other flags add)")
 	flags.Int64Var(&options.memory, "memory", 0, "memory of a model engine in tokens (default: some eight of the largest requests)")
 	flags.BoolVar(&options.verbose, "verbose", false, "print each fault when it is injected")
@@ -114,13 +116,16 @@
 	}
 	report, err := soak.Run(command.Context(), soak.Options{
 		Seed: seed, Length: time.Duration(options.seconds) * time.Second, Program: options.program, Folder: folder,
-		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Routes: options.routes, Moves: options.moves, Quotas: options.quotas, Only: only, Memory: options.memory, Out: out,
+		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Routes: options.routes, Moves: options.moves, Quotas: options.quotas, SlowOrders: options.slow, Only: only, Memory: options.memory, Out: out,
 	})
 	if err != nil {
 		return false, err
 	}
 	command.Printf("seed %d: sent %d served %d refused %d failed %d, kept %d crossed %d, in the calm %d of %d, breaches %d\n", seed, report.Sent,
 		report.Served, report.Refused, report.Failed, report.Kept, report.Crossed, report.SettledServed, report.SettledSent, len(report.Violations))
+	if options.slow {
+		command.Printf("  %d planned stops, %d requests after SIGTERM that may run once only, %d of them cut\n", report.Stops, report.OnceOnly, report.Cut)
+	}
 	if report.Resumes != "" {
 		command.Printf("  streams: %s\n", report.Resumes)
 	}
