fix(gate): a planned stop begins only requests that are expected to end before it

Callers saw: requests taken up to 1.2 s after SIGTERM and answered with 502 at the end of the planned stop, among them some that may run once only, whose callers can't tell whether they ran.

Cause: for the balancer's lag a stopping gateway took and sent every request, whatever was left of the grace and however long its pool takes.

Change: guard/grace holds the instant of the cut and the longest times of the requests of each route and pool in the last 30 to 60 s, from arrival and from the choice of the endpoint. Requests that are not expected to end before the cut are refused as not run, with reason leaving, when they arrive (before their body is read), before a later stage, and before each attempt. A request that may run once only needs room for twice the longest time, others for 1.25 times. A route with fewer than eight measures goes by the request's own time: the objective is a wish that work may exceed several times, a refusal costs the caller one more call, a cut leaves open whether the request ran. Retry-After is 37 to 62 ms, because the other gateways serve at once. Counter jujubescale_routed_unended_total.

StartDrain takes the instant of the cut; tests without one pass 0.

TestRequestsThatAPlannedStopWouldCutAreRefused fails if MayBegin always agrees.

--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -242,10 +242,11 @@
 func (r *gatewayRun) stop() {
 	began := r.Clock.Now()
 	grace := clock.Millis(r.settings.GraceSeconds * float64(clock.Second))
-	limit, cancel := context.WithTimeout(context.Background(), clock.Millis((1-killMargin)*float64(grace)).Duration())
+	untilCut := clock.Millis((1 - killMargin) * float64(grace))
+	limit, cancel := context.WithTimeout(context.Background(), untilCut.Duration())
 	defer cancel()
 	r.Log.Info("leaving", "graceMs", int64(grace), "open", r.gateway.OpenRequests())
-	r.gateway.StartDrain()
+	r.gateway.StartDrain(began + untilCut)
 	_ = r.Clock.Sleep(limit, r.settings.BalancerLagMs) // an error means that the time limit of the stop has passed
 	r.gateway.RefuseNew()
 	r.Log.Info("callers' port closing", "open", r.gateway.OpenRequests(), "tookMs", int64(r.Clock.Since(began)))
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -17,6 +17,7 @@
 	"github.com/jujubescale/jujubescale/internal/flow/graph"
 	"github.com/jujubescale/jujubescale/internal/flow/origin"
 	"github.com/jujubescale/jujubescale/internal/flow/span"
+	"github.com/jujubescale/jujubescale/internal/guard/grace"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 	"github.com/jujubescale/jujubescale/internal/serve/proof"
 	"github.com/jujubescale/jujubescale/internal/serve/resume"
@@ -167,7 +168,7 @@
 	if !g.mayServe() {
 		return fault.Refuse(fault.NotReady, "no configuration yet, or peers may know a newer one")
 	}
-	if g.refusing.Load() {
+	if g.stop.Refusing() {
 		return fault.Refuse(fault.Leaving, "the process is being stopped")
 	}
 	if !strings.HasPrefix(req.target, "/") {
@@ -205,7 +206,7 @@
 	if req.Deadline > 0 {
 		req.deadline = min(req.deadline, req.began+req.Deadline)
 	}
-	return nil
+	return g.refuseUnended(req, grace.Arrived)
 }
 
 // defaultMaxBody is the largest body of a request in bytes if the configuration states no limit.
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/jujubescale/jujubescale/internal/engine/hop"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
 	"github.com/jujubescale/jujubescale/internal/flow/stall"
+	"github.com/jujubescale/jujubescale/internal/guard/grace"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/serve/deploy"
 	"github.com/jujubescale/jujubescale/internal/serve/permit"
@@ -67,6 +68,9 @@
 		g.releaseInputsEarly(req, t)
 	}
 	result := g.exchange(ctx, w, req, l, timer)
+	if result.outcome == answered && result.err == nil {
+		g.stop.Record(req.kind(grace.Chosen), g.Clock.Since(l.sentAt), g.Clock.Now())
+	}
 	result.verdict = g.recordAttempt(ctx, req, t, result)
 	return result
 }
--- a/internal/serve/gate/confirm.go
+++ b/internal/serve/gate/confirm.go
@@ -23,7 +23,7 @@
 // whenConfirmed calls then once the start of an endpoint that has begun to answer is confirmed.
 func (g *Gate) whenConfirmed(req *request, t *target.Target, then func()) {
 	request, pool := req.Request, req.pool
-	t.WhenConfirmed(g.requestsContext, func(ctx context.Context) error {
+	t.WhenConfirmed(g.open.Context(), func(ctx context.Context) error {
 		return g.askStart(ctx, request, t, g.waitToAsk(ctx, request, pool, t))
 	}, then)
 }
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -8,7 +8,6 @@
 	"cmp"
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 
 	"github.com/charmbracelet/log"
@@ -16,7 +15,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
-	"github.com/jujubescale/jujubescale/internal/base/fault"
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
 	"github.com/jujubescale/jujubescale/internal/engine/push"
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
@@ -25,6 +23,7 @@
 	"github.com/jujubescale/jujubescale/internal/flow/reach"
 	"github.com/jujubescale/jujubescale/internal/flow/recall"
 	"github.com/jujubescale/jujubescale/internal/guard/door"
+	"github.com/jujubescale/jujubescale/internal/guard/grace"
 	"github.com/jujubescale/jujubescale/internal/guard/spare"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/ops/unread"
@@ -110,17 +109,13 @@
 	refusals         *recall.Refusals
 	limits           *permit.Book
 	unread           *unread.Fields
-	routeStats       byName[routeStats]
+	routeStats       reach.Routes
 	speeds           *speeds.Tracker
 	// admitted is the share of requests admitted over all routes with stages.
-	admitted        reach.Admissions
-	bounds          atomic.Pointer[Bounds]
-	leaving         atomic.Bool
-	refusing        atomic.Bool
-	openGroup       sync.WaitGroup
-	openCount       atomic.Int64
-	requestsContext context.Context
-	cancelRequests  context.CancelFunc
+	admitted reach.Admissions
+	bounds   atomic.Pointer[Bounds]
+	stop     grace.Book
+	open     *grace.Open
 }
 
 // New returns a gate. Attach must be called before it serves.
@@ -128,7 +123,7 @@
 	g := &Gate{
 		Settings: settings, meter: NewMeter(settings.Registry), arrivals: inflow.New(), refusals: recall.New(),
 		speeds: speeds.New(speeds.WithClock(settings.Clock), speeds.WithLog(settings.Log), speeds.WithRegistry(settings.Registry), speeds.WithView(settings.View)),
-		unread: unread.New(unread.WithLog(settings.Log), unread.WithRegistry(settings.Registry)),
+		unread: unread.New(unread.WithLog(settings.Log), unread.WithRegistry(settings.Registry)), open: grace.NewOpen(settings.Clock),
 	}
 	g.bounds.Store(&Bounds{})
 	g.limits = cmp.Or(settings.Permits, permit.New())
@@ -144,7 +139,6 @@
 	g.pieceRetryBudget = extra.New(g.Clock, g.budgetBounds, func() int { return g.View().MaxShards() + 1 })
 	g.subsets.process, g.subsets.zone = settings.Name, settings.Zone
 	g.subsets.processes = func() int { return g.mesh.Count() }
-	g.requestsContext, g.cancelRequests = context.WithCancel(context.Background())
 	return g
 }
 
@@ -154,7 +148,7 @@
 func (g *Gate) SetBounds(bounds Bounds) { g.bounds.Store(&bounds) }
 
 // NotDraining reports whether no planned stop has begun.
-func (g *Gate) NotDraining() bool { return !g.leaving.Load() }
+func (g *Gate) NotDraining() bool { return !g.stop.Draining() }
 
 // Sweep drops the state of removed endpoints and closes unused connections.
 func (g *Gate) Sweep() {
@@ -234,7 +228,7 @@
 // planned stop has begun. It stays true while the store is unreachable, because the loaded
 // data remains valid.
 func (g *Gate) Ready() bool {
-	return !g.leaving.Load() && g.mayServe()
+	return g.NotDraining() && g.mayServe()
 }
 
 func (g *Gate) mayServe() bool {
@@ -242,52 +236,26 @@
 }
 
 // StartDrain begins a planned stop. The process reports that it is not ready, and its
-// answers request that callers close their connections and reconnect to another process.
-func (g *Gate) StartDrain() {
-	g.leaving.Store(true)
+// answers request that callers close their connections and reconnect to another process. From now on it refuses
+// requests that are not expected to end before cutAt, when Wait cuts them; 0 if it never does.
+func (g *Gate) StartDrain(cutAt clock.Millis) {
+	g.stop.Start(cutAt)
 	g.limits.Leave()
 }
 
 // RefuseNew makes the gate refuse every request that arrives from now on.
-func (g *Gate) RefuseNew() { g.refusing.Store(true) }
+func (g *Gate) RefuseNew() { g.stop.RefuseNew() }
 
 // OpenRequests returns the number of requests that have not ended.
-func (g *Gate) OpenRequests() int64 { return g.openCount.Load() }
+func (g *Gate) OpenRequests() int64 { return g.open.Count() }
 
 // Wait returns once no request is open. When the context ends first, it cancels the
 // remaining requests and returns their number.
-func (g *Gate) Wait(ctx context.Context) int64 {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		g.openGroup.Wait()
-	}()
-	select {
-	case <-done:
-		return 0
-	case <-ctx.Done():
-	}
-	remaining := g.openCount.Load()
-	g.cancelRequests()
-	timedOut, stopTimer := g.Clock.After(cancelTimeout)
-	defer stopTimer()
-	select {
-	case <-done:
-	case <-timedOut:
-	}
-	return remaining
-}
-
-// cancelTimeout bounds the wait for cancelled requests to end: a request whose body is
-// still arriving ends only when its connection closes.
-const cancelTimeout = 150 * clock.Millis(1)
+func (g *Gate) Wait(ctx context.Context) int64 { return g.open.Wait(ctx) }
 
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
-	g.openGroup.Add(1)
-	g.openCount.Add(1)
-	defer g.openGroup.Done()
-	defer g.openCount.Add(-1)
-	if g.leaving.Load() {
+	defer g.open.Begin()()
+	if !g.NotDraining() {
 		w.Header().Set("Connection", "close")
 	}
 	began := g.Clock.Now()
@@ -296,8 +264,8 @@
 	req, refused := g.accept(w, r, began)
 	received := len(req.body)
 	defer func() { g.Door.End(received) }()
-	if refused == nil && g.refusing.Load() {
-		refused = fault.Refuse(fault.Leaving, "the process is being stopped")
+	if refused == nil {
+		refused = g.refuseUnended(req, grace.Arrived) // its body may have taken long
 	}
 	if refused != nil {
 		g.refuse(w, req, refused)
@@ -307,7 +275,7 @@
 	defer abort()
 	ctx, cancel := context.WithTimeout(ctx, (req.deadline + answerMargin - began).Duration())
 	defer cancel()
-	stop := context.AfterFunc(g.requestsContext, cancel)
+	stop := context.AfterFunc(g.open.Context(), cancel)
 	defer stop()
 	g.run(ctx, w, req)
 	if spool.Finish(w) != nil {
@@ -327,7 +295,7 @@
 // reach the store, or refuses all requests, it returns at once and the request is refused.
 func (g *Gate) awaitReady(ctx context.Context) {
 	until := g.Clock.Now() + maxStartWait
-	for !g.refusing.Load() && (g.CatchingUp != nil && g.CatchingUp() || !g.Ready() && !g.leaving.Load() && g.Starting()) && g.Clock.Now() < until {
+	for !g.stop.Refusing() && (g.CatchingUp != nil && g.CatchingUp() || !g.Ready() && g.NotDraining() && g.Starting()) && g.Clock.Now() < until {
 		if g.Clock.Sleep(ctx, startPoll) != nil {
 			return // the caller closed the connection; later steps detect that too
 		}
--- a/internal/serve/gate/meter.go
+++ b/internal/serve/gate/meter.go
@@ -18,6 +18,7 @@
 	retries    *prometheus.CounterVec
 	returns    *prometheus.CounterVec
 	lacking    *prometheus.CounterVec
+	unended    *prometheus.CounterVec
 	resumes    *prometheus.CounterVec
 	notResumed *prometheus.CounterVec
 }
@@ -44,6 +45,7 @@
 		retries:    counter("jujubescale_routed_retries_total", "Requests sent to another endpoint, by pool and reason.", "pool", "reason"),
 		returns:    counter("jujubescale_routed_returns_total", "Requests sent again after a refusal with a retry time, by route.", "route"),
 		lacking:    counter("jujubescale_routed_lacking_total", "Requests refused because the host lacks a resource (memory, fileDescriptors, link).", "resource"),
+		unended:    counter("jujubescale_routed_unended_total", "Requests refused or not repeated during a planned stop, because they were not expected to end before it, by step (arrived, chosen).", "step"),
 		resumes:    counter("jujubescale_routed_stream_resumes_total", "Attempts that resume a stream at an endpoint, by who resumes it (gateway, caller) and by the endpoint's software version compared with that of the stream's first endpoint (same, other, unknown).", "by", "version"),
 		notResumed: counter("jujubescale_routed_streams_not_resumed_total", "Streams that were not resumed at another endpoint, by who would resume them (gateway, caller) and reason.", "by", "reason"),
 		duration:   histogram("jujubescale_routed_request_seconds", "Time from a request's head to the end of its answer, by route.", "route"),
--- a/internal/serve/gate/pass.go
+++ b/internal/serve/gate/pass.go
@@ -182,7 +182,7 @@
 // endedEarly reports whether the end of its endpoint may have cut an answer whose length nothing
 // states. The connection of a process that ends may be closed in order, like that of a whole answer.
 func (g *Gate) endedEarly(t *target.Target, reply *conn.Reply) bool {
-	return !reply.Framed && detect.Ended(g.requestsContext, t)
+	return !reply.Framed && detect.Ended(g.open.Context(), t)
 }
 
 // isWholeStream reports whether a stream that ended between two events is whole. One that is
--- a/internal/serve/gate/reach.go
+++ b/internal/serve/gate/reach.go
@@ -7,6 +7,7 @@
 	"github.com/jujubescale/jujubescale/internal/flow/batch"
 	"github.com/jujubescale/jujubescale/internal/flow/inflow"
 	"github.com/jujubescale/jujubescale/internal/flow/reach"
+	"github.com/jujubescale/jujubescale/internal/guard/grace"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 )
@@ -27,11 +28,11 @@
 	remaining := r.Remaining(g.poolQueue)
 	req.estimate = clock.Millis(remaining)
 	now := g.Clock.Now()
-	stats := g.routeStats.get(req.route.Name)
-	r.Correction = stats.correction.Value(now)
-	r.ReservedShare = reach.ReservedShare(req.route.Priority, stats.admitted.Share(now), g.admitted.Share(now))
+	stats := g.routeStats.Get(req.route.Name)
+	r.Correction = stats.Correction.Value(now)
+	r.ReservedShare = reach.ReservedShare(req.route.Priority, stats.Admitted.Share(now), g.admitted.Share(now))
 	inTime := r.Admissible(remaining)
-	stats.admitted.Count(inTime, now)
+	stats.Admitted.Count(inTime, now)
 	g.admitted.Count(inTime, now)
 	if inTime {
 		return nil
@@ -57,6 +58,9 @@
 // checkDeadline returns a refusal if the request will not have its answer within its
 // deadline.
 func (g *Gate) checkDeadline(req *request) error {
+	if refused := g.refuseUnended(req, grace.Chosen); refused != nil {
+		return refused
+	}
 	r := g.reachRequest(req)
 	remaining := r.Remaining(g.poolQueue)
 	if r.MeetsDeadline(remaining) {
--- a/internal/serve/gate/refuse.go
+++ b/internal/serve/gate/refuse.go
@@ -8,6 +8,7 @@
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/fault"
 	"github.com/jujubescale/jujubescale/internal/flow/span"
+	"github.com/jujubescale/jujubescale/internal/guard/grace"
 	"github.com/jujubescale/jujubescale/internal/serve/front"
 	"github.com/jujubescale/jujubescale/internal/serve/spool"
 )
@@ -47,6 +48,24 @@
 	return refused
 }
 
+// refuseUnended refuses a request that is not expected to end before a planned stop cuts it. Another process serves
+// it at once. A stream that its caller has begun to read goes on here: what it still gets is not lost by a cut.
+func (g *Gate) refuseUnended(req *request, step grace.Step) *fault.RefusalError {
+	work := grace.Work{Kind: req.kind(step), EndsBy: req.deadline + answerMargin, OnceOnly: !req.route.Idempotent()}
+	if req.headSent || g.stop.MayBegin(work, g.Clock.Now()) {
+		return nil
+	}
+	g.meter.unended.WithLabelValues(string(step)).Inc()
+	refused := temporaryRefusal(fault.Leaving, retryAfterLeaving)
+	refused.Detail = "the process is being stopped before the request can be expected to end"
+	return refused
+}
+
+// kind returns the requests whose times tell how long this one takes from a step on.
+func (r *request) kind(step grace.Step) grace.Kind {
+	return grace.Kind{Route: r.route.Name, Pool: r.pool.Name, Step: step}
+}
+
 // jitter returns a random time between 3/4 and 5/4 of base, so that callers refused
 // together don't return together.
 func jitter(base clock.Millis) clock.Millis {
@@ -64,6 +83,9 @@
 	if req.route != nil {
 		route, maxGap = req.route.Name, req.route.MaxGap
 	}
+	if refused == nil || refused.Reason == fault.DeadlinePassed {
+		g.stop.Record(req.kind(grace.Arrived), took, g.Clock.Now())
+	}
 	if req.lastEndpoint != nil {
 		endpoint = req.lastEndpoint.ID
 	}
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -8,6 +8,7 @@
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/fault"
 	"github.com/jujubescale/jujubescale/internal/conf/table"
+	"github.com/jujubescale/jujubescale/internal/guard/grace"
 	"github.com/jujubescale/jujubescale/internal/guard/room"
 	"github.com/jujubescale/jujubescale/internal/serve/permit"
 	"github.com/jujubescale/jujubescale/internal/serve/spool"
@@ -80,7 +81,7 @@
 func (g *Gate) refusal(ctx context.Context, req *request, err error) *fault.RefusalError {
 	refused := asRefusal(err, fault.EndpointFailed)
 	switch {
-	case g.requestsContext.Err() != nil:
+	case g.open.Context().Err() != nil:
 		refused = fault.Refuse(fault.Leaving, "the request was still open at the end of the planned stop")
 	case errors.Is(ctx.Err(), context.Canceled):
 		refused = fault.Refuse(fault.Cancelled, "the caller closed the connection")
@@ -130,6 +131,9 @@
 			chosen.room.Release()
 			continue
 		}
+		if refused == nil {
+			refused = g.refuseUnended(req, grace.Chosen)
+		}
 		if refused == nil {
 			refused = g.refuseQuarantinedAttempt(req) // takes the only trial of the request
 		}
@@ -180,7 +184,7 @@
 	if req.headSent && (req.route.Kind != table.Stream || !req.route.Resumable) {
 		return false
 	}
-	if !repeatable || req.sentCount >= max(req.route.Attempts, 1) {
+	if !repeatable || req.sentCount >= max(req.route.Attempts, 1) || g.refuseUnended(req, grace.Chosen) != nil {
 		return false
 	}
 	if req.headSent && !g.mayResume(req) {
@@ -271,6 +275,8 @@
 	retryAfterNoEndpoint = 600 * clock.Millis(1)
 	retryAfterCold       = 250 * clock.Millis(1)
 	retryAfterFull       = 200 * clock.Millis(1)
+	// retryAfterLeaving is short, because every other gateway can serve the request at once.
+	retryAfterLeaving = 50 * clock.Millis(1)
 	// retryAfterOverload leaves time for the refusal to reach the peers.
 	retryAfterOverload = 350 * clock.Millis(1)
 )
--- a/internal/serve/gate/stages.go
+++ b/internal/serve/gate/stages.go
@@ -44,7 +44,7 @@
 	err := newProgress(g, req).run(ctx)
 	req.stagesTime = g.Clock.Since(began)
 	if err == nil && !req.admittedLate {
-		g.routeStats.get(req.route.Name).correction.Observe(req.estimate, req.stagesTime+req.generationEstimate, g.Clock.Now())
+		g.routeStats.Get(req.route.Name).Correction.Observe(req.estimate, req.stagesTime+req.generationEstimate, g.Clock.Now())
 	}
 	g.meter.stages.WithLabelValues(req.route.Name).Observe(seconds(req.stagesTime))
 	return err
--- a/internal/serve/router/fault_test.go
+++ b/internal/serve/router/fault_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/platform/stand"
 )
 
@@ -172,7 +174,7 @@
 			}
 		}()
 		if i == 10 || i == 25 {
-			b.gateways[i/25].StartDrain()
+			b.gateways[i/25].StartDrain(0)
 		}
 		time.Sleep(15 * time.Millisecond)
 	}
@@ -190,7 +192,7 @@
 func TestDrainingProcessConnectsToNewOnes(t *testing.T) {
 	b := start(t, 1)
 	draining := b.gateways[0]
-	draining.StartDrain()
+	draining.StartDrain(0)
 	b.startNamedGateway("gateway-0")
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if alive := draining.Alive(); slices.Equal(alive, []string{"gateway-0"}) {
@@ -265,7 +267,7 @@
 	b := start(t, 2)
 	draining := b.gateways[0]
 	b.sendUntil(draining, booking, func(got stand.Outcome) bool { return got.Complete })
-	draining.StartDrain()
+	draining.StartDrain(0)
 	assert.Assert(t, b.send(draining, booking()).Complete, "requests are served until the load balancer has detected the drain")
 	draining.RefuseNew()
 	for _, request := range []func() *stand.Request{booking, lookup, draft, summary} {
@@ -276,3 +278,72 @@
 		assert.Assert(t, b.send(b.gateways[1], request()).Complete)
 	}
 }
+
+// Guards against planned stops that cut requests which they took although engines could not answer them before, or that
+// keep such a request until the cut instead of refusing it as not run.
+func TestRequestsThatAPlannedStopWouldCutAreRefused(t *testing.T) {
+	b := start(t, 2)
+	draining, now := b.gateways[0], clock.New()
+	var open sync.WaitGroup
+	for _, e := range b.Engines(orders) {
+		e.SetFault(stand.Fault{Every: 1, Delay: 700 * time.Millisecond})
+	}
+	for range 10 { // engines take 0.7 s of the route's 3 s
+		open.Go(func() { assert.Check(t, b.send(draining, booking()).Complete) })
+	}
+	open.Wait()
+	begun, got := booking(), make(chan stand.Outcome, 1)
+	go func() { got <- b.send(draining, begun) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(b.Ledger.Runs(begun.ID)) == 0 {
+			return poll.Continue("not begun")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	const left = 1300
+	draining.StartDrain(now.Now() + left)
+	limit, cancel := context.WithTimeout(t.Context(), left*time.Millisecond)
+	defer cancel()
+	s := booking()
+	refused := b.send(draining, s)
+	assert.Equal(t, refused.Status, http.StatusServiceUnavailable, "%+v", refused)
+	assert.Assert(t, refused.RetryAfter > 0 && len(b.Ledger.Runs(s.ID)) == 0)
+	assert.Equal(t, draining.counterSum(t, "jujubescale_routed_unended_total"), 1.0)
+	for _, request := range []func() *stand.Request{lookup, draft, summary} { // their routes have no measure
+		s := request()
+		refused := b.send(draining, s)
+		assert.Equal(t, refused.Status, http.StatusServiceUnavailable, "%+v", refused)
+		assert.Assert(t, refused.RetryAfter > 0 && len(b.Ledger.Runs(s.ID)) == 0)
+	}
+	assert.Equal(t, draining.Wait(limit), int64(0), "what has begun is not cut")
+	assert.Assert(t, (<-got).Complete)
+	assert.Assert(t, b.send(b.gateways[1], booking()).Complete)
+}
+
+// Guards against requests that wait when a planned stop begins, and are sent so late that its end cuts them.
+func TestWaitingRequestsThatAPlannedStopWouldCutAreGivenBack(t *testing.T) {
+	b := start(t, 2)
+	draining, now := b.gateways[0], clock.New()
+	running := func() (calls int64) {
+		for _, e := range b.Engines(encode) {
+			calls += e.Running()
+		}
+		return calls
+	}
+	for _, e := range b.Engines(encode) {
+		e.SetFault(stand.Fault{Every: 1, Delay: 250 * time.Millisecond})
+	}
+	s, got := draft(), make(chan stand.Outcome, 1)
+	go func() { got <- b.send(draining, s) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if running() == 0 {
+			return poll.Continue("no stage runs")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	draining.StartDrain(now.Now() + 4*clock.Second) // the route's time is 8 s
+	refused := <-got
+	assert.Equal(t, refused.Status, http.StatusServiceUnavailable, "%+v", refused)
+	assert.Assert(t, refused.RetryAfter > 0 && len(b.Ledger.Runs(s.ID)) == 0)
+	assert.Equal(t, draining.counterSum(t, "jujubescale_routed_unended_total"), 1.0)
+}
--- a/internal/serve/router/handover_test.go
+++ b/internal/serve/router/handover_test.go
@@ -56,12 +56,12 @@
 	if draining.Owner(retrieval) == draining.Owner(encode) {
 		owned = 2
 	}
-	draining.StartDrain()
+	draining.StartDrain(0)
 	successor.awaitHandovers(t, "used", owned)
 	// Beside load, a receipt may arrive after the time for it.
 	assert.Equal(t, draining.handoverCount(t, "sent")+draining.handoverCount(t, "unconfirmed"), owned)
 	assert.Assert(t, b.send(draining, draft()).Complete)
-	successor.StartDrain()
+	successor.StartDrain(0)
 	assert.Equal(t, successor.handoverCount(t, "sent"), 0, "no process is left that owns pools")
 	assert.Assert(t, b.send(successor, draft()).Complete, "the last process serves until it ends")
 }
--- a/internal/serve/router/resume_test.go
+++ b/internal/serve/router/resume_test.go
@@ -252,7 +252,7 @@
 	b := startVersions(t, 7, steadyEngine)
 	broken := b.begunStreams(24, 2, longGuide, func() {
 		for _, g := range b.gateways {
-			g.StartDrain()
+			g.StartDrain(0)
 		}
 		b.gateways[0].stop()
 	})
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -520,14 +520,14 @@
 	g.group.Wait()
 }
 
-// StartDrain begins a planned stop: the process is no longer ready, hands over its pools and
-// owns none. It returns once the successors have confirmed the handovers, within
+// StartDrain begins a planned stop that cuts open requests at an instant, never if it is 0: the
+// process is no longer ready, hands over its pools and owns none. It returns once the successors have confirmed the handovers, within
 // handoverTimeout.
 // It stays in the member list until Deregister, so that a process that starts
 // meanwhile connects to it and can be the owner for the requests that are still open
 // here.
-func (g *Gateway) StartDrain() {
-	g.gate.StartDrain()
+func (g *Gateway) StartDrain(cutAt clock.Millis) {
+	g.gate.StartDrain(cutAt)
 	if g.HandOver {
 		g.handOver()
 	}
--- a/internal/serve/router/store_test.go
+++ b/internal/serve/router/store_test.go
@@ -122,7 +122,7 @@
 func TestDrainingProcessServesLateRequests(t *testing.T) {
 	b := start(t, 2)
 	g := b.gateways[0]
-	g.StartDrain()
+	g.StartDrain(0)
 	assert.Assert(t, !b.isReady(g))
 	b.awaitPeers(b.gateways[1], 1)
 	assert.Assert(t, b.send(g, booking()).Complete)
