fix(gate,stall): silence alone ends no attempt that nothing may follow

Callers saw 502 (`i/o timeout`) 2.5 objectives after a safe request was sent, with time left, although the engine would have answered.

Cause: the stall timer cancelled the attempt and asked for the retry budget afterwards. Without budget, or without another endpoint, the caller got the error of the attempt that had just been cancelled.

What was taken and isn't used is given back. A retry after silence is counted as `silent`. An answer that is too long to be kept is no longer ended by the timer while the caller reads it.

The two attempts don't run beside each other: the first one ends when the second begins.

--- a/internal/engine/conn/idle.go
+++ b/internal/engine/conn/idle.go
@@ -67,3 +67,28 @@
 	}
 	g.distrustUntil = now + distrustPeriod
 }
+
+const (
+	// MaxReuseIdle and maxReuseIdleUnsafe bound how long a connection may have been idle
+	// before it is reused, for idempotent routes and for others. If the endpoint closes the
+	// connection just as the request is sent, it is unknown whether the request ran, and a
+	// request that must not be repeated gets no answer.
+	MaxReuseIdle       = 4 * clock.Second
+	maxReuseIdleUnsafe = 300 * clock.Millis(1)
+	// idempotentMargin is the part of an idle timeout stated by an endpoint in which no
+	// idempotent request is sent to endpoints whose connections are reused. It covers two round
+	// trips and one throttling period of a small host, 100 ms, on either side; a request that
+	// loses the race all the same is sent to another endpoint.
+	idempotentMargin = 300 * clock.Millis(1)
+)
+
+// ReuseIdle returns Request.MaxIdle and Request.IdleMargin for requests of a route.
+func ReuseIdle(idempotent, reuses bool) (maxIdle, margin clock.Millis) {
+	switch {
+	case !idempotent:
+		return maxReuseIdleUnsafe, 0
+	case reuses:
+		return MaxReuseIdle, idempotentMargin
+	}
+	return MaxReuseIdle, 0
+}
--- a/internal/engine/spell/spell.go
+++ b/internal/engine/spell/spell.go
@@ -190,3 +190,14 @@
 	// FreeFunc encodes references to results that are no longer needed.
 	FreeFunc func(references []string) ([]byte, error)
 }
+
+// UrgencyOf returns the rank of a generation at its engine, 0 first: by priority, and behind
+// the others if it is already late.
+func UrgencyOf(priority int, late bool) int {
+	const lateRanks, maxRank = 5, 9
+	rank := min(max(priority, 0)+1, maxRank)
+	if late {
+		rank = min(rank+lateRanks, maxRank)
+	}
+	return rank
+}
--- a/internal/flow/extra/extra.go
+++ b/internal/flow/extra/extra.go
@@ -129,6 +129,9 @@
 // that is, whether a request may be sent again.
 func (b *Budget) Take(pool string) bool { return b.refilledQuota(pool).Take() }
 
+// Return gives back an extra of a pool's budget that was taken and not used.
+func (b *Budget) Return(pool string) { b.refilledQuota(pool).Add(thousandths) }
+
 // TakeMany takes a number of extras from a pool's budget, or none if fewer are available.
 // It reports whether it took them.
 func (b *Budget) TakeMany(pool string, count int) bool {
--- a/internal/flow/recall/recall.go
+++ b/internal/flow/recall/recall.go
@@ -10,6 +10,8 @@
 import (
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 )
 
@@ -29,6 +31,17 @@
 	pruneInterval = clock.Second
 )
 
+// KeyOf returns the key of what identifies a caller's request.
+func KeyOf(parts ...string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, part := range parts {
+		_, _ = digest.WriteString(part) // a Digest never returns an error
+		_, _ = digest.WriteString("\x00")
+	}
+	return digest.Sum64()
+}
+
 // Refusal is one caller that was refused with a time to retry.
 type Refusal struct {
 	// Key identifies the caller's request and is the same for all its attempts.
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -90,6 +90,17 @@
 	Bytes int64
 }
 
+// AddBytes adds bytes in a zone to those of all zones.
+func AddBytes(all []ZoneBytes, zone string, bytes int64) []ZoneBytes {
+	for i := range all {
+		if all[i].Zone == zone {
+			all[i].Bytes += bytes
+			return all
+		}
+	}
+	return append(all, ZoneBytes{Zone: zone, Bytes: bytes})
+}
+
 // Engine is the known state of a model engine.
 type Engine struct {
 	ID   string
--- a/internal/serve/gate/again.go
+++ b/internal/serve/gate/again.go
@@ -1,8 +1,6 @@
 package gate
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/jujubescale/jujubescale/internal/base/fault"
 	"github.com/jujubescale/jujubescale/internal/flow/recall"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
@@ -14,13 +12,7 @@
 	if req.PieceKey == "" || req.route == nil {
 		return 0
 	}
-	var digest xxhash.Digest
-	digest.Reset()
-	for _, part := range []string{req.route.Name, req.organisation, req.PieceKey} {
-		_, _ = digest.WriteString(part) // a Digest never returns an error
-		_, _ = digest.WriteString("\x00")
-	}
-	return digest.Sum64()
+	return recall.KeyOf(req.route.Name, req.organisation, req.PieceKey)
 }
 
 // applyEarlierRefusal checks whether the caller was refused earlier with a retry time. If
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -21,17 +21,6 @@
 )
 
 const (
-	// maxReuseIdle and maxReuseIdleUnsafe bound how long a connection may have been idle
-	// before it is reused, for idempotent routes and for others. If the endpoint closes the
-	// connection just as the request is sent, it is unknown whether the request ran, and a
-	// request that must not be repeated gets no answer.
-	maxReuseIdle       = 4 * clock.Second
-	maxReuseIdleUnsafe = 300 * clock.Millis(1)
-	// idempotentMargin is the part of an idle timeout stated by an endpoint in which no
-	// idempotent request is sent if ReuseFunc allows it. It covers two round trips and one
-	// throttling period of a small host, 100 ms, on either side; a request that loses the race
-	// all the same is sent to another endpoint.
-	idempotentMargin = 300 * clock.Millis(1)
 	// maxPlainBytes bounds an answer that is read completely before it is passed on. The
 	// largest plain answers of known users have 5 KB.
 	maxPlainBytes = 1 << 20
@@ -39,12 +28,6 @@
 	fullBackoff = 80 * clock.Millis(1)
 	// headCapacity is the usual size of a request's head, in bytes.
 	headCapacity = 1 << 10
-	// stallObjectives is the number of the route's objectives that an endpoint may take for
-	// the first byte of an answer while another endpoint may still be tried.
-	stallObjectives = 2.5
-	// streamStallTimeout bounds the pauses of a stream that another engine could resume. It
-	// is several times the usual pauses of a busy engine.
-	streamStallTimeout = 1800 * clock.Millis(1)
 )
 
 // attempt sends the request to one endpoint and passes the answer on.
@@ -61,18 +44,21 @@
 	defer l.release()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timer := g.startStallTimer(req, cancel)
+	timer := g.startStallTimer(ctx, req, cancel)
 	defer timer.Stop()
 	if req.pool.Generation != nil {
 		g.releaseInputsEarly(req, t)
 	}
 	result := g.exchange(ctx, w, req, l, timer)
+	if next, granted := timer.Stop(); granted {
+		g.useSecond(req, next, &result)
+	}
 	result.verdict = g.recordAttempt(ctx, req, t, result)
 	return result
 }
 
 // exchange sends the request to the endpoint of l and passes the answer on.
-func (g *Gate) exchange(ctx context.Context, w http.ResponseWriter, req *request, l *attemptLoad, timer *stall.Timer) attemptResult {
+func (g *Gate) exchange(ctx context.Context, w http.ResponseWriter, req *request, l *attemptLoad, timer *stall.Timer[choice]) attemptResult {
 	t := l.target
 	if req.origin != nil {
 		if err := g.confirmStart(ctx, req, t); err != nil {
@@ -152,12 +138,47 @@
 	l.room.Release()
 }
 
-// startStallTimer returns the timer that cancels an attempt while another endpoint may be tried.
-func (g *Gate) startStallTimer(req *request, cancel context.CancelFunc) *stall.Timer {
+// startStallTimer returns the timer that cancels an attempt once another endpoint may be tried.
+func (g *Gate) startStallTimer(ctx context.Context, req *request, cancel context.CancelFunc) *stall.Timer[choice] {
 	if !req.route.Idempotent() || req.sentCount+1 >= max(req.route.Attempts, 1) {
-		return &stall.Timer{}
+		return &stall.Timer[choice]{}
+	}
+	asked := *req // the attempt changes req meanwhile, and what run holds
+	asked.run = nil
+	if req.origin != nil {
+		first := *req.origin
+		asked.origin = &first
+	}
+	return stall.Start(ctx, stall.Settings[choice]{
+		Objective: req.route.Objective, CancelFunc: cancel,
+		AskFunc: func(ctx context.Context) (choice, bool) { return g.takeSecond(ctx, &asked) },
+	})
+}
+
+// takeSecond takes what an attempt at another endpoint needs while the first one is silent, and
+// reports whether it may be made. A trial has one attempt.
+func (g *Gate) takeSecond(ctx context.Context, req *request) (choice, bool) {
+	if req.quarantineTrial || req.isTrial || g.quarantineRemaining(req) > 0 {
+		return choice{}, false
+	}
+	next := g.chooseAmong(req, false)
+	if next.target == nil || !g.retryBudget.Take(req.pool.Name) {
+		return choice{}, false
+	}
+	if next.room, next.wait = g.take(ctx, req, next.target); next.wait > 0 {
+		g.retryBudget.Return(req.pool.Name)
 	}
-	return stall.Start(clock.Millis(stallObjectives*float64(req.route.Objective)), streamStallTimeout, cancel)
+	return next, next.wait == 0
+}
+
+// useSecond passes what was taken to the next attempt, or gives it back if that needs none.
+func (g *Gate) useSecond(req *request, next choice, result *attemptResult) {
+	if (result.outcome != broken && result.outcome != failed) || result.retryGranted || req.headSent {
+		next.room.Release()
+		g.retryBudget.Return(req.pool.Name)
+		return
+	}
+	result.retryGranted, result.next = true, next
 }
 
 // buildRequest encodes the request for an endpoint.
@@ -178,7 +199,7 @@
 		call.Inputs, call.HasInputs = req.run.FinalResults(), true
 	}
 	if req.pool.Generation != nil {
-		call.Urgency = urgency(req, now)
+		call.Urgency = spell.UrgencyOf(req.priority, now > req.neededBy && !req.headSent)
 	}
 	head = g.Codec.CallFunc(head, call)
 	if len(req.body) > 0 || req.method == http.MethodPost || req.method == http.MethodPut || req.method == http.MethodPatch {
@@ -187,13 +208,7 @@
 		head = append(head, "\r\n"...)
 	}
 	head = append(head, "\r\n"...)
-	maxIdle, margin := maxReuseIdle, clock.Millis(0)
-	switch {
-	case !req.route.Idempotent():
-		maxIdle = maxReuseIdleUnsafe
-	case g.reuses(t.Endpoint):
-		margin = idempotentMargin
-	}
+	maxIdle, margin := conn.ReuseIdle(req.route.Idempotent(), g.reuses(t.Endpoint))
 	id := req.Request
 	return &conn.Request{
 		Method: req.method, Head: head, Body: req.body, MaxIdle: maxIdle, IdleMargin: margin, Work: workForward,
@@ -207,17 +222,6 @@
 // workForward names forwarded requests in the metrics of connections.
 const workForward = "forward"
 
-// urgency returns the rank of a generation at its engine, 0 first: by priority, and behind
-// the others if it is already late.
-func urgency(req *request, now clock.Millis) int {
-	const lateRanks, maxRank = 5, 9
-	rank := min(max(req.priority, 0)+1, maxRank)
-	if now > req.neededBy && !req.headSent {
-		rank = min(rank+lateRanks, maxRank)
-	}
-	return rank
-}
-
 // handleNoReply returns the result of an attempt that got no head of an answer.
 func (g *Gate) handleNoReply(ctx context.Context, req *request, t *target.Target, l *attemptLoad, err error) attemptResult {
 	now := g.Clock.Now()
@@ -252,7 +256,7 @@
 }
 
 // handleReply decides by the head of an answer whether to pass it on.
-func (g *Gate) handleReply(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, l *attemptLoad, timer *stall.Timer, began clock.Millis) attemptResult {
+func (g *Gate) handleReply(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, l *attemptLoad, timer *stall.Timer[choice], began clock.Millis) attemptResult {
 	info := g.ObserveAnswer(t.Endpoint, reply, req.Request, began)
 	if info.Cold > 0 {
 		t.SetCold(g.Clock.Now() + info.Cold)
@@ -270,7 +274,7 @@
 	if reply.Status < http.StatusMultipleChoices && req.route.Kind == table.Stream {
 		return g.passEvents(w, req, t, reply, l, timer)
 	}
-	return g.passComplete(w, req, t, reply, l, info, began)
+	return g.passComplete(w, req, t, reply, l, timer, info, began)
 }
 
 // handleRefusal returns the result of an attempt whose endpoint answered that it did not
--- a/internal/serve/gate/choose.go
+++ b/internal/serve/gate/choose.go
@@ -231,7 +231,7 @@
 	}
 	for i, stage := range r.route.Stages {
 		for _, reference := range r.run.Results(i) {
-			p.InputBytes = addZoneBytes(p.InputBytes, r.results[reference].zone, stage.ResultBytes)
+			p.InputBytes = place.AddBytes(p.InputBytes, r.results[reference].zone, stage.ResultBytes)
 		}
 	}
 	return p
@@ -251,16 +251,6 @@
 	return remote
 }
 
-func addZoneBytes(all []place.ZoneBytes, zone string, bytes int64) []place.ZoneBytes {
-	for i := range all {
-		if all[i].Zone == zone {
-			all[i].Bytes += bytes
-			return all
-		}
-	}
-	return append(all, place.ZoneBytes{Zone: zone, Bytes: bytes})
-}
-
 // expectedOutput returns the expected number of output tokens.
 func (r *request) expectedOutput() int64 {
 	if r.LikelyTokens > 0 {
--- a/internal/serve/gate/confirm.go
+++ b/internal/serve/gate/confirm.go
@@ -6,6 +6,7 @@
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/conf/table"
+	"github.com/jujubescale/jujubescale/internal/engine/conn"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
 )
@@ -45,7 +46,7 @@
 	defer cancel()
 	var err error = &HeldBackError{Endpoint: t.ID, Wait: wait}
 	if wait == 0 {
-		err = t.AskStart(ctx, g.Codec, maxReuseIdle)
+		err = t.AskStart(ctx, g.Codec, conn.MaxReuseIdle)
 	}
 	if err != nil {
 		g.Log.Info("endpoint not confirmed", "request", request, "endpoint", t.ID, "version", t.Version, logs.KeyError, err)
--- a/internal/serve/gate/crash_test.go
+++ b/internal/serve/gate/crash_test.go
@@ -69,7 +69,9 @@
 	defer l.release()
 	_, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	result := g.passEvents(goneWriter{httptest.NewRecorder()}, req, at, reply, l, g.startStallTimer(req, cancel))
+	timer := g.startStallTimer(t.Context(), req, cancel)
+	defer timer.Stop()
+	result := g.passEvents(goneWriter{httptest.NewRecorder()}, req, at, reply, l, timer)
 	var refused *fault.RefusalError
 	assert.Assert(t, errors.As(result.err, &refused) && refused.Reason == fault.Cancelled, "%v", result.err)
 	assert.Equal(t, req.attemptEvents, 1)
--- a/internal/serve/gate/pass.go
+++ b/internal/serve/gate/pass.go
@@ -24,7 +24,7 @@
 // passComplete reads an answer to its end and then passes it on. If the answer breaks off,
 // the caller has received nothing: the request can go to another endpoint if it may be
 // repeated, and otherwise the caller gets a failure instead of a partial answer.
-func (g *Gate) passComplete(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, l *attemptLoad, info spell.ResponseInfo, began clock.Millis) attemptResult {
+func (g *Gate) passComplete(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, l *attemptLoad, timer *stall.Timer[choice], info spell.ResponseInfo, began clock.Millis) attemptResult {
 	limit := g.maxPlain()
 	body, err := io.ReadAll(io.LimitReader(reply.Body, limit+1))
 	if err == nil && reply.Complete() && g.endedEarly(t, reply) {
@@ -49,6 +49,7 @@
 		return attemptResult{outcome: broken, err: fault.Refuse(fault.AnswerBroken, "the answer has no seal")}
 	}
 	if int64(len(body)) > limit {
+		timer.Stop() // the rest takes as long as the caller reads
 		return g.passLong(w, req, t, reply, body)
 	}
 	hop.Copy(w.Header(), reply.Header)
@@ -105,7 +106,7 @@
 
 // passEvents passes a stream on event by event. The caller gets the head of the first
 // engine's answer, also if another engine resumes the stream.
-func (g *Gate) passEvents(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, l *attemptLoad, timer *stall.Timer) attemptResult {
+func (g *Gate) passEvents(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, l *attemptLoad, timer *stall.Timer[choice]) attemptResult {
 	flush := http.NewResponseController(w)
 	events := event.New(reply.Body)
 	stream := g.speeds.Stream(t.Endpoint)
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -116,10 +116,13 @@
 // runAttempts sends the request to one endpoint after the other until one answers or no
 // other may be tried.
 func (g *Gate) runAttempts(ctx context.Context, w http.ResponseWriter, req *request) error {
+	var chosen choice
 	for {
-		chosen, err := g.awaitEndpoint(ctx, req)
-		if err != nil {
-			return err
+		if chosen.target == nil {
+			var err error
+			if chosen, err = g.awaitEndpoint(ctx, req); err != nil {
+				return err
+			}
 		}
 		if req.sentCount == 0 {
 			g.retryBudget.Earn(req.pool.Name)
@@ -128,6 +131,7 @@
 		refused := g.refuseVersion(ctx, req, chosen.target.Version)
 		if refused != nil && g.otherVersion(req) {
 			chosen.room.Release()
+			chosen = choice{}
 			continue
 		}
 		if refused == nil {
@@ -139,10 +143,13 @@
 		}
 		result := g.attempt(ctx, w, req, chosen)
 		if result.outcome == answered || ctx.Err() != nil {
+			result.next.room.Release()
 			return result.err
 		}
 		g.awaitVerdict(ctx, result.verdict)
+		chosen = result.next
 		if err := g.prepareRetry(ctx, req, result); err != nil {
+			chosen.room.Release()
 			return err
 		}
 	}
@@ -282,14 +289,19 @@
 	err     error
 	// cause is the error that kept the request from reaching the endpoint.
 	cause error
-	// retryGranted is set if the retry budget for another attempt has already been taken.
+	// retryGranted is set if the retry budget for another attempt has already been taken, and
+	// next is where that attempt goes if that is known.
 	retryGranted bool
+	next         choice
 	// verdict is closed once the crash that broke off the attempt is counted; it may be nil.
 	verdict <-chan struct{}
 }
 
 // label returns the outcome as a metric label.
 func (r attemptResult) label() string {
+	if r.next.target != nil {
+		return "silent"
+	}
 	switch r.outcome {
 	case notRun:
 		return "notRun"
