fix(mesh,wire): updates kept during a transfer are bounded in bytes

A peer that sends updates during a transfer made the receiver keep 64 of them for each kind, of up to 4 MB each.

Evidence: TestUpdatesKeptDuringATransferAreBoundedInBytes: all 20 updates of 1 MB were kept before.

Change: what is kept for a transfer holds at most 4 MB (wire.MaxMessage). Updates beyond that are treated as those beyond the 64th: the process lacks them after the transfer and asks for what it misses.

--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -215,6 +215,15 @@
 	Packed *Packed `cbor:"packed,omitempty"`
 }
 
+// Size returns the size of what the objects hold, in bytes.
+func (u *Update) Size() int {
+	size := 0
+	for i := range u.Objects {
+		size += len(u.Objects[i].Name) + len(u.Objects[i].Value) + len(u.Objects[i].Status)
+	}
+	return size
+}
+
 // At returns the revision up to which the update goes.
 func (u *Update) At() epoch.Revision { return epoch.Revision{Era: u.Era, Number: u.Revision} }
 
--- a/internal/serve/mesh/content.go
+++ b/internal/serve/mesh/content.go
@@ -40,8 +40,8 @@
 	// no requests for missing ones. downloadTimeout is that after which it is given up.
 	stallTime       = clock.Second
 	downloadTimeout = 5 * clock.Second
-	// maxLaterUpdates limits the updates that are kept until a download is complete.
-	maxLaterUpdates = 64
+	// maxLaterUpdates limits the updates that are kept until a download is complete, and maxLaterBytes what they hold.
+	maxLaterUpdates, maxLaterBytes = 64, wire.MaxMessage
 )
 
 // download is the transfer of the objects of one update. It continues with another
@@ -51,15 +51,15 @@
 	kind     string
 	transfer *pack.Transfer
 	// update is the update without its objects, and arrivedAt when it arrived.
-	update    *wire.Update
-	arrivedAt clock.Millis
+	update *wire.Update
 	// from is the peer that is asked for chunks, requestedAt when it was last asked, and
 	// receivedAt when the last chunk arrived.
-	from                    string
-	requestedAt, receivedAt clock.Millis
-	// later holds the updates that arrived meanwhile, and next the newest packed one.
-	later []received
-	next  *received
+	from                               string
+	requestedAt, receivedAt, arrivedAt clock.Millis
+	// later holds the updates that arrived meanwhile, with laterBytes, and next the newest packed one.
+	later      []received
+	laterBytes int
+	next       *received
 }
 
 // received is an update with its sender and the instant of its arrival.
@@ -116,8 +116,8 @@
 	case !arrived.update.Whole && current.isStalled(arrived.at):
 		return false
 	case !arrived.update.Whole:
-		if len(current.later) < maxLaterUpdates {
-			current.later = append(current.later, arrived)
+		if size := arrived.update.Size(); len(current.later) < maxLaterUpdates && current.laterBytes+size <= maxLaterBytes {
+			current.later, current.laterBytes = append(current.later, arrived), current.laterBytes+size
 		}
 		return true
 	case !arrived.update.At().Before(current.update.At()):
--- a/internal/serve/mesh/content_test.go
+++ b/internal/serve/mesh/content_test.go
@@ -172,6 +172,24 @@
 	assert.Assert(t, downloading && offset == 0, "the transfer may still continue")
 }
 
+// Guards against memory that grows with what a peer sends during a transfer: 64 updates of up to 4 MB were kept.
+func TestUpdatesKeptDuringATransferAreBoundedInBytes(t *testing.T) {
+	r, sender := newReceiver(t), newSender(t)
+	packed := pack(t, sender, largeUpdate(7))
+	r.ReceiveUpdate("sender", packed)
+	const size = 1 << 20
+	for i := range uint64(20) {
+		r.ReceiveUpdate("sender", &wire.Update{
+			Kind: "config", Since: 7 + i, Revision: 8 + i, Changed: 8 + i,
+			Objects: []wire.Stored{{Name: "config/large", Value: make([]byte, size)}},
+		})
+	}
+	r.transfer(sender, "sender", packed.Packed.Digest, 10)
+	assert.Equal(t, r.applied[0], uint64(7))
+	kept := len(r.applied) - 1
+	assert.Assert(t, kept > 0 && kept*size <= 4<<20, "%d updates of 1 MB were kept", kept)
+}
+
 // Guards against memory that grows by kinds of objects which this process doesn't follow: a
 // peer forwards all kinds that it follows itself.
 func TestObjectsOfOtherKindsAreNotTransferred(t *testing.T) {
