test(rules): messages of peers and buffers of an announced size are readers too

TestAllReadersAreBounded knew neither ReadMessage, NextReader and ReadJSON nor ReadFull, ReadAtLeast, CopyBuffer and ReadFrom, nor buffers made of a length that the other side announces. The stricter test found four places whose bound is not beside them; they are listed with it.

--- a/internal/base/rules/readers_test.go
+++ b/internal/base/rules/readers_test.go
@@ -28,12 +28,19 @@
 		{regexp.MustCompile(`http\.Transport\{`), regexp.MustCompile(`MaxResponseHeaderBytes`), 8},
 		{regexp.MustCompile(`http\.Server\{`), regexp.MustCompile(`MaxHeaderBytes`), 8},
 		{regexp.MustCompile(`http\.(DefaultClient|DefaultTransport|Get|Post|Head)\b`), never, 1},
+		{regexp.MustCompile(`io\.(ReadFull|ReadAtLeast|CopyBuffer)\(`), limited, 1},
+		{regexp.MustCompile(`\.(ReadMessage|NextReader|ReadJSON|ReadFrom)\(`), limited, 1},
+		{regexp.MustCompile(`make\(\[\]byte, .*(ContentLength|Length|Bytes\b)`), regexp.MustCompile(`min\(`), 1},
 		{regexp.MustCompile(`websocket\.Dialer\{`), regexp.MustCompile(`bound\.NewConn`), 8},
 	}
 }
 
 // boundElsewhere lists the readers whose bound is not beside them.
 var boundElsewhere = map[string]string{
+	"internal/link/sess/open.go: _, message, err := s.conn.ReadMessage()":                 "newSession limits it to wire.MaxMessage",
+	"internal/link/sess/sess.go: kind, message, err := s.conn.ReadMessage()":              "newSession limits it to wire.MaxMessage",
+	"internal/serve/gate/accept.go: req.body = make([]byte, r.ContentLength)":             "a larger length is refused, a few lines above",
+	"internal/serve/gate/accept.go: _, err = io.ReadFull(reader, req.body)":               "reader is a MaxBytesReader, and the body has its length",
 	"internal/serve/gate/accept.go: req.body, err = io.ReadAll(reader)":                   "reader is a MaxBytesReader, a few lines above",
 	"internal/base/bound/bound.go: response, err := http.ReadResponse(r.Reader, request)": "r.Reader reads at most MaxHeadBytes after Limit",
 	"internal/engine/event/event.go: part, err := r.from.ReadSlice('\\n')":                "it returns at most the buffer, and the loop ends at MaxEvent",
