fix(permit): an owner that stood still grants nothing for that time

Cause: the bucket of an owner fills by the clock, also while the process stands still. Its peers name another owner meanwhile, which grants from a bucket of its own. When the first one goes on, and until it learns of that, it grants a burst for the same time.

Evidence: TestOwnerThatStoodStillGrantsNothingForThatTime fails on the code before (a permit at once, 4 s at a rate of 1) and passes now.

Change: the bucket is emptied when the process has stood still (base/stall) since it was used, as that of a new owner is empty.

--- a/internal/base/stall/stall.go
+++ b/internal/base/stall/stall.go
@@ -75,8 +75,20 @@
 	if goneOnAt == 0 || now-goneOnAt >= maxCatchUp {
 		return false
 	}
-	told := clock.Millis(w.toldAt.Load())-goneOnAt >= bufferTime
-	return now-goneOnAt < minCatchUp || !told && !w.aloneFunc()
+	return now-goneOnAt < minCatchUp || !w.isTold(goneOnAt)
+}
+
+// LastStall returns when the process went on after it last stood still, 0 if it never has, and whether a peer
+// has told it since what it missed.
+func (w *Watch) LastStall() (goneOnAt clock.Millis, told bool) {
+	w.look()
+	goneOnAt = clock.Millis(w.goneOnAt.Load())
+	return goneOnAt, goneOnAt == 0 || w.isTold(goneOnAt)
+}
+
+// isTold reports whether a peer has told what it knows since an instant, or there are no peers.
+func (w *Watch) isTold(goneOnAt clock.Millis) bool {
+	return clock.Millis(w.toldAt.Load())-goneOnAt >= bufferTime || w.aloneFunc()
 }
 
 // RunsFor returns how long the process has run since it last stood still, in milliseconds.
--- a/internal/serve/permit/book.go
+++ b/internal/serve/permit/book.go
@@ -57,6 +57,9 @@
 	log   *log.Logger
 	meter *meter
 	peers Peers
+	// stallFunc returns when the process went on after it last stood still, 0 if it never has, and whether its
+	// peers have told it since what it missed.
+	stallFunc func() (goneOnAt clock.Millis, told bool)
 
 	// limited is the number of endpoints with a limit in force.
 	limited atomic.Int64
@@ -84,9 +87,11 @@
 	unsent      bool
 	announcedAt clock.Millis
 
-	// bucket and granted are used while this process is the owner.
+	// bucket, granted and emptiedAt are used while this process is the owner.
 	bucket  rate.Bucket
 	granted int64
+	// emptiedAt is when this process went on from the last stall after which the bucket was emptied.
+	emptiedAt clock.Millis
 	// heldUntil is when this process may ask again for a permit. asking is the number of
 	// requests for permits without an answer, unanswered that of consecutive ones that got
 	// none.
@@ -111,11 +116,18 @@
 // endpoint.
 func WithPeers(peers Peers) Option { return func(b *Book) { b.peers = peers } }
 
+// WithStalls sets the function that returns when the process went on after it last stood still, 0 if it never
+// has, and whether its peers have told it since what it missed.
+func WithStalls(last func() (goneOnAt clock.Millis, told bool)) Option {
+	return func(b *Book) { b.stallFunc = last }
+}
+
 // New returns an empty Book.
 func New(opts ...Option) *Book {
 	b := &Book{
 		clock: clock.New(), log: log.New(io.Discard), entries: make(map[string]*entry), returns: make(map[string]clock.Millis),
-		peers: Peers{OwnerFunc: func(string) string { return "" }, ReportFunc: func() {}},
+		peers:     Peers{OwnerFunc: func(string) string { return "" }, ReportFunc: func() {}},
+		stallFunc: func() (clock.Millis, bool) { return 0, true },
 	}
 	b.states.byID = make(map[string]*state)
 	b.rooms.held, b.rooms.owned, b.rooms.wake = make(map[string]*heldRoom), make(map[string]*ownedRoom), make(chan struct{}, 1)
--- a/internal/serve/permit/load_test.go
+++ b/internal/serve/permit/load_test.go
@@ -25,12 +25,15 @@
 	// silent processes give no answers.
 	silent map[string]bool
 	asks   int
+	// stalls holds when processes went on after they stood still, and told whether they were told since what they missed.
+	stalls map[string]clock.Millis
+	told   bool
 }
 
 func nameOf(process int) string { return fmt.Sprintf("g-%d", process) }
 
 func newFleet(processes int) *fleet {
-	f := &fleet{clock: clock.NewFake(1000), silent: make(map[string]bool)}
+	f := &fleet{clock: clock.NewFake(1000), silent: make(map[string]bool), stalls: make(map[string]clock.Millis)}
 	byName := make(map[string]*permit.Book)
 	for i := range processes {
 		b := permit.New(permit.WithClock(f.clock.Clock()), permit.WithPeers(permit.Peers{
@@ -42,7 +45,7 @@
 				}
 				return byName[owner].Grant(request), nil
 			},
-		}))
+		}), permit.WithStalls(func() (clock.Millis, bool) { return f.stalls[nameOf(i)], f.told || f.stalls[nameOf(i)] == 0 }))
 		byName[nameOf(i)] = b
 		f.books = append(f.books, b)
 	}
--- a/internal/serve/permit/permit.go
+++ b/internal/serve/permit/permit.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/guard/rate"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 )
@@ -165,6 +166,7 @@
 		// A newer start of the endpoint is known here.
 		return &wire.Permit{Wait: notOwnerWait}
 	}
+	b.emptyAfterStall(known)
 	now := b.clock.Now()
 	permit := &wire.Permit{Known: known.message(request.Known.Endpoint, now)}
 	permit.Wait = known.take(now)
@@ -172,6 +174,14 @@
 	return permit
 }
 
+// emptyAfterStall empties the bucket of an entry if this process has stood still since it was used. It filled
+// meanwhile, and another owner may have granted the same permits. The caller holds the lock.
+func (b *Book) emptyAfterStall(known *entry) {
+	if goneOnAt, _ := b.stallFunc(); goneOnAt > known.emptiedAt {
+		known.bucket, known.emptiedAt = rate.Bucket{}, goneOnAt
+	}
+}
+
 // take grants a request from the bucket, or returns the time to wait.
 func (e *entry) take(now clock.Millis) clock.Millis {
 	limit := e.stated.Limit()
--- a/internal/serve/permit/permit_test.go
+++ b/internal/serve/permit/permit_test.go
@@ -102,6 +102,25 @@
 	assert.Assert(t, len(sent) > 0)
 }
 
+// Guards against an owner that stood still and grants a burst for that time when it goes on, in which another owner
+// has granted permits.
+func TestOwnerThatStoodStillGrantsNothingForThatTime(t *testing.T) {
+	f := newFleet(1)
+	request := &wire.PermitRequest{Known: wire.EndpointLimit{Endpoint: "i-1", Limit: 1}}
+	f.books[0].Grant(request)
+	f.clock.Advance(4 * clock.Second)
+	f.stalls[nameOf(0)] = f.clock.Clock().Now()
+	assert.Assert(t, !f.books[0].Grant(request).Granted, "granted for the time in which it stood still")
+	granted := 0
+	for range 4000 {
+		f.clock.Advance(1)
+		if f.books[0].Grant(request).Granted {
+			granted++
+		}
+	}
+	assert.Assert(t, granted >= 3 && granted <= 4, granted)
+}
+
 // Guards against the limit of an engine that has ended being kept for its next start, and
 // against reports of it that arrive late.
 func TestLimitEndsWithTheStartOfItsEndpoint(t *testing.T) {
--- a/internal/serve/router/permits.go
+++ b/internal/serve/router/permits.go
@@ -20,7 +20,7 @@
 			return g.mesh.RequestPermit(ctx, owner, request)
 		},
 		ReportFunc: func() { g.mesh.ReportNow() },
-	}), permit.WithRooms(permit.Rooms{
+	}), permit.WithStalls(g.stall.LastStall), permit.WithRooms(permit.Rooms{
 		EngineFunc: g.engineLimits, CountFunc: g.countProcesses, LiveFunc: g.isLive, Epoch: time.Now().UnixMilli(),
 	}))
 }
