test(soak): hosts have the memory and the file descriptors that their processes are told

Change: a process whose resident memory exceeds that of its host is killed and reported once a run of it, from /proc/PID/statm four times a second. The limit of file descriptors of a process that is told maxFds is set right after its start, also for the pressed host of TestPressedGatewayReadsOnlyWhatItCanServe. The highest use of each size of host is printed.

--- a/internal/bench/soak/host.go
+++ b/internal/bench/soak/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -10,6 +11,8 @@
 	"strconv"
 	"strings"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/jujubescale/jujubescale/internal/stand/netw"
 )
 
@@ -64,6 +67,18 @@
 	}
 }
 
+// limitFiles sets the maximum number of file descriptors of a process that has just started. 0 leaves it as it is.
+func limitFiles(pid, maxFds int) error {
+	if maxFds == 0 {
+		return nil
+	}
+	limit := unix.Rlimit{Cur: uint64(maxFds), Max: uint64(maxFds)}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil && !errors.Is(err, unix.ESRCH) { // it may have exited
+		return fmt.Errorf("limit of %d file descriptors for process %d: %w", maxFds, pid, err)
+	}
+	return nil
+}
+
 // firstHost returns the settings of the first gateway, whose callers use a link of its own if there is one.
 func (r *run) firstHost(callers *Proxy) hostSettings {
 	settings := hostSettings{linkMbps: linkMbps, maxFds: r.firstFds, env: r.firstEnv}
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -153,6 +154,10 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
+	if err := limitFiles(command.Process.Pid, p.host.maxFds); err != nil {
+		_ = command.Process.Kill()
+		return errors.Join(err, command.Wait(), log.Close())
+	}
 	p.command, p.exited = command, exited
 	current := &incarnation{began: time.Now()}
 	p.incarnations = append(p.incarnations, current)
--- a/internal/bench/soak/quota.go
+++ b/internal/bench/soak/quota.go
@@ -16,12 +16,14 @@
 	quotaPoll = 2 * time.Millisecond
 )
 
-// startQuotas limits the processor time of all processes until the function that it returns is called.
+// startQuotas limits the processor time and the memory of all processes until the function that it returns is called.
 func (r *run) startQuotas() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	for i, p := range r.processes {
-		group.Go(func() { enforceQuota(ctx, p, sizeOf(i).share) })
+		size := sizeOf(i)
+		group.Go(func() { enforceQuota(ctx, p, size.share) })
+		group.Go(func() { r.enforceMemory(ctx, p, size) })
 	}
 	return func() {
 		cancel()
--- a/internal/bench/soak/quota_test.go
+++ b/internal/bench/soak/quota_test.go
@@ -50,7 +50,7 @@
 }
 
 // summary matches the lines of a report that are no violations.
-var summary = regexp.MustCompile(`^(routes: |moves: |lags: |logs: |\d+ outages, )`)
+var summary = regexp.MustCompile(`^(routes: |moves: |lags: |hosts: |logs: |\d+ outages, )`)
 
 // quotaSeed was drawn on hosts with quotas when requests were run by services that only older versions allow.
 const quotaSeed = 78004
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -71,7 +71,7 @@
 	// Moves adds routes that move between services, in versions that stay large, to Routes, and checks which services
 	// ran each request.
 	Moves bool
-	// Quotas limits the processor time of all processes during the whole run.
+	// Quotas gives all processes hosts with limits, of three sizes, and tells the processes these sizes.
 	Quotas bool
 	// Only are the kinds of disturbances of the run, all that its other options add if it is empty.
 	Only []Kind
@@ -104,6 +104,8 @@
 	// Moves describes the requests for routes that move, and Lags the times until versions were in force.
 	Moves string
 	Lags  Lags
+	// HostUse describes the highest use of memory and file descriptors of each size of host, "" without Options.Quotas.
+	HostUse string
 	// Restores is the number of returns of the store, RestoreProbes that of the checks after them.
 	Restores, RestoreProbes int64
 }
@@ -161,6 +163,7 @@
 	settledSent, settledServed    atomic.Int64
 	mu                            sync.Mutex
 	violations                    []string
+	uses                          map[hostSize]hostUse // with quotas
 	group                         sync.WaitGroup
 }
 
@@ -546,6 +549,7 @@
 		}
 		report.Lags = lags
 	}
+	report.HostUse = r.describeUses()
 	report.Violations = append(r.deployment.Ledger.Violations(), r.violations...)
 	return report
 }
--- a/internal/cli/devel/soak.go
+++ b/internal/cli/devel/soak.go
@@ -57,7 +57,7 @@
 	flags.BoolVar(&options.outages, "outages", false, "let all hosts lose their power at once and silence the connections between processes, instead of rollouts")
 	flags.BoolVar(&options.routes, "routes", false, "add, move and remove routes in series, ask all processes for them, and throttle and pause processes, instead of rollouts")
 	flags.BoolVar(&options.moves, "moves", false, "as --routes, and move routes between services in versions of some 750 KB, and check which services ran each request")
-	flags.BoolVar(&options.quotas, "quotas", false, "limit the processor time of the processes during the whole run, to 0.109, 0.352 or 0.8 of a processor")
+	flags.BoolVar(&options.quotas, "quotas", false, "run the processes on hosts of three sizes, with limits of processor time, link, memory and file descriptors")
 	flags.StringSliceVar(&options.only, "only", nil, "kinds of disturbances of the run, such as powerLoss (default: all that the other flags add)")
 	flags.Int64Var(&options.memory, "memory", 0, "memory of a model engine in tokens (default: some eight of the largest requests)")
 	flags.BoolVar(&options.verbose, "verbose", false, "print each fault when it is injected")
@@ -130,6 +130,9 @@
 	if report.Moves != "" {
 		command.Printf("  moves: %s\n  lags: %s\n", report.Moves, report.Lags)
 	}
+	if report.HostUse != "" {
+		command.Printf("  hosts: %s\n", report.HostUse)
+	}
 	if report.BadParts > 0 {
 		command.Printf("  %d parts crashed %d engines\n", report.BadParts, report.BadCrashes)
 	}
