--- a/internal/bench/soak/memory_test.go
+++ b/internal/bench/soak/memory_test.go
@@ -44,7 +44,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { r.enforceMemory(ctx, r.processes[0], hostSize{memoryMb: 0.01}) })
 	group.Go(func() { r.enforceMemory(ctx, r.processes[1], hostSizes[0]) })
-	for len(r.processes[0].history()) < 3 {
+	for end := time.Now().Add(startLimit); len(r.processes[0].history()) < 3 && time.Now().Before(end); {
 		time.Sleep(10 * time.Millisecond)
 	}
 	cancel()
@@ -55,7 +55,7 @@
 			killed++
 		}
 	}
-	assert.Assert(t, killed >= 2, "%d killed", killed)
+	assert.Assert(t, killed >= 2, "%d killed in %v", killed, startLimit)
 	assert.Assert(t, len(r.violations) >= killed && len(r.violations) <= len(r.processes[0].history()), "%d killed: %q", killed, r.violations)
 	assert.Equal(t, len(r.processes[1].history()), 1)
 	used := r.uses[hostSizes[0]]
