--- a/internal/bench/soak/moves.go
+++ b/internal/bench/soak/moves.go
@@ -43,6 +43,8 @@
 	published []publishedVersion
 
 	moves, asked, ran, judged, held atomic.Int64
+	// storms counts the storms, stormVersions the moves in them.
+	storms, stormVersions atomic.Int64
 }
 
 // publishedVersion is a version and the instant at which the store had acknowledged it.
@@ -214,6 +216,10 @@
 
 // String describes the counts.
 func (b *moveBook) String() string {
-	return fmt.Sprintf("%d moves, %d requests for the routes, %d runs, %d of them at processes without faults, %d told to return",
+	text := fmt.Sprintf("%d moves, %d requests for the routes, %d runs, %d of them at processes without faults, %d told to return",
 		b.moves.Load(), b.asked.Load(), b.ran.Load(), b.judged.Load(), b.held.Load())
+	if storms := b.storms.Load(); storms > 0 {
+		text += fmt.Sprintf("; %d of the moves in %d storms", b.stormVersions.Load(), storms)
+	}
+	return text
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -71,6 +71,8 @@
 	// Moves adds routes that move between services, in versions that stay large, to Routes, and checks which services
 	// ran each request.
 	Moves bool
+	// Storms adds series of 3 to 12 versions a second to Moves.
+	Storms bool
 	// Quotas gives all processes hosts with limits, of three sizes, and tells the processes these sizes.
 	Quotas bool
 	// Only are the kinds of disturbances of the run, all that its other options add if it is empty.
@@ -168,6 +170,7 @@
 }
 
 func newRun(options Options) (*run, error) {
+	options.Moves = options.Moves || options.Storms
 	options.Routes = options.Routes || options.Moves
 	r := &run{Options: options}
 	return r, r.start()
@@ -427,6 +430,9 @@
 		if r.Moves {
 			tasks = append(tasks, r.moveRoutes, r.probeMoved)
 		}
+		if r.Storms {
+			tasks = append(tasks, r.publishStorms)
+		}
 		return tasks
 	}
 	if r.Parts || r.Outages {
--- a/internal/cli/devel/soak.go
+++ b/internal/cli/devel/soak.go
@@ -27,6 +27,7 @@
 	outages   bool
 	routes    bool
 	moves     bool
+	storms    bool
 	quotas    bool
 	only      []string
 	memory    int64
@@ -57,6 +58,7 @@
 	flags.BoolVar(&options.outages, "outages", false, "let all hosts lose their power at once and silence the connections between processes, instead of rollouts")
 	flags.BoolVar(&options.routes, "routes", false, "add, move and remove routes in series, ask all processes for them, and throttle and pause processes, instead of rollouts")
 	flags.BoolVar(&options.moves, "moves", false, "as --routes, and move routes between services in versions of some 750 KB, and check which services ran each request")
+	flags.BoolVar(&options.storms, "storms", false, "as --moves, and publish series of 3 to 12 versions a second for 2 to 4 s")
 	flags.BoolVar(&options.quotas, "quotas", false, "run the processes on hosts of three sizes, with limits of processor time, link, memory and file descriptors")
 	flags.StringSliceVar(&options.only, "only", nil, "kinds of disturbances of the run, such as powerLoss (default: all that the other flags add)")
 	flags.Int64Var(&options.memory, "memory", 0, "memory of a model engine in tokens (default: some eight of the largest requests)")
@@ -114,7 +116,7 @@
 	}
 	report, err := soak.Run(command.Context(), soak.Options{
 		Seed: seed, Length: time.Duration(options.seconds) * time.Second, Program: options.program, Folder: folder,
-		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Routes: options.routes, Moves: options.moves, Quotas: options.quotas, Only: only, Memory: options.memory, Out: out,
+		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Routes: options.routes, Moves: options.moves, Storms: options.storms, Quotas: options.quotas, Only: only, Memory: options.memory, Out: out,
 	})
 	if err != nil {
 		return false, err
