--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -71,7 +71,9 @@
 	// Moves adds routes that move between services, in versions that stay large, to Routes, and checks which services
 	// ran each request.
 	Moves bool
-	// Quotas limits the processor time of all processes during the whole run.
+	// Storms adds series of 3 to 12 versions a second to Moves.
+	Storms bool
+	// Quotas gives all processes hosts with limits, of three sizes, and tells the processes these sizes.
 	Quotas bool
 	// SlowOrders makes plain engines take up to most of the grace period, and stops one process after the
 	// other, instead of rollouts.
@@ -110,6 +112,8 @@
 	// Moves describes the requests for routes that move, and Lags the times until versions were in force.
 	Moves string
 	Lags  Lags
+	// HostUse describes the highest use of memory and file descriptors of each size of host, "" without Options.Quotas.
+	HostUse string
 	// Restores is the number of returns of the store, RestoreProbes that of the checks after them.
 	Restores, RestoreProbes int64
 }
@@ -168,10 +172,12 @@
 	settledSent, settledServed    atomic.Int64
 	mu                            sync.Mutex
 	violations                    []string
+	uses                          map[hostSize]hostUse // with quotas
 	group                         sync.WaitGroup
 }
 
 func newRun(options Options) (*run, error) {
+	options.Moves = options.Moves || options.Storms
 	options.Routes = options.Routes || options.Moves
 	r := &run{Options: options}
 	return r, r.start()
@@ -437,6 +443,9 @@
 		if r.Moves {
 			tasks = append(tasks, r.moveRoutes, r.probeMoved)
 		}
+		if r.Storms {
+			tasks = append(tasks, r.publishStorms)
+		}
 		return tasks
 	}
 	if r.SlowOrders {
@@ -567,6 +576,7 @@
 		}
 		report.Lags = lags
 	}
+	report.HostUse = r.describeUses()
 	report.Violations = append(r.deployment.Ledger.Violations(), r.violations...)
 	return report
 }
