fix(feed): a slow reader reads lists while one version follows the other

Change: after a long answer lists are read until one brings nothing new. Each holds the newest version only.

TestListsAreReadUntilOneBringsNothingNew fails without the change. TestChangesLongerThanTheListAreReplacedByIt allows the list after the one that it waits for.

--- a/internal/serve/feed/answer.go
+++ b/internal/serve/feed/answer.go
@@ -13,6 +13,9 @@
 	begun atomic.Bool
 	// long holds a value once the answer is longer than the list.
 	long chan struct{}
+	// catchingUp is set from a long answer until a list brings nothing new. While one version follows the other, an
+	// answer to a watch brings all that were written during the transfer before.
+	catchingUp bool
 }
 
 const (
@@ -47,6 +50,17 @@
 	})
 }
 
+// newestVersion returns the highest version of the known objects.
+func (f *Feed) newestVersion() store.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var newest store.Revision
+	for _, object := range f.state.objects {
+		newest = store.Latest(newest, object.Version)
+	}
+	return newest
+}
+
 // isLong reports whether an answer is so much longer than the list that this is to be read instead. Of an answer whose
 // length is not stated that shows only once a whole list has arrived.
 func isLong(p store.Progress, list int64) bool {
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -258,6 +258,7 @@
 	f.recordAnswer()
 	f.reportSkipped(listing.Skipped)
 	f.outage.recordEra(f, listing.Revision.Era)
+	before := f.newestVersion()
 	if !f.applyList(&listed{objects: listing.Objects, revision: listing.Revision, changed: listing.Revision, outage: f.lostFor, at: sentAt}) {
 		// Without a pause, the next calls would be a watch that the store can't serve and the
 		// same list again.
@@ -266,6 +267,9 @@
 		return
 	}
 	f.lostFor, f.olderPause = 0, 0
+	if f.answer.catchingUp = f.answer.catchingUp && f.newestVersion() != before; f.answer.catchingUp {
+		f.requireList()
+	}
 }
 
 func (f *Feed) reportSkipped(skipped []error) {
@@ -286,6 +290,7 @@
 		case errors.Is(err, errRelayed):
 			return
 		case errors.Is(err, errListRequested), errors.Is(err, errLongAnswer):
+			f.answer.catchingUp = errors.Is(err, errLongAnswer)
 			f.requireList()
 			return
 		case errors.As(err, &dropped):
