--- a/internal/serve/feed/answer.go
+++ b/internal/serve/feed/answer.go
@@ -13,8 +13,8 @@
 	begun atomic.Bool
 	// long holds a value once the answer is longer than the list.
 	long chan struct{}
-	// catchingUp is set from a long answer until a list brings nothing new. While one version follows the other, an
-	// answer to a watch brings all that were written during the transfer before.
+	// catchingUp is set from a long answer until a list of one object brings nothing new. While one version follows
+	// the other, an answer to a watch brings all that were written during the transfer before.
 	catchingUp bool
 }
 
@@ -22,6 +22,8 @@
 	// answerGrace is how long a call for changes is still waited for after a peer has shown a newer state. The
 	// store answers it at about the same time.
 	answerGrace = 150 * clock.Millis(1)
+	// maxRefusal is the greatest size of an answer that refuses a call, in bytes.
+	maxRefusal = 4 << 10
 	// minLongAnswer is the least number of bytes of changes that are given up for the list.
 	minLongAnswer = 64 << 10
 )
@@ -36,12 +38,18 @@
 	}
 	list := f.listBytes()
 	return store.WithProgress(ctx, func(p store.Progress) {
+		if p.Received == 0 {
+			return
+		}
 		f.answer.begun.Store(true)
+		if p.Received > maxRefusal {
+			f.refused.Store(false)
+		}
 		if due, now := f.dueAt.Load(), int64(f.clock.Now()); due > 0 && due < now {
 			f.dueAt.Store(now) // an answer that arrives, however slowly, is not overdue
 		}
-		if !isLong(p, list) {
-			return
+		if f.olderPause > 0 || !isLong(p, list) {
+			return // a list that was older than the known state may be so again
 		}
 		select {
 		case f.answer.long <- struct{}{}:
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -267,7 +267,7 @@
 		return
 	}
 	f.lostFor, f.olderPause = 0, 0
-	if f.answer.catchingUp = f.answer.catchingUp && f.newestVersion() != before; f.answer.catchingUp {
+	if f.answer.catchingUp = f.answer.catchingUp && len(listing.Objects) == 1 && f.newestVersion() != before; f.answer.catchingUp {
 		f.requireList()
 	}
 }
@@ -278,13 +278,11 @@
 	}
 }
 
-// watch reads changes until the list has to be read again or a peer relays them. Each call begins at the revision that
-// was known before the last answer, so that it shows a change which that answer left out.
+// watch reads changes until the list has to be read again or a peer relays them.
 func (f *Feed) watch(ctx context.Context, since store.Revision) {
-	before := since
 	for ctx.Err() == nil {
-		wait, sentAt, from := f.nextWait(), f.clock.Now(), store.Latest(before, f.LastChange())
-		changes, err := f.waitForChanges(ctx, from, wait)
+		wait, sentAt := f.nextWait(), f.clock.Now()
+		changes, err := f.waitForChanges(ctx, since, wait)
 		var dropped *store.HistoryError
 		switch {
 		case errors.Is(err, errRelayed):
@@ -317,9 +315,7 @@
 			f.requireList()
 			return
 		}
-		if next := f.applyChanges(changes.Changes, from, store.Latest(since, changes.Revision), f.confirmedBy(changes, sentAt, wait)); next != since {
-			before, since = since, next
-		}
+		since = f.applyChanges(changes.Changes, since, store.Latest(since, changes.Revision), f.confirmedBy(changes, sentAt, wait))
 		if f.graceTimeLeft() > 0 {
 			return
 		}
