fix(gate,target,conn): a silent engine is not left for one without a free connection

Callers saw 502 `outcomeUnknown` with time left: a silent attempt was ended for an endpoint all of whose connections were in use, where the second one could not be sent.

Change: takeSecond takes no endpoint all of whose connections are in use.

--- a/internal/engine/conn/conn.go
+++ b/internal/engine/conn/conn.go
@@ -329,6 +329,13 @@
 	return false, &FullError{Max: maxOpen}
 }
 
+// Full reports whether all connections that may be open are in use.
+func (g *Group) Full() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open >= g.maxOpen() && len(g.idle) == 0
+}
+
 func (g *Group) dial(ctx context.Context, spare bool) (*conn, error) {
 	opened, err := g.dialFunc(ctx, "tcp", g.address)
 	if err != nil {
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -162,7 +162,7 @@
 		return choice{}, false
 	}
 	next := g.chooseAmong(req, false)
-	if next.target == nil || !g.retryBudget.Take(req.pool.Name) {
+	if next.target == nil || next.target.Full() || !g.retryBudget.Take(req.pool.Name) {
 		return choice{}, false
 	}
 	if next.room, next.wait = g.take(ctx, req, next.target); next.wait > 0 {
--- a/internal/serve/router/silent_test.go
+++ b/internal/serve/router/silent_test.go
@@ -53,3 +53,24 @@
 		assert.Check(t, got.Complete && got.Status == http.StatusOK, "%+v", got)
 	}
 }
+
+// Guards against a safe request that fails with time left because its silent engine was left for one without
+// a free connection.
+func TestSilentEngineIsNotLeftForOneWithoutAConnection(t *testing.T) {
+	t.Parallel()
+	c := testConfig()
+	c.Services[0].MaxConns = 4
+	b := startBench(t, 1, c, &bench{})
+	b.sendUntil(b.gateways[0], lookup, func(got stand.Outcome) bool { return got.Complete })
+	time.Sleep(2 * time.Second) // the budget is full
+	for _, e := range b.Engines(orders) {
+		e.SetFault(stand.Fault{Every: 1, Delay: 1200 * time.Millisecond})
+	}
+	requests := make([]*stand.Request, 8)
+	for i := range requests {
+		requests[i] = lookup()
+	}
+	for _, got := range b.sendAll(requests, b.gateways) {
+		assert.Check(t, got.Status != http.StatusBadGateway, "%+v", got)
+	}
+}
--- a/internal/serve/target/target.go
+++ b/internal/serve/target/target.go
@@ -107,6 +107,9 @@
 	return reply, err
 }
 
+// Full reports whether all connections of this process to the endpoint are in use.
+func (t *Target) Full() bool { return t.conns.Full() }
+
 // Get returns the target of an endpoint, which it creates if necessary.
 func (s *Set) Get(e *view.Endpoint) *Target {
 	if known, found := s.byID.Load(e); found {
