fix(soak): opening a session doesn't wait for the table of all sockets

Seen: in soaks with quotas 423 to 1,016 attempts to open a session between processes timed out in 40 s ("peer lost … i/o timeout", 0.8 s). Each marks the peer as unreachable, so that another process becomes the aggregator, also one on a small host, and processes read the store. The more loaded the machine, the more.

Cause: the proxy of a process looks up which process has opened a connection, and thereby its link, before it accepts the next one. It read /proc/net/tcp for that: 37,978 lines and 119 ms on this machine beside other runs, so that seven processes that reach for the same aggregator at once waited longer than 0.8 s. That is a fault of the bench, not of the processes.

Change: the kernel is asked for that one socket (sock_diag): 0.18 ms. The links, their bandwidth and the faults are as before, and no check changed.

--- a/internal/bench/soak/host.go
+++ b/internal/bench/soak/host.go
@@ -1,14 +1,11 @@
 package soak
 
 import (
-	"bufio"
-	"fmt"
 	"net"
 	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
-	"strings"
 
 	"github.com/jujubescale/jujubescale/internal/stand/netw"
 )
@@ -77,11 +74,12 @@
 // linkOfDialer returns the link of the process that has opened a connection, nil if none of them has or its host has
 // no link.
 func (r *run) linkOfDialer(accepted net.Conn) *netw.Link {
-	remote, ok := accepted.RemoteAddr().(*net.TCPAddr)
-	if !ok {
+	dialer, isTCP := accepted.RemoteAddr().(*net.TCPAddr)
+	listener, _ := accepted.LocalAddr().(*net.TCPAddr)
+	if !isTCP {
 		return nil
 	}
-	socket, err := socketOf(remote.Port)
+	socket, err := socketOf(dialer.Port, listener.Port)
 	if err != nil {
 		return nil
 	}
@@ -100,25 +98,6 @@
 	return slices.Clone(r.processes)
 }
 
-// socketOf returns the link in /proc/PID/fd of the loopback socket with a local port.
-func socketOf(port int) (string, error) {
-	table, err := os.Open("/proc/net/tcp")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = table.Close() }()
-	local := fmt.Sprintf("0100007F:%04X", port)
-	for lines := bufio.NewScanner(table); lines.Scan(); {
-		// Fields as in proc(5): number, local address, remote address, state, queues, timers, retransmits, user, timeout, inode.
-		const localField, inodeField = 1, 9
-		fields := strings.Fields(lines.Text())
-		if len(fields) > inodeField && fields[localField] == local && fields[inodeField] != "0" {
-			return "socket:[" + fields[inodeField] + "]", nil
-		}
-	}
-	return "", fmt.Errorf("no socket has port %d", port)
-}
-
 // hasSocket reports whether the process has a socket open.
 func (p *process) hasSocket(socket string) bool {
 	p.mu.Lock()
