fix(daemon): a planned stop keeps its margin for a process that notices the signal late

Callers saw: connections that ended without an answer, of a process that was paused for 0.9 s as SIGTERM arrived.

Cause: cut open requests after 0.9 of the grace instead of 0.85. With 8 s the cut came 8.1 s after the signal then.

Deregistering beside the cut stays.

--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -225,9 +225,8 @@
 const (
 	// killMargin is the part of the grace period that a planned stop leaves unused
 	// before the process is killed, because a process that lacks processor time
-	// notices the signal late. Of a grace period of 4 s it leaves 0.15 s beside the limits
-	// below, which count from the cut on.
-	killMargin = 0.1
+	// notices the signal late.
+	killMargin = 0.15
 	// errorAnswerTimeout bounds the wait for the error answers of cut requests to be
 	// sent.
 	errorAnswerTimeout = 100 * clock.Millis(1)
--- a/internal/serve/router/restore.go
+++ b/internal/serve/router/restore.go
@@ -169,7 +169,7 @@
 		}
 	}
 	for _, progress := range message.Progress {
-		if progress.Kind == g.Dialect.ConfigKind && progress.Revision > 0 && message.AsOf > 0 { // a peer that has read nothing confirms nothing
+		if progress.Kind == g.Dialect.ConfigKind && progress.Revision != 0 && message.AsOf > 0 { // a peer that has read nothing confirms nothing
 			g.config.RecordPeerConfirmed(message.AsOf - progress.Age)
 		}
 	}
