--- a/internal/serve/feed/answer.go
+++ b/internal/serve/feed/answer.go
@@ -13,8 +13,8 @@
 	begun atomic.Bool
 	// long holds a value once the answer is longer than the list.
 	long chan struct{}
-	// catchingUp is set from a long answer until a list of one object brings nothing new. While one version follows
-	// the other, an answer to a watch brings all that were written during the transfer before.
+	// catchingUp is set from a long answer until a list of one object brings nothing new, or a peer relays changes.
+	// While one version follows the other, an answer to a watch brings all that were written during the transfer before.
 	catchingUp bool
 }
 
--- a/internal/serve/feed/answer_test.go
+++ b/internal/serve/feed/answer_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/serve/feed"
 )
@@ -84,6 +85,40 @@
 	assert.Equal(t, len(h.lists), 4)
 }
 
+// Guards against whole lists that are read from the store although a peer relays changes.
+func TestNoFurtherListIsReadOnceAPeerRelaysChanges(t *testing.T) {
+	feeds, more := make(chan *feed.Feed, 1), make(chan struct{}, 1)
+	s := &script{
+		scans: []func() (store.Listing, error){
+			listed(1, "k/a"),
+			func() (store.Listing, error) {
+				f := <-feeds
+				f.Confirm(wire.Progress{Kind: "k", Revision: 1, Changed: 1}, clock.New().Now())
+				return listed(5, "k/a")()
+			},
+			func() (store.Listing, error) {
+				more <- struct{}{}
+				return listed(5, "k/a")()
+			},
+		},
+		follows: []func(context.Context) (store.Changes, error){
+			func(ctx context.Context) (store.Changes, error) {
+				store.ReportProgress(ctx, store.Progress{Received: 1, Total: long})
+				return blockUntilDone(ctx)
+			},
+			blockUntilDone,
+		},
+	}
+	f, h := run(t, s)
+	feeds <- f
+	h.waitFor(t, func(h *received) bool { return len(h.lists) == 2 })
+	select {
+	case <-more:
+		t.Error("a third list was read")
+	case <-time.After(200 * time.Millisecond): // a feed without a relay reads it at once
+	}
+}
+
 // Guards against a slow transfer that counts as a store that doesn't answer, and against one that never does.
 func TestOnlyAnAnswerThatDoesNotArriveIsOverdue(t *testing.T) {
 	const wait = 20
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -267,7 +267,7 @@
 		return
 	}
 	f.lostFor, f.olderPause = 0, 0
-	if f.answer.catchingUp = f.answer.catchingUp && len(listing.Objects) == 1 && f.newestVersion() != before; f.answer.catchingUp {
+	if f.answer.catchingUp = f.answer.catchingUp && !f.Relayed() && len(listing.Objects) == 1 && f.newestVersion() != before; f.answer.catchingUp {
 		f.requireList()
 	}
 }
