--- a/internal/link/sess/sess.go
+++ b/internal/link/sess/sess.go
@@ -219,8 +219,9 @@
 // measured from the heartbeat and not from the last message, because an idle session
 // normally receives nothing for a long time. Time in which this process got no
 // processor time doesn't count either: messages of the peer may have arrived that the
-// reader has not read yet. A part of a message that is long on its way counts as received. The accepting side sends no heartbeats of its own; it only
-// checks that something has arrived within silentIntervals idle intervals.
+// reader has not read yet. A part of a message that is long on its way counts as received.
+// The accepting side sends no heartbeats of its own; it only checks that something has arrived
+// within silentIntervals idle intervals.
 func (s *Session) heartbeat() error {
 	now, received := s.opts.clock.Now(), max(s.LastReceived(), s.PartReceivedAt(), s.stalledUntil)
 	if !s.dialed {
--- a/internal/serve/mesh/content.go
+++ b/internal/serve/mesh/content.go
@@ -52,10 +52,10 @@
 type download struct {
 	kind     string
 	transfer *pack.Transfer
-	// update is the update without its objects, and arrivedAt when it arrived.
+	// update is the update without its objects.
 	update *wire.Update
 	// from is the peer that is asked for chunks, requestedAt when it was last asked, and
-	// receivedAt when the last chunk arrived.
+	// receivedAt when the last chunk arrived. arrivedAt is when the update arrived.
 	from                               string
 	requestedAt, receivedAt, arrivedAt clock.Millis
 	// later holds the updates that arrived meanwhile, with laterBytes, and next the newest packed one.
