--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -105,7 +105,7 @@
 // engines that leave and interference are planned: none of them may lose a request.
 func (r *run) unplannedOn(d Disturbance, index int) (affected *process, unplanned bool) {
 	switch d.Kind {
-	case Terminate, RollingStop, Reload, Configure, EngineLeaves, EvacuateZone, LimitRate, AskRest, StateLeaving, Interference, PressOne, PauseGroup:
+	case Terminate, RollingStop, Reload, Configure, EngineLeaves, EvacuateZone, LimitRate, AskRest, StateLeaving, Interference, PressOne, PauseGroup, LoseLarge:
 		return nil, false
 	case ResetLinks, BlackholeLinks, DelayLinks, CutOneWay:
 		if d.Subject%linkKinds == engineLink {
--- a/internal/bench/soak/proxy.go
+++ b/internal/bench/soak/proxy.go
@@ -39,8 +39,9 @@
 // connection is a client's connection and the connection to the target behind it.
 type connection struct {
 	client, server net.Conn
-	// accepted is the client's connection without links.
-	accepted net.Conn
+	// accepted is the client's connection without links, clientLink the link of its host, nil for none.
+	accepted   net.Conn
+	clientLink *netw.Link
 	// blackholed connections stay open and discard all bytes.
 	blackholed atomic.Bool
 	// severed connections are blackholed, and their ends don't show on the other side.
@@ -92,13 +93,22 @@
 
 // Sever makes all open connections fall silent for good, as those of a host without power: the other
 // side gets neither a byte nor an end.
-func (p *Proxy) Sever() {
+func (p *Proxy) Sever() { p.each((*connection).sever) }
+
+// SeverFrom severs the open connections that the host of a link has opened.
+func (p *Proxy) SeverFrom(link *netw.Link) {
 	p.each(func(c *connection) {
-		c.blackholed.Store(true)
-		c.severed.Store(true)
+		if link != nil && c.clientLink == link {
+			c.sever()
+		}
 	})
 }
 
+func (c *connection) sever() {
+	c.blackholed.Store(true)
+	c.severed.Store(true)
+}
+
 func (p *Proxy) each(visit func(*connection)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -143,6 +153,7 @@
 	c := &connection{client: client, server: server, accepted: client}
 	if linkOf := p.clientLinkFunc.Load(); linkOf != nil {
 		if link := (*linkOf)(client); link != nil {
+			c.clientLink = link
 			c.server = link.Attach(server) // what the target sends arrives at the client's host
 		}
 	}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -73,6 +73,9 @@
 	Moves bool
 	// Storms adds series of 3 to 12 versions a second to Moves.
 	Storms bool
+	// LoseLarge takes the largest hosts of one zone, two or all away for some seconds, again and again; WithoutLarge
+	// takes all of them away for the whole run.
+	LoseLarge, WithoutLarge bool
 	// OddAnswers makes the store answer watches in all ways that its interface allows or doesn't rule out: cut, doubled, out of
 	// order, early, broken off, 410, and with changes left out.
 	OddAnswers bool
@@ -414,9 +417,15 @@
 	if r.Outages {
 		plan = append(plan, outages(r.Seed, r.Length)...)
 	}
+	if r.LoseLarge {
+		plan = append(plan, largeLosses(r.Seed, r.Length)...)
+	}
 	if len(r.Only) > 0 {
 		plan = slices.DeleteFunc(plan, func(d Disturbance) bool { return !slices.Contains(r.Only, d.Kind) })
 	}
+	if r.WithoutLarge {
+		plan = append(plan, withoutLarge(r.Length))
+	}
 	for _, disturbance := range plan {
 		r.group.Add(1)
 		go func() {
@@ -492,7 +501,7 @@
 		}
 		number, kind := random.IntN(len(r.processes)), random.IntN(len(requests))
 		cancels := random.IntN(25) == 0
-		number = deal(number)
+		number = r.besideLost(deal(number))
 		r.group.Add(1)
 		go func() {
 			defer r.group.Done()
@@ -524,7 +533,7 @@
 		time.Sleep(got.RetryAfter)
 		again := *s
 		again.ID = stand.NewID()
-		got = r.client.Do(ctx, r.callers[(number+1)%len(r.callers)].Address(), &again)
+		got = r.client.Do(ctx, r.callers[r.besideLost((number+1)%len(r.callers))].Address(), &again)
 	}
 	if settled && !cancels {
 		r.settledSent.Add(1)
--- a/internal/bench/soak/strike.go
+++ b/internal/bench/soak/strike.go
@@ -48,6 +48,8 @@
 		r.injectPart(ctx, d)
 	case Pause, Throttle, PauseGroup:
 		r.injectHold(ctx, d, index)
+	case LoseLarge:
+		r.loseLarge(ctx, d)
 	default:
 		r.injectPlatformChange(ctx, d)
 	}
--- a/internal/cli/devel/soak.go
+++ b/internal/cli/devel/soak.go
@@ -29,11 +29,14 @@
 	moves     bool
 	storms    bool
 	odd       bool
+	lose      bool
+	without   bool
 	uneven    bool
 	quotas    bool
 	slow      bool
 	only      []string
 	memory    int64
+	keep      bool
 	verbose   bool
 }
 
@@ -64,10 +67,13 @@
 	flags.BoolVar(&options.slow, "slow-orders", false, "let engines of the service orders take 0.5 to 3.5 s and stop one process after the other, instead of rollouts")
 	flags.BoolVar(&options.storms, "storms", false, "as --moves, and publish series of 3 to 12 versions a second for 2 to 4 s")
 	flags.BoolVar(&options.odd, "odd-answers", false, "let the store answer watches in all ways that its interface allows or doesn't rule out")
+	flags.BoolVar(&options.lose, "lose-large", false, "take the largest hosts of one zone, two or all away for some seconds, again and again, with --quotas")
+	flags.BoolVar(&options.without, "without-large", false, "take all of the largest hosts away for the whole run, with --quotas")
 	flags.BoolVar(&options.uneven, "uneven", false, "send one in four requests to one process, on a host of 0.352 of a processor and 25 Mbit/s with --quotas")
 	flags.BoolVar(&options.quotas, "quotas", false, "run the processes on hosts of three sizes, with limits of processor time, link, memory and file descriptors")
 	flags.StringSliceVar(&options.only, "only", nil, "kinds of disturbances of the run, such as powerLoss (default: all that the other flags add)")
 	flags.Int64Var(&options.memory, "memory", 0, "memory of a model engine in tokens (default: some eight of the largest requests)")
+	flags.BoolVar(&options.keep, "keep", false, "keep the logs of seeds that pass, too")
 	flags.BoolVar(&options.verbose, "verbose", false, "print each fault when it is injected")
 	return command
 }
@@ -122,7 +128,7 @@
 	}
 	report, err := soak.Run(command.Context(), soak.Options{
 		Seed: seed, Length: time.Duration(options.seconds) * time.Second, Program: options.program, Folder: folder,
-		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Routes: options.routes, Moves: options.moves, Storms: options.storms, OddAnswers: options.odd, Uneven: options.uneven, Quotas: options.quotas, SlowOrders: options.slow, Only: only, Memory: options.memory, Out: out,
+		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Routes: options.routes, Moves: options.moves, Storms: options.storms, OddAnswers: options.odd, LoseLarge: options.lose, WithoutLarge: options.without, Uneven: options.uneven, Quotas: options.quotas, SlowOrders: options.slow, Only: only, Memory: options.memory, Out: out,
 	})
 	if err != nil {
 		return false, err
@@ -161,5 +167,8 @@
 		command.Printf("  logs: %s\n", folder)
 		return false, nil
 	}
+	if options.keep {
+		return true, nil
+	}
 	return true, os.RemoveAll(folder)
 }
