fix(sess): sessions on which one side states ages are measured again

Cause: a bound of the time on the way grows by 1 ms in 10 s, by what two clocks may drift apart, until the other side sends a stamp. The dialling side sends heartbeats only while it receives nothing, so that a peer that states ages to it all the time counted them older and older, by 0.36 s an hour. Change: it sends a heartbeat when it has sent no stamp for 30 s. TestDiallingSideIsMeasuredAgain doesn't end without it.

--- a/internal/link/sess/first_test.go
+++ b/internal/link/sess/first_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -29,6 +30,42 @@
 	return c.Conn.Write(p)
 }
 
+// Guards against confirmations that seem older and older because only their sender states ages on a session.
+func TestDiallingSideIsMeasuredAgain(t *testing.T) {
+	var elapsed atomic.Int64
+	soon := func(clock.Millis) (<-chan struct{}, func()) {
+		expired := make(chan struct{})
+		timer := time.AfterFunc(time.Millisecond, func() { close(expired) })
+		return expired, func() { timer.Stop() }
+	}
+	now := clock.New(clock.WithNow(func() clock.Millis { return 1000 + clock.Millis(elapsed.Load()) }), clock.WithAfter(soon))
+	beats := make(chan *wire.Stamp, 100)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s, err := sess.Accept(t.Context(), w, r, sess.WithClock(now), sess.WithHandler(func(s *sess.Session, frame *wire.Frame) {
+			beats <- frame.Stamp
+		}))
+		if err != nil {
+			return
+		}
+		for s.Err() == nil { // the peer receives something all the time
+			_ = s.Send(&wire.Frame{Kind: wire.KindRenew})
+			select {
+			case <-s.Done():
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}))
+	defer server.Close()
+	s, err := sess.Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), sess.WithClock(now), sess.WithHeartbeats(100_000, 100_000))
+	assert.NilError(t, err)
+	defer s.Close(nil)
+	<-beats // at the opening
+	elapsed.Add(60_000)
+	for stamp := <-beats; stamp.SentAt < 61_000; stamp = <-beats {
+	}
+}
+
 // Guards against a copy that seems fresh because the first confirmation on a new session waited in the queue of its sender or on
 // a narrow link.
 func TestFirstFrameOfASessionIsNoYoungerThanItsWait(t *testing.T) {
--- a/internal/link/sess/sess.go
+++ b/internal/link/sess/sess.go
@@ -46,6 +46,7 @@
 	probedAt     clock.Millis  // when the writer last sent a heartbeat
 	stalledUntil clock.Millis  // when the writer last ran late by an interval or more
 	checkedSince atomic.Int64  // when Probe was last called
+	stampedAt    atomic.Int64  // when a frame with a stamp was last sent
 }
 
 // Peer returns the hello of the peer.
@@ -104,6 +105,7 @@
 	if frame.StatesAge() || frame.Kind == wire.KindBeat {
 		now := s.opts.clock.Now()
 		frame.Stamp = s.transit.stamp(frame.AsOf(now), now)
+		s.stampedAt.Store(int64(now))
 	}
 	select {
 	case <-s.closing:
@@ -220,7 +222,11 @@
 	}
 }
 
-// heartbeat sends a heartbeat if nothing has been received for an interval, and
+// stampInterval is the longest time between two stamps that the dialling side sends: without them the peer's bounds of
+// the time on the way grow by what the clocks may drift apart.
+const stampInterval = 30 * clock.Second
+
+// heartbeat sends a heartbeat if nothing has been received for an interval, or no stamp was sent for stampInterval, and
 // returns a SilentError if the reply to an earlier one is overdue. The timeout is
 // measured from the heartbeat and not from the last message, because an idle session
 // normally receives nothing for a long time. Time in which this process got no
@@ -242,7 +248,7 @@
 		}
 		return nil
 	}
-	if now-received >= s.interval() {
+	if now-received >= s.interval() || now-clock.Millis(s.stampedAt.Load()) >= stampInterval {
 		s.probedAt = now
 		_ = s.sendBeat()
 	}
