fix(feed): a confirmation that comes back from a peer replaces no call to the store

What callers saw: versions in force 1.1 to 2.6 s late, and requests refused as configOutdated, while the large hosts are away.

Cause: a process that is late follows the store through a peer. If that peer follows it in turn, at once or through a third one, each took its own confirmation, which came back, for that of a process that reads the store, gave up its call, and none of them read it until the confirmation was over maxAge.

Change: progress and updates state whose call has confirmed them (`by`, the incarnation, optional); a feed ignores the instant of its own. TestOwnConfirmationFromAPeerReplacesNoCall fails without the comparison: the feed counts as relayed.

--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -166,6 +166,8 @@
 	Content uint64 `cbor:"content,omitempty"`
 	// Digest is the digest of the names and versions of the objects in the store, 0 if it is not told.
 	Digest uint64 `cbor:"digest,omitempty"`
+	// By is the process whose call to the store has confirmed that last, 0 if it is not told.
+	By token.Incarnation `cbor:"by,omitempty"`
 }
 
 // CommonEra returns the era that the sender has read of all kinds, 0 if it has read several.
@@ -233,9 +235,10 @@
 	Objects []Stored     `cbor:"objects,omitempty"`
 	// Packed replaces Objects in a large update.
 	Packed *Packed `cbor:"packed,omitempty"`
-	// Content is Progress.Content, and Digest that of all objects after the update.
-	Content uint64 `cbor:"content,omitempty"`
-	Digest  uint64 `cbor:"digest,omitempty"`
+	// Content is Progress.Content, and Digest that of all objects after the update. By is Progress.By.
+	Content uint64            `cbor:"content,omitempty"`
+	Digest  uint64            `cbor:"digest,omitempty"`
+	By      token.Incarnation `cbor:"by,omitempty"`
 }
 
 // Size returns the size of what the objects hold, in bytes.
--- a/internal/serve/feed/apply.go
+++ b/internal/serve/feed/apply.go
@@ -35,7 +35,7 @@
 	s.listDue = s.fromStore && list.relayed
 	if !list.relayed {
 		s.fromStore = false
-		s.confirmedAt = max(s.confirmedAt, list.at)
+		s.confirm(list.at, f.incarnation)
 		f.logCorrections(objects, list)
 	}
 	defer f.publishProof() // after the objects
@@ -174,7 +174,8 @@
 	if !c.relayed {
 		f.recordRead(&c, newest)
 		if s.partial = c.partial; !older && !c.partial && !s.listDue {
-			s.confirmedAt, s.missingSince = max(s.confirmedAt, c.at), 0
+			s.missingSince = 0
+			s.confirm(c.at, f.incarnation)
 		}
 	} else if !older {
 		s.missingSince = 0
@@ -307,7 +308,7 @@
 func (f *Feed) buildUpdate(all []store.Change, since store.Revision) *wire.Update {
 	update := &wire.Update{
 		Kind: f.kind, Era: f.state.revision.Era, Since: since.Number, Revision: f.state.revision.Number, Changed: f.lastChange(),
-		Content: f.state.contentNumber(), Digest: f.state.stated(),
+		Content: f.state.contentNumber(), Digest: f.state.stated(), By: f.state.confirmedBy,
 	}
 	update.AsOf, update.Age = f.age()
 	for _, change := range all {
--- a/internal/serve/feed/content.go
+++ b/internal/serve/feed/content.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/token"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 )
@@ -195,8 +196,9 @@
 	revision, content store.Revision
 	// digest is 0 for a peer of the previous version, which states none.
 	digest uint64
-	// at is the instant for which the store has confirmed the copy.
+	// at is the instant for which the store has confirmed the copy, in an answer to the process by, 0 if that is not known.
 	at clock.Millis
+	by token.Incarnation
 }
 
 // LackedBy returns all objects if a peer that has read up to a revision lacks changes, nil if it doesn't. If it holds something
@@ -248,7 +250,10 @@
 		s.readTo = store.Latest(s.readTo, peer.content)
 		s.differs = difference{}
 	}
-	s.relayedAt, s.confirmedAt = max(s.relayedAt, peer.at), max(s.confirmedAt, peer.at)
+	if by := peer.by; by == 0 || by != f.incarnation { // what this process has told peers itself doesn't show that one reads the store
+		s.relayedAt = max(s.relayedAt, peer.at)
+		s.confirm(peer.at, by)
+	}
 	f.publishProof()
 	return true, false
 }
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -24,6 +24,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/token"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
@@ -62,9 +63,11 @@
 	// relayGrace is how long after the last answer the feed waits for a peer before
 	// it calls the store, firstWait how long it waits before it first reads the
 	// list.
-	maxAge     clock.Millis
-	relayGrace func() clock.Millis
-	firstWait  func(kind string) clock.Millis
+	maxAge clock.Millis
+	// incarnation is that of this process, 0 if it is not known.
+	incarnation token.Incarnation
+	relayGrace  func() clock.Millis
+	firstWait   func(kind string) clock.Millis
 	// hideAge omits the age of the last answer from Progress; see WithoutAge.
 	hideAge bool
 	// oneObject is set by WithOneObject.
@@ -135,6 +138,12 @@
 // replaces a call.
 func WithMaxAge(maxAge clock.Millis) Option { return func(f *Feed) { f.maxAge = maxAge } }
 
+// WithIncarnation sets the incarnation of this process. A confirmation that comes back from peers is not taken for that of a
+// process that reads the store.
+func WithIncarnation(incarnation token.Incarnation) Option {
+	return func(f *Feed) { f.incarnation = incarnation }
+}
+
 // WithoutAge omits the age of the store's last answer from Progress. It is for
 // feeds with long waits, where the age doesn't show whether the store is reachable.
 func WithoutAge() Option { return func(f *Feed) { f.hideAge = true } }
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/token"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 )
@@ -31,6 +32,8 @@
 	// a peer that relayed it; relayedAt counts only the answers that a peer relayed.
 	confirmedAt clock.Millis
 	relayedAt   clock.Millis
+	// confirmedBy is the process whose call to the store confirmedAt comes from, 0 if that is not known.
+	confirmedBy token.Incarnation
 	// expectedUntil is set while a peer transfers objects: the feed waits for them
 	// and doesn't request the same objects from the store.
 	expectedUntil clock.Millis
@@ -39,6 +42,13 @@
 	missingSince clock.Millis
 }
 
+// confirm records that the store has confirmed this state for an instant, in an answer to a process.
+func (s *state) confirm(at clock.Millis, by token.Incarnation) {
+	if at > s.confirmedAt {
+		s.confirmedAt, s.confirmedBy = at, by
+	}
+}
+
 // Kind returns the kind of objects that the feed follows.
 func (f *Feed) Kind() string { return f.kind }
 
@@ -198,7 +208,7 @@
 	defer f.mu.Unlock()
 	progress := wire.Progress{
 		Kind: f.kind, Era: f.state.revision.Era, Revision: f.state.revision.Number, Changed: f.lastChange(),
-		Content: f.state.contentNumber(), Digest: f.state.stated(),
+		Content: f.state.contentNumber(), Digest: f.state.stated(), By: f.state.confirmedBy,
 	}
 	if !f.hideAge {
 		progress.Age = max(f.clock.Now()-f.state.confirmedAt, 0)
@@ -235,7 +245,7 @@
 func (f *Feed) buildSnapshot(outage clock.Millis) *wire.Update {
 	update := &wire.Update{
 		Kind: f.kind, Era: f.state.revision.Era, Revision: f.state.revision.Number, Changed: f.lastChange(), Whole: true, Outage: outage,
-		Content: f.state.contentNumber(), Digest: f.state.stated(),
+		Content: f.state.contentNumber(), Digest: f.state.stated(), By: f.state.confirmedBy,
 	}
 	update.AsOf, update.Age = f.age()
 	for _, name := range slices.Sorted(maps.Keys(f.state.objects)) {
@@ -270,7 +280,7 @@
 	default:
 		f.applyChanges(changesOf(update))
 	}
-	return f.compare(peerCopy{revision: update.At(), content: update.ContentAt(), digest: update.Digest, at: at})
+	return f.compare(peerCopy{revision: update.At(), content: update.ContentAt(), digest: update.Digest, at: at, by: update.By})
 }
 
 // Confirm takes the progress of a peer as of an instant. It reports whether the peer holds something else, such as
@@ -290,7 +300,7 @@
 		return false // an older answer shows nothing about the known revision
 	}
 	f.mu.Unlock()
-	return f.compare(peerCopy{revision: progress.At(), content: progress.ContentAt(), digest: progress.Digest, at: now - progress.Age})
+	return f.compare(peerCopy{revision: progress.At(), content: progress.ContentAt(), digest: progress.Digest, at: now - progress.Age, by: progress.By})
 }
 
 // recordMissing records that a peer has shown what this feed lacks. The caller holds the lock.
--- a/internal/serve/feed/peer_test.go
+++ b/internal/serve/feed/peer_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/token"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/serve/feed"
@@ -26,7 +27,7 @@
 	*received
 }
 
-func newRelayedFeed(t *testing.T) *relayedFeed {
+func newRelayedFeed(t *testing.T, opts ...feed.Option) *relayedFeed {
 	t.Helper()
 	p := &relayedFeed{fake: clock.NewFake(1), received: &received{}}
 	s := &store.Store{
@@ -39,7 +40,7 @@
 			return blockUntilDone(ctx)
 		},
 	}
-	p.Feed = feed.New("k", s, feed.WithClock(p.fake.Clock()),
+	p.Feed = feed.New("k", s, append(opts, feed.WithClock(p.fake.Clock()),
 		feed.WithForward(func(*wire.Update) { p.forwarded.Add(1) }),
 		feed.WithList(func(objects []store.Object, _ clock.Millis) {
 			p.mu.Lock()
@@ -50,7 +51,7 @@
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			p.changes += len(changes)
-		}))
+		}))...)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -104,6 +105,20 @@
 	assert.Equal(t, p.forwarded.Load(), int64(2), "the list and the change are relayed")
 }
 
+// Guards against processes that follow the store through each other: each takes its own confirmation, which comes back from a
+// peer, for that of a process that reads the store, and none reads it.
+func TestOwnConfirmationFromAPeerReplacesNoCall(t *testing.T) {
+	const self, other = 7, 8
+	p := newRelayedFeed(t, feed.WithIncarnation(self))
+	assert.Equal(t, p.Progress().By, token.Incarnation(self))
+	assert.Assert(t, !p.Confirm(wire.Progress{Kind: "k", Revision: 5, Changed: 5, By: self}, p.now()))
+	assert.Assert(t, !p.Relayed())
+	p.fake.Advance(10)
+	assert.Assert(t, !p.Confirm(wire.Progress{Kind: "k", Revision: 5, Changed: 5, By: other}, p.now()))
+	assert.Assert(t, p.Relayed())
+	assert.Equal(t, p.Progress().By, token.Incarnation(other))
+}
+
 // Guards against two processes that follow the store through each other and relay
 // the same list back and forth.
 func TestKnownListIsNotRelayed(t *testing.T) {
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -362,7 +362,7 @@
 func (g *Gateway) makeFeeds() {
 	common := []feed.Option{
 		feed.WithClock(g.Clock), feed.WithLog(g.Log), feed.WithOutage(feed.NewOutage()), feed.WithBackoff(g.longestStoreBackoff),
-		feed.WithForward(g.mesh.Forward), feed.WithSkipped(g.recordSkipped),
+		feed.WithForward(g.mesh.Forward), feed.WithSkipped(g.recordSkipped), feed.WithIncarnation(g.incarnation),
 	}
 	newFeed := func(kind string, limit clock.Millis, more ...feed.Option) *feed.Feed {
 		wait := watchWait(limit)
