fix(feed): a copy from before a process's start keeps its age

A process that has just started, and those that follow it, may run requests by a version that was replaced before the start, for up to the time that a change may take after it.

Cause: instants are milliseconds since the start of a process, and the instant of the last confirmation began at 0. A peer's copy whose confirmation was older than the process's life gave a negative instant, `max` kept the 0, and the copy counted as confirmed at the start. Its progress passed that on to all that follow it: large hosts that come back take their copies from the middle and small ones that were left, which are behind, and are aggregators at once.

Found by comparing the claims in the logs with the first instant at which any process had a newer version.

Change: a state that was never confirmed has an instant far before the start, and instants before the start are kept; so has the book of the proof.

--- a/internal/serve/feed/apply.go
+++ b/internal/serve/feed/apply.go
@@ -35,7 +35,7 @@
 	s.listDue = s.fromStore && list.relayed
 	if !list.relayed {
 		s.fromStore = false
-		s.confirm(list.at, f.incarnation)
+		s.confirm(list.at, f.incarnation, false)
 		f.logCorrections(objects, list)
 	}
 	defer f.publishProof() // after the objects
@@ -175,7 +175,7 @@
 		f.recordRead(&c, newest)
 		if s.partial = c.partial; !older && !c.partial && !s.listDue {
 			s.missingSince = 0
-			s.confirm(c.at, f.incarnation)
+			s.confirm(c.at, f.incarnation, false)
 		}
 	} else if !older {
 		s.missingSince = 0
--- a/internal/serve/feed/content.go
+++ b/internal/serve/feed/content.go
@@ -252,7 +252,7 @@
 	}
 	if by := peer.by; by == 0 || by != f.incarnation { // what this process has told peers itself doesn't show that one reads the store
 		s.relayedAt = max(s.relayedAt, peer.at)
-		s.confirm(peer.at, by)
+		s.confirm(peer.at, by, true)
 	}
 	f.publishProof()
 	return true, false
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -177,7 +177,7 @@
 func New(kind string, from *store.Store, opts ...Option) *Feed {
 	f := &Feed{
 		kind: kind, store: from, clock: clock.New(), log: log.New(io.Discard), listRequested: make(chan struct{}, 1), relayChanged: make(chan struct{}, 1), outage: NewOutage(),
-		answer: answer{long: make(chan struct{}, 1)}, olderLogged: make(map[string]store.Revision), state: state{restored: newRestored()},
+		answer: answer{long: make(chan struct{}, 1)}, olderLogged: make(map[string]store.Revision), state: state{restored: newRestored(), confirmedAt: neverConfirmed},
 		wait:         func() clock.Millis { return defaultWait },
 		pause:        func() clock.Millis { return 0 },
 		backoffLimit: func() clock.Millis { return MaxBackoff },
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -30,10 +30,13 @@
 	restored
 	// confirmedAt is when the store last confirmed this state, to this process or to
 	// a peer that relayed it; relayedAt counts only the answers that a peer relayed.
+	// Instants before the start of this process are negative.
 	confirmedAt clock.Millis
 	relayedAt   clock.Millis
-	// confirmedBy is the process whose call to the store confirmedAt comes from, 0 if that is not known.
+	// confirmedBy is the process whose call to the store confirmedAt comes from, 0 if that is not known, and byPeer is set if
+	// a peer has passed it on.
 	confirmedBy token.Incarnation
+	byPeer      bool
 	// expectedUntil is set while a peer transfers objects: the feed waits for them
 	// and doesn't request the same objects from the store.
 	expectedUntil clock.Millis
@@ -42,10 +45,13 @@
 	missingSince clock.Millis
 }
 
+// neverConfirmed is the instant of a state that the store has not confirmed.
+const neverConfirmed = -1 << 50 * clock.Millis(1)
+
 // confirm records that the store has confirmed this state for an instant, in an answer to a process.
-func (s *state) confirm(at clock.Millis, by token.Incarnation) {
+func (s *state) confirm(at clock.Millis, by token.Incarnation, byPeer bool) {
 	if at > s.confirmedAt {
-		s.confirmedAt, s.confirmedBy = at, by
+		s.confirmedAt, s.confirmedBy, s.byPeer = at, by, byPeer
 	}
 }
 
@@ -106,7 +112,7 @@
 // publishProof passes the present proof on. The caller holds the lock.
 func (f *Feed) publishProof() {
 	s := &f.state
-	f.proofFunc(Proof{ConfirmedAt: s.confirmedAt, Relayed: s.relayedAt > 0 && s.relayedAt == s.confirmedAt, Behind: s.behind(), Revision: s.revision})
+	f.proofFunc(Proof{ConfirmedAt: s.confirmedAt, Relayed: s.byPeer, Behind: s.behind(), Revision: s.revision})
 }
 
 // Relayed reports whether a peer relays changes.
--- a/internal/serve/feed/restore.go
+++ b/internal/serve/feed/restore.go
@@ -140,7 +140,7 @@
 	f.log.Info("era of the store risen without a loss", "kind", f.kind, "before", s.revision, "revision", update.At())
 	s.revision, s.lastChange, s.missingSince, s.listDue = update.At(), update.ChangedAt(), 0, false
 	s.readTo, s.listedAt, s.gone = update.ContentAt(), update.ContentAt(), nil
-	s.confirm(at, update.By)
+	s.confirm(at, update.By, true)
 	f.publishProof()
 	f.forwardFunc(f.buildEraOnly(update.SinceAt()))
 	return true
--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -39,7 +39,8 @@
 	Table *table.Table
 	// Revision is the revision of the object that holds the configuration.
 	Revision store.Revision
-	// ConfirmedAt is the instant for which the store has confirmed that there is no newer one, and
+	// ConfirmedAt is the instant for which the store has confirmed that there is no newer one, which may be before the start
+	// of the process and then is negative, and
 	// Relayed whether a peer passed that on.
 	ConfirmedAt clock.Millis
 	Relayed     bool
@@ -130,7 +131,7 @@
 	for _, opt := range opts {
 		opt(b)
 	}
-	b.state.Store(&State{})
+	b.state.Store(&State{ConfirmedAt: -never})
 	return b
 }
 
@@ -160,7 +161,8 @@
 func (b *Book) Put(object *store.Object, routes *table.Table, err error) bool {
 	b.replace.Lock()
 	defer b.replace.Unlock()
-	next := *b.state.Load()
+	previous := b.state.Load()
+	next := *previous
 	switch {
 	case err != nil:
 		b.log.Error("configuration is not usable, keeping the current one", "revision", object.Version, logs.KeyError, err)
@@ -173,7 +175,7 @@
 	default:
 		next.Table, next.Revision, next.NotInForce = routes, object.Version, false
 		b.state.Store(&next)
-		before := Decision{State: &next, At: b.clock.Now()}
+		before := Decision{State: previous, At: b.clock.Now()}
 		b.log.Info("configuration in force", "configuration", routes.Version, "revision", object.Version, "bytes", len(object.Value), "replacedAgeMs", int64(before.Age()))
 		if len(routes.Odd) > 0 {
 			b.log.Error("configuration has parts that can't be read", "configuration", routes.Version, "parts", len(routes.Odd), "incomplete", routes.Incomplete, "first", routes.Odd[0])
