fix(soak): runs side by side have ports of their own

Cause: a port counted as free if nothing listened on it when it was chosen; a process that is away for seconds frees its port. Change: each program that runs soaks has a range of 1,500 ports, held by a listener on the first one; ports are given back at the end of a run.

--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -73,16 +74,37 @@
 	firstPort = 12_000
 	lastPort  = 30_000
 	portTries = 200
+	// portRange is the number of ports that one program that runs soaks has for itself. Otherwise a gateway that starts
+	// again may find its port, and callers another run's gateway at it.
+	portRange = 1500
 )
 
-// handedOut holds the ports that freeAddress has returned. They stay free until their processes start.
+// rangeHeld listens on the first port of the range of this program, so that no other one takes the range.
+var rangeHeld net.Listener
+
+// ownPorts returns the first port of the range of this program.
+var ownPorts = sync.OnceValues(func() (first int, err error) {
+	ranges := rand.Perm((lastPort - firstPort) / portRange)
+	for _, number := range ranges {
+		first = firstPort + number*portRange
+		if rangeHeld, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil {
+			return first, nil
+		}
+	}
+	return 0, fmt.Errorf("all %d ranges of %d ports are taken: %w", len(ranges), portRange, err)
+})
+
+// handedOut holds the ports that freeAddress has returned and that are in use. They stay free until their processes start.
 var handedOut sync.Map
 
 // freeAddress returns a loopback address whose port is free and was not returned before.
 func freeAddress() (string, error) {
-	var last error
+	first, last := ownPorts()
+	if last != nil {
+		return "", last
+	}
 	for range portTries {
-		port := firstPort + rand.IntN(lastPort-firstPort)
+		port := first + 1 + rand.IntN(portRange-1)
 		if _, known := handedOut.LoadOrStore(port, true); known {
 			continue
 		}
@@ -97,6 +119,16 @@
 	return "", last
 }
 
+// release lets other processes of this program have the ports.
+func (p *ports) release() {
+	for _, address := range []string{p.callers, p.ready, p.sessions, p.operators} {
+		if _, text, err := net.SplitHostPort(address); err == nil {
+			port, _ := strconv.Atoi(text) // freeAddress has made it
+			handedOut.Delete(port)
+		}
+	}
+}
+
 func newPorts() (ports, error) {
 	var p ports
 	for _, address := range []*string{&p.callers, &p.ready, &p.sessions, &p.operators} {
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -353,6 +353,7 @@
 func (r *run) close() {
 	for _, p := range r.processes {
 		p.stop()
+		p.ports.release()
 	}
 	r.client.Close()
 	for _, proxy := range append(append([]*Proxy{}, r.callers...), r.stores...) {
