feat(proof): the line of a request states the role and the plan of its process

An on-call engineer could read the copy, its age and who had confirmed it, but not whether the process read the store for others or followed, nor whether two processes saw the same members. `claim` has both now: `watcher:3f0a`. Which processes keep origins, and which are large enough to relay, is decided in route/relay and route/owner.

--- a/internal/route/owner/owner.go
+++ b/internal/route/owner/owner.go
@@ -5,7 +5,11 @@
 // owners; that causes smaller batches and refused calls, but no wrong answers.
 package owner
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Process is one incarnation of a process.
 type Process struct {
@@ -75,6 +79,11 @@
 	return eligible
 }
 
+// IsEligible reports whether a process is on a host that is large enough to work for others.
+func IsEligible(name string, processes []Process) bool {
+	return slices.ContainsFunc(Eligible(processes), func(p Process) bool { return p.Name == name })
+}
+
 func maxCapacity(processes []Process) float64 {
 	largest := 0.0
 	for _, process := range processes {
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -9,8 +9,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
+	"strings"
 
 	"github.com/jujubescale/jujubescale/internal/route/owner"
 )
@@ -46,6 +48,8 @@
 	// Keepers holds the processes that keep the origins of streams, sorted: the aggregators
 	// and, in small fleets, others.
 	Keepers []string
+	// id tells plans apart in logs.
+	id string
 }
 
 // New returns the plan for a list of processes.
@@ -71,9 +75,35 @@
 	}
 	plan.Watchers = watchers(candidates)
 	plan.Keepers = keepers(plan.Aggregators, processes)
+	plan.id = fmt.Sprintf("%04x", uint16(owner.Weight(strings.Join(plan.Aggregators, " "), strings.Join(plan.Watchers, " "))))
 	return plan
 }
 
+// Role returns the role of a process and four hexadecimal digits that tell the plan apart from others, such as "watcher:3f0a".
+// Processes that log different ones for the same instant see different members.
+func (p *Plan) Role(name string) string {
+	role := "follower"
+	switch {
+	case slices.Contains(p.Watchers, name):
+		role = "watcher"
+	case p.IsAggregator(name):
+		role = "aggregator"
+	}
+	return role + ":" + p.id
+}
+
+// minLiveKeepers is the number of keepers of origins below which processes that are absent or
+// leaving keep them, too: while all processes are being stopped, these still serve.
+const minLiveKeepers = 3
+
+// KeepersWith returns the keepers, or those of the plan that includes processes which are absent or leaving.
+func (p *Plan) KeepersWith(others func() *Plan) []string {
+	if len(p.Keepers) < minLiveKeepers {
+		return others().Keepers
+	}
+	return p.Keepers
+}
+
 // watchers returns the aggregators that watch the store. One on a small host, whose zone has no
 // larger one, only watches if there are fewer than minWatchers others.
 func watchers(aggregators []owner.Process) []string {
--- a/internal/serve/mesh/view.go
+++ b/internal/serve/mesh/view.go
@@ -29,10 +29,6 @@
 // are in several zones.
 type zonedSubject struct{ subject, zone string }
 
-// minLiveKeepers is the number of keepers of origins below which processes that are absent or
-// leaving keep them, too: while all processes are being stopped, these still serve.
-const minLiveKeepers = 3
-
 // updateView recomputes the view. The caller holds the lock, except in New.
 func (m *Mesh) updateView() {
 	v := &view{}
@@ -63,10 +59,7 @@
 	if len(reachable) > 0 {
 		v.reachable = relay.New(slices.Concat(reachable, v.processes))
 	}
-	v.keepers = v.plan.Keepers
-	if len(v.keepers) < minLiveKeepers {
-		v.keepers = relay.New(slices.Concat(reachable, leaving, v.processes)).Keepers
-	}
+	v.keepers = v.plan.KeepersWith(func() *relay.Plan { return relay.New(slices.Concat(reachable, leaving, v.processes)) })
 	m.view.Store(v)
 }
 
@@ -101,9 +94,7 @@
 	for _, member := range m.members {
 		processes = append(processes, processOf(member))
 	}
-	eligible := owner.Eligible(processes)
-	return len(processes) < smallFleet || len(eligible) == len(processes) ||
-		slices.ContainsFunc(eligible, func(p owner.Process) bool { return p.Name == m.self.Name })
+	return len(processes) < smallFleet || owner.IsEligible(m.self.Name, processes)
 }
 
 // smallFleet is the number of processes below which each process reads the lists
@@ -132,5 +123,8 @@
 	return name
 }
 
+// Role describes the part of this process in the plan, and the plan, for logs.
+func (m *Mesh) Role() string { return m.view.Load().plan.Role(m.self.Name) }
+
 // Owns reports whether this process owns a subject now.
 func (m *Mesh) Owns(subject string) bool { return m.Owner(subject) == m.self.Name }
--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -111,8 +111,8 @@
 	// RunsForFunc returns how long the process has run since it last stood still. Calls fail then and answers are
 	// overdue although the store is not away.
 	RunsForFunc func() clock.Millis
-	// SourceFunc returns the peer that relays the configuration, "" for none.
-	SourceFunc func() string
+	// SourceFunc returns the peer that relays the configuration, "" for none, RoleFunc the role of this process and its plan.
+	SourceFunc, RoleFunc func() string
 }
 
 // WithStore sets how the store is reached.
@@ -125,7 +125,7 @@
 		ctx: ctx, clock: clock.New(), log: log.New(io.Discard), within: within, waitFor: waitFor,
 	}
 	zero := func() clock.Millis { return 0 }
-	b.store = Store{AwayFunc: zero, OverdueFunc: zero, RefusedFunc: func() bool { return false }, RunsForFunc: b.clock.Now, SourceFunc: func() string { return "" }}
+	b.store = Store{AwayFunc: zero, OverdueFunc: zero, RefusedFunc: func() bool { return false }, RunsForFunc: b.clock.Now, SourceFunc: func() string { return "" }, RoleFunc: func() string { return "" }}
 	b.denied.missingFunc, b.denied.neededFunc = b.Outdated, b.denialMayBeProved
 	b.stale.missingFunc, b.stale.neededFunc = b.isTooOld, b.isTooOld
 	for _, opt := range opts {
@@ -250,12 +250,13 @@
 }
 
 // Claim describes what a request was decided by: the revision of the configuration, the revision of the store for
-// which it was confirmed, and by whom, separated by commas. It is "none" without a configuration.
+// which it was confirmed, by whom, and the role and plan of this process, separated by commas. It is "none" without a
+// configuration.
 func (b *Book) Claim(d *Decision) string {
 	if d.State == nil || d.Table == nil {
 		return "none"
 	}
-	return fmt.Sprintf("%v,%v,%s", d.Revision, d.StoreRevision, b.source(d))
+	return fmt.Sprintf("%v,%v,%s,%s", d.Revision, d.StoreRevision, b.source(d), b.store.RoleFunc())
 }
 
 // source returns who has confirmed the configuration of a decision: "store" or a peer.
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -194,7 +194,7 @@
 			OverdueFunc: func() clock.Millis { return g.feeds.config.OverdueFor() },
 			RefusedFunc: func() bool { return g.feeds.config.Refused() },
 			RunsForFunc: func() clock.Millis { return g.stall.RunsFor() },
-			SourceFunc:  func() string { return g.mesh.Upstream() },
+			SourceFunc:  func() string { return g.mesh.Upstream() }, RoleFunc: func() string { return g.mesh.Role() },
 		}))
 	g.intake = intake.New(g.Dialect.ConfigKind+"/"+g.Dialect.ConfigName, g.config, g.Dialect.TableFunc,
 		intake.WithClock(g.Clock), intake.WithLog(g.Log), intake.WithInForce(func() { g.startOwningIfReady() }))
