test(crowd): callers that don't keep to the limits

`jujubedev crowd` plays eighteen kinds of them against a real gateway; TestCrowdsEndNoProcess has 160 of each on a host of 144 MB, with 1,000 and, for four kinds, 10 Mbit/s. Its crowd and its bounds are fixed by this commit.

--- /dev/null
+++ b/internal/bench/crowd/crowd_test.go
@@ -0,0 +1,57 @@
+// Package crowd_test plays callers that don't keep to the limits against real gateways.
+package crowd_test
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/bench/soak"
+)
+
+const (
+	callers   = 160
+	bodyBytes = 1 << 20
+	memoryMb  = 144
+	maxFds    = 1024
+	length    = 3 * time.Second
+)
+
+// Guards against processes that end, or refuse all other callers, because of many callers that send more than they may, or
+// stop in the middle and stay.
+func TestCrowdsEndNoProcess(t *testing.T) {
+	if testing.Short() {
+		t.Skip("short mode: each crowd takes 4 seconds")
+	}
+	program := filepath.Join(t.TempDir(), "jujubed")
+	out, err := exec.Command("go", "build", "-o", program, "../../../cmd/jujubed").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	limited := []soak.Crowd{soak.AnnouncedShort, soak.ChunkedShort, soak.TinyChunks, soak.AnswersUnread}
+	for _, host := range []struct {
+		name     string
+		linkMbps float64
+		crowds   []soak.Crowd
+	}{
+		{"1000 Mbps", 1000, soak.Crowds()},
+		{"10 Mbps", 10, limited},
+	} {
+		for _, crowd := range host.crowds {
+			t.Run(host.name+"/"+string(crowd), func(t *testing.T) {
+				report, err := soak.PlayCrowd(t.Context(), soak.CrowdOptions{
+					Crowd: crowd, Callers: callers, BodyBytes: bodyBytes, MemoryMb: memoryMb, LinkMbps: host.linkMbps, MaxFds: maxFds, Length: length,
+					Program: program, Folder: t.TempDir(),
+				})
+				assert.NilError(t, err)
+				t.Log(report)
+				assert.Check(t, !report.Ended, "the process ended")
+				assert.Check(t, report.MemoryMb <= memoryMb, "%.0f MB were used", report.MemoryMb)
+				assert.Check(t, report.MaxFds <= maxFds, "%d descriptors were open", report.MaxFds)
+				assert.Check(t, report.AnsweredDuring > 0, "none of %d ordinary requests was answered beside the crowd", report.AskedDuring)
+				assert.Check(t, report.AnsweredAfter > 0, "none of %d ordinary requests was answered after it", report.AskedAfter)
+			})
+		}
+	}
+}
--- a/internal/bench/soak/host.go
+++ b/internal/bench/soak/host.go
@@ -79,6 +79,13 @@
 
 // firstHost returns the settings of the first gateway, whose callers use a link of its own if there is one.
 func (r *run) firstHost(callers *Proxy) hostSettings {
+	if r.firstHostSize != nil {
+		settings, link := r.firstHostSize.hostOf()
+		if link != nil {
+			callers.SetLink(link)
+		}
+		return settings
+	}
 	settings := hostSettings{linkMbps: linkMbps, maxFds: r.firstFds, env: r.firstEnv}
 	if r.firstLink != nil {
 		callers.SetLink(r.firstLink)
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -60,6 +60,8 @@
 	Parts bool
 	// Restores adds returns of the store from a copy.
 	Restores bool
+	// MaxBodyBytes is the largest body of a request, 0 for the stand-in's default.
+	MaxBodyBytes int
 	// Memory is the memory of a model engine in tokens, 0 for the default.
 	Memory int64
 	// Outages makes all hosts lose their power at once and the processes lose each other, instead of
@@ -161,6 +163,8 @@
 	firstLinkMbps float64
 	firstFds      int
 	firstEnv      []string
+	// firstHostSize is the size of that host, nil for one without limits.
+	firstHostSize *hostSize
 	// press is the process that is pressed, nil for none.
 	press                atomic.Pointer[press]
 	publishing           sync.Mutex // serialises changes of the configuration
@@ -197,6 +201,7 @@
 // start starts the platform, the engines and the gateways. After an error nothing runs.
 func (r *run) start() error {
 	first := config(r.modelMemory())
+	first.MaxBodyBytes = r.MaxBodyBytes
 	if r.SlowOrders {
 		slowRoutes(&first)
 	}
--- a/internal/cli/devel/root.go
+++ b/internal/cli/devel/root.go
@@ -13,6 +13,6 @@
 		Use:   "jujubedev",
 		Short: "Runs the whole system on embedded stand-ins, generates load and measures",
 	})
-	root.AddCommand(newBounds(), newUp(), newStand(), newLoad(), newMeasure(), newRollouts(), newSlope(), newSoak())
+	root.AddCommand(newBounds(), newUp(), newStand(), newLoad(), newMeasure(), newRollouts(), newSlope(), newSoak(), newCrowd())
 	return root
 }
