fix(gate): bodies of requests take memory before they are read

What callers saw: a process ended by its memory, with all its requests, or they were refused beside a crowd; a request whose body stopped stayed open for good.

Cause: readBody allocated what was announced before a byte had come, io.ReadAll up to 2.5 times a body in chunks; a body counted toward nothing until it was whole, and had no time limit.

Change: guard/body counts what all bodies take, a fifth of the memory. First parts (16 KiB) have a quarter of that for themselves, so that ordinary requests are read beside any crowd; what is longer reserves its whole length, or waits up to a second without being read. While one waits, those give way that have held most for longest and have stalled for 0.5 s or been read for 5 s, never one that is complete. Several large bodies share 0.7 of a limited link. serve/upload reads in blocks, until the deadline of the request: after it the answer would be late whatever comes. Refusals are 503 with Retry-After, not run, and close the connection. The rest of a body that is not used is read for 0.5 s and 256 KB at most; net/http had no time limit.

Metrics: jujubescale_bodies_cut_total by cause, jujubescale_body_bytes, jujubescale_bodies_waiting; log event "body cut", once a second.

TestAllReadersAreBounded now covers readers of callers' bodies, too.

--- a/internal/base/rules/readers_test.go
+++ b/internal/base/rules/readers_test.go
@@ -32,19 +32,20 @@
 		{regexp.MustCompile(`\.(ReadMessage|NextReader|ReadJSON|ReadFrom)\(`), limited, 1},
 		{regexp.MustCompile(`make\(\[\]byte, .*(ContentLength|Length|Bytes\b)`), regexp.MustCompile(`min\(`), 1},
 		{regexp.MustCompile(`websocket\.Dialer\{`), regexp.MustCompile(`bound\.NewConn`), 8},
+		{regexp.MustCompile(`[(,] ?(x\.)?r\.Body[,)]`), never, 1}, // bodies of callers, which serve/upload reads within its limits
 	}
 }
 
 // boundElsewhere lists the readers whose bound is not beside them.
 var boundElsewhere = map[string]string{
-	"internal/link/sess/open.go: _, message, err := s.conn.ReadMessage()":                 "newSession limits it to wire.MaxMessage",
-	"internal/link/sess/sess.go: kind, message, err := s.conn.ReadMessage()":              "newSession limits it to wire.MaxMessage",
-	"internal/serve/gate/accept.go: req.body = make([]byte, r.ContentLength)":             "a larger length is refused, a few lines above",
-	"internal/serve/gate/accept.go: _, err = io.ReadFull(reader, req.body)":               "reader is a MaxBytesReader, and the body has its length",
-	"internal/serve/gate/accept.go: req.body, err = io.ReadAll(reader)":                   "reader is a MaxBytesReader, a few lines above",
-	"internal/base/bound/bound.go: response, err := http.ReadResponse(r.Reader, request)": "r.Reader reads at most MaxHeadBytes after Limit",
-	"internal/engine/event/event.go: part, err := r.from.ReadSlice('\\n')":                "it returns at most the buffer, and the loop ends at MaxEvent",
-	"internal/serve/gate/pass.go: _, err = io.Copy(w, reply.Body)":                        "the answer is passed on as it arrives, and not kept",
+	"internal/link/sess/open.go: _, message, err := s.conn.ReadMessage()":                                              "newSession limits it to wire.MaxMessage",
+	"internal/link/sess/sess.go: kind, message, err := s.conn.ReadMessage()":                                           "newSession limits it to wire.MaxMessage",
+	"internal/serve/upload/upload.go: from := http.MaxBytesReader(w, r.Body, maxBytes)":                                "Book.Read takes room for each part before it reads it",
+	"internal/serve/upload/upload.go: _, err := io.CopyN(io.Discard, r.Body, drainBytes)":                              "CopyN reads at most drainBytes, within drainTime",
+	"internal/serve/front/http.go: body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, f.config.MaxBodyBytes))": "entries have MaxOpen requests at most",
+	"internal/base/bound/bound.go: response, err := http.ReadResponse(r.Reader, request)":                              "r.Reader reads at most MaxHeadBytes after Limit",
+	"internal/engine/event/event.go: part, err := r.from.ReadSlice('\\n')":                                             "it returns at most the buffer, and the loop ends at MaxEvent",
+	"internal/serve/gate/pass.go: _, err = io.Copy(w, reply.Body)":                                                     "the answer is passed on as it arrives, and not kept",
 }
 
 // Guards against memory that grows without a bound because of what another process sends.
--- a/internal/bench/soak/crowd.go
+++ b/internal/bench/soak/crowd.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/jujubescale/jujubescale/internal/stand/netw"
+	"github.com/jujubescale/jujubescale/platform"
 	"github.com/jujubescale/jujubescale/platform/stand"
 )
 
@@ -182,7 +183,7 @@
 func (c *crowd) check(ctx context.Context) {
 	for ; ctx.Err() == nil; pause(ctx, time.Second) {
 		client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-		response, err := client.Get("http://" + c.process.ports.ready + "/-/readyz")
+		response, err := client.Get("http://" + c.process.ports.ready + platform.Codec().ReadyPath)
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/serve/gate/accept.go
+++ b/internal/serve/gate/accept.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 
@@ -22,6 +20,7 @@
 	"github.com/jujubescale/jujubescale/internal/serve/proof"
 	"github.com/jujubescale/jujubescale/internal/serve/resume"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
+	"github.com/jujubescale/jujubescale/internal/serve/upload"
 )
 
 // request is the state of one caller's request.
@@ -40,7 +39,7 @@
 	target string
 	host   string
 	header http.Header
-	body   []byte
+	body   upload.Body
 	// crashID is computed by crashKey on first use. quarantineTrial marks a quarantined
 	// request that may run once to check whether it still crashes endpoints.
 	crashID         crash.Key
@@ -151,7 +150,8 @@
 	if refused := g.refuseLacking(); refused != nil {
 		return req, refused
 	}
-	if refused := readBody(w, r, req); refused != nil {
+	var refused *fault.RefusalError
+	if req.body, refused = g.Uploads.Read(w, r, req.decision.Table.Limits.MaxBodyBytes, req.deadline); refused != nil {
 		return req, g.Config.ConfirmDenial(r.Context(), req.Request, &req.decision, refused, nil)
 	}
 	if refused := g.refuseQuarantined(req); refused != nil {
@@ -209,35 +209,6 @@
 	return g.refuseUnended(req, grace.Arrived)
 }
 
-// defaultMaxBody is the largest body of a request in bytes if the configuration states no limit.
-const defaultMaxBody = 16 << 20
-
-// readBody reads the complete body before anything else starts, so that a caller that
-// disconnects during the upload causes no work.
-func readBody(w http.ResponseWriter, r *http.Request, req *request) *fault.RefusalError {
-	limit := cmp.Or(req.decision.Table.Limits.MaxBodyBytes, defaultMaxBody)
-	if r.ContentLength > limit {
-		w.Header().Set("Connection", "close")
-		return fault.Deny(fault.BodyTooLarge, "")
-	}
-	reader := http.MaxBytesReader(w, r.Body, limit)
-	var err error
-	if r.ContentLength > 0 {
-		req.body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(reader, req.body)
-	} else {
-		req.body, err = io.ReadAll(reader)
-	}
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return fault.Deny(fault.BodyTooLarge, "")
-	case err != nil:
-		return fault.Refuse(fault.Cancelled, "reading the request body: "+err.Error())
-	}
-	return nil
-}
-
 // prepareStages sets up the stages of the request's route, if it has any.
 func (g *Gate) prepareStages(req *request) *fault.RefusalError {
 	if len(req.route.Stages) == 0 {
--- a/internal/serve/gate/attempt.go
+++ b/internal/serve/gate/attempt.go
@@ -206,16 +206,16 @@
 		call.Urgency = spell.UrgencyOf(req.priority, now > req.neededBy && !req.headSent)
 	}
 	head = g.Codec.CallFunc(head, call)
-	if len(req.body) > 0 || req.method == http.MethodPost || req.method == http.MethodPut || req.method == http.MethodPatch {
+	if len(req.body.Bytes) > 0 || req.method == http.MethodPost || req.method == http.MethodPut || req.method == http.MethodPatch {
 		head = append(head, "Content-Length: "...)
-		head = strconv.AppendInt(head, int64(len(req.body)), 10)
+		head = strconv.AppendInt(head, int64(len(req.body.Bytes)), 10)
 		head = append(head, "\r\n"...)
 	}
 	head = append(head, "\r\n"...)
 	maxIdle, margin := conn.ReuseIdle(req.route.Idempotent(), g.reuses(t.Endpoint))
 	id := req.Request
 	return &conn.Request{
-		Method: req.method, Head: head, Body: req.body, MaxIdle: maxIdle, IdleMargin: margin, Work: workForward,
+		Method: req.method, Head: head, Body: req.body.Bytes, MaxIdle: maxIdle, IdleMargin: margin, Work: workForward,
 		MatchFunc: func(header http.Header, fresh bool) bool {
 			answerID := g.Codec.ResponseInfoFunc(header).Request
 			return answerID == id || (answerID == "" && fresh)
--- a/internal/serve/gate/crash.go
+++ b/internal/serve/gate/crash.go
@@ -24,7 +24,7 @@
 func (r *request) crashKey() crash.Key {
 	if r.crashID == (crash.Key{}) {
 		host, _, _ := strings.Cut(strings.ToLower(r.host), ":")
-		r.crashID = crash.KeyOf(r.organisation, r.method, host, r.target, r.body)
+		r.crashID = crash.KeyOf(r.organisation, r.method, host, r.target, r.body.Bytes)
 	}
 	return r.crashID
 }
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -38,6 +38,7 @@
 	"github.com/jujubescale/jujubescale/internal/serve/speeds"
 	"github.com/jujubescale/jujubescale/internal/serve/spool"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
+	"github.com/jujubescale/jujubescale/internal/serve/upload"
 )
 
 // Settings configure a Gate.
@@ -71,6 +72,8 @@
 	// ReuseFunc is host.Settings.ReuseFunc. It also shortens the unused part of idle
 	// timeouts for idempotent routes, and divides the connections of an endpoint by use.
 	ReuseFunc func(*view.Endpoint) bool
+	// Uploads reads the bodies of requests.
+	Uploads *upload.Book
 	// Spool and Push limit what is held for slow callers and endpoints, Spare refuses what
 	// the host can't serve; nil without limits.
 	Spool *spool.Book
@@ -156,6 +159,7 @@
 	g.speeds.Refresh()
 	g.limits.Sweep(g.View().Find)
 	g.Spool.Sweep()
+	g.Uploads.Sweep()
 }
 
 // ObserveAnswer records what the head of an endpoint's answer says about the endpoint, and
@@ -262,12 +266,16 @@
 	g.Door.Begin(began)
 	g.awaitReady(r.Context())
 	req, refused := g.accept(w, r, began)
-	received := len(req.body)
-	defer func() { g.Door.End(received) }()
+	received := len(req.body.Bytes)
+	defer func() {
+		g.Door.End(received)
+		req.body.Release()
+	}()
 	if refused == nil {
 		refused = g.refuseUnended(req, grace.Arrived) // its body may have taken long
 	}
 	if refused != nil {
+		upload.Drain(w, r)
 		g.refuse(w, req, refused)
 		return
 	}
--- a/internal/serve/gate/run.go
+++ b/internal/serve/gate/run.go
@@ -64,7 +64,7 @@
 		g.releaseResults(req, req.run.References())
 	}
 	if err == nil {
-		req.body = nil // a slow caller doesn't hold it
+		req.body.Release() // a slow caller doesn't hold it
 		if unread := spool.Finish(w); unread != nil {
 			err = fault.Refuse(fault.Cancelled, unread.Error())
 		}
--- a/internal/serve/router/limits.go
+++ b/internal/serve/router/limits.go
@@ -9,6 +9,7 @@
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/engine/push"
+	"github.com/jujubescale/jujubescale/internal/guard/body"
 	"github.com/jujubescale/jujubescale/internal/guard/door"
 	"github.com/jujubescale/jujubescale/internal/guard/hold"
 	"github.com/jujubescale/jujubescale/internal/guard/spare"
@@ -16,6 +17,7 @@
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/serve/bulk"
 	"github.com/jujubescale/jujubescale/internal/serve/spool"
+	"github.com/jujubescale/jujubescale/internal/serve/upload"
 )
 
 const (
@@ -26,14 +28,15 @@
 	countSpan = clock.Second
 )
 
-// hostLimits keeps a gateway within the limits of its host. All fields are nil if the
+// hostLimits keeps a gateway within the limits of its host. All fields but uploads are nil if the
 // bandwidth of the link is unknown or above maxLimitedMbps.
 type hostLimits struct {
-	pacer *pacer.Pacer
-	spool *spool.Book
-	push  *push.Book
-	spare *spare.Book
-	bulk  *bulk.Sender
+	pacer   *pacer.Pacer
+	uploads *upload.Book
+	spool   *spool.Book
+	push    *push.Book
+	spare   *spare.Book
+	bulk    *bulk.Sender
 }
 
 // maxLimitedMbps is the bandwidth in megabits per second up to which the limits apply. At faster
@@ -41,13 +44,17 @@
 const maxLimitedMbps = 500
 
 func (g *Gateway) newHostLimits(ctx context.Context) hostLimits {
-	if g.LinkMbps <= 0 || g.LinkMbps > maxLimitedMbps {
+	link, memory := g.LinkMbps, int64(g.MemoryMb*megabyte)
+	if link > maxLimitedMbps {
+		link = 0
+	}
+	l := hostLimits{uploads: upload.New(body.New(body.Limits{Memory: memory, Link: link * megabit / 8}), g.Registry, upload.WithClock(g.Clock), upload.WithLog(g.Log))}
+	if link <= 0 {
 		g.door = g.newDoor(door.Limits{}, nil)
-		return hostLimits{}
+		return l
 	}
-	memory := int64(g.MemoryMb * megabyte)
 	ledger := hold.New(hold.LimitsOf(memory, spool.KernelBytes))
-	l := hostLimits{pacer: pacer.New(g.LinkMbps)}
+	l.pacer = pacer.New(g.LinkMbps)
 	l.spool = spool.New(ledger, g.Registry, spool.WithClock(g.Clock), spool.WithLog(g.Log), spool.WithForwarded(func(bytes int, now clock.Millis) {
 		l.pacer.Forwarded(bytes, now)
 		g.door.Forwarded(bytes)
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -86,9 +86,8 @@
 	Store    *store.Store
 	Dialect  Dialect
 	Bounds   gate.Bounds
-	// LinkMbps is the bandwidth of the host's link in megabits per second. If it is 0, the
-	// limits of the host do not apply: MemoryMb is its memory in megabytes and MaxFds the
-	// number of its file descriptors, 0 without limit.
+	// LinkMbps is the bandwidth of the host's link in megabits per second, MemoryMb its memory in
+	// megabytes and MaxFds the number of its file descriptors, 0 without limit.
 	LinkMbps float64
 	MemoryMb float64
 	MaxFds   int
@@ -218,7 +217,7 @@
 		Permits:  g.newPermits(),
 		Origins:  g.origins,
 		Detector: g.detector,
-		Spool:    g.limits.spool, Push: g.limits.push, Spare: g.limits.spare, Door: g.door,
+		Uploads:  g.limits.uploads, Spool: g.limits.spool, Push: g.limits.push, Spare: g.limits.spare, Door: g.door,
 	})
 	g.SetBounds(settings.Bounds)
 	g.host = host.New(ctx, host.Settings{
