fix(router): limits of the memory hold on hosts with fast links, too

What callers saw: on hosts with 1,000 Mbit/s callers that read no answers, or that come in crowds, use up the memory; the process is killed.

Cause: maxLimitedMbps turned off what divides the bandwidth and what limits memory and descriptors together. Memory has nothing to do with the link.

Change: slow readers, buffers for endpoints, the refusals for lack of memory or descriptors and the door apply where memoryMb is known; bandwidth is divided up to 500 Mbit/s as before. What a process uses is measured by ops/usage.

--- a/internal/serve/router/door.go
+++ b/internal/serve/router/door.go
@@ -4,6 +4,7 @@
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/guard/door"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/ops/usage"
 )
 
 // doorLogInterval is the shortest time between two log lines about connections closed unread.
@@ -12,17 +13,17 @@
 // newDoor returns the book that decides on new connections of callers.
 func (g *Gateway) newDoor(limits door.Limits, files func() int64) *door.Book {
 	return door.New(limits, func() door.Usage {
-		usage := door.Usage{Link: g.limits.pacer.Used(g.Clock.Now())}
+		use := door.Usage{Link: g.limits.pacer.Used(g.Clock.Now())}
 		if sums := g.mesh.PendingArrivals(wire.RequestRate); len(sums) > 1 {
-			usage.PeersOffered, usage.Peers = float64(sums[0]), sums[1]
+			use.PeersOffered, use.Peers = float64(sums[0]), sums[1]
 		}
 		if limits.Memory > 0 {
-			usage.Memory = usedMemory()
+			use.Memory = usage.Memory()
 		}
 		if limits.Files > 0 {
-			usage.Files = files()
+			use.Files = files()
 		}
-		return usage
+		return use
 	})
 }
 
--- a/internal/serve/router/limits.go
+++ b/internal/serve/router/limits.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net"
-	"os"
-	"runtime/metrics"
 	"sync"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
@@ -15,6 +13,7 @@
 	"github.com/jujubescale/jujubescale/internal/guard/spare"
 	"github.com/jujubescale/jujubescale/internal/link/pacer"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/ops/usage"
 	"github.com/jujubescale/jujubescale/internal/serve/bulk"
 	"github.com/jujubescale/jujubescale/internal/serve/spool"
 	"github.com/jujubescale/jujubescale/internal/serve/upload"
@@ -28,8 +27,8 @@
 	countSpan = clock.Second
 )
 
-// hostLimits keeps a gateway within the limits of its host. All fields but uploads are nil if the
-// bandwidth of the link is unknown or above maxLimitedMbps.
+// hostLimits keeps a gateway within the limits of its host. pacer and bulk are nil if the bandwidth of the link is unknown
+// or above maxLimitedMbps, spool, push and spare if the memory is unknown, too.
 type hostLimits struct {
 	pacer   *pacer.Pacer
 	uploads *upload.Book
@@ -39,8 +38,7 @@
 	bulk    *bulk.Sender
 }
 
-// maxLimitedMbps is the bandwidth in megabits per second up to which the limits apply. At faster
-// links, the kernel's buffers drain faster than slow readers fill them.
+// maxLimitedMbps is the bandwidth in megabits per second up to which the bandwidth is divided.
 const maxLimitedMbps = 500
 
 func (g *Gateway) newHostLimits(ctx context.Context) hostLimits {
@@ -48,25 +46,28 @@
 	if link > maxLimitedMbps {
 		link = 0
 	}
-	l := hostLimits{uploads: upload.New(body.New(body.Limits{Memory: memory, Link: link * megabit / 8}), g.Registry, upload.WithClock(g.Clock), upload.WithLog(g.Log))}
-	if link <= 0 {
+	var l hostLimits
+	l.uploads = upload.New(body.New(body.Limits{Memory: memory, Link: link * megabit / 8}), g.Registry, upload.WithClock(g.Clock), upload.WithLog(g.Log))
+	if link == 0 && memory == 0 {
 		g.door = g.newDoor(door.Limits{}, nil)
 		return l
 	}
+	if link > 0 {
+		l.pacer = pacer.New(link)
+		l.bulk = bulk.New(ctx, g.Clock, l.pacer, g.Registry)
+	}
 	ledger := hold.New(hold.LimitsOf(memory, spool.KernelBytes))
-	l.pacer = pacer.New(g.LinkMbps)
 	l.spool = spool.New(ledger, g.Registry, spool.WithClock(g.Clock), spool.WithLog(g.Log), spool.WithForwarded(func(bytes int, now clock.Millis) {
 		l.pacer.Forwarded(bytes, now)
 		g.door.Forwarded(bytes)
 	}))
 	l.push = push.New(g.Clock, ledger, func(address string, made hold.Cut) { l.spool.RecordCut(&made, "address", address) })
-	l.bulk = bulk.New(ctx, g.Clock, l.pacer, g.Registry)
 	files := g.countFiles()
 	l.spare = spare.New(spare.Limits{Memory: memory, Files: int64(g.MaxFds)}, func() spare.Usage {
-		return spare.Usage{Memory: usedMemory(), Files: files(), Link: l.pacer.Used(g.Clock.Now()), ReadersFull: ledger.Full()}
+		return spare.Usage{Memory: usage.Memory(), Files: files(), Link: l.pacer.Used(g.Clock.Now()), ReadersFull: ledger.Full()}
 	})
 	g.door = g.newDoor(door.Limits{
-		Link: g.LinkMbps * megabit / 8, Memory: memory, Files: int64(g.MaxFds), Connections: int64(g.MaxConnections),
+		Link: link * megabit / 8, Memory: memory, Files: int64(g.MaxFds), Connections: int64(g.MaxConnections),
 	}, files)
 	return l
 }
@@ -81,7 +82,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		if now := g.Clock.Now(); countedAt == 0 || now-countedAt >= countSpan {
-			files, countedAt = openFiles(), now
+			files, countedAt = usage.Files(), now
 		}
 		return files
 	}
@@ -92,27 +93,6 @@
 	return g.limits.spool.ConnContext(ctx, c)
 }
 
-// usedMemory returns the memory that the Go runtime has from the operating system, in bytes.
-func usedMemory() int64 {
-	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
-	metrics.Read(samples)
-	return int64(samples[0].Value.Uint64()) - int64(samples[1].Value.Uint64())
-}
-
-// openFiles returns the number of open file descriptors of this process, 0 if it is unknown.
-func openFiles() int64 {
-	folder, err := os.Open("/proc/self/fd")
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = folder.Close() }()
-	names, err := folder.Readdirnames(0)
-	if err != nil {
-		return 0
-	}
-	return int64(len(names))
-}
-
 // startShare returns this process's share of a limit of starts at a warm endpoint of a pool, in requests per
 // second.
 func (g *Gateway) startShare(limit float64, endpoints int) float64 {
