fix(proc): the kernel holds 32 KB of a caller's connection that is not read

What callers saw: a process ended by its memory beside callers that send request after request and read no answer.

Cause: the kernel holds up to 6 MB for each connection that the process doesn't read, which counts toward the memory of the host and toward no limit of ours.

Change: the callers' port listens with a receive buffer of that size, which connections take over, so that their senders wait.

--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -200,6 +200,9 @@
 	// callersFds is the part of the file descriptors that callers' connections
 	// may use. Connections to endpoints and peers and files need the rest.
 	callersFds = 0.5
+	// receiveBytes is what the kernel holds of a caller's connection that is not read. It transfers 10 MB a second from a
+	// caller that is 3 ms away.
+	receiveBytes = 32 << 10
 )
 
 func (r *gatewayRun) open(ctx context.Context, port **proc.Port, name, address string, handler http.Handler) error {
@@ -215,7 +218,7 @@
 	var err error
 	r.callers, err = proc.Open(ctx, proc.PortOptions{
 		Name: callersPort, Address: r.settings.Callers, Handler: r.gateway.Handler(),
-		MaxConnections: int(callersFds * float64(r.settings.MaxFds)), MaxHeaderBytes: callersHeader,
+		MaxConnections: int(callersFds * float64(r.settings.MaxFds)), MaxHeaderBytes: callersHeader, ReceiveBytes: receiveBytes,
 		HeaderTimeout: callersTimeout.Duration(), IdleTimeout: callersIdle.Duration(), Log: r.Log,
 		Unanswered: r.Unanswered.WithLabelValues(callersPort), ConnContext: r.gateway.ConnContext, AdmitFunc: r.gateway.AdmitConnection,
 	})
--- a/internal/cli/proc/port.go
+++ b/internal/cli/proc/port.go
@@ -5,10 +5,12 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sys/unix"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/conns"
@@ -28,6 +30,9 @@
 	// headers of one request.
 	MaxConnections int
 	MaxHeaderBytes int
+	// ReceiveBytes is about what the kernel holds of each connection that the process has not read, 0 for its default of
+	// some megabytes.
+	ReceiveBytes int
 	// HeaderTimeout bounds the time to read the headers of a request. An idle
 	// connection is closed after IdleTimeout.
 	HeaderTimeout time.Duration
@@ -52,7 +57,7 @@
 // Open listens on the address and serves requests until Close or Shutdown. It
 // returns an error if it can't listen.
 func Open(ctx context.Context, options PortOptions) (*Port, error) {
-	var config net.ListenConfig
+	config := net.ListenConfig{Control: limitReceived(options.ReceiveBytes)}
 	listener, err := config.Listen(ctx, "tcp", options.Address)
 	if err != nil {
 		return nil, err
@@ -73,6 +78,20 @@
 	}, nil
 }
 
+// limitReceived returns a function that limits what the kernel holds of each connection to a listening socket, nil without
+// limit. Connections take it over, which tells their senders the limit from the first packet on.
+func limitReceived(bytes int) func(network, address string, c syscall.RawConn) error {
+	if bytes == 0 {
+		return nil
+	}
+	return func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			// The kernel doubles the value. If it fails, the kernel holds more.
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes/2)
+		})
+	}
+}
+
 // reportUnanswered returns a function that logs and counts a connection that ended
 // without an answer.
 func reportUnanswered(options *PortOptions) func(conns.Unanswered) {
