--- a/internal/bench/soak/routes.go
+++ b/internal/bench/soak/routes.go
@@ -50,7 +50,7 @@
 	return plan
 }
 
-// injectHold pauses or throttles one process, or pauses every third one.
+// injectHold pauses or throttles one process, pauses every third one, or takes the largest hosts away.
 func (r *run) injectHold(ctx context.Context, d Disturbance, index int) {
 	switch d.Kind {
 	case Throttle:
@@ -64,6 +64,8 @@
 			})
 		}
 		group.Wait()
+	case LoseLarge:
+		r.loseLarge(ctx, d)
 	default:
 		hold(ctx, r.processAt(index), d.For)
 	}
--- a/internal/bench/soak/strike.go
+++ b/internal/bench/soak/strike.go
@@ -46,10 +46,8 @@
 		r.restoreStore(ctx, d)
 	case BadPart, PressOne, Unframed:
 		r.injectPart(ctx, d)
-	case Pause, Throttle, PauseGroup:
+	case Pause, Throttle, PauseGroup, LoseLarge:
 		r.injectHold(ctx, d, index)
-	case LoseLarge:
-		r.loseLarge(ctx, d)
 	default:
 		r.injectPlatformChange(ctx, d)
 	}
--- a/internal/cli/devel/soak.go
+++ b/internal/cli/devel/soak.go
@@ -160,14 +160,19 @@
 	if report.Restores > 0 {
 		command.Printf("  %d returns of the store, %d checks\n", report.Restores, report.RestoreProbes)
 	}
-	for _, violation := range report.Violations {
+	return endSeed(command, options, report.Violations, folder)
+}
+
+// endSeed prints the violations of a seed, and removes its logs if there are none.
+func endSeed(command *cobra.Command, options soakOptions, violations []string, folder string) (passed bool, err error) {
+	for _, violation := range violations {
 		command.Printf("  %s\n", violation)
 	}
-	if len(report.Violations) > 0 {
+	switch {
+	case len(violations) > 0:
 		command.Printf("  logs: %s\n", folder)
 		return false, nil
-	}
-	if options.keep {
+	case options.keep:
 		return true, nil
 	}
 	return true, os.RemoveAll(folder)
