fix(proc): callers that send nothing, or half a head, don't keep others out of a full port

What callers saw: with as many connections open as a port allows, others wait in the kernel's queue until a header timeout of 10 s ends one; at the port of the balancer 64 of them take the gateway out of rotation.

Cause: a limit without a choice of who goes.

Change: while another connection waits, the one that has waited for a complete head for longest is ended as in a planned stop, so that a request which arrives at that moment is answered. Connections with an open request stay. A log line a second at most names port, caller and time.

TestFullPortClosesTheConnectionThatWaitsForLongest fails without it, by its time limit.

--- a/internal/cli/proc/port.go
+++ b/internal/cli/proc/port.go
@@ -71,11 +71,10 @@
 		ConnContext:       options.ConnContext,
 		ErrorLog:          options.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
-	return &Port{
-		name:   options.Name,
-		actual: listener.Addr(),
-		server: conns.Serve(server, limit.New(listener, options.MaxConnections), conns.WithUnanswered(reportUnanswered(&options)), conns.WithAdmit(options.AdmitFunc)),
-	}, nil
+	limited := limit.New(listener, options.MaxConnections)
+	served := conns.Serve(server, limited, conns.WithUnanswered(reportUnanswered(&options)), conns.WithAdmit(options.AdmitFunc))
+	limited.OnFull(makeRoom(served, &options))
+	return &Port{name: options.Name, actual: listener.Addr(), server: served}, nil
 }
 
 // limitReceived returns a function that limits what the kernel holds of each connection to a listening socket, nil without
@@ -92,6 +91,27 @@
 	}
 }
 
+// makeRoomLogInterval is the shortest time between two log lines about connections that were closed for others.
+const makeRoomLogInterval = time.Second
+
+// makeRoom returns a function that closes the connection which has waited for a request for longest, so that callers who open
+// connections and send nothing, or half a head, don't keep all others out.
+func makeRoom(served *conns.Server, options *PortOptions) func() {
+	var loggedAt time.Time // only the goroutine that accepts connections uses it
+	closed := 0
+	return func() {
+		remote, waited := served.CloseLongestWaiting()
+		if remote == "" {
+			return
+		}
+		if closed++; time.Since(loggedAt) >= makeRoomLogInterval {
+			options.Log.Info("connection closed for another one", "port", options.Name, "caller", remote, "waitedMs", int64(waited),
+				"maxConnections", options.MaxConnections, "closed", closed)
+			loggedAt = time.Now()
+		}
+	}
+}
+
 // reportUnanswered returns a function that logs and counts a connection that ended
 // without an answer.
 func reportUnanswered(options *PortOptions) func(conns.Unanswered) {
--- a/internal/link/conns/conn.go
+++ b/internal/link/conns/conn.go
@@ -30,9 +30,10 @@
 	accepted clock.Millis
 
 	mu sync.Mutex
-	// awaitsHead is set if no complete head has been read since the last answer, and
+	// awaitsHead is set if no complete head has been read since the last answer, which was at awaitsSince, and
 	// headStarted if some bytes of it have been read, the first at headStartedAt.
 	awaitsHead    bool
+	awaitsSince   clock.Millis
 	headStarted   bool
 	headStartedAt clock.Millis
 	// deadline is the read deadline set by the server, and drainStart the instant at
@@ -53,7 +54,8 @@
 }
 
 func newConn(inner net.Conn, l *listener) *conn {
-	return &conn{Conn: inner, listener: l, accepted: l.clock.Now(), awaitsHead: true, unadmitted: l.admitFunc != nil}
+	now := l.clock.Now()
+	return &conn{Conn: inner, listener: l, accepted: now, awaitsSince: now, awaitsHead: true, unadmitted: l.admitFunc != nil}
 }
 
 // untrack stops tracking the connection.
@@ -98,12 +100,20 @@
 		c.awaitsHead = false
 	case !c.awaitsHead && t.After(time.Now()):
 		c.awaitsHead, c.headStarted, c.answered = true, false, false
+		c.awaitsSince = c.listener.clock.Now()
 	}
 	c.deadline = t
 	c.applyDeadline()
 	return nil
 }
 
+// waitingSince returns since when the connection has waited for a complete head, and whether it does and is not being ended.
+func (c *conn) waitingSince() (since clock.Millis, waits bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.awaitsSince, c.awaitsHead && !c.untracked && c.drainStart == 0
+}
+
 // SyscallConn implements syscall.Conn if the inner connection does.
 func (c *conn) SyscallConn() (syscall.RawConn, error) {
 	source, ok := c.Conn.(syscall.Conn)
--- a/internal/link/conns/conns.go
+++ b/internal/link/conns/conns.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/link/limit"
 )
 
 const (
@@ -138,7 +139,7 @@
 // stopAccepting closes the listener once the kernel's queue is empty, because closing
 // it resets the connections in that queue.
 func (s *Server) stopAccepting(ctx context.Context) {
-	for end := s.clock.Now() + drainAcceptTimeout; s.listener.hasPending() && s.clock.Now() < end; {
+	for end := s.clock.Now() + drainAcceptTimeout; limit.Pending(s.listener.Listener) && s.clock.Now() < end; {
 		if s.clock.Sleep(ctx, acceptPollInterval) != nil {
 			break
 		}
@@ -146,6 +147,12 @@
 	_ = s.listener.Close() // Serve returns its error
 }
 
+// CloseLongestWaiting ends the connection that has waited for a complete head of a request for longest. It returns its caller
+// and for how long it has, "" if all connections have a request that is not answered yet.
+func (s *Server) CloseLongestWaiting() (remote string, waited clock.Millis) {
+	return s.listener.closeLongestWaiting()
+}
+
 // Close stops the server and closes all its connections immediately.
 func (s *Server) Close() {
 	s.stopping.Store(true)
--- a/internal/link/conns/conns_test.go
+++ b/internal/link/conns/conns_test.go
@@ -1,9 +1,12 @@
 package conns_test
 
 import (
+	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jujubescale/jujubescale/internal/link/conns"
+	"github.com/jujubescale/jujubescale/internal/link/limit"
 )
 
 // serve starts a server. It returns the server's address and a channel of its reports
@@ -40,6 +44,31 @@
 
 const get = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"
 
+// Guards against callers that open as many connections as a port allows, send half a head or nothing, and keep all others out.
+func TestFullPortClosesTheConnectionThatWaitsForLongest(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	const allowed = 2
+	limited := limit.New(inner, allowed)
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	s := conns.Serve(server, limited)
+	limited.OnFull(func() { s.CloseLongestWaiting() })
+	t.Cleanup(s.Close)
+	half := dial(t, inner.Addr().String())
+	_, err = io.WriteString(half, get[:5])
+	assert.NilError(t, err)
+	for range 3 * allowed {
+		c := dial(t, inner.Addr().String())
+		_, err := io.WriteString(c, get)
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		_ = response.Body.Close()
+	}
+	_, err = io.ReadAll(half) // it was closed
+	assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded))
+}
+
 // Guards against requests that end without an answer and without a report.
 func TestConnectionThatEndsUnansweredIsReported(t *testing.T) {
 	address, reports := serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
--- a/internal/link/conns/listener.go
+++ b/internal/link/conns/listener.go
@@ -6,9 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
-
-	"golang.org/x/sys/unix"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 )
@@ -54,6 +51,25 @@
 	return len(l.open)
 }
 
+// closeLongestWaiting ends the connection that has waited for a complete head of a request for longest, as a planned stop does:
+// a request that arrives at this moment is answered. It returns the caller and for how long it has waited, "" if there is none.
+func (l *listener) closeLongestWaiting() (remote string, waited clock.Millis) {
+	l.mu.Lock()
+	var longest *conn
+	var from clock.Millis
+	for c := range l.open {
+		if since, waits := c.waitingSince(); waits && (longest == nil || since < from) {
+			longest, from = c, since
+		}
+	}
+	l.mu.Unlock()
+	if longest == nil {
+		return "", 0
+	}
+	longest.drain()
+	return longest.RemoteAddr().String(), l.clock.Since(from)
+}
+
 // drain ends all connections that wait for a request, including those that are
 // accepted later.
 func (l *listener) drain() {
@@ -89,23 +105,6 @@
 	delete(l.open, c)
 }
 
-// hasPending reports whether the kernel's queue holds a connection to accept.
-func (l *listener) hasPending() bool {
-	source, ok := l.Listener.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false
-	}
-	ready := 0
-	err = raw.Control(func(fd uintptr) {
-		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) // on an error ready isn't positive
-	})
-	return err == nil && ready > 0
-}
-
 // onStateChange stops tracking hijacked and HTTP/2 connections. It is a ConnState hook of
 // http.Server.
 func (l *listener) onStateChange(c net.Conn, state http.ConnState) {
--- a/internal/link/limit/limit.go
+++ b/internal/link/limit/limit.go
@@ -7,7 +7,11 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Listener accepts a connection only while fewer than its limit are open. Others
@@ -17,8 +21,16 @@
 	slots  chan struct{}
 	closed chan struct{}
 	once   sync.Once
+	// fullFunc is set by OnFull.
+	fullFunc atomic.Pointer[func()]
 }
 
+// fullPoll is the time after which a listener that is still full calls the function of OnFull again.
+const fullPoll = 50 * time.Millisecond
+
+// OnFull sets a function that is called while another connection waits and as many as allowed are open, to close one of them.
+func (l *Listener) OnFull(full func()) { l.fullFunc.Store(&full) }
+
 // New returns a listener that accepts from inner and holds at most maxOpen connections
 // open.
 func New(inner net.Listener, maxOpen int) *Listener {
@@ -27,9 +39,7 @@
 
 // Accept waits for a free slot and then for a connection.
 func (l *Listener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
+	if !l.takeSlot() {
 		return nil, net.ErrClosed
 	}
 	inner, err := l.Listener.Accept()
@@ -40,6 +50,43 @@
 	return &conn{Conn: inner, release: func() { <-l.slots }}, nil
 }
 
+// takeSlot waits for a free slot and takes it. It returns false if the listener is closed before.
+func (l *Listener) takeSlot() bool {
+	for {
+		select {
+		case l.slots <- struct{}{}:
+			return true
+		default:
+		}
+		if full := l.fullFunc.Load(); full != nil && Pending(l.Listener) {
+			(*full)()
+		}
+		again := time.NewTimer(fullPoll)
+		select {
+		case l.slots <- struct{}{}:
+			again.Stop()
+			return true
+		case <-again.C:
+		case <-l.closed:
+			again.Stop()
+			return false
+		}
+	}
+}
+
+// Pending reports whether the kernel's queue of a listener holds a connection to accept.
+func Pending(of net.Listener) bool {
+	raw, err := rawConn(of)
+	if err != nil {
+		return false
+	}
+	ready := 0
+	err = raw.Control(func(fd uintptr) {
+		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) // on an error ready isn't positive
+	})
+	return err == nil && ready > 0
+}
+
 // SyscallConn implements syscall.Conn if the inner listener does.
 func (l *Listener) SyscallConn() (syscall.RawConn, error) { return rawConn(l.Listener) }
 
