--- a/internal/conf/config/gateway.go
+++ b/internal/conf/config/gateway.go
@@ -38,7 +38,7 @@
 	LeaveMs clock.Millis `json:"leaveMs,omitempty" jsonschema:"minimum=1000,maximum=60000,default=2000"`
 	// MaxFds is the maximum number of open file descriptors of this process; it limits the number of connections of callers.
 	MaxFds int `json:"maxFds,omitempty" jsonschema:"minimum=0,maximum=10000000,default=4096"`
-	// LinkMbps is the bandwidth of the host's link in megabits per second; 0 means that it is unknown. If it is set and at most 500, this process limits the data that it holds for slow readers, bulk data between processes leaves half of the link to callers' events, and requests for which the host lacks memory, file descriptors or bandwidth are refused.
+	// LinkMbps is the bandwidth of the host's link in megabits per second; 0 means that it is unknown. If it is set, this process limits the data that it holds for slow readers, and refuses requests for which the host lacks memory or file descriptors; up to 500, bulk data between processes leaves half of the link to callers' events, and requests for which the host lacks bandwidth are refused.
 	LinkMbps float64 `json:"linkMbps,omitempty" jsonschema:"minimum=0,maximum=1000000"`
 	// ExtraShare is the number of repeated requests (retries and hedges) that all processes together may send, as a fraction of the requests of a pool.
 	ExtraShare float64 `json:"extraShare,omitempty" jsonschema:"minimum=0,maximum=10,default=0.2"`
--- a/internal/serve/router/limits.go
+++ b/internal/serve/router/limits.go
@@ -28,7 +28,7 @@
 )
 
 // hostLimits keeps a gateway within the limits of its host. pacer and bulk are nil if the bandwidth of the link is unknown
-// or above maxLimitedMbps, spool, push and spare if the memory is unknown, too.
+// or above maxLimitedMbps, spool, push and spare if it is unknown.
 type hostLimits struct {
 	pacer   *pacer.Pacer
 	uploads *upload.Book
@@ -48,7 +48,7 @@
 	}
 	var l hostLimits
 	l.uploads = upload.New(body.New(body.Limits{Memory: memory, Link: link * megabit / 8}), g.Registry, upload.WithClock(g.Clock), upload.WithLog(g.Log))
-	if link == 0 && memory == 0 {
+	if g.LinkMbps <= 0 {
 		g.door = g.newDoor(door.Limits{}, nil)
 		return l
 	}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -86,8 +86,9 @@
 	Store    *store.Store
 	Dialect  Dialect
 	Bounds   gate.Bounds
-	// LinkMbps is the bandwidth of the host's link in megabits per second, MemoryMb its memory in
-	// megabytes and MaxFds the number of its file descriptors, 0 without limit.
+	// LinkMbps is the bandwidth of the host's link in megabits per second. If it is 0, only bodies of
+	// requests are limited: MemoryMb is its memory in megabytes and MaxFds the number of its file
+	// descriptors, 0 without limit.
 	LinkMbps float64
 	MemoryMb float64
 	MaxFds   int
