--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -457,7 +457,7 @@
 	r.checkResumes()
 	r.checkStops()
 	r.checkStatements()
-	if r.Moves {
+	if r.Moves && !r.OddAnswers { // such a store may leave any change out, so that no process can tell
 		r.checkClaims()
 	}
 }
