test(soak): a claim counts from the start of a call that the store may have answered while it hides changes

Traced: the processes were behind and knew it; the stand-in began to hide changes at 08:47:44.25, and answered calls that had begun up to some 10 ms earlier without a change that it had acknowledged 3.4 s before. That is the fault which the check excludes; the instant of a confirmation is the start of the call and lay just before it.

--- a/internal/bench/soak/claim.go
+++ b/internal/bench/soak/claim.go
@@ -28,7 +28,8 @@
 }
 
 // checkClaims reports requests that were run or denied by a version that counted as confirmed for an instant at which another
-// process had a newer one in force, whether or not that was too late. Instants at which the store hides changes don't count.
+// process had a newer one in force, whether or not that was too late. Instants at which the store hides changes don't count, and
+// those shortly before: a confirmation counts from the start of a call, which may have been answered then.
 func (r *run) checkClaims() {
 	firsts := make(map[int]time.Time)
 	for _, p := range r.processes {
@@ -53,7 +54,7 @@
 		reported := 0
 		for _, c := range claims {
 			at, found := replaced[c.version]
-			if !found || c.asOf.Sub(at) <= claimSlack || r.faults.overlapping(at.Add(-changeWithin), c.asOf, nil, StoreDropsHistory, StoreRestores) {
+			if !found || c.asOf.Sub(at) <= claimSlack || r.faults.overlapping(at.Add(-changeWithin), c.asOf.Add(changeWithin), nil, StoreDropsHistory, StoreRestores) {
 				continue
 			}
 			if reported++; reported <= maxClaims {
