fix(body): a body that is held back by the gateway itself doesn't count as stalled

What callers would see: a large body that arrives as fast as it is read is cut for another one, on a slow link with several of them.

Cause: a belief about a caller drawn from this process's own waiting. The time without a byte ran on while the ledger paced a body for the link, and while it waited for room, so that one which had just got its room could be cut before it was read.

TestBodyThatIsHeldBackIsNotStalled failed before (two bodies cut instead of one).

--- a/internal/guard/body/body.go
+++ b/internal/guard/body/body.go
@@ -64,9 +64,11 @@
 	needsFirst bool
 	ready      chan struct{}
 	beganAt    clock.Millis
-	readAt     clock.Millis
-	complete   bool
-	ended      bool
+	// readAt is when bytes last arrived, or the next ones may be read. granted is set from the end of a wait to the next Sweep.
+	readAt   clock.Millis
+	granted  bool
+	complete bool
+	ended    bool
 }
 
 // Cut is the decision that a body gives way. Carry carries it out.
@@ -170,7 +172,8 @@
 	}
 	start := max(l.freeAt, float64(now))
 	l.freeAt = start + float64(bytes)*float64(clock.Second)/(l.limits.Link*linkShare)
-	return clock.Millis(l.freeAt) - now
+	u.readAt = max(now, clock.Millis(l.freeAt)) // until then it is held back here
+	return u.readAt - now
 }
 
 // severalArrive reports whether another body beyond its first part is being read. The caller holds the lock.
@@ -221,6 +224,7 @@
 			blocked[first] = true
 			return false
 		}
+		u.granted = true
 		u.ready <- struct{}{} // it has room: a body waits for one thing at a time
 		return true
 	})
@@ -267,6 +271,9 @@
 func (l *Ledger) yielding(first bool, now clock.Millis) []*Upload {
 	var all []*Upload
 	for u := range l.uploads {
+		if u.granted || u.needs > 0 { // it was not read because it waited here
+			u.readAt, u.granted = now, false
+		}
 		idle, held := now-u.readAt >= stalledAfter, u.held(first) > 0
 		if held && !u.complete && (idle || now-u.beganAt >= turn) {
 			all = append(all, u)
--- a/internal/guard/body/body_test.go
+++ b/internal/guard/body/body_test.go
@@ -63,6 +63,25 @@
 	<-c.Ready()
 }
 
+// Guards against bodies that count as stalled because they are held back here, for the link or for room.
+func TestBodyThatIsHeldBackIsNotStalled(t *testing.T) {
+	const perSecond = 1_000_000
+	l := body.New(body.Limits{Memory: memory, Link: perSecond})
+	var paced, other, granted, waiting body.Cause
+	a, b := begin(l, &paced, 0), begin(l, &other, 0)
+	assert.Assert(t, l.Reserve(a, megabyte) && l.Reserve(b, 2*megabyte))
+	wait := l.Arrived(a, perSecond, 0)
+	assert.Assert(t, wait > clock.Second)
+	c, d := begin(l, &granted, 0), begin(l, &waiting, 0)
+	assert.Assert(t, !l.Reserve(c, 2*megabyte) && !l.Reserve(d, 2*megabyte))
+	cuts := l.Sweep(700)
+	assert.Equal(t, len(cuts), 1)
+	assert.Equal(t, cuts[0].Upload, b, "the paced one is not stalled")
+	l.End(b)
+	<-c.Ready()
+	assert.Equal(t, len(l.Sweep(720)), 0, "the one that has just got room is not stalled")
+}
+
 // Guards against a request that is cut although all of it has arrived.
 func TestCompleteBodyNeverGivesWay(t *testing.T) {
 	l := body.New(body.Limits{Memory: memory})
