test(sess): the peer's loop ends when its session can't send any more

Cause: the accepting side of TestDiallingSideIsMeasuredAgain, the test before, reads Session.Err, which is valid only once Done is closed, while the session ends. No code of the product reads it before.

Change: the loop ends at the first error of Send, which it ignored.

Evidence: go test -race ./internal/link/sess -count=60 passes; each run of the loop sends as before.

--- a/internal/link/sess/first_test.go
+++ b/internal/link/sess/first_test.go
@@ -47,8 +47,7 @@
 		if err != nil {
 			return
 		}
-		for s.Err() == nil { // the peer receives something all the time
-			_ = s.Send(&wire.Frame{Kind: wire.KindRenew})
+		for s.Send(&wire.Frame{Kind: wire.KindRenew}) == nil { // the peer receives something all the time
 			select {
 			case <-s.Done():
 				return
