feat(soak): the line of lags names the version and the process of the highest one

Cause: a run says how late the latest version was, and nothing leads from there to the logs of the process.

Change: the line ends with the version, the process and the instant of the store's acknowledgement.

--- a/internal/bench/soak/lag.go
+++ b/internal/bench/soak/lag.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"os"
 	"slices"
@@ -18,13 +19,22 @@
 	Count, OverBound           int
 	Median, Ninetieth, Highest time.Duration
 	NinetyNinth                time.Duration
+	// Worst holds the version and the process of the highest one.
+	Worst lag
+}
+
+// lag is the time until a version was in force at a process.
+type lag struct {
+	publishedVersion
+	process string
+	took    time.Duration
 }
 
 // String describes the times in one line.
 func (l Lags) String() string {
 	round := func(d time.Duration) time.Duration { return d.Round(10 * time.Millisecond) }
-	return fmt.Sprintf("%d, median %v, 90th %v, 99th %v, highest %v, %d over %v",
-		l.Count, round(l.Median), round(l.Ninetieth), round(l.NinetyNinth), round(l.Highest), l.OverBound, changeWithin)
+	return fmt.Sprintf("%d, median %v, 90th %v, 99th %v, highest %v (version %d at %s, acknowledged at %s), %d over %v",
+		l.Count, round(l.Median), round(l.Ninetieth), round(l.NinetyNinth), round(l.Highest), l.Worst.version, l.Worst.process, l.Worst.at.UTC().Format("15:04:05.000"), l.OverBound, changeWithin)
 }
 
 // DescribeLags describes the lags of all processes, and those of the one that gets most requests.
@@ -35,15 +45,16 @@
 	return r.Lags.String() + "; at the busiest process " + r.BusiestLags.String()
 }
 
-func newLags(all []time.Duration) Lags {
+func newLags(all []lag) Lags {
 	if len(all) == 0 {
 		return Lags{}
 	}
-	slices.Sort(all)
-	at := func(share float64) time.Duration { return all[min(int(share*float64(len(all))), len(all)-1)] }
-	lags := Lags{Count: len(all), Median: at(0.5), Ninetieth: at(0.9), NinetyNinth: at(0.99), Highest: all[len(all)-1]}
-	for _, lag := range all {
-		if lag > changeWithin {
+	slices.SortFunc(all, func(a, b lag) int { return cmp.Compare(a.took, b.took) })
+	at := func(share float64) time.Duration { return all[min(int(share*float64(len(all))), len(all)-1)].took }
+	worst := all[len(all)-1]
+	lags := Lags{Count: len(all), Median: at(0.5), Ninetieth: at(0.9), NinetyNinth: at(0.99), Highest: worst.took, Worst: worst}
+	for _, one := range all {
+		if one.took > changeWithin {
 			lags.OverBound++
 		}
 	}
@@ -52,7 +63,7 @@
 
 // lagsAt returns the times until versions of moveRoute were in force at some processes, by their logs.
 func (r *run) lagsAt(processes []*process) Lags {
-	var all []time.Duration
+	var all []lag
 	for _, p := range processes {
 		inForce, err := versionsInForce(p.logFile())
 		if err != nil {
@@ -61,8 +72,8 @@
 		}
 		history := p.history()
 		for _, published := range r.moved.published {
-			if lag, measured := r.lagOf(p, history, inForce, published); measured {
-				all = append(all, lag)
+			if took, measured := r.lagOf(p, history, inForce, published); measured {
+				all = append(all, lag{publishedVersion: published, process: p.name, took: took})
 			}
 		}
 	}
