perf(feed,mesh): a changed version is passed on as the difference from the one before

Seen: what a process sends for a version grows with the processes that follow it. Each one gets the whole of 770 KB, so that a middle host that takes the role of an aggregator over needs seconds of its link for one changed route.

Cause: updates of one object hold its whole value; only compression makes them smaller.

Change: link/delta, differences between two versions that are cut into blocks by their content. The announcement of an update holds one of up to 8 KB; the receiver puts the version together from the one before and compares its digest, or requests the chunks as before. The feed keeps the version before of large objects. bulk.Backlog and pack.Cache take over what mesh kept for transfers.

Evidence: TestChangedVersionIsPassedOnAsTheDifference and the tests beside it.

--- a/internal/link/pack/cache.go
+++ b/internal/link/pack/cache.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 
+	"github.com/jujubescale/jujubescale/internal/link/delta"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 )
 
@@ -22,6 +23,28 @@
 type Cache struct {
 	mu     sync.Mutex
 	byKind map[string][]*keptContent
+	// received holds the last complete transfer of each kind.
+	received map[string]*Transfer
+}
+
+// KeepReceived records a complete transfer. Another peer may announce the same content again.
+func (c *Cache) KeepReceived(kind string, transfer *Transfer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.received == nil {
+		c.received = make(map[string]*Transfer)
+	}
+	c.received[kind] = transfer
+}
+
+// Received returns the last complete transfer of a kind if it has the content of an update, and nil otherwise.
+func (c *Cache) Received(update *wire.Update) *Transfer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if last := c.received[update.Kind]; last != nil && last.Digest() == update.Packed.Digest {
+		return last
+	}
+	return nil
 }
 
 // keptContent is the content of an update. Updates of one kind with the same range of
@@ -30,6 +53,7 @@
 	*Content
 	since, changed uint64
 	whole          bool
+	patch          *wire.Patch
 }
 
 // Pack returns an update that names its objects instead of holding them. It returns the
@@ -45,7 +69,7 @@
 		return update, err
 	}
 	packed := *update
-	packed.Objects, packed.Packed = nil, &wire.Packed{Digest: kept.Digest, Bytes: len(kept.Data)}
+	packed.Objects, packed.Packed = nil, &wire.Packed{Digest: kept.Digest, Bytes: len(kept.Data), Patch: kept.patch}
 	return &packed, nil
 }
 
@@ -61,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	kept := &keptContent{Content: content, since: update.Since, changed: update.Changed, whole: update.Whole}
+	kept := &keptContent{Content: content, since: update.Since, changed: update.Changed, whole: update.Whole, patch: patchOf(update)}
 	if len(all) >= keptContents {
 		all = slices.Delete(all, 0, len(all)-keptContents+1)
 	}
@@ -72,6 +96,22 @@
 	return kept, nil
 }
 
+// patchOf returns the patch of an update, nil if it has several objects.
+func patchOf(update *wire.Update) *wire.Patch {
+	if len(update.Objects) != 1 {
+		return nil
+	}
+	object := update.Objects[0]
+	patch := &wire.Patch{Object: object}
+	patch.Object.Value = nil
+	if previous := object.Previous; previous != nil {
+		if difference := delta.Diff(previous.Value, object.Value); len(difference) <= maxInlineBytes {
+			patch.Base, patch.Delta = previous.Version, difference
+		}
+	}
+	return patch
+}
+
 // Chunk returns the answer to a request for a chunk. Its data is empty if the content is
 // not kept.
 func (c *Cache) Chunk(request *wire.ChunkRequest) *wire.Chunk {
--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -247,6 +247,9 @@
 	for i := range u.Objects {
 		size += len(u.Objects[i].Name) + len(u.Objects[i].Value) + len(u.Objects[i].Status)
 	}
+	if u.Packed != nil && u.Packed.Patch != nil {
+		size += len(u.Packed.Patch.Object.Status) + len(u.Packed.Patch.Delta)
+	}
 	return size
 }
 
@@ -284,6 +287,18 @@
 type Packed struct {
 	Digest string `cbor:"digest"`
 	Bytes  int    `cbor:"bytes"`
+	// Patch is set if the update has one object. A receiver that holds the version before needs no chunks.
+	Patch *Patch `cbor:"patch,omitempty"`
+}
+
+// Patch is the only object of an update as the difference from the version before.
+type Patch struct {
+	// Object lacks its value.
+	Object Stored `cbor:"object"`
+	// Base is the version before, and Delta the difference from its value (see package delta), nil if the sender doesn't have that
+	// version or the difference is large.
+	Base  uint64 `cbor:"base,omitempty"`
+	Delta []byte `cbor:"delta,omitempty"`
 }
 
 // ChunkRequest requests the chunk of packed objects at an offset in bytes.
@@ -320,6 +335,14 @@
 	Unversioned bool `cbor:"unversioned,omitempty"`
 	// Hold is set for an object that the store acknowledged in an earlier era and has lost.
 	Hold *Hold `cbor:"hold,omitempty"`
+	// Previous is the version before, nil if the sender doesn't have it. It stays in the process.
+	Previous *Previous `cbor:"-"`
+}
+
+// Previous is a version of an object that another one has replaced.
+type Previous struct {
+	Version uint64
+	Value   []byte
 }
 
 // Hold explains why a process keeps an object that the store doesn't have.
--- a/internal/serve/feed/apply.go
+++ b/internal/serve/feed/apply.go
@@ -49,10 +49,14 @@
 	for name := range s.objects {
 		if _, found := objects[name]; !found {
 			f.recordDeleted(name)
+			delete(s.previous, name)
 		}
 	}
 	for name := range objects {
 		delete(s.deleted, name)
+		if known := s.objects[name]; known.Version != objects[name].Version {
+			s.keepPrevious(known, objects[name])
+		}
 	}
 	s.listed, s.revision, s.lastChange, s.objects = true, list.revision, list.changed, objects
 	s.readTo, s.listedAt, s.gone = list.content, list.content, nil
@@ -205,9 +209,11 @@
 				f.recordDeleted(name)
 				s.recordGone(change, before)
 				delete(s.objects, name)
+				delete(s.previous, name)
 			} else {
 				delete(s.deleted, name)
 				delete(s.gone, name)
+				s.keepPrevious(s.objects[name], change.Object)
 				s.objects[name] = change.Object
 			}
 			fresh = append(fresh, change)
--- /dev/null
+++ b/internal/serve/feed/patch_test.go
@@ -0,0 +1,93 @@
+package feed_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/link/pack"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
+	"github.com/jujubescale/jujubescale/internal/plat/store"
+	"github.com/jujubescale/jujubescale/internal/serve/feed"
+)
+
+// largeValue returns a configuration of some 100 KB that differs in one place for each number.
+func largeValue(number uint64) []byte {
+	var value bytes.Buffer
+	for i := range 1000 {
+		fmt.Fprintf(&value, `{"name":"r-%07x","host":"orders.example","path":"/%07x/","timeoutMs":3000,"service":"orders"},`, i*7919, i*104729)
+	}
+	fmt.Fprintf(&value, `{"changed":%d}`, number)
+	return value.Bytes()
+}
+
+func largeChange(version uint64) store.Changes {
+	return store.Changes{Revision: store.At(version), Changes: []store.Change{{Object: store.Object{Name: "config/main", Version: store.At(version), Value: largeValue(version)}}}}
+}
+
+// relay is a feed whose updates are packed as for its peers.
+type relay struct {
+	*feed.Feed
+	contents pack.Cache
+	sent     []*wire.Update
+}
+
+func newRelay(t *testing.T) *relay {
+	r := &relay{}
+	r.Feed = feed.New("config", &store.Store{}, feed.WithClock(clock.NewFake(1000).Clock()), feed.WithForward(func(update *wire.Update) {
+		packed, err := r.contents.Pack(update)
+		assert.NilError(t, err)
+		r.sent = append(r.sent, packed)
+	}))
+	r.Apply(&wire.Update{Kind: "config", Revision: 5, Changed: 5, Whole: true, Objects: []wire.Stored{{Name: "config/main", Value: largeValue(5), Version: 5}}}, 1000)
+	return r
+}
+
+func (r *relay) value() []byte { return r.Snapshot().Objects[0].Value }
+
+// Guards against versions of hundreds of kilobytes that are passed on as a whole, to each of the processes that follow one, although
+// a route has changed.
+func TestChangedVersionIsPassedOnAsTheDifference(t *testing.T) {
+	watcher, aggregator, follower := newRelay(t), newRelay(t), newRelay(t)
+	for version := uint64(6); version < 9; version++ {
+		watcher.ApplyAnswer(largeChange(version))
+		update := watcher.sent[len(watcher.sent)-1]
+		assert.Assert(t, update.Objects == nil && update.Packed.Patch != nil)
+		assert.Assert(t, len(update.Packed.Patch.Delta) < 1000, "%d bytes", len(update.Packed.Patch.Delta))
+		assert.Assert(t, !aggregator.Apply(update, 1000))
+		assert.Assert(t, !follower.Apply(aggregator.sent[len(aggregator.sent)-1], 1000))
+		assert.Assert(t, bytes.Equal(follower.value(), largeValue(version)))
+		assert.Equal(t, follower.Progress().Digest, watcher.Progress().Digest)
+	}
+	assert.Assert(t, !follower.Apply(watcher.sent[len(watcher.sent)-1], 1000), "the same version again")
+}
+
+// Guards against a copy that is put together from another version than the one before, and against a change that is lost because a
+// process can't apply the difference.
+func TestDifferenceFromAnotherVersionIsReportedAsMissing(t *testing.T) {
+	watcher, follower := newRelay(t), newRelay(t)
+	watcher.ApplyAnswer(largeChange(6))
+	watcher.ApplyAnswer(largeChange(7))
+	assert.Assert(t, follower.Apply(watcher.sent[len(watcher.sent)-1], 1000))
+	damaged, packed := *watcher.sent[1], *watcher.sent[1].Packed
+	packed.Patch = &wire.Patch{Object: packed.Patch.Object, Base: packed.Patch.Base, Delta: []byte("damaged")}
+	damaged.Packed = &packed
+	assert.Assert(t, follower.Apply(&damaged, 1000))
+	assert.Assert(t, bytes.Equal(follower.value(), largeValue(5)))
+	assert.Equal(t, follower.Progress().Revision, uint64(5))
+	assert.Assert(t, !follower.Apply(watcher.Snapshot(), 1000))
+	assert.Assert(t, bytes.Equal(follower.value(), largeValue(7)))
+}
+
+// Guards against a peer that lacks one version and gets the whole configuration.
+func TestSnapshotForAPeerThatLacksOneVersionHasTheDifference(t *testing.T) {
+	watcher, follower := newRelay(t), newRelay(t)
+	watcher.ApplyAnswer(largeChange(6))
+	packed, err := watcher.contents.Pack(watcher.LackedBy(wire.Revision{Kind: "config", Revision: 5}))
+	assert.NilError(t, err)
+	assert.Assert(t, !follower.Apply(packed, 1000))
+	assert.Assert(t, bytes.Equal(follower.value(), largeValue(6)))
+}
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -27,6 +27,8 @@
 	lastChange store.Revision
 	content
 	objects map[string]store.Object
+	// previous holds by name the versions of large objects before those in objects.
+	previous map[string]previous
 	restored
 	// confirmedAt is when the store last confirmed this state, to this process or to
 	// a peer that relayed it; relayedAt counts only the answers that a peer relayed.
@@ -272,6 +274,10 @@
 	if f.isOlder(update.At()) {
 		return false
 	}
+	update, known := f.applyPatch(update)
+	if !known {
+		return true
+	}
 	switch known, listed := f.knownEra(); {
 	case update.Whole:
 		if !f.applyList(f.listOf(update, at)) {
--- a/internal/serve/feed/restore.go
+++ b/internal/serve/feed/restore.go
@@ -388,7 +388,7 @@
 
 // storedOf returns the message for an object; the caller holds the lock.
 func (f *Feed) storedOf(object store.Object, deleted bool) wire.Stored {
-	stored := wire.Stored{Name: object.Name, Version: object.Version.Number, Value: object.Value, Status: object.Status, Deleted: deleted, Unversioned: object.Unversioned}
+	stored := wire.Stored{Name: object.Name, Version: object.Version.Number, Value: object.Value, Status: object.Status, Deleted: deleted, Unversioned: object.Unversioned, Previous: f.state.previousOf(object)}
 	if h, held := f.state.held[object.Name]; held && !deleted {
 		stored.Hold = &wire.Hold{Era: object.Version.Era, Over: h.over.Number}
 		if h.until > 0 {
--- a/internal/serve/mesh/content.go
+++ b/internal/serve/mesh/content.go
@@ -42,8 +42,6 @@
 	downloadTimeout = 5 * clock.Second
 	// partInterval is the longest time between two chunks of a transfer that fills the link.
 	partInterval = 200 * clock.Millis(1)
-	// maxLaterUpdates limits the updates that are kept until a download is complete, and maxLaterBytes what they hold.
-	maxLaterUpdates, maxLaterBytes = 64, wire.MaxMessage
 )
 
 // download is the transfer of the objects of one update. It continues with another
@@ -58,10 +56,11 @@
 	// receivedAt when the last chunk arrived. arrivedAt is when the update arrived.
 	from                               string
 	requestedAt, receivedAt, arrivedAt clock.Millis
-	// later holds the updates that arrived meanwhile, with laterBytes, and next the newest packed one.
-	later      []received
-	laterBytes int
-	next       *received
+	// leadsTo is the version of the only object after the transfer and the later updates, 0 if it is not known.
+	leadsTo uint64
+	// later holds the updates that arrived meanwhile, and next the newest packed one.
+	later bulk.Backlog[received]
+	next  *received
 }
 
 // received is an update with its sender and the instant of its arrival.
@@ -75,13 +74,6 @@
 type downloads struct {
 	mu     sync.Mutex
 	byKind map[string]*download
-	// last holds the last complete transfer of each kind. Another peer may announce the
-	// same content again.
-	last map[string]*pack.Transfer
-}
-
-func (d *downloads) init() {
-	d.byKind, d.last = make(map[string]*download), make(map[string]*pack.Transfer)
 }
 
 // receiveUpdate applies an update of a peer, after its objects have been
@@ -89,7 +81,7 @@
 func (m *Mesh) receiveUpdate(from string, update *wire.Update, now clock.Millis) {
 	arrived := received{update: update, from: from, at: now}
 	if update.Packed != nil {
-		if m.follows(update.Kind) {
+		if m.follows(update.Kind) && !m.takePatch(&arrived) {
 			m.receivePacked(&arrived)
 		}
 		return
@@ -118,9 +110,7 @@
 	case !arrived.update.Whole && current.isStalled(arrived.at):
 		return false
 	case !arrived.update.Whole:
-		if size := arrived.update.Size(); len(current.later) < maxLaterUpdates && current.laterBytes+size <= maxLaterBytes {
-			current.later, current.laterBytes = append(current.later, arrived), current.laterBytes+size
-		}
+		current.later.Add(arrived, arrived.update.Size())
 		return true
 	case !arrived.update.At().Before(current.update.At()):
 		m.endDownload(current, "replaced", arrived.at)
@@ -128,11 +118,28 @@
 	return false
 }
 
+// takePatch applies the difference that came with an announced update, or keeps it until the download of the version before is
+// complete. It reports false if the objects have to be transferred.
+func (m *Mesh) takePatch(announcement *received) bool {
+	patch := announcement.update.Packed.Patch
+	if patch == nil || len(patch.Delta) == 0 {
+		return false
+	}
+	m.downloads.mu.Lock()
+	current := m.downloads.byKind[announcement.update.Kind]
+	kept := current != nil && current.leadsTo == patch.Base && !current.isStalled(announcement.at) && current.later.Add(*announcement, announcement.update.Size())
+	if kept {
+		current.leadsTo = patch.Object.Version
+	}
+	m.downloads.mu.Unlock()
+	return kept || len(m.follower.ApplyFunc(announcement.update, announcement.at)) == 0
+}
+
 // receivePacked starts or continues the download of an announced update, or applies it at
 // once if its content was transferred before.
 func (m *Mesh) receivePacked(announcement *received) {
 	update := announcement.update
-	if last := m.lastTransfer(update); last != nil {
+	if last := m.contents.Received(update); last != nil {
 		m.applyContent(announcement.from, update, last, announcement.at)
 		return
 	}
@@ -155,17 +162,6 @@
 	}
 }
 
-// lastTransfer returns the last transfer of a kind if it has the content of an update, and
-// nil otherwise.
-func (m *Mesh) lastTransfer(update *wire.Update) *pack.Transfer {
-	m.downloads.mu.Lock()
-	defer m.downloads.mu.Unlock()
-	if last := m.downloads.last[update.Kind]; last != nil && last.Digest() == update.Packed.Digest {
-		return last
-	}
-	return nil
-}
-
 // startDownload starts the transfer of an announced update; the caller holds the lock of
 // the downloads.
 func (m *Mesh) startDownload(announcement *received) {
@@ -178,6 +174,9 @@
 	}
 	now := m.clock.Now()
 	started := &download{kind: update.Kind, transfer: transfer, update: update, arrivedAt: announcement.at, from: announcement.from, receivedAt: now}
+	if update.Packed.Patch != nil {
+		started.leadsTo = update.Packed.Patch.Object.Version
+	}
 	m.downloads.byKind[update.Kind] = started
 	m.requestChunk(started, now)
 }
@@ -210,7 +209,7 @@
 		m.follower.ExpectFunc(d.kind)
 	default:
 		m.applyContent(from, d.update, d.transfer, d.arrivedAt)
-		for _, later := range d.later {
+		for _, later := range d.later.Items() {
 			m.applyUpdate(later.from, later.update, later.at)
 		}
 	}
@@ -240,7 +239,7 @@
 		m.requestChunk(d, now)
 		return d, false
 	}
-	m.downloads.last[d.kind] = d.transfer
+	m.contents.KeepReceived(d.kind, d.transfer)
 	m.endDownload(d, "complete", now)
 	return d, true
 }
--- a/internal/serve/mesh/content_test.go
+++ b/internal/serve/mesh/content_test.go
@@ -20,6 +20,7 @@
 	applied  []uint64
 	sizes    []int
 	arrivals []clock.Millis
+	missing  []string // what a difference lacks
 }
 
 func newReceiver(t *testing.T) *receiver {
@@ -28,6 +29,9 @@
 		ProgressFunc: func() []wire.Progress { return []wire.Progress{{Kind: "config", Revision: r.known, Changed: r.known}} },
 		ApplyFunc: func(update *wire.Update, now clock.Millis) []string {
 			r.applied, r.sizes, r.arrivals = append(r.applied, update.Revision), append(r.sizes, update.Bytes()), append(r.arrivals, now)
+			if update.Packed != nil {
+				return r.missing
+			}
 			return nil
 		},
 		ExpectFunc: func(string) {},
@@ -244,3 +248,41 @@
 	r.transfer(sender, "new", large.Packed.Digest, 100)
 	assert.DeepEqual(t, r.applied, []uint64{5, 6})
 }
+
+// patchedUpdate returns the packed update of a version as the difference from the one before.
+func patchedUpdate(t *testing.T, sender *mesh.Mesh, revision uint64) *wire.Update {
+	t.Helper()
+	update, before := largeUpdate(revision), largeUpdate(revision-1)
+	value := append(before.Objects[0].Value[:len(before.Objects[0].Value):len(before.Objects[0].Value)], "changed"...)
+	update.Whole, update.Since = false, revision-1
+	update.Objects[0].Value, update.Objects[0].Previous = value, &wire.Previous{Version: revision - 1, Value: before.Objects[0].Value}
+	packed := pack(t, sender, update)
+	assert.Assert(t, len(packed.Packed.Patch.Delta) > 0)
+	return packed
+}
+
+// Guards against changes that are transferred as a whole while those before them are, so that a process on a slow link is always late.
+func TestDifferencesDuringATransferAreAppliedAfterIt(t *testing.T) {
+	r, sender := newReceiver(t), newSender(t)
+	packed := pack(t, sender, largeUpdate(7))
+	r.ReceiveUpdate("sender", packed)
+	r.ReceiveUpdate("sender", patchedUpdate(t, sender, 8))
+	r.ReceiveUpdate("sender", patchedUpdate(t, sender, 9))
+	assert.Equal(t, len(r.applied), 0)
+	r.transfer(sender, "sender", packed.Packed.Digest, 10)
+	assert.DeepEqual(t, r.applied, []uint64{7, 8, 9})
+	_, downloading := r.Downloading("config")
+	assert.Assert(t, !downloading)
+}
+
+// Guards against a version that is never transferred because its difference is from another one than the process holds.
+func TestVersionIsTransferredIfItsDifferenceDoesNotFit(t *testing.T) {
+	r, sender := newReceiver(t), newSender(t)
+	r.missing = []string{"config"}
+	later := patchedUpdate(t, sender, 9)
+	r.ReceiveUpdate("sender", later)
+	assert.Equal(t, r.Digest("config"), later.Packed.Digest)
+	r.transfer(sender, "sender", later.Packed.Digest, 10)
+	assert.Equal(t, r.applied[len(r.applied)-1], uint64(9))
+	assert.Equal(t, r.sizes[len(r.sizes)-1], 100_007)
+}
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -308,7 +308,7 @@
 		leaving: make(map[string]token.Incarnation), absent: make(map[string]token.Incarnation),
 	}
 	m.reports.init()
-	m.downloads.init()
+	m.downloads.byKind = make(map[string]*download)
 	m.uplink.Store(&uplink{})
 	for _, opt := range opts {
 		opt(m)
