fix(feed): versions that follow each other on a slow link are read by the list

Cause: a watcher on 25 Mbit/s needs 0.31 s for a version of 770 KB. The next watch brings all versions that were written meanwhile, is given up after 1.1 of one, and the list is read: 0.75 s, of which 0.45 are lost.

Change: after the second slow answer within a second the list is read until it brings nothing new. It holds the newest version only, and confirms it as of the start of the call.

Evidence: TestVersionsThatFollowEachOtherAreReadByTheList fails without the rule (1 call for the list, 3 expected).

--- a/internal/serve/feed/answer.go
+++ b/internal/serve/feed/answer.go
@@ -13,9 +13,12 @@
 	begun atomic.Bool
 	// long holds a value once the answer is longer than the list.
 	long chan struct{}
-	// catchingUp is set from a long answer until a list of one object brings nothing new, or a peer relays changes.
-	// While one version follows the other, an answer to a watch brings all that were written during the transfer before.
+	// catchingUp is set from a long answer, or the second of two slow ones in succession, until a list of one object brings nothing
+	// new, or a peer relays changes. While one version follows the other, an answer to a watch brings all that were written during
+	// the transfer before.
 	catchingUp bool
+	// slowAt is the instant at which the last slow answer with a version of the only object was complete, 0 without one.
+	slowAt clock.Millis
 	// headAt is the instant in ms at which the head of the answer arrived, 0 if that is not known.
 	headAt atomic.Int64
 	// listedAt is when the last list of the store was read, and idle counts the answers in a row that came before the wait was
@@ -39,8 +42,24 @@
 	// freeAnswers is how many answers in a row may bring nothing new early before the feed pauses, and maxIdleShift bounds the
 	// pause, as a power of two of minWait.
 	freeAnswers, maxIdleShift = 4, 5
+	// slowTransfer is the time that the transfer of a version takes on a slow link. Of two that end within overtakenInterval, the
+	// next version was probably written during the transfer of the second one.
+	slowTransfer      = 100 * clock.Millis(1)
+	overtakenInterval = clock.Second
 )
 
+// isOvertaken reports whether versions of the only object follow each other so fast that the next answer to a watch would hold
+// several of them. A list holds the newest one, and confirms it.
+func (f *Feed) isOvertaken(changes *store.Changes, fresh int) bool {
+	now, headAt := f.clock.Now(), clock.Millis(f.answer.headAt.Load())
+	if !f.oneObject || fresh == 0 || !changes.Partial || headAt == 0 || now-headAt < slowTransfer {
+		return false
+	}
+	before := f.answer.slowAt
+	f.answer.slowAt = now
+	return before > 0 && now-before < overtakenInterval
+}
+
 // headAfter returns the time from the start of a call to the head of its answer, which arrived by now.
 func (a *answer) headAfter(sentAt, now clock.Millis) clock.Millis {
 	if headAt := clock.Millis(a.headAt.Load()); headAt > 0 {
--- a/internal/serve/feed/answer_test.go
+++ b/internal/serve/feed/answer_test.go
@@ -158,3 +158,52 @@
 	<-ended
 	assert.DeepEqual(t, overdue, []clock.Millis{2 * wait, 0, wait})
 }
+
+// Guards against versions on a slow link that come late by two transfers: while one follows the other, a watch brings all that were
+// written during the transfer before, and is given up for the list.
+func TestVersionsThatFollowEachOtherAreReadByTheList(t *testing.T) {
+	const transfer = 300
+	for name, test := range map[string]struct {
+		took, between clock.Millis
+		lists         int64
+	}{
+		"slow, in succession": {transfer, transfer, 3}, "fast, in succession": {transfer / 10, transfer, 1}, "slow, far apart": {transfer, 3 * transfer, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fake := clock.NewFake(1)
+			version := func(number uint64) func(context.Context) (store.Changes, error) {
+				return func(ctx context.Context) (store.Changes, error) {
+					fake.Advance(test.between)
+					store.ReportProgress(ctx, store.Progress{Received: 1, Total: 100})
+					fake.Advance(test.took)
+					answer := largeChange(number)
+					answer.Partial = true
+					return answer, nil
+				}
+			}
+			watching := make(chan struct{})
+			s := &script{
+				scans: []func() (store.Listing, error){listed(5, "config/main"), listed(8, "config/main"), listed(8, "config/main")},
+				follows: []func(context.Context) (store.Changes, error){version(6), version(7), func(ctx context.Context) (store.Changes, error) {
+					close(watching)
+					return blockUntilDone(ctx)
+				}},
+			}
+			var scans atomic.Int64
+			for i, scan := range s.scans {
+				s.scans[i] = func() (store.Listing, error) { scans.Add(1); return scan() }
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			f := feed.New("config", s.store(), feed.WithClock(fake.Clock()), feed.WithOneObject())
+			go func() {
+				defer close(ended)
+				f.Run(ctx)
+			}()
+			<-watching
+			cancel()
+			<-ended
+			assert.Equal(t, scans.Load(), test.lists, "lists are read until one brings nothing new")
+		})
+	}
+}
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -319,7 +319,8 @@
 			return
 		}
 		fresh := f.applyAnswer(changes, sentAt, wait)
-		if f.listIsDue() {
+		f.answer.catchingUp = f.isOvertaken(&changes, fresh)
+		if f.answer.catchingUp || f.listIsDue() {
 			f.requireList()
 			return
 		}
