--- a/internal/link/delta/delta.go
+++ b/internal/link/delta/delta.go
@@ -19,8 +19,8 @@
 const (
 	// minBlock and maxBlock bound the length of a block in bytes; about one position in blockMask+1 ends one.
 	minBlock, maxBlock, blockMask = 64, 2 << 10, 1<<8 - 1
-	sumBytes                      = 8
-	headBytes                     = binary.MaxVarintLen64 + sumBytes
+	sumSize                      = 8
+	headSize                     = binary.MaxVarintLen64 + sumSize
 )
 
 // gear holds the number that each byte adds to the rolling hash. All processes need the same.
@@ -142,7 +142,7 @@
 // bytes, and a FormatError if the difference is damaged or is from another base.
 func Apply(base, difference []byte, limit int) ([]byte, error) {
 	// Parts that copy little take more bytes than what they copy.
-	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(difference)), 2*int64(limit)+headBytes))
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(difference)), 2*int64(limit)+headSize))
 	if err != nil {
 		return nil, &FormatError{Cause: err.Error()}
 	}
@@ -151,7 +151,7 @@
 	if size > uint64(limit) {
 		return nil, &SizeError{Bytes: size, Limit: limit}
 	}
-	sum := r.take(sumBytes)
+	sum := r.take(sumSize)
 	document := make([]byte, 0, size)
 	for len(r.rest) > 0 && !r.failed {
 		head := r.number()
@@ -194,7 +194,7 @@
 func (r *reader) take(n uint64) []byte {
 	if n > uint64(len(r.rest)) {
 		r.rest, r.failed = nil, true
-		return make([]byte, sumBytes)
+		return make([]byte, sumSize)
 	}
 	taken := r.rest[:n]
 	r.rest = r.rest[n:]
