--- a/internal/link/delta/delta.go
+++ b/internal/link/delta/delta.go
@@ -19,8 +19,8 @@
 const (
 	// minBlock and maxBlock bound the length of a block in bytes; about one position in blockMask+1 ends one.
 	minBlock, maxBlock, blockMask = 64, 2 << 10, 1<<8 - 1
-	sumSize                      = 8
-	headSize                     = binary.MaxVarintLen64 + sumSize
+	sumSize                       = 8
+	headSize                      = binary.MaxVarintLen64 + sumSize
 )
 
 // gear holds the number that each byte adds to the rolling hash. All processes need the same.
