fix(front): bodies of entries' callers take memory before they are read

Seen: callers of an entry that send all but the last byte of a body and stay make it hold maxOpen (10,000) bodies of 1 MiB, each read by doubling; the process ends on any host with less than 10 GB.

Cause: as in gateways (docs/incidents/crowds.md): a body counts toward nothing until it is whole.

Change: entries read bodies through serve/upload, with a fifth of the new setting memoryMb (2,048 by default: bodies together 410 MB), until the deadline of the request, 10 s at most. A full budget lets a body wait unread for 1 s, then it is refused as overloaded, which is true of "not run". The kernel holds 32 KB of a connection that is not read.

--- a/internal/cli/daemon/entry.go
+++ b/internal/cli/daemon/entry.go
@@ -134,7 +134,7 @@
 	}
 	r.entry = entry.New(entry.Settings{
 		Process: r.settings.Process.Process, Host: r.settings.Host, AvailabilityZone: r.settings.AvailabilityZone,
-		Address: address, MaxBodyBytes: r.settings.MaxBodyBytes, MaxOpen: r.settings.MaxOpen,
+		Address: address, MaxBodyBytes: r.settings.MaxBodyBytes, MaxOpen: r.settings.MaxOpen, MemoryBytes: int64(r.settings.MemoryMb * megabyte),
 		BalancerLag: r.settings.BalancerLagMs,
 	}, options...)
 	handler := r.entry.SessionHandler()
@@ -205,7 +205,7 @@
 	var err error
 	r.callers, err = proc.Open(ctx, proc.PortOptions{
 		Name: callersPort, Address: r.settings.Callers, Handler: r.entry.Handler(),
-		TLS: proc.ServerTLS(r.callersTLS), MaxConnections: r.settings.MaxConnections,
+		TLS: proc.ServerTLS(r.callersTLS), MaxConnections: r.settings.MaxConnections, ReceiveBytes: receiveBytes,
 		MaxHeaderBytes: r.settings.MaxHeaderBytes, HeaderTimeout: r.settings.HeaderMs.Duration(),
 		IdleTimeout: r.settings.CallersIdleMs.Duration(), Log: r.Log,
 		Unanswered: r.Unanswered.WithLabelValues(callersPort),
--- a/internal/conf/config/config.go
+++ b/internal/conf/config/config.go
@@ -71,6 +71,8 @@
 	HeaderMs clock.Millis `json:"headerMs,omitempty" jsonschema:"minimum=0,maximum=600000,default=5000"`
 	// MaxBodyBytes is the maximum size of a request body, in bytes.
 	MaxBodyBytes int64 `json:"maxBodyBytes,omitempty" jsonschema:"minimum=0,maximum=3145728,default=1048576"`
+	// MemoryMb is the memory limit above which this process is killed, in megabytes; the bodies of open requests together use at most a fifth of it.
+	MemoryMb float64 `json:"memoryMb,omitempty" jsonschema:"minimum=0,maximum=1000000,default=2048"`
 	// MaxHeaderBytes is the maximum size of the headers of a request, in bytes.
 	MaxHeaderBytes int `json:"maxHeaderBytes,omitempty" jsonschema:"minimum=0,maximum=1048576,default=16384"`
 	// MaxOpen is the maximum number of open requests of all callers together.
--- a/internal/conf/config/step.go
+++ b/internal/conf/config/step.go
@@ -23,6 +23,8 @@
 	defaultBalancerLag    = 3 * clock.Second
 	defaultHeader         = 5 * clock.Second
 	defaultMaxBody        = 1 << 20
+	defaultMemoryMb       = 2048
+	minEntryMemory        = 32 // a fifth of it holds the largest body that can be configured
 	defaultMaxHeader      = 16 << 10
 	defaultMaxOpen        = 10_000
 	defaultMaxConnections = 20_000
@@ -206,6 +208,7 @@
 
 func defaultEntryBounds(e *Entry) {
 	fill(&e.MaxBodyBytes, defaultMaxBody)
+	fill(&e.MemoryMb, defaultMemoryMb)
 	fill(&e.MaxHeaderBytes, defaultMaxHeader)
 	fill(&e.MaxOpen, defaultMaxOpen)
 	fill(&e.MaxConnections, defaultMaxConnections)
@@ -213,6 +216,7 @@
 
 func checkEntryBounds(e *Entry, report *step.Report) {
 	report.Range("maxBodyBytes", e.MaxBodyBytes, 1, maxBody)
+	report.FloatRange("memoryMb", e.MemoryMb, minEntryMemory, maxSpare)
 	report.Range("maxHeaderBytes", int64(e.MaxHeaderBytes), 1, maxHeader)
 	report.Range("maxOpen", int64(e.MaxOpen), 1, maxCount)
 	report.Range("maxConnections", int64(e.MaxConnections), 1, maxCount)
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -42,6 +42,8 @@
 	Address string
 	// MaxBodyBytes is the largest request body, in bytes; 1 MiB by default.
 	MaxBodyBytes int64
+	// MemoryBytes is the memory of the process; 2 GiB by default. The bodies of open requests take a fifth of it.
+	MemoryBytes int64
 	// MaxOpen is the largest number of open requests of all callers; 10,000 by
 	// default.
 	MaxOpen int
@@ -56,14 +58,20 @@
 
 const (
 	defaultMaxBody              = 1 << 20
+	defaultMemory               = 2 << 30
 	defaultMaxOpen              = 10_000
 	defaultOrganisationFraction = 4
+	// sweepInterval is the time between two sweeps of the bodies that are being read.
+	sweepInterval = 100 * clock.Millis(1)
 )
 
 func (s Settings) withDefaults() Settings {
 	if s.MaxBodyBytes == 0 {
 		s.MaxBodyBytes = defaultMaxBody
 	}
+	if s.MemoryBytes == 0 {
+		s.MemoryBytes = defaultMemory
+	}
 	if s.MaxOpen == 0 {
 		s.MaxOpen = defaultMaxOpen
 	}
@@ -101,6 +109,8 @@
 	base      context.Context
 	stop      context.CancelFunc
 	sweepDone chan struct{} // closed when the sweep of old claims has ended
+	// bodiesDone is closed when the sweep of stalled bodies has ended.
+	bodiesDone chan struct{}
 }
 
 // Option configures an Entry.
@@ -195,7 +205,15 @@
 		Clock: e.clock, Log: e.log, Holder: e.holder, Meter: e.meter, Trace: e.trace, Runs: e.runs, Claims: e.claims,
 		Gate: e.gate, Leaving: e.Leaving, Ready: e.serveReady, Base: e.base,
 		MaxBodyBytes: e.settings.MaxBodyBytes, MaxOpen: e.settings.MaxOpen, MaxOpenPerOrganisation: e.settings.MaxOpenPerOrganisation,
+		MemoryBytes: e.settings.MemoryBytes, Registerer: e.registerer,
 	})
+	e.bodiesDone = make(chan struct{})
+	go func() {
+		defer close(e.bodiesDone)
+		for e.clock.Sleep(e.base, sweepInterval) == nil {
+			e.front.Sweep()
+		}
+	}()
 	e.startSharing(e.base)
 	return e
 }
@@ -229,4 +247,5 @@
 	e.sharing.wait()
 	e.peers.Close()
 	<-e.sweepDone
+	<-e.bodiesDone
 }
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -8,13 +8,16 @@
 	"net/http"
 
 	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/fault"
 	"github.com/jujubescale/jujubescale/internal/flow/claim"
+	"github.com/jujubescale/jujubescale/internal/guard/body"
 	"github.com/jujubescale/jujubescale/internal/serve/meter"
 	"github.com/jujubescale/jujubescale/internal/serve/runs"
 	"github.com/jujubescale/jujubescale/internal/serve/trace"
+	"github.com/jujubescale/jujubescale/internal/serve/upload"
 	"github.com/jujubescale/jujubescale/internal/share/spread"
 )
 
@@ -25,6 +28,8 @@
 	Holder *spread.Holder
 	Meter  *meter.Entry
 	Trace  *trace.Trace
+	// Registerer registers the metrics of the bodies.
+	Registerer prometheus.Registerer
 	// Runs executes the stages of requests.
 	Runs *runs.Runs
 	// Claims stores the claims of idempotency keys. Without it, calls that have
@@ -40,6 +45,8 @@
 	Base context.Context
 	// MaxBodyBytes is the largest request body, in bytes.
 	MaxBodyBytes int64
+	// MemoryBytes is the memory of the process. The bodies of open requests take a fifth of it; see serve/upload.
+	MemoryBytes int64
 	// MaxOpen is the largest number of open requests of all callers.
 	MaxOpen int
 	// MaxOpenPerOrganisation is the largest number of open requests of an
@@ -51,10 +58,17 @@
 type Front struct {
 	config Config
 	open   openRequests
+	bodies *upload.Book
 }
 
 // New returns a Front.
-func New(config Config) *Front { return &Front{config: config} }
+func New(config Config) *Front {
+	ledger := body.New(body.Limits{Memory: config.MemoryBytes})
+	return &Front{config: config, bodies: upload.New(ledger, config.Registerer, upload.WithClock(config.Clock), upload.WithLog(config.Log))}
+}
+
+// Sweep makes bodies that stall give way to others. It must be called several times a second.
+func (f *Front) Sweep() { f.bodies.Sweep() }
 
 // Open returns the number of open requests.
 func (f *Front) Open() int { return f.open.count() }
--- a/internal/serve/front/http.go
+++ b/internal/serve/front/http.go
@@ -4,8 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -21,13 +19,14 @@
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/serve/runs"
 	"github.com/jujubescale/jujubescale/internal/serve/trace"
+	"github.com/jujubescale/jujubescale/internal/serve/upload"
 	"github.com/jujubescale/jujubescale/internal/share/spread"
 )
 
 const (
 	defaultTimeout = 3 * clock.Second
 	// bodyTimeout limits the time that a caller may take to send its body.
-	bodyTimeout = 10 * time.Second
+	bodyTimeout = 10 * clock.Second
 	// writeGrace is the time after the deadline until the connection of a caller
 	// that does not read its answer is closed.
 	writeGrace = 5 * time.Second
@@ -141,9 +140,12 @@
 	if refused != nil {
 		return refused
 	}
-	if err := f.readBody(x); err != nil {
+	read, err := f.readBody(x, startedAt+min(timeout, bodyTimeout))
+	defer read.Release()
+	if err != nil {
 		return err
 	}
+	x.body = read.Bytes
 	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(timeout.Duration() + writeGrace))
 	x.record = f.config.Trace.Begin(trace.Request{
 		ID: x.id, Organisation: x.organisation.Name, Service: x.service.Name, Release: x.release.Number, BeganAt: startedAt,
@@ -157,7 +159,7 @@
 	ctx, cancel := context.WithCancel(x.r.Context())
 	defer cancel()
 	defer context.AfterFunc(f.config.Base, cancel)()
-	err := run(ctx, x)
+	err = run(ctx, x)
 	if err == nil {
 		x.record.End(f.config.Clock.Now(), trace.Answered, "", "")
 		f.config.Meter.Answered.WithLabelValues(x.service.Name).Inc()
@@ -175,23 +177,18 @@
 	return defaultTimeout
 }
 
-func (f *Front) readBody(x *exchange) error {
-	control := http.NewResponseController(x.w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, f.config.MaxBodyBytes))
-	// No read deadline from here on: the server keeps reading so that it detects
-	// when the caller closes the connection.
-	_ = control.SetReadDeadline(time.Time{})
-	x.body = body
-	var tooLarge *http.MaxBytesError
+// readBody reads the body until an instant. What it returns must be released, also with an error.
+func (f *Front) readBody(x *exchange, until clock.Millis) (upload.Body, error) {
+	read, refused := f.bodies.Read(x.w, x.r, f.config.MaxBodyBytes, until)
 	switch {
-	case errors.As(err, &tooLarge):
-		return fault.Refuse(fault.BodyTooLarge, "at most "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
-	case err != nil:
-		return fault.Refuse(fault.BadRequest, "the body could not be read: "+err.Error())
-	default:
-		return nil
-	}
+	case refused == nil:
+		return read, nil
+	case refused.Reason == fault.BodyTooLarge:
+		return read, fault.Refuse(fault.BodyTooLarge, "at most "+strconv.FormatInt(f.config.MaxBodyBytes, 10)+" bytes")
+	case refused.Reason == fault.Cancelled:
+		return read, fault.Refuse(fault.BadRequest, refused.Detail)
+	}
+	return read, refused
 }
 
 // refuse records a refusal and sends it to the caller.
--- a/internal/serve/front/http_test.go
+++ b/internal/serve/front/http_test.go
@@ -49,7 +49,8 @@
 	config.Holder = &spread.Holder{}
 	config.Holder.Accept(spread.New(1, testManifest(), nil))
 	config.Clock, config.Log, config.Base = clock.New(), log.New(io.Discard), t.Context()
-	config.Meter, config.Trace = meter.New(prometheus.NewRegistry()), trace.New(trace.DefaultCapacity)
+	config.Registerer = prometheus.NewRegistry()
+	config.Meter, config.Trace = meter.New(config.Registerer), trace.New(trace.DefaultCapacity)
 	agents := peers.New("za", config.Holder, config.Meter)
 	t.Cleanup(agents.Close)
 	config.Runs = runs.New(agents, config.Meter)
