fix(feed): a version that a slow list has brought counts as one of two in succession

Cause: only answers to watches were counted.

Change: a list that brings something new counts, too, but for the first one of the process.

Evidence: the case "after a slow list" of TestVersionsThatFollowEachOtherAreReadByTheList fails before.

--- a/internal/serve/feed/answer.go
+++ b/internal/serve/feed/answer.go
@@ -17,7 +17,7 @@
 	// new, or a peer relays changes. While one version follows the other, an answer to a watch brings all that were written during
 	// the transfer before.
 	catchingUp bool
-	// slowAt is the instant at which the last slow answer with a version of the only object was complete, 0 without one.
+	// slowAt is the instant at which the last slow answer that brought something new was complete, 0 without one.
 	slowAt clock.Millis
 	// headAt is the instant in ms at which the head of the answer arrived, 0 if that is not known.
 	headAt atomic.Int64
@@ -51,15 +51,20 @@
 // isOvertaken reports whether versions of the only object follow each other so fast that the next answer to a watch would hold
 // several of them. A list holds the newest one, and confirms it.
 func (f *Feed) isOvertaken(changes *store.Changes, fresh int) bool {
-	now, headAt := f.clock.Now(), clock.Millis(f.answer.headAt.Load())
-	if !f.oneObject || fresh == 0 || !changes.Partial || headAt == 0 || now-headAt < slowTransfer {
+	if !f.oneObject || fresh == 0 || !changes.Partial || !f.isSlow() {
 		return false
 	}
-	before := f.answer.slowAt
+	before, now := f.answer.slowAt, f.clock.Now()
 	f.answer.slowAt = now
 	return before > 0 && now-before < overtakenInterval
 }
 
+// isSlow reports whether the answer that has just arrived was on its way for long after its head.
+func (f *Feed) isSlow() bool {
+	headAt := clock.Millis(f.answer.headAt.Load())
+	return headAt > 0 && f.clock.Since(headAt) >= slowTransfer
+}
+
 // headAfter returns the time from the start of a call to the head of its answer, which arrived by now.
 func (a *answer) headAfter(sentAt, now clock.Millis) clock.Millis {
 	if headAt := clock.Millis(a.headAt.Load()); headAt > 0 {
--- a/internal/serve/feed/answer_test.go
+++ b/internal/serve/feed/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -162,48 +163,57 @@
 // Guards against versions on a slow link that come late by two transfers: while one follows the other, a watch brings all that were
 // written during the transfer before, and is given up for the list.
 func TestVersionsThatFollowEachOtherAreReadByTheList(t *testing.T) {
-	const transfer = 300
+	const slow, fast = 300, 30
 	for name, test := range map[string]struct {
 		took, between clock.Millis
-		lists         int64
+		// answers is what the calls bring, by their order: the version of a list or a watch.
+		lists, watches []uint64
+		calls          string
 	}{
-		"slow, in succession": {transfer, transfer, 3}, "fast, in succession": {transfer / 10, transfer, 1}, "slow, far apart": {transfer, 3 * transfer, 1},
+		"slow, in succession":   {slow, slow, []uint64{5, 8, 8}, []uint64{6, 7}, "list watch watch list list watch"},
+		"after a slow list":     {slow, 100, []uint64{5, 8, 8, 10, 10}, []uint64{6, 7, 9}, "list watch watch list list watch list list watch"},
+		"fast, in succession":   {fast, slow, []uint64{5}, []uint64{6, 7, 8}, "list watch watch watch watch"},
+		"slow, but far between": {slow, 3 * slow, []uint64{5}, []uint64{6, 7, 8}, "list watch watch watch watch"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			fake := clock.NewFake(1)
-			version := func(number uint64) func(context.Context) (store.Changes, error) {
-				return func(ctx context.Context) (store.Changes, error) {
-					fake.Advance(test.between)
-					store.ReportProgress(ctx, store.Progress{Received: 1, Total: 100})
-					fake.Advance(test.took)
-					answer := largeChange(number)
-					answer.Partial = true
-					return answer, nil
-				}
-			}
-			watching := make(chan struct{})
-			s := &script{
-				scans: []func() (store.Listing, error){listed(5, "config/main"), listed(8, "config/main"), listed(8, "config/main")},
-				follows: []func(context.Context) (store.Changes, error){version(6), version(7), func(ctx context.Context) (store.Changes, error) {
-					close(watching)
-					return blockUntilDone(ctx)
-				}},
+			fake, calls := clock.NewFake(1), []string(nil)
+			transfer := func(ctx context.Context, call string) {
+				calls = append(calls, call)
+				fake.Advance(test.between)
+				store.ReportProgress(ctx, store.Progress{Received: 1, Total: 100})
+				fake.Advance(test.took)
 			}
-			var scans atomic.Int64
-			for i, scan := range s.scans {
-				s.scans[i] = func() (store.Listing, error) { scans.Add(1); return scan() }
+			done := make(chan struct{})
+			s := &store.Store{
+				ScanFunc: func(ctx context.Context, _ string) (store.Listing, error) {
+					transfer(ctx, "list")
+					version := test.lists[0]
+					test.lists = test.lists[1:]
+					return listed(version, "config/main")()
+				},
+				FollowFunc: func(ctx context.Context, _ string, _ store.Revision, _ clock.Millis) (store.Changes, error) {
+					if len(test.watches) == 0 {
+						calls = append(calls, "watch")
+						close(done)
+						return blockUntilDone(ctx)
+					}
+					transfer(ctx, "watch")
+					answer := largeChange(test.watches[0])
+					answer.Partial, test.watches = true, test.watches[1:]
+					return answer, nil
+				},
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			ended := make(chan struct{})
-			f := feed.New("config", s.store(), feed.WithClock(fake.Clock()), feed.WithOneObject())
+			f := feed.New("config", s, feed.WithClock(fake.Clock()), feed.WithOneObject())
 			go func() {
 				defer close(ended)
 				f.Run(ctx)
 			}()
-			<-watching
+			<-done
 			cancel()
 			<-ended
-			assert.Equal(t, scans.Load(), test.lists, "lists are read until one brings nothing new")
+			assert.Equal(t, strings.Join(calls, " "), test.calls)
 		})
 	}
 }
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -286,6 +286,9 @@
 		return
 	}
 	f.lostFor, f.olderPause, f.answer.listedAt = 0, 0, f.clock.Now()
+	if f.newestVersion() != before && !before.IsZero() && f.isSlow() {
+		f.answer.slowAt = f.clock.Now()
+	}
 	if f.answer.catchingUp = f.answer.catchingUp && !f.Relayed() && len(listing.Objects) == 1 && f.newestVersion() != before; f.answer.catchingUp {
 		f.requireList()
 	}
