fix(feed): a version that is longer than the one before is not transferred twice

Cause: a body of unknown length that is longer than 1.1 of the list was taken for several versions.

Change: a call that had waited 100 ms for the head of its answer is read to its end, for a kind of one object: it holds the version that has ended the wait.

Evidence: TestLongVersionThatWasAwaitedIsReadToItsEnd fails before (the list is read twice).

--- a/internal/serve/feed/answer.go
+++ b/internal/serve/feed/answer.go
@@ -46,6 +46,8 @@
 	// next version was probably written during the transfer of the second one.
 	slowTransfer      = 100 * clock.Millis(1)
 	overtakenInterval = clock.Second
+	// awaitedHead is the time until the head of an answer from which on the call has waited for a change, and not for the store.
+	awaitedHead = 100 * clock.Millis(1)
 )
 
 // isOvertaken reports whether versions of the only object follow each other so fast that the next answer to a watch would hold
@@ -103,7 +105,7 @@
 	case <-f.answer.long:
 	default:
 	}
-	list := f.listBytes()
+	list, sentAt := f.listBytes(), f.clock.Now()
 	return store.WithProgress(ctx, func(p store.Progress) {
 		if f.answer.headAt.CompareAndSwap(0, int64(f.clock.Now())); p.Received == 0 {
 			return
@@ -118,6 +120,9 @@
 		if f.olderPause > 0 || !isLong(p, list) {
 			return // a list that was older than the known state may be so again
 		}
+		if f.answer.headAfter(sentAt, f.clock.Now()) >= awaitedHead && f.oneObject {
+			return // it holds the version that has ended the wait, and the list would hold the same
+		}
 		select {
 		case f.answer.long <- struct{}{}:
 		default:
--- a/internal/serve/feed/answer_test.go
+++ b/internal/serve/feed/answer_test.go
@@ -66,6 +66,54 @@
 	}
 }
 
+// Guards against a version that is transferred twice because it is longer than the one before: the call has waited for it, so that
+// the answer holds no other one.
+func TestLongVersionThatWasAwaitedIsReadToItsEnd(t *testing.T) {
+	fake := clock.NewFake(1)
+	var scans atomic.Int64
+	read := make(chan struct{})
+	answers := []func(ctx context.Context) (store.Changes, error){
+		func(ctx context.Context) (store.Changes, error) {
+			fake.Advance(150)
+			store.ReportProgress(ctx, store.Progress{Received: 1, Total: -1})
+			store.ReportProgress(ctx, store.Progress{Received: long, Total: -1})
+			select {
+			case <-ctx.Done():
+				return store.Changes{}, ctx.Err()
+			case <-time.After(50 * time.Millisecond): // a call that is given up ends at once
+				return largeChange(6), nil
+			}
+		},
+		func(ctx context.Context) (store.Changes, error) {
+			close(read)
+			return blockUntilDone(ctx)
+		},
+	}
+	s := &store.Store{
+		ScanFunc: func(context.Context, string) (store.Listing, error) {
+			scans.Add(1)
+			return listed(5, "config/main")()
+		},
+		FollowFunc: func(ctx context.Context, _ string, _ store.Revision, _ clock.Millis) (store.Changes, error) {
+			next := answers[0]
+			answers = answers[1:]
+			return next(ctx)
+		},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	f := feed.New("config", s, feed.WithClock(fake.Clock()), feed.WithOneObject())
+	go func() {
+		defer close(ended)
+		f.Run(ctx)
+	}()
+	<-read
+	cancel()
+	<-ended
+	assert.Equal(t, scans.Load(), int64(1))
+	assert.Equal(t, f.Progress().Changed, uint64(6))
+}
+
 // Guards against a slow reader that gives up a long answer after each list, while one version follows the other.
 func TestListsAreReadUntilOneBringsNothingNew(t *testing.T) {
 	s := &script{
