fix(conns): half a head makes room on a full port at once

Cause: a connection that has to make room is ended as at a planned stop, which gives half a head another second, and the listener ends one each 50 ms. So a full port lets in 20 connections a second, and the check waits behind those of the crowd.

Change: such a connection has 50 ms from the start of its wait; older ones are ended at once, so that places are free at the speed at which they are needed. A head that is complete keeps its place. Half a head that was ended is not reported as an unanswered request.

Evidence: TestHalfAHeadMakesRoomAtOnce fails before (the connection ends a second later).

--- a/internal/link/conns/conn.go
+++ b/internal/link/conns/conn.go
@@ -17,6 +17,8 @@
 	// be complete, from its first bytes or from the start of the drain if that is later.
 	firstRequestGrace = 250 * clock.Millis(1)
 	headGrace         = clock.Second
+	// fullGrace is the time in which a head must be complete once another connection waits for a place on a full port.
+	fullGrace = 50 * clock.Millis(1)
 )
 
 // conn is a connection of a caller.
@@ -40,6 +42,8 @@
 	// which draining began, or 0.
 	deadline   time.Time
 	drainStart clock.Millis
+	// replaced is set once the connection has to make room for another one unless a head arrives within fullGrace.
+	replaced bool
 	// unansweredBytes counts the bytes read since something was last written, the last of
 	// them at readAt. answered is set if something has been written for the current
 	// request.
@@ -75,12 +79,23 @@
 	c.applyDeadline()
 }
 
+// replace ends the connection unless a head is complete within fullGrace, counted from the start of its wait.
+func (c *conn) replace() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replaced = true
+	c.applyDeadline()
+}
+
 // applyDeadline sets the read deadline. The caller must hold c.mu.
 func (c *conn) applyDeadline() {
 	deadline := c.deadline
-	if c.drainStart > 0 && c.awaitsHead && !c.untracked {
+	if (c.drainStart > 0 || c.replaced) && c.awaitsHead && !c.untracked {
 		until := c.accepted + firstRequestGrace
-		if c.headStarted {
+		switch {
+		case c.replaced:
+			until = c.awaitsSince + fullGrace
+		case c.headStarted:
 			until = max(c.headStartedAt, c.drainStart) + headGrace
 		}
 		drainDeadline := time.Now().Add(max(until-c.listener.clock.Now(), 0).Duration())
@@ -97,7 +112,7 @@
 	defer c.mu.Unlock()
 	switch {
 	case t.IsZero():
-		c.awaitsHead = false
+		c.awaitsHead, c.replaced = false, false
 	case !c.awaitsHead && t.After(time.Now()):
 		c.awaitsHead, c.headStarted, c.answered = true, false, false
 		c.awaitsSince = c.listener.clock.Now()
@@ -111,7 +126,7 @@
 func (c *conn) waitingSince() (since clock.Millis, waits bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.awaitsSince, c.awaitsHead && !c.untracked && c.drainStart == 0
+	return c.awaitsSince, c.awaitsHead && !c.untracked && !c.replaced && c.drainStart == 0
 }
 
 // SyscallConn implements syscall.Conn if the inner connection does.
@@ -196,7 +211,7 @@
 func (c *conn) Close() error {
 	c.mu.Lock()
 	unanswered := Unanswered{Bytes: c.unansweredBytes, Age: c.listener.clock.Since(c.readAt)}
-	report := c.unansweredBytes > 0 && !c.untracked
+	report := c.unansweredBytes > 0 && !c.untracked && !c.replaced // half a head is no request
 	c.untracked = true
 	c.mu.Unlock()
 	err := c.Conn.Close()
--- a/internal/link/conns/listener.go
+++ b/internal/link/conns/listener.go
@@ -51,8 +51,8 @@
 	return len(l.open)
 }
 
-// closeLongestWaiting ends the connection that has waited for a complete head of a request for longest, as a planned stop does:
-// a request that arrives at this moment is answered. It returns the caller and for how long it has waited, "" if there is none.
+// closeLongestWaiting ends the connection that has waited for a complete head of a request for longest. A request that arrives at
+// this moment is answered. It returns the caller and for how long it has waited, "" if there is none.
 func (l *listener) closeLongestWaiting() (remote string, waited clock.Millis) {
 	l.mu.Lock()
 	var longest *conn
@@ -66,7 +66,7 @@
 	if longest == nil {
 		return "", 0
 	}
-	longest.drain()
+	longest.replace()
 	return longest.RemoteAddr().String(), l.clock.Since(from)
 }
 
--- /dev/null
+++ b/internal/link/conns/replace_test.go
@@ -0,0 +1,58 @@
+package conns
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubescale/jujubescale/internal/base/clock"
+)
+
+// deadlineConn is a connection on which half a head arrives. It records the read deadline.
+type deadlineConn struct {
+	net.Conn
+	deadline time.Time
+}
+
+func (c *deadlineConn) Read(p []byte) (int, error) { return copy(p, "GET / HT"), nil }
+
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+func (c *deadlineConn) RemoteAddr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against a full port that lets in 20 connections a second beside callers who send half a head, so that the balancer's checks
+// wait behind theirs.
+func TestHalfAHeadMakesRoomAtOnce(t *testing.T) {
+	fake := clock.NewFake(1000)
+	l := newListener(nil, fake.Clock(), func(Unanswered) {})
+	half := &deadlineConn{}
+	waiting := newConn(half, l)
+	l.open[waiting] = struct{}{}
+	_, err := waiting.Read(make([]byte, 100))
+	assert.NilError(t, err)
+	fake.Advance(fullGrace)
+	remote, waited := l.closeLongestWaiting()
+	assert.Assert(t, remote != "")
+	assert.Equal(t, waited, fullGrace)
+	assert.Assert(t, !half.deadline.IsZero() && !half.deadline.After(time.Now()), "the connection ends only at %v", half.deadline)
+	remote, _ = l.closeLongestWaiting()
+	assert.Equal(t, remote, "", "the same connection is ended twice")
+}
+
+// Guards against a request that is cut because its connection was to make room and its head arrived at that moment.
+func TestCompleteHeadKeepsItsPlace(t *testing.T) {
+	fake := clock.NewFake(1000)
+	l := newListener(nil, fake.Clock(), func(Unanswered) {})
+	inner := &deadlineConn{}
+	waiting := newConn(inner, l)
+	l.open[waiting] = struct{}{}
+	_, _ = l.closeLongestWaiting()
+	assert.Assert(t, inner.deadline.After(time.Now()), "it has fullGrace for its head")
+	assert.NilError(t, waiting.SetReadDeadline(time.Time{})) // the server has read the head
+	assert.Assert(t, inner.deadline.IsZero())
+}
