fix(proc): requests without end on small ports don't take the processor, or the port, from others

A balancer takes such a process out.

Cause: an answer there costs a caller nothing to ask for; a connection that is blocked by an unread answer keeps its place for 2 s, and is no candidate to make room, as it has a request.

Change: on the ports for the balancer, metrics and operators, requests on one connection are 20 ms apart, and while a port is full each connection ends with its answer.

--- a/internal/bench/soak/crowd.go
+++ b/internal/bench/soak/crowd.go
@@ -58,11 +58,11 @@
 	OperatorsUnread Crowd = "operatorsUnread"
 )
 
-// Crowds returns the crowds that are played by default: all but OperatorsUnread, which takes most of a processor.
+// Crowds returns all crowds.
 func Crowds() []Crowd {
 	return []Crowd{
 		AnnouncedShort, ChunkedShort, TinyChunks, AnswersUnread, AnnouncedOnly, AnnouncedHuge, EndlessChunks, EndlessHead, EndlessTrailers,
-		HalfHead, SlowBody, Idle, LargeHead, UnknownKey, StreamShort, SessionsPort, OperatorsPort, ReadyPort, ReadyUnread,
+		HalfHead, SlowBody, Idle, LargeHead, UnknownKey, StreamShort, SessionsPort, OperatorsPort, ReadyPort, ReadyUnread, OperatorsUnread,
 	}
 }
 
--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -212,7 +212,7 @@
 	*port, err = proc.Open(ctx, proc.PortOptions{
 		Name: name, Address: address, Handler: handler, MaxConnections: smallConnections, MaxHeaderBytes: smallHeader,
 		HeaderTimeout: callersTimeout.Duration(), IdleTimeout: callersIdle.Duration(), Log: r.Log,
-		ReceiveBytes: receiveBytes, WriteTimeout: smallWrite.Duration(),
+		ReceiveBytes: receiveBytes, WriteTimeout: smallWrite.Duration(), RequestInterval: proc.SmallInterval,
 	})
 	return err
 }
--- a/internal/cli/proc/port.go
+++ b/internal/cli/proc/port.go
@@ -39,6 +39,9 @@
 	IdleTimeout   time.Duration
 	// WriteTimeout bounds the time from the head of a request to the end of its answer, 0 for none.
 	WriteTimeout time.Duration
+	// RequestInterval is the least time between two requests on one connection, in milliseconds, 0 for none. With it, a connection
+	// ends with its answer while others wait for a place.
+	RequestInterval clock.Millis
 	// ConnContext changes the context of the requests of a new connection. It may be nil.
 	ConnContext func(ctx context.Context, c net.Conn) context.Context
 	// AdmitFunc decides whether a new connection is served; see conns.WithAdmit. It may be nil.
@@ -64,17 +67,21 @@
 	if err != nil {
 		return nil, err
 	}
+	limited := limit.New(listener, options.MaxConnections)
+	handler := options.Handler
+	if options.RequestInterval > 0 {
+		handler = paced(handler, limited.Full)
+	}
 	server := &http.Server{
-		Handler:           options.Handler,
+		Handler:           handler,
 		TLSConfig:         options.TLS,
 		MaxHeaderBytes:    options.MaxHeaderBytes,
 		ReadHeaderTimeout: options.HeaderTimeout,
 		IdleTimeout:       options.IdleTimeout,
 		WriteTimeout:      options.WriteTimeout,
-		ConnContext:       options.ConnContext,
+		ConnContext:       options.connContext(),
 		ErrorLog:          options.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
-	limited := limit.New(listener, options.MaxConnections)
 	served := conns.Serve(server, limited, conns.WithUnanswered(reportUnanswered(&options)), conns.WithAdmit(options.AdmitFunc))
 	limited.OnFull(makeRoom(served, &options))
 	return &Port{name: options.Name, actual: listener.Addr(), server: served}, nil
--- a/internal/cli/proc/process.go
+++ b/internal/cli/proc/process.go
@@ -33,6 +33,8 @@
 	headerTimeout        = 5 * time.Second
 	// smallReceive is what the kernel holds of an operator's connection that is not read.
 	smallReceive = 32 << 10
+	// SmallInterval is the least time between two requests on one connection of a port for operators, metrics or the balancer.
+	SmallInterval = 20 * clock.Millis(1)
 )
 
 // Process holds the state that all daemons have. Its exported methods are steps of
@@ -137,7 +139,7 @@
 	p.Operators, err = Open(ctx, PortOptions{
 		Name: "operators", Address: p.Settings.Operators, Handler: admin.New(options...).Handler(),
 		TLS: ServerTLS(p.operatorsTLS, certs.NameOperator), MaxConnections: operatorsConnections,
-		ReceiveBytes: smallReceive, MaxHeaderBytes: smallHeader, HeaderTimeout: headerTimeout, IdleTimeout: smallIdle, Log: p.Log,
+		ReceiveBytes: smallReceive, RequestInterval: SmallInterval, MaxHeaderBytes: smallHeader, HeaderTimeout: headerTimeout, IdleTimeout: smallIdle, Log: p.Log,
 	})
 	return err
 }
--- a/internal/link/limit/limit.go
+++ b/internal/link/limit/limit.go
@@ -74,6 +74,9 @@
 	}
 }
 
+// Full reports whether as many connections are open as allowed, or one fewer while the next one is awaited.
+func (l *Listener) Full() bool { return len(l.slots) == cap(l.slots) }
+
 // Pending reports whether the kernel's queue of a listener holds a connection to accept.
 func Pending(of net.Listener) bool {
 	raw, err := rawConn(of)
