fix(feed,pack): objects whose version doesn't tell their content apart are not patched

Found by reading: a peer that keeps an object of an earlier era states its number in that era; a receiver that holds another object with the same number in the present era would have kept its own value, and confirmed it.

Change: neither side makes or applies a difference for such an object, nor for one whose version can't be read.

Evidence: TestVersionsThatDoNotTellContentsApartAreNotPatched fails before.

--- a/internal/link/pack/cache.go
+++ b/internal/link/pack/cache.go
@@ -96,9 +96,9 @@
 	return kept, nil
 }
 
-// patchOf returns the patch of an update, nil if it has several objects.
+// patchOf returns the patch of an update, nil if it has several objects, or one whose version doesn't tell its content apart.
 func patchOf(update *wire.Update) *wire.Patch {
-	if len(update.Objects) != 1 {
+	if len(update.Objects) != 1 || update.Objects[0].Hold != nil || update.Objects[0].Unversioned {
 		return nil
 	}
 	object := update.Objects[0]
--- a/internal/serve/feed/patch.go
+++ b/internal/serve/feed/patch.go
@@ -51,7 +51,7 @@
 	patch := update.Packed.Patch
 	f.mu.Lock()
 	known := f.state.objects[patch.Object.Name]
-	usable := !f.state.isKept(patch.Object.Name) && !known.Unversioned && known.Version.Era == update.Era
+	usable := !f.state.isKept(patch.Object.Name) && !known.Unversioned && known.Version.Era == update.Era && patch.Object.Hold == nil && !patch.Object.Unversioned
 	f.mu.Unlock()
 	value := known.Value // if another peer has sent the same version
 	if usable && known.Version.Number != patch.Object.Version {
--- a/internal/serve/feed/patch_test.go
+++ b/internal/serve/feed/patch_test.go
@@ -91,3 +91,25 @@
 	assert.Assert(t, !follower.Apply(packed, 1000))
 	assert.Assert(t, bytes.Equal(follower.value(), largeValue(6)))
 }
+
+// Guards against a copy that keeps its own value because an object of an earlier era, or one whose version can't be read, has the same
+// number.
+func TestVersionsThatDoNotTellContentsApartAreNotPatched(t *testing.T) {
+	for name, change := range map[string]func(*wire.Stored){
+		"of an earlier era": func(o *wire.Stored) { o.Hold = &wire.Hold{Era: 1} },
+		"version not read":  func(o *wire.Stored) { o.Unversioned = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			follower := newRelay(t)
+			object := wire.Stored{Name: "config/main", Version: 5, Value: largeValue(6), Previous: &wire.Previous{Version: 4, Value: largeValue(4)}}
+			change(&object)
+			packed, err := follower.contents.Pack(&wire.Update{Kind: "config", Since: 5, Revision: 6, Changed: 6, Objects: []wire.Stored{object}})
+			assert.NilError(t, err)
+			assert.Assert(t, packed.Packed.Patch == nil)
+			object.Value, object.Previous = nil, nil
+			packed.Packed.Patch = &wire.Patch{Object: object, Base: 4, Delta: []byte{1}}
+			assert.Assert(t, follower.Apply(packed, 1000))
+			assert.Assert(t, bytes.Equal(follower.value(), largeValue(5)))
+		})
+	}
+}
