--- a/internal/serve/feed/hostile_test.go
+++ b/internal/serve/feed/hostile_test.go
@@ -1,6 +1,7 @@
 package feed_test
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -8,9 +9,11 @@
 	"slices"
 	"testing"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/link/pack"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
 	"github.com/jujubescale/jujubescale/internal/serve/feed"
@@ -38,6 +41,10 @@
 	endWatch   context.CancelFunc
 	// honest is set for a store that answers truly, quiet while nothing changes and calls take no time.
 	honest, quiet bool
+	// large is set if objects are so large that peers get the difference of a change. contents tells the writes apart whose
+	// versions are restored in a later era.
+	large    bool
+	contents map[store.Revision]int
 }
 
 type hostileChange struct {
@@ -54,8 +61,8 @@
 	changedAt uint64
 }
 
-func newHostileStore(t *rapid.T, fake *clock.Fake) *hostileStore {
-	s := &hostileStore{t: t, fake: fake, revision: store.Revision{Era: 1, Number: 5}, objects: make(map[string]store.Revision), eras: make(map[uint64]clock.Millis), facts: make(map[string][]hostileFact)}
+func newHostileStore(t *rapid.T, fake *clock.Fake, large bool) *hostileStore {
+	s := &hostileStore{large: large, t: t, fake: fake, revision: store.Revision{Era: 1, Number: 5}, objects: make(map[string]store.Revision), eras: make(map[uint64]clock.Millis), facts: make(map[string][]hostileFact), contents: make(map[store.Revision]int)}
 	for i := range rapid.IntRange(1, 4).Draw(t, "objects") {
 		s.names = append(s.names, fmt.Sprint("k/", i))
 		s.facts[s.names[i]] = []hostileFact{{}}
@@ -64,10 +71,23 @@
 	return s
 }
 
+// object returns an object as it was written at a version.
+func (s *hostileStore) object(name string, version store.Revision) store.Object {
+	o := store.Object{Name: name, Version: version}
+	if s.large {
+		o.Value = fmt.Appendf(bytes.Clone(padding), "%d", s.contents[version])
+	}
+	return o
+}
+
+// padding makes values larger than peers send in one message.
+var padding = largeValue(0)[:9<<10]
+
 // change writes or deletes an object.
 func (s *hostileStore) change() {
 	name := rapid.SampledFrom(s.names).Draw(s.t, "name")
 	s.revision.Number++
+	s.contents[s.revision] = len(s.contents)
 	before, exists := s.objects[name]
 	c := hostileChange{number: s.revision.Number, name: name, version: s.revision, deleted: exists && rapid.IntRange(0, 2).Draw(s.t, "deleted") == 0}
 	fact := hostileFact{from: s.fake.Clock().Now(), version: s.revision, changedAt: s.revision.Number}
@@ -121,7 +141,11 @@
 				version = fact.version
 			}
 		}
-		if version.Era = s.revision.Era; !version.IsZero() {
+		written := version
+		if version.Era = s.revision.Era; !written.IsZero() {
+			s.contents[version] = s.contents[written]
+		}
+		if !version.IsZero() {
 			s.objects[name] = version
 		}
 		s.facts[name] = []hostileFact{{from: now, version: version, changedAt: version.Number}}
@@ -148,7 +172,7 @@
 	listing := store.Listing{Revision: s.revision}
 	for _, name := range s.names {
 		if version, exists := s.objects[name]; exists {
-			listing.Objects = append(listing.Objects, store.Object{Name: name, Version: version})
+			listing.Objects = append(listing.Objects, s.object(name, version))
 		}
 	}
 	if era := s.revision.Era; !s.quiet {
@@ -191,7 +215,7 @@
 	}
 	for _, c := range s.history {
 		if c.number > since && (s.hidesSince == 0 || c.number <= s.hidesSince) {
-			changes = append(changes, store.Change{Object: store.Object{Name: c.name, Version: c.version}, Deleted: c.deleted})
+			changes = append(changes, store.Change{Object: s.object(c.name, c.version), Deleted: c.deleted})
 		}
 	}
 	return true, changes
@@ -256,6 +280,17 @@
 	}
 }
 
+// checkContents fails if an object has other contents than its version.
+func (s *hostileStore) checkContents(t *rapid.T, i int, process *feed.Feed) {
+	snapshot := process.Snapshot()
+	for _, o := range snapshot.Objects {
+		version := store.Revision{Era: snapshot.Era, Number: o.Version}
+		if want := s.object(o.Name, version); o.Hold == nil && !bytes.Equal(o.Value, want.Value) {
+			t.Fatalf("process %d holds other contents of %s than version %v", i, o.Name, version)
+		}
+	}
+}
+
 func (s *hostileStore) wasTrue(name string, version store.Revision, from clock.Millis) bool {
 	facts := s.facts[name]
 	for i, fact := range facts {
@@ -288,14 +323,20 @@
 // revision is none about the content. Each copy is right after one true list.
 func TestNoCopyClaimsWhatAHostileStoreNeverHeld(t *testing.T) {
 	for _, size := range []int{1, 3} {
-		t.Run(fmt.Sprint(size), func(t *testing.T) { rapid.Check(t, func(t *rapid.T) { playHostile(t, size) }) })
+		t.Run(fmt.Sprint(size), func(t *testing.T) { rapid.Check(t, func(t *rapid.T) { playHostile(t, size, false) }) })
 	}
 }
 
-func playHostile(t *rapid.T, size int) {
+// Guards against copies that are put together from a difference and another version than its sender's.
+func TestNoCopyHoldsWhatAHostileStoreNeverHeld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { playHostile(t, 3, true) })
+}
+
+func playHostile(t *rapid.T, size int, large bool) {
 	fake := clock.NewFake(1)
-	s := newHostileStore(t, fake)
+	s := newHostileStore(t, fake, large)
 	processes, sent, sentAt := s.fleetOf(size)
+	contents := make([]pack.Cache, size)
 	draw := func(label string) int { return rapid.IntRange(0, size-1).Draw(t, label) }
 	t.Repeat(map[string]func(*rapid.T){
 		"time passes": func(*rapid.T) { s.pass("changes") },
@@ -315,7 +356,15 @@
 			from := draw("from")
 			update := sent[from]
 			update.Age += fake.Clock().Since(sentAt[from]) + s.transit()
-			processes[draw("to")].Apply(&update, fake.Clock().Now())
+			to, announced := processes[draw("to")], &update
+			if large {
+				var err error
+				announced, err = contents[from].Pack(&update)
+				assert.NilError(t, err)
+			}
+			if p := announced.Packed; p == nil || p.Patch == nil || len(p.Patch.Delta) == 0 || to.Apply(announced, fake.Clock().Now()) {
+				to.Apply(&update, fake.Clock().Now()) // after its transfer
+			}
 		},
 		"confirmation": func(*rapid.T) {
 			progress := processes[draw("from")].Progress()
@@ -330,6 +379,7 @@
 		"": func(t *rapid.T) {
 			for i, process := range processes {
 				s.check(t, i, process)
+				s.checkContents(t, i, process)
 			}
 		},
 	})
