fix(conns): a head that has just begun keeps its place on a full port for a moment

Found by reading: a request on a connection that had been idle, whose head arrives in two parts, was cut at once if its connection had to make room: 50 ms counted from the start of the wait.

Change: they count from the first byte of the head, if that is later.

Evidence: TestHeadThatHasJustBegunHasTimeToArrive fails before.

--- a/internal/link/conns/conn.go
+++ b/internal/link/conns/conn.go
@@ -17,7 +17,8 @@
 	// be complete, from its first bytes or from the start of the drain if that is later.
 	firstRequestGrace = 250 * clock.Millis(1)
 	headGrace         = clock.Second
-	// fullGrace is the time in which a head must be complete once another connection waits for a place on a full port.
+	// fullGrace is the time in which a head must begin, and the time in which it must be complete, while another connection waits for a
+	// place on a full port.
 	fullGrace = 50 * clock.Millis(1)
 )
 
@@ -79,7 +80,7 @@
 	c.applyDeadline()
 }
 
-// replace ends the connection unless a head is complete within fullGrace, counted from the start of its wait.
+// replace ends the connection unless a head is complete within fullGrace, counted from the start of its wait, or of the head.
 func (c *conn) replace() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -94,7 +95,7 @@
 		until := c.accepted + firstRequestGrace
 		switch {
 		case c.replaced:
-			until = c.awaitsSince + fullGrace
+			until = max(c.awaitsSince, c.headStartedAt) + fullGrace
 		case c.headStarted:
 			until = max(c.headStartedAt, c.drainStart) + headGrace
 		}
@@ -114,7 +115,7 @@
 	case t.IsZero():
 		c.awaitsHead, c.replaced = false, false
 	case !c.awaitsHead && t.After(time.Now()):
-		c.awaitsHead, c.headStarted, c.answered = true, false, false
+		c.awaitsHead, c.headStarted, c.headStartedAt, c.answered = true, false, 0, false
 		c.awaitsSince = c.listener.clock.Now()
 	}
 	c.deadline = t
--- a/internal/link/conns/replace_test.go
+++ b/internal/link/conns/replace_test.go
@@ -56,3 +56,17 @@
 	assert.NilError(t, waiting.SetReadDeadline(time.Time{})) // the server has read the head
 	assert.Assert(t, inner.deadline.IsZero())
 }
+
+// Guards against the first request on a connection that was idle which is cut because its head arrives in two parts.
+func TestHeadThatHasJustBegunHasTimeToArrive(t *testing.T) {
+	fake := clock.NewFake(1000)
+	l := newListener(nil, fake.Clock(), func(Unanswered) {})
+	inner := &deadlineConn{}
+	idle := newConn(inner, l)
+	l.open[idle] = struct{}{}
+	fake.Advance(10 * clock.Second)
+	_, err := idle.Read(make([]byte, 100))
+	assert.NilError(t, err)
+	_, _ = l.closeLongestWaiting()
+	assert.Assert(t, inner.deadline.After(time.Now()))
+}
