--- a/internal/link/conns/replace_test.go
+++ b/internal/link/conns/replace_test.go
@@ -25,14 +25,20 @@
 
 func (c *deadlineConn) RemoteAddr() net.Addr { return &net.TCPAddr{} }
 
-// Guards against a full port that lets in 20 connections a second beside callers who send half a head, so that the balancer's checks
-// wait behind theirs.
-func TestHalfAHeadMakesRoomAtOnce(t *testing.T) {
+// newWaiting returns a listener with one open connection.
+func newWaiting() (*listener, *conn, *deadlineConn, *clock.Fake) {
 	fake := clock.NewFake(1000)
 	l := newListener(nil, fake.Clock(), func(Unanswered) {})
-	half := &deadlineConn{}
-	waiting := newConn(half, l)
+	inner := &deadlineConn{}
+	waiting := newConn(inner, l)
 	l.open[waiting] = struct{}{}
+	return l, waiting, inner, fake
+}
+
+// Guards against a full port that lets in 20 connections a second beside callers who send half a head, so that the balancer's checks
+// wait behind theirs.
+func TestHalfAHeadMakesRoomAtOnce(t *testing.T) {
+	l, waiting, half, fake := newWaiting()
 	_, err := waiting.Read(make([]byte, 100))
 	assert.NilError(t, err)
 	fake.Advance(fullGrace)
@@ -46,11 +52,7 @@
 
 // Guards against a request that is cut because its connection was to make room and its head arrived at that moment.
 func TestCompleteHeadKeepsItsPlace(t *testing.T) {
-	fake := clock.NewFake(1000)
-	l := newListener(nil, fake.Clock(), func(Unanswered) {})
-	inner := &deadlineConn{}
-	waiting := newConn(inner, l)
-	l.open[waiting] = struct{}{}
+	l, waiting, inner, _ := newWaiting()
 	_, _ = l.closeLongestWaiting()
 	assert.Assert(t, inner.deadline.After(time.Now()), "it has fullGrace for its head")
 	assert.NilError(t, waiting.SetReadDeadline(time.Time{})) // the server has read the head
@@ -59,11 +61,7 @@
 
 // Guards against the first request on a connection that was idle which is cut because its head arrives in two parts.
 func TestHeadThatHasJustBegunHasTimeToArrive(t *testing.T) {
-	fake := clock.NewFake(1000)
-	l := newListener(nil, fake.Clock(), func(Unanswered) {})
-	inner := &deadlineConn{}
-	idle := newConn(inner, l)
-	l.open[idle] = struct{}{}
+	l, idle, inner, fake := newWaiting()
 	fake.Advance(10 * clock.Second)
 	_, err := idle.Read(make([]byte, 100))
 	assert.NilError(t, err)
--- a/internal/link/delta/delta.go
+++ b/internal/link/delta/delta.go
@@ -23,7 +23,7 @@
 	headSize                      = binary.MaxVarintLen64 + sumSize
 )
 
-// gear holds the number that each byte adds to the rolling hash. All processes need the same.
+// gear holds the number that each byte adds to the rolling hash. Apply doesn't need it.
 var gear = func() (table [256]uint64) {
 	random := rand.New(rand.NewPCG(1, 2))
 	for i := range table {
