--- a/internal/serve/front/http.go
+++ b/internal/serve/front/http.go
@@ -194,6 +194,7 @@
 // refuse records a refusal and sends it to the caller.
 func (f *Front) refuse(w http.ResponseWriter, x *exchange, err error) {
 	body := f.recordRefusal(x, err)
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeGrace))
 	writeRefusal(w, body)
 }
 
