fix(feed): a difference of a peer makes 16 MB at most

Found by reading: it could make 64 MB, and inflate to twice that, on hosts of 144 MB; answers of the store have 16 MB at most. No test of its own: delta.TestResultIsLimited covers the limit.

--- a/internal/serve/feed/patch.go
+++ b/internal/serve/feed/patch.go
@@ -11,8 +11,8 @@
 	// minPreviousBytes is the size from which on the version before is kept of an object: differences of smaller ones save
 	// nothing, as peers get them in one message.
 	minPreviousBytes = 8 << 10
-	// maxValueBytes limits what a peer may make of a difference.
-	maxValueBytes = 64 << 20
+	// maxValueBytes limits what a peer may make of a difference; answers of the store are no longer.
+	maxValueBytes = 16 << 20
 )
 
 // previous is the version of a large object that another one has replaced.
