--- a/internal/bench/soak/quota_test.go
+++ b/internal/bench/soak/quota_test.go
@@ -141,7 +141,7 @@
 	err error
 }
 
-// withoutLargeSeed was drawn when one in ten versions took over 2 s on hosts of the middle size.
+// withoutLargeSeed is one of the seeds of docs/incidents/middle-hosts.md.
 const withoutLargeSeed = 83001
 
 func runWithoutLarge(t *testing.T) *quotaRun {
