fix(proc): answers at the operators' port that are not read don't hold it for good

Found by reading: a connection that is blocked by an unread answer has a request and is no candidate to make room; the balancer's and the metrics' port end it after 2 s, the operators' port never did, so that 256 of them keep operators out.

Change: 30 s from the head of a request to the end of its answer. No test of its own; the tests of proc and daemon pass.

--- a/internal/cli/proc/process.go
+++ b/internal/cli/proc/process.go
@@ -29,8 +29,10 @@
 const (
 	operatorsConnections = 256
 	smallIdle            = 2 * time.Minute
-	smallHeader          = 16 << 10
-	headerTimeout        = 5 * time.Second
+	// operatorsWrite is the time in which an operator must read an answer. Otherwise callers that read none fill the port.
+	operatorsWrite = 30 * time.Second
+	smallHeader    = 16 << 10
+	headerTimeout  = 5 * time.Second
 	// smallReceive is what the kernel holds of an operator's connection that is not read.
 	smallReceive = 32 << 10
 	// SmallInterval is the least time between two requests on one connection of a port for operators, metrics or the balancer.
@@ -139,7 +141,7 @@
 	p.Operators, err = Open(ctx, PortOptions{
 		Name: "operators", Address: p.Settings.Operators, Handler: admin.New(options...).Handler(),
 		TLS: ServerTLS(p.operatorsTLS, certs.NameOperator), MaxConnections: operatorsConnections,
-		ReceiveBytes: smallReceive, RequestInterval: SmallInterval, MaxHeaderBytes: smallHeader, HeaderTimeout: headerTimeout, IdleTimeout: smallIdle, Log: p.Log,
+		ReceiveBytes: smallReceive, RequestInterval: SmallInterval, WriteTimeout: operatorsWrite, MaxHeaderBytes: smallHeader, HeaderTimeout: headerTimeout, IdleTimeout: smallIdle, Log: p.Log,
 	})
 	return err
 }
