test(sess): the slow connection starts after the first heartbeat's reply

Cause, in the test: the connection was slowed while the reply to the session's first heartbeat could be half read. If fewer bytes than the loop's 20 were left, the message ended within the loop. A message that has ended is no part under way, so PartReceivedAt is 0 and the loop waited for it in vain. The session was right.

Change: the connection is slowed once the reply has been handled. The loop, its bounds and its checks are the same.

--- a/internal/link/sess/silent_test.go
+++ b/internal/link/sess/silent_test.go
@@ -197,12 +197,16 @@
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		return &slowConn{Conn: conn, slow: &slow, bytes: bytes}, err
 	}
+	replied := make(chan struct{})
+	var once sync.Once
 	s, err := sess.Dial(t.Context(), listen(t, func(s *sess.Session, f *wire.Frame) {
 		if f.Kind == wire.KindAck {
 			_ = s.Send(&wire.Frame{Kind: wire.KindUpdate, Update: &wire.Update{Kind: strings.Repeat("k", 1000)}})
 		}
-	}), sess.WithDial(dial), sess.WithClock(fake.Clock()), sess.WithHeartbeats(busy, busy))
+	}), sess.WithDial(dial), sess.WithClock(fake.Clock()), sess.WithHeartbeats(busy, busy),
+		sess.WithHandler(func(*sess.Session, *wire.Frame) { once.Do(func() { close(replied) }) }))
 	assert.NilError(t, err)
+	<-replied // the rest of the reply to the first heartbeat can be shorter than what the loop reads
 	slow.Store(true)
 	assert.NilError(t, s.Send(&wire.Frame{Kind: wire.KindAck, Ack: &wire.Ack{}}))
 	for range 20 {
