fix(sess): the first message on a session is 64 KB at most

A session's messages may have 4 MB, and that limit held before the sender had said which process it is of. Ports without TLS let anybody connect, 256 at a time, for 3 s each.

Change: until the hello was read a message may have 64 KB, after it 4 MB as before, on both sides of a session. A hello holds six names and a load, some hundred bytes.

Evidence: TestFirstMessageIsShort failed before (the connection was read for 3 s, until the time limit). The crowd is one more case of TestCrowdsEndNoProcess, with its bounds.

--- a/internal/base/rules/readers_test.go
+++ b/internal/base/rules/readers_test.go
@@ -38,8 +38,8 @@
 
 // boundElsewhere lists the readers whose bound is not beside them.
 var boundElsewhere = map[string]string{
-	"internal/link/sess/open.go: _, message, err := s.conn.ReadMessage()":                 "newSession limits it to wire.MaxMessage",
-	"internal/link/sess/sess.go: kind, message, err := s.conn.ReadMessage()":              "newSession limits it to wire.MaxMessage",
+	"internal/link/sess/open.go: _, message, err := s.conn.ReadMessage()":                 "newSession limits it to maxHello",
+	"internal/link/sess/sess.go: kind, message, err := s.conn.ReadMessage()":              "readHello limits it to wire.MaxMessage",
 	"internal/serve/upload/upload.go: from := http.MaxBytesReader(w, r.Body, maxBytes)":   "Book.Read takes room for each part before it reads it",
 	"internal/serve/upload/upload.go: _, err := io.CopyN(io.Discard, r.Body, drainBytes)": "CopyN reads at most drainBytes, within drainTime",
 	"internal/base/bound/bound.go: response, err := http.ReadResponse(r.Reader, request)": "r.Reader reads at most MaxHeadBytes after Limit",
--- a/internal/bench/soak/crowd.go
+++ b/internal/bench/soak/crowd.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jujubescale/jujubescale/internal/link/sess"
+	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/stand/netw"
 	"github.com/jujubescale/jujubescale/platform"
 	"github.com/jujubescale/jujubescale/platform/stand"
@@ -56,6 +59,8 @@
 	// ReadyUnread sends one readiness check after the other and reads no answer, OperatorsUnread the same at the operators' port.
 	ReadyUnread     Crowd = "readyUnread"
 	OperatorsUnread Crowd = "operatorsUnread"
+	// HelloShort opens a WebSocket at the sessions' port and sends a first message of 4 MB that stops one byte short.
+	HelloShort Crowd = "helloShort"
 )
 
 // Crowds returns all crowds.
@@ -63,6 +68,7 @@
 	return []Crowd{
 		AnnouncedShort, ChunkedShort, TinyChunks, AnswersUnread, AnnouncedOnly, AnnouncedHuge, EndlessChunks, EndlessHead, EndlessTrailers,
 		HalfHead, SlowBody, Idle, LargeHead, UnknownKey, StreamShort, SessionsPort, OperatorsPort, ReadyPort, ReadyUnread, OperatorsUnread,
+		HelloShort,
 	}
 }
 
@@ -272,7 +278,7 @@
 		if c.Crowd == LargeHead {
 			go func() { _, _ = io.Copy(io.Discard, conn) }() // it reads its answers
 		}
-		if c.send(ctx, bufio.NewWriterSize(conn, 64<<10)) == nil {
+		if c.send(ctx, conn) == nil {
 			_, _ = io.Copy(io.Discard, conn) // until the process closes it
 		}
 		stop()
@@ -283,7 +289,7 @@
 // target returns the address to which the crowd connects.
 func (c *crowd) target() string {
 	switch c.Crowd {
-	case SessionsPort:
+	case SessionsPort, HelloShort:
 		return c.process.ports.sessions
 	case OperatorsPort, OperatorsUnread:
 		return c.process.ports.operators
@@ -314,6 +320,8 @@
 	textFunc, headFunc func() string
 	bytes              []byte
 	again              bool
+	// answered is set if the bytes follow the answer to the text.
+	answered bool
 	// pause is the time between two times that the bytes are sent.
 	pause time.Duration
 }
@@ -346,6 +354,8 @@
 		return script{textFunc: headWith(announced), bytes: []byte("a"), again: true, pause: slowPause}
 	case LargeHead:
 		return script{headFunc: headWith("X-More: " + strings.Repeat("m", 60_000) + "\r\n\r\n"), again: true}
+	case HelloShort:
+		return script{textFunc: func() string { return openWebSocket }, answered: true, bytes: shortMessage(wire.MaxMessage)}
 	case ReadyUnread, OperatorsUnread:
 		check := "GET " + platform.Codec().ReadyPath + " HTTP/1.1\r\nHost: a\r\nX-More: " + strings.Repeat("m", 4000) + "\r\n\r\n"
 		return script{bytes: []byte(check), again: true}
@@ -363,7 +373,8 @@
 
 // send sends what one caller of the crowd sends. It returns an error if the process has closed the connection, or the context
 // has ended.
-func (c *crowd) send(ctx context.Context, w *bufio.Writer) error {
+func (c *crowd) send(ctx context.Context, conn net.Conn) error {
+	w := bufio.NewWriterSize(conn, 64<<10)
 	text := c.script.textFunc
 	for {
 		for _, part := range []func() string{text, c.script.headFunc} {
@@ -374,6 +385,11 @@
 				return err
 			}
 		}
+		if c.script.answered {
+			if err := awaitAnswer(w, conn); err != nil {
+				return err
+			}
+		}
 		if _, err := w.Write(c.script.bytes); err != nil {
 			return err
 		}
@@ -389,6 +405,29 @@
 	}
 }
 
+// awaitAnswer sends what w holds and reads the head of an answer.
+func awaitAnswer(w *bufio.Writer, conn net.Conn) error {
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+const openWebSocket = "GET " + sess.Path + " HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" +
+	"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+
+// shortMessage returns a binary message of a WebSocket client (RFC 6455) that lacks its last byte.
+func shortMessage(bytes int) []byte {
+	const final, masked, length64 = 0x82, 0x80, 127
+	head := binary.BigEndian.AppendUint64([]byte{final, masked | length64}, uint64(bytes))
+	head = append(head, 0, 0, 0, 0) // the mask
+	return append(head, make([]byte, bytes-1)...)
+}
+
 // chunks returns bytes in chunks of a size, without the last one, which has none.
 func chunks(total, size int) []byte {
 	var all bytes.Buffer
--- a/internal/link/sess/first_test.go
+++ b/internal/link/sess/first_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/gorilla/websocket"
 	"gotest.tools/v3/assert"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
@@ -96,3 +97,33 @@
 	held.Unlock()
 	assert.Assert(t, <-transits >= waited)
 }
+
+// Guards against connections that take megabytes each before they have said which process they are of.
+func TestFirstMessageIsShort(t *testing.T) {
+	const long = 1 << 20
+	accepted := make(chan error, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := sess.Accept(t.Context(), w, r)
+		accepted <- err
+	}))
+	t.Cleanup(server.Close)
+	conn, response, err := websocket.DefaultDialer.DialContext(t.Context(), "ws"+strings.TrimPrefix(server.URL, "http")+sess.Path, nil)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	t.Cleanup(func() { _ = conn.Close() })
+	w, err := conn.NextWriter(websocket.BinaryMessage)
+	assert.NilError(t, err)
+	_, _ = w.Write(make([]byte, long)) // fails if the other side has closed already; the message stays open
+	assert.ErrorIs(t, <-accepted, websocket.ErrReadLimit)
+
+	upgrader := websocket.Upgrader{}
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := upgrader.Upgrade(w, r, nil)
+		if assert.Check(t, err) {
+			_ = conn.WriteMessage(websocket.BinaryMessage, make([]byte, long))
+		}
+	}))
+	t.Cleanup(peer.Close)
+	_, err = sess.Dial(t.Context(), strings.TrimPrefix(peer.URL, "http://"))
+	assert.ErrorIs(t, err, websocket.ErrReadLimit)
+}
--- a/internal/link/sess/open.go
+++ b/internal/link/sess/open.go
@@ -29,6 +29,8 @@
 	silentIntervals     = 3
 	maxBatchBytes       = 64 << 10
 	bufferBytes         = 4 << 10
+	// maxHello is the largest first message, in bytes: until then nothing is known of the sender.
+	maxHello = 64 << 10
 )
 
 // writeBuffers provides a buffer for the duration of a write, so that idle sessions
@@ -238,7 +240,7 @@
 }
 
 func newSession(conn *websocket.Conn, o options, dialed bool) *Session {
-	conn.SetReadLimit(wire.MaxMessage)
+	conn.SetReadLimit(maxHello)
 	return &Session{
 		transit:   transitMeter{openedAt: o.clock.Now()},
 		conn:      conn,
@@ -290,5 +292,6 @@
 	}
 	s.number = first.Session
 	s.peer = *first.Hello
+	s.conn.SetReadLimit(wire.MaxMessage)
 	return s.conn.SetReadDeadline(time.Time{})
 }
