fix(proc): refused requests at the sessions' port that are not read don't hold it

Seen: nobody has reported it; a crowd of our own, sessionsUnread, shows it on. 160 connections send one request after the other to the sessions' port of a gateway, none of them opens a session, and no answer is read: the balancer's checks missed 13 of 16 and 15 of 22, ordinary requests answered 1 of 11 and 1 of 16 beside them.

Cause: spaced the requests on one connection, and gave answers a time limit, at the ports of balancer, metrics and operators. The sessions' port had neither, so that the refusals took the processor and held the connections for good.

Change: the sessions' port has the same interval between two requests, and 2 s to read a refusal. Sessions are not affected: they are opened by the first request of a connection, and net/http drops the limit when a connection becomes one.

The crowd is one more case of TestCrowdsEndNoProcess.

--- a/internal/bench/soak/crowd.go
+++ b/internal/bench/soak/crowd.go
@@ -59,8 +59,10 @@
 	// ReadyUnread sends one readiness check after the other and reads no answer, OperatorsUnread the same at the operators' port.
 	ReadyUnread     Crowd = "readyUnread"
 	OperatorsUnread Crowd = "operatorsUnread"
-	// HelloShort opens a WebSocket at the sessions' port and sends a first message of 4 MB that stops one byte short.
-	HelloShort Crowd = "helloShort"
+	// SessionsUnread sends such requests at the sessions' port, HelloShort opens a WebSocket there and sends a first message of
+	// 4 MB that stops one byte short.
+	SessionsUnread Crowd = "sessionsUnread"
+	HelloShort     Crowd = "helloShort"
 )
 
 // Crowds returns all crowds.
@@ -68,7 +70,7 @@
 	return []Crowd{
 		AnnouncedShort, ChunkedShort, TinyChunks, AnswersUnread, AnnouncedOnly, AnnouncedHuge, EndlessChunks, EndlessHead, EndlessTrailers,
 		HalfHead, SlowBody, Idle, LargeHead, UnknownKey, StreamShort, SessionsPort, OperatorsPort, ReadyPort, ReadyUnread, OperatorsUnread,
-		HelloShort,
+		SessionsUnread, HelloShort,
 	}
 }
 
@@ -289,7 +291,7 @@
 // target returns the address to which the crowd connects.
 func (c *crowd) target() string {
 	switch c.Crowd {
-	case SessionsPort, HelloShort:
+	case SessionsPort, SessionsUnread, HelloShort:
 		return c.process.ports.sessions
 	case OperatorsPort, OperatorsUnread:
 		return c.process.ports.operators
@@ -356,7 +358,7 @@
 		return script{headFunc: headWith("X-More: " + strings.Repeat("m", 60_000) + "\r\n\r\n"), again: true}
 	case HelloShort:
 		return script{textFunc: func() string { return openWebSocket }, answered: true, bytes: shortMessage(wire.MaxMessage)}
-	case ReadyUnread, OperatorsUnread:
+	case ReadyUnread, OperatorsUnread, SessionsUnread:
 		check := "GET " + platform.Codec().ReadyPath + " HTTP/1.1\r\nHost: a\r\nX-More: " + strings.Repeat("m", 4000) + "\r\n\r\n"
 		return script{bytes: []byte(check), again: true}
 	case Idle:
--- a/internal/cli/proc/process.go
+++ b/internal/cli/proc/process.go
@@ -31,11 +31,13 @@
 	smallIdle            = 2 * time.Minute
 	// operatorsWrite is the time in which an operator must read an answer. Otherwise callers that read none fill the port.
 	operatorsWrite = 30 * time.Second
-	smallHeader    = 16 << 10
-	headerTimeout  = 5 * time.Second
+	// sessionsWrite is the time in which a refused request to open a session must be read; sessions have limits of their own.
+	sessionsWrite = 2 * time.Second
+	smallHeader   = 16 << 10
+	headerTimeout = 5 * time.Second
 	// smallReceive is what the kernel holds of an operator's connection that is not read.
 	smallReceive = 32 << 10
-	// SmallInterval is the least time between two requests on one connection of a port for operators, metrics or the balancer.
+	// SmallInterval is the least time between two requests on one connection of a port for operators, metrics, sessions or the balancer.
 	SmallInterval = 20 * clock.Millis(1)
 )
 
@@ -152,7 +154,7 @@
 	return Open(ctx, PortOptions{
 		Name: "sessions", Address: address, Handler: handler,
 		TLS: ServerTLS(p.ProcessesTLS, certs.NameEntry), MaxConnections: maxConnections,
-		MaxHeaderBytes: smallHeader, HeaderTimeout: headerTimeout, IdleTimeout: smallIdle, Log: p.Log,
+		RequestInterval: SmallInterval, WriteTimeout: sessionsWrite, MaxHeaderBytes: smallHeader, HeaderTimeout: headerTimeout, IdleTimeout: smallIdle, Log: p.Log,
 	})
 }
 
