fix(daemon): the heads of all callers' connections fit the memory

Seen: nobody has reported it; a crowd of our own shows it on. 1,500 callers, each with a head of 60 KB, at a gateway with 144 MB, 3,075 descriptors and 1,000 Mbit/s: 192 MB, 18 of 22 checks of the balancer missed, 0 of 18 ordinary requests answered. The sites have hosts of 216 MB with 4,096 descriptors and 2,000 Mbit/s.

A head may have 64 KB, and the number of connections follows from the descriptors alone: 2,048 connections may hold 131 MB of heads, and about a third more while they are parsed. The crowds of the tests have 160 callers, of which that is 10 MB.

Change: the largest head is what 0.15 of the memory gives each connection, between 16 and 64 KB (16 KB with 216 MB, 21 with 284). Entries have 16 KB by default already.

--- a/internal/bench/crowd/crowd_test.go
+++ b/internal/bench/crowd/crowd_test.go
@@ -42,6 +42,20 @@
 	}
 }
 
+// Guards against heads of many connections that use up the memory of a host.
+func TestHeadsOfAllConnectionsFitTheMemory(t *testing.T) {
+	if testing.Short() {
+		t.Skip("short mode: each crowd takes 4 seconds")
+	}
+	const connections = 1500
+	program := build(t)
+	for _, crowd := range []soak.Crowd{soak.LargeHead, soak.LargeHalfHead} {
+		t.Run(string(crowd), func(t *testing.T) {
+			playWith(t, soak.CrowdOptions{Crowd: crowd, Callers: connections, LinkMbps: 1000, MaxFds: 2*connections + 75, Program: program})
+		})
+	}
+}
+
 // Guards against 400 callers on a narrow link whose bodies keep out all others: what the kernel takes of each new connection fills it.
 func TestOrdinaryRequestsPassBesideACrowdThatFillsTheLink(t *testing.T) {
 	if testing.Short() {
@@ -59,18 +73,22 @@
 	return program
 }
 
-// play plays a crowd against a gateway on a host of memoryMb and checks what must hold.
+// play plays a crowd against a gateway with maxFds descriptors.
 func play(t *testing.T, program string, crowd soak.Crowd, callers int, linkMbps float64) {
 	t.Helper()
-	report, err := soak.PlayCrowd(t.Context(), soak.CrowdOptions{
-		Crowd: crowd, Callers: callers, BodyBytes: bodyBytes, MemoryMb: memoryMb, LinkMbps: linkMbps, MaxFds: maxFds, Length: length,
-		Program: program, Folder: t.TempDir(),
-	})
+	playWith(t, soak.CrowdOptions{Crowd: crowd, Callers: callers, LinkMbps: linkMbps, MaxFds: maxFds, Program: program})
+}
+
+// playWith plays a crowd against a gateway on a host of memoryMb and checks what must hold.
+func playWith(t *testing.T, options soak.CrowdOptions) {
+	t.Helper()
+	options.BodyBytes, options.MemoryMb, options.Length, options.Folder = bodyBytes, memoryMb, length, t.TempDir()
+	report, err := soak.PlayCrowd(t.Context(), options)
 	assert.NilError(t, err)
 	t.Log(report)
 	assert.Check(t, !report.Ended, "the process ended")
 	assert.Check(t, report.MemoryMb <= memoryMb, "%.0f MB were used", report.MemoryMb)
-	assert.Check(t, report.MaxFds <= maxFds, "%d descriptors were open", report.MaxFds)
+	assert.Check(t, report.MaxFds <= options.MaxFds, "%d descriptors were open", report.MaxFds)
 	assert.Check(t, report.AnsweredDuring > 0, "none of %d ordinary requests was answered beside the crowd", report.AskedDuring)
 	assert.Check(t, report.AnsweredAfter > 0, "none of %d ordinary requests was answered after it", report.AskedAfter)
 }
--- a/internal/bench/soak/crowd.go
+++ b/internal/bench/soak/crowd.go
@@ -46,9 +46,10 @@
 	// HalfHead stops in the middle of a head, SlowBody sends one byte of a body every 100 ms.
 	HalfHead Crowd = "halfHead"
 	SlowBody Crowd = "slowBody"
-	// Idle opens connections and sends nothing, LargeHead sends heads of 60 KB.
-	Idle      Crowd = "idle"
-	LargeHead Crowd = "largeHead"
+	// Idle opens connections and sends nothing, LargeHead sends heads of 60 KB, LargeHalfHead one without an end.
+	Idle          Crowd = "idle"
+	LargeHead     Crowd = "largeHead"
+	LargeHalfHead Crowd = "largeHalfHead"
 	// UnknownKey is AnnouncedShort with a key of no organisation, StreamShort at a route of streams with stages.
 	UnknownKey  Crowd = "unknownKey"
 	StreamShort Crowd = "streamShort"
@@ -70,7 +71,7 @@
 	return []Crowd{
 		AnnouncedShort, ChunkedShort, TinyChunks, AnswersUnread, AnnouncedOnly, AnnouncedHuge, EndlessChunks, EndlessHead, EndlessTrailers,
 		HalfHead, SlowBody, Idle, LargeHead, UnknownKey, StreamShort, SessionsPort, OperatorsPort, ReadyPort, ReadyUnread, OperatorsUnread,
-		SessionsUnread, HelloShort,
+		SessionsUnread, HelloShort, LargeHalfHead,
 	}
 }
 
@@ -354,6 +355,8 @@
 		return script{textFunc: headWith(chunked + "0\r\n"), bytes: []byte(moreLine), again: true}
 	case SlowBody:
 		return script{textFunc: headWith(announced), bytes: []byte("a"), again: true, pause: slowPause}
+	case LargeHalfHead:
+		return script{textFunc: headWith("X-More: " + strings.Repeat("m", 60_000))}
 	case LargeHead:
 		return script{headFunc: headWith("X-More: " + strings.Repeat("m", 60_000) + "\r\n\r\n"), again: true}
 	case HelloShort:
--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -196,9 +196,12 @@
 	smallHeader      = 16 << 10
 	// smallWrite is the time in which the balancer must read an answer. Otherwise callers that read none keep it out.
 	smallWrite     = 2 * clock.Second
-	callersHeader  = 64 << 10
 	callersTimeout = 10 * clock.Second
 	callersIdle    = 75 * clock.Second
+	// headShare is the part of the memory that the heads of requests may use while each connection of callers has one under way;
+	// it bounds the size of a head between minHead and maxHead bytes.
+	headShare        = 0.15
+	minHead, maxHead = 16 << 10, 64 << 10
 	// callersFds is the part of the file descriptors that callers' connections
 	// may use. Connections to endpoints and peers and files need the rest.
 	callersFds = 0.5
@@ -219,15 +222,24 @@
 
 func (r *gatewayRun) openCallers(ctx context.Context) error {
 	var err error
+	connections := int(callersFds * float64(r.settings.MaxFds))
 	r.callers, err = proc.Open(ctx, proc.PortOptions{
 		Name: callersPort, Address: r.settings.Callers, Handler: r.gateway.Handler(),
-		MaxConnections: int(callersFds * float64(r.settings.MaxFds)), MaxHeaderBytes: callersHeader, ReceiveBytes: receiveBytes,
+		MaxConnections: connections, MaxHeaderBytes: maxHeadBytes(r.settings.MemoryMb, connections), ReceiveBytes: receiveBytes,
 		HeaderTimeout: callersTimeout.Duration(), IdleTimeout: callersIdle.Duration(), Log: r.Log,
 		Unanswered: r.Unanswered.WithLabelValues(callersPort), ConnContext: r.gateway.ConnContext, AdmitFunc: r.gateway.AdmitConnection,
 	})
 	return err
 }
 
+// maxHeadBytes returns the size of the largest head of a request on a host with a memory in megabytes, 0 if it is unknown.
+func maxHeadBytes(memoryMb float64, connections int) int {
+	if memoryMb <= 0 || connections <= 0 {
+		return maxHead
+	}
+	return min(max(int(headShare*memoryMb*megabyte)/connections, minHead), maxHead)
+}
+
 const (
 	// killMargin is the part of the grace period that a planned stop leaves unused
 	// before the process is killed, because a process that lacks processor time
