--- a/internal/bench/soak/crowd.go
+++ b/internal/bench/soak/crowd.go
@@ -359,15 +359,23 @@
 		return script{textFunc: headWith("X-More: " + strings.Repeat("m", 60_000))}
 	case LargeHead:
 		return script{headFunc: headWith("X-More: " + strings.Repeat("m", 60_000) + "\r\n\r\n"), again: true}
+	case Idle:
+		return script{}
+	default:
+		return c.newPortScript()
+	}
+}
+
+// newPortScript returns what callers send that don't get as far as a request of callers, at any port.
+func (c *crowd) newPortScript() script {
+	switch c.Crowd {
 	case HelloShort:
 		return script{textFunc: func() string { return openWebSocket }, answered: true, bytes: shortMessage(wire.MaxMessage)}
 	case ReadyUnread, OperatorsUnread, SessionsUnread:
 		check := "GET " + platform.Codec().ReadyPath + " HTTP/1.1\r\nHost: a\r\nX-More: " + strings.Repeat("m", 4000) + "\r\n\r\n"
 		return script{bytes: []byte(check), again: true}
-	case Idle:
-		return script{}
 	default: // HalfHead, and at other ports
-		return script{textFunc: headWith("X-Half: ")}
+		return script{textFunc: func() string { return c.head("X-Half: ") }}
 	}
 }
 
