test(sess): the peer ends the session at the frame of the test

Cause, in the test: its peer closes the session at the first frame. Since the dialling side sends a heartbeat at once, that is the heartbeat, and the session can have ended before the test sends anything.

Change: the peer closes the session at the test's own frame. The checks are the same.

--- a/internal/link/sess/sess_test.go
+++ b/internal/link/sess/sess_test.go
@@ -59,7 +59,11 @@
 // Guards against callers that wait for an answer that can't arrive, because the end of
 // a peer process doesn't end its sessions on the other side.
 func TestEndOfPeerEndsSession(t *testing.T) {
-	address := listen(t, func(s *sess.Session, _ *wire.Frame) { s.Close(nil) })
+	address := listen(t, func(s *sess.Session, f *wire.Frame) {
+		if f.Kind == wire.KindLeave { // the first frame is the heartbeat that Dial sends
+			s.Close(nil)
+		}
+	})
 	s, err := sess.Dial(t.Context(), address)
 	assert.NilError(t, err)
 	assert.NilError(t, s.Send(&wire.Frame{Kind: wire.KindLeave, Leave: &wire.Leave{}}))
