fix(proc): TLS handshakes at the sessions' port have 5 s, as before

By reading, nobody has seen it: net/http applies the least of the limits for heads and answers to TLS handshakes as well, so that the 2 s for refusals of shortened them from 5 s. A process on a host with a tenth of a processor can need longer.

Change: refusals have the time of a head, 5 s.

--- a/internal/cli/proc/process.go
+++ b/internal/cli/proc/process.go
@@ -31,10 +31,11 @@
 	smallIdle            = 2 * time.Minute
 	// operatorsWrite is the time in which an operator must read an answer. Otherwise callers that read none fill the port.
 	operatorsWrite = 30 * time.Second
+	smallHeader    = 16 << 10
+	headerTimeout  = 5 * time.Second
 	// sessionsWrite is the time in which a refused request to open a session must be read; sessions have limits of their own.
-	sessionsWrite = 2 * time.Second
-	smallHeader   = 16 << 10
-	headerTimeout = 5 * time.Second
+	// net/http applies it to TLS handshakes as well.
+	sessionsWrite = headerTimeout
 	// smallReceive is what the kernel holds of an operator's connection that is not read.
 	smallReceive = 32 << 10
 	// SmallInterval is the least time between two requests on one connection of a port for operators, metrics, sessions or the balancer.
