--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -232,7 +232,8 @@
 	return err
 }
 
-// maxHeadBytes returns the size of the largest head of a request on a host with a memory in megabytes, 0 if it is unknown.
+// maxHeadBytes returns the size in bytes of the largest head of a request on a host with memoryMb megabytes, which is maxHead if
+// the memory is unknown (0).
 func maxHeadBytes(memoryMb float64, connections int) int {
 	if memoryMb <= 0 || connections <= 0 {
 		return maxHead
