--- a/review/stand2/grey.go
+++ b/review/stand2/grey.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -38,27 +37,20 @@
 	e.world, e.runs = w, make(map[string]int)
 	server := &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }() // ends with Close
-	entry, err := json.Marshal(map[string]any{
-		"service": service, "address": listener.Addr().String(), "zone": zone, "version": "v1", "slots": 6, "state": "ready",
-		"coldLeftMs": 0, "seq": 1, "born": time.Now().UnixMilli(),
-	})
-	if err != nil {
-		return nil, err
-	}
-	w.WriteEntry(e.id, string(entry))
+	w.WriteEntry(e.id, fmt.Sprintf(protocol.Entry, service, listener.Addr().String(), zone, time.Now().UnixMilli()))
 	return server, nil
 }
 
 // ServeHTTP implements http.Handler.
 func (e *greyEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Jujubescale-Attempt-Id")
-	w.Header().Set("X-Jujubescale-Instance-Id", e.id)
-	if r.URL.Path == "/healthz" {
+	id := r.Header.Get(protocol.Request)
+	w.Header().Set(protocol.Instance, e.id)
+	if r.URL.Path == protocol.Health {
 		return
 	}
-	w.Header().Set("X-Jujubescale-Attempt-Id", id)
-	if expected := r.Header.Get("X-Jujubescale-Expect-Instance"); expected != "" && expected != e.id {
-		w.Header().Set("X-Jujubescale-Not-Executed", "1")
+	w.Header().Set(protocol.Request, id)
+	if expected := r.Header.Get(protocol.Expected); expected != "" && expected != e.id {
+		w.Header().Set(protocol.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -72,7 +64,7 @@
 	e.runs[id]++
 	fails := e.grey && e.count%greyOf < greyFails
 	e.mu.Unlock()
-	w.Header().Set("X-Jujubescale-Response-Seal", "seal."+e.id+"."+id)
+	w.Header().Set(protocol.Seal, "seal."+e.id+"."+id)
 	status := http.StatusOK
 	if fails {
 		status = e.status
@@ -143,7 +135,7 @@
 			ran += e.ran(id)
 		}
 		total += ran
-		w.logf("booking %d, attempt %s at %s: status %d, seal %q, runs %d", number, id, g.name, got.status, got.header.Get("X-Jujubescale-Response-Seal"), ran)
+		w.logf("booking %d, attempt %s at %s: status %d, seal %q, runs %d", number, id, g.name, got.status, got.header.Get(protocol.Seal), ran)
 		promised := got.status == http.StatusServiceUnavailable || got.status == http.StatusTooManyRequests || got.status == http.StatusRequestTimeout
 		if promised && ran > 0 {
 			w.logf("BROKEN: attempt %s was answered %d, which promises that it has not run, and has run", id, got.status)
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -126,7 +126,7 @@
 		return err
 	}
 	g.command = exec.Command(program, "gateway") //nolint:gosec // the program of the deploy file
-	g.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.folder, "JUJUBESCALE_BOOT=" + file}
+	g.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.folder, protocol.Settings + "=" + file}
 	g.command.Stdout, g.command.Stderr = g.output, g.output
 	if err := g.command.Start(); err != nil {
 		return err
@@ -144,7 +144,7 @@
 // isReady asks a gateway as the balancer does.
 func (g *gateway) isReady() bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + g.ready + "/-/readyz")
+	response, err := client.Get("http://" + g.ready + protocol.Ready)
 	if err != nil {
 		return false
 	}
@@ -218,7 +218,7 @@
 // requestText returns the bytes of a request.
 func requestText(method, host, path, id string, deadline time.Duration, body string) string {
 	var text strings.Builder
-	_, _ = fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Jujubescale-Attempt-Id: %s\r\nX-Jujubescale-Deadline-Ms: %d\r\n", method, path, host, id, deadline.Milliseconds())
+	_, _ = fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, path, host, protocol.Request, id, protocol.Deadline, deadline.Milliseconds())
 	_, _ = fmt.Fprintf(&text, "Content-Length: %d\r\n\r\n%s", len(body), body)
 	return text.String()
 }
