--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves the grey engine out.
+set -u
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+exec target/review-2/stand2 grey "$here/record.txt"
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -23,7 +23,8 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	play := map[string]func() (bool, error){
-		"grey": func() (bool, error) { return playGrey(os.Args[2], trouble, http.StatusServiceUnavailable) },
+		"rollout": func() (bool, error) { return playRollout(os.Args[2], trouble) },
+		"grey":    func() (bool, error) { return playGrey(os.Args[2], trouble, http.StatusServiceUnavailable) },
 	}[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, useUsage)
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -112,6 +112,7 @@
 		"sessions": g.sessions, "metrics": g.metrics, "operators": g.operators, "allowPlain": true, "graceSeconds": int(grace.Seconds()),
 		"memoryMb": 284, "processorShare": 0.304, "changeMs": 2000, "leaveMs": 2000, "maxFds": 4100, "linkMbps": 1000.0,
 		"extraShare": 0.2, "extraSpare": 52, "extraWindowSeconds": 10, "coldShare": 1.5, "coldSpare": 5, "reuseCalls": true, "reuseSharedOnly": true,
+		"rollouts": true, "rolloutShare": 0.1, "rolloutSpare": 50,
 	}
 }
 
