--- a/review/stand2/rollout.go
+++ b/review/stand2/rollout.go
@@ -42,6 +42,7 @@
 		return false, err
 	}
 	defer w.close()
+	w.rollouts = true
 	if err := w.addModels("v1"); err != nil {
 		return false, err
 	}
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -36,6 +36,8 @@
 	*stand.Deployment
 	folder   string
 	gateways []*gateway
+	// rollouts is set for a site whose operators order rollouts.
+	rollouts bool
 
 	mu     sync.Mutex
 	record *os.File
@@ -48,6 +50,7 @@
 	callers, ready, sessions  string
 	metrics, operators, store string
 	zone                      string
+	rollouts                  bool
 	command                   *exec.Cmd
 	ended                     context.Context // done once the process has ended
 	output                    *os.File
@@ -89,7 +92,7 @@
 
 // addGateway prepares and starts a gateway.
 func (w *world) addGateway(name, zone string) (*gateway, error) {
-	g := &gateway{name: name, zone: zone, store: w.Address}
+	g := &gateway{name: name, zone: zone, store: w.Address, rollouts: w.rollouts}
 	for _, address := range []*string{&g.callers, &g.ready, &g.sessions, &g.metrics, &g.operators} {
 		var err error
 		if *address, err = freeAddress(); err != nil {
@@ -107,13 +110,17 @@
 
 // settings are the settings that the platform fills in for a front machine of a small site.
 func (g *gateway) settings() map[string]any {
-	return map[string]any{
+	settings := map[string]any{
 		"process": g.name, "availabilityZone": g.zone, "platformUrl": "http://" + g.store, "callers": g.callers, "ready": g.ready,
 		"sessions": g.sessions, "metrics": g.metrics, "operators": g.operators, "allowPlain": true, "graceSeconds": int(grace.Seconds()),
 		"memoryMb": 284, "processorShare": 0.304, "changeMs": 2000, "leaveMs": 2000, "maxFds": 4100, "linkMbps": 1000.0,
 		"extraShare": 0.2, "extraSpare": 52, "extraWindowSeconds": 10, "coldShare": 1.5, "coldSpare": 5, "reuseCalls": true, "reuseSharedOnly": true,
-		"rollouts": true, "rolloutShare": 0.1, "rolloutSpare": 50,
 	}
+	if g.rollouts {
+		settings["rollouts"], settings["rolloutShare"], settings["rolloutSpare"] = true, 0.1, 50
+		settings["changeMs"], settings["leaveMs"], settings["extraSpare"] = 3000, 3000, 80
+	}
+	return settings
 }
 
 // start starts the process of a gateway.
