fix(gate): an engine's status promises "not run" to no caller whose request ran

Callers of an unsafe route saw 503 for bookings that had run, took it for the promise that the pages make of 408, 421, 429 and 503, and booked again at another engine.

Cause: an engine's failure was passed on with its status, whatever that means to callers. Only the gateway's own refusals were held to the promise (ambiguousRefusal).

Change: a failure whose status means "not run" is answered 502, without the engine's body, seal and Retry-After, if the request may run once only.

--- a/internal/serve/front/refuse.go
+++ b/internal/serve/front/refuse.go
@@ -89,6 +89,16 @@
 	return rule{reason: reason, status: http.StatusBadGateway} // a reason that only newer agents send
 }
 
+// PromisesNotRun reports whether callers take a status as a promise that their request has not run
+// and never will. They repeat requests that may run once only after such a status.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // retryAfter returns the delay in milliseconds after which the caller should
 // retry, or 0 if a retry cannot succeed. Delays from the rules are randomised by
 // up to a quarter either way, so that callers refused at the same time do not
--- a/internal/serve/gate/pass.go
+++ b/internal/serve/gate/pass.go
@@ -16,6 +16,7 @@
 	"github.com/jujubescale/jujubescale/internal/guard/hold"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/serve/detect"
+	"github.com/jujubescale/jujubescale/internal/serve/front"
 	"github.com/jujubescale/jujubescale/internal/serve/speeds"
 	"github.com/jujubescale/jujubescale/internal/serve/spool"
 	"github.com/jujubescale/jujubescale/internal/serve/target"
@@ -42,8 +43,8 @@
 	if req.headSent {
 		return g.resumeFailure(req, t, reply.Status)
 	}
-	if serverError && g.takeRetry(req, attemptResult{outcome: failed}) {
-		return g.failureWithRetry(req, t, reply.Status)
+	if retry := serverError && g.takeRetry(req, attemptResult{outcome: failed}); retry || req.falsePromise(reply.Status) {
+		return g.failure(req, t, reply.Status, retry)
 	}
 	if !info.Sealed && !serverError && len(body) <= maxPlainBytes {
 		return attemptResult{outcome: broken, err: fault.Refuse(fault.AnswerBroken, "the answer has no seal")}
@@ -69,11 +70,15 @@
 	return hold.PerReader - spool.KernelBytes
 }
 
-// failureWithRetry logs a failure and returns a result for which another attempt is already
-// granted.
-func (g *Gate) failureWithRetry(req *request, t *target.Target, status int) attemptResult {
+// falsePromise reports whether a status would make the caller repeat a request that may run once only.
+func (r *request) falsePromise(status int) bool {
+	return !r.route.Idempotent() && front.PromisesNotRun(status)
+}
+
+// failure logs a failure that isn't passed on and returns the result of its attempt.
+func (g *Gate) failure(req *request, t *target.Target, status int, retryGranted bool) attemptResult {
 	g.Log.Info("endpoint answered a failure", "request", req.Request, "endpoint", t.ID, "status", status)
-	return attemptResult{outcome: failed, retryGranted: true, err: fault.Refuse(fault.EndpointFailed, "status "+strconv.Itoa(status))}
+	return attemptResult{outcome: failed, retryGranted: retryGranted, err: fault.Refuse(fault.EndpointFailed, "status "+strconv.Itoa(status))}
 }
 
 // resumeFailure returns the result of an attempt that can't resume a stream of which the
@@ -138,8 +143,7 @@
 			req.status, req.headSent = reply.Status, true
 			w.WriteHeader(reply.Status)
 		}
-		_, err = w.Write(next.Raw)
-		if err == nil && !events.More() {
+		if _, err = w.Write(next.Raw); err == nil && !events.More() {
 			err = flush.Flush()
 		}
 		if err != nil {
--- a/internal/serve/gate/refuse.go
+++ b/internal/serve/gate/refuse.go
@@ -43,9 +43,7 @@
 		return nil
 	}
 	g.meter.lacking.WithLabelValues(string(lack.Resource)).Inc()
-	refused := temporaryRefusal(fault.Overloaded, lack.RetryAfter)
-	refused.Detail = lack.String()
-	return refused
+	return &fault.RefusalError{Reason: fault.Overloaded, Ran: fault.NotRun, RetryAfter: jitter(lack.RetryAfter), Detail: lack.String()}
 }
 
 // refuseUnended refuses a request that is not expected to end before a planned stop cuts it. Another process serves
@@ -56,9 +54,8 @@
 		return nil
 	}
 	g.meter.unended.WithLabelValues(string(step)).Inc()
-	refused := temporaryRefusal(fault.Leaving, retryAfterLeaving)
-	refused.Detail = "the process is being stopped before the request can be expected to end"
-	return refused
+	const detail = "the process is being stopped before the request can be expected to end"
+	return &fault.RefusalError{Reason: fault.Leaving, Ran: fault.NotRun, RetryAfter: jitter(retryAfterLeaving), Detail: detail}
 }
 
 // kind returns the requests whose times tell how long this one takes from a step on.
@@ -75,11 +72,10 @@
 // recordEnd logs and counts the end of a request.
 func (g *Gate) recordEnd(req *request, refused *fault.RefusalError) {
 	took := g.Clock.Since(req.began)
-	reason, ran, detail := "", "", ""
+	reason, ran, detail, route, endpoint, maxGap := "", "", "", "", "", clock.Millis(0)
 	if refused != nil {
 		reason, ran, detail = string(refused.Reason), string(refused.Ran), refused.LogDetail()
 	}
-	route, endpoint, maxGap := "", "", clock.Millis(0)
 	if req.route != nil {
 		route, maxGap = req.route.Name, req.route.MaxGap
 	}
