fix(door): a pressed gateway closes what its processor can't serve in time

Callers whose balancer handed most new connections to one gateway on a small host got 503 `overloaded` ("the stages' queues are too long") for requests that it had read, while all others had room.

Cause: a process that uses up its quota stands still for parts of each period. Each step of a request waits for that, so that requests with stages take longer than estimated and admission refuses the next ones. The door counted the processor only by the time that first bytes had waited, from 200 ms on: far more than a request with several steps can afford.

Change: the door has a budget of processor time beside that of bytes.

--- a/internal/bench/soak/press.go
+++ b/internal/bench/soak/press.go
@@ -75,9 +75,10 @@
 // Press plays an uneven balancer.
 func Press(ctx context.Context, options PressOptions) (*PressReport, error) {
 	r := &run{Options: Options{Gateways: options.Gateways, PerSecond: options.PerSecond, Program: options.Program, Folder: options.Folder, Out: io.Discard}}
-	p := &pressure{run: r, answerBytes: smallAnswer}
+	answerBytes := smallAnswer
+	p := &pressure{run: r, requestFunc: func() *stand.Request { return pressRequest(answerBytes) }}
 	if options.Scarce == Link {
-		p.answerBytes = largeAnswer
+		answerBytes = largeAnswer
 		wholeMbps := float64(options.PerSecond) * largeAnswer * 8 / 1e6
 		r.firstLink = netw.NewLink(pressedLinkShare * wholeMbps * 1e6 / 8)
 		r.firstLinkMbps = pressedLinkShare * wholeMbps
@@ -109,12 +110,10 @@
 		stop := r.takeProcessor(ctx, r.processes[0])
 		defer stop()
 	}
-	p.play(ctx, options.Before, 1/float64(options.Gateways))
-	before := p.take()
+	before := p.play(ctx, options.Before, 1/float64(options.Gateways))
 	p.play(ctx, time.Second, pressedShare)
-	p.take()
-	p.play(ctx, options.Length-time.Second, pressedShare)
-	after := p.take()
+	after := p.play(ctx, options.Length-time.Second, pressedShare)
+	p.group.Wait()
 	return &PressReport{Before: before.share(), After: after.share(), Sent: after.sent, Unread: after.unread, Unserved: after.unserved}, nil
 }
 
@@ -141,9 +140,11 @@
 // pressure counts what callers of an uneven balancer get.
 type pressure struct {
 	*run
-	answerBytes int
-	mu          sync.Mutex
-	counts      pressCounts
+	requestFunc func() *stand.Request
+	// pressed is the number of the process that gets most connections.
+	pressed int
+	mu      sync.Mutex
+	group   sync.WaitGroup
 }
 
 type pressCounts struct {
@@ -153,46 +154,49 @@
 
 func (c *pressCounts) share() float64 { return float64(c.served) / float64(max(c.sent, 1)) }
 
-func (p *pressure) take() pressCounts {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	counts := p.counts
-	p.counts = pressCounts{}
-	return counts
-}
-
-// play sends requests for a time, a share of them to the first gateway and the others evenly to
-// the rest.
-func (p *pressure) play(ctx context.Context, length time.Duration, share float64) {
-	var group sync.WaitGroup
-	defer group.Wait()
+// play sends requests for a time, a share of them to the pressed gateway and the others evenly to the
+// rest. It does not wait for their answers, with which the counts are complete.
+func (p *pressure) play(ctx context.Context, length time.Duration, share float64) *pressCounts {
+	counts := &pressCounts{unserved: make(map[string]int)}
 	ticker := time.NewTicker(time.Second / time.Duration(p.PerSecond))
 	defer ticker.Stop()
 	for until := time.Now().Add(length); time.Now().Before(until) && ctx.Err() == nil; {
 		<-ticker.C
-		to := 0
+		to := p.pressed
 		if rand.Float64() >= share {
-			to = 1 + rand.IntN(len(p.processes)-1)
+			to = (to + 1 + rand.IntN(len(p.processes)-1)) % len(p.processes)
 		}
-		group.Go(func() { p.request(ctx, to) })
+		p.group.Go(func() { p.request(ctx, to, counts) })
 	}
+	return counts
 }
 
 // request sends a request and counts what its caller gets.
-func (p *pressure) request(ctx context.Context, to int) {
-	got, unread := p.sendUnread(ctx, to, pressRequest(p.answerBytes))
+func (p *pressure) request(ctx context.Context, to int, counts *pressCounts) {
+	s := p.requestFunc()
+	got, unread := p.sendUnread(ctx, to, s)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.counts.sent++
-	p.counts.unread += unread
+	counts.sent++
+	counts.unread += unread
 	if got.Complete {
-		p.counts.served++
+		counts.served++
 		return
 	}
-	if p.counts.unserved == nil {
-		p.counts.unserved = make(map[string]int)
+	counts.unserved[fmt.Sprintf("%s: status %d, %s", s.Path, got.Status, errorKind(got))]++
+}
+
+// errorKind describes why an answer is missing or incomplete.
+func errorKind(got stand.Outcome) string {
+	switch {
+	case got.Truncated:
+		return "cut"
+	case errors.Is(got.Err, os.ErrDeadlineExceeded):
+		return "late"
+	case got.Err != nil:
+		return "no answer"
 	}
-	p.counts.unserved[fmt.Sprintf("status %d", got.Status)]++
+	return "whole"
 }
 
 // sendUnread sends a request on a new connection, and again to another process while the connection
--- a/internal/bench/soak/press_test.go
+++ b/internal/bench/soak/press_test.go
@@ -31,3 +31,22 @@
 		})
 	}
 }
+
+// Guards against a pressed gateway on a small host that reads more requests than its processor can serve
+// in time, or closes its connections by a mistaken size of requests, and then refuses what it has read.
+func TestPressedGatewayOnASmallHostReadsOnlyWhatItCanServe(t *testing.T) {
+	if testing.Short() {
+		t.Skip("short mode: takes 40 seconds")
+	}
+	const length = 8 * time.Second
+	reports, err := soak.PressHosts(t.Context(), soak.HostPressOptions{
+		Gateways: 22, PerSecond: 300, Mix: []float64{0.49, 0.35, 0.16}, Before: 4 * time.Second,
+		Turns:   []soak.PressTurn{{Length: length}, {Length: length}, {Restarted: true, Length: length}},
+		Program: buildProgram(t), Folder: t.TempDir(),
+	})
+	assert.NilError(t, err)
+	for i, report := range reports {
+		t.Logf("turn %d: %+v", i, report)
+		assert.Check(t, report.After >= minPressedShare*report.Before, "turn %d: %.3f were served, %.3f before", i, report.After, report.Before)
+	}
+}
--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/jujubescale/jujubescale/internal/conf/layer"
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
 	"github.com/jujubescale/jujubescale/internal/ops/trail"
+	"github.com/jujubescale/jujubescale/internal/ops/usage"
 	"github.com/jujubescale/jujubescale/internal/route/canary"
 	"github.com/jujubescale/jujubescale/internal/serve/gate"
 	"github.com/jujubescale/jujubescale/internal/serve/router"
@@ -153,7 +154,7 @@
 func (r *gatewayRun) startGateway(ctx context.Context) error {
 	transport := &http.Transport{DialContext: conn.Dial, MaxIdleConnsPerHost: 4, DisableCompression: true, MaxResponseHeaderBytes: bound.MaxHeadBytes}
 	r.gateway = router.New(ctx, router.Settings{
-		Name: r.settings.Process.Process, Zone: r.settings.AvailabilityZone, Address: r.settings.Sessions, Capacity: r.settings.ProcessorShare, ChangeWithin: r.settings.ChangeMs, LeaveWithin: r.settings.LeaveMs,
+		Name: r.settings.Process.Process, Zone: r.settings.AvailabilityZone, Address: r.settings.Sessions, Capacity: r.settings.ProcessorShare, ProcessorFunc: usage.Processor, ChangeWithin: r.settings.ChangeMs, LeaveWithin: r.settings.LeaveMs,
 		Clock: r.Clock, Log: r.Log, Registry: r.Registry,
 		Store:   platform.NewStore(r.settings.PlatformURL, &http.Client{Transport: transport}, storeTimeout, router.WatchMargin),
 		Dialect: platform.Dialect(), Bounds: bounds(r.settings),
--- a/internal/guard/door/door.go
+++ b/internal/guard/door/door.go
@@ -26,6 +26,8 @@
 	Descriptors Reason = "fileDescriptors"
 	// Late: the process lacks the processor time to read requests soon after they arrive.
 	Late Reason = "late"
+	// Processor: the process has used the processor time that it may use.
+	Processor Reason = "processor"
 	// Endpoints: the endpoints accept no more connections from this process.
 	Endpoints Reason = "endpoints"
 )
@@ -63,9 +65,9 @@
 
 // Limits are the resources of the host; 0 means no limit.
 type Limits struct {
-	// Link is in bytes per second, Memory in bytes.
-	Link          float64
-	Memory, Files int64
+	// Link is in bytes per second, Memory in bytes. Processor is the number of processors.
+	Link, Processor float64
+	Memory, Files   int64
 	// Connections is the number of callers' connections that may be open.
 	Connections int64
 }
@@ -76,6 +78,8 @@
 	Memory, Files int64
 	// Link is the share of the link's bandwidth that answers use.
 	Link float64
+	// Processor is the processor time in seconds that the process has used since its start.
+	Processor float64
 	// PeersOffered is the number of requests that callers brought to all other processes in the
 	// last second, and Peers the number of those that state it.
 	PeersOffered float64
@@ -109,9 +113,10 @@
 	lastForwarded             int64
 	// budget is the number of bytes that new requests may transfer, at budgetAt. prepaid counts the
 	// connections whose first request was charged.
-	budget   float64
-	budgetAt clock.Millis
-	prepaid  int
+	budget    float64
+	budgetAt  clock.Millis
+	prepaid   int
+	processor processor
 	// acceptedAt is when a connection was accepted last.
 	acceptedAt clock.Millis
 	// openCounted is the number of open requests when the file descriptors were counted last.
@@ -120,7 +125,7 @@
 
 // New returns a book. The function returns what the process uses now.
 func New(limits Limits, sample func() Usage) *Book {
-	return &Book{limits: limits, sampleFunc: sample, budget: limits.Link * linkShare * burstSpan}
+	return &Book{limits: limits, sampleFunc: sample, budget: limits.Link * linkShare * burstSpan, processor: processor{limit: limits.Processor}}
 }
 
 // Forwarded records that bytes of an answer were passed on.
@@ -132,15 +137,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.arrived++
-	if b.limits.Link == 0 {
-		return
-	}
 	if b.prepaid > 0 {
 		b.prepaid--
 		return
 	}
 	b.refill(now)
+	b.charge()
+}
+
+// charge takes what a request costs from the budgets. The caller holds the lock.
+func (b *Book) charge() {
 	b.budget -= b.bytes()
+	b.processor.charge()
 }
 
 // bytes returns what a request transfers in the direction in which it transfers more. The caller
@@ -150,11 +158,9 @@
 // End records that a request of a size in bytes has ended.
 func (b *Book) End(bytes int) {
 	b.open.Add(-1)
-	if b.limits.Link == 0 {
-		return
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.processor.ended++
 	forwarded := b.forwarded.Load()
 	weight := max(bytesWeight, 1/float64(b.requests+1))
 	b.requests++
@@ -184,15 +190,14 @@
 	if reason == Accepted {
 		b.acceptedAt = now
 	}
-	switch {
-	case reason != Accepted:
-		b.arrived++
-		if b.limits.Link > 0 && b.requestBytes >= b.answerBytes {
-			b.budget -= b.requestBytes // callers send requests at once, so that they have crossed the link
-		}
-	case b.limits.Link > 0:
-		b.budget -= b.bytes()
+	if reason == Accepted {
+		b.charge()
 		b.prepaid++
+		return Accepted
+	}
+	b.arrived++
+	if b.requestBytes >= b.answerBytes {
+		b.budget -= b.requestBytes // callers send requests at once, so that they have crossed the link
 	}
 	return reason
 }
@@ -204,6 +209,8 @@
 	switch {
 	case wait > maxWait:
 		return Late
+	case b.processor.lacks(wait):
+		return Processor
 	case exceeds(b.usage.Memory, b.limits.Memory, memoryShare):
 		return Memory
 	case exceeds(files, b.limits.Files, filesShare), exceeds(connections, b.limits.Connections, filesShare):
@@ -248,10 +255,12 @@
 	if b.usage = b.sampleFunc(); b.usage.Files != counted {
 		b.openCounted = b.open.Load()
 	}
+	span := clock.Millis(0)
 	if b.sampled {
-		rate := float64(b.arrived) * float64(clock.Second) / float64(now-b.sampledAt)
-		b.offered += sampleWeight * (rate - b.offered)
+		span = now - b.sampledAt
+		b.offered += sampleWeight * (float64(b.arrived)*float64(clock.Second)/float64(span) - b.offered)
 	}
+	b.processor.sample(b.usage.Processor, span)
 	b.arrived, b.sampled, b.sampledAt = 0, true, now
 	b.prepaid /= 2 // connections that end without a request
 	b.peersOffered = b.usage.PeersOffered / float64(max(b.usage.Peers, 1))
@@ -260,6 +269,7 @@
 // refill adds to the budget what the link could transfer since the last call. The caller holds
 // the lock.
 func (b *Book) refill(now clock.Millis) {
+	b.processor.refill(now - b.budgetAt)
 	perSecond := b.limits.Link * linkShare
 	b.budget += perSecond * float64(now-b.budgetAt) / float64(clock.Second)
 	b.budget = min(b.budget, perSecond*burstSpan)
@@ -275,6 +285,6 @@
 func (b *Book) String() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return fmt.Sprintf("%.0f requests a second, others %.1f on average, %d file descriptors, %.0f%% of the link, %.0f bytes a request",
-		b.offered, b.peersOffered, b.usage.Files, 100*b.usage.Link, b.bytes())
+	return fmt.Sprintf("%.0f requests a second, others %.1f on average, %.0f%% of the processor, %.1f ms of it a request, %d file descriptors, %.0f%% of the link, %.0f bytes a request",
+		b.offered, b.peersOffered, 100*b.processor.use, 1000*b.processor.cost(), b.usage.Files, 100*b.usage.Link, b.bytes())
 }
--- a/internal/serve/router/door.go
+++ b/internal/serve/router/door.go
@@ -13,12 +13,12 @@
 // newDoor returns the book that decides on new connections of callers.
 func (g *Gateway) newDoor(limits door.Limits, files func() int64) *door.Book {
 	return door.New(limits, func() door.Usage {
-		use := door.Usage{Link: g.limits.pacer.Used(g.Clock.Now())}
+		use := door.Usage{Link: g.limits.pacer.Used(g.Clock.Now()), Memory: usage.Memory()}
 		if sums := g.mesh.PendingArrivals(wire.RequestRate); len(sums) > 1 {
 			use.PeersOffered, use.Peers = float64(sums[0]), sums[1]
 		}
-		if limits.Memory > 0 {
-			use.Memory = usage.Memory()
+		if g.ProcessorFunc != nil {
+			use.Processor = g.ProcessorFunc()
 		}
 		if limits.Files > 0 {
 			use.Files = files()
--- a/internal/serve/router/limits.go
+++ b/internal/serve/router/limits.go
@@ -66,9 +66,7 @@
 	l.spare = spare.New(spare.Limits{Memory: memory, Files: int64(g.MaxFds)}, func() spare.Usage {
 		return spare.Usage{Memory: usage.Memory(), Files: files(), Link: l.pacer.Used(g.Clock.Now()), ReadersFull: ledger.Full()}
 	})
-	g.door = g.newDoor(door.Limits{
-		Link: link * megabit / 8, Memory: memory, Files: int64(g.MaxFds), Connections: int64(g.MaxConnections),
-	}, files)
+	g.door = g.newDoor(door.Limits{Link: link * megabit / 8, Processor: g.Capacity, Memory: memory, Files: int64(g.MaxFds), Connections: int64(g.MaxConnections)}, files)
 	return l
 }
 
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -67,9 +67,11 @@
 	Zone string
 	// Address is the IP:port at which this process accepts the sessions of peers.
 	Address string
-	// Capacity is the number of processors of its host that this process may use, which
-	// may be a fraction. It decides which processes own pools.
+	// Capacity is the number of processors of its host that this process may use, which may be a
+	// fraction. It decides which processes own pools, and how many new connections are accepted.
 	Capacity float64
+	// ProcessorFunc returns the processor time that this process has used, in seconds; nil if it is unknown.
+	ProcessorFunc func() float64
 	// ChangeWithin is the time within which a change in the store must be in force.
 	// LeaveWithin is the time after which an endpoint that is drained must get no new
 	// requests.
