fix(door): unread requests are charged to the link by their own size

A pressed gateway either read more than its link carries, so that callers got 503 for requests that it had read, or kept its connections closed for as long as the balancer pressed it although the link had room.

Cause: what callers send crosses the link also if it isn't read, and was charged by the mean size of the requests that had ended.

Change: the door looks at the head of the first request before it is read (MSG_PEEK), and charges the size that it states; the mean is left for requests that state none.

--- a/internal/cli/proc/port.go
+++ b/internal/cli/proc/port.go
@@ -45,7 +45,7 @@
 	// ConnContext changes the context of the requests of a new connection. It may be nil.
 	ConnContext func(ctx context.Context, c net.Conn) context.Context
 	// AdmitFunc decides whether a new connection is served; see conns.WithAdmit. It may be nil.
-	AdmitFunc func(wait clock.Millis, open int64) bool
+	AdmitFunc func(conns.Arrival) bool
 	Log       *log.Logger
 	// Unanswered counts connections that end with a request that got no answer. It
 	// may be nil.
--- a/internal/guard/door/door.go
+++ b/internal/guard/door/door.go
@@ -7,6 +7,7 @@
 package door
 
 import (
+	"cmp"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -142,12 +143,13 @@
 		return
 	}
 	b.refill(now)
-	b.charge()
+	b.charge(b.bytes())
 }
 
-// charge takes what a request costs from the budgets. The caller holds the lock.
-func (b *Book) charge() {
-	b.budget -= b.bytes()
+// charge takes the bytes and the processor time of a request from the budgets. The caller holds the
+// lock.
+func (b *Book) charge(bytes float64) {
+	b.budget -= bytes
 	b.processor.charge()
 }
 
@@ -176,44 +178,54 @@
 	b.fullAt, b.wasFull = now, true
 }
 
-// Admit decides on a new connection whose first request has waited for a time, while a number of
-// callers' connections is open. It returns the reason to close it, or Accepted.
-func (b *Book) Admit(wait clock.Millis, connections int64, now clock.Millis) Reason {
+// Arrival describes a new connection whose first request has arrived.
+type Arrival struct {
+	// Wait is the time for which the request has waited.
+	Wait clock.Millis
+	// Bytes is the size of the request, 0 if it is unknown.
+	Bytes int
+	// Open is the number of callers' connections that are open.
+	Open int64
+}
+
+// Admit decides on a new connection. It returns the reason to close it, or Accepted.
+func (b *Book) Admit(first Arrival, now clock.Millis) Reason {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sample(now)
 	b.refill(now)
+	size := float64(cmp.Or(first.Bytes, int(b.requestBytes)))
 	reason := Accepted
 	if b.uneven(now) && now-b.acceptedAt < maxClosed {
-		reason = b.lacking(wait, connections, now)
+		reason = b.lacking(first, now)
 	}
 	if reason == Accepted {
 		b.acceptedAt = now
 	}
 	if reason == Accepted {
-		b.charge()
+		b.charge(max(size, b.answerBytes))
 		b.prepaid++
 		return Accepted
 	}
 	b.arrived++
 	if b.requestBytes >= b.answerBytes {
-		b.budget -= b.requestBytes // callers send requests at once, so that they have crossed the link
+		b.budget -= size // callers send requests at once, so that they have crossed the link
 	}
 	return reason
 }
 
 // lacking returns what another request lacks. The caller holds the lock.
-func (b *Book) lacking(wait clock.Millis, connections int64, now clock.Millis) Reason {
+func (b *Book) lacking(first Arrival, now clock.Millis) Reason {
 	// Each request holds a connection of its caller and one to an endpoint.
 	files := b.usage.Files + 2*(b.open.Load()-b.openCounted)
 	switch {
-	case wait > maxWait:
+	case first.Wait > maxWait:
 		return Late
-	case b.processor.lacks(wait):
+	case b.processor.lacks(first.Wait):
 		return Processor
 	case exceeds(b.usage.Memory, b.limits.Memory, memoryShare):
 		return Memory
-	case exceeds(files, b.limits.Files, filesShare), exceeds(connections, b.limits.Connections, filesShare):
+	case exceeds(files, b.limits.Files, filesShare), exceeds(first.Open, b.limits.Connections, filesShare):
 		return Descriptors
 	case b.limits.Link > 0 && b.requests >= minRequests && b.budget < b.bytes():
 		return Link
--- a/internal/guard/door/door_test.go
+++ b/internal/guard/door/door_test.go
@@ -23,7 +23,7 @@
 	reasons = make(map[door.Reason]int)
 	pause := clock.Second / clock.Millis(perSecond)
 	for now := clock.Millis(1); now < 5*clock.Second; now += pause {
-		reason := b.Admit(wait, 1, now)
+		reason := b.Admit(door.Arrival{Wait: wait, Bytes: request, Open: 1}, now)
 		if reason != door.Accepted {
 			if now > clock.Second {
 				closed++
@@ -95,11 +95,11 @@
 	for now := clock.Millis(1); now < clock.Second; now += 10 {
 		b.Begin(now)
 		b.End(0)
-		b.Admit(0, 1, now)
+		b.Admit(door.Arrival{Open: 1}, now)
 	}
 	b.Full(1000)
-	assert.Equal(t, b.Admit(0, 1, 1100), door.Endpoints)
-	assert.Equal(t, b.Admit(0, 1, 1300), door.Accepted)
+	assert.Equal(t, b.Admit(door.Arrival{Open: 1}, 1100), door.Endpoints)
+	assert.Equal(t, b.Admit(door.Arrival{Open: 1}, 1300), door.Accepted)
 }
 
 // Guards against a process that is ready and takes no connection, because what it lacks stays away.
@@ -120,7 +120,7 @@
 		if now > 2*clock.Second {
 			usage = door.Usage{}
 		}
-		if b.Admit(0, 1, now) != door.Accepted {
+		if b.Admit(door.Arrival{Bytes: requestBytes, Open: 1}, now) != door.Accepted {
 			closed[now/clock.Second]++
 			continue
 		}
@@ -133,3 +133,27 @@
 	}
 	assert.Equal(t, closed[18], 0, "no other gateway is left")
 }
+
+// Guards against connections that are closed unread for many seconds because the last requests that
+// were read are larger than those that arrive: their mean changes with what is read only.
+func TestLargeRequestsOfThePastCloseNoSmallOnes(t *testing.T) {
+	const perSecond, large, little = 50, 50_000, 1000
+	b := door.New(door.Limits{Link: perSecond * requestBytes}, func() door.Usage { return door.Usage{Peers: 5, PeersOffered: 10} })
+	closed := 0
+	for now := clock.Millis(1); now < 10*clock.Second; now += clock.Second / perSecond {
+		size := little
+		if now < clock.Second {
+			size = large
+		}
+		if b.Admit(door.Arrival{Bytes: size, Open: 1}, now) != door.Accepted {
+			if now > 2*clock.Second {
+				closed++
+			}
+			continue
+		}
+		b.Begin(now)
+		b.Forwarded(10)
+		b.End(size)
+	}
+	assert.Assert(t, closed <= 8*perSecond/100, "%d of %d closed", closed, 8*perSecond)
+}
--- a/internal/guard/door/processor_test.go
+++ b/internal/guard/door/processor_test.go
@@ -48,7 +48,7 @@
 			s.ends = s.ends[1:]
 		}
 		wait := max(s.free-now, 0)
-		if b.Admit(clock.Millis(wait), 1, clock.Millis(now)) != door.Accepted {
+		if b.Admit(door.Arrival{Wait: clock.Millis(wait), Open: 1}, clock.Millis(now)) != door.Accepted {
 			s.do(now, unread)
 			if now > 1000 {
 				closed++
--- a/internal/link/conns/admit.go
+++ b/internal/link/conns/admit.go
@@ -9,10 +9,19 @@
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 )
 
+// Arrival describes a new connection whose first bytes have arrived.
+type Arrival struct {
+	// Wait is the time for which the bytes have waited.
+	Wait clock.Millis
+	// Bytes is the size of the request, 0 if the bytes don't state it.
+	Bytes int
+	// Open is the number of open connections.
+	Open int64
+}
+
 // WithAdmit sets a function that decides whether a new connection is served. It is called once its
-// first bytes have arrived and before they are read, with the time for which they have waited and
-// the number of open connections. A connection that is not served is closed unread.
-func WithAdmit(admit func(wait clock.Millis, open int64) bool) Option {
+// first bytes have arrived and before they are read. A connection that is not served is closed unread.
+func WithAdmit(admit func(Arrival) bool) Option {
 	return func(o *options) { o.admitFunc = admit }
 }
 
@@ -27,19 +36,21 @@
 	if err != nil {
 		return true
 	}
-	arrived, waited := false, clock.Millis(0)
+	arrived, first := false, Arrival{}
 	err = raw.Read(func(fd uintptr) bool {
-		var first [1]byte
-		n, _, err := unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK)
+		var peeked [peekBytes]byte
+		n, _, err := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK)
 		if err == unix.EAGAIN {
 			return false
 		}
 		if arrived = err == nil && n > 0; arrived {
-			waited = unreadFor(int(fd))
+			first.Wait = unreadFor(int(fd))
+			first.Bytes = requestSize(peeked[:n])
 		}
 		return true
 	})
-	return err != nil || !arrived || c.listener.admitFunc(waited, int64(c.listener.numOpen()))
+	first.Open = int64(c.listener.numOpen())
+	return err != nil || !arrived || c.listener.admitFunc(first)
 }
 
 // unreadFor returns the time since the last bytes arrived at a connection.
--- a/internal/link/conns/admit_test.go
+++ b/internal/link/conns/admit_test.go
@@ -10,7 +10,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/conns"
 )
 
@@ -21,11 +20,12 @@
 	assert.NilError(t, err)
 	var admits atomic.Bool
 	var handled, unanswered atomic.Int64
-	var waited atomic.Int64
+	var waited, sizes atomic.Int64
 	server := &http.Server{ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) })}
-	s := conns.Serve(server, listener, conns.WithUnanswered(func(conns.Unanswered) { unanswered.Add(1) }), conns.WithAdmit(func(wait clock.Millis, open int64) bool {
-		waited.Store(int64(wait))
-		return admits.Load() && open > 0
+	s := conns.Serve(server, listener, conns.WithUnanswered(func(conns.Unanswered) { unanswered.Add(1) }), conns.WithAdmit(func(arrived conns.Arrival) bool {
+		waited.Store(int64(arrived.Wait))
+		sizes.Store(int64(arrived.Bytes))
+		return admits.Load() && arrived.Open > 0
 	}))
 	defer s.Close()
 	send := func() error {
@@ -50,4 +50,5 @@
 	assert.NilError(t, send())
 	assert.Equal(t, handled.Load(), int64(2))
 	assert.Assert(t, waited.Load() < 1000)
+	assert.Equal(t, sizes.Load(), int64(len("GET / HTTP/1.1\r\nHost: a\r\n\r\n")))
 }
--- a/internal/link/conns/conns.go
+++ b/internal/link/conns/conns.go
@@ -64,7 +64,7 @@
 type options struct {
 	clock          *clock.Clock
 	unansweredFunc func(Unanswered)
-	admitFunc      func(wait clock.Millis, open int64) bool
+	admitFunc      func(Arrival) bool
 }
 
 // Option configures a Server.
--- a/internal/link/conns/listener.go
+++ b/internal/link/conns/listener.go
@@ -16,7 +16,7 @@
 	clock          *clock.Clock
 	unansweredFunc func(Unanswered)
 	// admitFunc is set by WithAdmit; it may be nil.
-	admitFunc func(wait clock.Millis, open int64) bool
+	admitFunc func(Arrival) bool
 
 	mu       sync.Mutex
 	open     map[*conn]struct{}
--- a/internal/serve/router/door.go
+++ b/internal/serve/router/door.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/guard/door"
+	"github.com/jujubescale/jujubescale/internal/link/conns"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/ops/usage"
 )
@@ -29,15 +30,15 @@
 
 // AdmitConnection decides whether a new connection of a caller is served whose first request has
 // waited for a time, while a number of connections is open. See conns.WithAdmit.
-func (g *Gateway) AdmitConnection(wait clock.Millis, open int64) bool {
+func (g *Gateway) AdmitConnection(first conns.Arrival) bool {
 	now := g.Clock.Now()
-	reason := g.door.Admit(wait, open, now)
+	reason := g.door.Admit(door.Arrival(first), now)
 	if reason == door.Accepted {
 		return true
 	}
 	g.meter.unread.WithLabelValues(string(reason)).Inc()
 	if last := g.doorLogged.Load(); int64(now)-last >= int64(doorLogInterval) && g.doorLogged.CompareAndSwap(last, int64(now)) {
-		g.Log.Info("connections closed unread", "reason", reason, "waitMs", int64(wait), "open", open, "state", g.door.String())
+		g.Log.Info("connections closed unread", "reason", reason, "waitMs", int64(first.Wait), "open", first.Open, "state", g.door.String())
 	}
 	return false
 }
--- a/internal/serve/router/limits.go
+++ b/internal/serve/router/limits.go
@@ -46,8 +46,7 @@
 	if link > maxLimitedMbps {
 		link = 0
 	}
-	var l hostLimits
-	l.uploads = upload.New(body.New(body.Limits{Memory: memory, Link: link * megabit / 8}), g.Registry, upload.WithClock(g.Clock), upload.WithLog(g.Log))
+	l := hostLimits{uploads: upload.New(body.New(body.Limits{Memory: memory, Link: link * megabit / 8}), g.Registry, upload.WithClock(g.Clock), upload.WithLog(g.Log))}
 	if g.LinkMbps <= 0 {
 		g.door = g.newDoor(door.Limits{}, nil)
 		return l
