--- a/internal/guard/door/door.go
+++ b/internal/guard/door/door.go
@@ -62,6 +62,8 @@
 	// requests from which it is used.
 	bytesWeight = 1.0 / 32
 	minRequests = 16
+	// maxUnread is the number of bytes that the kernel takes of a connection that isn't read.
+	maxUnread = 64 << 10
 )
 
 // Limits are the resources of the host; 0 means no limit.
@@ -209,7 +211,7 @@
 	}
 	b.arrived++
 	if b.requestBytes >= b.answerBytes {
-		b.budget -= size // callers send requests at once, so that they have crossed the link
+		b.budget -= min(size, maxUnread) // callers send requests at once, so that they have crossed the link
 	}
 	return reason
 }
--- a/internal/link/conns/size.go
+++ b/internal/link/conns/size.go
@@ -5,13 +5,8 @@
 	"strconv"
 )
 
-const (
-	// peekBytes is the part of a request that is looked at before it is read.
-	peekBytes = 2 << 10
-	// maxStated bounds the size that a request may state. A connection that is closed unread has
-	// transferred no more than the kernel keeps for it.
-	maxStated = 64 << 10
-)
+// peekBytes is the part of a request that is looked at before it is read.
+const peekBytes = 2 << 10
 
 // requestSize returns the size of a request by its first bytes, 0 if they don't state it.
 func requestSize(first []byte) int {
@@ -26,11 +21,11 @@
 		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 			return 0
 		case bytes.EqualFold(name, []byte("Content-Length")):
-			body, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 31)
+			body, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 30)
 			if err != nil {
 				return 0
 			}
-			return min(size+int(body), maxStated)
+			return size + int(body)
 		}
 	}
 	return size
