--- a/internal/guard/door/door_test.go
+++ b/internal/guard/door/door_test.go
@@ -157,3 +157,19 @@
 	}
 	assert.Assert(t, closed <= 8*perSecond/100, "%d of %d closed", closed, 8*perSecond)
 }
+
+// Guards against a gateway that reads more than its link carries because it has just started: none of
+// its requests has ended yet, so that their mean size is unknown.
+func TestRestartedGatewayKeepsWithinItsLink(t *testing.T) {
+	const perSecond, size, seconds = 50, 50_000, 4
+	limits := door.Limits{Link: perSecond * size / 2}
+	b := door.New(limits, func() door.Usage { return door.Usage{Peers: 5, PeersOffered: 10} })
+	read := 0
+	for now := clock.Millis(1); now < seconds*clock.Second; now += clock.Second / perSecond {
+		if b.Admit(door.Arrival{Bytes: size, Open: 1}, now) == door.Accepted {
+			b.Begin(now)
+			read += size
+		}
+	}
+	assert.Assert(t, float64(read) <= seconds*limits.Link, "%d of %d bytes read", read, seconds*perSecond*size)
+}
