--- a/internal/conf/config/gateway.go
+++ b/internal/conf/config/gateway.go
@@ -30,7 +30,7 @@
 	BalancerLagMs clock.Millis `json:"balancerLagMs,omitempty" jsonschema:"minimum=0,maximum=600000,default=2200"`
 	// MemoryMb is the memory limit above which this process is killed, in megabytes; 0 means no limit.
 	MemoryMb float64 `json:"memoryMb,omitempty" jsonschema:"minimum=0,maximum=1000000"`
-	// ProcessorShare is the fraction of a processor that this process may use; 1 is one processor. The owners of pools are chosen from the processes with the largest share.
+	// ProcessorShare is the fraction of a processor that this process may use; 1 is one processor. The owners of pools are chosen from the processes with the largest share. While a balancer hands this process most new connections, it accepts only those for which the share has time.
 	ProcessorShare float64 `json:"processorShare,omitempty" jsonschema:"minimum=0,maximum=10000,default=1"`
 	// ChangeMs is the maximum time until a change in the platform's store takes effect in this process, in milliseconds. With a longer time the processes make fewer calls to the platform.
 	ChangeMs clock.Millis `json:"changeMs,omitempty" jsonschema:"minimum=1000,maximum=60000,default=2000"`
