--- a/internal/bench/soak/press.go
+++ b/internal/bench/soak/press.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jujubescale/jujubescale/internal/stand/netw"
@@ -142,7 +143,7 @@
 	*run
 	requestFunc func() *stand.Request
 	// pressed is the number of the process that gets most connections.
-	pressed int
+	pressed atomic.Int64
 	mu      sync.Mutex
 	group   sync.WaitGroup
 }
@@ -162,7 +163,7 @@
 	defer ticker.Stop()
 	for until := time.Now().Add(length); time.Now().Before(until) && ctx.Err() == nil; {
 		<-ticker.C
-		to := p.pressed
+		to := int(p.pressed.Load())
 		if rand.Float64() >= share {
 			to = (to + 1 + rand.IntN(len(p.processes)-1)) % len(p.processes)
 		}
--- a/internal/bench/soak/press_hosts.go
+++ b/internal/bench/soak/press_hosts.go
@@ -32,8 +32,8 @@
 // the store.
 type HostPressOptions struct {
 	Gateways int
-	// PerSecond is the number of requests a second, Mix the weights of their kinds, which are those of
-	// hostPressRequest.
+	// PerSecond is the number of requests a second, Mix the weights of their kinds: disputes, tariffs,
+	// chats, payments and lookups.
 	PerSecond int
 	Mix       []float64
 	// Before is the time with an even balancer.
@@ -75,7 +75,16 @@
 	return int(min(mean*math.Exp(deviation*rand.NormFloat64()-deviation*deviation/2), 6*mean))
 }
 
-// hostPressRequest returns a request of a kind: a dispute, a tariff, a chat, a payment or a lookup.
+// Kinds of requests.
+const (
+	dispute = iota
+	tariff
+	chat
+	payment
+	lookup
+)
+
+// hostPressRequest returns a request of a kind.
 func hostPressRequest(kind int) *stand.Request {
 	r := &stand.Request{
 		ID: stand.NewID(), Method: http.MethodPost, Host: "desk.example", Key: key, Tenant: organisation, Service: "models", DeadlineMs: 6000,
@@ -83,21 +92,21 @@
 	}
 	body := 0
 	switch kind {
-	case 0:
+	case dispute:
 		body, r.Path, r.AtMostOnce = lognormal(9200, 1), "/dispute/x", true
 		r.Pieces, r.After = []int{rand.IntN(4)}, [][]int{nil}
 		r.PromptTokens, r.PromptPrefix = 9190, fmt.Sprintf("d%d:2520,e%x:3780,%s:2890", rand.IntN(4), rand.IntN(710), r.ID)
-	case 1:
+	case tariff:
 		body, r.Path = lognormal(2400, 0.8), "/tariff/x"
 		r.Pieces, r.After = []int{1, 6, 10}, [][]int{nil, {0}, {1}}
 		r.PromptTokens, r.PromptPrefix = 2368, fmt.Sprintf("a%x:341,b%x:227,%s:1800", rand.IntN(16), rand.IntN(770), r.ID)
-	case 2:
+	case chat:
 		body, r.Path, r.AtMostOnce, r.DeadlineMs = lognormal(710, 0.8), "/chat/x", true, 20_000
 		r.Pieces, r.After = []int{rand.IntN(2), 1, 6, 10}, [][]int{nil, nil, {1}, {2}}
 		r.PromptTokens, r.PromptPrefix = 715, fmt.Sprintf("c%x:103,f%x:69,%s:543", rand.IntN(80), rand.IntN(530), r.ID)
-	case 3:
+	case payment:
 		body, r.Path, r.AtMostOnce, r.DeadlineMs, r.Service, r.Events = lognormal(600, 0.5), "/payment/x", true, 1000, "orders", 0
-	case 4:
+	case lookup:
 		r.Method, r.Path, r.DeadlineMs, r.Service, r.Events = http.MethodGet, "/lookup/x", 1000, "orders", 0
 	}
 	r.Body = strings.Repeat("x", body)
@@ -189,14 +198,16 @@
 	pressed := make(map[int]bool)
 	var turns []*pressCounts
 	for _, turn := range options.Turns {
-		for p.pressed = 0; pressed[p.pressed] || sizeOf(p.pressed) != hostSizes[turn.Size]; {
-			if p.pressed++; p.pressed == r.Gateways {
+		next := 0
+		for pressed[next] || sizeOf(next) != hostSizes[turn.Size] {
+			if next++; next == r.Gateways {
 				return nil, fmt.Errorf("no gateway on a host of size %d is left for turn %d", turn.Size, len(turns))
 			}
 		}
-		pressed[p.pressed] = true
+		pressed[next] = true
+		p.pressed.Store(int64(next))
 		if turn.Restarted {
-			p.restart(ctx)
+			p.restart(ctx, r.processes[next])
 		}
 		p.play(ctx, time.Second, pressedShare)
 		turns = append(turns, p.play(ctx, turn.Length-time.Second, pressedShare))
@@ -213,18 +224,18 @@
 const warmUp = 3 * time.Second
 
 // restart kills the pressed gateway and returns once it is ready again. Callers go to the others meanwhile.
-func (p *pressure) restart(ctx context.Context) {
-	p.processes[p.pressed].signal(syscall.SIGKILL)
+func (p *pressure) restart(ctx context.Context, pressed *process) {
+	pressed.signal(syscall.SIGKILL)
 	p.play(ctx, restartPause+500*time.Millisecond, 0)
-	for !p.processes[p.pressed].ready(platform.Codec().ReadyPath) && ctx.Err() == nil {
+	for !pressed.ready(platform.Codec().ReadyPath) && ctx.Err() == nil {
 		p.play(ctx, 100*time.Millisecond, 0)
 	}
 }
 
 // pressedLink returns the link of the pressed gateway for a connection that it has opened, nil for others.
 func (p *pressure) pressedLink(accepted net.Conn) *netw.Link {
-	processes := p.running()
-	if p.pressed >= len(processes) {
+	processes, pressed := p.running(), int(p.pressed.Load())
+	if pressed >= len(processes) { // gateways are being started
 		return nil
 	}
 	dialer, isTCP := accepted.RemoteAddr().(*net.TCPAddr)
@@ -233,8 +244,8 @@
 		return nil
 	}
 	socket, err := socketOf(dialer.Port, listener.Port)
-	if err != nil || !processes[p.pressed].hasSocket(socket) {
+	if err != nil || !processes[pressed].hasSocket(socket) {
 		return nil
 	}
-	return processes[p.pressed].link
+	return processes[pressed].link
 }
--- a/internal/bench/soak/press_test.go
+++ b/internal/bench/soak/press_test.go
@@ -39,8 +39,9 @@
 		t.Skip("short mode: takes 40 seconds")
 	}
 	const length = 8 * time.Second
+	streams := []float64{0.49, 0.35, 0.16}
 	reports, err := soak.PressHosts(t.Context(), soak.HostPressOptions{
-		Gateways: 22, PerSecond: 300, Mix: []float64{0.49, 0.35, 0.16}, Before: 4 * time.Second,
+		Gateways: 22, PerSecond: 300, Mix: streams, Before: 4 * time.Second,
 		Turns:   []soak.PressTurn{{Length: length}, {Length: length}, {Restarted: true, Length: length}},
 		Program: buildProgram(t), Folder: t.TempDir(),
 	})
