fix(door): requests that are read are charged by their mean size again

Ordinary callers beside a crowd that states bodies of 1 MB and stops short of their end were closed unread by that gateway for as long as the crowd stayed.

Cause: charge what a request states to the link, from the first one on. A crowd states without sending, so that the budget stays empty.

--- a/internal/guard/door/door.go
+++ b/internal/guard/door/door.go
@@ -59,7 +59,7 @@
 	// link that callers fill carries no messages of peers either.
 	silentSpan = 10 * clock.Second
 	// bytesWeight is the weight of the newest request in the mean size, minRequests the number of
-	// requests from which it is used for those that state no size.
+	// requests from which it is used.
 	bytesWeight = 1.0 / 32
 	minRequests = 16
 	// maxUnread is the number of bytes that the kernel takes of a connection that isn't read.
@@ -205,7 +205,8 @@
 		b.acceptedAt = now
 	}
 	if reason == Accepted {
-		b.charge(max(size, b.answerBytes))
+		// Callers may state more than they send.
+		b.charge(max(min(size, b.requestBytes), b.answerBytes))
 		b.prepaid++
 		return Accepted
 	}
@@ -229,7 +230,7 @@
 		return Memory
 	case exceeds(files, b.limits.Files, filesShare), exceeds(first.Open, b.limits.Connections, filesShare):
 		return Descriptors
-	case b.limits.Link > 0 && (first.Bytes > 0 || b.requests >= minRequests) && b.budget < b.bytes():
+	case b.limits.Link > 0 && b.requests >= minRequests && b.budget < b.bytes():
 		return Link
 	case b.wasFull && now-b.fullAt < fullSpan:
 		return Endpoints
