fix(door): requests that were refused don't make others look cheap

A pressed gateway that refuses what it has read went on reading, for callers that another gateway would have served.

Cause: the processor time of a request is what the process used, divided by the requests that ended. A refusal ends soon and takes little, so that each one lowers the mean and raises the number that the budget admits. And the budget counted only from three quarters of the quota on: whenever the use fell below, all was read at once.

--- a/internal/guard/door/door.go
+++ b/internal/guard/door/door.go
@@ -159,12 +159,14 @@
 // holds the lock.
 func (b *Book) bytes() float64 { return max(b.requestBytes, b.answerBytes) }
 
-// End records that a request of a size in bytes has ended.
-func (b *Book) End(bytes int) {
+// End records that a request of a size in bytes has ended, and whether it was served.
+func (b *Book) End(bytes int, served bool) {
 	b.open.Add(-1)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.processor.ended++
+	if served {
+		b.processor.ended++
+	}
 	forwarded := b.forwarded.Load()
 	weight := max(bytesWeight, 1/float64(b.requests+1))
 	b.requests++
@@ -203,8 +205,6 @@
 	}
 	if reason == Accepted {
 		b.acceptedAt = now
-	}
-	if reason == Accepted {
 		// Callers may state more than they send.
 		b.charge(max(min(size, b.requestBytes), b.answerBytes))
 		b.prepaid++
--- a/internal/guard/door/door_test.go
+++ b/internal/guard/door/door_test.go
@@ -33,7 +33,7 @@
 		}
 		b.Begin(now)
 		b.Forwarded(answer)
-		b.End(request)
+		b.End(request, true)
 	}
 	return closed, reasons
 }
@@ -94,7 +94,7 @@
 	b := door.New(door.Limits{}, func() door.Usage { return door.Usage{Peers: 1} })
 	for now := clock.Millis(1); now < clock.Second; now += 10 {
 		b.Begin(now)
-		b.End(0)
+		b.End(0, true)
 		b.Admit(door.Arrival{Open: 1}, now)
 	}
 	b.Full(1000)
@@ -126,7 +126,7 @@
 		}
 		b.Begin(now)
 		b.Forwarded(10)
-		b.End(requestBytes)
+		b.End(requestBytes, true)
 	}
 	for second := clock.Millis(1); second < 10; second++ {
 		assert.Assert(t, closed[second] >= perSecond/2, "%d of %d closed in second %d", closed[second], perSecond, second)
@@ -153,7 +153,7 @@
 		}
 		b.Begin(now)
 		b.Forwarded(10)
-		b.End(size)
+		b.End(size, true)
 	}
 	assert.Assert(t, closed <= 8*perSecond/100, "%d of %d closed", closed, 8*perSecond)
 }
--- a/internal/guard/door/processor.go
+++ b/internal/guard/door/processor.go
@@ -8,20 +8,20 @@
 	processorShare = 0.8
 	// busyShare is the share of the processor time from which the process counts as busy, busyWait how
 	// long a request may have waited then until it is read.
-	busyShare = 0.75
+	busyShare = 0.5
 	busyWait  = 50 * clock.Millis(1)
 	// costWeight is the weight of the newest sample in the mean cost of a request.
 	costWeight = 0.1
 )
 
 // processor is a budget of processor time. The cost of a request is the time that the process has used
-// in the last second, divided by the number of requests that have ended, so that a process which is
-// behind with its requests accepts fewer.
+// in the last second, divided by the number of requests that were served, so that a process which is
+// behind with its requests, or refuses them, accepts fewer.
 type processor struct {
 	// limit is the number of processors that the process may use, 0 without limit.
 	limit float64
-	// used is the processor time in seconds at the last sample, and ended counts the requests that have
-	// ended since. usedSum and endedSum are sums of both in which older samples count less.
+	// used is the processor time in seconds at the last sample, and ended counts the requests that were
+	// served since. usedSum and endedSum are sums of both in which older samples count less.
 	used              float64
 	ended             int
 	usedSum, endedSum float64
--- a/internal/guard/door/processor_test.go
+++ b/internal/guard/door/processor_test.go
@@ -44,7 +44,7 @@
 	})
 	for now = 1; now < float64(seconds*1000); now += 1000 / float64(perSecond) {
 		for len(s.ends) > 0 && s.ends[0] <= now {
-			b.End(10)
+			b.End(10, true)
 			s.ends = s.ends[1:]
 		}
 		wait := max(s.free-now, 0)
@@ -81,3 +81,44 @@
 	closed, _ := playSmall(perSecond, 60)
 	assert.Assert(t, closed*100 < 59*perSecond, "%d of %d closed", closed, 59*perSecond)
 }
+
+// Guards against refusals that make requests look cheap: a gateway that refuses what it has read would
+// read even more.
+func TestPressedGatewayThatRefusesReadsLess(t *testing.T) {
+	// A request that finds a queue longer than patience is refused, at a fraction of its time.
+	const perSecond, patience, refusal = 200, 20, 0.0003
+	s := &small{}
+	usage := door.Usage{Peers: 5, PeersOffered: 10}
+	var now float64
+	b := door.New(door.Limits{Processor: smallLimit}, func() door.Usage {
+		usage.Processor = s.work - max(s.free-now, 0)/1000*smallLimit
+		return usage
+	})
+	read, refused := 0, 0
+	for now = 1; now < 10_000; now += 1000.0 / perSecond {
+		for len(s.ends) > 0 && s.ends[0] <= now {
+			b.End(10, true)
+			s.ends = s.ends[1:]
+		}
+		wait := max(s.free-now, 0)
+		if b.Admit(door.Arrival{Wait: clock.Millis(wait), Open: 1}, clock.Millis(now)) != door.Accepted {
+			s.do(now, unread)
+			continue
+		}
+		b.Begin(clock.Millis(now))
+		if now > 1000 {
+			read++
+		}
+		if wait <= patience {
+			s.ends = append(s.ends, s.do(now, served))
+			continue
+		}
+		s.do(now, refusal)
+		b.End(10, false)
+		if now > 1000 {
+			refused++
+		}
+	}
+	t.Logf("%d of %d refused", refused, read)
+	assert.Assert(t, refused*10 <= read, "%d of %d refused", refused, read)
+}
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -268,7 +268,7 @@
 	req, refused := g.accept(w, r, began)
 	received := len(req.body.Bytes)
 	defer func() {
-		g.Door.End(received)
+		g.Door.End(received, req.status < http.StatusInternalServerError)
 		req.body.Release()
 	}()
 	if refused == nil {
