fix(pack): contents for peers belong to the update that names them

Cause: pack.Cache found the contents it keeps for peers by kind, since, changed and whole. A store that comes back from a copy raises its era and gives its numbers out again, so that an update of the new era was announced with the digest, the chunks and the difference of the version that had got the same number before and was lost. Receivers had nothing to tell them apart.

Change: an update has a seal, a digest of kind, era, range and of each object's name, version, hold, value and status. The cache keeps contents by it, the announcement states it, and a receiver compares it with what the chunks or the difference have made of it. A difference names the digest of its base, so that it isn't applied to another value of the same number. The base and result of differences that wait for a download carry their era.

--- a/internal/link/pack/cache.go
+++ b/internal/link/pack/cache.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jujubescale/jujubescale/internal/link/delta"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 )
@@ -47,13 +49,11 @@
 	return nil
 }
 
-// keptContent is the content of an update. Updates of one kind with the same range of
-// revisions have the same objects.
+// keptContent is the content of the updates with a seal.
 type keptContent struct {
 	*Content
-	since, changed uint64
-	whole          bool
-	patch          *wire.Patch
+	seal  uint64
+	patch *wire.Patch
 }
 
 // Pack returns an update that names its objects instead of holding them. It returns the
@@ -62,22 +62,23 @@
 	if update.Bytes() <= maxInlineBytes {
 		return update, nil
 	}
+	seal := update.Seal()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	kept, err := c.contentOf(update)
+	kept, err := c.contentOf(update, seal)
 	if err != nil {
 		return update, err
 	}
 	packed := *update
-	packed.Objects, packed.Packed = nil, &wire.Packed{Digest: kept.Digest, Bytes: len(kept.Data), Patch: kept.patch}
+	packed.Objects, packed.Packed = nil, &wire.Packed{Digest: kept.Digest, Bytes: len(kept.Data), Patch: kept.patch, Seal: seal}
 	return &packed, nil
 }
 
-// contentOf returns the content of an update and keeps it; the caller holds the lock.
-func (c *Cache) contentOf(update *wire.Update) (*keptContent, error) {
+// contentOf returns the content of an update with a seal and keeps it; the caller holds the lock.
+func (c *Cache) contentOf(update *wire.Update, seal uint64) (*keptContent, error) {
 	all := c.byKind[update.Kind]
 	for _, kept := range all {
-		if kept.since == update.Since && kept.changed == update.Changed && kept.whole == update.Whole {
+		if kept.seal == seal {
 			return kept, nil
 		}
 	}
@@ -85,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	kept := &keptContent{Content: content, since: update.Since, changed: update.Changed, whole: update.Whole, patch: patchOf(update)}
+	kept := &keptContent{Content: content, seal: seal, patch: patchOf(update)}
 	if len(all) >= keptContents {
 		all = slices.Delete(all, 0, len(all)-keptContents+1)
 	}
@@ -106,12 +107,15 @@
 	patch.Object.Value = nil
 	if previous := object.Previous; previous != nil {
 		if difference := delta.Diff(previous.Value, object.Value); len(difference) <= maxInlineBytes {
-			patch.Base, patch.Delta = previous.Version, difference
+			patch.Base, patch.Delta, patch.BaseDigest = previous.Version, difference, ValueDigest(previous.Value)
 		}
 	}
 	return patch
 }
 
+// ValueDigest returns the digest of a value, which is never 0.
+func ValueDigest(value []byte) uint64 { return max(xxhash.Sum64(value), 1) }
+
 // Chunk returns the answer to a request for a chunk. Its data is empty if the content is
 // not kept.
 func (c *Cache) Chunk(request *wire.ChunkRequest) *wire.Chunk {
--- a/internal/link/pack/pack.go
+++ b/internal/link/pack/pack.go
@@ -54,6 +54,16 @@
 	return fmt.Sprintf("content has digest %s, not %s", e.Got, e.Want)
 }
 
+// SealError is returned for content that is not that of the update which names it.
+type SealError struct {
+	Want, Got uint64
+}
+
+// Error implements error.
+func (e *SealError) Error() string {
+	return fmt.Sprintf("objects have the seal %016x, the update states %016x", e.Got, e.Want)
+}
+
 // Encode returns the content of objects. Equal objects have equal content.
 func Encode(objects []wire.Stored) (*Content, error) {
 	raw, err := cbor.Marshal(objects)
@@ -144,3 +154,25 @@
 	}
 	return objects, nil
 }
+
+// Complete returns the update that named the content, with the objects of the complete transfer. It returns an error of
+// Objects, or a SealError if the objects are those of another update.
+func (t *Transfer) Complete(update *wire.Update) (*wire.Update, error) {
+	objects, err := t.Objects()
+	if err != nil {
+		return nil, err
+	}
+	return Unpacked(update, objects)
+}
+
+// Unpacked returns a packed update with its objects. It returns a SealError if the objects are those of another update.
+func Unpacked(update *wire.Update, objects []wire.Stored) (*wire.Update, error) {
+	complete := *update
+	complete.Objects, complete.Packed = objects, nil
+	if want := update.Packed.Seal; want != 0 {
+		if got := complete.Seal(); got != want {
+			return nil, &SealError{Want: want, Got: got}
+		}
+	}
+	return &complete, nil
+}
--- a/internal/link/pack/pack_test.go
+++ b/internal/link/pack/pack_test.go
@@ -162,3 +162,67 @@
 		assert.NilError(b, err)
 	}
 }
+
+// configUpdate returns an update of one large object.
+func configUpdate(era, version uint64, fill string) *wire.Update {
+	return &wire.Update{
+		Kind: "config", Era: era, Since: version - 1, Revision: version, Changed: version,
+		Objects: []wire.Stored{{Name: "config/main", Version: version, Value: []byte(strings.Repeat(fill, 5000))}},
+	}
+}
+
+// transferred returns the update that a peer gets of a packed one.
+func transferred(t *testing.T, cache *pack.Cache, packed *wire.Update) (*wire.Update, error) {
+	t.Helper()
+	transfer, err := pack.NewTransfer(packed.Packed)
+	assert.NilError(t, err)
+	for !transfer.Done() {
+		chunk := cache.Chunk(&wire.ChunkRequest{Digest: transfer.Digest(), Offset: transfer.Offset()})
+		assert.Assert(t, transfer.Add(chunk))
+	}
+	return transfer.Complete(packed)
+}
+
+// Guards against contents of a version that a restored store has lost, sent to peers under the same number of the next era.
+func TestPackedContentsBelongToOneEra(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(*wire.Update)
+	}{
+		{name: "changes", change: func(*wire.Update) {}},
+		{name: "whole", change: func(u *wire.Update) { u.Whole, u.Since = true, 0 }},
+		{name: "hold", change: func(u *wire.Update) { u.Objects[0].Hold = &wire.Hold{Era: 2, Over: u.Era} }},
+		{name: "status", change: func(u *wire.Update) { u.Objects[0].Value, u.Objects[0].Status = nil, u.Objects[0].Value }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var cache pack.Cache
+			lost, current := configUpdate(2, 7, "lost"), configUpdate(3, 7, "current")
+			for _, update := range []*wire.Update{lost, current} {
+				tt.change(update)
+				packed, err := cache.Pack(update)
+				assert.NilError(t, err)
+				got, err := transferred(t, &cache, packed)
+				assert.NilError(t, err)
+				assert.DeepEqual(t, got.Objects, update.Objects)
+			}
+		})
+	}
+}
+
+// Guards against objects that a peer announces under the numbers of others, and that a receiver can't tell from them.
+func TestObjectsOfAnotherUpdateAreRefused(t *testing.T) {
+	var cache pack.Cache
+	packed, err := cache.Pack(configUpdate(3, 7, "current"))
+	assert.NilError(t, err)
+	foreign, err := cache.Pack(configUpdate(2, 7, "lost"))
+	assert.NilError(t, err)
+	mistaken := *packed.Packed
+	mistaken.Digest, mistaken.Bytes = foreign.Packed.Digest, foreign.Packed.Bytes
+	packed.Packed = &mistaken
+	_, err = transferred(t, &cache, packed)
+	var sealed *pack.SealError
+	assert.Assert(t, errors.As(err, &sealed), "%v", err)
+	assert.Assert(t, packed.Sealed())
+	mistaken.Seal = 0
+	assert.Assert(t, !packed.Sealed(), "a peer of the previous version, in an era")
+}
--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -289,6 +289,8 @@
 	Bytes  int    `cbor:"bytes"`
 	// Patch is set if the update has one object. A receiver that holds the version before needs no chunks.
 	Patch *Patch `cbor:"patch,omitempty"`
+	// Seal is Update.Seal with the objects, 0 from a peer of the previous version.
+	Seal uint64 `cbor:"seal,omitempty"`
 }
 
 // Patch is the only object of an update as the difference from the version before.
@@ -299,6 +301,18 @@
 	// version or the difference is large.
 	Base  uint64 `cbor:"base,omitempty"`
 	Delta []byte `cbor:"delta,omitempty"`
+	// BaseDigest is the digest of the value of the version before, 0 from a peer of the previous version.
+	BaseDigest uint64 `cbor:"baseDigest,omitempty"`
+}
+
+// PatchBase returns the version of the object that the update's patch applies to.
+func (u *Update) PatchBase() epoch.Revision {
+	return epoch.Revision{Era: u.Era, Number: u.Packed.Patch.Base}
+}
+
+// PatchVersion returns the version of the object of the update's patch.
+func (u *Update) PatchVersion() epoch.Revision {
+	return epoch.Revision{Era: u.Era, Number: u.Packed.Patch.Object.Version}
 }
 
 // ChunkRequest requests the chunk of packed objects at an offset in bytes.
--- a/internal/serve/feed/patch.go
+++ b/internal/serve/feed/patch.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/jujubescale/jujubescale/internal/link/delta"
+	"github.com/jujubescale/jujubescale/internal/link/pack"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/plat/store"
@@ -53,22 +54,35 @@
 	known := f.state.objects[patch.Object.Name]
 	usable := !f.state.isKept(patch.Object.Name) && !known.Unversioned && known.Version.Era == update.Era && patch.Object.Hold == nil && !patch.Object.Unversioned
 	f.mu.Unlock()
-	value := known.Value // if another peer has sent the same version
-	if usable && known.Version.Number != patch.Object.Version {
-		var err error
-		if usable = len(patch.Delta) > 0 && known.Version.Number == patch.Base; usable {
-			value, err = delta.Apply(known.Value, patch.Delta, maxValueBytes)
-		}
-		if err != nil {
-			f.log.Warn("difference not applied", "kind", f.kind, "name", patch.Object.Name, "version", patch.Object.Version, "base", known.Version, logs.KeyError, err)
-			usable = false
-		}
+	switch {
+	case !usable:
+		return nil, false
+	case known.Version == update.PatchVersion(): // another peer has sent it; compare tells whether the contents are equal
+		complete := *update
+		complete.Packed, complete.Objects = nil, []wire.Stored{patch.Object}
+		complete.Objects[0].Value = known.Value
+		return &complete, true
+	case len(patch.Delta) == 0 || known.Version != update.PatchBase():
+		return nil, false
+	case patch.BaseDigest != 0 && patch.BaseDigest != pack.ValueDigest(known.Value):
+		f.log.Info("difference is from another base", "kind", f.kind, "name", patch.Object.Name, "version", update.PatchVersion(), "base", known.Version)
+		return nil, false
 	}
-	if !usable {
+	complete, err := completeByPatch(update, known.Value)
+	if err != nil {
+		f.log.Warn("difference not applied", "kind", f.kind, "name", patch.Object.Name, "version", update.PatchVersion(), "base", known.Version, logs.KeyError, err)
 		return nil, false
 	}
-	complete := *update
-	complete.Packed, complete.Objects = nil, []wire.Stored{patch.Object}
-	complete.Objects[0].Value = value
-	return &complete, true
+	return complete, true
+}
+
+// completeByPatch returns an update with the object that its patch makes of the value of the version before. It returns an error
+// if that is not the object of the update.
+func completeByPatch(update *wire.Update, base []byte) (*wire.Update, error) {
+	object := update.Packed.Patch.Object
+	var err error
+	if object.Value, err = delta.Apply(base, update.Packed.Patch.Delta, maxValueBytes); err != nil {
+		return nil, err
+	}
+	return pack.Unpacked(update, []wire.Stored{object})
 }
--- a/internal/serve/feed/patch_test.go
+++ b/internal/serve/feed/patch_test.go
@@ -113,3 +113,48 @@
 		})
 	}
 }
+
+// restoredRelay returns a feed that has read a large configuration up to a version in an era, after which the store came back
+// as it was at version 5, and has read the list of that.
+func restoredRelay(t *testing.T, lost uint64) *relay {
+	t.Helper()
+	r := newRelay(t)
+	for version := uint64(6); version <= lost; version++ {
+		r.ApplyAnswer(largeChange(version))
+	}
+	r.Apply(&wire.Update{Kind: "config", Era: 1, Revision: 5, Changed: 5, Whole: true, Objects: []wire.Stored{{Name: "config/main", Value: largeValue(5), Version: 5}}}, 1000)
+	return r
+}
+
+// Guards against a version that a restored store has lost and that peers pass on under the number of the one after it: a key that
+// it had revoked stays good for as long as that is the newest version.
+func TestVersionUnderTheNumberOfALostOneIsPassedOnAsItIs(t *testing.T) {
+	for name, followerHas := range map[string]uint64{"a follower with the lost versions": 8, "a follower that lacked them": 5} {
+		t.Run(name, func(t *testing.T) {
+			watcher, follower := restoredRelay(t, 8), restoredRelay(t, followerHas)
+			for version := uint64(6); version < 9; version++ {
+				change := largeChange(version)
+				change.Revision.Era, change.Changes[0].Object.Version.Era = 1, 1
+				change.Changes[0].Object.Value = largeValue(version + 100)
+				watcher.ApplyAnswer(change)
+				update := watcher.sent[len(watcher.sent)-1]
+				if follower.Apply(update, 1000) {
+					complete, err := transferred(&watcher.contents, update)
+					assert.NilError(t, err)
+					follower.Apply(complete, 1000)
+				}
+				assert.Assert(t, bytes.Equal(follower.value(), largeValue(version+100)), "version %d", version)
+			}
+		})
+	}
+}
+
+func transferred(contents *pack.Cache, update *wire.Update) (*wire.Update, error) {
+	transfer, err := pack.NewTransfer(update.Packed)
+	for err == nil && !transfer.Done() && transfer.Add(contents.Chunk(&wire.ChunkRequest{Digest: transfer.Digest(), Offset: transfer.Offset()})) {
+	}
+	if err != nil {
+		return nil, err
+	}
+	return transfer.Complete(update)
+}
--- a/internal/serve/mesh/content.go
+++ b/internal/serve/mesh/content.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/epoch"
 	"github.com/jujubescale/jujubescale/internal/link/pack"
 	"github.com/jujubescale/jujubescale/internal/link/sess"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
@@ -56,8 +57,8 @@
 	// receivedAt when the last chunk arrived. arrivedAt is when the update arrived.
 	from                               string
 	requestedAt, receivedAt, arrivedAt clock.Millis
-	// leadsTo is the version of the only object after the transfer and the later updates, 0 if it is not known.
-	leadsTo uint64
+	// leadsTo is the version of the only object after the transfer and the later updates, zero if it is not known.
+	leadsTo epoch.Revision
 	// later holds the updates that arrived meanwhile, and next the newest packed one.
 	later bulk.Backlog[received]
 	next  *received
@@ -127,9 +128,9 @@
 	}
 	m.downloads.mu.Lock()
 	current := m.downloads.byKind[announcement.update.Kind]
-	kept := current != nil && current.leadsTo == patch.Base && !current.isStalled(announcement.at) && current.later.Add(*announcement, announcement.update.Size())
+	kept := current != nil && current.leadsTo == announcement.update.PatchBase() && !current.isStalled(announcement.at) && current.later.Add(*announcement, announcement.update.Size())
 	if kept {
-		current.leadsTo = patch.Object.Version
+		current.leadsTo = announcement.update.PatchVersion()
 	}
 	m.downloads.mu.Unlock()
 	return kept || len(m.follower.ApplyFunc(announcement.update, announcement.at)) == 0
@@ -175,7 +176,7 @@
 	now := m.clock.Now()
 	started := &download{kind: update.Kind, transfer: transfer, update: update, arrivedAt: announcement.at, from: announcement.from, receivedAt: now}
 	if update.Packed.Patch != nil {
-		started.leadsTo = update.Packed.Patch.Object.Version
+		started.leadsTo = update.PatchVersion()
 	}
 	m.downloads.byKind[update.Kind] = started
 	m.requestChunk(started, now)
@@ -267,15 +268,13 @@
 
 // applyContent applies an update whose objects were transferred.
 func (m *Mesh) applyContent(from string, update *wire.Update, transfer *pack.Transfer, arrivedAt clock.Millis) {
-	objects, err := transfer.Objects()
+	complete, err := transfer.Complete(update)
 	if err != nil {
 		m.ignoredFunc("contradictory")
 		m.log.Warn("update ignored", "peer", from, "kind", update.Kind, "revision", update.At(), logs.KeyError, err)
 		return
 	}
-	complete := *update
-	complete.Objects, complete.Packed = objects, nil
-	m.applyUpdate(from, &complete, arrivedAt)
+	m.applyUpdate(from, complete, arrivedAt)
 }
 
 // applyUpdate applies an update that arrived at an instant.
