fix(feed): copies confirm each other only if their contents are equal

Cause: the digests that processes compare are of names and numbers. A copy with other contents under a number has the same digest, so that it was confirmed by its peers and confirmed theirs. A list of a peer with such contents replaced the right ones, and an event or a list of the store that showed the difference was taken for known.

Change: reports, lists and changes also state a digest with the contents. A list of a peer doesn't replace a version by other contents of the same number. The digest (base/canon) doesn't depend on white space, the order of members, escapes and the spelling of numbers, as lists and events may spell the same contents differently. Processes of the version before state none and are compared as before.

--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -166,6 +166,8 @@
 	Content uint64 `cbor:"content,omitempty"`
 	// Digest is the digest of the names and versions of the objects in the store, 0 if it is not told.
 	Digest uint64 `cbor:"digest,omitempty"`
+	// Contents is the digest of the names, versions and contents of the objects in the store, 0 if it is not told.
+	Contents uint64 `cbor:"contents,omitempty"`
 	// By is the process whose call to the store has confirmed that last, 0 if it is not told.
 	By token.Incarnation `cbor:"by,omitempty"`
 }
@@ -191,7 +193,7 @@
 
 // Position returns what the sender has read, for a request for what it lacks.
 func (p *Progress) Position() Revision {
-	return Revision{Kind: p.Kind, Era: p.Era, Revision: p.Revision, Digest: p.Digest}
+	return Revision{Kind: p.Kind, Era: p.Era, Revision: p.Revision, Digest: p.Digest, Contents: p.Contents}
 }
 
 // Valid reports whether the last change is within the revision that was read.
@@ -235,10 +237,11 @@
 	Objects []Stored     `cbor:"objects,omitempty"`
 	// Packed replaces Objects in a large update.
 	Packed *Packed `cbor:"packed,omitempty"`
-	// Content is Progress.Content, and Digest that of all objects after the update. By is Progress.By.
-	Content uint64            `cbor:"content,omitempty"`
-	Digest  uint64            `cbor:"digest,omitempty"`
-	By      token.Incarnation `cbor:"by,omitempty"`
+	// Content is Progress.Content, Digest and Contents those of all objects after the update. By is Progress.By.
+	Content  uint64            `cbor:"content,omitempty"`
+	Digest   uint64            `cbor:"digest,omitempty"`
+	Contents uint64            `cbor:"contents,omitempty"`
+	By       token.Incarnation `cbor:"by,omitempty"`
 }
 
 // Size returns the size of what the objects hold, in bytes.
@@ -351,6 +354,8 @@
 	Hold *Hold `cbor:"hold,omitempty"`
 	// Previous is the version before, nil if the sender doesn't have it. It stays in the process.
 	Previous *Previous `cbor:"-"`
+	// Digest is store.Object.Digest. It stays in the process.
+	Digest uint64 `cbor:"-"`
 }
 
 // Previous is a version of an object that another one has replaced.
--- a/internal/link/wire/wire.go
+++ b/internal/link/wire/wire.go
@@ -420,8 +420,9 @@
 	Kind     string `cbor:"kind"`
 	Era      uint64 `cbor:"era,omitempty"`
 	Revision uint64 `cbor:"revision"`
-	// Digest is Progress.Digest.
-	Digest uint64 `cbor:"digest,omitempty"`
+	// Digest is Progress.Digest, and Contents Progress.Contents.
+	Digest   uint64 `cbor:"digest,omitempty"`
+	Contents uint64 `cbor:"contents,omitempty"`
 }
 
 // At returns the revision.
--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -23,6 +23,8 @@
 	Status []byte
 	// Unversioned is set if the version can't be read. Version is then that of the answer that held the object.
 	Unversioned bool
+	// Digest is the digest of value and status (see package canon), 0 if it was not computed.
+	Digest uint64
 }
 
 // HostState is the state of a host in the platform's list.
--- a/internal/serve/feed/apply.go
+++ b/internal/serve/feed/apply.go
@@ -92,7 +92,7 @@
 	}
 	if list.relayed && s.listed && f.goesBack(objects, list) {
 		f.recordMissing()
-		f.recordDiffers(list.revision, 0, differGrace)
+		f.recordDiffers(list.revision, digests{}, differGrace)
 		return nil, false
 	}
 	return objects, true
@@ -107,7 +107,8 @@
 		})
 }
 
-// goesBack reports whether a peer lacks a change that this feed has read. The caller holds the lock.
+// goesBack reports whether a peer lacks a change that this feed has read, or has other contents under its number. The caller holds
+// the lock.
 func (f *Feed) goesBack(objects map[string]store.Object, list *listed) bool {
 	s := &f.state
 	if s.revision.Era != list.revision.Era {
@@ -120,8 +121,7 @@
 		if _, held := list.held[name]; held {
 			continue
 		}
-		current, found := objects[name]
-		if found && current.Version.Before(known.Version) || !found && list.content.Before(known.Version) {
+		if current, found := objects[name]; found && isOutdated(known, current) || !found && list.content.Before(known.Version) {
 			return true
 		}
 	}
@@ -133,6 +133,11 @@
 	return false
 }
 
+// isOutdated reports whether a listed object is older than the known one, or has other contents under its number.
+func isOutdated(known, listed store.Object) bool {
+	return listed.Version.Before(known.Version) || isContradicted(known, listed)
+}
+
 // changes are changes of the store that it or a peer has sent, in any order.
 type changes struct {
 	changes []store.Change
@@ -202,7 +207,7 @@
 		if f.isOld(change) {
 			continue
 		}
-		before, digest := s.inStore(name), s.digestOf(name)
+		before, digest, contents := s.inStore(name), s.digestOf(name), s.contentsOf(name)
 		if f.release(change) {
 			f.logLeftOut(change, known)
 			if change.Deleted {
@@ -219,6 +224,7 @@
 			fresh = append(fresh, change)
 		}
 		s.sum += s.digestOf(name) - digest
+		s.contents += s.contentsOf(name) - contents
 	}
 	return fresh
 }
@@ -259,6 +265,9 @@
 	case change.Deleted:
 		return version.Before(current.Version)
 	case found:
+		if isContradicted(current, change.Object) {
+			f.recordDiffers(version, digests{}, 0)
+		}
 		return !current.Version.Before(version)
 	case !s.listedAt.Before(version):
 		return true // the list would hold it
@@ -285,15 +294,16 @@
 }
 
 // logCorrections logs the first object of a list of the store that proves the copy wrong: it lacks a change up to the
-// revision that was confirmed. The caller holds the lock.
+// revision that was confirmed, or has other contents under a number. The caller holds the lock.
 func (f *Feed) logCorrections(objects map[string]store.Object, list *listed) {
 	s := &f.state
 	if !s.listed || s.revision.Era != list.revision.Era || len(s.held)+len(s.hidden) > 0 {
 		return
 	}
 	for name, object := range objects {
-		if known := s.objects[name]; known.Version.Before(object.Version) && !s.revision.Before(object.Version) {
-			f.log.Warn("copy corrected by the list", "kind", f.kind, "name", name, "version", object.Version, "copy", known.Version, "known", s.revision, "digest", s.stated())
+		if known := s.objects[name]; known.Version.Before(object.Version) && !s.revision.Before(object.Version) || isContradicted(known, object) {
+			f.log.Warn("copy corrected by the list", "kind", f.kind, "name", name, "version", object.Version, "copy", known.Version, "known", s.revision,
+				"digest", s.stated(), "content", known.Digest, "listedContent", object.Digest)
 			return
 		}
 	}
@@ -314,7 +324,7 @@
 func (f *Feed) buildUpdate(all []store.Change, since store.Revision) *wire.Update {
 	update := &wire.Update{
 		Kind: f.kind, Era: f.state.revision.Era, Since: since.Number, Revision: f.state.revision.Number, Changed: f.lastChange(),
-		Content: f.state.contentNumber(), Digest: f.state.stated(), By: f.state.confirmedBy,
+		Content: f.state.contentNumber(), Digest: f.state.stated(), Contents: f.state.statedContents(), By: f.state.confirmedBy,
 	}
 	update.AsOf, update.Age = f.age()
 	for _, change := range all {
--- a/internal/serve/feed/content.go
+++ b/internal/serve/feed/content.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jujubescale/jujubescale/internal/base/canon"
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/base/token"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
@@ -19,8 +21,8 @@
 	// listedAt is the revision of the last list, and gone holds the objects that were deleted since, at most maxDeleted.
 	listedAt store.Revision
 	gone     map[string]goneObject
-	// sum is the sum of the digests of the objects as they are in the store.
-	sum uint64
+	// sum is the sum of the digests of the objects as they are in the store, and contents that of their digests with contents.
+	sum, contents uint64
 	// partial is set if the last answer may have left out changes because of its size.
 	partial bool
 	differs difference
@@ -74,6 +76,48 @@
 	return objectDigest(name, version.Number)
 }
 
+// contentsOf returns the digest of an object with its contents, 0 if there is none.
+func (s *state) contentsOf(name string) uint64 {
+	object, found := s.objects[name]
+	if !found {
+		return 0
+	}
+	number := object.Version.Number
+	if object.Unversioned {
+		number = 0
+	}
+	return canon.Mix(objectDigest(name, number), object.Digest)
+}
+
+// withDigest returns an object with the digest of its contents.
+func withDigest(object store.Object) store.Object {
+	if object.Digest == 0 {
+		object.Digest = digestContents(object.Value, object.Status)
+	}
+	return object
+}
+
+// withDigests returns an update whose objects have the digests of their contents.
+func withDigests(update *wire.Update) *wire.Update {
+	digested := *update
+	digested.Objects = slices.Clone(update.Objects)
+	for i := range digested.Objects {
+		if o := &digested.Objects[i]; o.Digest == 0 && !o.Deleted {
+			o.Digest = digestContents(o.Value, o.Status)
+		}
+	}
+	return &digested
+}
+
+func digestContents(value, status []byte) uint64 {
+	return max(canon.Mix(canon.Digest(value), canon.Digest(status)), 1)
+}
+
+// isContradicted reports whether another object has the same version as a known one, and other contents.
+func isContradicted(known, other store.Object) bool {
+	return known.Version == other.Version && !known.Unversioned && !other.Unversioned && known.Digest != other.Digest
+}
+
 // inStore returns the version that an object has in the store, zero if it has none.
 func (s *state) inStore(name string) store.Revision {
 	if h, hidden := s.hidden[name]; hidden {
@@ -92,11 +136,12 @@
 	return hidden || held
 }
 
-// recount computes the digest anew.
+// recount computes the digests anew.
 func (s *state) recount() {
-	s.sum = 0
+	s.sum, s.contents = 0, 0
 	for name := range s.objects {
 		s.sum += s.digestOf(name)
+		s.contents += s.contentsOf(name)
 	}
 	for name := range s.hidden {
 		if _, used := s.objects[name]; !used {
@@ -114,10 +159,28 @@
 	return max(s.sum, 1)
 }
 
-// holdsElse reports whether a peer with a digest holds something else.
-func (s *state) holdsElse(digest uint64) bool {
-	own := s.stated()
-	return own != 0 && digest != 0 && own != digest
+// statedContents returns the digest of the copy with its contents. It is 0, which stands for none, while objects are held or hidden,
+// so that the copy isn't what the store has.
+func (s *state) statedContents() uint64 {
+	if !s.listed || len(s.held)+len(s.hidden) > 0 {
+		return 0
+	}
+	return max(s.contents, 1)
+}
+
+// digests are what a process states of its copy: digest of the names and versions, contents with the contents. Each is 0 if it
+// is not told.
+type digests struct {
+	digest, contents uint64
+}
+
+func (s *state) digests() digests { return digests{digest: s.stated(), contents: s.statedContents()} }
+
+// holdsElse reports whether a peer with digests holds something else.
+func (s *state) holdsElse(peer digests) bool {
+	own := s.digests()
+	return own.digest != 0 && peer.digest != 0 && own.digest != peer.digest ||
+		own.contents != 0 && peer.contents != 0 && own.contents != peer.contents
 }
 
 // contentNumber returns the number of readTo within the era of the known revision, 0 without one.
@@ -194,8 +257,8 @@
 // peerCopy is what a peer states of its copy.
 type peerCopy struct {
 	revision, content store.Revision
-	// digest is 0 for a peer of the previous version, which states none.
-	digest uint64
+	// digests are 0 for a peer of a previous version, which states none.
+	digests
 	// at is the instant for which the store has confirmed the copy, in an answer to the process by, 0 if that is not known.
 	at clock.Millis
 	by token.Incarnation
@@ -213,8 +276,8 @@
 		return nil
 	case peer.At().Before(changed):
 		return f.buildSnapshot(0)
-	case s.holdsElse(peer.Digest) && !s.revision.Before(peer.At()):
-		f.recordDiffers(peer.At(), peer.Digest, 0)
+	case s.holdsElse(digests{peer.Digest, peer.Contents}) && !s.revision.Before(peer.At()):
+		f.recordDiffers(peer.At(), digests{peer.Digest, peer.Contents}, 0)
 	}
 	return nil
 }
@@ -239,9 +302,9 @@
 	if peer.revision.Before(s.revision) {
 		return false, false
 	}
-	if s.holdsElse(peer.digest) {
+	if s.holdsElse(peer.digests) {
 		f.recordMissing()
-		f.recordDiffers(peer.revision, peer.digest, differGrace)
+		f.recordDiffers(peer.revision, peer.digests, differGrace)
 		return false, true
 	}
 	s.missingSince = 0
@@ -260,7 +323,7 @@
 
 // recordDiffers records that a peer holds something else at the same revision. Neither is proved right, so the list is read
 // once that has lasted for a time. The caller holds the lock.
-func (f *Feed) recordDiffers(revision store.Revision, digest uint64, grace clock.Millis) {
+func (f *Feed) recordDiffers(revision store.Revision, peer digests, grace clock.Millis) {
 	s, now := &f.state, f.clock.Now()
 	d := &s.differs
 	if d.since == 0 || now-d.seenAt > differForget {
@@ -272,8 +335,8 @@
 	}
 	if !d.logged {
 		d.logged = true
-		f.log.Warn("copy differs from that of a peer", "kind", f.kind, "revision", s.revision, "digest", s.stated(), "objects", len(s.objects),
-			"peerRevision", revision, "peerDigest", digest, "sinceMs", int64(now-d.since))
+		f.log.Warn("copy differs from that of a peer", "kind", f.kind, "revision", s.revision, "digest", s.stated(), "contents", s.statedContents(), "objects", len(s.objects),
+			"peerRevision", revision, "peerDigest", peer.digest, "peerContents", peer.contents, "sinceMs", int64(now-d.since))
 	}
 	f.verify()
 }
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -18,6 +18,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -278,7 +279,11 @@
 	f.reportSkipped(listing.Skipped)
 	f.outage.recordEra(f, listing.Revision.Era)
 	before := f.newestVersion()
-	if !f.applyList(&listed{objects: listing.Objects, revision: listing.Revision, changed: listing.Revision, content: listing.Revision, outage: f.lostFor, at: sentAt}) {
+	objects := make([]store.Object, 0, len(listing.Objects))
+	for _, object := range listing.Objects {
+		objects = append(objects, withDigest(object))
+	}
+	if !f.applyList(&listed{objects: objects, revision: listing.Revision, changed: listing.Revision, content: listing.Revision, outage: f.lostFor, at: sentAt}) {
 		// Without a pause, the next calls would be a watch that the store can't serve and the
 		// same list again.
 		f.olderPause = min(max(2*f.olderPause, minBackoff), MaxBackoff)
@@ -365,8 +370,12 @@
 
 // applyAnswer applies the answer to a call for changes, and returns how many of them were new.
 func (f *Feed) applyAnswer(answer store.Changes, sentAt, wait clock.Millis) (fresh int) {
+	all := slices.Clone(answer.Changes)
+	for i := range all {
+		all[i].Object = withDigest(all[i].Object)
+	}
 	return f.applyChanges(changes{
-		changes: answer.Changes, revision: answer.Revision, at: f.confirmedBy(answer, sentAt, wait), skipped: len(answer.Skipped), partial: answer.Partial,
+		changes: all, revision: answer.Revision, at: f.confirmedBy(answer, sentAt, wait), skipped: len(answer.Skipped), partial: answer.Partial,
 	})
 }
 
--- a/internal/serve/feed/patch.go
+++ b/internal/serve/feed/patch.go
@@ -60,7 +60,7 @@
 	case known.Version == update.PatchVersion(): // another peer has sent it; compare tells whether the contents are equal
 		complete := *update
 		complete.Packed, complete.Objects = nil, []wire.Stored{patch.Object}
-		complete.Objects[0].Value = known.Value
+		complete.Objects[0].Value, complete.Objects[0].Status, complete.Objects[0].Digest = known.Value, known.Status, known.Digest
 		return &complete, true
 	case len(patch.Delta) == 0 || known.Version != update.PatchBase():
 		return nil, false
--- a/internal/serve/feed/peer.go
+++ b/internal/serve/feed/peer.go
@@ -216,7 +216,7 @@
 	defer f.mu.Unlock()
 	progress := wire.Progress{
 		Kind: f.kind, Era: f.state.revision.Era, Revision: f.state.revision.Number, Changed: f.lastChange(),
-		Content: f.state.contentNumber(), Digest: f.state.stated(), By: f.state.confirmedBy,
+		Content: f.state.contentNumber(), Digest: f.state.stated(), Contents: f.state.statedContents(), By: f.state.confirmedBy,
 	}
 	if !f.hideAge {
 		progress.Age = max(f.clock.Now()-f.state.confirmedAt, 0)
@@ -253,7 +253,7 @@
 func (f *Feed) buildSnapshot(outage clock.Millis) *wire.Update {
 	update := &wire.Update{
 		Kind: f.kind, Era: f.state.revision.Era, Revision: f.state.revision.Number, Changed: f.lastChange(), Whole: true, Outage: outage,
-		Content: f.state.contentNumber(), Digest: f.state.stated(), By: f.state.confirmedBy,
+		Content: f.state.contentNumber(), Digest: f.state.stated(), Contents: f.state.statedContents(), By: f.state.confirmedBy,
 	}
 	update.AsOf, update.Age = f.age()
 	for _, name := range slices.Sorted(maps.Keys(f.state.objects)) {
@@ -267,7 +267,7 @@
 // earlier changes are missing.
 func (f *Feed) Apply(update *wire.Update, now clock.Millis) (missing bool) {
 	if update.Lost {
-		f.applyHolds(update)
+		f.applyHolds(withDigests(update))
 		return false
 	}
 	at := now - update.Age
@@ -278,6 +278,7 @@
 	if !known {
 		return true
 	}
+	update = withDigests(update)
 	switch known, listed := f.knownEra(); {
 	case update.Whole:
 		if !f.applyList(f.listOf(update, at)) {
@@ -292,7 +293,7 @@
 	default:
 		f.applyChanges(changesOf(update))
 	}
-	return f.compare(peerCopy{revision: update.At(), content: update.ContentAt(), digest: update.Digest, at: at, by: update.By})
+	return f.compare(peerCopy{revision: update.At(), content: update.ContentAt(), digests: digests{update.Digest, update.Contents}, at: at, by: update.By})
 }
 
 // Confirm takes the progress of a peer as of an instant. It reports whether the peer holds something else, such as
@@ -312,7 +313,7 @@
 		return false // an older answer shows nothing about the known revision
 	}
 	f.mu.Unlock()
-	return f.compare(peerCopy{revision: progress.At(), content: progress.ContentAt(), digest: progress.Digest, at: now - progress.Age, by: progress.By})
+	return f.compare(peerCopy{revision: progress.At(), content: progress.ContentAt(), digests: digests{progress.Digest, progress.Contents}, at: now - progress.Age, by: progress.By})
 }
 
 // recordMissing records that a peer has shown what this feed lacks. The caller holds the lock.
--- a/internal/serve/feed/restore.go
+++ b/internal/serve/feed/restore.go
@@ -130,7 +130,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := &f.state
-	if !s.listed || s.lastChange != update.SinceAt() || s.holdsElse(update.Digest) || len(s.held)+len(s.hidden)+len(s.early) > 0 {
+	if !s.listed || s.lastChange != update.SinceAt() || s.holdsElse(digests{update.Digest, update.Contents}) || len(s.held)+len(s.hidden)+len(s.early) > 0 {
 		return false
 	}
 	for name, object := range s.objects {
@@ -278,6 +278,7 @@
 		}
 	}
 	if len(changes) > 0 {
+		s.recount()
 		f.changeFunc(changes)
 	}
 }
@@ -344,6 +345,7 @@
 		return
 	}
 	if changes := f.mergeHolds(update, s.objects); len(changes) > 0 {
+		s.recount()
 		f.changeFunc(changes)
 	}
 }
@@ -388,7 +390,7 @@
 
 // storedOf returns the message for an object; the caller holds the lock.
 func (f *Feed) storedOf(object store.Object, deleted bool) wire.Stored {
-	stored := wire.Stored{Name: object.Name, Version: object.Version.Number, Value: object.Value, Status: object.Status, Deleted: deleted, Unversioned: object.Unversioned, Previous: f.state.previousOf(object)}
+	stored := wire.Stored{Name: object.Name, Version: object.Version.Number, Value: object.Value, Status: object.Status, Deleted: deleted, Unversioned: object.Unversioned, Previous: f.state.previousOf(object), Digest: object.Digest}
 	if h, held := f.state.held[object.Name]; held && !deleted {
 		stored.Hold = &wire.Hold{Era: object.Version.Era, Over: h.over.Number}
 		if h.until > 0 {
@@ -404,5 +406,5 @@
 	if o.Hold != nil {
 		version.Era = o.Hold.Era
 	}
-	return store.Object{Name: o.Name, Version: version, Value: o.Value, Status: o.Status, Unversioned: o.Unversioned}
+	return store.Object{Name: o.Name, Version: version, Value: o.Value, Status: o.Status, Unversioned: o.Unversioned, Digest: o.Digest}
 }
