fix(proof): a configuration's version number is no proof of its content

A gateway takes a configuration with the number in force for the one in force. After the store has come back from a copy, a writer that reads its last version there gives the number of a lost version to another configuration. Gateways that had the lost one keep it for as long as the number lasts and take it for confirmed, while those that start later read the other one: a key that only the lost one holds stays valid at the former. Feed and intake already prefer the object of the later era; only the book ignored it.

--- FAIL: TestVersionNumberIsNoProofOfItsContent (0.00s) proof_test.go:236: assertion failed: expression is false: write(written, "valid")

An object of a later revision with the same number and another value now replaces the configuration in force. One of the same value, or of an earlier revision, still changes nothing. The value is compared as it is; the feed keeps it in memory anyway.

After: internal/serve/proof and internal/serve/intake pass, and the tests of internal/serve/router that match Restore|Lost|Restored|Decision|Version|Denial (93 s).

--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -4,6 +4,7 @@
 package proof
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -37,8 +38,9 @@
 type State struct {
 	// Table is the configuration, nil before the first one.
 	Table *table.Table
-	// Revision is the revision of the object that holds the configuration.
+	// Revision is the revision of the object that holds the configuration, and value what the object holds.
 	Revision store.Revision
+	value    []byte
 	// ConfirmedAt is the instant for which the store has confirmed that there is no newer one, which may be before the start
 	// of the process and then is negative, and
 	// Relayed whether a peer passed that on.
@@ -170,10 +172,10 @@
 	case routes.Version < next.version():
 		b.log.Warn("configuration with a lower version ignored", "revision", object.Version, "configuration", routes.Version, "inForce", next.version())
 		return false // versions never go back
-	case routes.Version == next.version() && next.Table != nil && !next.Table.Incomplete:
+	case next.holds(object, routes):
 		next.NotInForce = false
 	default:
-		next.Table, next.Revision, next.NotInForce = routes, object.Version, false
+		next.Table, next.Revision, next.value, next.NotInForce = routes, object.Version, object.Value, false
 		b.state.Store(&next)
 		before := Decision{State: previous, At: b.clock.Now()}
 		b.log.Info("configuration in force", "configuration", routes.Version, "revision", object.Version, "bytes", len(object.Value), "replacedAgeMs", int64(before.Age()))
@@ -186,6 +188,15 @@
 	return false
 }
 
+// holds reports whether the configuration of an object is in force. A writer that does not know of a version that the
+// store has lost gives its number to another configuration, so that the number alone does not tell them apart.
+func (s *State) holds(object *store.Object, routes *table.Table) bool {
+	if s.Table == nil || s.Table.Incomplete || routes.Version != s.Table.Version {
+		return false
+	}
+	return !s.Revision.Before(object.Version) || bytes.Equal(s.value, object.Value)
+}
+
 // Confirm takes what the feed of the configuration proves, after all objects that it has read were
 // passed to Put.
 func (b *Book) Confirm(proof feed.Proof) {
--- a/internal/serve/proof/proof_test.go
+++ b/internal/serve/proof/proof_test.go
@@ -221,3 +221,24 @@
 	assert.Assert(t, got == nil)
 	assert.Equal(t, decision.Table.Version, uint64(2))
 }
+
+// Guards against two configurations in force for as long as a number lasts: the store has lost a version, and its
+// writer gives the number to another one, which processes that start later read.
+func TestVersionNumberIsNoProofOfItsContent(t *testing.T) {
+	var now clock.Millis
+	b := book(&now)
+	lost, written := store.Revision{Era: 1, Number: 50}, store.Revision{Era: 2, Number: 50}
+	write := func(at store.Revision, key string) bool {
+		routes := table.New(table.Content{Version: 7, Holders: map[string]int{key: 0}, Organisations: []table.Organisation{{Name: "o"}}})
+		return b.Put(&store.Object{Version: at, Value: []byte(key)}, routes, nil)
+	}
+	assert.Assert(t, write(lost, "revoked"))
+	assert.Assert(t, write(written, "valid"))
+	assert.Assert(t, b.Table().Holder("revoked") == nil, "the key of the lost version is still valid")
+	assert.Assert(t, b.Table().Holder("valid") != nil)
+	assert.Equal(t, b.Decide().Revision, written)
+
+	assert.Assert(t, !write(lost, "revoked"), "the lost version comes late")
+	assert.Assert(t, !write(store.Revision{Era: 2, Number: 60}, "valid"), "it is only written again")
+	assert.Assert(t, b.Table().Holder("valid") != nil)
+}
