fix(blame): the end of a write applies to the record that was written

The revision of a part's record counts from 0 in each record. If a request with the part is answered while the record is being written for the first time, the record is dropped; after the next crash the part has another one. The end of the write then marks revisions of that one as written. The crashes under the part are missing in the store, so that processes that start later let requests with it through to engines. The write takes up to 1 s, and waits for those before it.

Shown by the unit test, not in a fleet.

--- FAIL: TestWriteOfADroppedRecordIsNotThatOfTheNextOne (0.00s) blame_test.go:241: assertion failed: 0 (int) != 1 (int): the crashes of e4 and e5

Revisions now count in the tracker and are given once in the life of the process. After: internal/flow/blame and internal/serve/detect pass with the race detector.

--- a/internal/flow/blame/blame.go
+++ b/internal/flow/blame/blame.go
@@ -118,7 +118,7 @@
 	answeredAt clock.Millis
 	// rebutted is set once peers were told of an earlier answer.
 	rebutted bool
-	// revision grows with each change, written is the last one in the store. stored is set if
+	// revision is that of the last change, written the last one in the store. stored is set if
 	// the store was seen to hold the part.
 	revision, written uint64
 	stored            bool
@@ -165,6 +165,9 @@
 	trials  map[crash.Key]clock.Millis
 	unsent  []Report
 	dropped int
+	// revision is the last revision of a record. A part whose record was dropped gets another record, to which the end
+	// of a write of the earlier one must not apply.
+	revision uint64
 }
 
 // New returns a Tracker without evidence.
@@ -250,7 +253,7 @@
 	}
 	*e = evidence{answeredAt: now}
 	r.answeredBy, r.answeredAt, r.rebutted = engine, now, false
-	r.revision++
+	t.touch(r)
 	if r.written == 0 && !r.stored && r.crashed() == 0 {
 		delete(t.records, r.part.Key)
 	}
@@ -313,7 +316,7 @@
 			e.episodeAt, e.aloneCounted = now, false
 		}
 		e.lastCrash = now
-		r.revision++
+		t.touch(r)
 	}
 	if report.Alone && !e.aloneCounted {
 		e.alone++
@@ -353,11 +356,17 @@
 		e.lastCrash = lastCrash
 	}
 	if len(before.engines) != len(e.engines) || before.episodes != e.episodes || before.alone != e.alone {
-		r.revision++
+		t.touch(r)
 	}
 	return r
 }
 
+// touch gives a record that has changed a revision that no record had before. The caller holds the lock.
+func (t *Tracker) touch(r *record) {
+	t.revision++
+	r.revision = t.revision
+}
+
 // holds reports whether requests with a part are held back from engines of a version. A part
 // that crashes engines of another version and was not answered at this one is. The caller holds
 // the lock.
--- a/internal/flow/blame/blame_test.go
+++ b/internal/flow/blame/blame_test.go
@@ -225,3 +225,18 @@
 	assert.Assert(t, len(reports) <= 1024 && dropped > 0)
 	assert.Assert(t, isHeld(tracker, 20_000, "x19999") && !isHeld(tracker, 20_000, "x0"), "the newest records are kept")
 }
+
+// Guards against evidence that is never written: the write of a record that was dropped meanwhile ends once the part has
+// another one, which then counts as written.
+func TestWriteOfADroppedRecordIsNotThatOfTheNextOne(t *testing.T) {
+	tracker := blame.New()
+	crashed(tracker, "e1", 10, parts("x"))
+	crashed(tracker, "e2", 400, parts("x"))
+	before := tracker.Unwritten(410)
+	assert.Equal(t, len(before), 1)
+	tracker.RecordAnswer("e3", v1, parts("x"), 500) // ends the record while it is being written
+	crashed(tracker, "e4", 600, parts("x"))
+	tracker.MarkWritten(before[0].Part.Key, before[0].Revision)
+	crashed(tracker, "e5", 1000, parts("x"))
+	assert.Equal(t, len(tracker.Unwritten(1010)), 1, "the crashes of e4 and e5")
+}
