fix(deploy): an order that is given again begins anew

Operators may remove an order and give the same one again, for instance after it was rolled back for want of answers. A process that reads both changes as one (in a list, or as a follower of a peer) takes it for the order before, because service, version and duration are equal. It then takes over the deadline, the counts, the suspension and the decision to promote: the owner records a start that lies before the order, and the new version is rolled back at once, or promoted without having been tried.

The start that the status records names the life of an order. Within an era a status is never taken back, and its start never changes, so that an object without a status, or with another start, holds an order that was given later. A status that can't be read still counts as absent and changes nothing, and after a return of the store the known status stays in force as before.

--- a/internal/serve/deploy/deploy.go
+++ b/internal/serve/deploy/deploy.go
@@ -192,7 +192,7 @@
 		c.removeOrder(object.Name)
 		return
 	}
-	if known == nil || known.order != order {
+	if known == nil || known.order != order || known.isReplacedBy(&object, &status) {
 		known = newRollout(object.Name, order, c.clock.Now())
 		if mayPredate && status.Order == order && status.State == canary.Running {
 			since := clock.Millis(c.wallClock() - status.StartedAt)
--- a/internal/serve/deploy/restore_test.go
+++ b/internal/serve/deploy/restore_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"testing"
 	"time"
 
@@ -25,7 +24,7 @@
 	recorded chan canary.Status
 }
 
-func newProcess(t *testing.T) *process {
+func newProcess(t *testing.T, opts ...deploy.Option) *process {
 	t.Helper()
 	p := &process{inForce: make(chan view.Rollout, 100), recorded: make(chan canary.Status, 100)}
 	codec := deploy.Codec{
@@ -48,11 +47,11 @@
 		p.recorded <- recorded
 		return store.Object{Name: name, Version: store.Revision{Era: want.Era, Number: want.Number + 1}}, nil
 	}}
-	p.Controller = deploy.New("rollouts", s, codec, deploy.WithView(func() *view.Snapshot { return nil }, func(all []view.Rollout) {
+	p.Controller = deploy.New("rollouts", s, codec, append(opts, deploy.WithView(func() *view.Snapshot { return nil }, func(all []view.Rollout) {
 		if len(all) == 1 {
 			p.inForce <- all[0]
 		}
-	}))
+	}))...)
 	return p
 }
 
@@ -63,6 +62,9 @@
 	assert.NilError(t, err)
 	rawStatus, err := json.Marshal(status)
 	assert.NilError(t, err)
+	for len(p.inForce) > 0 {
+		<-p.inForce // what a verdict has set before
+	}
 	p.Change([]store.Change{{Object: store.Object{Name: name, Version: at, Value: rawOrder, Status: rawStatus}}})
 	return <-p.inForce
 }
@@ -100,6 +102,12 @@
 	rolledBack.State, rolledBack.Reason = canary.RolledBack, "bad"
 	p.read(t, store.Revision{Era: 1, Number: 50}, status.Order, rolledBack)
 	assert.Assert(t, !p.read(t, store.Revision{Era: 2, Number: 30}, status.Order, status).Canary)
+	assert.Equal(t, p.record(t).State, canary.RolledBack)
+}
+
+// record lets the process run until it records a status, and returns that.
+func (p *process) record(t *testing.T) (recorded canary.Status) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
@@ -108,10 +116,7 @@
 	}()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		select {
-		case got := <-p.recorded:
-			if got.State != canary.RolledBack {
-				return poll.Error(fmt.Errorf("recorded %s", got.State))
-			}
+		case recorded = <-p.recorded:
 			return poll.Success()
 		default:
 			return poll.Continue("nothing recorded")
@@ -119,4 +124,5 @@
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
 	cancel()
 	<-ended
+	return recorded
 }
--- a/internal/serve/deploy/rollout.go
+++ b/internal/serve/deploy/rollout.go
@@ -61,6 +61,18 @@
 	return r
 }
 
+// isReplacedBy reports whether an object holds an order that was given after this one, although both are equal: the
+// object was deleted and created again, and this process has read neither on its own. The caller holds the lock.
+func (r *rollout) isReplacedBy(object *store.Object, status *canary.Status) bool {
+	switch {
+	case r.status.State == "" || r.statusLost || r.revision.Era != object.Version.Era:
+		return false // nothing tells them apart, or the store has lost the status
+	case status.State == "":
+		return len(object.Status) == 0 // other programs may write a status that can't be read
+	}
+	return status.Order != r.order || status.StartedAt != r.status.StartedAt
+}
+
 // counter counts the requests and answers of one key.
 type counter struct {
 	sent, answers, failed, took atomic.Int64
