fix(view): an entry whose address another endpoint has taken is not used

Once an endpoint has started at the address of one that has ended, the latter is dropped, although its entry stays until the platform removes it. That holds only until the entry is read again: a list that follows an outage or a return of the store, or a list that names the later endpoint first (as for half of the processes that start meanwhile), brings the ended endpoint back. Requests for it go to the address, are refused by the other endpoint with 421, and use attempts; a pool appears to have more engines than it has. An address names no endpoint; the latest start at it does.

Shown by the unit test, not in a fleet.

An entry is now left out while another endpoint is known that has started later at its address. If the clock of the later one's host is behind, it is used once the entry before it is removed and it has written its own again, which it does all the time.

--- a/internal/route/view/view.go
+++ b/internal/route/view/view.go
@@ -245,6 +245,10 @@
 // start has none of the old one's state, and work meant for the old start must not
 // reach it.
 func (r *Registry) start(known *Endpoint, entry Entry, now clock.Millis) []Change {
+	older, taken := r.othersAt(&entry)
+	if taken {
+		return r.dropReplaced(entry.ID)
+	}
 	kind := Joined
 	if known != nil {
 		known.restarted.Store(known.StartedAt != entry.StartedAt)
@@ -258,21 +262,37 @@
 	e.leaving.Store(entry.Leaving)
 	e.updatedAt.Store(int64(now))
 	r.byID[entry.ID] = e
-	changes := append(r.dropOlderAt(e), Change{Endpoint: e, Before: known, Kind: kind})
-	return r.markCold(e, entry.Cold, now, changes)
+	var changes []Change
+	for _, id := range older {
+		changes = append(changes, r.dropReplaced(id)...)
+	}
+	return r.markCold(e, entry.Cold, now, append(changes, Change{Endpoint: e, Before: known, Kind: kind}))
 }
 
-// dropOlderAt drops the endpoints that started earlier at the address of e. They have
-// ended, although their entries stay until the platform notices.
-func (r *Registry) dropOlderAt(e *Endpoint) []Change {
-	var changes []Change
+// othersAt returns the other endpoints that started earlier at the address of an entry, and whether one
+// has started there later. The earlier ones have ended, although their entries stay until the platform
+// notices, and are listed in any order.
+func (r *Registry) othersAt(entry *Entry) (older []string, taken bool) {
 	for id, other := range r.byID {
-		if other.Address == e.Address && other.StartedAt < e.StartedAt {
-			other.restarted.Store(true)
-			changes = append(changes, r.drop(id)...)
+		if other.Address != entry.Address || id == entry.ID {
+			continue
+		}
+		if other.StartedAt < entry.StartedAt {
+			older = append(older, id)
 		}
+		taken = taken || other.StartedAt > entry.StartedAt
 	}
-	return changes
+	return older, taken
+}
+
+// dropReplaced drops an endpoint, if it is known, because another one has started at its address.
+func (r *Registry) dropReplaced(id string) []Change {
+	e := r.byID[id]
+	if e == nil {
+		return nil
+	}
+	e.restarted.Store(true)
+	return r.drop(id)
 }
 
 // Remove handles a deleted entry. With grace 0 the endpoint is gone at once. While
--- a/internal/route/view/view_test.go
+++ b/internal/route/view/view_test.go
@@ -108,3 +108,23 @@
 	assert.Equal(t, r.Remove("x", 20, 0)[0].Kind, view.Gone)
 	assert.Equal(t, len(r.Remove("x", 20, 0)), 0)
 }
+
+// Guards against requests for an endpoint that has ended and whose address another one uses: its entry stays until the
+// platform notices, and lists hold it before or after the later one.
+func TestEntryOfAnEndpointWhoseAddressIsTakenIsNotUsed(t *testing.T) {
+	ended, later := entry("orders-1", 100), entry("orders-2", 200)
+	for name, list := range map[string][]view.Entry{"before": {ended, later}, "after": {later, ended}} {
+		t.Run(name, func(t *testing.T) {
+			r := view.New()
+			for range 2 { // it is read again after an outage
+				r.Sync(list, 0, 0)
+				r.Publish()
+				assert.Assert(t, r.Snapshot().Find("orders-1") == nil)
+				assert.Equal(t, r.Snapshot().Find("orders-2").Address, later.Address)
+			}
+			r.Put(ended, 10)
+			r.Publish()
+			assert.Equal(t, len(r.Snapshot().Pool("orders")), 1)
+		})
+	}
+}
