fix(permit): what an endpoint has stated ends with its start

The statements of an endpoint (it leaves, it rests) belong to one start, which is told from the next one by comparing the start times. If an endpoint that has left starts again under its ID with an earlier time, because the clock of its host is behind, its statement stays in force for as long as it runs: it gets no requests from that process. The view takes any other time for another start.

Shown by the unit test, not in a fleet.

--- FAIL: TestStatementEndsWithAStartOfAnEarlierClock (0.00s) state_test.go:142: assertion failed: b.Unavailable(now) is true

The start in the view now decides. Limits, which peers learn as well, still go by the time (docs/design/identity.md). After: internal/serve/permit passes.

--- a/internal/serve/permit/state.go
+++ b/internal/serve/permit/state.go
@@ -219,7 +219,8 @@
 		}
 		present := find(endpoint)
 		switch {
-		case present != nil && present.StartedAt > known.startedAt:
+		case present != nil && present.StartedAt != known.startedAt:
+			// The view tells which start is the present one: the clock of its host may be behind that of the one before.
 			b.endState(endpoint, "restarted")
 			continue
 		case present != nil:
--- a/internal/serve/permit/state_test.go
+++ b/internal/serve/permit/state_test.go
@@ -132,3 +132,12 @@
 	b.Observe(e, http.StatusOK, spell.ResponseInfo{Leaving: true, Instance: "i-2"}, "r", 0)
 	assert.Assert(t, !b.Holding())
 }
+
+// Guards against an endpoint that gets no requests any more: it left, and started again on a host whose clock is behind.
+func TestStatementEndsWithAStartOfAnEarlierClock(t *testing.T) {
+	b := permit.New()
+	left, now := &view.Endpoint{ID: "i-1", StartedAt: 5000}, &view.Endpoint{ID: "i-1", StartedAt: 4000}
+	b.Observe(left, http.StatusOK, spell.ResponseInfo{Leaving: true}, "r", 0)
+	b.Sweep(func(string) *view.Endpoint { return now })
+	assert.Assert(t, !b.Unavailable(now))
+}
