fix(deploy): the verdict on an earlier order doesn't end the next one

Processes add up counts and verdicts of a rollout by service and version. Operators who order a version again right after it was rolled back, for instance once `jujubectl rollout watch` has ended, meet peers that have not read the new order yet and still report the verdict of the earlier one. The first process that has read it takes the verdict for its own, passes it on, and the owner rolls the order back without it having been tried.

Shown by the unit test, not in a fleet. Before (with the field in the message, which the test needs to be built, and nothing that uses it):

--- FAIL: TestVerdictOfAnEarlierOrderIsNotThatOfTheNext (0.31s) --- FAIL: TestVerdictOfAnEarlierOrderIsNotThatOfTheNext/earlier_order (0.10s) again_test.go:81: assertion failed: bad (p.record(t).Reason string) != only 0 answers until the deadline (c.reason string)

Counts now name the recorded start of their rollout, so that sums of different orders stay apart, and a process uses those of its own. Processes of the version before state no start; theirs count as before.

After: internal/serve/deploy, link/wire, route/canary and flow/sums pass with the race detector.

--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -66,6 +66,9 @@
 	Pool string `cbor:"pool"`
 	// Version is the version that the rollout moves to.
 	Version string `cbor:"version"`
+	// Began is the recorded start of the rollout, which tells orders for one version apart. It is 0 in messages of
+	// processes that don't state it.
+	Began int64 `cbor:"began,omitempty"`
 	// Candidate is set for counts of Version at one endpoint. Otherwise the counts
 	// are those of the current version at all of its endpoints.
 	Candidate bool   `cbor:"candidate,omitempty"`
--- a/internal/serve/deploy/again_test.go
+++ b/internal/serve/deploy/again_test.go
@@ -53,3 +53,32 @@
 	again.StartedAt++
 	assert.Assert(t, p.read(t, store.Revision{Number: 72}, again.Order, again).Canary, "another process has recorded its start")
 }
+
+// Guards against an order that is rolled back without having been tried: peers that have not read it yet report the
+// verdict of an earlier order for the same version.
+func TestVerdictOfAnEarlierOrderIsNotThatOfTheNext(t *testing.T) {
+	const notTried = "only 0 answers until the deadline"
+	for name, c := range map[string]struct {
+		began  int64
+		reason string
+	}{
+		"earlier order":                      {100, notTried},
+		"this order":                         {200, "bad"},
+		"a peer that states no start of one": {0, "bad"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var now atomic.Int64
+			peers := deploy.Peers{
+				OwnsFunc: func(string) bool { return true }, UpToDateFunc: func() bool { return true },
+				TrialsFunc: func() []wire.Trial {
+					return []wire.Trial{{TrialKey: wire.TrialKey{Pool: "encode", Version: "v4", Began: c.began}, Suspended: true}}
+				},
+			}
+			p := newProcess(t, deploy.WithPeers(peers), deploy.WithClock(clock.New(clock.WithNow(func() clock.Millis { return clock.Millis(now.Load()) }))))
+			running := canary.Status{Order: order("v4"), Previous: "v1", State: canary.Running, StartedAt: 200}
+			p.read(t, store.Revision{Number: 50}, running.Order, running)
+			now.Store(int64(running.Duration))
+			assert.Equal(t, p.record(t).Reason, c.reason)
+		})
+	}
+}
--- a/internal/serve/deploy/deploy.go
+++ b/internal/serve/deploy/deploy.go
@@ -223,6 +223,7 @@
 			"state", string(status.State), "reason", status.Reason, "revision", object.Version, "elapsedMs", int64(c.clock.Now()-known.began))
 	}
 	known.status, known.revision = status, object.Version
+	known.startedAt.Store(status.StartedAt)
 	c.recordCompleted(known)
 }
 
--- a/internal/serve/deploy/record.go
+++ b/internal/serve/deploy/record.go
@@ -70,7 +70,7 @@
 // processes.
 func (c *Controller) judge(r *rollout) {
 	now := c.clock.Now()
-	evidence := canary.NewEvidence(r.order, r.trials(now), c.peers.TrialsFunc())
+	evidence := r.evidence(now, c.peers.TrialsFunc())
 	r.upToDate.Store(c.peers.UpToDateFunc())
 	verdict := r.judge.Observe(evidence, now)
 	if (verdict.Bad || evidence.Suspended) && !r.suspended.Swap(true) {
@@ -114,7 +114,7 @@
 		return next, true
 	}
 	next.StartedAt = status.StartedAt
-	evidence := canary.NewEvidence(r.order, r.trials(c.clock.Now()), c.peers.TrialsFunc())
+	evidence := r.evidence(c.clock.Now(), c.peers.TrialsFunc())
 	next.Sent, next.CandidateSent, next.CandidateAnswers = evidence.Totals()
 	next.Routes = evidence.ByRoute()
 	if r.suspended.Load() {
--- a/internal/serve/deploy/rollout.go
+++ b/internal/serve/deploy/rollout.go
@@ -48,7 +48,9 @@
 	// the order is due and the bounds allow the requests of the promotion.
 	refused, promoting, decided bool
 
-	plan      atomic.Pointer[canary.Plan]
+	plan atomic.Pointer[canary.Plan]
+	// startedAt is that of status.
+	startedAt atomic.Int64
 	suspended atomic.Bool
 	upToDate  atomic.Bool
 	counters  sync.Map // wire.TrialKey to *counter
@@ -104,17 +106,31 @@
 		return true
 	})
 	all := make([]wire.Trial, 0, len(byKey)+1)
+	began := r.startedAt.Load()
 	for _, trial := range byKey {
+		trial.Began = began
 		all = append(all, trial)
 	}
 	if suspended := r.suspended.Load(); suspended || r.restarted {
 		all = append(all, wire.Trial{
-			TrialKey: wire.TrialKey{Pool: r.order.Pool, Version: r.order.Version}, Suspended: suspended, Restarted: r.restarted,
+			TrialKey: wire.TrialKey{Pool: r.order.Pool, Version: r.order.Version, Began: began}, Suspended: suspended, Restarted: r.restarted,
 		})
 	}
 	return all
 }
 
+// evidence adds up the counts of this process and those of its peers that belong to this order. A peer that has not read
+// it yet still states those of an earlier one for the same version.
+func (r *rollout) evidence(now clock.Millis, peers []wire.Trial) *canary.Evidence {
+	began, trials := r.startedAt.Load(), make([]wire.Trial, 0, len(peers))
+	for i := range peers {
+		if peers[i].Began == began || peers[i].Began == 0 || began == 0 {
+			trials = append(trials, peers[i])
+		}
+	}
+	return canary.NewEvidence(r.order, r.trials(now), trials)
+}
+
 func (c *counter) trial(key wire.TrialKey) wire.Trial {
 	trial := wire.Trial{TrialKey: key, Sent: c.sent.Load(), Answers: c.answers.Load(), Failed: c.failed.Load(), TotalMs: c.took.Load()}
 	last := -1
