feat(soak): returns of the store whose numbers get other contents

Callers saw revoked keys that stay good and moved routes that are run by their former services after the store had come back from a copy. No soak showed it: WriteAgain writes the same contents under the numbers of the lost ones, returns lost few versions that another one replaced, and the checks excuse what a return overlaps.

--- a/internal/bench/soak/restore.go
+++ b/internal/bench/soak/restore.go
@@ -41,6 +41,10 @@
 // restoreStore makes a copy, lets the store acknowledge writes for the time of the disturbance, and
 // brings it back from the copy after it was away for a moment.
 func (r *run) restoreStore(ctx context.Context, d Disturbance) {
+	if r.Reuse {
+		r.restoreAndReuse(ctx, d)
+		return
+	}
 	store := r.deployment.Store
 	from := store.Copy()
 	for i := range (d.Subject % 4) * 70 {
@@ -55,14 +59,72 @@
 	store.Restore(from)
 	pause(ctx, time.Duration(d.Subject%5)*200*time.Millisecond)
 	r.deployment.WriteAgain()
-	r.checkFollowed(ctx)
+	began := time.Now()
+	r.checkFollowed(ctx, r.addProbeRoute(), began)
 }
 
-// checkFollowed checks that processes without faults follow what the store acknowledges now: a new
-// version, and an engine that drains.
-func (r *run) checkFollowed(ctx context.Context) {
+// restoreAndReuse brings the store back from a copy that lacks drawn writes, and lets other writes have their numbers before
+// the operator and the engines write the lost ones again. The last version is checked; none follows that would hide that peers
+// take the contents of a lost one for its contents.
+func (r *run) restoreAndReuse(ctx context.Context, d Disturbance) {
+	const stream = 1019
+	random := rand.New(rand.NewPCG(r.Seed, stream+uint64(d.At)))
+	drawn := stand.DrawReturn(random)
+	_, _ = fmt.Fprintln(r.Out, "       ", drawn)
+	store := r.deployment.Store
+	from := store.Copy()
+	for _, kind := range drawn.Lost {
+		r.writeDrawn(kind, random)
+		pause(ctx, drawn.LostPause)
+	}
+	pause(ctx, drawn.Age)
+	if drawn.Away > 0 {
+		store.SetFault(stand.StoreFault{Status: http.StatusServiceUnavailable})
+		pause(ctx, drawn.Away)
+		store.SetFault(stand.StoreFault{})
+	}
+	store.Restore(from)
+	pause(ctx, drawn.Silent)
+	var request func() *stand.Request
 	began := time.Now()
-	request := r.addProbeRoute()
+	for _, kind := range drawn.Next {
+		if added := r.writeDrawn(kind, random); added != nil {
+			request, began = added, time.Now()
+		}
+		pause(ctx, drawn.NextPause)
+	}
+	if request == nil {
+		request, began = r.addProbeRoute(), time.Now()
+	}
+	if random.IntN(2) == 0 {
+		r.deployment.WriteAgain()
+	}
+	r.checkFollowed(ctx, request, began)
+	r.deployment.WriteAgain()
+}
+
+// writeDrawn makes one write that no other check depends on. It returns requests of the route that a version adds, nil for
+// other writes.
+func (r *run) writeDrawn(kind stand.WriteKind, random *rand.Rand) (request func() *stand.Request) {
+	switch kind {
+	case stand.WriteConfig:
+		return r.addProbeRoute()
+	case stand.WriteEvacuation:
+		const noZone = "no-zone"
+		if random.IntN(2) == 0 {
+			r.deployment.Evacuate(noZone)
+		} else {
+			r.deployment.EndEvacuation(noZone)
+		}
+	default:
+		r.deployment.Store.Put("notes", fmt.Sprint(random.IntN(3)), random.Int())
+	}
+	return nil
+}
+
+// checkFollowed checks that processes without faults follow what the store acknowledges: a version
+// with a route of its own, and an engine that drains.
+func (r *run) checkFollowed(ctx context.Context, request func() *stand.Request, began time.Time) {
 	drained := r.drainForCheck()
 	pause(ctx, max(changeWithin, leaveWithin))
 	if ctx.Err() != nil || r.faults.overlapping(began.Add(-time.Second), time.Now(), nil, StoreDown, StoreHangs, StoreDropsHistory, StoreLosesAnswers) {
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -58,8 +58,9 @@
 	// Parts adds parts of prompts that crash engines, an uneven balancer and answers without length
 	// or chunks, instead of rollouts.
 	Parts bool
-	// Restores adds returns of the store from a copy.
-	Restores bool
+	// Restores adds returns of the store from a copy. Reuse lets other contents have the numbers of the lost writes before
+	// these are written again.
+	Restores, Reuse bool
 	// MaxBodyBytes is the largest body of a request, 0 for the stand-in's default.
 	MaxBodyBytes int
 	// Memory is the memory of a model engine in tokens, 0 for the default.
@@ -193,6 +194,7 @@
 
 func newRun(options Options) (*run, error) {
 	options.Moves = options.Moves || options.Storms
+	options.Restores = options.Restores || options.Reuse
 	options.Routes = options.Routes || options.Moves
 	r := &run{Options: options}
 	return r, r.start()
--- a/internal/cli/devel/root.go
+++ b/internal/cli/devel/root.go
@@ -13,6 +13,6 @@
 		Use:   "jujubedev",
 		Short: "Runs the whole system on embedded stand-ins, generates load and measures",
 	})
-	root.AddCommand(newBounds(), newUp(), newStand(), newLoad(), newMeasure(), newRollouts(), newSlope(), newSoak(), newCrowd())
+	root.AddCommand(newBounds(), newUp(), newStand(), newLoad(), newMeasure(), newRollouts(), newSlope(), newSoak(), newCrowd(), newReturns())
 	return root
 }
--- a/internal/cli/devel/soak.go
+++ b/internal/cli/devel/soak.go
@@ -24,6 +24,7 @@
 	versions  bool
 	parts     bool
 	restores  bool
+	reuse     bool
 	outages   bool
 	routes    bool
 	moves     bool
@@ -61,6 +62,7 @@
 	flags.BoolVar(&options.versions, "versions", false, "run engines of several software versions side by side and replace them, instead of rollouts")
 	flags.BoolVar(&options.parts, "parts", false, "add parts of prompts that crash engines, an uneven balancer and answers without length, instead of rollouts")
 	flags.BoolVar(&options.restores, "restores", false, "bring the platform's store back from copies that lack its last writes")
+	flags.BoolVar(&options.reuse, "reuse", false, "as --restores, and let other contents have the numbers of the lost writes before these are written again")
 	flags.BoolVar(&options.outages, "outages", false, "let all hosts lose their power at once and silence the connections between processes, instead of rollouts")
 	flags.BoolVar(&options.routes, "routes", false, "add, move and remove routes in series, ask all processes for them, and throttle and pause processes, instead of rollouts")
 	flags.BoolVar(&options.moves, "moves", false, "as --routes, and move routes between services in versions of some 750 KB, and check which services ran each request")
@@ -128,7 +130,7 @@
 	}
 	report, err := soak.Run(command.Context(), soak.Options{
 		Seed: seed, Length: time.Duration(options.seconds) * time.Second, Program: options.program, Folder: folder,
-		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Outages: options.outages, Routes: options.routes, Moves: options.moves, Storms: options.storms, OddAnswers: options.odd, LoseLarge: options.lose, WithoutLarge: options.without, Uneven: options.uneven, Quotas: options.quotas, SlowOrders: options.slow, Only: only, Memory: options.memory, Out: out,
+		Gateways: options.gateways, PerSecond: options.perSecond, Versions: options.versions, Parts: options.parts, Restores: options.restores, Reuse: options.reuse, Outages: options.outages, Routes: options.routes, Moves: options.moves, Storms: options.storms, OddAnswers: options.odd, LoseLarge: options.lose, WithoutLarge: options.without, Uneven: options.uneven, Quotas: options.quotas, SlowOrders: options.slow, Only: only, Memory: options.memory, Out: out,
 	})
 	if err != nil {
 		return false, err
