--- a/internal/serve/mesh/adopt.go
+++ b/internal/serve/mesh/adopt.go
@@ -32,5 +32,6 @@
 	if known && hasIncarnation(m.superseded, listed.Name, listed.Incarnation) && adopted.Address == listed.Address {
 		return adopted
 	}
+	delete(m.superseded, listed.Name)
 	return listed
 }
--- a/internal/serve/mesh/adopt_test.go
+++ b/internal/serve/mesh/adopt_test.go
@@ -35,3 +35,19 @@
 		})
 	}
 }
+
+// Guards against a run that stays unused for good because its session was open before the list was read, which still held the run
+// before.
+func TestRunThatWasSeenBeforeTheListIsUsedOnceItIsListed(t *testing.T) {
+	m, self := startMesh(t, "a")
+	restarted, member := startMesh(t, "b")
+	restarted.SetMembers([]mesh.Member{self})
+	assert.Assert(t, restarted.TakesHandovers(t.Context(), "a"), "the session is not used")
+	assert.Equal(t, m.Incarnation("b"), member.Incarnation)
+	ended := member
+	ended.Incarnation = token.NewIncarnation()
+	m.SetMembers([]mesh.Member{self, ended})
+	m.SetMembers([]mesh.Member{self, member})
+	assert.Equal(t, m.Incarnation("b"), member.Incarnation)
+	assert.Assert(t, m.TakesHandovers(t.Context(), "b"))
+}
--- a/internal/serve/mesh/export_test.go
+++ b/internal/serve/mesh/export_test.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/jujubescale/jujubescale/internal/base/clock"
+	"github.com/jujubescale/jujubescale/internal/base/token"
 	"github.com/jujubescale/jujubescale/internal/flow/sums"
 	"github.com/jujubescale/jujubescale/internal/link/sess"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
@@ -29,6 +30,13 @@
 	}
 }
 
+// Incarnation returns the last known incarnation of a process.
+func (m *Mesh) Incarnation(name string) token.Incarnation {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.incarnations[name]
+}
+
 // ReceiveUpdate handles an update that a peer relays.
 func (m *Mesh) ReceiveUpdate(from string, update *wire.Update) {
 	m.receiveUpdate(from, update, m.clock.Now())
--- a/internal/serve/mesh/follow.go
+++ b/internal/serve/mesh/follow.go
@@ -30,7 +30,10 @@
 	if upstream == "" {
 		upstream = m.selectUpstream(before.upstream, now)
 	}
-	open := m.ifOpen(m.linkTo(upstream)) // none if there is no upstream
+	var open *link
+	if l := m.linkTo(upstream); l != nil { // none if there is no upstream
+		open = m.ifOpen(l)
+	}
 	if upstream != before.upstream {
 		m.uplink.Store(&uplink{aggregator: before.aggregator, upstream: upstream})
 		m.log.Info("store followed through", "peer", upstream, "before", before.upstream)
@@ -112,7 +115,7 @@
 func (m *Mesh) ifOpen(l *link) *link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if l == nil || l.session == nil {
+	if l.session == nil {
 		return nil
 	}
 	return l
--- a/internal/serve/mesh/link.go
+++ b/internal/serve/mesh/link.go
@@ -194,8 +194,10 @@
 		if m.clock.Sleep(m.base, pause) != nil || !m.isListed(member) {
 			return
 		}
-		if s, err := m.dial(member); err == nil && m.restoreLink(member, s, nil) {
-			return
+		if s, err := m.dial(member); err == nil {
+			if m.restoreLink(member, s, nil) {
+				return
+			}
 		}
 		pause = min(max(2*pause, firstRedialPause), maxRedialPause)
 	}
--- a/internal/serve/mesh/mesh.go
+++ b/internal/serve/mesh/mesh.go
@@ -158,8 +158,8 @@
 
 	mu      sync.Mutex
 	members map[string]Member
-	// superseded holds the incarnations that have ended according to the list, or to a session
-	// with a newer one.
+	// superseded holds the listed incarnations that have ended according to a session with
+	// a newer one.
 	superseded map[string]token.Incarnation
 	links      map[string]*link
 	inbound    map[string]*inbound
@@ -362,16 +362,11 @@
 }
 
 // recordIncarnation stores the incarnation of a process and reports whether it
-// replaces another one. One that has ended may still be listed. The caller holds the lock.
+// replaces another one. The caller holds the lock.
 func (m *Mesh) recordIncarnation(name string, incarnation token.Incarnation) bool {
 	previous, known := m.incarnations[name]
-	if known && previous == incarnation || hasIncarnation(m.superseded, name, incarnation) {
-		return false
-	}
-	if m.incarnations[name] = incarnation; known {
-		m.superseded[name] = previous
-	}
-	return known
+	m.incarnations[name] = incarnation
+	return known && previous != incarnation
 }
 
 func (m *Mesh) newSessionOptions(handler sess.Handler, more ...sess.Option) []sess.Option {
