fix(wire): the seal of an update doesn't change while objects are held

Cause: the seal covered Hold.Left, which falls from message to message, although its comment says that it doesn't.

--- a/internal/link/pack/pack_test.go
+++ b/internal/link/pack/pack_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/link/pack"
 	"github.com/jujubescale/jujubescale/internal/link/wire"
 )
@@ -226,3 +228,19 @@
 	mistaken.Seal = 0
 	assert.Assert(t, !packed.Sealed(), "a peer of the previous version, in an era")
 }
+
+// Guards against contents that are packed again for each peer that requests them, and that are no longer kept when a peer requests
+// the next chunk: the time for which objects are still held falls from message to message.
+func TestHeldObjectsArePackedOnce(t *testing.T) {
+	var cache pack.Cache
+	var digests []string
+	for left := clock.Millis(1800); left > 1790; left-- {
+		update := configUpdate(3, 7, "held")
+		update.Whole, update.Objects[0].Hold = true, &wire.Hold{Era: 2, Left: left}
+		packed, err := cache.Pack(update)
+		assert.NilError(t, err)
+		digests = append(digests, packed.Packed.Digest)
+	}
+	assert.Equal(t, len(slices.Compact(digests)), 1)
+	assert.Assert(t, len(cache.Chunk(&wire.ChunkRequest{Digest: digests[0]}).Data) > 0, "not kept")
+}
--- a/internal/link/wire/seal.go
+++ b/internal/link/wire/seal.go
@@ -19,7 +19,7 @@
 		w.text(o.Name)
 		w.numbers(o.Version, flags(o.Deleted, o.Unversioned, o.Hold != nil))
 		if o.Hold != nil {
-			w.numbers(o.Hold.Era, o.Hold.Over, uint64(o.Hold.Left)) //nolint:gosec // only its bits count
+			w.numbers(o.Hold.Era, o.Hold.Over)
 		}
 		w.bytes(o.Value)
 		w.bytes(o.Status)
