fix(proof): a configuration with other contents under the same version comes into force

Cause: Book.Put kept the table in force if the configuration's own version was equal. The feed takes the store's object then, so that copies agree and confirm each other while a lost configuration, or one that a list has corrected, decides requests until the next version. An operator's tool that counts on from a copy of the store gives the version out again.

Change: the state holds the digest of the contents that it was decoded from. The table stays only if version and digest are equal.

--- /dev/null
+++ b/internal/serve/intake/export_test.go
@@ -0,0 +1,4 @@
+package intake
+
+// Next puts the configuration that waits in force.
+func (i *Intake) Next() bool { return i.next() }
--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -39,6 +39,8 @@
 	Table *table.Table
 	// Revision is the revision of the object that holds the configuration.
 	Revision store.Revision
+	// Digest is that of the contents of the object.
+	Digest uint64
 	// ConfirmedAt is the instant for which the store has confirmed that there is no newer one, which may be before the start
 	// of the process and then is negative, and
 	// Relayed whether a peer passed that on.
@@ -170,10 +172,10 @@
 	case routes.Version < next.version():
 		b.log.Warn("configuration with a lower version ignored", "revision", object.Version, "configuration", routes.Version, "inForce", next.version())
 		return false // versions never go back
-	case routes.Version == next.version() && next.Table != nil && !next.Table.Incomplete:
+	case routes.Version == next.version() && next.Table != nil && !next.Table.Incomplete && object.Digest == next.Digest:
 		next.NotInForce = false
 	default:
-		next.Table, next.Revision, next.NotInForce = routes, object.Version, false
+		next.Table, next.Revision, next.Digest, next.NotInForce = routes, object.Version, object.Digest, false
 		b.state.Store(&next)
 		before := Decision{State: previous, At: b.clock.Now()}
 		b.log.Info("configuration in force", "configuration", routes.Version, "revision", object.Version, "bytes", len(object.Value), "replacedAgeMs", int64(before.Age()))
