--- a/internal/serve/proof/proof.go
+++ b/internal/serve/proof/proof.go
@@ -194,7 +194,7 @@
 	if s.Table == nil || s.Table.Incomplete || routes.Version != s.Table.Version {
 		return false
 	}
-	return !s.Revision.Before(object.Version) || bytes.Equal(s.value, object.Value)
+	return object.Version.Before(s.Revision) || bytes.Equal(s.value, object.Value)
 }
 
 // Confirm takes what the feed of the configuration proves, after all objects that it has read were
