fix(bound): heads of answers that RFC 9110 and 9112 don't allow are refused

Callers got answers of engines whose heads were invalid: a blank before the colon of Content-Length or Transfer-Encoding gave them a body that wasn't the engine's (the chunks' own lines, framed as whole), folded lines, blanks in names, invalid informational answers and the statuses 101 and 600 were passed on.

Cause: heads were parsed by http.ReadResponse, which accepts blanks in names, any three digits as a status and folded lines, and reads HTTP/1.0 answers in chunks up to the end of the connection.

Change: bound.Reader parses heads and trailers itself and decides the framing, for engines, stages and agents' calls that run once. target.Send logs the line that breaks a rule; callers get the reason without it. An answer to which 101 switches is refused, as no request asks for another protocol.

TestHeadsWithoutEndAreNotKept asked for a HeadError for folded lines without end. They are refused at the first one now, so that case asks for an InvalidHeadError, with the same bound of bytes.

--- a/internal/base/bound/bound.go
+++ b/internal/base/bound/bound.go
@@ -1,5 +1,6 @@
-// Package bound limits the bytes that are read of the head of an answer. The parser of net/http
-// keeps a line of any length, so an endpoint that sends bytes without end would fill the memory.
+// Package bound reads answers from other processes. It limits the bytes that are read of a head,
+// because an endpoint that sends bytes without end would fill the memory, and decides whether a head
+// is one that RFC 9110 and 9112 allow and where its body ends.
 package bound
 
 import (
@@ -41,16 +42,6 @@
 // Unlimit ends the bound: what follows is a body.
 func (r *Reader) Unlimit() { r.from.left = unlimited }
 
-// ReadHead reads the head of an answer, which may be an informational one. It returns a HeadError if
-// more bytes than Limit allows would have to be read.
-func (r *Reader) ReadHead(request *http.Request) (*http.Response, error) {
-	response, err := http.ReadResponse(r.Reader, request)
-	if err != nil && r.from.left <= 0 {
-		return nil, &HeadError{Max: MaxHeadBytes}
-	}
-	return response, err
-}
-
 // ReadResponse reads the head of the final answer to a request and skips informational ones. It
 // returns a HeadError if they are too large. The body is not limited.
 func (r *Reader) ReadResponse(request *http.Request) (*http.Response, error) {
@@ -66,7 +57,7 @@
 
 // IsFinal reports whether no other answer to the request follows.
 func IsFinal(response *http.Response) bool {
-	return response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols
+	return response.StatusCode >= http.StatusOK
 }
 
 const unlimited = int(^uint(0) >> 1)
--- a/internal/base/bound/bound_test.go
+++ b/internal/base/bound/bound_test.go
@@ -43,7 +43,9 @@
 	} {
 		_, err := bound.New(from, 4<<10).ReadResponse(&http.Request{Method: http.MethodGet})
 		var tooLarge *bound.HeadError
-		assert.Assert(t, errors.As(err, &tooLarge), "%s: %v", name, err)
+		var invalid *bound.InvalidHeadError
+		folded := name == "continued value" // refused at its first line
+		assert.Assert(t, errors.As(err, &tooLarge) != folded && errors.As(err, &invalid) == folded, "%s: %v", name, err)
 		assert.Assert(t, from.read <= bound.MaxHeadBytes, "%s: %d bytes read", name, from.read)
 	}
 }
--- a/internal/base/rules/readers_test.go
+++ b/internal/base/rules/readers_test.go
@@ -42,9 +42,9 @@
 	"internal/link/sess/sess.go: kind, message, err := s.conn.ReadMessage()":              "readHello limits it to wire.MaxMessage",
 	"internal/serve/upload/upload.go: from := http.MaxBytesReader(w, r.Body, maxBytes)":   "Book.Read takes room for each part before it reads it",
 	"internal/serve/upload/upload.go: _, err := io.CopyN(io.Discard, r.Body, drainBytes)": "CopyN reads at most drainBytes, within drainTime",
-	"internal/base/bound/bound.go: response, err := http.ReadResponse(r.Reader, request)": "r.Reader reads at most MaxHeadBytes after Limit",
-	"internal/engine/event/event.go: part, err := r.from.ReadSlice('\\n')":                "it returns at most the buffer, and the loop ends at MaxEvent",
+	"internal/base/bound/head.go: part, err := r.ReadSlice('\\n')":                        "r reads at most MaxHeadBytes after Limit",
 	"internal/serve/gate/pass.go: _, err = io.Copy(w, reply.Body)":                        "the answer is passed on as it arrives, and not kept",
+	"internal/engine/event/event.go: part, err := r.from.ReadSlice('\\n')":                "it returns at most the buffer, and the loop ends at MaxEvent",
 }
 
 // Guards against memory that grows without a bound because of what another process sends.
--- a/internal/engine/conn/reply.go
+++ b/internal/engine/conn/reply.go
@@ -98,9 +98,10 @@
 		if err != nil {
 			return nil, r.headError(request, err)
 		}
-		if bound.IsFinal(response) {
-			return response, nil
+		if !bound.IsFinal(response) {
+			continue
 		}
+		return response, nil
 	}
 }
 
@@ -134,13 +135,9 @@
 	r.Status, r.Header, r.Length = response.StatusCode, response.Header, response.ContentLength
 	r.eof = &eofReader{from: response.Body}
 	r.Body = r.eof
-	chunked := len(response.TransferEncoding) > 0
-	noBody := response.ContentLength == 0 || response.Body == http.NoBody
-	r.Framed = response.ContentLength >= 0 || chunked || noBody
+	r.Framed = isFramed(response)
 	r.reusable = r.Framed && !response.Close && !r.conn.sawStray && !r.conn.spare
-	if noBody {
-		r.eof.sawEOF = true
-	}
+	r.eof.sawEOF = response.Body == http.NoBody
 	now := r.group.clock.Now()
 	r.conn.expiresAt, r.conn.closesAt = now+defaultIdle, 0
 	if timeout, stated := keepAlive(response.Header); stated {
@@ -149,6 +146,11 @@
 	}
 }
 
+// isFramed reports whether something else than the end of the connection ends an answer.
+func isFramed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
+}
+
 // keepAlive returns the idle timeout that the endpoint announces.
 func keepAlive(header http.Header) (timeout clock.Millis, stated bool) {
 	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
--- a/internal/serve/target/target.go
+++ b/internal/serve/target/target.go
@@ -6,11 +6,13 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/jujubescale/jujubescale/internal/base/bound"
 	"github.com/jujubescale/jujubescale/internal/base/clock"
 	"github.com/jujubescale/jujubescale/internal/conf/table"
 	"github.com/jujubescale/jujubescale/internal/engine/conn"
@@ -18,6 +20,7 @@
 	"github.com/jujubescale/jujubescale/internal/engine/spell"
 	"github.com/jujubescale/jujubescale/internal/guard/pace"
 	"github.com/jujubescale/jujubescale/internal/guard/places"
+	"github.com/jujubescale/jujubescale/internal/ops/logs"
 	"github.com/jujubescale/jujubescale/internal/route/view"
 )
 
@@ -102,6 +105,9 @@
 	}
 	reply, err := t.conns.Do(ctx, request)
 	if err != nil {
+		if line := bound.InvalidLine(err); line != "" {
+			t.set.Log.Info("answer has an invalid head", "endpoint", t.ID, "work", request.Work, "line", strconv.Quote(line), logs.KeyError, err)
+		}
 		t.set.recordFull(t, err)
 	}
 	return reply, err
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -44,6 +44,7 @@
 	Gateways []*Gateway
 
 	t       *testing.T
+	config  stand.Config
 	logFunc func(name string) io.Writer
 }
 
@@ -67,6 +68,9 @@
 // WithLog sets a function that returns where a gateway's log is written.
 func WithLog(log func(name string) io.Writer) Option { return func(f *Fleet) { f.logFunc = log } }
 
+// WithConfig sets the configuration instead of Config.
+func WithConfig(config stand.Config) Option { return func(f *Fleet) { f.config = config } }
+
 // Config returns a configuration with a pool of model engines and two routes to it: "draft"
 // may be resumed and sent twice, "sum" not.
 func Config() stand.Config {
@@ -84,12 +88,13 @@
 // with the test.
 func New(t *testing.T, gateways, engines int, opts ...Option) *Fleet {
 	t.Helper()
-	d, err := stand.New(Config())
-	assert.NilError(t, err)
-	f := &Fleet{Deployment: d, Client: stand.NewClient(d.Ledger), t: t, logFunc: func(string) io.Writer { return io.Discard }}
+	f := &Fleet{config: Config(), t: t, logFunc: func(string) io.Writer { return io.Discard }}
 	for _, opt := range opts {
 		opt(f)
 	}
+	d, err := stand.New(f.config)
+	assert.NilError(t, err)
+	f.Deployment, f.Client = d, stand.NewClient(d.Ledger)
 	t.Cleanup(f.close)
 	for i := range engines {
 		f.AddEngine(Zones[i%len(Zones)])
