fix(conn): an answer without length is whole only once its request has been written

Callers got the part of an answer as a whole one, with a length that the gateway made up, if the engine answered a long upload at once with a 200 without length and reset the connection during the upload.

Cause: a socket reports a reset once. The goroutine that writes the request gets it, and the one that reads the answer gets an ordinary end, which is all that ends such an answer. The result of the write was dropped in Finish, and the gate took the end of a read for the end of the answer.

Change: the body of an answer that only the end of the connection ends closes the connection at that end, waits for the result of the write, and returns an UnfinishedError instead of io.EOF if the request was not written. All readers of a reply share this decision, also verified and skipped answers.

--- a/internal/base/rules/readers_test.go
+++ b/internal/base/rules/readers_test.go
@@ -43,7 +43,6 @@
 	"internal/serve/upload/upload.go: from := http.MaxBytesReader(w, r.Body, maxBytes)":   "Book.Read takes room for each part before it reads it",
 	"internal/serve/upload/upload.go: _, err := io.CopyN(io.Discard, r.Body, drainBytes)": "CopyN reads at most drainBytes, within drainTime",
 	"internal/base/bound/head.go: part, err := r.ReadSlice('\\n')":                        "r reads at most MaxHeadBytes after Limit",
-	"internal/serve/gate/pass.go: _, err = io.Copy(w, reply.Body)":                        "the answer is passed on as it arrives, and not kept",
 	"internal/engine/event/event.go: part, err := r.from.ReadSlice('\\n')":                "it returns at most the buffer, and the loop ends at MaxEvent",
 }
 
--- a/internal/engine/conn/reply.go
+++ b/internal/engine/conn/reply.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -101,6 +102,9 @@
 		if !bound.IsFinal(response) {
 			continue
 		}
+		if !isFramed(response) {
+			response.Body = &unframedBody{ReadCloser: response.Body, reply: r}
+		}
 		return response, nil
 	}
 }
@@ -165,7 +169,8 @@
 	return 0, false
 }
 
-// Complete reports whether the body was read to its end.
+// Complete reports whether the body was read to its end. If nothing but the end of the connection
+// ends the answer, unframedBody decides.
 func (r *Reply) Complete() bool { return r.eof != nil && r.eof.sawEOF }
 
 // Finish returns the connection to the group if it is reusable, or closes it. A
@@ -212,3 +217,43 @@
 	}
 	return n, err
 }
+
+// UnfinishedError is returned instead of the end of an answer that only the end of the connection
+// ends, if the request was not written before.
+type UnfinishedError struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *UnfinishedError) Error() string {
+	return fmt.Sprintf("the connection ended before the request was written, and no length shows that the answer is whole: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnfinishedError) Unwrap() error { return e.Cause }
+
+// unframedBody is the body of an answer that only the end of the connection ends.
+type unframedBody struct {
+	io.ReadCloser
+	reply *Reply
+	err   error
+}
+
+// Read implements io.Reader. It returns an UnfinishedError instead of io.EOF if the write of the request
+// has failed or not ended: a reset is reported once, and if the write gets it, the read sees an ordinary end.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && b.reply.written != nil {
+		_ = b.reply.conn.Close() // ends the write; a request that was written before is sent nevertheless
+		result := <-b.reply.written
+		b.reply.written = nil
+		if result.err != nil {
+			err = &UnfinishedError{Cause: result.err}
+		}
+	}
+	b.err = err
+	return n, err
+}
--- a/internal/serve/gate/pass.go
+++ b/internal/serve/gate/pass.go
@@ -1,7 +1,9 @@
 package gate
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -28,7 +30,7 @@
 func (g *Gate) passComplete(w http.ResponseWriter, req *request, t *target.Target, reply *conn.Reply, l *attemptLoad, timer *stall.Timer[choice], info spell.ResponseInfo, began clock.Millis) attemptResult {
 	limit := g.maxPlain()
 	body, err := io.ReadAll(io.LimitReader(reply.Body, limit+1))
-	if err == nil && reply.Complete() && g.endedEarly(t, reply) {
+	if err == nil && int64(len(body)) <= limit && !g.isWhole(t, reply) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
@@ -99,12 +101,9 @@
 	}
 	req.status, req.headSent = reply.Status, true
 	w.WriteHeader(reply.Status)
-	_, err := w.Write(body)
-	if err == nil {
-		_, err = io.Copy(w, reply.Body)
-	}
-	if err != nil || !reply.Complete() || g.endedEarly(t, reply) {
-		return attemptResult{outcome: broken, err: fault.Refuse(fault.AnswerBroken, "the connection failed before the end of a long answer")}
+	_, err := io.Copy(w, io.MultiReader(bytes.NewReader(body), reply.Body))
+	if err != nil || !g.isWhole(t, reply) {
+		return attemptResult{outcome: broken, err: fault.Refuse(fault.AnswerBroken, fmt.Sprint("the connection failed before the end of a long answer: ", err))}
 	}
 	return attemptResult{outcome: answered}
 }
@@ -184,10 +183,10 @@
 	}
 }
 
-// endedEarly reports whether the end of its endpoint may have cut an answer whose length nothing
-// states. The connection of a process that ends may be closed in order, like that of a whole answer.
-func (g *Gate) endedEarly(t *target.Target, reply *conn.Reply) bool {
-	return !reply.Framed && detect.Ended(g.open.Context(), t)
+// isWhole reports whether an answer was read to its end. The connection of a process that ends may be
+// closed in order, and cut an answer whose length nothing states.
+func (g *Gate) isWhole(t *target.Target, reply *conn.Reply) bool {
+	return reply.Complete() && (reply.Framed || !detect.Ended(g.open.Context(), t))
 }
 
 // isWholeStream reports whether a stream that ended between two events is whole. One that is
@@ -197,7 +196,7 @@
 	if !reply.Framed && req.attemptEvents == 0 && req.LastEvent == "" {
 		return false
 	}
-	return reply.Complete() && !g.endedEarly(t, reply)
+	return g.isWhole(t, reply)
 }
 
 // handleStreamEnd returns the result of a stream that has ended or broken off.
--- a/internal/serve/mixed/mixed_test.go
+++ b/internal/serve/mixed/mixed_test.go
@@ -180,6 +180,46 @@
 	return got
 }
 
+// text returns the body of an answer of at least a size.
+func text(e *engine, id string, size int) string {
+	if e.kind == "stream" {
+		var events strings.Builder
+		for number := 1; events.Len() < size; number++ {
+			events.WriteString(stand.EventText(id, number, "v1"))
+		}
+		return events.String()
+	}
+	return strings.Repeat("body ", size/5+1)
+}
+
+// Guards against a caller that gets the part of an answer that its engine reset during the upload as a
+// whole answer, with a length that the gateway made up.
+func TestPartOfAnAnswerThatIsResetDuringTheUploadIsNotPassedAsWhole(t *testing.T) {
+	p := start(t, 1)
+	for _, e := range p.engines {
+		for _, delay := range []time.Duration{0, 5 * time.Millisecond, 30 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s reset after %s", e.kind, delay), func(t *testing.T) {
+				whole, count := 0, 10
+				for range count {
+					got := p.send(t, e, http.MethodPost, 4<<20, func(c *net.TCPConn, r *bufio.Reader, request *http.Request) {
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+stand.AnswerLines(request.Header.Get(stand.HeaderRequest))+"Connection: close\r\n\r\n"+text(e, request.Header.Get(stand.HeaderRequest), 1000))
+						_ = c.SetReadDeadline(time.Now().Add(delay))
+						_, _ = io.CopyN(io.Discard, r, 1<<20)
+						_ = c.SetLinger(0)
+					})
+					if got.err == nil && got.status == http.StatusOK {
+						whole++
+						continue
+					}
+					assert.Check(t, got.err != nil || got.status == http.StatusBadGateway, "%d %s", got.status, got.body)
+					assert.Check(t, p.logged.lines(got.id) != "", "nothing logged of %s", got.id)
+				}
+				assert.Equal(t, whole, 0, "parts passed as whole answers, of %d", count)
+			})
+		}
+	}
+}
+
 // Guards against answers that are passed on although their heads are not what RFC 9110 and 9112 allow.
 func TestInvalidHeadsAreNotPassed(t *testing.T) {
 	p := start(t, 1)
