fix(gate): answers without a body keep the length that the engine states

Callers got Content-Length: 0 for answers to HEAD and for 204, whatever the engine had stated.

Cause: the gate states the number of bytes that it has read.

Evidence: TestLengthsOfAnswersWithoutABodyAreThoseOfTheEngine on: "0" instead of "10" for HEAD. RFC 9110, 8.6 forbids any length with a 204, and for HEAD one that differs from that of GET.

Change: conn.Reply.LengthValues. After: passes; net/http leaves out the length of a 304, which is allowed.

--- a/internal/engine/conn/reply.go
+++ b/internal/engine/conn/reply.go
@@ -31,6 +31,8 @@
 	written  chan writeResult
 	eof      *eofReader
 	reusable bool
+	// bodiless is set if the answer has no body by its status or by the method of the request.
+	bodiless bool
 	// noAnswer is set if nothing that came can be the start of an answer to the request.
 	noAnswer bool
 	// answered is set once the head of the answer has been read.
@@ -142,6 +144,7 @@
 	r.Framed = isFramed(response)
 	r.reusable = r.Framed && !response.Close && !r.conn.sawStray && !r.conn.spare
 	r.eof.sawEOF = response.Body == http.NoBody
+	r.bodiless = r.eof.sawEOF && (r.Length != 0 || response.StatusCode == http.StatusNoContent)
 	now := r.group.clock.Now()
 	r.conn.expiresAt, r.conn.closesAt = now+defaultIdle, 0
 	if timeout, stated := keepAlive(response.Header); stated {
@@ -173,6 +176,19 @@
 // ends the answer, unframedBody decides.
 func (r *Reply) Complete() bool { return r.eof != nil && r.eof.sawEOF }
 
+// LengthValues returns the values of Content-Length for an answer of which a body of a size was read.
+// An answer without a body, to HEAD or with status 204 or 304, has the length that the endpoint states,
+// if any, which isn't that of what was read.
+func (r *Reply) LengthValues(read int) []string {
+	switch {
+	case !r.bodiless:
+		return []string{strconv.Itoa(read)}
+	case r.Length > 0:
+		return []string{strconv.FormatInt(r.Length, 10)}
+	}
+	return nil
+}
+
 // Finish returns the connection to the group if it is reusable, or closes it. A
 // connection is reusable if the request was written and the answer read
 // completely, and no further bytes have arrived.
--- a/internal/serve/gate/pass.go
+++ b/internal/serve/gate/pass.go
@@ -56,7 +56,7 @@
 		return g.passLong(w, req, t, reply, body)
 	}
 	hop.Copy(w.Header(), reply.Header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Header()["Content-Length"] = reply.LengthValues(len(body))
 	req.status = reply.Status
 	w.WriteHeader(reply.Status)
 	_, _ = w.Write(body) // an error means that the caller has disconnected
--- a/internal/serve/mixed/mixed_test.go
+++ b/internal/serve/mixed/mixed_test.go
@@ -264,3 +264,31 @@
 		}
 	}
 }
+
+// Guards against answers without a body whose length a gateway makes up: 0 bytes were read, which isn't
+// what the length of an answer to HEAD or of a 304 states, and a 204 has none.
+func TestLengthsOfAnswersWithoutABodyAreThoseOfTheEngine(t *testing.T) {
+	p := start(t, 1)
+	e := p.engines[1]
+	for name, c := range map[string]struct {
+		method, head string
+		want         []string
+	}{
+		"HEAD with a length":    {http.MethodHead, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n", []string{"10"}},
+		"HEAD with no bytes":    {http.MethodHead, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", []string{"0"}},
+		"HEAD without a length": {http.MethodHead, "HTTP/1.1 200 OK\r\n", nil},
+		"304 with a length":     {http.MethodGet, "HTTP/1.1 304 Not Modified\r\nContent-Length: 10\r\n", nil}, // net/http leaves it out,
+		"304 without a length":  {http.MethodGet, "HTTP/1.1 304 Not Modified\r\n", nil},
+		"204":                   {http.MethodGet, "HTTP/1.1 204 No Content\r\n", nil},
+		"204 with a length":     {http.MethodGet, "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n", nil},
+		"no bytes":              {http.MethodGet, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", []string{"0"}},
+	} {
+		got := p.send(t, e, c.method, 0, func(conn *net.TCPConn, _ *bufio.Reader, request *http.Request) {
+			_, _ = io.WriteString(conn, c.head+stand.AnswerLines(request.Header.Get(stand.HeaderRequest))+"\r\n")
+		})
+		assert.NilError(t, got.err, name)
+		assert.Check(t, strings.HasPrefix(c.head, got.head[:len("HTTP/1.1 200")]), "%s: %q", name, got.head)
+		assert.Check(t, len(got.body) == 0)
+		assert.DeepEqual(t, got.header["Content-Length"], c.want)
+	}
+}
