--- a/internal/engine/conn/reply.go
+++ b/internal/engine/conn/reply.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -30,6 +31,8 @@
 	written  chan writeResult
 	eof      *eofReader
 	reusable bool
+	// bodiless is set if the answer has no body by its status or by the method of the request.
+	bodiless bool
 	// noAnswer is set if nothing that came can be the start of an answer to the request.
 	noAnswer bool
 	// answered is set once the head of the answer has been read.
@@ -98,9 +101,13 @@
 		if err != nil {
 			return nil, r.headError(request, err)
 		}
-		if bound.IsFinal(response) {
-			return response, nil
+		if !bound.IsFinal(response) {
+			continue
+		}
+		if !isFramed(response) {
+			response.Body = &unframedBody{ReadCloser: response.Body, reply: r}
 		}
+		return response, nil
 	}
 }
 
@@ -134,13 +141,10 @@
 	r.Status, r.Header, r.Length = response.StatusCode, response.Header, response.ContentLength
 	r.eof = &eofReader{from: response.Body}
 	r.Body = r.eof
-	chunked := len(response.TransferEncoding) > 0
-	noBody := response.ContentLength == 0 || response.Body == http.NoBody
-	r.Framed = response.ContentLength >= 0 || chunked || noBody
+	r.Framed = isFramed(response)
 	r.reusable = r.Framed && !response.Close && !r.conn.sawStray && !r.conn.spare
-	if noBody {
-		r.eof.sawEOF = true
-	}
+	r.eof.sawEOF = response.Body == http.NoBody
+	r.bodiless = r.eof.sawEOF && (r.Length != 0 || response.StatusCode == http.StatusNoContent)
 	now := r.group.clock.Now()
 	r.conn.expiresAt, r.conn.closesAt = now+defaultIdle, 0
 	if timeout, stated := keepAlive(response.Header); stated {
@@ -149,6 +153,11 @@
 	}
 }
 
+// isFramed reports whether something else than the end of the connection ends an answer.
+func isFramed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
+}
+
 // keepAlive returns the idle timeout that the endpoint announces.
 func keepAlive(header http.Header) (timeout clock.Millis, stated bool) {
 	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
@@ -163,9 +172,23 @@
 	return 0, false
 }
 
-// Complete reports whether the body was read to its end.
+// Complete reports whether the body was read to its end. If nothing but the end of the connection
+// ends the answer, unframedBody decides.
 func (r *Reply) Complete() bool { return r.eof != nil && r.eof.sawEOF }
 
+// LengthValues returns the values of Content-Length for an answer of which a body of a size was read.
+// An answer without a body, to HEAD or with status 204 or 304, has the length that the endpoint states,
+// if any, which isn't that of what was read.
+func (r *Reply) LengthValues(read int) []string {
+	switch {
+	case !r.bodiless:
+		return []string{strconv.Itoa(read)}
+	case r.Length > 0:
+		return []string{strconv.FormatInt(r.Length, 10)}
+	}
+	return nil
+}
+
 // Finish returns the connection to the group if it is reusable, or closes it. A
 // connection is reusable if the request was written and the answer read
 // completely, and no further bytes have arrived.
@@ -210,3 +233,43 @@
 	}
 	return n, err
 }
+
+// UnfinishedError is returned instead of the end of an answer that only the end of the connection
+// ends, if the request was not written before.
+type UnfinishedError struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *UnfinishedError) Error() string {
+	return fmt.Sprintf("the connection ended before the request was written, and no length shows that the answer is whole: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnfinishedError) Unwrap() error { return e.Cause }
+
+// unframedBody is the body of an answer that only the end of the connection ends.
+type unframedBody struct {
+	io.ReadCloser
+	reply *Reply
+	err   error
+}
+
+// Read implements io.Reader. It returns an UnfinishedError instead of io.EOF if the write of the request
+// has failed or not ended: a reset is reported once, and if the write gets it, the read sees an ordinary end.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && b.reply.written != nil {
+		_ = b.reply.conn.Close() // ends the write; a request that was written before is sent nevertheless
+		result := <-b.reply.written
+		b.reply.written = nil
+		if result.err != nil {
+			err = &UnfinishedError{Cause: result.err}
+		}
+	}
+	b.err = err
+	return n, err
+}
