fix(bound): clients of net/http apply the same rules to the answers that they read

Agents, the clients of the store, polls of statistics, orders and jujubectl took answers for good that the gateway's connections refuse: statuses of any three digits, blanks in names (with another length than the server meant), and a part that was reset during the upload.

Cause: they use the transport of net/http, which reads heads kindly and takes the end of the connection for the end of an answer, whatever happened to the write of the request.

TestAllReadersAreBounded asks for it beside each http.Transport.

--- a/internal/base/bound/head.go
+++ b/internal/base/bound/head.go
@@ -29,6 +29,16 @@
 	return ""
 }
 
+// maxStatus is the highest status of an answer (RFC 9110, 15).
+const maxStatus = 599
+
+// Reasons of an InvalidHeadError.
+const (
+	reasonStatus = "status not from 100 to 599"
+	reasonName   = "name of a field is no token"
+	reasonValue  = "control byte in a value"
+)
+
 func invalidHead(reason string, line []byte) *InvalidHeadError {
 	const maxLogged = 100
 	return &InvalidHeadError{Reason: reason, Line: string(line[:min(len(line), maxLogged)])}
@@ -85,7 +95,7 @@
 	case len(line) < status || !bytes.HasPrefix(line, []byte("HTTP/1.")) || !isDigit(line[version-1]) || line[version] != ' ':
 		return nil, invalidHead("status line", line)
 	case line[version+1] < '1' || line[version+1] > '5' || !isDigit(line[version+2]) || !isDigit(line[version+3]):
-		return nil, invalidHead("status not from 100 to 599", line)
+		return nil, invalidHead(reasonStatus, line)
 	case len(line) > status && (line[status] != ' ' || !validValue(line[status:])):
 		return nil, invalidHead("reason of the status", line)
 	}
@@ -115,9 +125,9 @@
 		case !found:
 			return nil, invalidHead("line without a colon", line)
 		case !validName(name):
-			return nil, invalidHead("name of a field", line)
+			return nil, invalidHead(reasonName, line)
 		case !validValue(value):
-			return nil, invalidHead("control byte in a value", line)
+			return nil, invalidHead(reasonValue, line)
 		}
 		key := textproto.CanonicalMIMEHeaderKey(string(name))
 		header[key] = append(header[key], string(value))
--- a/internal/base/rules/readers_test.go
+++ b/internal/base/rules/readers_test.go
@@ -26,6 +26,7 @@
 		{regexp.MustCompile(`http\.Read(Response|Request)\(`), never, 1},
 		{regexp.MustCompile(`bufio\.NewScanner\(`), regexp.MustCompile(`\.Buffer\(`), 2},
 		{regexp.MustCompile(`http\.Transport\{`), regexp.MustCompile(`MaxResponseHeaderBytes`), 8},
+		{regexp.MustCompile(`http\.Transport\{`), regexp.MustCompile(`bound\.NewTransport\(`), 8}, // heads are checked
 		{regexp.MustCompile(`http\.Server\{`), regexp.MustCompile(`MaxHeaderBytes`), 8},
 		{regexp.MustCompile(`http\.(DefaultClient|DefaultTransport|Get|Post|Head)\b`), never, 1},
 		{regexp.MustCompile(`io\.(ReadFull|ReadAtLeast|CopyBuffer)\(`), limited, 1},
--- a/internal/cli/daemon/gateway.go
+++ b/internal/cli/daemon/gateway.go
@@ -156,7 +156,7 @@
 	r.gateway = router.New(ctx, router.Settings{
 		Name: r.settings.Process.Process, Zone: r.settings.AvailabilityZone, Address: r.settings.Sessions, Capacity: r.settings.ProcessorShare, ProcessorFunc: usage.Processor, ChangeWithin: r.settings.ChangeMs, LeaveWithin: r.settings.LeaveMs,
 		Clock: r.Clock, Log: r.Log, Registry: r.Registry,
-		Store:   platform.NewStore(r.settings.PlatformURL, &http.Client{Transport: transport}, storeTimeout, router.WatchMargin),
+		Store:   platform.NewStore(r.settings.PlatformURL, &http.Client{Transport: bound.NewTransport(transport)}, storeTimeout, router.WatchMargin),
 		Dialect: platform.Dialect(), Bounds: bounds(r.settings),
 		MemoryMb: r.settings.MemoryMb, MaxFds: r.settings.MaxFds, MaxConnections: int(callersFds * float64(r.settings.MaxFds)), LinkMbps: r.settings.LinkMbps,
 		Rollouts: r.settings.Rollouts, RolloutBounds: canary.Bounds{Share: r.settings.RolloutShare, Base: r.settings.RolloutSpare},
--- a/internal/cli/proc/process.go
+++ b/internal/cli/proc/process.go
@@ -133,7 +133,7 @@
 	if parsed, err := url.Parse(base); err == nil && source != nil {
 		transport.TLSClientConfig = source.Client(parsed.Hostname())
 	}
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: bound.NewTransport(transport)}
 }
 
 // OpenOperators opens the operators' port, which serves status, look-up of requests
--- a/internal/cli/reach/reach.go
+++ b/internal/cli/reach/reach.go
@@ -124,7 +124,7 @@
 		return nil, exit.With(exit.Usage, err)
 	}
 	transport := &http.Transport{TLSClientConfig: source.Client(base.Hostname()), MaxResponseHeaderBytes: bound.MaxHeadBytes}
-	return client.New(o.platform, client.WithHTTP(&http.Client{Transport: transport})).Store(), nil
+	return client.New(o.platform, client.WithHTTP(&http.Client{Transport: bound.NewTransport(transport)})).Store(), nil
 }
 
 // routedTimeout bounds one call to the store of a platform with routed services, and
@@ -144,7 +144,7 @@
 	if err != nil || base.Host == "" {
 		return nil, exit.With(exit.Usage, fmt.Errorf("--platform %q is not allowed; allowed: http://HOST:PORT or https://HOST:PORT", o.platform))
 	}
-	client := &http.Client{Transport: &http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: bound.MaxHeadBytes}}
+	client := &http.Client{Transport: bound.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: bound.MaxHeadBytes})}
 	return platform.NewStore(o.platform, client, routedTimeout, routedMargin), nil
 }
 
--- a/internal/engine/call/call.go
+++ b/internal/engine/call/call.go
@@ -148,14 +148,14 @@
 		opt(c)
 	}
 	c.shared = &http.Client{
-		Transport: &http.Transport{
+		Transport: bound.NewTransport(&http.Transport{
 			DialContext:         c.dialer.DialContext,
 			IdleConnTimeout:     c.idle.Duration(),
 			MaxIdleConnsPerHost: maxIdle,
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: bound.MaxHeadBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return c, nil
--- a/internal/engine/conn/reply.go
+++ b/internal/engine/conn/reply.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -104,7 +103,7 @@
 		if !bound.IsFinal(response) {
 			continue
 		}
-		if !isFramed(response) {
+		if !bound.IsFramed(response) {
 			response.Body = &unframedBody{ReadCloser: response.Body, reply: r}
 		}
 		return response, nil
@@ -141,7 +140,7 @@
 	r.Status, r.Header, r.Length = response.StatusCode, response.Header, response.ContentLength
 	r.eof = &eofReader{from: response.Body}
 	r.Body = r.eof
-	r.Framed = isFramed(response)
+	r.Framed = bound.IsFramed(response)
 	r.reusable = r.Framed && !response.Close && !r.conn.sawStray && !r.conn.spare
 	r.eof.sawEOF = response.Body == http.NoBody
 	r.bodiless = r.eof.sawEOF && (r.Length != 0 || response.StatusCode == http.StatusNoContent)
@@ -153,11 +152,6 @@
 	}
 }
 
-// isFramed reports whether something else than the end of the connection ends an answer.
-func isFramed(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
-}
-
 // keepAlive returns the idle timeout that the endpoint announces.
 func keepAlive(header http.Header) (timeout clock.Millis, stated bool) {
 	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
@@ -234,20 +228,6 @@
 	return n, err
 }
 
-// UnfinishedError is returned instead of the end of an answer that only the end of the connection
-// ends, if the request was not written before.
-type UnfinishedError struct {
-	Cause error
-}
-
-// Error implements error.
-func (e *UnfinishedError) Error() string {
-	return fmt.Sprintf("the connection ended before the request was written, and no length shows that the answer is whole: %v", e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *UnfinishedError) Unwrap() error { return e.Cause }
-
 // unframedBody is the body of an answer that only the end of the connection ends.
 type unframedBody struct {
 	io.ReadCloser
@@ -255,7 +235,7 @@
 	err   error
 }
 
-// Read implements io.Reader. It returns an UnfinishedError instead of io.EOF if the write of the request
+// Read implements io.Reader. It returns a bound.UnfinishedError instead of io.EOF if the write of the request
 // has failed or not ended: a reset is reported once, and if the write gets it, the read sees an ordinary end.
 func (b *unframedBody) Read(p []byte) (int, error) {
 	if b.err != nil {
@@ -267,7 +247,7 @@
 		result := <-b.reply.written
 		b.reply.written = nil
 		if result.err != nil {
-			err = &UnfinishedError{Cause: result.err}
+			err = &bound.UnfinishedError{Cause: result.err}
 		}
 	}
 	b.err = err
--- a/internal/engine/load/load.go
+++ b/internal/engine/load/load.go
@@ -100,7 +100,7 @@
 func New(base string, onReading func(Reading), opts ...Option) *Poller {
 	p := &Poller{
 		url: base + "/v1/load", clock: clock.New(), interval: DefaultInterval, timeout: DefaultTimeout,
-		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: bound.MaxHeadBytes}},
+		client:    &http.Client{Transport: bound.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: bound.MaxHeadBytes})},
 		onReading: onReading, pollNow: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	for _, opt := range opts {
--- a/internal/link/sess/open.go
+++ b/internal/link/sess/open.go
@@ -182,6 +182,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := bound.CheckResponse(response); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
 	head.Unlimit()
 	s := newSession(conn, o, true)
 	s.received = received
--- a/internal/ops/fleet/fleet.go
+++ b/internal/ops/fleet/fleet.go
@@ -69,7 +69,7 @@
 	for _, opt := range opts {
 		opt(f)
 	}
-	f.client = &http.Client{Transport: &http.Transport{DialTLSContext: f.dialTLS, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: bound.MaxHeadBytes}}
+	f.client = &http.Client{Transport: bound.NewTransport(&http.Transport{DialTLSContext: f.dialTLS, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: bound.MaxHeadBytes})}
 	return f
 }
 
--- a/internal/plat/client/client.go
+++ b/internal/plat/client/client.go
@@ -54,7 +54,7 @@
 func New(base string, opts ...Option) *Client {
 	c := &Client{
 		base:    strings.TrimSuffix(base, "/"),
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: bound.MaxHeadBytes}},
+		http:    &http.Client{Transport: bound.NewTransport(&http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: bound.MaxHeadBytes})},
 		timeout: callTimeout,
 	}
 	for _, opt := range opts {
--- a/internal/serve/agent/order.go
+++ b/internal/serve/agent/order.go
@@ -65,7 +65,7 @@
 // an order whose answer was lost, and models that the engine lost in a restart.
 func (a *Agent) reconcile(ctx context.Context) {
 	reader := load.New(a.settings.EndpointURL, func(load.Reading) {}, load.WithClock(a.clock))
-	sender := order.NewClient(a.settings.EndpointURL, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: bound.MaxHeadBytes}})
+	sender := order.NewClient(a.settings.EndpointURL, &http.Client{Transport: bound.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: bound.MaxHeadBytes})})
 	holder := a.settings.Process + "/" + a.incarnation.String()
 	engineLease := lease.New(a.orders.caller.Store(call.Lease), orderLeasePrefix+a.settings.Pool+"/"+a.settings.Endpoint, holder, lease.WithClock(a.clock))
 	loadSlots := slot.New(a.orders.caller.Store(call.Lease), weightSlotPrefix, a.orders.slots, holder, slot.WithClock(a.clock))
