fix(deploy): a status without a start begins no rollout anew

Since, a status of another program that states no start, and follows one that does, was taken for that of an order that was given again, so that the counts and the verdict on the version were dropped. Shown by the unit test.

--- FAIL: TestOrderThatIsGivenAgainBeginsAnew again_test.go:59: assertion failed: p.read(t, store.Revision{Number: 73}, again.Order, again).Canary is true: another program has written the status

Two starts are now compared only if both are stated.

--- a/internal/serve/deploy/again_test.go
+++ b/internal/serve/deploy/again_test.go
@@ -52,6 +52,11 @@
 	p.read(t, store.Revision{Number: 62}, bad.Order, bad)
 	again.StartedAt++
 	assert.Assert(t, p.read(t, store.Revision{Number: 72}, again.Order, again).Canary, "another process has recorded its start")
+
+	now.Add(1000)
+	p.record(t)
+	again.StartedAt = 0
+	assert.Assert(t, !p.read(t, store.Revision{Number: 73}, again.Order, again).Canary, "another program has written the status")
 }
 
 // Guards against an order that is rolled back without having been tried: peers that have not read it yet report the
--- a/internal/serve/deploy/rollout.go
+++ b/internal/serve/deploy/rollout.go
@@ -70,9 +70,10 @@
 	case r.status.State == "" || r.statusLost || r.revision.Era != object.Version.Era:
 		return false // nothing tells them apart, or the store has lost the status
 	case status.State == "":
-		return len(object.Status) == 0 // other programs may write a status that can't be read
+		return len(object.Status) == 0 // other programs may write one that can't be read
 	}
-	return status.Order != r.order || status.StartedAt != r.status.StartedAt
+	// They may write one without a start, too.
+	return status.Order != r.order || status.StartedAt != r.status.StartedAt && min(status.StartedAt, r.status.StartedAt) > 0
 }
 
 // counter counts the requests and answers of one key.
