test(sess): the accepting side doesn't take the test's jump of the clock for silence

Cause: the test moves the clock on by 60 s. The accepting side ends a session on which nothing has arrived within three idle intervals, 60 s, if it looks before the next heartbeat arrives; then no stamp can follow.

Change: the accepting side has the same idle interval as the dialling one.

--- a/internal/link/sess/first_test.go
+++ b/internal/link/sess/first_test.go
@@ -42,7 +42,7 @@
 	now := clock.New(clock.WithNow(func() clock.Millis { return 1000 + clock.Millis(elapsed.Load()) }), clock.WithAfter(soon))
 	beats := make(chan *wire.Stamp, 100)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s, err := sess.Accept(t.Context(), w, r, sess.WithClock(now), sess.WithHandler(func(_ *sess.Session, frame *wire.Frame) {
+		s, err := sess.Accept(t.Context(), w, r, sess.WithClock(now), sess.WithHeartbeats(100_000, 100_000), sess.WithHandler(func(_ *sess.Session, frame *wire.Frame) {
 			beats <- frame.Stamp
 		}))
 		if err != nil {
