--- a/internal/serve/mixed/mixed_test.go
+++ b/internal/serve/mixed/mixed_test.go
@@ -141,12 +141,18 @@
 
 // send sends a request until the engine gets it, because an engine that failed is blocked for a while.
 func (p *play) send(t *testing.T, e *engine, method string, size int, script scriptFunc) outcome {
+	t.Helper()
+	return p.sendWithin(t, e, method, size, 6*time.Second, script)
+}
+
+// sendWithin is send with a deadline of the request.
+func (p *play) sendWithin(t *testing.T, e *engine, method string, size int, deadline time.Duration, script scriptFunc) outcome {
 	t.Helper()
 	e.script.Store(&script)
 	var got outcome
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		asked := e.asked.Load()
-		if got = p.sendOnce(t, e, method, size); e.asked.Load() == asked {
+		if got = p.sendOnce(t, e, method, size, deadline); e.asked.Load() == asked {
 			return poll.Continue("the engine was not asked: %d %s", got.status, got.body)
 		}
 		return poll.Success()
@@ -154,13 +160,13 @@
 	return got
 }
 
-func (p *play) sendOnce(t *testing.T, e *engine, method string, size int) outcome {
+func (p *play) sendOnce(t *testing.T, e *engine, method string, size int, deadline time.Duration) outcome {
 	t.Helper()
 	c, err := net.Dial("tcp", p.Gateways[0].Address)
 	assert.NilError(t, err)
 	defer func() { _ = c.Close() }()
 	got := outcome{id: stand.NewID()}
-	head := fmt.Sprintf("%s /%s/x HTTP/1.1\r\nHost: mixed.example\r\nConnection: close\r\nContent-Length: %d\r\n%s\r\n", method, e.service(), size, stand.HeaderLines(got.id, fleet.Key, 6000))
+	head := fmt.Sprintf("%s /%s/x HTTP/1.1\r\nHost: mixed.example\r\nConnection: close\r\nContent-Length: %d\r\n%s\r\n", method, e.service(), size, stand.HeaderLines(got.id, fleet.Key, int(deadline.Milliseconds())))
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
