--- a/internal/cli/devel/returns.go
+++ b/internal/cli/devel/returns.go
@@ -1,10 +1,8 @@
 package devel
 
 import (
-	"fmt"
 	"io"
 	"os"
-	"path/filepath"
 
 	"github.com/spf13/cobra"
 
@@ -51,29 +49,9 @@
 }
 
 func runReturns(command *cobra.Command, options *returnsOptions) error {
-	folder := options.folder
-	if folder == "" {
-		temporary, err := os.MkdirTemp("", "returns")
-		if err != nil {
-			return err
-		}
-		folder = temporary
-	}
-	var failed []uint64
-	for i := range options.seeds {
-		seed := options.seed + uint64(i)
-		passed, err := returnSeed(command, options, seed, filepath.Join(folder, fmt.Sprint(seed)))
-		if err != nil {
-			return err
-		}
-		if !passed {
-			failed = append(failed, seed)
-		}
-	}
-	if len(failed) > 0 {
-		return &SoakError{Seeds: failed}
-	}
-	return nil
+	return runSeeds(options.folder, options.seed, options.seeds, func(seed uint64, folder string) (bool, error) {
+		return returnSeed(command, options, seed, folder)
+	})
 }
 
 // returnSeed plays one seed and reports whether it passed. If it passed, the folder is removed.
--- a/internal/cli/devel/soak.go
+++ b/internal/cli/devel/soak.go
@@ -89,7 +89,13 @@
 func (e *SoakError) Error() string { return fmt.Sprintf("seeds that failed: %v", e.Seeds) }
 
 func runSoak(command *cobra.Command, options soakOptions) error {
-	folder := options.folder
+	return runSeeds(options.folder, options.seed, options.seeds, func(seed uint64, folder string) (bool, error) {
+		return soakSeed(command, options, seed, folder)
+	})
+}
+
+// runSeeds calls run for a number of seeds, with a folder for each. It returns a SoakError with those that did not pass.
+func runSeeds(folder string, first uint64, count int, run func(seed uint64, folder string) (passed bool, err error)) error {
 	if folder == "" {
 		temporary, err := os.MkdirTemp("", "soak")
 		if err != nil {
@@ -98,9 +104,9 @@
 		folder = temporary
 	}
 	var failed []uint64
-	for i := range options.seeds {
-		seed := options.seed + uint64(i)
-		passed, err := soakSeed(command, options, seed, filepath.Join(folder, fmt.Sprint(seed)))
+	for i := range count {
+		seed := first + uint64(i)
+		passed, err := run(seed, filepath.Join(folder, fmt.Sprint(seed)))
 		if err != nil {
 			return err
 		}
