--- a/internal/serve/mesh/content_test.go
+++ b/internal/serve/mesh/content_test.go
@@ -286,3 +286,19 @@
 	assert.Equal(t, r.applied[len(r.applied)-1], uint64(9))
 	assert.Equal(t, r.sizes[len(r.sizes)-1], 100_007)
 }
+
+// Guards against a difference that waits for the version that the store has lost, because this has the number of its base.
+func TestDifferenceDoesNotWaitForAVersionOfAnotherEra(t *testing.T) {
+	r, sender := newReceiver(t), newSender(t)
+	lost := largeUpdate(7)
+	lost.Era = 2
+	packed := pack(t, sender, lost)
+	r.ReceiveUpdate("sender", packed)
+	difference := &wire.Update{Kind: "config", Era: 3, Since: 7, Revision: 8, Changed: 8, Packed: &wire.Packed{
+		Digest: "d", Bytes: 1, Seal: 1, Patch: &wire.Patch{Object: wire.Stored{Name: "config/main", Version: 8}, Base: 7, Delta: []byte("d")},
+	}}
+	r.ReceiveUpdate("sender", difference)
+	assert.DeepEqual(t, r.applied, []uint64{8})
+	r.transfer(sender, "sender", packed.Packed.Digest, 10)
+	assert.DeepEqual(t, r.applied, []uint64{8, 7})
+}
