test(deploy): a corrected order replaces the one with its number

Fails (known red): Controller.putOrder ignores an object whose revision is not higher than the known one, so that an order which a list of the store has corrected stays as the peer had sent it. Seen: 'lost' instead of 'current'. Not mended: record passes objects without a digest to Change, and the rollout may be running.

--- a/internal/serve/deploy/restore_test.go
+++ b/internal/serve/deploy/restore_test.go
@@ -126,3 +126,11 @@
 	<-ended
 	return recorded
 }
+
+// Guards against an order that stays in force although a list of the store has corrected it: a peer had sent other contents under
+// its number.
+func TestCorrectedOrderReplacesTheOneWithItsNumber(t *testing.T) {
+	p, at := newProcess(t), store.Revision{Era: 3, Number: 7}
+	assert.Equal(t, p.read(t, at, order("lost"), canary.Status{}).Version, "lost")
+	assert.Equal(t, p.read(t, at, order("current"), canary.Status{}).Version, "current")
+}
