fix(deploy): an order that a list of the store corrects comes into force

Callers could see requests sent to a version of an order that the store doesn't hold: if a peer had sent other contents under the order's number, the list of the store, which has the same number, changed nothing.

Cause: Controller.putOrder ignored each object whose revision was not higher than the known one. Evidence: TestCorrectedOrderReplacesTheOneWithItsNumber, on 'lost' instead of 'current'. Change: an object of the same revision is ignored only if it has the same order. Not seen in a fleet.

--- a/internal/serve/deploy/deploy.go
+++ b/internal/serve/deploy/deploy.go
@@ -181,7 +181,7 @@
 // than this process. The caller holds the lock.
 func (c *Controller) putOrder(object store.Object, mayPredate bool) {
 	known := c.byName[object.Name]
-	if known != nil && !known.revision.Before(object.Version) {
+	if known != nil && object.Version.Before(known.revision) {
 		return
 	}
 	order, status, err := c.decode(object)
@@ -192,16 +192,11 @@
 		c.removeOrder(object.Name)
 		return
 	}
-	if known == nil || known.order != order || known.isReplacedBy(&object, &status) {
-		known = newRollout(object.Name, order, c.clock.Now())
-		if mayPredate && status.Order == order && status.State == canary.Running {
-			since := clock.Millis(c.wallClock() - status.StartedAt)
-			known.began -= min(max(since, 0), order.Duration)
-			known.restarted = true
-		}
-		c.byName[object.Name] = known
-		c.log.Info("rollout ordered", "pool", order.Pool, "version", order.Version, "durationMs", int64(order.Duration),
-			"revision", object.Version, "state", string(status.State))
+	switch {
+	case known == nil || known.order != order || known.isReplacedBy(&object, &status):
+		known = c.begin(object, order, status, mayPredate)
+	case known.revision == object.Version:
+		return
 	}
 	status, corrected := c.restoreCompleted(object, order, status)
 	if status.Order != order {
@@ -227,6 +222,20 @@
 	c.recordCompleted(known)
 }
 
+// begin adds the rollout of an order that was not known. The caller holds the lock.
+func (c *Controller) begin(object store.Object, order canary.Order, status canary.Status, mayPredate bool) *rollout {
+	r := newRollout(object.Name, order, c.clock.Now())
+	if mayPredate && status.Order == order && status.State == canary.Running {
+		since := clock.Millis(c.wallClock() - status.StartedAt)
+		r.began -= min(max(since, 0), order.Duration)
+		r.restarted = true
+	}
+	c.byName[object.Name] = r
+	c.log.Info("rollout ordered", "pool", order.Pool, "version", order.Version, "durationMs", int64(order.Duration),
+		"revision", object.Version, "state", string(status.State))
+	return r
+}
+
 // removeOrder removes an order. The caller holds the lock.
 func (c *Controller) removeOrder(name string) {
 	if known := c.byName[name]; known != nil {
