--- a/internal/base/bound/head.go
+++ b/internal/base/bound/head.go
@@ -39,7 +39,7 @@
 	reasonValue  = "control byte in a value"
 )
 
-func invalidHead(reason string, line []byte) *InvalidHeadError {
+func invalidHead[T string | []byte](reason string, line T) *InvalidHeadError {
 	const maxLogged = 100
 	return &InvalidHeadError{Reason: reason, Line: string(line[:min(len(line), maxLogged)])}
 }
@@ -113,12 +113,13 @@
 func (r *Reader) readFields() (http.Header, error) {
 	header := make(http.Header)
 	for {
-		line, err := r.readLine()
-		if err != nil || len(line) == 0 {
+		read, err := r.readLine()
+		if err != nil || len(read) == 0 {
 			return header, err
 		}
-		name, value, found := bytes.Cut(line, []byte{':'})
-		value = bytes.Trim(value, " \t")
+		line := string(read)
+		name, value, found := strings.Cut(line, ":")
+		value = strings.Trim(value, " \t")
 		switch {
 		case line[0] == ' ' || line[0] == '\t':
 			return nil, invalidHead("folded line", line)
@@ -129,13 +130,13 @@
 		case !validValue(value):
 			return nil, invalidHead(reasonValue, line)
 		}
-		key := textproto.CanonicalMIMEHeaderKey(string(name))
-		header[key] = append(header[key], string(value))
+		key := textproto.CanonicalMIMEHeaderKey(name)
+		header[key] = append(header[key], value)
 	}
 }
 
 // validName reports whether the name of a field is a token (RFC 9110, 5.6.2).
-func validName[T string | []byte](name T) bool {
+func validName(name string) bool {
 	for i := range len(name) {
 		c := name[i]
 		letter := c|0x20 >= 'a' && c|0x20 <= 'z'
@@ -184,11 +185,11 @@
 	bodiless := !IsFinal(response) || response.StatusCode == http.StatusNoContent
 	switch {
 	case chunked && (len(codings) > 1 || !strings.EqualFold(codings[0], "chunked")):
-		return invalidHead("Transfer-Encoding other than chunked", []byte(strings.Join(codings, ",")))
+		return invalidHead("Transfer-Encoding other than chunked", strings.Join(codings, ","))
 	case chunked && (length >= 0 || response.ProtoMinor == 0 || bodiless):
-		return invalidHead("Transfer-Encoding beside a length, in HTTP/1.0 or without a body", []byte(response.Status))
+		return invalidHead("Transfer-Encoding beside a length, in HTTP/1.0 or without a body", response.Status)
 	case bodiless && length > 0:
-		return invalidHead("Content-Length without a body", []byte(response.Status))
+		return invalidHead("Content-Length without a body", response.Status)
 	case bodiless:
 		length = 0
 	case chunked:
@@ -222,7 +223,7 @@
 			text = strings.Trim(text, " \t")
 			stated, err := strconv.ParseInt(text, 10, 64)
 			if err != nil || !isDigit(text[0]) || length >= 0 && stated != length {
-				return 0, invalidHead("Content-Length", []byte(strings.Join(header["Content-Length"], ",")))
+				return 0, invalidHead("Content-Length", strings.Join(header["Content-Length"], ","))
 			}
 			length = stated
 		}
--- a/internal/base/bound/transport.go
+++ b/internal/base/bound/transport.go
@@ -49,15 +49,15 @@
 // CheckResponse returns an InvalidHeadError for an answer, read by net/http, that ReadHead refuses.
 func CheckResponse(response *http.Response) error {
 	if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
-		return invalidHead(reasonStatus, []byte(response.Status))
+		return invalidHead(reasonStatus, response.Status)
 	}
 	for name, values := range response.Header {
 		if !validName(name) {
-			return invalidHead(reasonName, []byte(name))
+			return invalidHead(reasonName, name)
 		}
 		for _, value := range values {
 			if !validValue(value) {
-				return invalidHead(reasonValue, []byte(name+": "+value))
+				return invalidHead(reasonValue, name+": "+value)
 			}
 		}
 	}
