--- a/internal/engine/conn/whole_test.go
+++ b/internal/engine/conn/whole_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -132,3 +133,27 @@
 		})
 	}
 }
+
+// Guards against a part of the answer of a stage engine that is verified as a whole one, because it was
+// reset while the call was being written.
+func TestVerifiedAnswerThatIsResetDuringTheUploadIsNotWhole(t *testing.T) {
+	const size, count = 8 << 20, 20
+	address := endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		skipHead(r)
+		_, _ = io.WriteString(c, unframedHead+"part")
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Millisecond))
+		_, _ = io.CopyN(io.Discard, r, size/4)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	for range count {
+		r := upload("a", size)
+		r.MatchFunc, r.MaxBytes = nil, 100
+		r.VerifyFunc = func(int, http.Header, []byte) conn.Verdict { return conn.Unique }
+		reply, err := conn.New(address).Do(t.Context(), r)
+		var sent *conn.SentError
+		assert.Check(t, errors.As(err, &sent), "%v", err)
+		if err == nil {
+			reply.Finish()
+		}
+	}
+}
