--- a/internal/link/pack/cache.go
+++ b/internal/link/pack/cache.go
@@ -49,11 +49,11 @@
 	return nil
 }
 
-// keptContent is the content of the updates with a seal.
+// keptContent is the content of the updates with a checksum.
 type keptContent struct {
 	*Content
-	seal  uint64
-	patch *wire.Patch
+	checksum uint64
+	patch    *wire.Patch
 }
 
 // Pack returns an update that names its objects instead of holding them. It returns the
@@ -62,23 +62,23 @@
 	if update.Bytes() <= maxInlineBytes {
 		return update, nil
 	}
-	seal := update.Seal()
+	checksum := update.Checksum()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	kept, err := c.contentOf(update, seal)
+	kept, err := c.contentOf(update, checksum)
 	if err != nil {
 		return update, err
 	}
 	packed := *update
-	packed.Objects, packed.Packed = nil, &wire.Packed{Digest: kept.Digest, Bytes: len(kept.Data), Patch: kept.patch, Seal: seal}
+	packed.Objects, packed.Packed = nil, &wire.Packed{Digest: kept.Digest, Bytes: len(kept.Data), Patch: kept.patch, Checksum: checksum}
 	return &packed, nil
 }
 
-// contentOf returns the content of an update with a seal and keeps it; the caller holds the lock.
-func (c *Cache) contentOf(update *wire.Update, seal uint64) (*keptContent, error) {
+// contentOf returns the content of an update with a checksum and keeps it; the caller holds the lock.
+func (c *Cache) contentOf(update *wire.Update, checksum uint64) (*keptContent, error) {
 	all := c.byKind[update.Kind]
 	for _, kept := range all {
-		if kept.seal == seal {
+		if kept.checksum == checksum {
 			return kept, nil
 		}
 	}
@@ -86,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	kept := &keptContent{Content: content, seal: seal, patch: patchOf(update)}
+	kept := &keptContent{Content: content, checksum: checksum, patch: patchOf(update)}
 	if len(all) >= keptContents {
 		all = slices.Delete(all, 0, len(all)-keptContents+1)
 	}
--- a/internal/link/pack/seal_test.go
+++ b/internal/link/pack/checksum_test.go
@@ -56,7 +56,7 @@
 	assert.Assert(t, reflect.DeepEqual(plain(got), plain(want)), "%+v is not %+v", got, want)
 }
 
-// Guards against a sound update that its receiver refuses because of its seal.
+// Guards against a sound update that its receiver refuses because of its checksum.
 func TestEachPackedUpdateIsAcceptedAsItWasSent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var cache pack.Cache
@@ -71,7 +71,7 @@
 			assert.NilError(t, err)
 			var packed wire.Update
 			assert.NilError(t, cbor.Unmarshal(raw, &packed))
-			assert.Assert(t, packed.Packed != nil && packed.Sealed())
+			assert.Assert(t, packed.Packed != nil && packed.Verifiable())
 			transfer, err := pack.NewTransfer(packed.Packed)
 			assert.NilError(t, err)
 			for !transfer.Done() {
--- a/internal/link/pack/pack.go
+++ b/internal/link/pack/pack.go
@@ -54,14 +54,14 @@
 	return fmt.Sprintf("content has digest %s, not %s", e.Got, e.Want)
 }
 
-// SealError is returned for content that is not that of the update which names it.
-type SealError struct {
+// ChecksumError is returned for content that is not that of the update which names it.
+type ChecksumError struct {
 	Want, Got uint64
 }
 
 // Error implements error.
-func (e *SealError) Error() string {
-	return fmt.Sprintf("objects have the seal %016x, the update states %016x", e.Got, e.Want)
+func (e *ChecksumError) Error() string {
+	return fmt.Sprintf("objects have the checksum %016x, the update states %016x", e.Got, e.Want)
 }
 
 // Encode returns the content of objects. Equal objects have equal content.
@@ -156,7 +156,7 @@
 }
 
 // Complete returns the update that named the content, with the objects of the complete transfer. It returns an error of
-// Objects, or a SealError if the objects are those of another update.
+// Objects, or a ChecksumError if the objects are those of another update.
 func (t *Transfer) Complete(update *wire.Update) (*wire.Update, error) {
 	objects, err := t.Objects()
 	if err != nil {
@@ -165,13 +165,13 @@
 	return Unpacked(update, objects)
 }
 
-// Unpacked returns a packed update with its objects. It returns a SealError if the objects are those of another update.
+// Unpacked returns a packed update with its objects. It returns a ChecksumError if the objects are those of another update.
 func Unpacked(update *wire.Update, objects []wire.Stored) (*wire.Update, error) {
 	complete := *update
 	complete.Objects, complete.Packed = objects, nil
-	if want := update.Packed.Seal; want != 0 {
-		if got := complete.Seal(); got != want {
-			return nil, &SealError{Want: want, Got: got}
+	if want := update.Packed.Checksum; want != 0 {
+		if got := complete.Checksum(); got != want {
+			return nil, &ChecksumError{Want: want, Got: got}
 		}
 	}
 	return &complete, nil
--- a/internal/link/pack/pack_test.go
+++ b/internal/link/pack/pack_test.go
@@ -222,11 +222,11 @@
 	mistaken.Digest, mistaken.Bytes = foreign.Packed.Digest, foreign.Packed.Bytes
 	packed.Packed = &mistaken
 	_, err = transferred(t, &cache, packed)
-	var sealed *pack.SealError
-	assert.Assert(t, errors.As(err, &sealed), "%v", err)
-	assert.Assert(t, packed.Sealed())
-	mistaken.Seal = 0
-	assert.Assert(t, !packed.Sealed(), "a peer of the previous version, in an era")
+	var mismatch *pack.ChecksumError
+	assert.Assert(t, errors.As(err, &mismatch), "%v", err)
+	assert.Assert(t, packed.Verifiable())
+	mistaken.Checksum = 0
+	assert.Assert(t, !packed.Verifiable(), "a peer of the previous version, in an era")
 }
 
 // Guards against contents that are packed again for each peer that requests them, and that are no longer kept when a peer requests
--- a/internal/link/wire/seal.go
+++ b/internal/link/wire/checksum.go
@@ -6,11 +6,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Seal returns the digest of what the update says of its objects: kind, era and range of revisions, and of each object its name,
+// Checksum returns the digest of what the update says of its objects: kind, era and range of revisions, and of each object its name,
 // version, hold, value and status. The store gives numbers out again after it came back from a copy, so that the numbers alone
-// don't tell one content from another. The seal doesn't cover how long objects are still held. It is never 0.
-func (u *Update) Seal() uint64 {
-	w := sealWriter{}
+// don't tell one content from another. The checksum doesn't cover how long objects are still held. It is never 0.
+func (u *Update) Checksum() uint64 {
+	w := checksumWriter{}
 	w.digest.Reset()
 	w.text(u.Kind)
 	w.numbers(u.Era, u.Since, u.SinceEra, u.Changed, flags(u.Whole, u.Lost, u.EraOnly), uint64(len(u.Objects)))
@@ -27,16 +27,16 @@
 	return max(w.digest.Sum64(), 1)
 }
 
-// Sealed reports whether a receiver can tell that the packed objects are those of this update. Without eras, the store gives no
+// Verifiable reports whether a receiver can tell that the packed objects are those of this update. Without eras, the store gives no
 // number out twice.
-func (u *Update) Sealed() bool { return u.Packed == nil || u.Packed.Seal != 0 || u.Era == 0 }
+func (u *Update) Verifiable() bool { return u.Packed == nil || u.Packed.Checksum != 0 || u.Era == 0 }
 
-// sealWriter adds values with their lengths to a digest, so that no two lists of values look alike.
-type sealWriter struct {
+// checksumWriter adds values with their lengths to a digest, so that no two lists of values look alike.
+type checksumWriter struct {
 	digest xxhash.Digest
 }
 
-func (w *sealWriter) numbers(all ...uint64) {
+func (w *checksumWriter) numbers(all ...uint64) {
 	var buffer [8]byte
 	for _, number := range all {
 		binary.LittleEndian.PutUint64(buffer[:], number)
@@ -44,12 +44,12 @@
 	}
 }
 
-func (w *sealWriter) text(s string) {
+func (w *checksumWriter) text(s string) {
 	w.numbers(uint64(len(s)))
 	_, _ = w.digest.WriteString(s)
 }
 
-func (w *sealWriter) bytes(b []byte) {
+func (w *checksumWriter) bytes(b []byte) {
 	w.numbers(uint64(len(b)))
 	_, _ = w.digest.Write(b)
 }
--- a/internal/link/wire/relay.go
+++ b/internal/link/wire/relay.go
@@ -295,8 +295,8 @@
 	Bytes  int    `cbor:"bytes"`
 	// Patch is set if the update has one object. A receiver that holds the version before needs no chunks.
 	Patch *Patch `cbor:"patch,omitempty"`
-	// Seal is Update.Seal with the objects, 0 from a peer of the previous version.
-	Seal uint64 `cbor:"seal,omitempty"`
+	// Checksum is Update.Checksum with the objects, 0 from a peer of the previous version.
+	Checksum uint64 `cbor:"checksum,omitempty"`
 }
 
 // Patch is the only object of an update as the difference from the version before.
--- a/internal/serve/feed/quiet_test.go
+++ b/internal/serve/feed/quiet_test.go
@@ -215,7 +215,7 @@
 		to.Apply(packed, now)
 		return
 	}
-	if !to.previous && !packed.Sealed() {
+	if !to.previous && !packed.Verifiable() {
 		return
 	}
 	if patch := packed.Packed.Patch; patch != nil && len(patch.Delta) > 0 && !to.Apply(packed, now) {
@@ -227,7 +227,7 @@
 		assert.Assert(s.t, transfer.Add(from.contents.Chunk(&wire.ChunkRequest{Digest: transfer.Digest(), Offset: transfer.Offset()})))
 	}
 	if to.previous {
-		packed.Packed.Seal = 0
+		packed.Packed.Checksum = 0
 	}
 	complete, err := transfer.Complete(packed)
 	assert.NilError(s.t, err)
--- a/internal/serve/mesh/content_test.go
+++ b/internal/serve/mesh/content_test.go
@@ -295,7 +295,7 @@
 	packed := pack(t, sender, lost)
 	r.ReceiveUpdate("sender", packed)
 	difference := &wire.Update{Kind: "config", Era: 3, Since: 7, Revision: 8, Changed: 8, Packed: &wire.Packed{
-		Digest: "d", Bytes: 1, Seal: 1, Patch: &wire.Patch{Object: wire.Stored{Name: "config/main", Version: 8}, Base: 7, Delta: []byte("d")},
+		Digest: "d", Bytes: 1, Checksum: 1, Patch: &wire.Patch{Object: wire.Stored{Name: "config/main", Version: 8}, Base: 7, Delta: []byte("d")},
 	}}
 	r.ReceiveUpdate("sender", difference)
 	assert.DeepEqual(t, r.applied, []uint64{8})
--- a/internal/serve/mesh/follow.go
+++ b/internal/serve/mesh/follow.go
@@ -170,9 +170,9 @@
 }
 
 func (m *Mesh) handleUpdate(from string, update *wire.Update) {
-	if !update.Valid() || !update.Sealed() {
+	if !update.Valid() || !update.Verifiable() {
 		m.ignoredFunc("contradictory")
-		m.log.Warn("update ignored", "peer", from, "kind", update.Kind, "revision", update.At(), "sealed", update.Sealed())
+		m.log.Warn("update ignored", "peer", from, "kind", update.Kind, "revision", update.At(), "verifiable", update.Verifiable())
 		return
 	}
 	if m.uplink.Load().upstream != from && !update.IsNewer(m.follower.ProgressFunc()) {
