fix(feed): a risen era is taken only with the digest of the contents

Cause: a process of the previous version may hold lost contents under the numbers of the new era (its contents for peers belong to no era). It notices no loss then, and tells its followers that the era has risen without one. A follower of this version that still held the lost contents took the era, confirmed by names and versions, and kept them until the next version. Upstreams of the previous version state no digest of contents.

TestRisenEraWithoutADigestOfContentsIsNotTaken fails before.

--- a/internal/serve/feed/contents_test.go
+++ b/internal/serve/feed/contents_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -96,3 +97,33 @@
 	assert.Assert(t, !own.Confirm(progress, fake.Clock().Now()))
 	assert.Assert(t, !own.ListDue())
 }
+
+// Guards against lost contents that are kept into the next era because an upstream of the previous version has not noticed the loss:
+// it got them from another one under the number of the new ones, and compares names and versions only.
+func TestRisenEraWithoutADigestOfContentsIsNotTaken(t *testing.T) {
+	for contents, missing := range map[bool]bool{true: false, false: true} {
+		era := uint64(2)
+		list := func() (store.Listing, error) {
+			at := store.Revision{Era: era, Number: 9}
+			return store.Listing{Revision: at, Objects: []store.Object{{Name: "k/a", Version: store.Revision{Era: era, Number: 5}, Value: []byte("lost")}}}, nil
+		}
+		var sent *wire.Update
+		fake := clock.NewFake(1)
+		newFeed := func() *feed.Feed {
+			f := feed.New("k", &store.Store{ScanFunc: func(context.Context, string) (store.Listing, error) { return list() }},
+				feed.WithClock(fake.Clock()), feed.WithForward(func(update *wire.Update) { sent = update }))
+			f.ReadList(t.Context())
+			return f
+		}
+		own, peer := newFeed(), newFeed()
+		era = 3
+		peer.ReadList(t.Context())
+		assert.Assert(t, sent.EraOnly)
+		if !contents {
+			sent.Contents = 0
+		}
+		assert.Equal(t, own.Apply(sent, 1), missing)
+		progress := own.Progress()
+		assert.Equal(t, progress.Era == 2, missing)
+	}
+}
--- a/internal/serve/feed/restore.go
+++ b/internal/serve/feed/restore.go
@@ -125,12 +125,13 @@
 }
 
 // applyEraOnly applies the message of a peer that the era has risen without a loss. It returns false
-// if this feed doesn't know the objects that the peer has, or others besides.
+// if this feed doesn't know the objects that the peer has, or others besides. A peer of the previous version states no digest of
+// contents: it may hold lost ones under the numbers of this era, as this feed does.
 func (f *Feed) applyEraOnly(update *wire.Update, at clock.Millis) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := &f.state
-	if !s.listed || s.lastChange != update.SinceAt() || s.holdsElse(digests{update.Digest, update.Contents}) || len(s.held)+len(s.hidden)+len(s.early) > 0 {
+	if !s.listed || s.lastChange != update.SinceAt() || update.Contents == 0 || s.holdsElse(digests{update.Digest, update.Contents}) || len(s.held)+len(s.hidden)+len(s.early) > 0 {
 		return false
 	}
 	for name, object := range s.objects {
