--- a/internal/serve/mesh/content_test.go
+++ b/internal/serve/mesh/content_test.go
@@ -302,3 +302,23 @@
 	r.transfer(sender, "sender", packed.Packed.Digest, 10)
 	assert.DeepEqual(t, r.applied, []uint64{8, 7})
 }
+
+// Guards against a transfer whose objects are refused because the era has risen without a loss while it went on, or since.
+func TestTransferGoesOnInTheNextEra(t *testing.T) {
+	r, sender := newReceiver(t), newSender(t)
+	var announced []*wire.Update
+	for era := uint64(2); era < 5; era++ {
+		update := largeUpdate(7)
+		update.Era = era
+		announced = append(announced, pack(t, sender, update))
+	}
+	r.ReceiveUpdate("sender", announced[0])
+	r.transfer(sender, "sender", announced[0].Packed.Digest, 2)
+	r.ReceiveUpdate("sender", announced[1])
+	offset, _ := r.Downloading("config")
+	assert.Assert(t, offset > 0, "begun again")
+	r.transfer(sender, "sender", announced[0].Packed.Digest, 10)
+	assert.DeepEqual(t, r.applied, []uint64{7})
+	r.ReceiveUpdate("sender", announced[2])
+	assert.DeepEqual(t, r.applied, []uint64{7, 7})
+}
