--- a/internal/serve/deploy/rollout.go
+++ b/internal/serve/deploy/rollout.go
@@ -72,7 +72,7 @@
 	case status.State == "":
 		return len(object.Status) == 0 // other programs may write one that can't be read
 	}
-	// They may write one without a start, too.
+	// Other programs may also write a status without a start.
 	return status.Order != r.order || status.StartedAt != r.status.StartedAt && min(status.StartedAt, r.status.StartedAt) > 0
 }
 
